--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# The README's commands; each installs what it needs.
+BUILD ?= build
+
+.PHONY: build demo check format lint
+
+build:
+	tools/install.sh
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD)
+
+demo: build
+	tools/demo.sh $(BUILD)
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 8
+
+format:
+	tools/format.sh --fix
+
+lint:
+	tools/format.sh
+	tools/lint.sh $(BUILD)
--- /dev/null
+++ b/include/marjoramtally/base.hpp
@@ -0,0 +1,13 @@
+/// Public header of the base library: ids, units, time, results, findings.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/base/fields.hpp"
+#include "marjoramtally/base/findings.hpp"
+#include "marjoramtally/base/ids.hpp"
+#include "marjoramtally/base/index_set.hpp"
+#include "marjoramtally/base/ini.hpp"
+#include "marjoramtally/base/random.hpp"
+#include "marjoramtally/base/result.hpp"
+#include "marjoramtally/base/strong.hpp"
+#include "marjoramtally/base/units.hpp"
--- /dev/null
+++ b/include/marjoramtally/connection.hpp
@@ -0,0 +1,4 @@
+/// Public header of the connection library: what goes over connections.
+#pragma once
+
+#include "marjoramtally/connection/trainer_messages.hpp"
--- /dev/null
+++ b/include/marjoramtally/request.hpp
@@ -0,0 +1,7 @@
+/// Public header of the request library: what lives for one request.
+#pragma once
+
+#include "marjoramtally/request/attempts.hpp"
+#include "marjoramtally/request/outcome.hpp"
+#include "marjoramtally/request/request.hpp"
+#include "marjoramtally/request/sample.hpp"
--- /dev/null
+++ b/include/marjoramtally/runtime.hpp
@@ -0,0 +1,14 @@
+/// Public header of the runtime library: sockets, threads, logs, store.
+#pragma once
+
+#include "marjoramtally/runtime/etcd_store.hpp"
+#include "marjoramtally/runtime/http_client.hpp"
+#include "marjoramtally/runtime/http_server.hpp"
+#include "marjoramtally/runtime/http_types.hpp"
+#include "marjoramtally/runtime/log.hpp"
+#include "marjoramtally/runtime/metrics.hpp"
+#include "marjoramtally/runtime/program.hpp"
+#include "marjoramtally/runtime/rpc.hpp"
+#include "marjoramtally/runtime/store.hpp"
+#include "marjoramtally/runtime/timers.hpp"
+#include "marjoramtally/runtime/trace.hpp"
--- /dev/null
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -0,0 +1,77 @@
+/// An HTTP client that never blocks its caller.
+#pragma once
+
+#include "marjoramtally/runtime/http_types.hpp"
+
+#include <memory>
+
+namespace marjoramtally {
+
+/// How a call ended.
+enum class HttpEnd
+{
+  /// A whole response was received, proven by its length or last chunk.
+  Whole,
+  /// No byte of the request left this process.
+  NotSent,
+  /// Bytes were sent and no whole response came back.
+  Broken,
+  /// The time limit passed after bytes were sent.
+  TimedOut,
+  /// `Cancel` was called after bytes were sent.
+  Cancelled,
+};
+
+/// One outgoing request.
+struct HttpCall
+{
+  std::string method_ = "GET";
+  std::string url_;
+  HttpHeaders headers_;
+  std::string body_;
+  Duration timeout_ = std::chrono::seconds(30);
+  /// Time limit for the connection alone.
+  Duration connectTimeout_ = std::chrono::seconds(2);
+  /// Use a connection of its own, so that the library never sends twice.
+  bool atMostOnce_ = false;
+  /// Called on a client thread for each piece of a body, if set; the result
+  /// then carries no body. Return false to cancel.
+  std::function<bool(std::string_view)> onData_;
+  /// Called once with the status before the first piece, if set.
+  std::function<void(int, const HttpHeaders&)> onHead_;
+};
+
+/// What came of a call.
+struct HttpResult
+{
+  HttpEnd end_ = HttpEnd::NotSent;
+  HttpResponse response_;
+  /// The library's message unless `end_` is `Whole`.
+  std::string message_;
+};
+
+using HttpDone = std::function<void(HttpResult)>;
+/// Names a call in progress.
+using HttpCallId = std::uint64_t;
+
+/// Sends calls on its own threads. Callbacks run on those threads and must
+/// not block.
+class HttpClient
+{
+public:
+  /// @param aThreads number of sending threads
+  [[nodiscard]] static std::unique_ptr<HttpClient> Create(
+    std::uint32_t aThreads);
+
+  virtual ~HttpClient() = default;
+  /// Starts a call; `aDone` is called exactly once.
+  virtual HttpCallId Send(HttpCall aCall, HttpDone aDone) = 0;
+  /// Ends a call early; its `aDone` still runs.
+  virtual void Cancel(HttpCallId aId) = 0;
+};
+
+/// Blocking convenience for command-line tools.
+[[nodiscard]] HttpResult
+SendAndWait(HttpClient& aClient, HttpCall aCall);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/runtime/http_types.hpp
@@ -0,0 +1,56 @@
+/// HTTP messages as plain values, shared by the server and the client.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoramtally {
+
+/// One header field; names compare without regard to case.
+struct HttpHeader
+{
+  std::string name_;
+  std::string value_;
+};
+
+/// Header fields in their order on the wire.
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// @returns the value of the first field of that name, if any
+[[nodiscard]] std::optional<std::string_view>
+FindHeader(const HttpHeaders& aHeaders, std::string_view aName) noexcept;
+
+/// A whole request as received.
+struct HttpRequest
+{
+  std::string method_;
+  /// Path without the query.
+  std::string path_;
+  std::string query_;
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+/// A whole response.
+struct HttpResponse
+{
+  int status_ = 200;
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+/// @returns a response with a JSON body
+[[nodiscard]] HttpResponse
+JsonResponse(int aStatus, std::string aBody);
+
+/// @returns `{"error":{"kind":…,"message":…}}` with the status
+[[nodiscard]] HttpResponse
+ErrorResponse(int aStatus, std::string_view aKind, std::string_view aMessage);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/runtime/log.hpp
@@ -0,0 +1,41 @@
+/// Structured logs: one line of key=value pairs for each event.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace marjoramtally {
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warn,
+  Error,
+};
+
+/// One key=value pair of an event.
+struct LogField
+{
+  std::string_view key_;
+  std::string value_;
+};
+
+/// Sets up logging to standard error.
+/// @param aProgram the value of each line's `program=`
+/// @param aInstance the value of each line's `instance=`
+/// @param aLevel least level written
+void
+InitLog(const std::string& aProgram,
+        const std::string& aInstance,
+        LogLevel aLevel);
+
+/// Writes one event.
+/// @example `LogEvent(LogLevel::Info, "started", { { "port", "80" } });`
+void
+LogEvent(LogLevel aLevel,
+         std::string_view aEvent,
+         std::initializer_list<LogField> aFields = {});
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/runtime/program.hpp
@@ -0,0 +1,54 @@
+/// What every program does the same way: options, settings, signals.
+#pragma once
+
+#include "marjoramtally/base/ini.hpp"
+#include "marjoramtally/runtime/log.hpp"
+
+#include <filesystem>
+#include <functional>
+#include <variant>
+
+namespace marjoramtally {
+
+/// Version printed by `--version`.
+inline constexpr std::string_view kVersion = "0.1.0";
+
+/// Exit codes of all programs.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadInput = 2;
+
+/// Reads a whole file.
+[[nodiscard]] Result<std::string>
+ReadFile(const std::filesystem::path& aPath);
+
+/// Writes a whole file by rename, so that readers see all or nothing.
+[[nodiscard]] Result<bool>
+WriteFile(const std::filesystem::path& aPath, std::string_view aText);
+
+/// Options common to the daemons: `--settings FILE`, `--check`, `--help`,
+/// `--version`.
+struct DaemonOptions
+{
+  std::string settingsFile_;
+  bool checkOnly_ = false;
+};
+
+/// Parses a daemon's command line.
+/// @returns an exit code if the program is already done
+[[nodiscard]] std::variant<DaemonOptions, int>
+ParseDaemonOptions(int aArgc, char** aArgv, const std::string& aProgram);
+
+/// Reads a settings file into its document.
+[[nodiscard]] Checked<IniDocument>
+LoadSettings(const std::string& aFile);
+
+/// Blocks SIGTERM and SIGINT in all threads started afterwards.
+void
+BlockStopSignals();
+
+/// Waits until SIGTERM or SIGINT arrives.
+void
+WaitForStopSignal();
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -0,0 +1,60 @@
+/// Calls between our own processes, over Cap'n Proto RPC.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/base/result.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace marjoramtally {
+
+/// Which part of a process a call is for. Numbers are fixed on the wire.
+enum class RpcTopic : std::uint16_t
+{
+  /// Entry to control: one trainer operation.
+  Trainer = 1,
+  /// Control to entry: generate one candidate.
+  Generate = 2,
+  /// Any to any: membership probe and digest.
+  Gossip = 3,
+  /// Any to any: fetch configuration.
+  Config = 4,
+  /// Entry to entry: claims and quarantine.
+  Claim = 5,
+};
+
+/// One call; its body is an encoded message of the topic's schema.
+struct RpcCall
+{
+  RpcTopic topic_ = RpcTopic::Gossip;
+  Duration timeout_ = std::chrono::seconds(5);
+  /// W3C trace context, or empty.
+  std::string traceparent_;
+  std::string body_;
+};
+
+using RpcReply = Result<std::string>;
+using RpcDone = std::function<void(RpcReply)>;
+/// Answers a call, at once or later, from any thread, exactly once.
+using RpcHandler = std::function<void(RpcCall, RpcDone)>;
+
+/// Serves and makes calls on one thread of its own.
+class RpcNode
+{
+public:
+  /// @param aAddress IP number to listen on
+  /// @param aPort 0 takes a port from the kernel
+  [[nodiscard]] static Result<std::unique_ptr<RpcNode>>
+  Start(const std::string& aAddress, std::uint16_t aPort, RpcHandler aHandler);
+
+  virtual ~RpcNode() = default;
+  [[nodiscard]] virtual std::uint16_t Port() const noexcept = 0;
+  /// Calls a peer; `aDone` is called exactly once on the node's thread.
+  /// `Unavailable` means that the call was not sent.
+  virtual void Call(const std::string& aPeer, RpcCall aCall, RpcDone aDone) = 0;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/runtime/store.hpp
@@ -0,0 +1,112 @@
+/// The platform's key-value service as an interface.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/base/result.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace marjoramtally {
+
+/// Names a lease of the store; 0 is none.
+using StoreLeaseId = std::int64_t;
+
+/// One record.
+struct StoreRecord
+{
+  std::string key_;
+  std::string value_;
+  std::uint64_t createRevision_ = 0;
+  std::uint64_t modRevision_ = 0;
+  StoreLeaseId lease_ = 0;
+};
+
+/// Records under a prefix and the revision at which they were read.
+struct StoreRange
+{
+  std::uint64_t revision_ = 0;
+  std::vector<StoreRecord> records_;
+};
+
+/// Holds if the key's last modification has this revision; 0: is absent.
+struct StoreCompare
+{
+  std::string key_;
+  std::uint64_t modRevision_ = 0;
+};
+
+/// Writes one key.
+struct StorePut
+{
+  std::string key_;
+  std::string value_;
+  StoreLeaseId lease_ = 0;
+};
+
+/// All puts and deletes take effect at once if all compares hold.
+struct StoreTxn
+{
+  std::vector<StoreCompare> compares_;
+  std::vector<StorePut> puts_;
+  std::vector<std::string> deletes_;
+};
+
+/// What came of a transaction.
+struct StoreCommit
+{
+  bool applied_ = false;
+  std::uint64_t revision_ = 0;
+};
+
+/// One change seen by a watch.
+struct StoreEvent
+{
+  bool deleted_ = false;
+  StoreRecord record_;
+};
+
+/// Tells a watcher of changes, or that the watch ended (then it must read
+/// again and watch anew).
+struct StoreWatchBatch
+{
+  bool ended_ = false;
+  std::uint64_t revision_ = 0;
+  std::vector<StoreEvent> events_;
+};
+
+/// A lease granted.
+struct StoreLease
+{
+  StoreLeaseId id_ = 0;
+  Duration ttl_{ 0 };
+};
+
+template<typename T>
+using StoreDone = std::function<void(Result<T>)>;
+using StoreWatchId = std::uint64_t;
+
+/// The store. `Unavailable` errors prove that a write took no effect;
+/// after any other error it may or may not have.
+class Store
+{
+public:
+  virtual ~Store() = default;
+  /// Reads all records whose key starts with the prefix.
+  virtual void Read(std::string aPrefix, StoreDone<StoreRange> aDone) = 0;
+  virtual void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) = 0;
+  virtual void GrantLease(Duration aTtl, StoreDone<StoreLease> aDone) = 0;
+  virtual void KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone) = 0;
+  virtual void RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone) = 0;
+  /// Watches a prefix from a revision on; `aOnBatch` runs until the batch
+  /// with `ended_` or `StopWatch`.
+  virtual StoreWatchId Watch(
+    std::string aPrefix,
+    std::uint64_t aFromRevision,
+    std::function<void(const StoreWatchBatch&)> aOnBatch) = 0;
+  virtual void StopWatch(StoreWatchId aWatch) = 0;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/runtime/timers.hpp
@@ -0,0 +1,31 @@
+/// Timers on one thread of their own.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace marjoramtally {
+
+/// Runs functions later. They must not block.
+class Timers
+{
+public:
+  Timers();
+  ~Timers();
+  Timers(const Timers&) = delete;
+  Timers& operator=(const Timers&) = delete;
+  /// Runs a function once.
+  void After(Duration aDelay, std::function<void()> aTask);
+  /// Runs a function again and again until the timers are destroyed.
+  void Every(Duration aPeriod, std::function<void()> aTask);
+  /// Stops; tasks not yet run are dropped.
+  void Stop();
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/version.hpp
@@ -0,0 +1,6 @@
+/// Public header of the version library: what lives for a version of the
+/// configuration or of weights, or for a trainer's step.
+#pragma once
+
+#include "marjoramtally/version/ledger.hpp"
+#include "marjoramtally/version/rules.hpp"
--- /dev/null
+++ b/include/marjoramtally/version/rules.hpp
@@ -0,0 +1,90 @@
+/// The operators' rules, checked.
+#pragma once
+
+#include "marjoramtally/base/fields.hpp"
+#include "marjoramtally/base/ids.hpp"
+
+#include <map>
+
+namespace marjoramtally {
+
+/// `[service NAME]`
+struct ServiceRule
+{
+  ServiceId id_;
+  /// `engine` or `plain`.
+  std::string kind_ = "plain";
+  /// Time a live caller waits unless it says otherwise.
+  Duration deadline_ = std::chrono::seconds(2);
+  /// Requests in flight at one upstream.
+  std::uint64_t upstreamLimit_ = 64;
+};
+
+/// `[upstream NAME]`
+struct UpstreamRule
+{
+  UpstreamId id_;
+  std::string service_;
+  std::string zone_;
+  /// `IP:port`
+  std::string address_;
+  /// Whether it refuses orders with an old fencing number.
+  bool fencing_ = true;
+  /// Set by operators to take it out of service.
+  bool leaving_ = false;
+};
+
+/// `[trainer NAME]`
+struct TrainerRule
+{
+  TrainerId id_;
+  std::string service_;
+  /// Model or adapter that it trains.
+  std::string model_;
+  /// Versions a delivered sample may be behind.
+  std::uint64_t staleness_ = 1;
+  /// Share among trainers.
+  std::uint64_t weight_ = 1;
+  /// Generations in flight at once.
+  std::uint64_t inFlight_ = 64;
+  /// `IP:port` of the scoring service; empty for none.
+  std::string scorer_;
+};
+
+/// `[weight-store]`
+struct WeightStoreRule
+{
+  std::string address_;
+  /// Loads from it at once.
+  std::uint64_t parallelLoads_ = 64;
+};
+
+/// All rules of one revision.
+struct Rules
+{
+  ConfigRevision revision_;
+  std::map<ServiceId, ServiceRule> services_;
+  std::map<UpstreamId, UpstreamRule> upstreams_;
+  std::map<TrainerId, TrainerRule> trainers_;
+  WeightStoreRule weightStore_;
+};
+
+/// One file of the rules folder.
+struct RulesFile
+{
+  std::string name_;
+  std::string text_;
+  auto operator<=>(const RulesFile&) const = default;
+};
+
+/// Merges files in the order of their names; a later file overrides key by
+/// key.
+[[nodiscard]] Checked<IniDocument>
+MergeRulesFiles(std::vector<RulesFile> aFiles);
+
+/// Checks a merged document.
+/// @returns the rules or every finding
+[[nodiscard]] Checked<Rules>
+BuildRules(const IniDocument& aMerged);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/cluster.cpp
@@ -0,0 +1,277 @@
+#include "daemon/cluster.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string
+FormatInstance(const InstanceRecord& aRecord)
+{
+  return Json{
+    { "role", aRecord.role_ },
+    { "zone", aRecord.zone_.Get() },
+    { "http", aRecord.http_ },
+    { "rpc", aRecord.rpc_ }
+  }.dump();
+}
+
+void
+TakeInstance(const std::string& aName, const Json& aBody, ClusterView& aView)
+{
+  InstanceRecord record;
+  record.id_ = InstanceId{ aName };
+  record.role_ = aBody.value("role", "");
+  record.zone_ = ZoneId{ aBody.value("zone", "") };
+  record.http_ = aBody.value("http", "");
+  record.rpc_ = aBody.value("rpc", "");
+  aView.instances_.emplace(record.id_, std::move(record));
+}
+
+void
+TakeOwner(const std::string& aDuty,
+          const Json& aBody,
+          std::uint64_t aRevision,
+          ClusterView& aView)
+{
+  OwnerRecord record;
+  record.owner_ = InstanceId{ aBody.value("owner", "") };
+  record.rpc_ = aBody.value("rpc", "");
+  record.term_ = FencingNumber{ aRevision };
+  aView.owners_.emplace(aDuty, std::move(record));
+}
+
+/// Sorts one record of the store into the view.
+void
+TakeRecord(const StoreRecord& aRecord, ClusterView& aView)
+{
+  const Json body = Json::parse(aRecord.value_, nullptr, false);
+  if (!body.is_object()) {
+    LogEvent(
+      LogLevel::Warn, "store_record_unreadable", { { "key", aRecord.key_ } });
+    return;
+  }
+  const std::string& key = aRecord.key_;
+  if (key.starts_with(kInstancePrefix)) {
+    TakeInstance(key.substr(kInstancePrefix.size()), body, aView);
+  } else if (key.starts_with(kOwnerPrefix)) {
+    TakeOwner(
+      key.substr(kOwnerPrefix.size()), body, aRecord.createRevision_, aView);
+  } else if (key.starts_with(kVersionPrefix)) {
+    aView.versions_[key.substr(kVersionPrefix.size())] =
+      WeightVersion{ body.value("version", std::uint64_t{ 0 }) };
+  }
+}
+
+} // namespace
+
+Cluster::Cluster(const DaemonSettings& aSettings,
+                 Store& aStore,
+                 Timers& aTimers)
+  : settings_(aSettings)
+  , store_(aStore)
+  , timers_(aTimers)
+{
+}
+
+void
+Cluster::Start(InstanceRecord aSelf)
+{
+  self_ = std::move(aSelf);
+  EnsureLease();
+  Refresh();
+  constexpr int kHeartbeatsPerTtl = 3;
+  timers_.Every(settings_.leaseTtl_ / kHeartbeatsPerTtl,
+                [this] { EnsureLease(); });
+  timers_.Every(settings_.refresh_, [this] { Refresh(); });
+}
+
+void
+Cluster::Leave(std::function<void()> aDone)
+{
+  leaving_ = true;
+  const StoreLeaseId lease = lease_.exchange(0);
+  store_.RevokeLease(
+    lease, [done = std::move(aDone)](const Result<bool>&) { done(); });
+}
+
+ClusterViewPtr
+Cluster::View() const
+{
+  const std::lock_guard lock(mutex_);
+  return view_;
+}
+
+void
+Cluster::OnRefresh(std::function<void(const ClusterViewPtr&)> aListener)
+{
+  const std::lock_guard lock(mutex_);
+  listeners_.push_back(std::move(aListener));
+}
+
+void
+Cluster::EnsureLease()
+{
+  if (leaving_) {
+    return;
+  }
+  const StoreLeaseId lease = lease_;
+  if (lease == 0) {
+    store_.GrantLease(settings_.leaseTtl_, [this](Result<StoreLease> aGrant) {
+      if (aGrant && !leaving_) {
+        Register(aGrant.value().id_);
+      }
+    });
+    return;
+  }
+  store_.KeepAlive(lease, [this, lease](const Result<StoreLease>& aKept) {
+    const bool lapsed = aKept ? aKept.value().ttl_ <= Duration::zero()
+                              : aKept.error().kind_ == ErrorKind::NotFound;
+    StoreLeaseId expected = lease;
+    if (lapsed && lease_.compare_exchange_strong(expected, 0)) {
+      LogEvent(LogLevel::Warn, "lease_lapsed");
+      EnsureLease();
+    }
+  });
+}
+
+void
+Cluster::Register(StoreLeaseId aLease)
+{
+  StoreTxn txn;
+  txn.puts_.push_back({ std::string(kInstancePrefix) + self_.id_.Get(),
+                        FormatInstance(self_),
+                        aLease });
+  store_.Commit(std::move(txn),
+                [this, aLease](const Result<StoreCommit>& aCommit) {
+                  if (aCommit) {
+                    lease_ = aLease;
+                    LogEvent(LogLevel::Info, "registered");
+                  }
+                });
+}
+
+void
+Cluster::Refresh()
+{
+  store_.Read(std::string(kLivePrefix),
+              [this](const Result<StoreRange>& aRead) {
+                if (!aRead) {
+                  LogEvent(LogLevel::Warn,
+                           "store_read_failed",
+                           { { "error", aRead.error().message_ } });
+                  return;
+                }
+                TakeLive(aRead.value());
+                CheckManifest();
+              });
+}
+
+void
+Cluster::TakeLive(const StoreRange& aRange)
+{
+  ClusterView next;
+  for (const StoreRecord& record : aRange.records_) {
+    TakeRecord(record, next);
+  }
+  const ClusterViewPtr before = View();
+  next.rules_ = before->rules_;
+  for (const auto& [model, version] : before->versions_) {
+    WeightVersion& known = next.versions_[model];
+    known = std::max(known, version);
+  }
+  Publish(std::move(next));
+}
+
+void
+Cluster::CheckManifest()
+{
+  store_.Read(std::string(kManifestKey),
+              [this](const Result<StoreRange>& aRead) {
+                if (!aRead || aRead.value().records_.empty()) {
+                  return;
+                }
+                const auto manifest =
+                  ParseManifest(aRead.value().records_.front().value_);
+                if (!manifest) {
+                  LogEvent(LogLevel::Error,
+                           "manifest_unreadable",
+                           { { "error", manifest.error().message_ } });
+                  return;
+                }
+                if (manifest.value().revision_ > View()->rules_->revision_) {
+                  FetchBlobs(manifest.value());
+                }
+              });
+}
+
+void
+Cluster::FetchBlobs(const Manifest& aManifest)
+{
+  store_.Read(
+    std::string(kBlobPrefix),
+    [this, aManifest](const Result<StoreRange>& aRead) {
+      if (!aRead) {
+        return;
+      }
+      std::map<std::string, std::string> blobs;
+      for (const StoreRecord& record : aRead.value().records_) {
+        blobs[record.key_.substr(kBlobPrefix.size())] = record.value_;
+      }
+      std::vector<RulesFile> files;
+      for (const ManifestFile& file : aManifest.files_) {
+        const auto blob = blobs.find(file.hash_);
+        if (blob == blobs.end()) {
+          LogEvent(LogLevel::Error, "blob_missing", { { "file", file.name_ } });
+          return;
+        }
+        files.push_back({ file.name_, blob->second });
+      }
+      ApplyRules(aManifest, std::move(files));
+    });
+}
+
+void
+Cluster::ApplyRules(const Manifest& aManifest, std::vector<RulesFile> aFiles)
+{
+  const auto merged = MergeRulesFiles(std::move(aFiles));
+  auto built =
+    merged ? BuildRules(merged.value()) : Checked<Rules>(merged.error());
+  if (!built) {
+    LogEvent(LogLevel::Error,
+             "rules_rejected",
+             { { "findings", built.error().Render() } });
+    return;
+  }
+  auto rules = std::make_shared<Rules>(std::move(built).value());
+  rules->revision_ = aManifest.revision_;
+  ClusterView next = *View();
+  if (next.rules_->revision_ >= rules->revision_) {
+    return;
+  }
+  next.rules_ = rules;
+  LogEvent(LogLevel::Info,
+           "rules_applied",
+           { { "revision", std::to_string(rules->revision_.Get()) } });
+  Publish(std::move(next));
+}
+
+void
+Cluster::Publish(ClusterView aView)
+{
+  const auto view = std::make_shared<const ClusterView>(std::move(aView));
+  std::vector<std::function<void(const ClusterViewPtr&)>> listeners;
+  {
+    const std::lock_guard lock(mutex_);
+    view_ = view;
+    listeners = listeners_;
+  }
+  for (const auto& listener : listeners) {
+    listener(view);
+  }
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/cluster.hpp
@@ -0,0 +1,96 @@
+/// This process's part in the cluster: its lease and record in the store,
+/// and a view of instances, owners, weight versions and rules.
+#pragma once
+
+#include "daemon/manifest.hpp"
+#include "daemon/settings.hpp"
+#include "marjoramtally/runtime.hpp"
+#include "marjoramtally/version.hpp"
+
+#include <memory>
+#include <mutex>
+
+namespace marjoramtally {
+
+/// Keys in the store of what changes while the system runs.
+inline constexpr std::string_view kLivePrefix = "/marjoramtally/live/";
+inline constexpr std::string_view kInstancePrefix =
+  "/marjoramtally/live/instances/";
+inline constexpr std::string_view kOwnerPrefix = "/marjoramtally/live/owners/";
+inline constexpr std::string_view kVersionPrefix =
+  "/marjoramtally/live/versions/";
+
+/// One of our processes as it registers itself.
+struct InstanceRecord
+{
+  InstanceId id_;
+  /// `entry` or `control`.
+  std::string role_;
+  ZoneId zone_;
+  std::string http_;
+  std::string rpc_;
+};
+
+/// Who owns a duty; the term is its fencing number.
+struct OwnerRecord
+{
+  InstanceId owner_;
+  std::string rpc_;
+  FencingNumber term_;
+};
+
+/// An immutable view of the cluster.
+struct ClusterView
+{
+  std::map<InstanceId, InstanceRecord> instances_;
+  /// By duty, such as `trainer/NAME` or `upstream/NAME`.
+  std::map<std::string, OwnerRecord> owners_;
+  /// Announced weight version of each model.
+  std::map<std::string, WeightVersion> versions_;
+  std::shared_ptr<const Rules> rules_ = std::make_shared<Rules>();
+};
+
+using ClusterViewPtr = std::shared_ptr<const ClusterView>;
+
+/// Keeps the lease and the view. Thread-safe.
+class Cluster
+{
+public:
+  /// All arguments outlive the cluster.
+  Cluster(const DaemonSettings& aSettings, Store& aStore, Timers& aTimers);
+
+  /// Registers this process and starts to refresh the view.
+  void Start(InstanceRecord aSelf);
+  /// Takes this process's record out of the store.
+  void Leave(std::function<void()> aDone);
+  [[nodiscard]] ClusterViewPtr View() const;
+  [[nodiscard]] const InstanceRecord& Self() const noexcept { return self_; }
+  /// @returns the session lease; 0 while there is none
+  [[nodiscard]] StoreLeaseId Lease() const noexcept { return lease_; }
+  /// Called after each refresh, on a store thread.
+  void OnRefresh(std::function<void(const ClusterViewPtr&)> aListener);
+  /// Reads the view anew now.
+  void Refresh();
+
+private:
+  void EnsureLease();
+  void Register(StoreLeaseId aLease);
+  void TakeLive(const StoreRange& aRange);
+  void CheckManifest();
+  void FetchBlobs(const Manifest& aManifest);
+  void ApplyRules(const Manifest& aManifest, std::vector<RulesFile> aFiles);
+  void Publish(ClusterView aView);
+
+  const DaemonSettings& settings_;
+  Store& store_;
+  Timers& timers_;
+  InstanceRecord self_;
+  std::atomic<StoreLeaseId> lease_{ 0 };
+  std::atomic<bool> leaving_{ false };
+  mutable std::mutex mutex_;
+  ClusterViewPtr view_ = std::make_shared<ClusterView>();
+  std::map<std::string, std::string> blobs_;
+  std::vector<std::function<void(const ClusterViewPtr&)>> listeners_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/host.cpp
@@ -0,0 +1,123 @@
+#include "daemon/host.hpp"
+
+#include "marjoramtally/runtime/program.hpp"
+
+#include <thread>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::uint32_t kClientThreads = 2;
+constexpr auto kDrainPoll = std::chrono::milliseconds(10);
+/// Longest wait for the store when the record is taken out at shutdown.
+constexpr auto kLeaveLimit = std::chrono::seconds(1);
+
+} // namespace
+
+Host::Host(DaemonSettings aSettings, std::string aProgram, std::string aRole)
+  : settings_(std::move(aSettings))
+  , role_(std::move(aRole))
+  , traces_(settings_.traceFile_, aProgram + "/" + settings_.instance_)
+  , client_(HttpClient::Create(kClientThreads))
+  , store_(MakeEtcdStore(*client_, settings_.store_, settings_.storeTimeout_))
+  , cluster_(std::make_unique<Cluster>(settings_, *store_, timers_))
+{
+}
+
+Result<bool>
+Host::Start()
+{
+  auto rpc = RpcNode::Start(settings_.address_,
+                            static_cast<std::uint16_t>(settings_.rpcPort_),
+                            [this](RpcCall aCall, RpcDone aDone) {
+                              onRpc_(std::move(aCall), std::move(aDone));
+                            });
+  if (!rpc) {
+    return rpc.error();
+  }
+  rpc_ = std::move(rpc).value();
+  HttpServerOptions options;
+  options.address_ = settings_.address_;
+  options.port_ = static_cast<std::uint16_t>(settings_.httpPort_);
+  options.threads_ = static_cast<std::uint32_t>(settings_.threads_);
+  options.maxBodyBytes_ = settings_.maxBodyBytes_;
+  auto server = HttpServer::Start(
+    options, [this](HttpRequest aRequest, const HttpReplyPtr& aReply) {
+      Handle(std::move(aRequest), aReply);
+    });
+  if (!server) {
+    return server.error();
+  }
+  server_ = std::move(server).value();
+  InstanceRecord self;
+  self.id_ = InstanceId{ settings_.instance_ };
+  self.role_ = role_;
+  self.zone_ = ZoneId{ settings_.zone_ };
+  self.http_ = settings_.address_ + ":" + std::to_string(server_->Port());
+  self.rpc_ = settings_.address_ + ":" + std::to_string(rpc_->Port());
+  LogEvent(LogLevel::Info,
+           "started",
+           { { "http", self.http_ }, { "rpc", self.rpc_ } });
+  cluster_->Start(self);
+  if (!settings_.portFile_.empty()) {
+    return WriteFile(settings_.portFile_, self.http_ + "\n");
+  }
+  return true;
+}
+
+HttpResponse
+Host::Ready() const
+{
+  if (draining_) {
+    return ErrorResponse(503, "draining", "this instance is shutting down");
+  }
+  if (cluster_->View()->rules_->revision_ == ConfigRevision{ 0 }) {
+    return ErrorResponse(503, "no_rules", "no accepted rules are known yet");
+  }
+  return JsonResponse(200, R"({"ready":true})");
+}
+
+void
+Host::Handle(HttpRequest aRequest, const HttpReplyPtr& aReply)
+{
+  if (aRequest.path_ == "/healthz") {
+    aReply->Send(JsonResponse(200, R"({"alive":true})"));
+  } else if (aRequest.path_ == "/readyz") {
+    aReply->Send(Ready());
+  } else if (aRequest.path_ == "/metrics") {
+    HttpResponse response;
+    response.headers_.push_back({ "Content-Type", "text/plain" });
+    response.body_ = metrics_.Render();
+    aReply->Send(std::move(response));
+  } else {
+    onHttp_(std::move(aRequest), aReply);
+  }
+}
+
+void
+Host::RunUntilStopped(const std::function<bool()>& aBusy)
+{
+  WaitForStopSignal();
+  LogEvent(LogLevel::Info, "draining");
+  draining_ = true;
+  auto left = std::make_shared<std::atomic<bool>>(false);
+  cluster_->Leave([left] { *left = true; });
+  std::this_thread::sleep_for(settings_.drainNotice_);
+  server_->StopAccepting();
+  const TimePoint limit = Now() + settings_.drainLimit_;
+  while ((aBusy() || server_->InFlight() > 0) && Now() < limit) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  const TimePoint leaveLimit = Now() + kLeaveLimit;
+  while (!*left && Now() < leaveLimit) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  timers_.Stop();
+  server_.reset();
+  rpc_.reset();
+  client_.reset();
+  LogEvent(LogLevel::Info, "stopped");
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/host.hpp
@@ -0,0 +1,55 @@
+/// What both daemons do the same way around their own work: the HTTP
+/// server with its health routes, the RPC node, metrics, traces, shutdown.
+#pragma once
+
+#include "daemon/cluster.hpp"
+
+namespace marjoramtally {
+
+/// One daemon's input and output.
+class Host
+{
+public:
+  /// @param aProgram name for logs and traces
+  Host(DaemonSettings aSettings, std::string aProgram, std::string aRole);
+
+  /// Handler of requests that are none of the health routes.
+  HttpHandler onHttp_;
+  /// Handler of calls from peers.
+  RpcHandler onRpc_;
+
+  /// Binds, registers and writes the port file.
+  [[nodiscard]] Result<bool> Start();
+  /// Runs until a stop signal, then drains.
+  /// @param aBusy tells whether work is still in progress
+  void RunUntilStopped(const std::function<bool()>& aBusy);
+
+  [[nodiscard]] const DaemonSettings& Settings() const { return settings_; }
+  [[nodiscard]] HttpClient& Http() { return *client_; }
+  [[nodiscard]] RpcNode& Rpc() { return *rpc_; }
+  [[nodiscard]] Store& PlatformStore() { return *store_; }
+  [[nodiscard]] Timers& Clockwork() { return timers_; }
+  [[nodiscard]] Cluster& Members() { return *cluster_; }
+  [[nodiscard]] Metrics& Measures() { return metrics_; }
+  [[nodiscard]] TraceWriter& Traces() { return traces_; }
+  [[nodiscard]] TimePoint Now() const noexcept { return clock_.Now(); }
+
+private:
+  void Handle(HttpRequest aRequest, const HttpReplyPtr& aReply);
+  [[nodiscard]] HttpResponse Ready() const;
+
+  DaemonSettings settings_;
+  std::string role_;
+  SystemClock clock_;
+  Metrics metrics_;
+  TraceWriter traces_;
+  std::atomic<bool> draining_{ false };
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<Store> store_;
+  std::unique_ptr<RpcNode> rpc_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<Cluster> cluster_;
+  Timers timers_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,129 @@
+#include "daemon/settings.hpp"
+
+#include "marjoramtally/runtime/program.hpp"
+
+#include <array>
+#include <iostream>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::uint64_t kMaxPort = 65535;
+constexpr std::uint64_t kSecond = 1'000'000;
+
+using Settings = DaemonSettings;
+constexpr std::array<FieldSpec<Settings>, 16> kFields{ {
+  { "instance", &Settings::instance_, true },
+  { "zone", &Settings::zone_, true },
+  { "address", &Settings::address_ },
+  { "http-port", &Settings::httpPort_, false, 0, kMaxPort },
+  { "rpc-port", &Settings::rpcPort_, false, 0, kMaxPort },
+  { "store", &Settings::store_, true },
+  { "store-timeout", &Settings::storeTimeout_, false, 1000, 60 * kSecond },
+  { "lease-ttl", &Settings::leaseTtl_, false, kSecond, 600 * kSecond },
+  { "refresh", &Settings::refresh_, false, 10'000, 60 * kSecond },
+  { "drain-notice", &Settings::drainNotice_, false, 0, 600 * kSecond },
+  { "drain-limit", &Settings::drainLimit_, false, 0, 86'400 * kSecond },
+  { "max-body-bytes", &Settings::maxBodyBytes_, false, 1, 1U << 30U },
+  { "threads", &Settings::threads_, false, 1, 64 },
+  { "trace-file", &Settings::traceFile_ },
+  { "port-file", &Settings::portFile_ },
+  { "log-level", &Settings::logLevel_ },
+} };
+
+/// A log level by its name.
+struct LevelName
+{
+  std::string_view name_;
+  LogLevel level_;
+};
+
+constexpr std::array<LevelName, 4> kLevels{ {
+  { "debug", LogLevel::Debug },
+  { "info", LogLevel::Info },
+  { "warn", LogLevel::Warn },
+  { "error", LogLevel::Error },
+} };
+
+std::optional<LogLevel>
+ParseLevel(std::string_view aName)
+{
+  for (const LevelName& known : kLevels) {
+    if (known.name_ == aName) {
+      return known.level_;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+Checked<DaemonSettings>
+ReadDaemonSettings(const std::string& aFile, const IniDocument& aDocument)
+{
+  DaemonSettings settings;
+  Findings findings;
+  const SourcePlace file{ aFile, 0 };
+  for (const auto& [name, section] : aDocument) {
+    const SourcePlace place =
+      section.empty() ? file : section.begin()->second.place_;
+    if (name != "daemon") {
+      findings.Add(place, "[" + name + "] is not [daemon]");
+    }
+  }
+  const auto section = aDocument.find("daemon");
+  ReadFields<DaemonSettings>("daemon",
+                             section == aDocument.end() ? IniSection{}
+                                                        : section->second,
+                             file,
+                             kFields,
+                             settings,
+                             findings);
+  if (!ParseLevel(settings.logLevel_)) {
+    findings.Add(section->second.at("log-level").place_,
+                 "[daemon] log-level = '" + settings.logLevel_ +
+                   "': none of debug, info, warn, error");
+  }
+  if (!findings.empty()) {
+    return findings;
+  }
+  return settings;
+}
+
+std::optional<DaemonSettings>
+StartDaemon(int aArgc,
+            char** aArgv,
+            const std::string& aProgram,
+            int& aExitCode)
+{
+  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram);
+  if (const int* code = std::get_if<int>(&parsed)) {
+    aExitCode = *code;
+    return std::nullopt;
+  }
+  const auto& options = std::get<DaemonOptions>(parsed);
+  const auto document = LoadSettings(options.settingsFile_);
+  if (!document) {
+    std::cerr << document.error().Render();
+    aExitCode = kExitBadInput;
+    return std::nullopt;
+  }
+  auto settings = ReadDaemonSettings(options.settingsFile_, document.value());
+  if (!settings) {
+    std::cerr << settings.error().Render();
+    aExitCode = kExitBadInput;
+    return std::nullopt;
+  }
+  if (options.checkOnly_) {
+    std::cout << options.settingsFile_ << ": ok\n";
+    aExitCode = kExitOk;
+    return std::nullopt;
+  }
+  InitLog(aProgram,
+          settings.value().instance_,
+          *ParseLevel(settings.value().logLevel_));
+  return std::move(settings).value();
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/settings.hpp
@@ -0,0 +1,53 @@
+/// Settings that both daemons share.
+#pragma once
+
+#include "marjoramtally/base.hpp"
+#include "marjoramtally/runtime/log.hpp"
+
+#include <optional>
+
+namespace marjoramtally {
+
+/// `[daemon]` of a settings file.
+struct DaemonSettings
+{
+  std::string instance_;
+  std::string zone_;
+  /// IP number that callers and peers reach.
+  std::string address_ = "127.0.0.1";
+  std::uint64_t httpPort_ = 0;
+  std::uint64_t rpcPort_ = 0;
+  /// Base URL of the platform's store.
+  std::string store_;
+  Duration storeTimeout_ = std::chrono::seconds(2);
+  /// How long the store keeps this instance's lease without a heartbeat.
+  Duration leaseTtl_ = std::chrono::seconds(10);
+  /// How often the store is read.
+  Duration refresh_ = std::chrono::seconds(1);
+  /// From the stop signal on, time to be not ready but still accepting.
+  Duration drainNotice_ = std::chrono::milliseconds(500);
+  /// Longest wait for requests in progress at shutdown.
+  Duration drainLimit_ = std::chrono::minutes(20);
+  std::uint64_t maxBodyBytes_ = 1U << 20U;
+  std::uint64_t threads_ = 2;
+  /// Spans are appended here; empty writes none.
+  std::string traceFile_;
+  /// The bound ports are written here; empty writes none.
+  std::string portFile_;
+  std::string logLevel_ = "info";
+};
+
+/// Reads `[daemon]`; other sections are findings.
+[[nodiscard]] Checked<DaemonSettings>
+ReadDaemonSettings(const std::string& aFile, const IniDocument& aDocument);
+
+/// Parses the command line and loads the settings, reporting all findings
+/// to standard error.
+/// @returns nothing if the program is done; then `aExitCode` is set
+[[nodiscard]] std::optional<DaemonSettings>
+StartDaemon(int aArgc,
+            char** aArgv,
+            const std::string& aProgram,
+            int& aExitCode);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/controld/owners.cpp
@@ -0,0 +1,98 @@
+#include "programs/controld/owners.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+void
+Owners::Acquire(const std::string& aDuty,
+                std::function<void(Result<Ownership>)> aDone)
+{
+  const InstanceId self = host_.Members().Self().id_;
+  const auto view = host_.Members().View();
+  const auto owner = view->owners_.find(aDuty);
+  std::optional<Ownership> known;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto mine = mine_.find(aDuty);
+    if (owner == view->owners_.end()) {
+      if (mine != mine_.end()) {
+        mine_.erase(mine);
+      }
+    } else if (owner->second.owner_ == self) {
+      mine_[aDuty] = owner->second.term_;
+      known = Ownership{ true, owner->second.term_, {} };
+    } else {
+      known = Ownership{ false, {}, owner->second.rpc_ };
+    }
+  }
+  if (known) {
+    aDone(*known);
+    return;
+  }
+  Create(aDuty, std::move(aDone));
+}
+
+void
+Owners::Create(const std::string& aDuty,
+               std::function<void(Result<Ownership>)> aDone)
+{
+  const StoreLeaseId lease = host_.Members().Lease();
+  if (lease == 0) {
+    aDone(Error{ ErrorKind::Unavailable, "no lease at the store" });
+    return;
+  }
+  const InstanceRecord& self = host_.Members().Self();
+  const nlohmann::json value{ { "owner", self.id_.Get() },
+                              { "rpc", self.rpc_ } };
+  const std::string key = std::string(kOwnerPrefix) + aDuty;
+  StoreTxn txn;
+  txn.compares_.push_back({ key, 0 });
+  txn.puts_.push_back({ key, value.dump(), lease });
+  host_.PlatformStore().Commit(std::move(txn),
+                               [this, aDuty, done = std::move(aDone)](
+                                 const Result<StoreCommit>& aCommit) mutable {
+                                 if (!aCommit && aCommit.error().kind_ ==
+                                                   ErrorKind::Unavailable) {
+                                   done(aCommit.error());
+                                   return;
+                                 }
+                                 ReadBack(aDuty, std::move(done));
+                               });
+}
+
+void
+Owners::ReadBack(const std::string& aDuty,
+                 std::function<void(Result<Ownership>)> aDone)
+{
+  const std::string key = std::string(kOwnerPrefix) + aDuty;
+  host_.PlatformStore().Read(
+    key,
+    [this, aDuty, key, done = std::move(aDone)](
+      const Result<StoreRange>& aRead) {
+      if (!aRead) {
+        done(aRead.error());
+        return;
+      }
+      for (const StoreRecord& record : aRead.value().records_) {
+        if (record.key_ != key) {
+          continue;
+        }
+        const auto body = nlohmann::json::parse(record.value_, nullptr, false);
+        Ownership ownership;
+        ownership.mine_ =
+          body.value("owner", "") == host_.Members().Self().id_.Get();
+        ownership.owner_ = body.value("rpc", "");
+        ownership.term_ = FencingNumber{ record.createRevision_ };
+        if (ownership.mine_) {
+          const std::lock_guard lock(mutex_);
+          mine_[aDuty] = ownership.term_;
+        }
+        done(ownership);
+        return;
+      }
+      done(Error{ ErrorKind::Unavailable, "the duty has no owner yet" });
+    });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/entryd/completions.hpp
@@ -0,0 +1,35 @@
+/// OpenAI-style completions: requests, proof of completeness, labels.
+#pragma once
+
+#include "marjoramtally/connection.hpp"
+#include "programs/entryd/dispatcher.hpp"
+
+namespace marjoramtally {
+
+/// What routing needs of a completion request.
+struct CompletionAsk
+{
+  std::string model_;
+  std::uint64_t maxTokens_ = 0;
+};
+
+[[nodiscard]] Result<CompletionAsk>
+ParseCompletionRequest(const std::string& aBody);
+
+/// @returns the service whose engines serve a model
+[[nodiscard]] std::optional<ServiceId>
+FindModelService(const Rules& aRules, const std::string& aModel);
+
+/// Builds the message for one generation of a trainer.
+[[nodiscard]] UpstreamMessage
+MakeCompletionMessage(const GenerateRequest& aRequest, const RequestId& aId);
+
+/// A completion is whole only if every choice has a finish reason.
+[[nodiscard]] AttemptEnd
+JudgeCompletion(const HttpResponse& aResponse);
+
+/// Turns a completed generation into an encoded `GenerateReply`.
+[[nodiscard]] Result<std::string>
+ReadCompletion(const DispatchResult& aResult);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/entryd/dispatcher.cpp
@@ -0,0 +1,304 @@
+#include "programs/entryd/dispatcher.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::size_t kQueueLimit = 100'000;
+constexpr std::uint32_t kMaxAttempts = 4;
+constexpr auto kReportPeriod = std::chrono::milliseconds(200);
+constexpr auto kReportTimeout = std::chrono::seconds(1);
+constexpr auto kPumpPeriod = std::chrono::milliseconds(20);
+/// Attempts without a caller's deadline end after this long.
+constexpr auto kLongestAttempt = std::chrono::minutes(30);
+
+AttemptEnd
+JudgeAttempt(const HttpResult& aResult, const ResponseJudge& aJudge)
+{
+  if (aResult.end_ == HttpEnd::Whole) {
+    return aJudge(aResult.response_);
+  }
+  return aResult.end_ == HttpEnd::NotSent ? AttemptEnd::NotRun
+                                          : AttemptEnd::MaybeRun;
+}
+
+Result<UpstreamReport>
+ParseReport(const std::string& aBody)
+{
+  try {
+    const auto body = nlohmann::json::parse(aBody);
+    UpstreamReport report;
+    report.running_ = body.at("running").get<std::uint64_t>();
+    report.queued_ = body.at("queued").get<std::uint64_t>();
+    for (const auto& [model, version] : body.at("models").items()) {
+      report.models_[model] = WeightVersion{ version.get<std::uint64_t>() };
+    }
+    return report;
+  } catch (const nlohmann::json::exception& failure) {
+    return Error{ ErrorKind::BadInput, failure.what() };
+  }
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(Host& aHost)
+  : host_(aHost)
+  , router_(ZoneId{ aHost.Settings().zone_ },
+            std::hash<std::string>{}(aHost.Settings().instance_))
+  , admission_(kQueueLimit)
+{
+}
+
+void
+Dispatcher::Start()
+{
+  host_.Members().OnRefresh(
+    [this](const ClusterViewPtr& aView) { TakeView(aView); });
+  host_.Clockwork().Every(kReportPeriod, [this] { PollReports(); });
+  host_.Clockwork().Every(kPumpPeriod, [this] {
+    Expire();
+    Pump();
+  });
+}
+
+std::size_t
+Dispatcher::Unfinished() const
+{
+  const std::lock_guard lock(mutex_);
+  return flights_.size();
+}
+
+bool
+Dispatcher::KnowsService(const ServiceId& aService) const
+{
+  return host_.Members().View()->rules_->services_.contains(aService);
+}
+
+void
+Dispatcher::TakeView(const ClusterViewPtr& aView)
+{
+  std::vector<UpstreamView> upstreams;
+  for (const auto& [id, rule] : aView->rules_->upstreams_) {
+    UpstreamView view;
+    view.id_ = id;
+    view.service_ = ServiceId{ rule.service_ };
+    view.zone_ = ZoneId{ rule.zone_ };
+    view.address_ = rule.address_;
+    view.leaving_ = rule.leaving_;
+    view.limit_ = aView->rules_->services_.at(view.service_).upstreamLimit_;
+    upstreams.push_back(std::move(view));
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    router_.SetUpstreams(upstreams);
+  }
+  Pump();
+}
+
+void
+Dispatcher::PollReports()
+{
+  std::vector<UpstreamView> upstreams;
+  {
+    const std::lock_guard lock(mutex_);
+    upstreams = router_.Upstreams();
+  }
+  for (const UpstreamView& upstream : upstreams) {
+    PollReport(upstream);
+  }
+}
+
+void
+Dispatcher::PollReport(const UpstreamView& aUpstream)
+{
+  HttpCall call;
+  call.url_ = "http://" + aUpstream.address_ + "/load";
+  call.timeout_ = kReportTimeout;
+  host_.Http().Send(std::move(call),
+                    [this, id = aUpstream.id_](const HttpResult& aResult) {
+                      if (aResult.end_ != HttpEnd::Whole) {
+                        return;
+                      }
+                      auto report = ParseReport(aResult.response_.body_);
+                      if (!report) {
+                        LogEvent(LogLevel::Warn,
+                                 "report_unreadable",
+                                 { { "upstream", id.Get() },
+                                   { "error", report.error().message_ } });
+                        return;
+                      }
+                      report.value().at_ = host_.Now();
+                      const std::lock_guard lock(mutex_);
+                      router_.OnReport(id, std::move(report).value());
+                    });
+}
+
+void
+Dispatcher::Submit(RequestSpec aSpec,
+                   UpstreamMessage aMessage,
+                   TraceContext aTrace,
+                   ResponseJudge aJudge,
+                   DispatchDone aDone)
+{
+  Span queueSpan = StartSpan(aTrace, "queue");
+  auto flight = std::make_shared<Flight>(Flight{
+    std::move(aSpec),
+    std::move(aMessage),
+    std::move(aJudge),
+    std::move(aDone),
+    Attempts(kMaxAttempts),
+    {},
+    std::move(aTrace),
+    std::move(queueSpan),
+  });
+  bool queued = false;
+  TicketId ticket;
+  {
+    const std::lock_guard lock(mutex_);
+    ticket = TicketId{ ++lastTicket_ };
+    flights_.emplace(ticket, flight);
+    queued = admission_.Enqueue({ ticket, flight->spec_ });
+  }
+  if (!queued) {
+    DispatchResult refused;
+    refused.reason_ = "the queue is full (" + std::to_string(kQueueLimit) + ")";
+    Finish(ticket, flight, std::move(refused));
+    return;
+  }
+  Pump();
+}
+
+void
+Dispatcher::Pump()
+{
+  struct Start
+  {
+    TicketId ticket_;
+    FlightPtr flight_;
+    UpstreamView upstream_;
+  };
+  std::vector<Start> starts;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const QueuedRequest* queued : admission_.InOrder()) {
+      const FlightPtr flight = flights_.at(queued->ticket_);
+      const auto upstream = router_.Pick(queued->spec_, flight->tried_);
+      if (upstream) {
+        router_.OnSent(upstream->id_);
+        starts.push_back({ queued->ticket_, flight, *upstream });
+      }
+    }
+    for (const Start& start : starts) {
+      admission_.Remove(start.ticket_);
+    }
+  }
+  for (const Start& start : starts) {
+    SendAttempt(start.ticket_, start.flight_, start.upstream_);
+  }
+}
+
+void
+Dispatcher::Expire()
+{
+  std::vector<std::pair<TicketId, FlightPtr>> expired;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const QueuedRequest& request : admission_.Expire(host_.Now())) {
+      expired.emplace_back(request.ticket_, flights_.at(request.ticket_));
+    }
+  }
+  for (const auto& [ticket, flight] : expired) {
+    DispatchResult result;
+    result.late_ = true;
+    result.reason_ = "its deadline passed in the queue";
+    result.outcome_ = flight->attempts_.GiveUp() == NextStep::FinishUnknown
+                        ? Outcome::Unknown
+                        : Outcome::RefusedNotRun;
+    Finish(ticket, flight, std::move(result));
+  }
+}
+
+void
+Dispatcher::SendAttempt(TicketId aTicket,
+                        const FlightPtr& aFlight,
+                        const UpstreamView& aUpstream)
+{
+  host_.Traces().End(aFlight->queueSpan_);
+  Span span = StartSpan(aFlight->trace_, "upstream");
+  span.attributes_["upstream"] = aUpstream.id_.Get();
+  HttpCall call;
+  call.method_ = aFlight->message_.method_;
+  call.url_ = "http://" + aUpstream.address_ + aFlight->message_.target_;
+  call.headers_ = aFlight->message_.headers_;
+  call.headers_.push_back({ "traceparent", span.context_.Format() });
+  call.body_ = aFlight->message_.body_;
+  call.atMostOnce_ = !aFlight->spec_.idempotent_;
+  const Duration left = aFlight->spec_.deadline_ == kNever
+                          ? Duration(kLongestAttempt)
+                          : aFlight->spec_.deadline_ - host_.Now();
+  call.timeout_ = std::max<Duration>(left, std::chrono::milliseconds(1));
+  host_.Http().Send(
+    std::move(call),
+    [this, aTicket, aFlight, aUpstream, span](HttpResult aResult) mutable {
+      host_.Traces().End(std::move(span));
+      EndAttempt(aTicket, aFlight, aUpstream, std::move(aResult));
+    });
+}
+
+void
+Dispatcher::EndAttempt(TicketId aTicket,
+                       const FlightPtr& aFlight,
+                       const UpstreamView& aUpstream,
+                       HttpResult aResult)
+{
+  const AttemptEnd end = JudgeAttempt(aResult, aFlight->judge_);
+  NextStep next = NextStep::Retry;
+  {
+    const std::lock_guard lock(mutex_);
+    router_.OnDone(aUpstream.id_);
+    aFlight->tried_.push_back(aUpstream.id_);
+    next = aFlight->attempts_.After(aFlight->spec_, end, host_.Now());
+    if (next == NextStep::Retry) {
+      aFlight->queueSpan_ = StartSpan(aFlight->trace_, "queue");
+      admission_.EnqueueFront({ aTicket, aFlight->spec_ });
+    }
+  }
+  if (next != NextStep::Retry) {
+    DispatchResult result;
+    result.upstream_ = aUpstream.id_;
+    result.late_ = aResult.end_ == HttpEnd::TimedOut;
+    result.reason_ = aResult.message_;
+    result.response_ = std::move(aResult.response_);
+    result.outcome_ = next == NextStep::FinishCompleted ? Outcome::Completed
+                      : next == NextStep::FinishUnknown
+                        ? Outcome::Unknown
+                        : Outcome::RefusedNotRun;
+    Finish(aTicket, aFlight, std::move(result));
+  }
+  Pump();
+}
+
+void
+Dispatcher::Finish(TicketId aTicket,
+                   const FlightPtr& aFlight,
+                   DispatchResult aResult)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    flights_.erase(aTicket);
+  }
+  const std::string labels =
+    "{class=\"" + std::string(ToString(aFlight->spec_.class_)) +
+    "\",outcome=\"" + std::string(ToString(aResult.outcome_)) + "\"}";
+  host_.Measures().Count("marjoram_requests_total" + labels);
+  const Duration took = host_.Now() - aFlight->spec_.arrived_;
+  host_.Measures().Observe("marjoram_request_ms{class=\"" +
+                             std::string(ToString(aFlight->spec_.class_)) +
+                             "\"}",
+                           static_cast<double>(took.count()) / 1000.0);
+  aFlight->done_(std::move(aResult));
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/entryd/dispatcher.hpp
@@ -0,0 +1,95 @@
+/// Takes requests through queue, routing and attempts to their outcome.
+#pragma once
+
+#include "daemon/host.hpp"
+#include "marjoramtally/process.hpp"
+#include "marjoramtally/request.hpp"
+
+#include <unordered_map>
+
+namespace marjoramtally {
+
+/// The HTTP message to send to whichever upstream is chosen.
+struct UpstreamMessage
+{
+  std::string method_;
+  /// Path and query.
+  std::string target_;
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+/// What became of a request.
+struct DispatchResult
+{
+  Outcome outcome_ = Outcome::RefusedNotRun;
+  /// Set if completed.
+  HttpResponse response_;
+  UpstreamId upstream_;
+  /// Why it was not completed, for people.
+  std::string reason_;
+  /// Whether it was its deadline that ended it.
+  bool late_ = false;
+};
+
+using DispatchDone = std::function<void(DispatchResult)>;
+/// Judges a whole response: does it prove that the answer is complete?
+using ResponseJudge = std::function<AttemptEnd(const HttpResponse&)>;
+
+/// The dispatcher of one entry process. Thread-safe.
+class Dispatcher
+{
+public:
+  explicit Dispatcher(Host& aHost);
+
+  /// Starts to refresh upstreams and their reports.
+  void Start();
+  /// Takes one request to its outcome; `aDone` is called exactly once.
+  void Submit(RequestSpec aSpec,
+              UpstreamMessage aMessage,
+              TraceContext aTrace,
+              ResponseJudge aJudge,
+              DispatchDone aDone);
+  /// @returns requests not yet finished
+  [[nodiscard]] std::size_t Unfinished() const;
+  [[nodiscard]] bool KnowsService(const ServiceId& aService) const;
+
+private:
+  struct Flight
+  {
+    RequestSpec spec_;
+    UpstreamMessage message_;
+    ResponseJudge judge_;
+    DispatchDone done_;
+    Attempts attempts_;
+    std::vector<UpstreamId> tried_;
+    TraceContext trace_;
+    Span queueSpan_;
+  };
+  using FlightPtr = std::shared_ptr<Flight>;
+
+  void TakeView(const ClusterViewPtr& aView);
+  void PollReports();
+  void PollReport(const UpstreamView& aUpstream);
+  void Pump();
+  void Expire();
+  void SendAttempt(TicketId aTicket,
+                   const FlightPtr& aFlight,
+                   const UpstreamView& aUpstream);
+  void EndAttempt(TicketId aTicket,
+                  const FlightPtr& aFlight,
+                  const UpstreamView& aUpstream,
+                  HttpResult aResult);
+  void Finish(TicketId aTicket,
+              const FlightPtr& aFlight,
+              DispatchResult aResult);
+
+  Host& host_;
+  mutable std::mutex mutex_;
+  Router router_;
+  Admission admission_;
+  std::unordered_map<TicketId, FlightPtr> flights_;
+  std::uint64_t lastTicket_ = 0;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/entryd/entry.cpp
@@ -0,0 +1,305 @@
+#include "programs/entryd/entry.hpp"
+
+#include "programs/entryd/completions.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::string_view kServicePath = "/v1/services/";
+constexpr std::string_view kTrainerPath = "/v1/trainers/";
+constexpr std::string_view kCompletionPath = "/v1/completions";
+
+AttemptEnd
+JudgePlain(const HttpResponse& aResponse)
+{
+  const auto outcome = FindHeader(aResponse.headers_, kOutcomeHeader);
+  const bool refused = outcome == ToString(Outcome::RefusedNotRun);
+  return refused ? AttemptEnd::NotRun : AttemptEnd::Whole;
+}
+
+/// Headers that belong to one connection and are not passed on.
+bool
+IsHopHeader(std::string_view aName)
+{
+  const HttpHeaders kHop{
+    { "connection", "" }, { "content-length", "" }, { "transfer-encoding", "" },
+    { "host", "" },       { "keep-alive", "" },     { "traceparent", "" },
+    { "te", "" },         { "upgrade", "" }
+  };
+  return FindHeader(kHop, aName).has_value();
+}
+
+HttpHeaders
+PassedHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders passed;
+  for (const HttpHeader& header : aHeaders) {
+    if (!IsHopHeader(header.name_)) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+int
+FailureStatus(const DispatchResult& aResult)
+{
+  if (aResult.outcome_ == Outcome::Unknown) {
+    return aResult.late_ ? 504 : 502;
+  }
+  return 503;
+}
+
+HttpResponse
+MakeResponse(DispatchResult aResult)
+{
+  HttpResponse response;
+  if (aResult.outcome_ == Outcome::Completed) {
+    response.status_ = aResult.response_.status_;
+    response.headers_ = PassedHeaders(aResult.response_.headers_);
+    response.body_ = std::move(aResult.response_.body_);
+  } else {
+    response = ErrorResponse(
+      FailureStatus(aResult), ToString(aResult.outcome_), aResult.reason_);
+    response.headers_.push_back({ "Retry-After", "1" });
+  }
+  response.headers_.push_back(
+    { std::string(kOutcomeHeader), std::string(ToString(aResult.outcome_)) });
+  return response;
+}
+
+HttpResponse
+RefuseInput(int aStatus, std::string_view aKind, std::string_view aMessage)
+{
+  HttpResponse response = ErrorResponse(aStatus, aKind, aMessage);
+  response.headers_.push_back(
+    { std::string(kOutcomeHeader),
+      std::string(ToString(Outcome::RefusedNotRun)) });
+  return response;
+}
+
+TraceContext
+TraceOf(const HttpRequest& aRequest)
+{
+  const auto header = FindHeader(aRequest.headers_, "traceparent");
+  const auto parsed = header ? TraceContext::Parse(*header) : std::nullopt;
+  return parsed ? *parsed : TraceContext::Fresh();
+}
+
+} // namespace
+
+Entry::Entry(Host& aHost)
+  : host_(aHost)
+  , dispatcher_(aHost)
+  , trainers_(aHost)
+{
+  host_.onHttp_ = [this](HttpRequest aRequest, const HttpReplyPtr& aReply) {
+    OnHttp(std::move(aRequest), aReply);
+  };
+  host_.onRpc_ = [this](RpcCall aCall, RpcDone aDone) {
+    OnRpc(std::move(aCall), std::move(aDone));
+  };
+}
+
+void
+Entry::Start()
+{
+  dispatcher_.Start();
+}
+
+bool
+Entry::Busy() const
+{
+  return dispatcher_.Unfinished() > 0;
+}
+
+void
+Entry::OnHttp(HttpRequest aRequest, const HttpReplyPtr& aReply)
+{
+  if (aRequest.path_.starts_with(kServicePath)) {
+    ServeCall(aRequest, aReply);
+  } else if (aRequest.path_ == kCompletionPath) {
+    ServeCompletion(aRequest, aReply);
+  } else if (aRequest.path_.starts_with(kTrainerPath)) {
+    trainers_.Serve(aRequest, TraceOf(aRequest), aReply);
+  } else {
+    aReply->Send(
+      RefuseInput(404, "not_found", "no route for " + aRequest.path_));
+  }
+}
+
+Result<RequestSpec>
+Entry::MakeSpec(const HttpRequest& aRequest, const ServiceId& aService)
+{
+  const auto rules = host_.Members().View()->rules_;
+  const auto service = rules->services_.find(aService);
+  if (service == rules->services_.end()) {
+    return Error{ ErrorKind::NotFound,
+                  "unknown service '" + aService.Get() + "'" };
+  }
+  RequestSpec spec;
+  spec.service_ = aService;
+  spec.id_ = RequestId{ host_.Settings().instance_ + "-" +
+                        std::to_string(++lastRequest_) };
+  spec.arrived_ = host_.Now();
+  Duration deadline = service->second.deadline_;
+  if (const auto text = FindHeader(aRequest.headers_, "X-Deadline")) {
+    const auto parsed = ParseDuration(*text);
+    if (!parsed || *parsed <= Duration::zero()) {
+      return Error{ ErrorKind::BadInput,
+                    "header X-Deadline: '" + std::string(*text) +
+                      "' is no duration above zero" };
+    }
+    deadline = *parsed;
+  }
+  spec.deadline_ = spec.arrived_ + deadline;
+  if (const auto text = FindHeader(aRequest.headers_, "X-Class")) {
+    const auto parsed = ParseRequestClass(*text);
+    if (!parsed || *parsed == RequestClass::Trainer) {
+      return Error{ ErrorKind::BadInput,
+                    "header X-Class: '" + std::string(*text) +
+                      "' is neither live nor background" };
+    }
+    spec.class_ = *parsed;
+  }
+  const auto key = FindHeader(aRequest.headers_, "Idempotency-Key");
+  spec.idempotent_ =
+    !key && FindHeader(aRequest.headers_, "X-Idempotent") != "no";
+  spec.key_ = IdempotencyKey{ std::string(key.value_or("")) };
+  return spec;
+}
+
+void
+Entry::SubmitLive(RequestSpec aSpec,
+                  UpstreamMessage aMessage,
+                  ResponseJudge aJudge,
+                  const HttpRequest& aRequest,
+                  const HttpReplyPtr& aReply)
+{
+  Span span = StartSpan(TraceOf(aRequest), "entry");
+  span.attributes_["service"] = aSpec.service_.Get();
+  const TraceContext context = span.context_;
+  dispatcher_.Submit(std::move(aSpec),
+                     std::move(aMessage),
+                     context,
+                     std::move(aJudge),
+                     [this, aReply, span](DispatchResult aResult) {
+                       Span ended = span;
+                       ended.attributes_["outcome"] =
+                         ToString(aResult.outcome_);
+                       host_.Traces().End(std::move(ended));
+                       aReply->Send(MakeResponse(std::move(aResult)));
+                     });
+}
+
+void
+Entry::ServeCall(const HttpRequest& aRequest, const HttpReplyPtr& aReply)
+{
+  const std::string rest = aRequest.path_.substr(kServicePath.size());
+  const std::size_t slash = rest.find('/');
+  auto spec = MakeSpec(aRequest, ServiceId{ rest.substr(0, slash) });
+  if (!spec) {
+    const bool missing = spec.error().kind_ == ErrorKind::NotFound;
+    aReply->Send(RefuseInput(missing ? 404 : 400,
+                             ToString(spec.error().kind_),
+                             spec.error().message_));
+    return;
+  }
+  UpstreamMessage message;
+  message.method_ = aRequest.method_;
+  message.target_ =
+    slash == std::string::npos ? std::string("/") : rest.substr(slash);
+  if (!aRequest.query_.empty()) {
+    message.target_ += "?" + aRequest.query_;
+  }
+  message.headers_ = PassedHeaders(aRequest.headers_);
+  message.body_ = aRequest.body_;
+  SubmitLive(
+    std::move(spec).value(), std::move(message), JudgePlain, aRequest, aReply);
+}
+
+void
+Entry::ServeCompletion(const HttpRequest& aRequest, const HttpReplyPtr& aReply)
+{
+  const auto ask = ParseCompletionRequest(aRequest.body_);
+  if (!ask) {
+    aReply->Send(RefuseInput(400, "bad_input", ask.error().message_));
+    return;
+  }
+  const auto rules = host_.Members().View()->rules_;
+  const auto service = FindModelService(*rules, ask.value().model_);
+  if (!service) {
+    aReply->Send(RefuseInput(
+      404, "not_found", "unknown model '" + ask.value().model_ + "'"));
+    return;
+  }
+  auto spec = MakeSpec(aRequest, *service);
+  if (!spec) {
+    aReply->Send(
+      RefuseInput(400, ToString(spec.error().kind_), spec.error().message_));
+    return;
+  }
+  spec.value().model_ = ask.value().model_;
+  spec.value().outputTokens_ = ask.value().maxTokens_;
+  UpstreamMessage message{ "POST",
+                           std::string(kCompletionPath),
+                           PassedHeaders(aRequest.headers_),
+                           aRequest.body_ };
+  SubmitLive(std::move(spec).value(),
+             std::move(message),
+             JudgeCompletion,
+             aRequest,
+             aReply);
+}
+
+void
+Entry::OnRpc(RpcCall aCall, RpcDone aDone)
+{
+  if (aCall.topic_ != RpcTopic::Generate) {
+    aDone(Error{ ErrorKind::BadInput, "an entry does not serve this topic" });
+    return;
+  }
+  const auto request = DecodeGenerateRequest(aCall.body_);
+  if (!request) {
+    aDone(request.error());
+    return;
+  }
+  Generate(request.value(), aCall, std::move(aDone));
+}
+
+void
+Entry::Generate(const GenerateRequest& aRequest,
+                const RpcCall& aCall,
+                RpcDone aDone)
+{
+  if (!dispatcher_.KnowsService(aRequest.service_)) {
+    aDone(Error{ ErrorKind::NotFound,
+                 "unknown service '" + aRequest.service_.Get() + "'" });
+    return;
+  }
+  RequestSpec spec;
+  spec.class_ = RequestClass::Trainer;
+  spec.trainer_ = aRequest.trainer_;
+  spec.service_ = aRequest.service_;
+  spec.model_ = aRequest.model_;
+  spec.minVersion_ = aRequest.minVersion_;
+  spec.outputTokens_ = aRequest.maxTokens_;
+  spec.id_ = RequestId{ host_.Settings().instance_ + "-" +
+                        std::to_string(++lastRequest_) };
+  spec.arrived_ = host_.Now();
+  spec.deadline_ = spec.arrived_ + aCall.timeout_;
+  UpstreamMessage message = MakeCompletionMessage(aRequest, spec.id_);
+  const auto parent = TraceContext::Parse(aCall.traceparent_);
+  Span span = StartSpan(parent ? *parent : TraceContext::Fresh(), "generate");
+  const TraceContext context = span.context_;
+  const auto done =
+    [this, span, done = std::move(aDone)](DispatchResult aResult) {
+      host_.Traces().End(span);
+      done(ReadCompletion(aResult));
+    };
+  dispatcher_.Submit(
+    std::move(spec), std::move(message), context, JudgeCompletion, done);
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/entryd/entry.hpp
@@ -0,0 +1,42 @@
+/// The door: HTTP routes for live callers and trainers, and generations for
+/// control processes.
+#pragma once
+
+#include "programs/entryd/dispatcher.hpp"
+#include "programs/entryd/trainer_api.hpp"
+
+namespace marjoramtally {
+
+/// The entry process's own work on top of its host.
+class Entry
+{
+public:
+  explicit Entry(Host& aHost);
+  void Start();
+  /// @returns whether requests are in progress
+  [[nodiscard]] bool Busy() const;
+
+private:
+  void OnHttp(HttpRequest aRequest, const HttpReplyPtr& aReply);
+  void OnRpc(RpcCall aCall, RpcDone aDone);
+  void ServeCall(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
+  void ServeCompletion(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
+  void Generate(const GenerateRequest& aRequest,
+                const RpcCall& aCall,
+                RpcDone aDone);
+  /// Fills what headers say of a live request.
+  [[nodiscard]] Result<RequestSpec> MakeSpec(const HttpRequest& aRequest,
+                                             const ServiceId& aService);
+  void SubmitLive(RequestSpec aSpec,
+                  UpstreamMessage aMessage,
+                  ResponseJudge aJudge,
+                  const HttpRequest& aRequest,
+                  const HttpReplyPtr& aReply);
+
+  Host& host_;
+  Dispatcher dispatcher_;
+  TrainerApi trainers_;
+  std::atomic<std::uint64_t> lastRequest_{ 0 };
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/entryd/trainer_api.hpp
@@ -0,0 +1,43 @@
+/// The trainer's HTTP interface, forwarded to the trainer's owner.
+#pragma once
+
+#include "daemon/host.hpp"
+#include "marjoramtally/connection.hpp"
+
+namespace marjoramtally {
+
+/// Serves `/v1/trainers/…`. Thread-safe.
+class TrainerApi
+{
+public:
+  explicit TrainerApi(Host& aHost) noexcept
+    : host_(aHost)
+  {
+  }
+
+  void Serve(const HttpRequest& aRequest,
+             const TraceContext& aTrace,
+             const HttpReplyPtr& aReply);
+
+private:
+  struct Forward
+  {
+    TrainerRequest request_;
+    Duration timeout_{ 0 };
+    Span span_;
+    HttpReplyPtr reply_;
+    std::vector<std::string> asked_;
+  };
+  using ForwardPtr = std::shared_ptr<Forward>;
+
+  void Ask(const ForwardPtr& aForward, const std::string& aPeer);
+  void AskNext(const ForwardPtr& aForward, const std::string& aFailure);
+  void Answer(const ForwardPtr& aForward, const RpcReply& aReply);
+  /// @returns the owner's address if known, else any control not yet asked
+  [[nodiscard]] std::optional<std::string> ChoosePeer(
+    const Forward& aForward) const;
+
+  Host& host_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/load/experiments.hpp
@@ -0,0 +1,9 @@
+/// Experiments of `marjoram-load`; each returns the program's exit code.
+#pragma once
+
+namespace marjoramtally {
+
+int
+RunHttpLoad(int aArgc, char** aArgv);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/runtime/etcd_store.cpp
@@ -0,0 +1,323 @@
+#include "marjoramtally/runtime/etcd_store.hpp"
+
+#include <atomic>
+#include <kj/encoding.h>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// A watch call ends and is renewed after this long.
+constexpr auto kWatchLimit = std::chrono::minutes(10);
+
+std::string
+Encode(const std::string& aText)
+{
+  const auto bytes =
+    kj::arrayPtr(reinterpret_cast<const kj::byte*>(aText.data()), aText.size());
+  return kj::encodeBase64(bytes).cStr();
+}
+
+std::string
+Decode(const std::string& aText)
+{
+  const auto bytes = kj::decodeBase64(kj::arrayPtr(aText.data(), aText.size()));
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+/// The key after all keys with the prefix.
+std::string
+PrefixEnd(std::string aPrefix)
+{
+  while (!aPrefix.empty()) {
+    auto last = static_cast<unsigned char>(aPrefix.back());
+    if (last < 0xff) {
+      aPrefix.back() = static_cast<char>(last + 1);
+      return aPrefix;
+    }
+    aPrefix.pop_back();
+  }
+  return std::string(1, '\0');
+}
+
+/// 64-bit numbers are strings in the gateway's JSON; absent means zero.
+std::int64_t
+Number(const Json& aObject, const char* aName)
+{
+  const auto it = aObject.find(aName);
+  if (it == aObject.end()) {
+    return 0;
+  }
+  return it->is_string() ? std::stoll(it->get<std::string>())
+                         : it->get<std::int64_t>();
+}
+
+std::uint64_t
+HeaderRevision(const Json& aReply)
+{
+  const auto it = aReply.find("header");
+  return it == aReply.end()
+           ? 0
+           : static_cast<std::uint64_t>(Number(*it, "revision"));
+}
+
+StoreRecord
+ParseRecord(const Json& aKv)
+{
+  StoreRecord record;
+  record.key_ = Decode(aKv.value("key", ""));
+  record.value_ = Decode(aKv.value("value", ""));
+  record.createRevision_ =
+    static_cast<std::uint64_t>(Number(aKv, "create_revision"));
+  record.modRevision_ = static_cast<std::uint64_t>(Number(aKv, "mod_revision"));
+  record.lease_ = Number(aKv, "lease");
+  return record;
+}
+
+StoreRange
+ParseRange(const Json& aReply)
+{
+  StoreRange range;
+  range.revision_ = HeaderRevision(aReply);
+  for (const Json& kv : aReply.value("kvs", Json::array())) {
+    range.records_.push_back(ParseRecord(kv));
+  }
+  return range;
+}
+
+StoreCommit
+ParseCommit(const Json& aReply)
+{
+  return { aReply.value("succeeded", false), HeaderRevision(aReply) };
+}
+
+StoreLease
+ParseLease(const Json& aReply)
+{
+  const Json& body = aReply.contains("result") ? aReply["result"] : aReply;
+  return { Number(body, "ID"), std::chrono::seconds(Number(body, "TTL")) };
+}
+
+Json
+TxnBody(const StoreTxn& aTxn)
+{
+  Json compares = Json::array();
+  for (const StoreCompare& compare : aTxn.compares_) {
+    compares.push_back(
+      { { "key", Encode(compare.key_) },
+        { "target", "MOD" },
+        { "result", "EQUAL" },
+        { "mod_revision", std::to_string(compare.modRevision_) } });
+  }
+  Json steps = Json::array();
+  for (const StorePut& put : aTxn.puts_) {
+    steps.push_back({ { "request_put",
+                        { { "key", Encode(put.key_) },
+                          { "value", Encode(put.value_) },
+                          { "lease", std::to_string(put.lease_) } } } });
+  }
+  for (const std::string& key : aTxn.deletes_) {
+    steps.push_back({ { "request_delete_range", { { "key", Encode(key) } } } });
+  }
+  return { { "compare", compares }, { "success", steps } };
+}
+
+/// One watch: a streamed response of one JSON object a line.
+struct WatchState
+{
+  std::function<void(const StoreWatchBatch&)> onBatch_;
+  std::string pending_;
+  HttpCallId call_ = 0;
+  std::atomic<bool> stopped_{ false };
+};
+
+StoreWatchBatch
+ParseBatch(const Json& aLine)
+{
+  const Json result = aLine.value("result", Json::object());
+  StoreWatchBatch batch;
+  batch.revision_ = HeaderRevision(result);
+  batch.ended_ = result.value("canceled", false);
+  for (const Json& event : result.value("events", Json::array())) {
+    const bool deleted = event.value("type", "PUT") == "DELETE";
+    batch.events_.push_back({ deleted, ParseRecord(event.at("kv")) });
+  }
+  return batch;
+}
+
+class EtcdStore final : public Store
+{
+public:
+  EtcdStore(HttpClient& aClient, std::string aUrl, Duration aTimeout)
+    : client_(aClient)
+    , url_(std::move(aUrl))
+    , timeout_(aTimeout)
+  {
+  }
+
+  void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override
+  {
+    const std::string end = PrefixEnd(aPrefix);
+    const Json body{ { "key", Encode(aPrefix) }, { "range_end", Encode(end) } };
+    Ask<StoreRange>("/v3/kv/range", body, ParseRange, std::move(aDone));
+  }
+
+  void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) override
+  {
+    Ask<StoreCommit>(
+      "/v3/kv/txn", TxnBody(aTxn), ParseCommit, std::move(aDone));
+  }
+
+  void GrantLease(Duration aTtl, StoreDone<StoreLease> aDone) override
+  {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(aTtl).count();
+    const Json body{ { "TTL", std::to_string(seconds) } };
+    Ask<StoreLease>("/v3/lease/grant", body, ParseLease, std::move(aDone));
+  }
+
+  void KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone) override
+  {
+    const Json body{ { "ID", std::to_string(aLease) } };
+    Ask<StoreLease>("/v3/lease/keepalive", body, ParseLease, std::move(aDone));
+  }
+
+  void RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone) override
+  {
+    const Json body{ { "ID", std::to_string(aLease) } };
+    Ask<bool>(
+      "/v3/lease/revoke",
+      body,
+      [](const Json&) { return true; },
+      std::move(aDone));
+  }
+
+  StoreWatchId Watch(
+    std::string aPrefix,
+    std::uint64_t aFromRevision,
+    std::function<void(const StoreWatchBatch&)> aOnBatch) override
+  {
+    auto watch = std::make_shared<WatchState>();
+    watch->onBatch_ = std::move(aOnBatch);
+    const Json create{ { "key", Encode(aPrefix) },
+                       { "range_end", Encode(PrefixEnd(aPrefix)) },
+                       { "start_revision", std::to_string(aFromRevision) } };
+    HttpCall call = MakeCall("/v3/watch", { { "create_request", create } });
+    call.timeout_ = kWatchLimit;
+    call.onData_ = [watch](std::string_view aData) {
+      return TakeWatchData(*watch, aData);
+    };
+    const std::lock_guard lock(mutex_);
+    const StoreWatchId id = ++lastWatch_;
+    watches_[id] = watch;
+    watch->call_ = client_.Send(std::move(call), [watch](const HttpResult&) {
+      if (!watch->stopped_) {
+        watch->onBatch_(StoreWatchBatch{ true, 0, {} });
+      }
+    });
+    return id;
+  }
+
+  void StopWatch(StoreWatchId aWatch) override
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = watches_.find(aWatch);
+    if (it == watches_.end()) {
+      return;
+    }
+    it->second->stopped_ = true;
+    client_.Cancel(it->second->call_);
+    watches_.erase(it);
+  }
+
+private:
+  static bool TakeWatchData(WatchState& aWatch, std::string_view aData)
+  {
+    aWatch.pending_ += aData;
+    std::size_t end = aWatch.pending_.find('\n');
+    while (end != std::string::npos && !aWatch.stopped_) {
+      const Json line =
+        Json::parse(aWatch.pending_.substr(0, end), nullptr, false);
+      aWatch.pending_.erase(0, end + 1);
+      if (line.is_discarded()) {
+        return false;
+      }
+      aWatch.onBatch_(ParseBatch(line));
+      end = aWatch.pending_.find('\n');
+    }
+    return !aWatch.stopped_;
+  }
+
+  HttpCall MakeCall(const std::string& aPath, const Json& aBody) const
+  {
+    HttpCall call;
+    call.method_ = "POST";
+    call.url_ = url_ + aPath;
+    call.body_ = aBody.dump();
+    call.headers_ = { { "Content-Type", "application/json" } };
+    call.timeout_ = timeout_;
+    call.connectTimeout_ = timeout_;
+    return call;
+  }
+
+  template<typename T>
+  void Ask(const std::string& aPath,
+           const Json& aBody,
+           std::function<T(const Json&)> aParse,
+           StoreDone<T> aDone)
+  {
+    client_.Send(MakeCall(aPath, aBody),
+                 [parse = std::move(aParse),
+                  done = std::move(aDone)](const HttpResult& aResult) {
+                   done(Interpret<T>(aResult, parse));
+                 });
+  }
+
+  template<typename T>
+  static Result<T> Interpret(const HttpResult& aResult,
+                             const std::function<T(const Json&)>& aParse)
+  {
+    if (aResult.end_ == HttpEnd::NotSent) {
+      return Error{ ErrorKind::Unavailable,
+                    "the store cannot be reached: " + aResult.message_ };
+    }
+    if (aResult.end_ != HttpEnd::Whole) {
+      return Error{ ErrorKind::Timeout,
+                    "the store did not answer: " + aResult.message_ };
+    }
+    const int status = aResult.response_.status_;
+    if (status != 200) {
+      return Error{ status == 404 ? ErrorKind::NotFound : ErrorKind::Internal,
+                    "the store answered " + std::to_string(status) + ": " +
+                      aResult.response_.body_ };
+    }
+    try {
+      return aParse(Json::parse(aResult.response_.body_));
+    } catch (const std::exception& failure) {
+      return Error{ ErrorKind::Internal,
+                    std::string("the store's answer is unreadable: ") +
+                      failure.what() };
+    }
+  }
+
+  HttpClient& client_;
+  std::string url_;
+  Duration timeout_;
+  std::mutex mutex_;
+  StoreWatchId lastWatch_ = 0;
+  std::map<StoreWatchId, std::shared_ptr<WatchState>> watches_;
+};
+
+} // namespace
+
+std::unique_ptr<Store>
+MakeEtcdStore(HttpClient& aClient, std::string aUrl, Duration aTimeout)
+{
+  return std::make_unique<EtcdStore>(aClient, std::move(aUrl), aTimeout);
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/runtime/peer.capnp
@@ -0,0 +1,12 @@
+@0xb3a1c7d2e4f50617;
+# Calls between the system's own processes. Each topic has a schema of its
+# own; the body holds one encoded message of it.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("marjoramtally::wire");
+
+interface Peer {
+  call @0 (topic :UInt16, timeoutMs :UInt32, traceparent :Text, body :Data)
+    -> (error :UInt16, message :Text, body :Data);
+  # error: 0 is none, else 1 + the number of the error kind.
+}
--- /dev/null
+++ b/src/standins/balancer.hpp
@@ -0,0 +1,46 @@
+/// What the platform's balancer does for callers: sends each call to one of
+/// the entries, to the next if that one cannot be reached.
+#pragma once
+
+#include "standins/standin.hpp"
+
+namespace marjoramtally::standin {
+
+/// Chooses entries in turn. Thread-safe.
+class Balancer
+{
+public:
+  explicit Balancer(const std::string& aEntries)
+    : client_(HttpClient::Create(2))
+  {
+    std::size_t from = 0;
+    while (from <= aEntries.size()) {
+      const std::size_t comma =
+        std::min(aEntries.find(',', from), aEntries.size());
+      entries_.push_back(aEntries.substr(from, comma - from));
+      from = comma + 1;
+    }
+  }
+
+  /// Sends a call to the next entry, blocking until it is answered.
+  HttpResult Send(HttpCall aCall)
+  {
+    const std::string path = aCall.url_;
+    HttpResult result;
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      aCall.url_ = "http://" + entries_[next_++ % entries_.size()] + path;
+      result = SendAndWait(*client_, aCall);
+      if (result.end_ != HttpEnd::NotSent) {
+        break;
+      }
+    }
+    return result;
+  }
+
+private:
+  std::unique_ptr<HttpClient> client_;
+  std::vector<std::string> entries_;
+  std::atomic<std::size_t> next_{ 0 };
+};
+
+} // namespace marjoramtally::standin
--- /dev/null
+++ b/src/standins/callers.cpp
@@ -0,0 +1,76 @@
+/// Stand-in of live callers: calls at a fixed rate, arrivals do not wait
+/// for answers. A call whose entry is lost is sent again, as it is
+/// idempotent.
+
+#include "standins/balancer.hpp"
+
+#include <filesystem>
+#include <thread>
+
+namespace marjoramtally::standin {
+
+namespace {
+
+constexpr std::uint64_t kMostCalls = 1'000'000;
+
+/// Makes one call and records whether it was answered in time.
+void
+CallOnce(const Options& aOptions,
+         Balancer& aBalancer,
+         Recorder& aRecorder,
+         std::uint64_t aNumber)
+{
+  const SystemClock clock;
+  const TimePoint deadline =
+    clock.Now() + std::chrono::milliseconds(aOptions.deadlineMillis_);
+  const std::string body = "subscriber-" + std::to_string(aNumber);
+  bool answered = false;
+  while (!answered && clock.Now() < deadline) {
+    HttpCall call;
+    call.method_ = "POST";
+    call.url_ = "/v1/services/" + aOptions.model_ + "/lookup";
+    call.body_ = body;
+    call.timeout_ = deadline - clock.Now();
+    call.headers_.push_back({ "traceparent", TraceContext::Fresh().Format() });
+    const HttpResult result = aBalancer.Send(std::move(call));
+    const Json reply = Json::parse(result.response_.body_, nullptr, false);
+    answered = result.end_ == HttpEnd::Whole &&
+               result.response_.status_ == 200 && reply.is_object() &&
+               reply.value("echo", "") == body;
+  }
+  aRecorder.Write({ { "kind", "live" },
+                    { "number", aNumber },
+                    { "late", !answered || clock.Now() > deadline } });
+}
+
+} // namespace
+
+int
+RunCallers(const Options& aOptions)
+{
+  Balancer balancer(aOptions.entries_);
+  Recorder recorder(aOptions.recordFile_);
+  const Duration gap{ 1'000'000 / std::max<std::uint64_t>(aOptions.rate_, 1) };
+  constexpr std::size_t kWorkers = 16;
+  std::atomic<std::uint64_t> next{ 0 };
+  const auto start = std::chrono::steady_clock::now();
+  const auto work = [&] {
+    for (auto number = next++; number < kMostCalls; number = next++) {
+      std::this_thread::sleep_until(start + gap * number);
+      if (std::filesystem::exists(aOptions.stopFile_)) {
+        return;
+      }
+      CallOnce(aOptions, balancer, recorder, number);
+    }
+  };
+  std::vector<std::thread> workers;
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    workers.emplace_back(work);
+  }
+  for (std::thread& worker : workers) {
+    worker.join();
+  }
+  return kExitOk;
+}
+
+} // namespace marjoramtally::standin
--- /dev/null
+++ b/src/standins/main.cpp
@@ -0,0 +1,115 @@
+/// Stand-ins of the platform, engines, services, trainers and callers.
+
+#include "standins/standin.hpp"
+
+#include <array>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace {
+
+using namespace marjoramtally;
+using namespace marjoramtally::standin;
+namespace po = boost::program_options;
+
+/// One mode and what runs it.
+struct Mode
+{
+  std::string_view name_;
+  std::string_view help_;
+  int (*run_)(const Options&);
+};
+
+constexpr std::array<Mode, 8> kModes{ {
+  { "store", "the platform's key-value service", RunStore },
+  { "engine", "a model engine", RunEngine },
+  { "plain", "a plain service", RunPlain },
+  { "weights", "the weight store", RunWeights },
+  { "scorer", "a scoring service", RunScorer },
+  { "trainer", "a trainer that takes steps", RunTrainer },
+  { "callers", "live callers of a plain service", RunCallers },
+  { "verify", "compares what trainers and engines recorded", RunVerify },
+} };
+
+po::options_description
+Describe(Options& aOptions)
+{
+  po::options_description described("Options");
+  auto add = described.add_options();
+  add("help", "print this text");
+  add("version", "print the version");
+  add("mode", po::value(&aOptions.mode_), "what to stand in for");
+  add("name", po::value(&aOptions.name_), "name in records");
+  add("port", po::value(&aOptions.port_), "port; 0 takes one of the kernel's");
+  add("port-file", po::value(&aOptions.portFile_), "file for the bound port");
+  add("record", po::value(&aOptions.recordFile_), "file for records");
+  add("records", po::value(&aOptions.records_), "folder of records");
+  add("entries",
+      po::value(&aOptions.entries_),
+      "entry addresses, comma-separated");
+  add("trainer", po::value(&aOptions.trainer_), "trainer name");
+  add("model", po::value(&aOptions.model_), "model, or service for callers");
+  add("prompts", po::value(&aOptions.promptsFile_), "file, one prompt a line");
+  add(
+    "weight-store", po::value(&aOptions.weightStore_), "weight store address");
+  add("steps", po::value(&aOptions.steps_), "training steps");
+  add("groups", po::value(&aOptions.groups_), "groups a step");
+  add("group-size", po::value(&aOptions.groupSize_), "samples a group");
+  add("staleness", po::value(&aOptions.staleness_), "bound in versions");
+  add("token-us", po::value(&aOptions.tokenMicros_), "time a token");
+  add("service-us", po::value(&aOptions.serviceMicros_), "time a plain call");
+  add("train-ms", po::value(&aOptions.trainMillis_), "time a training step");
+  add("rate", po::value(&aOptions.rate_), "calls a second");
+  add("deadline-ms", po::value(&aOptions.deadlineMillis_), "callers' deadline");
+  add("swap-failures", po::value(&aOptions.swapFailures_), "of 1000 swaps");
+  add("ignore-fencing",
+      po::bool_switch(&aOptions.ignoreFencing_),
+      "take any order");
+  add(
+    "stop-file", po::value(&aOptions.stopFile_), "callers end once it exists");
+  return described;
+}
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  Options options;
+  const auto described = Describe(options);
+  po::positional_options_description positional;
+  positional.add("mode", 1);
+  po::variables_map values;
+  try {
+    po::store(po::command_line_parser(aArgc, aArgv)
+                .options(described)
+                .positional(positional)
+                .run(),
+              values);
+    po::notify(values);
+  } catch (const po::error& failure) {
+    std::cerr << "marjoram-standin: " << failure.what() << '\n';
+    return kExitBadInput;
+  }
+  if (values.count("help") != 0) {
+    std::cout << "marjoram-standin MODE [options]\n\nModes:\n";
+    for (const Mode& mode : kModes) {
+      std::cout << "  " << mode.name_ << ": " << mode.help_ << '\n';
+    }
+    std::cout << '\n' << described;
+    return kExitOk;
+  }
+  if (values.count("version") != 0) {
+    std::cout << "marjoram-standin " << kVersion << '\n';
+    return kExitOk;
+  }
+  for (const Mode& mode : kModes) {
+    if (mode.name_ == options.mode_) {
+      InitLog("marjoram-standin", options.name_, LogLevel::Info);
+      return mode.run_(options);
+    }
+  }
+  std::cerr << "marjoram-standin: unknown mode '" << options.mode_
+            << "'; see --help\n";
+  return kExitBadInput;
+}
--- /dev/null
+++ b/src/standins/standin.hpp
@@ -0,0 +1,86 @@
+/// Stand-ins of what the system serves and stands on. Each is one mode of
+/// `marjoram-standin`.
+#pragma once
+
+#include "marjoramtally/base.hpp"
+#include "marjoramtally/runtime.hpp"
+
+#include <array>
+#include <deque>
+#include <filesystem>
+
+#include <fstream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally::standin {
+
+using Json = nlohmann::json;
+
+/// What the command line gave; each mode uses what it needs.
+struct Options
+{
+  std::string mode_;
+  std::string name_ = "standin";
+  std::string portFile_;
+  std::string recordFile_;
+  /// Comma-separated base URLs of entries.
+  std::string entries_;
+  std::string trainer_;
+  std::string model_;
+  std::string promptsFile_;
+  /// `IP:port` of the weight store.
+  std::string weightStore_;
+  /// Folder of record files, for `verify`.
+  std::string records_;
+  std::uint16_t port_ = 0;
+  std::uint64_t steps_ = 3;
+  std::uint64_t groups_ = 32;
+  std::uint64_t groupSize_ = 4;
+  std::uint64_t staleness_ = 1;
+  std::uint64_t tokenMicros_ = 500;
+  std::uint64_t serviceMicros_ = 2000;
+  std::uint64_t trainMillis_ = 500;
+  std::uint64_t rate_ = 50;
+  std::uint64_t deadlineMillis_ = 1000;
+  /// Of a thousand weight swaps, how many fail.
+  std::uint64_t swapFailures_ = 0;
+  bool ignoreFencing_ = false;
+  std::string stopFile_;
+};
+
+/// Appends one JSON object a line to a file. Thread-safe.
+class Recorder
+{
+public:
+  explicit Recorder(const std::string& aPath);
+  void Write(const Json& aLine);
+
+private:
+  std::mutex mutex_;
+  std::ofstream file_;
+};
+
+/// Starts a server, writes its port file and waits for a stop signal.
+/// @returns the program's exit code
+int
+ServeUntilStopped(const Options& aOptions, const HttpHandler& aHandler);
+
+int
+RunStore(const Options& aOptions);
+int
+RunEngine(const Options& aOptions);
+int
+RunPlain(const Options& aOptions);
+int
+RunWeights(const Options& aOptions);
+int
+RunScorer(const Options& aOptions);
+int
+RunTrainer(const Options& aOptions);
+int
+RunCallers(const Options& aOptions);
+int
+RunVerify(const Options& aOptions);
+
+} // namespace marjoramtally::standin
--- /dev/null
+++ b/src/version/rules.cpp
@@ -0,0 +1,184 @@
+#include "marjoramtally/version/rules.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::uint64_t kMaxStaleness = 1000;
+constexpr std::uint64_t kMaxWeight = 1000;
+constexpr std::uint64_t kMaxInFlight = 100'000;
+
+constexpr std::array<FieldSpec<ServiceRule>, 3> kServiceFields{ {
+  { "kind", &ServiceRule::kind_, true },
+  { "deadline", &ServiceRule::deadline_, false, 1'000, 3'600'000'000 },
+  { "upstream-limit", &ServiceRule::upstreamLimit_, false, 1, kMaxInFlight },
+} };
+
+constexpr std::array<FieldSpec<UpstreamRule>, 5> kUpstreamFields{ {
+  { "service", &UpstreamRule::service_, true },
+  { "zone", &UpstreamRule::zone_, true },
+  { "address", &UpstreamRule::address_, true },
+  { "fencing", &UpstreamRule::fencing_ },
+  { "leaving", &UpstreamRule::leaving_ },
+} };
+
+constexpr std::array<FieldSpec<TrainerRule>, 6> kTrainerFields{ {
+  { "service", &TrainerRule::service_, true },
+  { "model", &TrainerRule::model_, true },
+  { "staleness", &TrainerRule::staleness_, false, 0, kMaxStaleness },
+  { "weight", &TrainerRule::weight_, false, 1, kMaxWeight },
+  { "in-flight", &TrainerRule::inFlight_, false, 1, kMaxInFlight },
+  { "scorer", &TrainerRule::scorer_ },
+} };
+
+constexpr std::array<FieldSpec<WeightStoreRule>, 2> kWeightStoreFields{ {
+  { "address", &WeightStoreRule::address_, true },
+  { "parallel-loads", &WeightStoreRule::parallelLoads_, false, 1, 100'000 },
+} };
+
+/// The place of a section's first key.
+SourcePlace
+PlaceOf(const IniSection& aSection)
+{
+  return aSection.empty() ? SourcePlace{} : aSection.begin()->second.place_;
+}
+
+/// Reads `[KIND NAME]` into the map under its name.
+template<typename Id, typename Rule>
+void
+ReadNamed(const std::string& aSectionName,
+          const std::string& aName,
+          const IniSection& aSection,
+          std::span<const FieldSpec<Rule>> aFields,
+          std::map<Id, Rule>& aOut,
+          Findings& aFindings)
+{
+  Rule rule;
+  rule.id_ = Id{ aName };
+  ReadFields<Rule>(
+    aSectionName, aSection, PlaceOf(aSection), aFields, rule, aFindings);
+  aOut.emplace(rule.id_, std::move(rule));
+}
+
+void
+ReadSection(const std::string& aSectionName,
+            const IniSection& aSection,
+            Rules& aRules,
+            Findings& aFindings)
+{
+  const std::size_t space = aSectionName.find(' ');
+  const std::string kind = aSectionName.substr(0, space);
+  const std::string name =
+    space == std::string::npos ? std::string{} : aSectionName.substr(space + 1);
+  if (aSectionName == "weight-store") {
+    ReadFields<WeightStoreRule>(aSectionName,
+                                aSection,
+                                PlaceOf(aSection),
+                                kWeightStoreFields,
+                                aRules.weightStore_,
+                                aFindings);
+  } else if (kind == "service" && !name.empty()) {
+    ReadNamed<ServiceId, ServiceRule>(aSectionName,
+                                      name,
+                                      aSection,
+                                      kServiceFields,
+                                      aRules.services_,
+                                      aFindings);
+  } else if (kind == "upstream" && !name.empty()) {
+    ReadNamed<UpstreamId, UpstreamRule>(aSectionName,
+                                        name,
+                                        aSection,
+                                        kUpstreamFields,
+                                        aRules.upstreams_,
+                                        aFindings);
+  } else if (kind == "trainer" && !name.empty()) {
+    ReadNamed<TrainerId, TrainerRule>(aSectionName,
+                                      name,
+                                      aSection,
+                                      kTrainerFields,
+                                      aRules.trainers_,
+                                      aFindings);
+  } else {
+    aFindings.Add(PlaceOf(aSection),
+                  "[" + aSectionName +
+                    "] is none of [service NAME], [upstream NAME], "
+                    "[trainer NAME], [weight-store]");
+  }
+}
+
+/// Checks what one section says of another.
+void
+CheckReferences(const IniDocument& aMerged, const Rules& aRules, Findings& aOut)
+{
+  const auto check = [&](const std::string& aSection,
+                         const std::string& aService) {
+    const auto section = aMerged.find(aSection);
+    const auto key = section->second.find("service");
+    const bool given = key != section->second.end();
+    if (given && !aRules.services_.contains(ServiceId{ aService })) {
+      aOut.Add(key->second.place_,
+               "[" + aSection + "] service = '" + aService +
+                 "': there is no [service " + aService + "]");
+    }
+  };
+  for (const auto& [id, rule] : aRules.upstreams_) {
+    check("upstream " + id.Get(), rule.service_);
+  }
+  for (const auto& [id, rule] : aRules.trainers_) {
+    check("trainer " + id.Get(), rule.service_);
+  }
+  for (const auto& [id, rule] : aRules.services_) {
+    if (rule.kind_ != "engine" && rule.kind_ != "plain") {
+      const IniSection& section = aMerged.at("service " + id.Get());
+      aOut.Add(section.at("kind").place_,
+               "[service " + id.Get() + "] kind = '" + rule.kind_ +
+                 "': neither engine nor plain");
+    }
+  }
+}
+
+} // namespace
+
+Checked<IniDocument>
+MergeRulesFiles(std::vector<RulesFile> aFiles)
+{
+  std::sort(aFiles.begin(), aFiles.end());
+  IniDocument merged;
+  Findings findings;
+  for (const RulesFile& file : aFiles) {
+    const auto parsed = ParseIni(file.name_, file.text_);
+    if (!parsed) {
+      findings.Append(parsed.error());
+      continue;
+    }
+    for (const auto& [name, section] : parsed.value()) {
+      for (const auto& [key, value] : section) {
+        merged[name].insert_or_assign(key, value);
+      }
+    }
+  }
+  if (!findings.empty()) {
+    return findings;
+  }
+  return merged;
+}
+
+Checked<Rules>
+BuildRules(const IniDocument& aMerged)
+{
+  Rules rules;
+  Findings findings;
+  for (const auto& [name, section] : aMerged) {
+    ReadSection(name, section, rules, findings);
+  }
+  CheckReferences(aMerged, rules, findings);
+  if (!findings.empty()) {
+    return findings;
+  }
+  return rules;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/test_request.cpp
@@ -0,0 +1,89 @@
+#include "marjoramtally/connection.hpp"
+#include "marjoramtally/process.hpp"
+#include "marjoramtally/request.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+
+TEST_CASE("a non-idempotent request is not sent again once it may have run")
+{
+  RequestSpec spec;
+  spec.idempotent_ = false;
+  Attempts attempts(4);
+  CHECK(attempts.After(spec, AttemptEnd::NotRun, {}) == NextStep::Retry);
+  CHECK(attempts.After(spec, AttemptEnd::MaybeRun, {}) ==
+        NextStep::FinishUnknown);
+}
+
+TEST_CASE("refused means that no attempt may have run")
+{
+  RequestSpec spec;
+  Attempts attempts(2);
+  CHECK(attempts.After(spec, AttemptEnd::MaybeRun, {}) == NextStep::Retry);
+  CHECK(attempts.After(spec, AttemptEnd::NotRun, {}) ==
+        NextStep::FinishUnknown);
+}
+
+TEST_CASE("labels must cover all tokens without gap")
+{
+  const WeightVersion one{ 1 };
+  const WeightVersion two{ 2 };
+  CHECK(SpansCover({ { one, 0, 4 }, { two, 4, 9 } }, 9));
+  CHECK_FALSE(SpansCover({ { one, 0, 4 }, { two, 5, 9 } }, 9));
+  CHECK_FALSE(SpansCover({}, 0));
+  CHECK(OldestVersion({ { two, 0, 4 }, { one, 4, 9 } }) == one);
+}
+
+TEST_CASE("trainer messages survive the wire and bad bytes do not")
+{
+  TrainerRequest request;
+  request.trainer_ = TrainerId{ "t" };
+  TakeSamples take;
+  take.spec_.held_ = *IndexSet::Parse("0-5");
+  request.operation_ = take;
+  const std::string bytes = Encode(request);
+  const auto back = DecodeTrainerRequest(bytes);
+  REQUIRE(back);
+  CHECK(back.value().trainer_ == request.trainer_);
+  const auto& operation = std::get<TakeSamples>(back.value().operation_);
+  CHECK(operation.spec_.held_ == take.spec_.held_);
+  CHECK_FALSE(DecodeTrainerRequest(bytes.substr(0, 8)));
+  CHECK_FALSE(DecodeTrainerRequest("short"));
+}
+
+TEST_CASE("routing keeps to version, leaving marks and limits")
+{
+  Router router(ZoneId{ "z" }, 1);
+  UpstreamView view;
+  view.id_ = UpstreamId{ "u" };
+  view.service_ = ServiceId{ "s" };
+  view.limit_ = 1;
+  router.SetUpstreams({ view });
+  RequestSpec spec;
+  spec.service_ = view.service_;
+  spec.model_ = "m";
+  spec.minVersion_ = WeightVersion{ 2 };
+  CHECK_FALSE(router.Pick(spec, {}).has_value());
+  UpstreamReport report;
+  report.models_["m"] = WeightVersion{ 2 };
+  router.OnReport(view.id_, report);
+  CHECK(router.Pick(spec, {}).has_value());
+  router.OnSent(view.id_);
+  CHECK_FALSE(router.Pick(spec, {}).has_value());
+  router.OnDone(view.id_);
+  view.leaving_ = true;
+  router.SetUpstreams({ view });
+  CHECK_FALSE(router.Pick(spec, {}).has_value());
+}
+
+TEST_CASE("live requests go before trainers' and background ones")
+{
+  Admission admission(2);
+  RequestSpec trainer;
+  trainer.class_ = RequestClass::Trainer;
+  CHECK(admission.Enqueue({ TicketId{ 1 }, trainer }));
+  CHECK(admission.Enqueue({ TicketId{ 2 }, RequestSpec{} }));
+  CHECK_FALSE(admission.Enqueue({ TicketId{ 3 }, RequestSpec{} }));
+  CHECK(admission.InOrder().front()->ticket_ == TicketId{ 2 });
+}
