--- a/include/marjoramtally/base/fields.hpp
+++ b/include/marjoramtally/base/fields.hpp
@@ -66,7 +66,9 @@
            T& aOut,
            Findings& aFindings)
 {
-  for (const auto& [key, value] : aSection) {
+  for (const auto& entry : aSection) {
+    const std::string& key = entry.first;
+    const IniValue& value = entry.second;
     bool known = false;
     for (const FieldSpec<T>& field : aFields) {
       if (field.key_ != key) {
