--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The README's commands; each installs what it needs.
 BUILD ?= build
 
-.PHONY: build demo check format lint
+.PHONY: build demo check fuzz format lint
 
 build:
 	tools/install.sh
@@ -14,6 +14,10 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 8
 
+fuzz:
+	tools/install.sh
+	tools/fuzz.sh
+
 format:
 	tools/format.sh --fix
 
--- /dev/null
+++ b/fuzz/fuzz_units.cpp
@@ -0,0 +1,19 @@
+/// Any text given to the readers of durations and settings yields a value or
+/// a finding; a duration that is formatted reads as the same one.
+
+#include "marjoramtally/base.hpp"
+
+#include <cstdlib>
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  using namespace marjoramtally;
+  const std::string_view text(reinterpret_cast<const char*>(aData), aSize);
+  const auto duration = ParseDuration(text);
+  if (duration && ParseDuration(FormatDuration(*duration)) != duration) {
+    std::abort();
+  }
+  (void)ParseIni("fuzz.ini", std::string(text));
+  return 0;
+}
