marjoram-load http: bounded open-loop load, bench of the entry daemon

Cause: the load asked one call after another, so that a slow answer slowed the arrivals and hid its own lateness. Arrivals are now a Poisson process fixed by a seed, do not wait for answers, and are timed from the planned arrival; calls in flight are bounded and those beyond are counted. Classes with deadlines, a share with idempotency keys, faults set on stand-ins during the load, and a check of the outcomes told against the stand-ins' records. Ruled out: one blocking thread a call (its switches cost more than the call).

--- a/src/programs/load/http_load.cpp
+++ b/src/programs/load/http_load.cpp
@@ -1,11 +1,12 @@
-#include "programs/load/experiments.hpp"
-
-#include "marjoramtally/base.hpp"
+#include "marjoramtally/request.hpp"
 #include "marjoramtally/runtime/http_client.hpp"
 #include "marjoramtally/runtime/program.hpp"
+#include "programs/load/experiments.hpp"
+#include "programs/load/load_options.hpp"
+#include "programs/load/load_report.hpp"
 
 #include <algorithm>
-#include <boost/program_options.hpp>
+#include <atomic>
 #include <iostream>
 #include <thread>
 
@@ -13,49 +14,171 @@
 
 namespace {
 
-namespace po = boost::program_options;
-
-constexpr std::uint64_t kMostCalls = 10'000'000;
+/// An answer is waited for so long after its deadline.
+constexpr auto kGrace = std::chrono::seconds(2);
 
-/// What the command line gave.
-struct LoadOptions
+/// The body that names a call of one load.
+std::string
+BodyOf(std::uint64_t aSeed, std::size_t aNumber)
 {
-  std::string url_;
-  std::uint64_t calls_ = 2000;
-  std::uint64_t inFlight_ = 1;
-};
+  return "load-" + std::to_string(aSeed) + "-" + std::to_string(aNumber);
+}
 
-/// Latencies of the calls made by one worker.
-std::vector<double>
-RunWorker(const LoadOptions& aOptions,
-          std::uint64_t aCalls,
-          std::uint64_t& aFailed)
+/// Makes the planned calls and keeps what came of each.
+class LoadRun
 {
-  const auto client = HttpClient::Create(1);
-  const SystemClock clock;
-  std::vector<double> millis;
-  for (std::uint64_t i = 0; i < aCalls; ++i) {
+public:
+  explicit LoadRun(const LoadOptions& aOptions)
+    : options_(aOptions)
+    , client_(HttpClient::Create(aOptions.threads_))
+  {
+    load_.spec_ = aOptions.spec_;
+    load_.calls_ = PlanCalls(aOptions.spec_);
+    load_.outcomes_.resize(load_.calls_.size());
+  }
+
+  LoadOutcome Run()
+  {
+    std::thread faults([this] { AskForFaults(); });
+    if (options_.inFlight_ > 0) {
+      RunClosed();
+    } else {
+      RunOpen();
+    }
+    while (finished_ < load_.calls_.size()) {
+      finished_.wait(finished_);
+    }
+    load_.took_ = SinceStart();
+    faults.join();
+    client_.reset();
+    return std::move(load_);
+  }
+
+private:
+  [[nodiscard]] Duration SinceStart() const { return clock_.Now() - start_; }
+
+  /// Arrivals do not wait for answers.
+  void RunOpen()
+  {
+    for (std::size_t i = 0; i < load_.calls_.size(); ++i) {
+      const Duration early = load_.calls_[i].at_ - SinceStart();
+      if (early > Duration::zero()) {
+        std::this_thread::sleep_for(early);
+      }
+      if (started_ - finished_ >= kMostInFlight) {
+        ++started_;
+        Finish(i, CallEnd::NotStarted);
+        continue;
+      }
+      Start(i);
+    }
+  }
+
+  /// Each answer starts the next call.
+  void RunClosed()
+  {
+    for (std::uint64_t i = 0; i < options_.inFlight_; ++i) {
+      StartNext();
+    }
+  }
+
+  void StartNext()
+  {
+    const std::size_t number = next_++;
+    if (number < load_.calls_.size()) {
+      load_.calls_[number].at_ = SinceStart();
+      Start(number);
+    }
+  }
+
+  void Start(std::size_t aNumber)
+  {
+    ++started_;
+    client_->Send(MakeCall(aNumber), [this, aNumber](HttpResult aResult) {
+      const CallEnd end = Judge(aNumber, aResult);
+      if (options_.inFlight_ > 0) {
+        StartNext();
+      }
+      Finish(aNumber, end);
+    });
+  }
+
+  [[nodiscard]] HttpCall MakeCall(std::size_t aNumber) const
+  {
+    const PlannedCall& planned = load_.calls_[aNumber];
+    const LoadClass& loadClass = options_.spec_.classes_[planned.class_];
     HttpCall call;
     call.method_ = "POST";
-    call.url_ = aOptions.url_;
-    call.body_ = "subscriber-1";
-    const TimePoint start = clock.Now();
-    const HttpResult result = SendAndWait(*client, std::move(call));
-    const Duration took = clock.Now() - start;
-    millis.push_back(static_cast<double>(took.count()) / 1000.0);
-    const bool ok =
-      result.end_ == HttpEnd::Whole && result.response_.status_ == 200;
-    aFailed += ok ? 0 : 1;
+    call.url_ = options_.urls_[aNumber % options_.urls_.size()];
+    call.body_ = BodyOf(options_.spec_.seed_, aNumber);
+    call.timeout_ = loadClass.deadline_ + kGrace;
+    call.headers_ = { { "X-Class", loadClass.name_ },
+                      { "X-Deadline", FormatDuration(loadClass.deadline_) } };
+    if (!planned.idempotent_) {
+      call.headers_.push_back({ "Idempotency-Key", call.body_ });
+    }
+    return call;
   }
-  return millis;
-}
 
-double
-Quantile(std::vector<double>& aSorted, double aShare)
-{
-  const auto last = static_cast<double>(aSorted.size() - 1);
-  return aSorted[static_cast<std::size_t>(last * aShare)];
-}
+  CallEnd Judge(std::size_t aNumber, const HttpResult& aResult)
+  {
+    const PlannedCall& planned = load_.calls_[aNumber];
+    const Duration took = SinceStart() - planned.at_;
+    load_.outcomes_[aNumber].took_ = took;
+    if (aResult.end_ == HttpEnd::NotSent) {
+      return CallEnd::Refused;
+    }
+    if (aResult.end_ != HttpEnd::Whole) {
+      return CallEnd::Unknown;
+    }
+    const HttpResponse& response = aResult.response_;
+    if (response.status_ != 200) {
+      const auto outcome = FindHeader(response.headers_, kOutcomeHeader);
+      return outcome == ToString(Outcome::RefusedNotRun) ? CallEnd::Refused
+                                                         : CallEnd::Unknown;
+    }
+    const std::string echo = '"' + BodyOf(options_.spec_.seed_, aNumber) + '"';
+    if (response.body_.find(echo) == std::string::npos) {
+      return CallEnd::Wrong;
+    }
+    const Duration limit = options_.spec_.classes_[planned.class_].deadline_;
+    return took <= limit ? CallEnd::InTime : CallEnd::Late;
+  }
+
+  void Finish(std::size_t aNumber, CallEnd aEnd)
+  {
+    load_.outcomes_[aNumber].end_ = aEnd;
+    ++finished_;
+    finished_.notify_one();
+  }
+
+  void AskForFaults()
+  {
+    const auto client = HttpClient::Create(1);
+    for (const PlannedFault& fault : options_.plannedFaults_) {
+      std::this_thread::sleep_for(fault.at_ - SinceStart());
+      HttpCall call;
+      call.method_ = "POST";
+      call.url_ = "http://" + fault.address_ + "/faults";
+      call.body_ = fault.body_;
+      const HttpResult result = SendAndWait(*client, std::move(call));
+      if (result.end_ != HttpEnd::Whole || result.response_.status_ != 200) {
+        std::cerr << "marjoram-load: " << fault.address_
+                  << " did not take the fault: " << result.message_
+                  << result.response_.body_ << '\n';
+      }
+    }
+  }
+
+  const LoadOptions& options_;
+  SystemClock clock_;
+  TimePoint start_ = clock_.Now();
+  LoadOutcome load_;
+  std::atomic<std::size_t> next_{ 0 };
+  std::atomic<std::uint64_t> started_{ 0 };
+  std::atomic<std::uint64_t> finished_{ 0 };
+  std::unique_ptr<HttpClient> client_;
+};
 
 } // namespace
 
@@ -63,50 +186,27 @@
 RunHttpLoad(int aArgc, char** aArgv)
 {
   LoadOptions options;
-  po::options_description described("marjoram-load http");
-  auto add = described.add_options();
-  add("url", po::value(&options.url_)->required(), "address to call");
-  add("calls", po::value(&options.calls_), "calls in all");
-  add("in-flight", po::value(&options.inFlight_), "calls at once");
-  try {
-    po::variables_map values;
-    po::store(po::parse_command_line(aArgc, aArgv, described), values);
-    po::notify(values);
-  } catch (const po::error& failure) {
-    std::cerr << "marjoram-load: " << failure.what() << '\n';
-    return kExitBadInput;
-  }
-  if (options.calls_ == 0 || options.calls_ > kMostCalls ||
-      options.inFlight_ == 0 || options.inFlight_ > options.calls_) {
-    std::cerr << "marjoram-load: --calls 1 to 10000000, --in-flight 1 to "
-                 "--calls\n";
-    return kExitBadInput;
-  }
-  const std::uint64_t each = options.calls_ / options.inFlight_;
-  std::vector<std::vector<double>> all(options.inFlight_);
-  std::vector<std::uint64_t> failed(options.inFlight_);
-  std::vector<std::thread> workers;
-  const SystemClock clock;
-  const TimePoint start = clock.Now();
-  for (std::uint64_t i = 0; i < options.inFlight_; ++i) {
-    workers.emplace_back(
-      [&, i] { all[i] = RunWorker(options, each, failed[i]); });
+  std::optional<int> code;
+  if (!ParseLoadOptions(aArgc, aArgv, options, code)) {
+    return code.value_or(kExitBadInput);
   }
-  std::vector<double> merged;
-  std::uint64_t failures = 0;
-  for (std::uint64_t i = 0; i < options.inFlight_; ++i) {
-    workers[i].join();
-    merged.insert(merged.end(), all[i].begin(), all[i].end());
-    failures += failed[i];
+  LoadOutcome load = LoadRun(options).Run();
+  if (!options.records_.empty()) {
+    load.check_ =
+      CheckRecords(load, options.records_, [&](std::size_t aNumber) {
+        return BodyOf(options.spec_.seed_, aNumber);
+      });
   }
-  const double seconds =
-    static_cast<double>((clock.Now() - start).count()) / 1e6;
-  std::sort(merged.begin(), merged.end());
-  std::cout << "calls=" << merged.size() << " failed=" << failures
-            << " per_s=" << static_cast<double>(merged.size()) / seconds
-            << " p50_ms=" << Quantile(merged, 0.5)
-            << " p99_ms=" << Quantile(merged, 0.99) << '\n';
-  return failures == 0 ? kExitOk : kExitFailed;
+  std::cout << (options.json_ ? FormatLoadJson(load) + "\n"
+                              : FormatLoadTable(load));
+  const bool wrong = std::any_of(load.outcomes_.begin(),
+                                 load.outcomes_.end(),
+                                 [](const CallOutcome& aOutcome) {
+                                   return aOutcome.end_ == CallEnd::Wrong;
+                                 });
+  const bool untrue =
+    load.check_ && load.check_->runTwice_ + load.check_->refusedRun_ > 0;
+  return wrong || untrue ? kExitFailed : kExitOk;
 }
 
 } // namespace marjoramtally
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::array<Experiment, 1> kExperiments{ {
   { "http",
-    "http --url URL [--calls N] [--in-flight N]: latency of one address",
+    "http --url URL ...: bounded load on loopback; http --help",
     marjoramtally::RunHttpLoad },
 } };
 
