Decision bench: fake engines, entries and baselines on a paused clock

Cause: routing, sharing and retries had nothing to be measured against but the daemons on a real clock. Ruled out: engines that only delay by a constant, since then load has no effect on latency and every policy looks the same.

--- /dev/null
+++ b/src/programs/load/bench_entry.hpp
@@ -0,0 +1,90 @@
+/// One entry of the decision bench: queue, routing and attempts, driven by
+/// strategies.
+#pragma once
+
+#include "programs/load/policies.hpp"
+#include "programs/load/workload.hpp"
+
+#include <unordered_map>
+
+namespace marjoramtally::bench {
+
+using Engines = std::vector<std::unique_ptr<FakeEngine>>;
+
+/// How a request of the bench ended.
+enum class BenchEnd : std::uint8_t
+{
+  Whole,
+  /// Refused before any engine had it.
+  Refused,
+  /// Its deadline passed; its engine, if any, stopped it.
+  Late,
+  /// No engine was left to try.
+  Failed,
+};
+
+/// What an entry tells of a request's end.
+struct BenchOutcome
+{
+  BenchRequest request_;
+  BenchEnd end_ = BenchEnd::Whole;
+  TimePoint at_;
+  /// The last engine; of no meaning if it was never sent.
+  EngineIndex engine_;
+  bool cacheHit_ = false;
+  std::uint64_t attempts_ = 0;
+  /// Tokens generated for it and thrown away.
+  std::uint64_t wastedTokens_ = 0;
+};
+
+using OutcomeSink = std::function<void(const BenchOutcome&)>;
+
+/// Real time spent in decisions.
+struct DecisionCost
+{
+  std::uint64_t decisions_ = 0;
+  std::uint64_t nanos_ = 0;
+};
+
+/// Not thread-safe; loop and engines outlive it.
+class BenchEntry
+{
+public:
+  BenchEntry(EventLoop& aLoop,
+             Engines& aEngines,
+             std::unique_ptr<RoutePolicy> aRoutes,
+             std::unique_ptr<QueuePolicy> aQueue,
+             OutcomeSink aSink);
+
+  void Submit(BenchRequest aRequest);
+  /// Sends what can be sent now.
+  void Pump();
+  [[nodiscard]] RoutePolicy& Routes() noexcept { return *routes_; }
+  [[nodiscard]] const DecisionCost& Cost() const noexcept { return cost_; }
+
+private:
+  struct Flight
+  {
+    BenchOutcome outcome_;
+    std::vector<EngineIndex> tried_;
+    bool running_ = false;
+    TimePoint sentAt_;
+  };
+
+  [[nodiscard]] std::optional<EngineIndex> Decide(const Flight& aFlight);
+  void Send(TicketId aTicket, EngineIndex aEngine);
+  void OnResult(TicketId aTicket, const EngineResult& aResult);
+  void OnDeadline(TicketId aTicket);
+  void Finish(TicketId aTicket, BenchEnd aEnd);
+
+  EventLoop& loop_;
+  Engines& engines_;
+  std::unique_ptr<RoutePolicy> routes_;
+  std::unique_ptr<QueuePolicy> queue_;
+  OutcomeSink sink_;
+  std::unordered_map<TicketId, Flight> flights_;
+  std::uint64_t lastTicket_ = 0;
+  DecisionCost cost_;
+};
+
+} // namespace marjoramtally::bench
--- a/src/programs/load/experiments.hpp
+++ b/src/programs/load/experiments.hpp
@@ -6,4 +6,7 @@
 int
 RunHttpLoad(int aArgc, char** aArgv);
 
+int
+RunDecide(int aArgc, char** aArgv);
+
 } // namespace marjoramtally
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -16,10 +16,13 @@
   int (*run_)(int, char**);
 };
 
-constexpr std::array<Experiment, 1> kExperiments{ {
+constexpr std::array<Experiment, 2> kExperiments{ {
   { "http",
     "http --url URL ...: bounded load on loopback; http --help",
     marjoramtally::RunHttpLoad },
+  { "decide",
+    "decide [--scenario NAME] [--json]: policies against fake engines",
+    marjoramtally::RunDecide },
 } };
 
 } // namespace
--- /dev/null
+++ b/src/programs/load/workload.hpp
@@ -0,0 +1,137 @@
+/// Work offered in the decision bench: live callers that do not wait for
+/// answers, and trainers that open steps of groups. Seeded.
+#pragma once
+
+#include "programs/load/fake_engine.hpp"
+
+#include <map>
+
+namespace marjoramtally::bench {
+
+/// What requests look like.
+struct RequestShape
+{
+  std::uint64_t promptTokens_ = 400;
+  std::uint64_t prefixTokens_ = 320;
+  /// Prefixes that prompts share; a few are asked for most.
+  std::uint64_t prefixes_ = 48;
+  /// Mean of an exponential distribution.
+  double meanOutputTokens_ = 30;
+  std::uint64_t maxOutputTokens_ = 1024;
+};
+
+/// Live callers.
+struct LiveSettings
+{
+  double perSecond_ = 0;
+  Duration deadline_ = std::chrono::seconds(2);
+  RequestShape shape_{ 400, 320, 48, 30, 48 };
+};
+
+/// One trainer: opens the next step when it starts to train on the last.
+struct TrainerSettings
+{
+  TrainerId id_;
+  std::uint32_t groups_ = 16;
+  std::uint32_t groupSize_ = 8;
+  /// Time to train on one step.
+  Duration training_ = std::chrono::seconds(20);
+  RequestShape shape_{ 200, 180, 0, 150, 512 };
+};
+
+/// One request of the bench; `spec_` is what the decision libraries see.
+struct BenchRequest
+{
+  RequestSpec spec_;
+  EngineJob job_;
+};
+
+using BenchSink = std::function<void(BenchRequest)>;
+
+/// @returns an exponentially distributed value
+[[nodiscard]] double
+Exponential(Random& aRandom, double aMean);
+
+/// Makes requests of a shape.
+class RequestMaker
+{
+public:
+  explicit RequestMaker(std::uint64_t aSeed) noexcept
+    : random_(aSeed)
+  {
+  }
+
+  /// Routing is told the mean output length, not the real one.
+  [[nodiscard]] BenchRequest Make(const RequestShape& aShape,
+                                  RequestClass aClass,
+                                  std::uint64_t aPrefix,
+                                  TimePoint aNow);
+  /// @returns a prefix of the shape; low numbers are asked for most
+  [[nodiscard]] std::uint64_t DrawPrefix(const RequestShape& aShape);
+  [[nodiscard]] Random& Dice() noexcept { return random_; }
+
+private:
+  Random random_;
+  std::uint64_t lastJob_ = 0;
+};
+
+/// Poisson arrivals that do not wait for answers.
+class LiveCallers
+{
+public:
+  LiveCallers(EventLoop& aLoop,
+              RequestMaker& aMaker,
+              const LiveSettings& aSettings,
+              BenchSink aSink);
+  /// Starts to send.
+  void Start();
+
+private:
+  EventLoop& loop_;
+  RequestMaker& maker_;
+  LiveSettings settings_;
+  BenchSink sink_;
+};
+
+/// A trainer that keeps one step ahead of the one it trains on.
+class FakeTrainer
+{
+public:
+  FakeTrainer(EventLoop& aLoop,
+              RequestMaker& aMaker,
+              TrainerSettings aSettings,
+              BenchSink aSink);
+
+  void Start();
+  /// Tells that one of its requests is whole; others are sent again by the
+  /// trainer's owner and never end here.
+  void OnWhole(JobId aJob);
+  /// @returns time without a whole step to train on, after the first step
+  [[nodiscard]] Duration Idle() const noexcept { return idle_; }
+  [[nodiscard]] const std::vector<double>& GroupSeconds() const noexcept
+  {
+    return groupSeconds_;
+  }
+
+private:
+  void OpenStep();
+  void StartTraining();
+
+  EventLoop& loop_;
+  RequestMaker& maker_;
+  TrainerSettings settings_;
+  BenchSink sink_;
+  std::map<JobId, std::uint32_t> groupOf_;
+  std::vector<std::uint32_t> missing_;
+  std::uint32_t missingGroups_ = 0;
+  TimePoint opened_;
+  std::uint64_t lastPrefix_ = 0;
+  bool stepWhole_ = false;
+  bool training_ = false;
+  bool trainedOnce_ = false;
+  TimePoint idleSince_;
+  Duration idle_{ 0 };
+  std::vector<double> groupSeconds_;
+};
+
+} // namespace marjoramtally::bench
