Classes, fair shares and early refusal in the queue of requests

Cause: the queue gave live callers a first place but no reserve, gave trainers no shares, sorted all that waited at each pump, and held what could not be in time until its deadline. Ruled out: one priority queue over all classes (no shares), shares by count of requests (a trainer with requests 10 times longer takes 10 times more).

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -3,4 +3,8 @@
 #pragma once
 
 #include "marjoramtally/process/admission.hpp"
+#include "marjoramtally/process/deadline_queue.hpp"
+#include "marjoramtally/process/early_refusal.hpp"
+#include "marjoramtally/process/fair_queue.hpp"
+#include "marjoramtally/process/output_estimate.hpp"
 #include "marjoramtally/process/router.hpp"
--- /dev/null
+++ b/include/marjoramtally/process/early_refusal.hpp
@@ -0,0 +1,99 @@
+/// Refusal of requests that cannot meet their deadline, by the rate at which
+/// the queue drains and by how long upstreams take.
+#pragma once
+
+#include "marjoramtally/request/request.hpp"
+
+#include <array>
+
+namespace marjoramtally {
+
+/// Tracks a quantile of a positive quantity without keeping values: each
+/// value moves the estimate by a share of itself.
+class QuantileTracker
+{
+public:
+  constexpr explicit QuantileTracker(double aQuantile) noexcept
+    : quantile_(aQuantile)
+  {
+  }
+
+  void Add(double aValue) noexcept;
+  /// @returns the estimate; 0 before the first value
+  [[nodiscard]] double Get() const noexcept { return estimate_; }
+
+private:
+  double quantile_;
+  double estimate_ = 0;
+};
+
+/// What early refusal says of a request.
+struct RefusalVerdict
+{
+  bool refuse_ = false;
+  /// Expected time in the queue.
+  Duration wait_{ 0 };
+  /// When the same request would meet its deadline if nothing else came.
+  Duration retryAfter_{ 0 };
+};
+
+/// Estimates of one service. Not thread-safe.
+class EarlyRefusal
+{
+public:
+  /// Records a completion.
+  /// @param aBacklog whether requests were waiting: only then is the rate of
+  /// completions the rate at which the queue drains
+  void OnCompleted(RequestClass aClass,
+                   double aCost,
+                   Duration aTook,
+                   bool aBacklog,
+                   TimePoint aNow) noexcept;
+  /// @param aCostAhead expected cost that goes before the request, divided
+  /// by the part of the drain rate that serves its queue
+  [[nodiscard]] RefusalVerdict Judge(const RequestSpec& aRequest,
+                                     double aCost,
+                                     double aCostAhead,
+                                     TimePoint aNow) const noexcept;
+  /// Records how long a request waited that was told to expect `aExpected`.
+  void OnWaited(RequestClass aClass,
+                Duration aExpected,
+                Duration aWaited) noexcept;
+  /// @returns time at an upstream that nearly all requests keep within
+  [[nodiscard]] Duration ServiceTime(RequestClass aClass,
+                                     double aCost) const noexcept;
+  /// @returns time until such a cost ahead has drained, corrected by how
+  /// earlier expectations held; zero while unknown
+  [[nodiscard]] Duration ExpectedWait(RequestClass aClass,
+                                      double aCostAhead) const noexcept;
+  /// @returns cost a second; zero while unknown
+  [[nodiscard]] double DrainRate() const noexcept { return drainRate_; }
+
+private:
+  /// Quantile of service time that a deadline must leave room for.
+  static constexpr double kQuantile = 0.99;
+  /// Quantile of real over expected wait that corrects expectations.
+  static constexpr double kWaitQuantile = 0.9;
+
+  [[nodiscard]] double WaitCorrection(RequestClass aClass) const noexcept;
+
+  /// Cost completed in the present window.
+  double windowCost_ = 0;
+  TimePoint windowStart_;
+  bool windowOpen_ = false;
+  double drainRate_ = 0;
+  /// Real wait over expected wait.
+  std::array<QuantileTracker, kRequestClasses> waitRatio_{
+    QuantileTracker(kWaitQuantile),
+    QuantileTracker(kWaitQuantile),
+    QuantileTracker(kWaitQuantile)
+  };
+  /// Microseconds at an upstream for each unit of cost.
+  std::array<QuantileTracker, kRequestClasses> timePerCost_{
+    QuantileTracker(kQuantile),
+    QuantileTracker(kQuantile),
+    QuantileTracker(kQuantile)
+  };
+};
+
+} // namespace marjoramtally
--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -3,7 +3,9 @@
 
 #include "marjoramtally/base/fields.hpp"
 #include "marjoramtally/base/ids.hpp"
+#include "marjoramtally/request/request.hpp"
 
+#include <array>
 #include <map>
 
 namespace marjoramtally {
@@ -51,6 +53,28 @@
   std::string scorer_;
 };
 
+/// `[class NAME]`, where the name is live, trainer or background: limits of
+/// one class of callers; percentages.
+struct ClassLimits
+{
+  /// Slots at upstreams that other classes leave free; of live callers.
+  std::uint64_t reserve_ = 0;
+  /// Least share of dispatches while some wait; of background callers.
+  std::uint64_t share_ = 0;
+  /// Requests that may wait.
+  std::uint64_t queue_ = 100'000;
+};
+
+/// Limits of all classes, by class.
+using AllClassLimits = std::array<ClassLimits, kRequestClasses>;
+
+/// Limits that hold where the rules say nothing.
+inline constexpr AllClassLimits kDefaultClassLimits{
+  ClassLimits{ .reserve_ = 10 },
+  ClassLimits{},
+  ClassLimits{ .share_ = 2 }
+};
+
 /// `[weight-store]`
 struct WeightStoreRule
 {
@@ -67,6 +91,7 @@
   std::map<UpstreamId, UpstreamRule> upstreams_;
   std::map<TrainerId, TrainerRule> trainers_;
   WeightStoreRule weightStore_;
+  AllClassLimits classes_ = kDefaultClassLimits;
 };
 
 /// One file of the rules folder.
--- /dev/null
+++ b/src/process/early_refusal.cpp
@@ -0,0 +1,139 @@
+#include "marjoramtally/process/early_refusal.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Share of the estimate by which one value moves a quantile.
+constexpr double kQuantileStep = 0.1;
+/// Completions of a window are one measurement of the drain rate.
+constexpr Duration kWindow = std::chrono::milliseconds(250);
+/// Weight of a new measurement.
+constexpr double kRateGain = 0.3;
+/// Waits expected to be shorter say nothing of the correction.
+constexpr Duration kLeastJudgedWait = std::chrono::milliseconds(5);
+/// Bounds of the correction of expected waits.
+constexpr double kLeastCorrection = 0.5;
+constexpr double kGreatestCorrection = 10;
+constexpr double kMicrosPerSecond = 1e6;
+/// Estimates beyond this are as good as never.
+constexpr double kLongestMicros = 3.6e9;
+
+Duration
+Micros(double aMicros) noexcept
+{
+  return Duration(
+    static_cast<Duration::rep>(std::clamp(aMicros, 0.0, kLongestMicros)));
+}
+
+} // namespace
+
+void
+QuantileTracker::Add(double aValue) noexcept
+{
+  if (estimate_ <= 0) {
+    estimate_ = aValue;
+  } else if (aValue > estimate_) {
+    estimate_ *= 1 + kQuantileStep * quantile_;
+  } else {
+    estimate_ *= 1 - kQuantileStep * (1 - quantile_);
+  }
+}
+
+void
+EarlyRefusal::OnCompleted(RequestClass aClass,
+                          double aCost,
+                          Duration aTook,
+                          bool aBacklog,
+                          TimePoint aNow) noexcept
+{
+  const double cost = std::max(aCost, 1.0);
+  timePerCost_.at(static_cast<std::size_t>(aClass))
+    .Add(static_cast<double>(aTook.count()) / cost);
+  if (!aBacklog || !windowOpen_) {
+    windowOpen_ = aBacklog;
+    windowCost_ = 0;
+    windowStart_ = aNow;
+    return;
+  }
+  windowCost_ += cost;
+  const Duration elapsed = aNow - windowStart_;
+  if (elapsed < kWindow) {
+    return;
+  }
+  const double rate =
+    windowCost_ * kMicrosPerSecond / static_cast<double>(elapsed.count());
+  drainRate_ =
+    drainRate_ <= 0 ? rate : drainRate_ + kRateGain * (rate - drainRate_);
+  windowCost_ = 0;
+  windowStart_ = aNow;
+}
+
+Duration
+EarlyRefusal::ServiceTime(RequestClass aClass, double aCost) const noexcept
+{
+  return Micros(timePerCost_.at(static_cast<std::size_t>(aClass)).Get() *
+                std::max(aCost, 1.0));
+}
+
+void
+EarlyRefusal::OnWaited(RequestClass aClass,
+                       Duration aExpected,
+                       Duration aWaited) noexcept
+{
+  if (aExpected < kLeastJudgedWait) {
+    return;
+  }
+  const double ratio = static_cast<double>(aWaited.count()) /
+                       static_cast<double>(aExpected.count());
+  const std::size_t index = static_cast<std::size_t>(aClass);
+  // Expectations carry the correction already, so the ratio is relative to it.
+  const double absolute = ratio * WaitCorrection(aClass);
+  waitRatio_.at(index).Add(
+    std::clamp(absolute, kLeastCorrection, kGreatestCorrection));
+}
+
+double
+EarlyRefusal::WaitCorrection(RequestClass aClass) const noexcept
+{
+  const double ratio = waitRatio_.at(static_cast<std::size_t>(aClass)).Get();
+  return ratio <= 0 ? 1
+                    : std::clamp(ratio, kLeastCorrection, kGreatestCorrection);
+}
+
+Duration
+EarlyRefusal::ExpectedWait(RequestClass aClass,
+                           double aCostAhead) const noexcept
+{
+  if (drainRate_ <= 0) {
+    return Duration::zero();
+  }
+  return Micros(aCostAhead * kMicrosPerSecond / drainRate_ *
+                WaitCorrection(aClass));
+}
+
+RefusalVerdict
+EarlyRefusal::Judge(const RequestSpec& aRequest,
+                    double aCost,
+                    double aCostAhead,
+                    TimePoint aNow) const noexcept
+{
+  RefusalVerdict verdict;
+  verdict.wait_ = ExpectedWait(aRequest.class_, aCostAhead);
+  if (aRequest.deadline_ == kNever || aCostAhead <= 0) {
+    // With nothing ahead it goes at once: its time renews the estimates.
+    return verdict;
+  }
+  const Duration service = ServiceTime(aRequest.class_, aCost);
+  const Duration allowed = aRequest.deadline_ - aNow;
+  const Duration excess = verdict.wait_ + service - allowed;
+  if (excess > Duration::zero()) {
+    verdict.refuse_ = true;
+    verdict.retryAfter_ = std::min(verdict.wait_, excess);
+  }
+  return verdict;
+}
+
+} // namespace marjoramtally
--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -1,12 +1,12 @@
 #include "programs/entryd/dispatcher.hpp"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
 
 namespace {
 
-constexpr std::size_t kQueueLimit = 100'000;
 constexpr std::uint32_t kMaxAttempts = 4;
 constexpr auto kReportPeriod = std::chrono::milliseconds(200);
 constexpr auto kReportTimeout = std::chrono::seconds(1);
@@ -24,6 +24,22 @@
                                           : AttemptEnd::MaybeRun;
 }
 
+/// @returns tokens that a completion says it generated; 0 if it is none
+std::uint64_t
+CountTokens(const HttpResponse& aResponse)
+{
+  constexpr std::string_view kKey = "\"completion_tokens\":";
+  const std::size_t at = aResponse.body_.rfind(kKey);
+  if (at == std::string::npos) {
+    return 0;
+  }
+  std::uint64_t tokens = 0;
+  const char* begin = aResponse.body_.data() + at + kKey.size();
+  std::from_chars(
+    begin, aResponse.body_.data() + aResponse.body_.size(), tokens);
+  return tokens;
+}
+
 Result<UpstreamReport>
 ParseReport(const std::string& aBody)
 {
@@ -47,7 +63,6 @@
   : host_(aHost)
   , router_(ZoneId{ aHost.Settings().zone_ },
             std::hash<std::string>{}(aHost.Settings().instance_))
-  , admission_(kQueueLimit)
 {
 }
 
@@ -93,10 +108,28 @@
   {
     const std::lock_guard lock(mutex_);
     router_.SetUpstreams(upstreams);
+    TakeLimits(*aView->rules_, upstreams);
   }
   Pump();
 }
 
+void
+Dispatcher::TakeLimits(const Rules& aRules,
+                       const std::vector<UpstreamView>& aUpstreams)
+{
+  admission_.SetClasses(aRules.classes_);
+  for (const auto& [id, trainer] : aRules.trainers_) {
+    admission_.SetWeight(ServiceId{ trainer.service_ }, id, trainer.weight_);
+  }
+  std::map<ServiceId, std::uint64_t> slots;
+  for (const UpstreamView& upstream : aUpstreams) {
+    slots[upstream.service_] += upstream.leaving_ ? 0 : upstream.limit_;
+  }
+  for (const auto& [service, count] : slots) {
+    admission_.SetCapacity(service, count);
+  }
+}
+
 void
 Dispatcher::PollReports()
 {
@@ -153,25 +186,55 @@
     std::move(aTrace),
     std::move(queueSpan),
   });
-  bool queued = false;
+  AdmissionVerdict verdict;
   TicketId ticket;
   {
     const std::lock_guard lock(mutex_);
     ticket = TicketId{ ++lastTicket_ };
     flights_.emplace(ticket, flight);
-    queued = admission_.Enqueue({ ticket, flight->spec_ });
+    verdict = admission_.Enqueue({ ticket, flight->spec_ }, host_.Now());
   }
-  if (!queued) {
-    DispatchResult refused;
-    refused.reason_ = "the queue is full (" + std::to_string(kQueueLimit) + ")";
-    Finish(ticket, flight, std::move(refused));
+  if (verdict.kind_ != AdmissionVerdict::Kind::Queued) {
+    Refuse(ticket, flight, verdict);
     return;
   }
-  Pump();
+  PumpService(flight->spec_.service_);
+}
+
+void
+Dispatcher::Refuse(TicketId aTicket,
+                   const FlightPtr& aFlight,
+                   const AdmissionVerdict& aVerdict)
+{
+  DispatchResult refused;
+  const bool full = aVerdict.kind_ == AdmissionVerdict::Kind::QueueFull;
+  refused.late_ = !full;
+  refused.retryAfter_ = aVerdict.retryAfter_;
+  refused.reason_ = full ? "the queue of its class is full"
+                         : "it would miss its deadline: the expected wait is " +
+                             FormatDuration(aVerdict.wait_);
+  host_.Measures().Count("marjoram_refused_total{reason=\"" +
+                         std::string(full ? "queue_full" : "would_be_late") +
+                         "\",class=\"" +
+                         std::string(ToString(aFlight->spec_.class_)) + "\"}");
+  Finish(aTicket, aFlight, std::move(refused));
 }
 
 void
 Dispatcher::Pump()
+{
+  std::vector<ServiceId> services;
+  {
+    const std::lock_guard lock(mutex_);
+    services = admission_.Waiting();
+  }
+  for (const ServiceId& service : services) {
+    PumpService(service);
+  }
+}
+
+void
+Dispatcher::PumpService(const ServiceId& aService)
 {
   struct Start
   {
@@ -182,16 +245,19 @@
   std::vector<Start> starts;
   {
     const std::lock_guard lock(mutex_);
-    for (const QueuedRequest* queued : admission_.InOrder()) {
-      const FlightPtr flight = flights_.at(queued->ticket_);
+    const TimePoint now = host_.Now();
+    admission_.Resume(aService);
+    while (const QueuedRequest* queued = admission_.Next(aService, now)) {
+      const TicketId ticket = queued->ticket_;
+      const FlightPtr flight = flights_.at(ticket);
       const auto upstream = router_.Pick(queued->spec_, flight->tried_);
-      if (upstream) {
-        router_.OnSent(upstream->id_);
-        starts.push_back({ queued->ticket_, flight, *upstream });
+      if (!upstream) {
+        admission_.Stall(ticket);
+        continue;
       }
-    }
-    for (const Start& start : starts) {
-      admission_.Remove(start.ticket_);
+      router_.OnSent(upstream->id_);
+      admission_.Dispatch(ticket, now);
+      starts.push_back({ ticket, flight, *upstream });
     }
   }
   for (const Start& start : starts) {
@@ -202,17 +268,26 @@
 void
 Dispatcher::Expire()
 {
-  std::vector<std::pair<TicketId, FlightPtr>> expired;
+  struct Expired
+  {
+    TicketId ticket_;
+    FlightPtr flight_;
+    Duration wait_;
+  };
+  std::vector<Expired> expired;
   {
     const std::lock_guard lock(mutex_);
     for (const QueuedRequest& request : admission_.Expire(host_.Now())) {
-      expired.emplace_back(request.ticket_, flights_.at(request.ticket_));
+      expired.push_back({ request.ticket_,
+                          flights_.at(request.ticket_),
+                          admission_.ExpectedWait(request.spec_) });
     }
   }
-  for (const auto& [ticket, flight] : expired) {
+  for (const auto& [ticket, flight, wait] : expired) {
     DispatchResult result;
     result.late_ = true;
-    result.reason_ = "its deadline passed in the queue";
+    result.retryAfter_ = wait;
+    result.reason_ = "the queue left too little time before its deadline";
     result.outcome_ = flight->attempts_.GiveUp() == NextStep::FinishUnknown
                         ? Outcome::Unknown
                         : Outcome::RefusedNotRun;
@@ -254,15 +329,20 @@
                        HttpResult aResult)
 {
   const AttemptEnd end = JudgeAttempt(aResult, aFlight->judge_);
+  const ServiceId service = aFlight->spec_.service_;
+  const auto tokens = end == AttemptEnd::Whole
+                        ? std::optional(CountTokens(aResult.response_))
+                        : std::nullopt;
   NextStep next = NextStep::Retry;
   {
     const std::lock_guard lock(mutex_);
     router_.OnDone(aUpstream.id_);
+    admission_.Complete(aTicket, tokens, host_.Now());
     aFlight->tried_.push_back(aUpstream.id_);
     next = aFlight->attempts_.After(aFlight->spec_, end, host_.Now());
     if (next == NextStep::Retry) {
       aFlight->queueSpan_ = StartSpan(aFlight->trace_, "queue");
-      admission_.EnqueueFront({ aTicket, aFlight->spec_ });
+      admission_.EnqueueFront({ aTicket, aFlight->spec_ }, host_.Now());
     }
   }
   if (next != NextStep::Retry) {
@@ -277,7 +357,7 @@
                         : Outcome::RefusedNotRun;
     Finish(aTicket, aFlight, std::move(result));
   }
-  Pump();
+  PumpService(service);
 }
 
 void
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -30,6 +30,8 @@
   std::string reason_;
   /// Whether it was its deadline that ended it.
   bool late_ = false;
+  /// When sending it again makes sense.
+  Duration retryAfter_ = std::chrono::seconds(1);
 };
 
 using DispatchDone = std::function<void(DispatchResult)>;
@@ -71,7 +73,15 @@
   void TakeView(const ClusterViewPtr& aView);
   void PollReports();
   void PollReport(const UpstreamView& aUpstream);
+  /// Takes over the rules' limits of classes, trainers and services.
+  void TakeLimits(const Rules& aRules,
+                  const std::vector<UpstreamView>& aUpstreams);
+  /// Dispatches what may go now, of all services or of one.
   void Pump();
+  void PumpService(const ServiceId& aService);
+  void Refuse(TicketId aTicket,
+              const FlightPtr& aFlight,
+              const AdmissionVerdict& aVerdict);
   void Expire();
   void SendAttempt(TicketId aTicket,
                    const FlightPtr& aFlight,
--- a/src/programs/entryd/entry.cpp
+++ b/src/programs/entryd/entry.cpp
@@ -51,6 +51,15 @@
   return 503;
 }
 
+/// @returns whole seconds, at least one
+std::string
+FormatRetryAfter(Duration aDuration)
+{
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(aDuration);
+  return std::to_string(
+    std::max<std::chrono::seconds::rep>(seconds.count(), 1));
+}
+
 HttpResponse
 MakeResponse(DispatchResult aResult)
 {
@@ -62,7 +71,8 @@
   } else {
     response = ErrorResponse(
       FailureStatus(aResult), ToString(aResult.outcome_), aResult.reason_);
-    response.headers_.push_back({ "Retry-After", "1" });
+    response.headers_.push_back(
+      { "Retry-After", FormatRetryAfter(aResult.retryAfter_) });
   }
   response.headers_.push_back(
     { std::string(kOutcomeHeader), std::string(ToString(aResult.outcome_)) });
--- a/src/version/rules.cpp
+++ b/src/version/rules.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::uint64_t kMaxStaleness = 1000;
 constexpr std::uint64_t kMaxWeight = 1000;
+constexpr std::uint64_t kMaxReserve = 90;
 constexpr std::uint64_t kMaxInFlight = 100'000;
 
 constexpr std::array<FieldSpec<ServiceRule>, 3> kServiceFields{ {
@@ -39,6 +40,12 @@
   { "parallel-loads", &WeightStoreRule::parallelLoads_, false, 1, 100'000 },
 } };
 
+constexpr std::array<FieldSpec<ClassLimits>, 3> kClassFields{ {
+  { "reserve", &ClassLimits::reserve_, false, 0, kMaxReserve },
+  { "share", &ClassLimits::share_, false, 0, kMaxReserve },
+  { "queue", &ClassLimits::queue_, false, 1, 1'000'000 },
+} };
+
 /// The place of a section's first key.
 SourcePlace
 PlaceOf(const IniSection& aSection)
@@ -63,6 +70,40 @@
   aOut.emplace(rule.id_, std::move(rule));
 }
 
+/// Reads `[class NAME]`; the reserve is of live callers, the share of
+/// background callers, and both are refused elsewhere.
+void
+ReadClass(const std::string& aSectionName,
+          const std::string& aName,
+          const IniSection& aSection,
+          Rules& aRules,
+          Findings& aFindings)
+{
+  const auto named = ParseRequestClass(aName);
+  if (!named) {
+    aFindings.Add(PlaceOf(aSection),
+                  "[" + aSectionName +
+                    "]: the classes are live, trainer and background");
+    return;
+  }
+  ReadFields<ClassLimits>(aSectionName,
+                          aSection,
+                          PlaceOf(aSection),
+                          kClassFields,
+                          aRules.classes_.at(static_cast<std::size_t>(*named)),
+                          aFindings);
+  const auto refuse = [&](const char* aKey, RequestClass aOwner) {
+    const auto key = aSection.find(aKey);
+    if (key != aSection.end() && *named != aOwner) {
+      aFindings.Add(key->second.place_,
+                    "[" + aSectionName + "] " + aKey + ": only [class " +
+                      std::string(ToString(aOwner)) + "] has it");
+    }
+  };
+  refuse("reserve", RequestClass::Live);
+  refuse("share", RequestClass::Background);
+}
+
 void
 ReadSection(const std::string& aSectionName,
             const IniSection& aSection,
@@ -101,11 +142,13 @@
                                       kTrainerFields,
                                       aRules.trainers_,
                                       aFindings);
+  } else if (kind == "class" && !name.empty()) {
+    ReadClass(aSectionName, name, aSection, aRules, aFindings);
   } else {
     aFindings.Add(PlaceOf(aSection),
                   "[" + aSectionName +
                     "] is none of [service NAME], [upstream NAME], "
-                    "[trainer NAME], [weight-store]");
+                    "[trainer NAME], [class NAME], [weight-store]");
   }
 }
 
