Split the configuration out of the cluster view

Ruled out: a lock around the whole refresh (it spans store calls). After: ConfigService hands rules on; the view takes them under its own lock at publishing, and only a higher revision replaces one.

--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -166,7 +166,6 @@
                   return;
                 }
                 TakeLive(aRead.value());
-                CheckManifest();
               });
 }
 
@@ -178,7 +177,6 @@
     TakeRecord(record, next);
   }
   const ClusterViewPtr before = View();
-  next.rules_ = before->rules_;
   for (const auto& [model, version] : before->versions_) {
     WeightVersion& known = next.versions_[model];
     known = std::max(known, version);
@@ -187,85 +185,27 @@
 }
 
 void
-Cluster::CheckManifest()
+Cluster::SetRules(std::shared_ptr<const Rules> aRules)
 {
-  store_.Read(std::string(kManifestKey),
-              [this](const Result<StoreRange>& aRead) {
-                if (!aRead || aRead.value().records_.empty()) {
-                  return;
-                }
-                const auto manifest =
-                  ParseManifest(aRead.value().records_.front().value_);
-                if (!manifest) {
-                  LogEvent(LogLevel::Error,
-                           "manifest_unreadable",
-                           { { "error", manifest.error().message_ } });
-                  return;
-                }
-                if (manifest.value().revision_ > View()->rules_->revision_) {
-                  FetchBlobs(manifest.value());
-                }
-              });
-}
-
-void
-Cluster::FetchBlobs(const Manifest& aManifest)
-{
-  store_.Read(
-    std::string(kBlobPrefix),
-    [this, aManifest](const Result<StoreRange>& aRead) {
-      if (!aRead) {
-        return;
-      }
-      std::map<std::string, std::string> blobs;
-      for (const StoreRecord& record : aRead.value().records_) {
-        blobs[record.key_.substr(kBlobPrefix.size())] = record.value_;
-      }
-      std::vector<RulesFile> files;
-      for (const ManifestFile& file : aManifest.files_) {
-        const auto blob = blobs.find(file.hash_);
-        if (blob == blobs.end()) {
-          LogEvent(LogLevel::Error, "blob_missing", { { "file", file.name_ } });
-          return;
-        }
-        files.push_back({ file.name_, blob->second });
-      }
-      ApplyRules(aManifest, std::move(files));
-    });
-}
-
-void
-Cluster::ApplyRules(const Manifest& aManifest, std::vector<RulesFile> aFiles)
-{
-  const auto merged = MergeRulesFiles(std::move(aFiles));
-  auto built =
-    merged ? BuildRules(merged.value()) : Checked<Rules>(merged.error());
-  if (!built) {
-    LogEvent(LogLevel::Error,
-             "rules_rejected",
-             { { "findings", built.error().Render() } });
-    return;
-  }
-  auto rules = std::make_shared<Rules>(std::move(built).value());
-  rules->revision_ = aManifest.revision_;
-  ClusterView next = *View();
-  if (next.rules_->revision_ >= rules->revision_) {
-    return;
+  {
+    const std::lock_guard lock(mutex_);
+    if (rules_->revision_ >= aRules->revision_) {
+      return;
+    }
+    rules_ = std::move(aRules);
   }
-  next.rules_ = rules;
-  LogEvent(LogLevel::Info,
-           "rules_applied",
-           { { "revision", std::to_string(rules->revision_.Get()) } });
-  Publish(std::move(next));
+  Publish(*View());
 }
 
 void
 Cluster::Publish(ClusterView aView)
 {
-  const auto view = std::make_shared<const ClusterView>(std::move(aView));
+  ClusterViewPtr view;
   std::vector<std::function<void(const ClusterViewPtr&)>> listeners;
   {
     const std::lock_guard lock(mutex_);
+    aView.rules_ = rules_;
+    view = std::make_shared<const ClusterView>(std::move(aView));
     view_ = view;
     listeners = listeners_;
   }
--- a/src/daemon/cluster.hpp
+++ b/src/daemon/cluster.hpp
@@ -2,7 +2,6 @@
 /// and a view of instances, owners, weight versions and rules.
 #pragma once
 
-#include "daemon/manifest.hpp"
 #include "daemon/settings.hpp"
 #include "marjoramtally/runtime.hpp"
 #include "marjoramtally/version.hpp"
@@ -69,6 +68,8 @@
   [[nodiscard]] StoreLeaseId Lease() const noexcept { return lease_; }
   /// Called after each refresh, on a store thread.
   void OnRefresh(std::function<void(const ClusterViewPtr&)> aListener);
+  /// Puts rules of a higher revision into the view; others are ignored.
+  void SetRules(std::shared_ptr<const Rules> aRules);
   /// Reads the view anew now.
   void Refresh();
 
@@ -76,9 +77,6 @@
   void EnsureLease();
   void Register(StoreLeaseId aLease);
   void TakeLive(const StoreRange& aRange);
-  void CheckManifest();
-  void FetchBlobs(const Manifest& aManifest);
-  void ApplyRules(const Manifest& aManifest, std::vector<RulesFile> aFiles);
   void Publish(ClusterView aView);
 
   const DaemonSettings& settings_;
@@ -89,7 +87,7 @@
   std::atomic<bool> leaving_{ false };
   mutable std::mutex mutex_;
   ClusterViewPtr view_ = std::make_shared<ClusterView>();
-  std::map<std::string, std::string> blobs_;
+  std::shared_ptr<const Rules> rules_ = std::make_shared<Rules>();
   std::vector<std::function<void(const ClusterViewPtr&)>> listeners_;
 };
 
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -22,6 +22,13 @@
   , client_(HttpClient::Create(kClientThreads))
   , store_(MakeEtcdStore(*client_, settings_.store_, settings_.storeTimeout_))
   , cluster_(std::make_unique<Cluster>(settings_, *store_, timers_))
+  , config_(std::make_unique<ConfigService>(
+      settings_,
+      *store_,
+      timers_,
+      [this](std::shared_ptr<const Rules> aRules) {
+        cluster_->SetRules(std::move(aRules));
+      }))
 {
 }
 
@@ -60,6 +67,7 @@
            "started",
            { { "http", self.http_ }, { "rpc", self.rpc_ } });
   cluster_->Start(self);
+  config_->Start();
   if (!settings_.portFile_.empty()) {
     return WriteFile(settings_.portFile_, self.http_ + "\n");
   }
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/cluster.hpp"
+#include "daemon/config_service.hpp"
 
 namespace marjoramtally {
 
@@ -30,6 +31,7 @@
   [[nodiscard]] Store& PlatformStore() { return *store_; }
   [[nodiscard]] Timers& Clockwork() { return timers_; }
   [[nodiscard]] Cluster& Members() { return *cluster_; }
+  [[nodiscard]] ConfigService& Config() { return *config_; }
   [[nodiscard]] Metrics& Measures() { return metrics_; }
   [[nodiscard]] TraceWriter& Traces() { return traces_; }
   [[nodiscard]] TimePoint Now() const noexcept { return clock_.Now(); }
@@ -49,6 +51,7 @@
   std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<Cluster> cluster_;
+  std::unique_ptr<ConfigService> config_;
   Timers timers_;
 };
 
--- a/src/programs/ctl/rules_commands.cpp
+++ b/src/programs/ctl/rules_commands.cpp
@@ -1,6 +1,7 @@
 #include "programs/ctl/commands.hpp"
 
 #include "daemon/cluster.hpp"
+#include "daemon/manifest.hpp"
 #include "marjoramtally/runtime/program.hpp"
 
 #include <future>
