Engine stand-in: orders in a unit of their own, weight store with a rate

Cause: the stand-in knew one kind of order that loaded and switched at once, kept old orders' late effects, and its weight store had no rate limit, so a rollout in two phases under a rate could not be tried on it. Ruled out: a second engine mode for rollouts; the generation path has to see the same versions that orders change. Now: prefetch, switch (with draining) and role orders; an order that a higher fencing number overtook while it loaded has no effect; `--load-rate` refuses reads over the rate with 429 and records each. A plain order without a kind still loads and switches.

--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -1,22 +1,12 @@
 /// Stand-in of a model engine: completions that take time by the token,
 /// weight versions that change while they run, orders with fencing numbers.
 
-#include "standins/standin.hpp"
+#include "standins/engine_orders.hpp"
 
 namespace marjoramtally::standin {
 
 namespace {
 
-constexpr auto kLoadTime = std::chrono::milliseconds(30);
-constexpr std::uint64_t kThousand = 1000;
-
-/// From `at_` on the model had this version.
-struct Swap
-{
-  TimePoint at_;
-  std::uint64_t version_ = 0;
-};
-
 class Engine
 {
 public:
@@ -24,7 +14,7 @@
     : options_(aOptions)
     , recorder_(aOptions.recordFile_)
     , random_(std::hash<std::string>{}(aOptions.name_))
-    , client_(HttpClient::Create(1))
+    , orders_(aOptions, recorder_)
   {
   }
 
@@ -40,7 +30,7 @@
     } else if (aRequest.path_ == "/v1/completions") {
       Complete(body, aReply);
     } else if (aRequest.path_ == "/orders") {
-      Order(body, aReply);
+      orders_.Handle(body, aReply);
     } else {
       aReply->Send(ErrorResponse(404, "not_found", aRequest.path_));
     }
@@ -50,14 +40,9 @@
   HttpResponse Load()
   {
     const std::lock_guard lock(mutex_);
-    Json models = Json::object();
-    for (const auto& [model, swaps] : models_) {
-      models[model] = swaps.back().version_;
-    }
-    return JsonResponse(
-      200,
-      Json{ { "running", running_ }, { "queued", 0 }, { "models", models } }
-        .dump());
+    Json load{ { "running", running_ }, { "queued", 0 } };
+    orders_.Describe(load);
+    return JsonResponse(200, load.dump());
   }
 
   void Complete(const Json& aBody, const HttpReplyPtr& aReply)
@@ -65,9 +50,9 @@
     const std::string model = aBody.value("model", "");
     const auto most = aBody.value("max_tokens", std::uint64_t{ 16 });
     const std::lock_guard lock(mutex_);
-    if (!models_.contains(model)) {
+    if (!orders_.Begin(model)) {
       HttpResponse refusal =
-        ErrorResponse(503, "no_model", "this model is not loaded");
+        ErrorResponse(503, "no_model", "this model is not served now");
       refusal.headers_.push_back({ "X-Outcome", "refused-not-run" });
       aReply->Send(std::move(refusal));
       return;
@@ -89,24 +74,6 @@
                   });
   }
 
-  Json Spans(const std::string& aModel, std::uint64_t aTokens, TimePoint aStart)
-  {
-    Json spans = Json::array();
-    const Duration perToken{ options_.tokenMicros_ };
-    for (std::uint64_t i = 0; i < aTokens; ++i) {
-      const TimePoint at = aStart + perToken * i;
-      std::uint64_t version = models_[aModel].front().version_;
-      for (const Swap& swap : models_[aModel]) {
-        version = swap.at_ <= at ? swap.version_ : version;
-      }
-      if (spans.empty() || spans.back()["version"] != version) {
-        spans.push_back({ { "version", version }, { "from", i } });
-      }
-      spans.back()["to"] = i + 1;
-    }
-    return spans;
-  }
-
   HttpResponse Finish(const std::string& aModel,
                       const std::string& aPrompt,
                       std::uint64_t aTokens,
@@ -115,9 +82,10 @@
   {
     const std::lock_guard lock(mutex_);
     --running_;
+    orders_.End(aModel);
     const std::string text = aPrompt.substr(0, 40) + " ... " + options_.name_ +
                              "#" + std::to_string(aNumber);
-    const Json spans = Spans(aModel, aTokens, aStart);
+    const Json spans = orders_.Spans(aModel, aTokens, aStart);
     recorder_.Write({ { "kind", "generation" },
                       { "engine", options_.name_ },
                       { "model", aModel },
@@ -133,67 +101,14 @@
     return JsonResponse(200, body.dump());
   }
 
-  void Order(const Json& aBody, const HttpReplyPtr& aReply)
-  {
-    const auto fencing = aBody.value("fencing", std::uint64_t{ 0 });
-    const std::string model = aBody.value("model", "");
-    const auto version = aBody.value("version", std::uint64_t{ 0 });
-    {
-      const std::lock_guard lock(mutex_);
-      if (!options_.ignoreFencing_ && fencing < fencing_) {
-        aReply->Send(ErrorResponse(409, "conflict", "an old fencing number"));
-        return;
-      }
-      fencing_ = std::max(fencing_, fencing);
-    }
-    HttpCall call;
-    call.url_ = "http://" + options_.weightStore_ + "/weights/" + model + "/" +
-                std::to_string(version);
-    client_->Send(std::move(call),
-                  [this, model, version, aReply](const HttpResult& aResult) {
-                    FinishLoad(model, version, aResult, aReply);
-                  });
-  }
-
-  void FinishLoad(const std::string& aModel,
-                  std::uint64_t aVersion,
-                  const HttpResult& aResult,
-                  const HttpReplyPtr& aReply)
-  {
-    const bool loaded =
-      aResult.end_ == HttpEnd::Whole && aResult.response_.status_ == 200;
-    bool fails = false;
-    {
-      const std::lock_guard lock(mutex_);
-      fails = !loaded || random_.Below(kThousand) < options_.swapFailures_;
-    }
-    if (fails) {
-      aReply->Send(ErrorResponse(500, "swap_failed", "the swap failed"));
-      return;
-    }
-    timers_.After(kLoadTime, [this, aModel, aVersion, aReply] {
-      {
-        const std::lock_guard lock(mutex_);
-        models_[aModel].push_back({ clock_.Now(), aVersion });
-      }
-      recorder_.Write({ { "kind", "swap" },
-                        { "engine", options_.name_ },
-                        { "model", aModel },
-                        { "version", aVersion } });
-      aReply->Send(JsonResponse(200, R"({"done":true})"));
-    });
-  }
-
   const Options& options_;
   Recorder recorder_;
   SystemClock clock_;
   std::mutex mutex_;
   Random random_;
-  std::map<std::string, std::vector<Swap>> models_;
   std::uint64_t running_ = 0;
   std::uint64_t generations_ = 0;
-  std::uint64_t fencing_ = 0;
-  std::unique_ptr<HttpClient> client_;
+  EngineOrders orders_;
   Timers timers_;
 };
 
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -62,6 +62,9 @@
   add("rate", po::value(&aOptions.rate_), "calls a second");
   add("deadline-ms", po::value(&aOptions.deadlineMillis_), "callers' deadline");
   add("swap-failures", po::value(&aOptions.swapFailures_), "of 1000 swaps");
+  add("load-rate",
+      po::value(&aOptions.loadRate_),
+      "weight store's reads a second; 0 is no limit");
   add("ignore-fencing",
       po::bool_switch(&aOptions.ignoreFencing_),
       "take any order");
--- a/src/standins/services.cpp
+++ b/src/standins/services.cpp
@@ -37,24 +37,74 @@
   return ServeUntilStopped(aOptions, answer);
 }
 
-int
-RunWeights(const Options& aOptions)
+namespace {
+
+/// The weight store: keeps names of weights and refuses reads over its rate.
+class WeightStore
 {
-  std::mutex mutex;
-  std::set<std::string> stored;
-  const auto answer = [&](const HttpRequest& aRequest,
-                          const HttpReplyPtr& aReply) {
-    const std::lock_guard lock(mutex);
+public:
+  explicit WeightStore(const Options& aOptions)
+    : perSecond_(static_cast<double>(aOptions.loadRate_))
+    , tokens_(perSecond_)
+    , recorder_(aOptions.recordFile_)
+  {
+  }
+
+  HttpResponse Handle(const HttpRequest& aRequest)
+  {
+    const std::lock_guard lock(mutex_);
     if (aRequest.method_ == "PUT") {
-      stored.insert(aRequest.path_);
-      aReply->Send(JsonResponse(201, R"({"stored":true})"));
-    } else if (stored.contains(aRequest.path_)) {
-      aReply->Send(JsonResponse(200, R"({"weights":"..."})"));
-    } else {
-      aReply->Send(ErrorResponse(404, "not_found", aRequest.path_));
+      stored_.insert(aRequest.path_);
+      return JsonResponse(201, R"({"stored":true})");
     }
-  };
-  return ServeUntilStopped(aOptions, answer);
+    const bool taken = TakeToken();
+    recorder_.Write({ { "kind", "load" },
+                      { "path", aRequest.path_ },
+                      { "at_us", clock_.Now().sinceStart_.count() },
+                      { "over_rate", !taken } });
+    if (!taken) {
+      return ErrorResponse(429, "rate_limited", "too many loads a second");
+    }
+    return stored_.contains(aRequest.path_)
+             ? JsonResponse(200, R"({"weights":"..."})")
+             : ErrorResponse(404, "not_found", aRequest.path_);
+  }
+
+private:
+  /// A rate of 0 is none.
+  bool TakeToken()
+  {
+    const TimePoint now = clock_.Now();
+    const auto micros = static_cast<double>((now - refilled_).count());
+    refilled_ = now;
+    tokens_ = std::min(perSecond_, tokens_ + micros * perSecond_ / 1e6);
+    if (perSecond_ > 0.0 && tokens_ < 1.0) {
+      return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+  }
+
+  double perSecond_;
+  double tokens_;
+  Recorder recorder_;
+  SystemClock clock_;
+  TimePoint refilled_ = clock_.Now();
+  std::mutex mutex_;
+  std::set<std::string> stored_;
+};
+
+} // namespace
+
+int
+RunWeights(const Options& aOptions)
+{
+  WeightStore store(aOptions);
+  return ServeUntilStopped(
+    aOptions,
+    [&store](const HttpRequest& aRequest, const HttpReplyPtr& aReply) {
+      aReply->Send(store.Handle(aRequest));
+    });
 }
 
 int
--- a/src/standins/standin.hpp
+++ b/src/standins/standin.hpp
@@ -45,6 +45,8 @@
   std::uint64_t deadlineMillis_ = 1000;
   /// Of a thousand weight swaps, how many fail.
   std::uint64_t swapFailures_ = 0;
+  /// Reads a second that the weight store allows; 0 is no limit.
+  std::uint64_t loadRate_ = 0;
   bool ignoreFencing_ = false;
   std::string stopFile_;
 };
