Rollout in two phases, driven by the control daemon

Cause: the control daemon read every upstream's load each 100 ms, tried to own every upstream of the fleet, and sent load-and-switch orders without regard to the weight store's rate or to how many upstreams went out at once. Now: a decision library loads ahead within a share of the store's rate, then switches within a share of slots that keeps the service's floor; retries, then leaves an upstream on its known version or out of rotation with an event; repairs an engine that came back empty. The driver only performs its actions. Reads are paced (20 a second for an owner, each upstream at most every 0.5 s, with jitter), claims go to the preferred owner by rendezvous hashing, and ownership follows the lease that its record hangs on. Ruled out: slots as records in the store for small services; instead there are never more owners than slots. Ruled out: raising a share at once when an owner leaves; views differ for a moment, so a share rises only after 2 s.

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -6,5 +6,7 @@
 #include "marjoramtally/process/deadline_queue.hpp"
 #include "marjoramtally/process/early_refusal.hpp"
 #include "marjoramtally/process/fair_queue.hpp"
+#include "marjoramtally/process/order_fencing.hpp"
 #include "marjoramtally/process/output_estimate.hpp"
+#include "marjoramtally/process/rollout.hpp"
 #include "marjoramtally/process/router.hpp"
--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -20,6 +20,13 @@
   Duration deadline_ = std::chrono::seconds(2);
   /// Requests in flight at one upstream.
   std::uint64_t upstreamLimit_ = 64;
+  /// Percent of its upstreams that keep answering while weights change.
+  std::uint64_t floor_ = 50;
+  /// Most upstreams that switch weights at once; 0 leaves it to the floor.
+  std::uint64_t wave_ = 0;
+  /// Generations in progress end on the old weights for so long at a
+  /// switch; 0 resumes them on the new ones.
+  Duration drain_{ 0 };
 };
 
 /// `[upstream NAME]`
@@ -81,6 +88,17 @@
   std::string address_;
   /// Loads from it at once.
   std::uint64_t parallelLoads_ = 64;
+  /// Loads that may start in a second, by all instances together.
+  std::uint64_t rate_ = 50;
+};
+
+/// `[orders]`: bounds on time for upstreams that ignore fencing numbers.
+struct OrdersRule
+{
+  /// Covers the transmission of an order and the drift between clocks.
+  Duration margin_ = std::chrono::milliseconds(500);
+  /// Longest time in which an order that was received takes effect.
+  Duration effect_ = std::chrono::milliseconds(500);
 };
 
 /// All rules of one revision.
@@ -92,6 +110,7 @@
   std::map<TrainerId, TrainerRule> trainers_;
   WeightStoreRule weightStore_;
   AllClassLimits classes_ = kDefaultClassLimits;
+  OrdersRule orders_;
 };
 
 /// One file of the rules folder.
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -34,13 +34,14 @@
 void
 TakeOwner(const std::string& aDuty,
           const Json& aBody,
-          std::uint64_t aRevision,
+          const StoreRecord& aRecord,
           ClusterView& aView)
 {
   OwnerRecord record;
   record.owner_ = InstanceId{ aBody.value("owner", "") };
   record.rpc_ = aBody.value("rpc", "");
-  record.term_ = FencingNumber{ aRevision };
+  record.term_ = FencingNumber{ aRecord.createRevision_ };
+  record.lease_ = aRecord.lease_;
   aView.owners_.emplace(aDuty, std::move(record));
 }
 
@@ -58,8 +59,7 @@
   if (key.starts_with(kInstancePrefix)) {
     TakeInstance(key.substr(kInstancePrefix.size()), body, aView);
   } else if (key.starts_with(kOwnerPrefix)) {
-    TakeOwner(
-      key.substr(kOwnerPrefix.size()), body, aRecord.createRevision_, aView);
+    TakeOwner(key.substr(kOwnerPrefix.size()), body, aRecord, aView);
   } else if (key.starts_with(kVersionPrefix)) {
     aView.versions_[key.substr(kVersionPrefix.size())] =
       WeightVersion{ body.value("version", std::uint64_t{ 0 }) };
@@ -119,36 +119,43 @@
     return;
   }
   const StoreLeaseId lease = lease_;
+  const TimePoint askedAt = clock_.Now();
   if (lease == 0) {
-    store_.GrantLease(settings_.leaseTtl_, [this](Result<StoreLease> aGrant) {
-      if (aGrant && !leaving_) {
-        Register(aGrant.value().id_);
-      }
-    });
+    store_.GrantLease(settings_.leaseTtl_,
+                      [this, askedAt](const Result<StoreLease>& aGrant) {
+                        if (aGrant && !leaving_) {
+                          Register(aGrant.value(), askedAt);
+                        }
+                      });
     return;
   }
-  store_.KeepAlive(lease, [this, lease](const Result<StoreLease>& aKept) {
-    const bool lapsed = aKept ? aKept.value().ttl_ <= Duration::zero()
-                              : aKept.error().kind_ == ErrorKind::NotFound;
-    StoreLeaseId expected = lease;
-    if (lapsed && lease_.compare_exchange_strong(expected, 0)) {
-      LogEvent(LogLevel::Warn, "lease_lapsed");
-      EnsureLease();
-    }
-  });
+  store_.KeepAlive(
+    lease, [this, lease, askedAt](const Result<StoreLease>& aKept) {
+      if (aKept && aKept.value().ttl_ > Duration::zero() && lease_ == lease) {
+        leaseUntil_ = (askedAt + aKept.value().ttl_).sinceStart_.count();
+      }
+      const bool lapsed = aKept ? aKept.value().ttl_ <= Duration::zero()
+                                : aKept.error().kind_ == ErrorKind::NotFound;
+      StoreLeaseId expected = lease;
+      if (lapsed && lease_.compare_exchange_strong(expected, 0)) {
+        LogEvent(LogLevel::Warn, "lease_lapsed");
+        EnsureLease();
+      }
+    });
 }
 
 void
-Cluster::Register(StoreLeaseId aLease)
+Cluster::Register(const StoreLease& aLease, TimePoint aAskedAt)
 {
   StoreTxn txn;
   txn.puts_.push_back({ std::string(kInstancePrefix) + self_.id_.Get(),
                         FormatInstance(self_),
-                        aLease });
+                        aLease.id_ });
   store_.Commit(std::move(txn),
-                [this, aLease](const Result<StoreCommit>& aCommit) {
+                [this, aLease, aAskedAt](const Result<StoreCommit>& aCommit) {
                   if (aCommit) {
-                    lease_ = aLease;
+                    leaseUntil_ = (aAskedAt + aLease.ttl_).sinceStart_.count();
+                    lease_ = aLease.id_;
                     LogEvent(LogLevel::Info, "registered");
                   }
                 });
--- a/src/daemon/cluster.hpp
+++ b/src/daemon/cluster.hpp
@@ -36,6 +36,8 @@
   InstanceId owner_;
   std::string rpc_;
   FencingNumber term_;
+  /// The record lives as long as this lease.
+  StoreLeaseId lease_ = 0;
 };
 
 /// An immutable view of the cluster.
@@ -66,6 +68,12 @@
   [[nodiscard]] const InstanceRecord& Self() const noexcept { return self_; }
   /// @returns the session lease; 0 while there is none
   [[nodiscard]] StoreLeaseId Lease() const noexcept { return lease_; }
+  /// @returns until when the session lease holds for certain: its time to
+  /// live, counted from when its last confirmed renewal was sent
+  [[nodiscard]] TimePoint LeaseUntil() const noexcept
+  {
+    return TimePoint{ Duration{ leaseUntil_ } };
+  }
   /// Called after each refresh, on a store thread.
   void OnRefresh(std::function<void(const ClusterViewPtr&)> aListener);
   /// Puts rules of a higher revision into the view; others are ignored.
@@ -75,7 +83,7 @@
 
 private:
   void EnsureLease();
-  void Register(StoreLeaseId aLease);
+  void Register(const StoreLease& aLease, TimePoint aAskedAt);
   void TakeLive(const StoreRange& aRange);
   void Publish(ClusterView aView);
 
@@ -84,6 +92,8 @@
   Timers& timers_;
   InstanceRecord self_;
   std::atomic<StoreLeaseId> lease_{ 0 };
+  SystemClock clock_;
+  std::atomic<Duration::rep> leaseUntil_{ 0 };
   std::atomic<bool> leaving_{ false };
   mutable std::mutex mutex_;
   ClusterViewPtr view_ = std::make_shared<ClusterView>();
--- /dev/null
+++ b/src/process/rollout.cpp
@@ -0,0 +1,420 @@
+#include "marjoramtally/process/rollout.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Loads that may start at once after a pause.
+constexpr double kLoadBurst = 2.0;
+/// Reads in a row that fail until an upstream counts as out of rotation.
+constexpr std::uint64_t kFailedReads = 3;
+constexpr std::uint64_t kMostDoublings = 4;
+
+Duration
+Doubled(Duration aBase, std::uint64_t aTimes)
+{
+  return aBase * (1 << std::min(aTimes, kMostDoublings));
+}
+
+WeightVersion
+VersionOf(const ModelVersions& aVersions, const std::string& aModel)
+{
+  const auto found = aVersions.find(aModel);
+  return found == aVersions.end() ? WeightVersion{ 0 } : found->second;
+}
+
+} // namespace
+
+Rollout::Rollout(RolloutPolicy aPolicy, std::uint64_t aSeed) noexcept
+  : policy_(aPolicy)
+  , random_(aSeed)
+  , loads_(aPolicy.loadsPerSecond_, kLoadBurst)
+{
+}
+
+void
+Rollout::SetPolicy(const RolloutPolicy& aPolicy) noexcept
+{
+  policy_ = aPolicy;
+  loads_.SetRate(aPolicy.loadsPerSecond_);
+}
+
+void
+Rollout::SetGoal(const ServiceId& aService, ServiceGoal aGoal)
+{
+  goals_[aService] = std::move(aGoal);
+}
+
+void
+Rollout::SetRole(const UpstreamId& aUpstream, const std::string& aRole)
+{
+  const auto found = upstreams_.find(aUpstream);
+  if (found != upstreams_.end()) {
+    found->second.role_ = aRole;
+  }
+}
+
+void
+Rollout::Own(const OwnedUpstream& aUpstream,
+             FencingNumber aTerm,
+             TimePoint aNow)
+{
+  Upstream& upstream = upstreams_[aUpstream.id_];
+  const bool fresh = upstream.rule_.id_ != aUpstream.id_ ||
+                     upstream.rule_.checksFencing_ != aUpstream.checksFencing_;
+  upstream.rule_ = aUpstream;
+  if (fresh) {
+    upstream.fence_ = OrderFence(aUpstream.checksFencing_, policy_.fencing_);
+    upstream.fence_.OnLease(leaseUntil_);
+  }
+  upstream.fence_.OnOwned(aTerm, aNow);
+}
+
+void
+Rollout::Lose(const UpstreamId& aUpstream)
+{
+  const auto found = upstreams_.find(aUpstream);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  if (found->second.order_ &&
+      found->second.order_->kind_ == OrderKind::Prefetch) {
+    --loadsInProgress_;
+  }
+  upstreams_.erase(found);
+}
+
+void
+Rollout::OnLease(TimePoint aUntil) noexcept
+{
+  leaseUntil_ = aUntil;
+  for (auto& [id, upstream] : upstreams_) {
+    upstream.fence_.OnLease(aUntil);
+  }
+}
+
+void
+Rollout::OnState(const UpstreamId& aUpstream,
+                 UpstreamState aState,
+                 TimePoint aAskedAt,
+                 TimePoint aNow)
+{
+  const auto found = upstreams_.find(aUpstream);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  upstream.reading_ = false;
+  upstream.readable_ = true;
+  upstream.failedReads_ = 0;
+  upstream.state_ = std::move(aState);
+  upstream.fence_.OnStateRead(aAskedAt);
+  upstream.nextRead_ = aNow + Jitter(policy_.readPeriod_);
+  if (upstream.out_ && Answers(upstream)) {
+    upstream.out_ = false;
+    Notify(upstream, RolloutNoticeKind::BackInRotation);
+  }
+}
+
+void
+Rollout::OnUnreadable(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  const auto found = upstreams_.find(aUpstream);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  upstream.reading_ = false;
+  upstream.readable_ = false;
+  upstream.settled_ = false;
+  upstream.fence_.OnStateLost();
+  ++upstream.failedReads_;
+  upstream.nextRead_ =
+    aNow + Jitter(Doubled(policy_.retryPause_, upstream.failedReads_));
+  if (upstream.failedReads_ == kFailedReads && !upstream.out_) {
+    upstream.out_ = true;
+    Notify(upstream, RolloutNoticeKind::OutOfRotation);
+  }
+}
+
+void
+Rollout::OnOrderEnd(const UpstreamId& aUpstream, OrderEnd aEnd, TimePoint aNow)
+{
+  const auto found = upstreams_.find(aUpstream);
+  if (found == upstreams_.end() || !found->second.order_) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  const SendOrder order = std::move(*upstream.order_);
+  upstream.order_.reset();
+  loadsInProgress_ -= order.kind_ == OrderKind::Prefetch ? 1 : 0;
+  switch (aEnd) {
+    case OrderEnd::Done:
+      OnDone(upstream, order);
+      break;
+    case OrderEnd::Refused:
+      upstream.fence_.OnRefused();
+      upstream.retryAt_ = aNow + Jitter(policy_.longPause_);
+      break;
+    case OrderEnd::StoreBusy:
+      upstream.retryAt_ = aNow + Jitter(policy_.retryPause_);
+      break;
+    case OrderEnd::NotSent:
+      upstream.fence_.OnStateLost();
+      upstream.nextRead_ = aNow;
+      break;
+    case OrderEnd::Failed:
+      upstream.fence_.OnStateLost();
+      OnFailed(upstream, aNow);
+      break;
+    case OrderEnd::Unknown:
+      upstream.fence_.OnUnknownEffect(aNow);
+      OnFailed(upstream, aNow);
+      break;
+  }
+}
+
+void
+Rollout::OnDone(Upstream& aUpstream, const SendOrder& aOrder)
+{
+  aUpstream.fence_.OnConfirmed();
+  aUpstream.failures_ = 0;
+  switch (aOrder.kind_) {
+    case OrderKind::Prefetch:
+      aUpstream.state_.loaded_[aOrder.model_] = aOrder.version_;
+      break;
+    case OrderKind::Switch:
+      aUpstream.state_.served_[aOrder.model_] = aOrder.version_;
+      break;
+    case OrderKind::Role:
+      aUpstream.state_.role_ = aOrder.role_;
+      break;
+  }
+}
+
+void
+Rollout::OnFailed(Upstream& aUpstream, TimePoint aNow)
+{
+  aUpstream.nextRead_ = aNow;
+  ++aUpstream.failures_;
+  if (aUpstream.failures_ >= policy_.tries_) {
+    GiveUp(aUpstream, aNow);
+    return;
+  }
+  aUpstream.retryAt_ =
+    aNow + Jitter(Doubled(policy_.retryPause_, aUpstream.failures_ - 1));
+  Notify(aUpstream, RolloutNoticeKind::Retried);
+}
+
+void
+Rollout::GiveUp(Upstream& aUpstream, TimePoint aNow)
+{
+  aUpstream.failures_ = 0;
+  aUpstream.retryAt_ = aNow + Jitter(policy_.longPause_);
+  if (Answers(aUpstream)) {
+    Notify(aUpstream, RolloutNoticeKind::LeftBehind);
+    return;
+  }
+  aUpstream.out_ = true;
+  Notify(aUpstream, RolloutNoticeKind::OutOfRotation);
+}
+
+RolloutActions
+Rollout::Decide(TimePoint aNow)
+{
+  RolloutActions out = std::move(notices_);
+  notices_.clear();
+  SlotUse use = CountSlots();
+  for (auto& [id, upstream] : upstreams_) {
+    DecideOne(upstream, use, aNow, out);
+  }
+  return out;
+}
+
+void
+Rollout::DecideOne(Upstream& aUpstream,
+                   SlotUse& aUse,
+                   TimePoint aNow,
+                   RolloutActions& aOut)
+{
+  if (aUpstream.order_ || aUpstream.reading_) {
+    return;
+  }
+  const OrderPermission permission = aUpstream.fence_.Decide(aNow);
+  if (permission == OrderPermission::Announce) {
+    SendOrder order;
+    order.kind_ = OrderKind::Role;
+    order.role_ = aUpstream.role_;
+    if (aNow >= aUpstream.retryAt_) {
+      Send(aUpstream, std::move(order), aOut);
+    }
+    return;
+  }
+  if (permission == OrderPermission::ReadBack) {
+    if (aNow >= aUpstream.nextRead_) {
+      Read(aUpstream, aOut);
+    }
+    return;
+  }
+  if (permission != OrderPermission::Send) {
+    return;
+  }
+  auto order = NextOrder(aUpstream);
+  if (!order) {
+    Settle(aUpstream, aNow, aOut);
+  } else if (MayStart(aUpstream, *order, aUse, aNow)) {
+    Send(aUpstream, std::move(*order), aOut);
+  } else if (aNow >= aUpstream.nextRead_) {
+    Read(aUpstream, aOut);
+  }
+}
+
+std::optional<SendOrder>
+Rollout::NextOrder(const Upstream& aUpstream) const
+{
+  SendOrder order;
+  const auto goal = goals_.find(aUpstream.rule_.service_);
+  if (goal != goals_.end()) {
+    for (const auto& [model, version] : goal->second.versions_) {
+      if (VersionOf(aUpstream.state_.served_, model) >= version) {
+        continue;
+      }
+      const bool loaded = VersionOf(aUpstream.state_.loaded_, model) == version;
+      order.kind_ = loaded ? OrderKind::Switch : OrderKind::Prefetch;
+      order.model_ = model;
+      order.version_ = version;
+      order.drain_ = goal->second.drain_;
+      return order;
+    }
+  }
+  if (aUpstream.role_ != aUpstream.state_.role_) {
+    order.kind_ = OrderKind::Role;
+    order.role_ = aUpstream.role_;
+    return order;
+  }
+  return std::nullopt;
+}
+
+bool
+Rollout::MayStart(const Upstream& aUpstream,
+                  const SendOrder& aOrder,
+                  SlotUse& aUse,
+                  TimePoint aNow)
+{
+  if (aNow < aUpstream.retryAt_) {
+    return false;
+  }
+  if (aOrder.kind_ == OrderKind::Prefetch) {
+    return loadsInProgress_ < policy_.parallelLoads_ && loads_.Take(aNow);
+  }
+  if (aOrder.kind_ == OrderKind::Role || !Answers(aUpstream)) {
+    return true;
+  }
+  // An owner whose lease is over no longer knows who else is switching.
+  if (!aUpstream.fence_.LeaseHolds(aNow)) {
+    return false;
+  }
+  std::uint64_t& used = aUse[aUpstream.rule_.service_];
+  if (used >= goals_[aUpstream.rule_.service_].switchSlots_) {
+    return false;
+  }
+  ++used;
+  return true;
+}
+
+void
+Rollout::Read(Upstream& aUpstream, RolloutActions& aOut)
+{
+  aUpstream.reading_ = true;
+  aOut.emplace_back(ReadState{ aUpstream.rule_.id_ });
+}
+
+void
+Rollout::Send(Upstream& aUpstream, SendOrder aOrder, RolloutActions& aOut)
+{
+  aOrder.upstream_ = aUpstream.rule_.id_;
+  aOrder.term_ = *aUpstream.fence_.Term();
+  aOrder.sendBy_ = aUpstream.fence_.SendBy();
+  if (!aUpstream.fence_.Checks()) {
+    // Longer draining would take effect after the bound that a next owner
+    // waits for.
+    aOrder.drain_ =
+      std::min(aOrder.drain_, aUpstream.fence_.Policy().effect_ / 2);
+  }
+  loadsInProgress_ += aOrder.kind_ == OrderKind::Prefetch ? 1 : 0;
+  aUpstream.settled_ = false;
+  aUpstream.order_ = aOrder;
+  aOut.emplace_back(std::move(aOrder));
+}
+
+void
+Rollout::Settle(Upstream& aUpstream, TimePoint aNow, RolloutActions& aOut)
+{
+  if (!aUpstream.settled_) {
+    aUpstream.settled_ = true;
+    aOut.emplace_back(
+      RolloutNotice{ aUpstream.rule_.id_, RolloutNoticeKind::Settled });
+  }
+  if (aNow >= aUpstream.nextRead_) {
+    Read(aUpstream, aOut);
+  }
+}
+
+bool
+Rollout::Answers(const Upstream& aUpstream) noexcept
+{
+  return aUpstream.readable_ && !aUpstream.state_.served_.empty();
+}
+
+Rollout::SlotUse
+Rollout::CountSlots() const
+{
+  SlotUse use;
+  for (const auto& [id, upstream] : upstreams_) {
+    const bool switching =
+      upstream.order_ && upstream.order_->kind_ == OrderKind::Switch;
+    use[upstream.rule_.service_] += switching || !Answers(upstream) ? 1 : 0;
+  }
+  return use;
+}
+
+RolloutCounts
+Rollout::Counts() const
+{
+  RolloutCounts counts;
+  for (const auto& [id, upstream] : upstreams_) {
+    ++counts.owned_;
+    counts.settled_ += upstream.settled_ ? 1 : 0;
+    counts.answering_ += Answers(upstream) ? 1 : 0;
+    counts.inProgress_ += upstream.order_ ? 1 : 0;
+  }
+  return counts;
+}
+
+bool
+Rollout::Idle(const UpstreamId& aUpstream) const
+{
+  const auto found = upstreams_.find(aUpstream);
+  return found != upstreams_.end() && !found->second.order_ &&
+         !found->second.reading_;
+}
+
+Duration
+Rollout::Jitter(Duration aDuration) noexcept
+{
+  constexpr double kLeast = 0.75;
+  constexpr double kSpread = 0.5;
+  const double factor = kLeast + kSpread * random_.Unit();
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * factor));
+}
+
+void
+Rollout::Notify(const Upstream& aUpstream, RolloutNoticeKind aKind)
+{
+  notices_.emplace_back(RolloutNotice{ aUpstream.rule_.id_, aKind });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/rollout_shares.cpp
@@ -0,0 +1,129 @@
+#include "marjoramtally/process/rollout_shares.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::uint64_t kPercent = 100;
+constexpr double kMicrosPerSecond = 1e6;
+constexpr std::uint64_t kReadsPerSecond = 20;
+constexpr Duration kLeastReadPeriod = std::chrono::milliseconds(500);
+
+std::uint64_t
+Affinity(const std::string& aSubject, const InstanceId& aInstance)
+{
+  const std::string key = aSubject + '\n' + aInstance.Get();
+  return XXH3_64bits(key.data(), key.size());
+}
+
+} // namespace
+
+TokenBucket::TokenBucket(double aPerSecond, double aBurst) noexcept
+  : perSecond_(aPerSecond)
+  , burst_(aBurst)
+{
+}
+
+bool
+TokenBucket::Take(TimePoint aNow) noexcept
+{
+  const auto micros = static_cast<double>((aNow - refilled_).count());
+  refilled_ = aNow;
+  tokens_ = std::min(burst_, tokens_ + micros * perSecond_ / kMicrosPerSecond);
+  if (tokens_ < 1.0) {
+    return false;
+  }
+  tokens_ -= 1.0;
+  return true;
+}
+
+double
+RateShare(double aPerSecond,
+          std::uint64_t aOwned,
+          std::uint64_t aTotal) noexcept
+{
+  const std::uint64_t total = std::max({ aOwned, aTotal, std::uint64_t{ 1 } });
+  return aPerSecond * static_cast<double>(aOwned) / static_cast<double>(total);
+}
+
+std::uint64_t
+SwitchSlots(std::uint64_t aTotal,
+            std::uint64_t aFloor,
+            std::uint64_t aWave) noexcept
+{
+  const std::uint64_t kept = (aTotal * aFloor + kPercent - 1) / kPercent;
+  const std::uint64_t slots = aTotal > kept ? aTotal - kept : 0;
+  const std::uint64_t bounded = aWave == 0 ? slots : std::min(slots, aWave);
+  return aFloor < kPercent ? std::max(bounded, std::uint64_t{ 1 }) : bounded;
+}
+
+std::uint64_t
+SlotShare(std::uint64_t aSlots,
+          std::uint64_t aOwners,
+          std::uint64_t aIndex) noexcept
+{
+  if (aOwners == 0) {
+    return 0;
+  }
+  return aSlots / aOwners + (aIndex < aSlots % aOwners ? 1 : 0);
+}
+
+std::uint64_t
+SteadyShare::Update(std::uint64_t aShare, TimePoint aNow) noexcept
+{
+  used_ = std::min(used_, aShare);
+  if (aShare <= used_ || offered_ <= used_) {
+    offered_ = aShare;
+    since_ = aNow;
+  }
+  offered_ = std::min(offered_, aShare);
+  if (offered_ > used_ && aNow - since_ >= hold_) {
+    used_ = offered_;
+  }
+  return used_;
+}
+
+Duration
+ReadPeriod(std::uint64_t aOwned) noexcept
+{
+  const Duration paced = Duration(std::chrono::seconds(1)) *
+                         static_cast<Duration::rep>(aOwned) /
+                         static_cast<Duration::rep>(kReadsPerSecond);
+  return std::max(kLeastReadPeriod, paced);
+}
+
+std::vector<InstanceId>
+ChooseOwners(const ServiceId& aService,
+             std::vector<InstanceId> aCandidates,
+             std::uint64_t aMost)
+{
+  std::sort(aCandidates.begin(),
+            aCandidates.end(),
+            [&](const InstanceId& aLeft, const InstanceId& aRight) {
+              return Affinity(aService.Get(), aLeft) >
+                     Affinity(aService.Get(), aRight);
+            });
+  if (aCandidates.size() > aMost) {
+    aCandidates.resize(aMost);
+  }
+  return aCandidates;
+}
+
+InstanceId
+PreferredOwner(const UpstreamId& aUpstream,
+               const std::vector<InstanceId>& aOwners)
+{
+  const auto best =
+    std::max_element(aOwners.begin(),
+                     aOwners.end(),
+                     [&](const InstanceId& aLeft, const InstanceId& aRight) {
+                       return Affinity(aUpstream.Get(), aLeft) <
+                              Affinity(aUpstream.Get(), aRight);
+                     });
+  return best == aOwners.end() ? InstanceId{} : *best;
+}
+
+} // namespace marjoramtally
--- a/src/programs/controld/order_service.cpp
+++ b/src/programs/controld/order_service.cpp
@@ -1,128 +1,324 @@
 #include "programs/controld/order_service.hpp"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 
 namespace marjoramtally {
 
 namespace {
 
-constexpr auto kPeriod = std::chrono::milliseconds(100);
-constexpr auto kOrderTimeout = std::chrono::seconds(30);
+constexpr auto kTick = std::chrono::milliseconds(20);
+constexpr auto kSurveyPeriod = std::chrono::milliseconds(200);
+/// Before a claim that does not show in the view yet is made again.
+constexpr auto kClaimPause = std::chrono::seconds(2);
+/// Claims that may be open at once, so that a start does not flood the store.
+constexpr std::size_t kMostClaims = 16;
+/// How long another instance is preferred before it is given an upstream.
+constexpr auto kHandOverHold = std::chrono::seconds(10);
+/// How long a larger share of switch slots has to stand; longer than views
+/// of the cluster differ.
+constexpr auto kShareHold = std::chrono::seconds(2);
+constexpr std::string_view kEngineKind = "engine";
+
+std::string
+DutyOf(const UpstreamId& aUpstream)
+{
+  return "upstream/" + aUpstream.Get();
+}
+
+bool
+IsOrdered(const ClusterView& aView, const UpstreamRule& aRule)
+{
+  const auto service =
+    aView.rules_->services_.find(ServiceId{ aRule.service_ });
+  return service != aView.rules_->services_.end() &&
+         service->second.kind_ == kEngineKind && !aRule.leaving_;
+}
+
+const OwnerRecord*
+OwnerOf(const ClusterView& aView, const UpstreamId& aUpstream)
+{
+  const auto owner = aView.owners_.find(DutyOf(aUpstream));
+  return owner == aView.owners_.end() ? nullptr : &owner->second;
+}
 
 } // namespace
 
-OrderService::OrderService(Host& aHost, Owners& aOwners) noexcept
+OrderService::OrderService(Host& aHost, Owners& aOwners)
   : host_(aHost)
   , owners_(aOwners)
+  , sender_(aHost)
+  , rollout_({}, std::hash<std::string>{}(aHost.Settings().instance_))
 {
 }
 
 void
 OrderService::Start()
 {
-  host_.Clockwork().Every(kPeriod, [this] { Reconcile(); });
+  host_.Clockwork().Every(kTick, [this] { Tick(); });
 }
 
-bool
-OrderService::Begin(const UpstreamId& aUpstream)
+void
+OrderService::Tick()
 {
-  const std::lock_guard lock(mutex_);
-  return busy_.insert(aUpstream).second;
+  const auto view = host_.Members().View();
+  RolloutActions actions;
+  {
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = host_.Now();
+    rollout_.OnLease(host_.Members().LeaseUntil());
+    if (now >= nextSurvey_) {
+      nextSurvey_ = now + kSurveyPeriod;
+      Survey(*view);
+    }
+    actions = rollout_.Decide(now);
+  }
+  for (const RolloutAction& action : actions) {
+    Perform(action);
+  }
 }
 
 void
-OrderService::End(const UpstreamId& aUpstream)
+OrderService::Survey(const ClusterView& aView)
 {
-  const std::lock_guard lock(mutex_);
-  busy_.erase(aUpstream);
+  const StoreLeaseId lease = host_.Members().Lease();
+  if (lease != lease_) {
+    // What we owned went with the last lease, whatever the view still says.
+    for (const auto& [id, rule] : aView.rules_->upstreams_) {
+      rollout_.Lose(id);
+    }
+    lease_ = lease;
+    claims_.clear();
+  }
+  const ServiceMap services = CollectServices(aView);
+  SetPolicy(aView);
+  for (const auto& [id, rule] : aView.rules_->upstreams_) {
+    if (IsOrdered(aView, rule)) {
+      Place(aView, services.at(ServiceId{ rule.service_ }), rule);
+    } else {
+      rollout_.Lose(id);
+    }
+  }
+  SetGoals(aView, services);
+  const RolloutCounts counts = rollout_.Counts();
+  host_.Measures().Set("upstreams_owned", static_cast<double>(counts.owned_));
+  host_.Measures().Set("upstreams_settled",
+                       static_cast<double>(counts.settled_));
+  host_.Measures().Set("upstreams_answering",
+                       static_cast<double>(counts.answering_));
 }
 
-void
-OrderService::Reconcile()
+OrderService::ServiceMap
+OrderService::CollectServices(const ClusterView& aView)
 {
-  const auto view = host_.Members().View();
-  for (const auto& [id, upstream] : view->rules_->upstreams_) {
-    const auto service =
-      view->rules_->services_.find(ServiceId{ upstream.service_ });
-    if (service->second.kind_ != "engine" || upstream.leaving_ || !Begin(id)) {
+  ServiceMap services;
+  for (const auto& [id, rule] : aView.rules_->upstreams_) {
+    if (!IsOrdered(aView, rule)) {
       continue;
     }
-    owners_.Acquire(
-      "upstream/" + id.Get(),
-      [this, rule = upstream](const Result<Ownership>& aOwnership) {
-        if (aOwnership && aOwnership.value().mine_) {
-          Check(rule, aOwnership.value().term_);
-        } else {
-          End(rule.id_);
-        }
-      });
+    ServiceOwners& service = services[ServiceId{ rule.service_ }];
+    ++service.upstreams_;
+    service.zones_.insert(ZoneId{ rule.zone_ });
+    const OwnerRecord* owner = OwnerOf(aView, id);
+    if (owner != nullptr) {
+      service.present_.insert(owner->owner_);
+    }
+  }
+  for (auto& [id, service] : services) {
+    const ServiceRule& rule = aView.rules_->services_.at(id);
+    service.slots_ = SwitchSlots(service.upstreams_, rule.floor_, rule.wave_);
   }
+  return services;
 }
 
 void
-OrderService::Check(const UpstreamRule& aUpstream, FencingNumber aTerm)
+OrderService::SetPolicy(const ClusterView& aView)
 {
-  HttpCall call;
-  call.url_ = "http://" + aUpstream.address_ + "/load";
-  call.timeout_ = std::chrono::seconds(1);
-  host_.Http().Send(std::move(call),
-                    [this, aUpstream, aTerm](const HttpResult& aResult) {
-                      if (aResult.end_ == HttpEnd::Whole) {
-                        Compare(aUpstream, aTerm, aResult.response_.body_);
-                      } else {
-                        End(aUpstream.id_);
-                      }
-                    });
+  const InstanceId& self = host_.Members().Self().id_;
+  std::uint64_t owned = 0;
+  std::uint64_t total = 0;
+  for (const auto& [duty, owner] : aView.owners_) {
+    if (duty.starts_with(DutyOf(UpstreamId{}))) {
+      ++total;
+      owned += owner.owner_ == self ? 1 : 0;
+    }
+  }
+  const Rules& rules = *aView.rules_;
+  RolloutPolicy policy;
+  policy.fencing_.margin_ = rules.orders_.margin_;
+  policy.fencing_.effect_ = rules.orders_.effect_;
+  policy.loadsPerSecond_ =
+    RateShare(static_cast<double>(rules.weightStore_.rate_), owned, total);
+  policy.parallelLoads_ =
+    std::max<std::uint64_t>(1,
+                            rules.weightStore_.parallelLoads_ * owned /
+                              std::max<std::uint64_t>(1, total));
+  policy.readPeriod_ = ReadPeriod(owned);
+  rollout_.SetPolicy(policy);
 }
 
 void
-OrderService::Compare(const UpstreamRule& aUpstream,
-                      FencingNumber aTerm,
-                      const std::string& aState)
+OrderService::SetGoals(const ClusterView& aView, const ServiceMap& aServices)
 {
-  const auto state = nlohmann::json::parse(aState, nullptr, false);
-  const auto view = host_.Members().View();
-  for (const auto& [id, trainer] : view->rules_->trainers_) {
-    if (trainer.service_ != aUpstream.service_ || !state.is_object()) {
+  const InstanceId& self = host_.Members().Self().id_;
+  for (const auto& [id, service] : aServices) {
+    const auto place = std::distance(service.present_.begin(),
+                                     service.present_.lower_bound(self));
+    const bool present = service.present_.contains(self);
+    const std::uint64_t share = present
+                                  ? SlotShare(service.slots_,
+                                              service.present_.size(),
+                                              static_cast<std::uint64_t>(place))
+                                  : 0;
+    ServiceGoal goal;
+    goal.drain_ = aView.rules_->services_.at(id).drain_;
+    goal.switchSlots_ = shares_.try_emplace(id, SteadyShare(kShareHold))
+                          .first->second.Update(share, host_.Now());
+    for (const auto& [name, trainer] : aView.rules_->trainers_) {
+      const auto version = aView.versions_.find(trainer.model_);
+      if (trainer.service_ == id.Get() && version != aView.versions_.end()) {
+        goal.versions_[trainer.model_] = version->second;
+      }
+    }
+    rollout_.SetGoal(id, std::move(goal));
+  }
+}
+
+void
+OrderService::Place(const ClusterView& aView,
+                    const ServiceOwners& aService,
+                    const UpstreamRule& aRule)
+{
+  const InstanceId& self = host_.Members().Self().id_;
+  const OwnerRecord* owner = OwnerOf(aView, aRule.id_);
+  const bool preferred = PreferredFor(aView, aService, aRule) == self;
+  if (owner != nullptr && owner->owner_ != self) {
+    rollout_.Lose(aRule.id_);
+    claims_.erase(aRule.id_);
+    return;
+  }
+  if (owner == nullptr) {
+    if (preferred) {
+      Claim(aRule);
+    }
+    return;
+  }
+  // A record of a lease that is no longer ours is about to go.
+  if (owner->lease_ != lease_) {
+    return;
+  }
+  rollout_.Own({ aRule.id_, ServiceId{ aRule.service_ }, aRule.fencing_ },
+               owner->term_,
+               host_.Now());
+  claims_.erase(aRule.id_);
+  if (preferred) {
+    misplaced_.erase(aRule.id_);
+  } else {
+    HandOver(aRule.id_, owner->term_);
+  }
+}
+
+InstanceId
+OrderService::PreferredFor(const ClusterView& aView,
+                           const ServiceOwners& aService,
+                           const UpstreamRule& aRule) const
+{
+  std::vector<InstanceId> near;
+  std::vector<InstanceId> all;
+  for (const auto& [id, instance] : aView.instances_) {
+    if (instance.role_ != "control") {
       continue;
     }
-    const auto wanted = view->versions_.find(trainer.model_);
-    const auto has = state["models"].value(trainer.model_, std::uint64_t{ 0 });
-    if (wanted != view->versions_.end() && wanted->second.Get() > has) {
-      Order(aUpstream, aTerm, trainer.model_, wanted->second);
-      return;
+    all.push_back(id);
+    if (instance.zone_.Get() == aRule.zone_) {
+      near.push_back(id);
     }
   }
-  End(aUpstream.id_);
+  // No more owners than switch slots: each has to have one at least.
+  const std::uint64_t zones = aService.zones_.size();
+  const bool byZone = !near.empty() && aService.slots_ >= zones;
+  const std::uint64_t most = byZone ? aService.slots_ / zones : aService.slots_;
+  const auto owners =
+    ChooseOwners(ServiceId{ aRule.service_ }, byZone ? near : all, most);
+  return PreferredOwner(aRule.id_, owners);
+}
+
+void
+OrderService::Claim(const UpstreamRule& aRule)
+{
+  const TimePoint now = host_.Now();
+  const auto claimed = claims_.find(aRule.id_);
+  const bool waiting = claimed != claims_.end() && now < claimed->second;
+  const auto open =
+    std::count_if(claims_.begin(), claims_.end(), [now](const auto& aClaim) {
+      return now < aClaim.second;
+    });
+  if (waiting || static_cast<std::size_t>(open) >= kMostClaims) {
+    return;
+  }
+  claims_[aRule.id_] = now + kClaimPause;
+  // Its outcome shows in the view, with the lease that it hangs on.
+  owners_.Acquire(DutyOf(aRule.id_), [](const Result<Ownership>&) {});
 }
 
 void
-OrderService::Order(const UpstreamRule& aUpstream,
-                    FencingNumber aTerm,
-                    const std::string& aModel,
-                    WeightVersion aVersion)
-{
-  const nlohmann::json body{ { "fencing", aTerm.Get() },
-                             { "model", aModel },
-                             { "version", aVersion.Get() } };
-  HttpCall call;
-  call.method_ = "POST";
-  call.url_ = "http://" + aUpstream.address_ + "/orders";
-  call.body_ = body.dump();
-  call.timeout_ = kOrderTimeout;
-  host_.Http().Send(
-    std::move(call),
-    [this, aUpstream, aModel, aVersion](const HttpResult& aResult) {
-      const bool ok =
-        aResult.end_ == HttpEnd::Whole && aResult.response_.status_ == 200;
-      LogEvent(ok ? LogLevel::Info : LogLevel::Warn,
-               ok ? "order_done" : "order_failed",
-               { { "upstream", aUpstream.id_.Get() },
-                 { "model", aModel },
-                 { "version", std::to_string(aVersion.Get()) },
-                 { "detail", aResult.message_ + aResult.response_.body_ } });
-      End(aUpstream.id_);
+OrderService::HandOver(const UpstreamId& aUpstream, FencingNumber aTerm)
+{
+  const TimePoint now = host_.Now();
+  const auto since = misplaced_.try_emplace(aUpstream, now).first->second;
+  if (now - since < kHandOverHold || !rollout_.Idle(aUpstream)) {
+    return;
+  }
+  misplaced_.erase(aUpstream);
+  rollout_.Lose(aUpstream);
+  const std::string key = std::string(kOwnerPrefix) + DutyOf(aUpstream);
+  StoreTxn txn;
+  txn.compares_.push_back({ key, aTerm.Get() });
+  txn.deletes_.push_back(key);
+  host_.PlatformStore().Commit(
+    std::move(txn), [aUpstream](const Result<StoreCommit>& aCommit) {
+      LogEvent(LogLevel::Info,
+               "upstream_handed_over",
+               { { "upstream", aUpstream.Get() },
+                 { "applied", aCommit ? "yes" : "unknown" } });
     });
 }
 
+void
+OrderService::Perform(const RolloutAction& aAction)
+{
+  if (const auto* notice = std::get_if<RolloutNotice>(&aAction)) {
+    Note(*notice);
+    return;
+  }
+  if (const auto* order = std::get_if<SendOrder>(&aAction)) {
+    sender_.Send(*order, [this, id = order->upstream_](OrderEnd aEnd) {
+      const std::lock_guard lock(mutex_);
+      rollout_.OnOrderEnd(id, aEnd, host_.Now());
+    });
+    return;
+  }
+  const UpstreamId id = std::get<ReadState>(aAction).upstream_;
+  const TimePoint askedAt = host_.Now();
+  sender_.Read(id, [this, id, askedAt](std::optional<UpstreamState> aState) {
+    const std::lock_guard lock(mutex_);
+    if (aState) {
+      rollout_.OnState(id, std::move(*aState), askedAt, host_.Now());
+    } else {
+      rollout_.OnUnreadable(id, host_.Now());
+    }
+  });
+}
+
+void
+OrderService::Note(const RolloutNotice& aNotice)
+{
+  const bool good = aNotice.kind_ == RolloutNoticeKind::Settled ||
+                    aNotice.kind_ == RolloutNoticeKind::BackInRotation;
+  LogEvent(good ? LogLevel::Info : LogLevel::Warn,
+           ToString(aNotice.kind_),
+           { { "upstream", aNotice.upstream_.Get() } });
+  host_.Measures().Count("rollout_events{kind=\"" +
+                         std::string(ToString(aNotice.kind_)) + "\"}");
+}
+
 } // namespace marjoramtally
--- a/src/programs/controld/order_service.hpp
+++ b/src/programs/controld/order_service.hpp
@@ -1,6 +1,7 @@
-/// Brings the engines that this process owns to the announced versions.
+/// Drives the rollout of the upstreams that this process owns.
 #pragma once
 
+#include "programs/controld/order_sender.hpp"
 #include "programs/controld/owners.hpp"
 
 #include <set>
@@ -11,27 +12,53 @@
 class OrderService
 {
 public:
-  OrderService(Host& aHost, Owners& aOwners) noexcept;
+  OrderService(Host& aHost, Owners& aOwners);
   void Start();
 
 private:
-  void Reconcile();
-  void Check(const UpstreamRule& aUpstream, FencingNumber aTerm);
-  void Compare(const UpstreamRule& aUpstream,
-               FencingNumber aTerm,
-               const std::string& aState);
-  void Order(const UpstreamRule& aUpstream,
-             FencingNumber aTerm,
-             const std::string& aModel,
-             WeightVersion aVersion);
-  [[nodiscard]] bool Begin(const UpstreamId& aUpstream);
-  void End(const UpstreamId& aUpstream);
+  /// Owners of one service's upstreams, and what follows from them.
+  struct ServiceOwners
+  {
+    std::uint64_t upstreams_ = 0;
+    std::set<ZoneId> zones_;
+    /// Present owners.
+    std::set<InstanceId> present_;
+    std::uint64_t slots_ = 0;
+  };
+  using ServiceMap = std::map<ServiceId, ServiceOwners>;
+
+  void Tick();
+  /// Takes what the cluster's view says into the rollout.
+  void Survey(const ClusterView& aView);
+  [[nodiscard]] static ServiceMap CollectServices(const ClusterView& aView);
+  void SetPolicy(const ClusterView& aView);
+  void SetGoals(const ClusterView& aView, const ServiceMap& aServices);
+  /// Owns, loses, claims or hands over one upstream.
+  void Place(const ClusterView& aView,
+             const ServiceOwners& aService,
+             const UpstreamRule& aRule);
+  [[nodiscard]] InstanceId PreferredFor(const ClusterView& aView,
+                                        const ServiceOwners& aService,
+                                        const UpstreamRule& aRule) const;
+  void Claim(const UpstreamRule& aRule);
+  /// Gives an upstream up for its preferred owner once that has been clear
+  /// for a while and nothing is in progress.
+  void HandOver(const UpstreamId& aUpstream, FencingNumber aTerm);
+  void Perform(const RolloutAction& aAction);
+  void Note(const RolloutNotice& aNotice);
 
   Host& host_;
   Owners& owners_;
+  OrderSender sender_;
   std::mutex mutex_;
-  /// Upstreams with a call in progress.
-  std::set<UpstreamId> busy_;
+  Rollout rollout_;
+  StoreLeaseId lease_ = 0;
+  TimePoint nextSurvey_;
+  std::map<ServiceId, SteadyShare> shares_;
+  /// When a claim may be made again; the view lags behind the store.
+  std::map<UpstreamId, TimePoint> claims_;
+  /// Since when another instance is the preferred owner of one of ours.
+  std::map<UpstreamId, TimePoint> misplaced_;
 };
 
 } // namespace marjoramtally
--- a/src/version/rules.cpp
+++ b/src/version/rules.cpp
@@ -11,11 +11,15 @@
 constexpr std::uint64_t kMaxWeight = 1000;
 constexpr std::uint64_t kMaxReserve = 90;
 constexpr std::uint64_t kMaxInFlight = 100'000;
+constexpr std::uint64_t kMaxDrainMicros = 600'000'000;
 
-constexpr std::array<FieldSpec<ServiceRule>, 3> kServiceFields{ {
+constexpr std::array<FieldSpec<ServiceRule>, 6> kServiceFields{ {
   { "kind", &ServiceRule::kind_, true },
   { "deadline", &ServiceRule::deadline_, false, 1'000, 3'600'000'000 },
   { "upstream-limit", &ServiceRule::upstreamLimit_, false, 1, kMaxInFlight },
+  { "floor", &ServiceRule::floor_, false, 0, 100 },
+  { "wave", &ServiceRule::wave_, false, 0, kMaxInFlight },
+  { "drain", &ServiceRule::drain_, false, 0, kMaxDrainMicros },
 } };
 
 constexpr std::array<FieldSpec<UpstreamRule>, 5> kUpstreamFields{ {
@@ -35,9 +39,15 @@
   { "scorer", &TrainerRule::scorer_ },
 } };
 
-constexpr std::array<FieldSpec<WeightStoreRule>, 2> kWeightStoreFields{ {
+constexpr std::array<FieldSpec<WeightStoreRule>, 3> kWeightStoreFields{ {
   { "address", &WeightStoreRule::address_, true },
   { "parallel-loads", &WeightStoreRule::parallelLoads_, false, 1, 100'000 },
+  { "rate", &WeightStoreRule::rate_, false, 1, 100'000 },
+} };
+
+constexpr std::array<FieldSpec<OrdersRule>, 2> kOrdersFields{ {
+  { "margin", &OrdersRule::margin_, false, 1'000, 60'000'000 },
+  { "effect", &OrdersRule::effect_, false, 1'000, 60'000'000 },
 } };
 
 constexpr std::array<FieldSpec<ClassLimits>, 3> kClassFields{ {
@@ -121,6 +131,13 @@
                                 kWeightStoreFields,
                                 aRules.weightStore_,
                                 aFindings);
+  } else if (aSectionName == "orders") {
+    ReadFields<OrdersRule>(aSectionName,
+                           aSection,
+                           PlaceOf(aSection),
+                           kOrdersFields,
+                           aRules.orders_,
+                           aFindings);
   } else if (kind == "service" && !name.empty()) {
     ReadNamed<ServiceId, ServiceRule>(aSectionName,
                                       name,
@@ -148,7 +165,7 @@
     aFindings.Add(PlaceOf(aSection),
                   "[" + aSectionName +
                     "] is none of [service NAME], [upstream NAME], "
-                    "[trainer NAME], [class NAME], [weight-store]");
+                    "[trainer NAME], [class NAME], [weight-store], [orders]");
   }
 }
 
