--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <vector>
 
 namespace marjoramtally {
 
@@ -126,6 +127,19 @@
 [[nodiscard]] Checked<IniDocument>
 MergeRulesFiles(std::vector<RulesFile> aFiles);
 
+/// One place that sets a key.
+struct KeyOrigin
+{
+  std::string section_;
+  std::string key_;
+  IniValue value_;
+};
+
+/// Finds every place that sets a key, given as `KEY` or `SECTION.KEY`, by
+/// section; of one key the last place is in force.
+[[nodiscard]] std::vector<KeyOrigin>
+ExplainKey(std::vector<RulesFile> aFiles, std::string_view aKey);
+
 /// Checks a merged document.
 /// @returns the rules or every finding
 [[nodiscard]] Checked<Rules>
--- /dev/null
+++ b/src/version/rules_check.cpp
@@ -0,0 +1,54 @@
+#include "version/rules_parts.hpp"
+
+namespace marjoramtally {
+
+namespace impl {
+
+void
+CheckReferences(const IniDocument& aMerged, const Rules& aRules, Findings& aOut)
+{
+  const auto check = [&](const std::string& aSection,
+                         const std::string& aService) {
+    const auto section = aMerged.find(aSection);
+    const auto key = section->second.find("service");
+    const bool given = key != section->second.end();
+    if (given && !aRules.services_.contains(ServiceId{ aService })) {
+      aOut.Add(key->second.place_,
+               "[" + aSection + "] service = '" + aService +
+                 "': there is no [service " + aService + "]");
+    }
+  };
+  for (const auto& [id, rule] : aRules.upstreams_) {
+    check("upstream " + id.Get(), rule.service_);
+  }
+  for (const auto& [id, rule] : aRules.trainers_) {
+    check("trainer " + id.Get(), rule.service_);
+  }
+  for (const auto& [id, rule] : aRules.services_) {
+    if (rule.kind_ != "engine" && rule.kind_ != "plain") {
+      const IniSection& section = aMerged.at("service " + id.Get());
+      aOut.Add(section.at("kind").place_,
+               "[service " + id.Get() + "] kind = '" + rule.kind_ +
+                 "': neither engine nor plain");
+    }
+  }
+}
+
+} // namespace impl
+
+Checked<Rules>
+BuildRules(const IniDocument& aMerged)
+{
+  Rules rules;
+  Findings findings;
+  for (const auto& [name, section] : aMerged) {
+    impl::ReadSection(name, section, rules, findings);
+  }
+  impl::CheckReferences(aMerged, rules, findings);
+  if (!findings.empty()) {
+    return findings;
+  }
+  return rules;
+}
+
+} // namespace marjoramtally
--- a/src/version/rules.cpp
+++ b/src/version/rules_sections.cpp
@@ -1,6 +1,5 @@
-#include "marjoramtally/version/rules.hpp"
+#include "version/rules_parts.hpp"
 
-#include <algorithm>
 #include <array>
 
 namespace marjoramtally {
@@ -114,6 +113,10 @@
   refuse("share", RequestClass::Background);
 }
 
+} // namespace
+
+namespace impl {
+
 void
 ReadSection(const std::string& aSectionName,
             const IniSection& aSection,
@@ -169,76 +172,6 @@
   }
 }
 
-/// Checks what one section says of another.
-void
-CheckReferences(const IniDocument& aMerged, const Rules& aRules, Findings& aOut)
-{
-  const auto check = [&](const std::string& aSection,
-                         const std::string& aService) {
-    const auto section = aMerged.find(aSection);
-    const auto key = section->second.find("service");
-    const bool given = key != section->second.end();
-    if (given && !aRules.services_.contains(ServiceId{ aService })) {
-      aOut.Add(key->second.place_,
-               "[" + aSection + "] service = '" + aService +
-                 "': there is no [service " + aService + "]");
-    }
-  };
-  for (const auto& [id, rule] : aRules.upstreams_) {
-    check("upstream " + id.Get(), rule.service_);
-  }
-  for (const auto& [id, rule] : aRules.trainers_) {
-    check("trainer " + id.Get(), rule.service_);
-  }
-  for (const auto& [id, rule] : aRules.services_) {
-    if (rule.kind_ != "engine" && rule.kind_ != "plain") {
-      const IniSection& section = aMerged.at("service " + id.Get());
-      aOut.Add(section.at("kind").place_,
-               "[service " + id.Get() + "] kind = '" + rule.kind_ +
-                 "': neither engine nor plain");
-    }
-  }
-}
-
-} // namespace
-
-Checked<IniDocument>
-MergeRulesFiles(std::vector<RulesFile> aFiles)
-{
-  std::sort(aFiles.begin(), aFiles.end());
-  IniDocument merged;
-  Findings findings;
-  for (const RulesFile& file : aFiles) {
-    const auto parsed = ParseIni(file.name_, file.text_);
-    if (!parsed) {
-      findings.Append(parsed.error());
-      continue;
-    }
-    for (const auto& [name, section] : parsed.value()) {
-      for (const auto& [key, value] : section) {
-        merged[name].insert_or_assign(key, value);
-      }
-    }
-  }
-  if (!findings.empty()) {
-    return findings;
-  }
-  return merged;
-}
-
-Checked<Rules>
-BuildRules(const IniDocument& aMerged)
-{
-  Rules rules;
-  Findings findings;
-  for (const auto& [name, section] : aMerged) {
-    ReadSection(name, section, rules, findings);
-  }
-  CheckReferences(aMerged, rules, findings);
-  if (!findings.empty()) {
-    return findings;
-  }
-  return rules;
-}
+} // namespace impl
 
 } // namespace marjoramtally
--- a/tests/test_version.cpp
+++ b/tests/test_version.cpp
@@ -68,6 +68,19 @@
   CHECK(text.find("20.ini:4: ") != std::string::npos);
 }
 
+TEST_CASE("a key's places are told in the order in which they override")
+{
+  const auto origins = ExplainKey(
+    {
+      { "50-night.ini", "[trainer t]\nweight = 2\n" },
+      { "10-base.ini", "[trainer t]\nweight = 1\n[trainer u]\nweight = 5\n" },
+    },
+    "trainer t.weight");
+  REQUIRE(origins.size() == 2);
+  CHECK(origins.front().value_.text_ == "1");
+  CHECK(origins.back().value_.place_ == SourcePlace{ "50-night.ini", 2 });
+}
+
 TEST_CASE("the trainer's set decides what a take returns")
 {
   StepLedger ledger(MakeStep(1), 1);
