Quarantine of requests that crash upstreams; retry budget; deadline on hops

Cause: a request that crashes its upstreams was retried on up to four of them, and its caller's resends on all; retries were bounded by a count a request only, and the deadline ended at the entry. Now attempts that overlapped in time at an upstream share one crash, and instances share the upstreams out for suspects.

--- a/include/marjoramtally/connection.hpp
+++ b/include/marjoramtally/connection.hpp
@@ -1,4 +1,5 @@
 /// Public header of the connection library: what goes over connections.
 #pragma once
 
+#include "marjoramtally/connection/suspicion_messages.hpp"
 #include "marjoramtally/connection/trainer_messages.hpp"
--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -11,6 +11,8 @@
 #include "marjoramtally/process/order_fencing.hpp"
 #include "marjoramtally/process/output_estimate.hpp"
 #include "marjoramtally/process/prefix_hints.hpp"
+#include "marjoramtally/process/quarantine.hpp"
+#include "marjoramtally/process/retry_budget.hpp"
 #include "marjoramtally/process/rollout.hpp"
 #include "marjoramtally/process/router.hpp"
 #include "marjoramtally/process/upstream_health.hpp"
--- /dev/null
+++ b/include/marjoramtally/process/quarantine.hpp
@@ -0,0 +1,137 @@
+/// Finds requests that crash their upstreams and keeps them from running.
+///
+/// All requests that a crash broke share the suspicion. A completion clears
+/// a request. Suspects run apart from each other, so that the second crash
+/// of a request has no other request to blame: at one instance at most one
+/// at an upstream, and instances share the upstreams out. After two
+/// independent crashes a request is refused until its quarantine expires.
+#pragma once
+
+#include "marjoramtally/connection/suspicion_messages.hpp"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace marjoramtally {
+
+/// When requests are quarantined, and for how long.
+struct QuarantineOptions
+{
+  /// Independent crashes after which a request is refused.
+  std::size_t crashes_ = 2;
+  /// For so long after a crash a suspect runs only at upstreams that are
+  /// this instance's for suspects.
+  Duration patience_ = std::chrono::seconds(1);
+  /// How long a crash is held against a request.
+  Duration memory_ = std::chrono::minutes(10);
+  /// Length of a first quarantine; each further one doubles.
+  Duration first_ = std::chrono::minutes(10);
+  Duration longest_ = std::chrono::hours(4);
+  /// Most fingerprints remembered; the oldest go first.
+  std::size_t most_ = 4096;
+};
+
+/// Whether and how a request may run.
+struct QuarantineVerdict
+{
+  bool refused_ = false;
+  /// Runs on an upstream where no other suspect is in progress.
+  bool apart_ = false;
+  /// Set if refused.
+  Duration retryAfter_{ 0 };
+  /// For people; set if refused.
+  std::string reason_;
+};
+
+/// Suspicions of one instance. Not thread-safe.
+class Quarantine
+{
+public:
+  explicit Quarantine(QuarantineOptions aOptions = {}) noexcept
+    : options_(aOptions)
+  {
+  }
+
+  /// @returns whether a request may run
+  [[nodiscard]] QuarantineVerdict Judge(Fingerprint aFingerprint,
+                                        TimePoint aNow);
+  /// Sets the upstreams where other instances run their suspects first.
+  void SetOthers(std::set<UpstreamId> aUpstreams)
+  {
+    others_ = std::move(aUpstreams);
+  }
+  /// @returns whether a request may start at an upstream; a suspect may if
+  /// no other suspect is in progress there, and it is itself nowhere
+  [[nodiscard]] bool MayStart(Fingerprint aFingerprint,
+                              const UpstreamId& aUpstream,
+                              TimePoint aNow) const;
+  /// @returns upstreams that a suspect had better not start at
+  [[nodiscard]] std::vector<UpstreamId> Avoid(Fingerprint aFingerprint) const;
+  /// Records that an attempt started.
+  void OnSent(const UpstreamId& aUpstream,
+              Fingerprint aFingerprint,
+              TimePoint aNow);
+  /// Records an attempt that neither completed nor broke.
+  void OnEnded(const UpstreamId& aUpstream, Fingerprint aFingerprint);
+  /// Records a whole answer.
+  /// @returns what to tell other instances
+  [[nodiscard]] std::vector<SuspicionUpdate> OnWhole(
+    const UpstreamId& aUpstream,
+    Fingerprint aFingerprint);
+  /// Records an attempt whose connection broke after bytes were sent.
+  /// @returns what to tell other instances
+  [[nodiscard]] std::vector<SuspicionUpdate> OnBroken(
+    const UpstreamId& aUpstream,
+    Fingerprint aFingerprint,
+    TimePoint aNow);
+  /// Takes what another instance found.
+  void OnUpdate(const SuspicionUpdate& aUpdate, TimePoint aNow);
+  /// @returns fingerprints suspected or refused
+  [[nodiscard]] std::size_t Known() const noexcept
+  {
+    return suspicions_.size();
+  }
+  /// @returns fingerprints now refused
+  [[nodiscard]] std::size_t Refused(TimePoint aNow) const;
+
+private:
+  struct Crash
+  {
+    UpstreamId upstream_;
+    /// When the request had started there.
+    TimePoint from_;
+    TimePoint at_;
+  };
+  using Running = std::multimap<Fingerprint, TimePoint>;
+  struct Suspicion
+  {
+    std::vector<Crash> crashes_;
+    TimePoint until_;
+    /// Quarantines so far.
+    std::uint32_t times_ = 0;
+  };
+
+  static void AddCrash(Suspicion& aSuspicion, Crash aCrash);
+  void QuarantineIfDue(Suspicion& aSuspicion, TimePoint aNow) const;
+  void Forget(Suspicion& aSuspicion, TimePoint aNow) const;
+  void BoundSize(Fingerprint aKeep);
+  [[nodiscard]] static std::string DescribeRefusal(
+    const std::vector<Crash>& aCrashes);
+  [[nodiscard]] bool HasOtherSuspect(const Running& aRunning,
+                                     Fingerprint aFingerprint) const;
+  /// Ends the oldest attempt.
+  /// @returns when it had started
+  TimePoint Stop(const UpstreamId& aUpstream,
+                 Fingerprint aFingerprint,
+                 TimePoint aNow);
+  [[nodiscard]] static TimePoint LastSeen(const Suspicion& aSuspicion) noexcept;
+
+  QuarantineOptions options_;
+  std::unordered_map<Fingerprint, Suspicion> suspicions_;
+  /// Attempts in progress, by upstream, with their start.
+  std::map<UpstreamId, Running> running_;
+  std::set<UpstreamId> others_;
+};
+
+} // namespace marjoramtally
--- a/include/marjoramtally/request.hpp
+++ b/include/marjoramtally/request.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marjoramtally/request/attempts.hpp"
+#include "marjoramtally/request/fingerprint.hpp"
 #include "marjoramtally/request/outcome.hpp"
 #include "marjoramtally/request/request.hpp"
 #include "marjoramtally/request/sample.hpp"
--- a/include/marjoramtally/request/request.hpp
+++ b/include/marjoramtally/request/request.hpp
@@ -5,6 +5,7 @@
 #include "marjoramtally/base/ids.hpp"
 
 #include <optional>
+#include <string_view>
 
 namespace marjoramtally {
 
@@ -16,6 +17,10 @@
   Background,
 };
 
+/// Header with the time left for a request, as `250ms`; each hop passes on
+/// what is left there.
+inline constexpr std::string_view kDeadlineHeader = "X-Deadline";
+
 /// Number of request classes.
 inline constexpr std::size_t kRequestClasses = 3;
 
--- a/src/connection/wire.hpp
+++ b/src/connection/wire.hpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize.h>
 #include <cstring>
 #include <kj/exception.h>
+#include <optional>
 
 namespace marjoramtally::impl {
 
--- /dev/null
+++ b/src/process/quarantine.cpp
@@ -0,0 +1,261 @@
+#include "marjoramtally/process/quarantine.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+std::string
+Quarantine::DescribeRefusal(const std::vector<Crash>& aCrashes)
+{
+  std::string names;
+  for (const Crash& crash : aCrashes) {
+    names += (names.empty() ? "" : ", ") + crash.upstream_.Get();
+  }
+  return "quarantined: upstreams crashed each time while they ran this "
+         "request (" +
+         names + "); it was not run now";
+}
+
+TimePoint
+Quarantine::LastSeen(const Suspicion& aSuspicion) noexcept
+{
+  TimePoint last = aSuspicion.until_;
+  for (const Crash& crash : aSuspicion.crashes_) {
+    last = std::max(last, crash.at_);
+  }
+  return last;
+}
+
+void
+Quarantine::Forget(Suspicion& aSuspicion, TimePoint aNow) const
+{
+  if (aNow < aSuspicion.until_) {
+    return;
+  }
+  std::erase_if(aSuspicion.crashes_, [&](const Crash& aCrash) {
+    return aNow - aCrash.at_ >= options_.memory_;
+  });
+}
+
+QuarantineVerdict
+Quarantine::Judge(Fingerprint aFingerprint, TimePoint aNow)
+{
+  QuarantineVerdict verdict;
+  const auto it = suspicions_.find(aFingerprint);
+  if (it == suspicions_.end()) {
+    return verdict;
+  }
+  Suspicion& suspicion = it->second;
+  Forget(suspicion, aNow);
+  if (aNow < suspicion.until_) {
+    verdict.refused_ = true;
+    verdict.retryAfter_ = suspicion.until_ - aNow;
+    verdict.reason_ = DescribeRefusal(suspicion.crashes_);
+    return verdict;
+  }
+  if (suspicion.crashes_.empty() && suspicion.times_ == 0) {
+    suspicions_.erase(it);
+    return verdict;
+  }
+  verdict.apart_ = true;
+  return verdict;
+}
+
+bool
+Quarantine::HasOtherSuspect(const Running& aRunning,
+                            Fingerprint aFingerprint) const
+{
+  return std::any_of(
+    aRunning.begin(), aRunning.end(), [&](const auto& aAttempt) {
+      return aAttempt.first != aFingerprint &&
+             suspicions_.contains(aAttempt.first);
+    });
+}
+
+bool
+Quarantine::MayStart(Fingerprint aFingerprint,
+                     const UpstreamId& aUpstream,
+                     TimePoint aNow) const
+{
+  const auto suspicion = suspicions_.find(aFingerprint);
+  if (suspicion == suspicions_.end()) {
+    return true;
+  }
+  const bool recent = aNow - LastSeen(suspicion->second) < options_.patience_;
+  if (recent && others_.contains(aUpstream)) {
+    return false;
+  }
+  return std::none_of(
+    running_.begin(), running_.end(), [&](const auto& aEntry) {
+      return aEntry.second.contains(aFingerprint) ||
+             (aEntry.first == aUpstream &&
+              HasOtherSuspect(aEntry.second, aFingerprint));
+    });
+}
+
+std::vector<UpstreamId>
+Quarantine::Avoid(Fingerprint aFingerprint) const
+{
+  if (!suspicions_.contains(aFingerprint)) {
+    return {};
+  }
+  std::vector<UpstreamId> avoid(others_.begin(), others_.end());
+  for (const auto& [upstream, running] : running_) {
+    if (HasOtherSuspect(running, aFingerprint)) {
+      avoid.push_back(upstream);
+    }
+  }
+  return avoid;
+}
+
+void
+Quarantine::OnSent(const UpstreamId& aUpstream,
+                   Fingerprint aFingerprint,
+                   TimePoint aNow)
+{
+  running_[aUpstream].emplace(aFingerprint, aNow);
+}
+
+TimePoint
+Quarantine::Stop(const UpstreamId& aUpstream,
+                 Fingerprint aFingerprint,
+                 TimePoint aNow)
+{
+  const auto it = running_.find(aUpstream);
+  if (it == running_.end()) {
+    return aNow;
+  }
+  TimePoint from = aNow;
+  const auto attempt = it->second.find(aFingerprint);
+  if (attempt != it->second.end()) {
+    from = attempt->second;
+    it->second.erase(attempt);
+  }
+  if (it->second.empty()) {
+    running_.erase(it);
+  }
+  return from;
+}
+
+void
+Quarantine::OnEnded(const UpstreamId& aUpstream, Fingerprint aFingerprint)
+{
+  static_cast<void>(Stop(aUpstream, aFingerprint, {}));
+}
+
+std::vector<SuspicionUpdate>
+Quarantine::OnWhole(const UpstreamId& aUpstream, Fingerprint aFingerprint)
+{
+  OnEnded(aUpstream, aFingerprint);
+  if (suspicions_.erase(aFingerprint) == 0) {
+    return {};
+  }
+  SuspicionUpdate update;
+  update.fingerprint_ = aFingerprint;
+  update.cleared_ = true;
+  return { std::move(update) };
+}
+
+std::vector<SuspicionUpdate>
+Quarantine::OnBroken(const UpstreamId& aUpstream,
+                     Fingerprint aFingerprint,
+                     TimePoint aNow)
+{
+  const TimePoint from = Stop(aUpstream, aFingerprint, aNow);
+  Suspicion& suspicion = suspicions_[aFingerprint];
+  Forget(suspicion, aNow);
+  AddCrash(suspicion, { aUpstream, from, aNow });
+  QuarantineIfDue(suspicion, aNow);
+  SuspicionUpdate update;
+  update.fingerprint_ = aFingerprint;
+  for (const Crash& crash : suspicion.crashes_) {
+    update.crashes_.push_back(
+      { crash.upstream_, aNow - crash.at_, crash.at_ - crash.from_ });
+  }
+  update.refusedFor_ = std::max(suspicion.until_ - aNow, Duration::zero());
+  BoundSize(aFingerprint);
+  return { std::move(update) };
+}
+
+void
+Quarantine::AddCrash(Suspicion& aSuspicion, Crash aCrash)
+{
+  // Attempts that ran at one upstream at the same time broke by one crash.
+  const bool known =
+    std::any_of(aSuspicion.crashes_.begin(),
+                aSuspicion.crashes_.end(),
+                [&](const Crash& aOther) {
+                  return aOther.upstream_ == aCrash.upstream_ &&
+                         aOther.from_ <= aCrash.at_ &&
+                         aCrash.from_ <= aOther.at_;
+                });
+  if (!known) {
+    aSuspicion.crashes_.push_back(std::move(aCrash));
+  }
+}
+
+void
+Quarantine::QuarantineIfDue(Suspicion& aSuspicion, TimePoint aNow) const
+{
+  // After a quarantine one more crash is enough.
+  const std::size_t due = aSuspicion.times_ > 0 ? 1 : options_.crashes_;
+  if (aSuspicion.crashes_.size() < due || aNow < aSuspicion.until_) {
+    return;
+  }
+  constexpr std::uint32_t kMostDoublings = 16;
+  const auto factor = 1U << std::min(aSuspicion.times_, kMostDoublings);
+  aSuspicion.until_ =
+    aNow + std::min(options_.first_ * factor, options_.longest_);
+  ++aSuspicion.times_;
+}
+
+void
+Quarantine::OnUpdate(const SuspicionUpdate& aUpdate, TimePoint aNow)
+{
+  if (aUpdate.cleared_) {
+    suspicions_.erase(aUpdate.fingerprint_);
+    return;
+  }
+  Suspicion& suspicion = suspicions_[aUpdate.fingerprint_];
+  Forget(suspicion, aNow);
+  for (const CrashReport& crash : aUpdate.crashes_) {
+    const TimePoint at = aNow - crash.age_;
+    AddCrash(suspicion, { crash.upstream_, at - crash.ran_, at });
+  }
+  const TimePoint until =
+    aNow + std::min(aUpdate.refusedFor_, options_.longest_);
+  if (aUpdate.refusedFor_ > Duration::zero() && until > suspicion.until_) {
+    suspicion.until_ = until;
+    suspicion.times_ = std::max(suspicion.times_, 1U);
+  }
+  QuarantineIfDue(suspicion, aNow);
+  BoundSize(aUpdate.fingerprint_);
+}
+
+void
+Quarantine::BoundSize(Fingerprint aKeep)
+{
+  if (suspicions_.size() <= options_.most_) {
+    return;
+  }
+  auto oldest = suspicions_.end();
+  for (auto it = suspicions_.begin(); it != suspicions_.end(); ++it) {
+    const bool older = oldest == suspicions_.end() ||
+                       LastSeen(it->second) < LastSeen(oldest->second);
+    if (it->first != aKeep && older) {
+      oldest = it;
+    }
+  }
+  suspicions_.erase(oldest);
+}
+
+std::size_t
+Quarantine::Refused(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    suspicions_.begin(), suspicions_.end(), [&](const auto& aEntry) {
+      return aNow < aEntry.second.until_;
+    }));
+}
+
+} // namespace marjoramtally
--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -40,6 +40,12 @@
   return tokens;
 }
 
+Duration
+WholeMillis(Duration aDuration)
+{
+  return std::chrono::floor<std::chrono::milliseconds>(aDuration);
+}
+
 Result<UpstreamReport>
 ParseReport(const std::string& aBody)
 {
@@ -65,12 +71,14 @@
   : host_(aHost)
   , router_(ZoneId{ aHost.Settings().zone_ },
             std::hash<std::string>{}(aHost.Settings().instance_))
+  , crashes_(aHost)
 {
 }
 
 void
 Dispatcher::Start()
 {
+  crashes_.Start();
   host_.Members().OnRefresh(
     [this](const ClusterViewPtr& aView) { TakeView(aView); });
   host_.Clockwork().Every(kReportPeriod, [this] { PollReports(); });
@@ -194,6 +202,12 @@
     const std::lock_guard lock(mutex_);
     ticket = TicketId{ ++lastTicket_ };
     flights_.emplace(ticket, flight);
+  }
+  if (FinishIfQuarantined(ticket, flight)) {
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
     verdict = admission_.Enqueue({ ticket, flight->spec_ }, host_.Now());
   }
   if (verdict.kind_ != AdmissionVerdict::Kind::Queued) {
@@ -252,8 +266,9 @@
     while (const QueuedRequest* queued = admission_.Next(aService, now)) {
       const TicketId ticket = queued->ticket_;
       const FlightPtr flight = flights_.at(ticket);
-      const auto upstream = router_.Pick(queued->spec_, flight->tried_, now);
-      if (!upstream) {
+      const auto upstream = router_.Pick(
+        queued->spec_, crashes_.Avoid(queued->spec_, flight->tried_), now);
+      if (!upstream || !crashes_.TryStart(queued->spec_, upstream->id_)) {
         admission_.Stall(ticket);
         continue;
       }
@@ -317,6 +332,8 @@
                           ? Duration(kLongestAttempt)
                           : aFlight->spec_.deadline_ - host_.Now();
   call.timeout_ = std::max<Duration>(left, std::chrono::milliseconds(1));
+  call.headers_.push_back({ std::string(kDeadlineHeader),
+                            FormatDuration(WholeMillis(call.timeout_)) });
   host_.Http().Send(
     std::move(call),
     [this, aTicket, aFlight, aUpstream, span](HttpResult aResult) mutable {
@@ -337,6 +354,8 @@
                         ? std::optional(CountTokens(aResult.response_))
                         : std::nullopt;
   NextStep next = NextStep::Retry;
+  crashes_.OnEnd(aFlight->spec_, aUpstream.id_, aResult.end_, end);
+  const QuarantineVerdict verdict = crashes_.Judge(aFlight->spec_);
   {
     const std::lock_guard lock(mutex_);
     router_.OnDone(aUpstream.id_,
@@ -349,7 +368,11 @@
                    host_.Now());
     admission_.Complete(aTicket, tokens, host_.Now());
     aFlight->tried_.push_back(aUpstream.id_);
-    next = aFlight->attempts_.After(aFlight->spec_, end, host_.Now());
+    next = NextAfter(*aFlight, end);
+    if (next == NextStep::Retry && verdict.refused_) {
+      next = aFlight->attempts_.GiveUp();
+      aResult.message_ = verdict.reason_;
+    }
     if (next == NextStep::Retry) {
       aFlight->queueSpan_ = StartSpan(aFlight->trace_, "queue");
       admission_.EnqueueFront({ aTicket, aFlight->spec_ }, host_.Now());
@@ -370,6 +393,35 @@
   PumpService(service);
 }
 
+NextStep
+Dispatcher::NextAfter(Flight& aFlight, AttemptEnd aEnd)
+{
+  const NextStep next =
+    aFlight.attempts_.After(aFlight.spec_, aEnd, host_.Now());
+  if (next == NextStep::FinishCompleted) {
+    retries_.OnSuccess(aFlight.spec_.service_);
+  }
+  if (next == NextStep::Retry && !retries_.Take(aFlight.spec_.service_)) {
+    host_.Measures().Count("marjoram_retries_refused_total");
+    return aFlight.attempts_.GiveUp();
+  }
+  return next;
+}
+
+bool
+Dispatcher::FinishIfQuarantined(TicketId aTicket, const FlightPtr& aFlight)
+{
+  const QuarantineVerdict verdict = crashes_.Judge(aFlight->spec_);
+  if (!verdict.refused_) {
+    return false;
+  }
+  DispatchResult refused;
+  refused.reason_ = verdict.reason_;
+  refused.retryAfter_ = verdict.retryAfter_;
+  Finish(aTicket, aFlight, std::move(refused));
+  return true;
+}
+
 void
 Dispatcher::Finish(TicketId aTicket,
                    const FlightPtr& aFlight,
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "daemon/host.hpp"
 #include "marjoramtally/process.hpp"
 #include "marjoramtally/request.hpp"
+#include "programs/entryd/crash_guard.hpp"
 
 #include <unordered_map>
 
@@ -55,6 +56,8 @@
   /// @returns requests not yet finished
   [[nodiscard]] std::size_t Unfinished() const;
   [[nodiscard]] bool KnowsService(const ServiceId& aService) const;
+  /// Suspicions that entries share.
+  [[nodiscard]] CrashGuard& Crashes() noexcept { return crashes_; }
 
 private:
   struct Flight
@@ -95,11 +98,18 @@
   void Finish(TicketId aTicket,
               const FlightPtr& aFlight,
               DispatchResult aResult);
+  /// Ends a request whose fingerprint is quarantined.
+  /// @returns whether it was
+  bool FinishIfQuarantined(TicketId aTicket, const FlightPtr& aFlight);
+  /// Decides what follows an attempt, within the retry budget.
+  [[nodiscard]] NextStep NextAfter(Flight& aFlight, AttemptEnd aEnd);
 
   Host& host_;
   mutable std::mutex mutex_;
   Router router_;
   Admission admission_;
+  RetryBudget retries_;
+  CrashGuard crashes_;
   std::unordered_map<TicketId, FlightPtr> flights_;
   std::uint64_t lastTicket_ = 0;
 };
