Claims: a non-idempotent request runs at most once over resends

Cause: a resend with the same idempotency key, at the same or another entry, ran again. Ruled out: shards of the key space leased to instances (an owner's death or a cut leaves its keys refused for a lease's time, and each lapse needs the same proof against a paused owner that a claim record gives for nothing); a read before each claim (doubles the calls, and a create-if-absent tells). Choice: a record created if absent, many in one transaction, halved on a conflict; a lost answer is read back by the claim's token; whatever cannot be proven is refused and its claim released, guarded by its revision.

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "marjoramtally/process/admission.hpp"
+#include "marjoramtally/process/claim_record.hpp"
+#include "marjoramtally/process/claims.hpp"
 #include "marjoramtally/process/concurrency_limit.hpp"
 #include "marjoramtally/process/deadline_queue.hpp"
 #include "marjoramtally/process/early_refusal.hpp"
--- /dev/null
+++ b/src/process/claims.cpp
@@ -0,0 +1,264 @@
+#include "marjoramtally/process/claims.hpp"
+
+#include <unordered_set>
+#include <utility>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Tries of writing the end of a request.
+constexpr std::uint32_t kMostCloseTries = 5;
+
+} // namespace
+
+void
+ClaimTable::Answer(Entry& aEntry,
+                   ClaimAnswer aAnswer,
+                   std::string aReason,
+                   ClaimActions& aOut) const
+{
+  if (!aEntry.answered_) {
+    aOut.verdicts_.push_back(
+      { aEntry.ask_.ticket_, aAnswer, 0, std::move(aReason) });
+  }
+  aEntry.answered_ = aEntry.answered_ || aAnswer != ClaimAnswer::Run;
+}
+
+ClaimVerdict
+ClaimTable::AnswerFrom(const ClaimAsk& aAsk, const ClaimRecord& aRecord)
+{
+  if (aRecord.fingerprint_ != aAsk.fingerprint_) {
+    return { aAsk.ticket_,
+             ClaimAnswer::KeyReused,
+             0,
+             "the idempotency key belongs to a different request" };
+  }
+  if (aRecord.state_ == ClaimState::Completed) {
+    return { aAsk.ticket_,
+             ClaimAnswer::AlreadyRan,
+             aRecord.status_,
+             "an earlier send of this request completed with status " +
+               std::to_string(aRecord.status_) };
+  }
+  return { aAsk.ticket_,
+           ClaimAnswer::MayHaveRun,
+           0,
+           "an earlier send of this request may have run" };
+}
+
+ClaimVerdict
+ClaimTable::AnswerResend(const ClaimAsk& aAsk, const Entry& aEntry) const
+{
+  if (aEntry.record_.fingerprint_ != aAsk.fingerprint_ ||
+      aEntry.phase_ == Phase::Ended ||
+      (aEntry.phase_ == Phase::Closing && !aEntry.release_)) {
+    return AnswerFrom(aAsk, aEntry.record_);
+  }
+  if (aEntry.answered_ || aEntry.phase_ == Phase::Closing) {
+    return { aAsk.ticket_,
+             ClaimAnswer::Refused,
+             0,
+             "the claim of a refused send is not yet released" };
+  }
+  return { aAsk.ticket_,
+           ClaimAnswer::InProgress,
+           0,
+           "an earlier send of this request is in progress" };
+}
+
+ClaimActions
+ClaimTable::Ask(ClaimAsk aAsk, TimePoint aNow)
+{
+  ClaimActions out;
+  const auto known = entries_.find(aAsk.name_);
+  if (known != entries_.end()) {
+    out.verdicts_.push_back(AnswerResend(aAsk, known->second));
+    return out;
+  }
+  const bool slow = busy_ && aNow - started_ >= options_.slow_;
+  if (slow || aNow < pausedUntil_ || queue_.size() >= options_.mostWaiting_) {
+    out.verdicts_.push_back({ aAsk.ticket_,
+                              ClaimAnswer::Refused,
+                              0,
+                              "the store that keeps claims does not answer" });
+    return out;
+  }
+  Entry entry;
+  entry.record_.token_ = owner_ + "/" + std::to_string(++lastToken_);
+  entry.record_.fingerprint_ = aAsk.fingerprint_;
+  entry.since_ = aNow;
+  const std::string name = aAsk.name_;
+  entry.ask_ = std::move(aAsk);
+  entries_.emplace(name, std::move(entry));
+  queue_.push_back(name);
+  Flush(aNow, out);
+  return out;
+}
+
+void
+ClaimTable::Flush(TimePoint aNow, ClaimActions& aOut)
+{
+  if (busy_) {
+    return;
+  }
+  if (!parts_.empty()) {
+    std::vector<std::string> names = std::move(parts_.front());
+    parts_.pop_front();
+    Start(std::move(names), aNow, aOut);
+    return;
+  }
+  if (aNow < nextCommit_ || aNow < pausedUntil_ || queue_.empty()) {
+    return;
+  }
+  std::vector<std::string> names;
+  while (!queue_.empty() && names.size() < options_.batch_) {
+    names.push_back(std::move(queue_.front()));
+    queue_.pop_front();
+  }
+  Start(std::move(names), aNow, aOut);
+}
+
+bool
+ClaimTable::NeedsWrite(const std::string& aName) const
+{
+  const auto it = entries_.find(aName);
+  return it != entries_.end() && (it->second.phase_ == Phase::Queued ||
+                                  it->second.phase_ == Phase::Writing ||
+                                  it->second.phase_ == Phase::Closing);
+}
+
+void
+ClaimTable::Start(std::vector<std::string> aNames,
+                  TimePoint aNow,
+                  ClaimActions& aOut)
+{
+  std::unordered_set<std::string> taken;
+  std::erase_if(aNames, [&](const std::string& aName) {
+    return !NeedsWrite(aName) || !taken.insert(aName).second;
+  });
+  if (aNames.empty()) {
+    Flush(aNow, aOut);
+    return;
+  }
+  current_ = ClaimBatchId{ current_.Get() + 1 };
+  ClaimBatch batch{ current_, {} };
+  for (const std::string& name : aNames) {
+    Entry& entry = entries_.at(name);
+    if (entry.phase_ == Phase::Queued) {
+      entry.phase_ = Phase::Writing;
+    }
+    batch.writes_.push_back(WriteOf(entry));
+  }
+  writing_ = std::move(aNames);
+  busy_ = true;
+  started_ = aNow;
+  nextCommit_ = aNow + options_.gap_;
+  aOut.batches_.push_back(std::move(batch));
+}
+
+ClaimWrite
+ClaimTable::WriteOf(const Entry& aEntry) const
+{
+  return { aEntry.ask_.name_,
+           aEntry.release_ ? std::string() : EncodeClaim(aEntry.record_),
+           aEntry.revision_ };
+}
+
+ClaimActions
+ClaimTable::OnCommit(ClaimBatchId aId,
+                     CommitEnd aEnd,
+                     std::uint64_t aRevision,
+                     TimePoint aNow)
+{
+  ClaimActions out;
+  if (!busy_ || aId != current_) {
+    return out;
+  }
+  busy_ = false;
+  std::vector<std::string> names = std::move(writing_);
+  writing_.clear();
+  if (aEnd == CommitEnd::Conflict) {
+    AfterConflict(std::move(names), aNow, out);
+  } else if (aEnd == CommitEnd::Applied) {
+    for (const std::string& name : names) {
+      AfterApplied(name, aRevision, aNow, out);
+    }
+  } else {
+    pausedUntil_ = aNow + options_.pause_;
+    for (const std::string& name : names) {
+      AfterFailed(name, aEnd == CommitEnd::NoEffect, out);
+    }
+  }
+  Flush(aNow, out);
+  return out;
+}
+
+void
+ClaimTable::AfterApplied(const std::string& aName,
+                         std::uint64_t aRevision,
+                         TimePoint aNow,
+                         ClaimActions& aOut)
+{
+  Entry& entry = entries_.at(aName);
+  if (entry.phase_ == Phase::Closing) {
+    Closed(aName, entry, aOut);
+  } else {
+    Won(entry, aRevision, aNow, aOut);
+  }
+}
+
+void
+ClaimTable::AfterConflict(std::vector<std::string> aNames,
+                          TimePoint aNow,
+                          ClaimActions& aOut)
+{
+  if (aNames.size() > 1) {
+    const auto middle =
+      aNames.begin() + static_cast<std::ptrdiff_t>(aNames.size() / 2);
+    parts_.emplace_back(aNames.begin(), middle);
+    parts_.emplace_back(middle, aNames.end());
+    Flush(aNow, aOut);
+    return;
+  }
+  Entry& entry = entries_.at(aNames.front());
+  if (entry.phase_ == Phase::Closing) {
+    Closed(aNames.front(), entry, aOut);
+    return;
+  }
+  entry.phase_ = Phase::Reading;
+  aOut.reads_.push_back(aNames.front());
+}
+
+void
+ClaimTable::AfterFailed(const std::string& aName,
+                        bool aNoEffect,
+                        ClaimActions& aOut)
+{
+  Entry& entry = entries_.at(aName);
+  if (entry.phase_ == Phase::Closing) {
+    // The revision protects it: writing it again cannot harm a later claim.
+    if (!std::exchange(entry.answered_, true)) {
+      aOut.closed_.push_back(entry.ask_.ticket_);
+    }
+    if (++entry.tries_ < kMostCloseTries) {
+      queue_.push_back(aName);
+    } else {
+      Closed(aName, entry, aOut);
+    }
+    return;
+  }
+  // A token that was in doubt before is in doubt still.
+  if (aNoEffect && entry.tries_ == 0) {
+    Answer(entry,
+           ClaimAnswer::Refused,
+           "the store that keeps claims cannot be reached",
+           aOut);
+    entries_.erase(aName);
+    return;
+  }
+  entry.phase_ = Phase::Reading;
+  aOut.reads_.push_back(aName);
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/claims_settle.cpp
@@ -0,0 +1,200 @@
+#include "marjoramtally/process/claims.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Commits of one claim; when read back and absent, it is written again.
+constexpr std::uint32_t kMostTries = 2;
+
+} // namespace
+
+void
+ClaimTable::Won(Entry& aEntry,
+                std::uint64_t aRevision,
+                TimePoint aNow,
+                ClaimActions& aOut)
+{
+  aEntry.revision_ = aRevision;
+  if (!aEntry.answered_ && aNow < aEntry.ask_.deadline_) {
+    aEntry.phase_ = Phase::Running;
+    Answer(aEntry, ClaimAnswer::Run, {}, aOut);
+    return;
+  }
+  Answer(aEntry, ClaimAnswer::Refused, "its deadline passed", aOut);
+  aEntry.phase_ = Phase::Closing;
+  aEntry.release_ = true;
+  aEntry.tries_ = 0;
+  queue_.push_back(aEntry.ask_.name_);
+}
+
+void
+ClaimTable::Lost(const std::string& aName,
+                 const ClaimReading& aReading,
+                 TimePoint aNow,
+                 ClaimActions& aOut)
+{
+  Entry& entry = entries_.at(aName);
+  if (aReading.record_) {
+    // Another's claim: its state may still change, so nothing is kept.
+    if (!entry.answered_) {
+      aOut.verdicts_.push_back(AnswerFrom(entry.ask_, *aReading.record_));
+    }
+    entries_.erase(aName);
+    return;
+  }
+  const bool again = !aReading.failed_ && !entry.answered_ &&
+                     entry.tries_ < kMostTries && aNow < entry.ask_.deadline_;
+  if (again) {
+    ++entry.tries_;
+    entry.phase_ = Phase::Queued;
+    queue_.push_back(aName);
+    return;
+  }
+  Abandon(entry, "its claim could not be read back", aOut);
+}
+
+void
+ClaimTable::Abandon(Entry& aEntry,
+                    const char* aReason,
+                    ClaimActions& aOut) const
+{
+  Answer(aEntry, ClaimAnswer::Refused, aReason, aOut);
+  aEntry.phase_ = Phase::Orphan;
+}
+
+ClaimActions
+ClaimTable::OnRead(const std::string& aName,
+                   const ClaimReading& aReading,
+                   TimePoint aNow)
+{
+  ClaimActions out;
+  const auto it = entries_.find(aName);
+  if (it == entries_.end() || (it->second.phase_ != Phase::Reading &&
+                               it->second.phase_ != Phase::Orphan)) {
+    return out;
+  }
+  Entry& entry = it->second;
+  const bool ours =
+    aReading.record_ && aReading.record_->token_ == entry.record_.token_;
+  if (ours) {
+    Won(entry, aReading.revision_, aNow, out);
+  } else {
+    Lost(aName, aReading, aNow, out);
+  }
+  Flush(aNow, out);
+  return out;
+}
+
+ClaimActions
+ClaimTable::OnRunEnd(const std::string& aName,
+                     Outcome aOutcome,
+                     int aStatus,
+                     TimePoint aNow)
+{
+  ClaimActions out;
+  const auto it = entries_.find(aName);
+  if (it == entries_.end() || it->second.phase_ != Phase::Running) {
+    return out;
+  }
+  Entry& entry = it->second;
+  entry.phase_ = Phase::Closing;
+  entry.tries_ = 0;
+  entry.release_ = aOutcome == Outcome::RefusedNotRun;
+  entry.record_.status_ = aStatus;
+  entry.record_.state_ = aOutcome == Outcome::Completed ? ClaimState::Completed
+                                                        : ClaimState::Unknown;
+  if (!entry.release_) {
+    // Its caller need not wait: a resend meets the claim anyway.
+    entry.answered_ = true;
+    out.closed_.push_back(entry.ask_.ticket_);
+  }
+  queue_.push_back(aName);
+  Flush(aNow, out);
+  return out;
+}
+
+void
+ClaimTable::Closed(const std::string& aName, Entry& aEntry, ClaimActions& aOut)
+{
+  if (!aEntry.answered_) {
+    aOut.closed_.push_back(aEntry.ask_.ticket_);
+  }
+  if (aEntry.release_) {
+    entries_.erase(aName);
+    return;
+  }
+  aEntry.answered_ = true;
+  aEntry.phase_ = Phase::Ended;
+  Remember(aName);
+}
+
+void
+ClaimTable::Remember(const std::string& aName)
+{
+  ended_.push_back(aName);
+  if (ended_.size() > options_.remembered_) {
+    entries_.erase(ended_.front());
+    ended_.pop_front();
+  }
+}
+
+ClaimActions
+ClaimTable::Tick(TimePoint aNow)
+{
+  ClaimActions out;
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.phase_ != Phase::Ended && entry.phase_ != Phase::Running) {
+      names.push_back(name);
+    }
+  }
+  for (const std::string& name : names) {
+    ExpireEntry(name, entries_.at(name), aNow, out);
+  }
+  Flush(aNow, out);
+  return out;
+}
+
+void
+ClaimTable::ExpireEntry(const std::string& aName,
+                        Entry& aEntry,
+                        TimePoint aNow,
+                        ClaimActions& aOut)
+{
+  const bool stuck =
+    (busy_ && aNow - started_ >= options_.slow_) || aNow < pausedUntil_;
+  const bool late = aNow >= aEntry.ask_.deadline_;
+  if (aEntry.phase_ == Phase::Queued && (late || stuck)) {
+    Answer(aEntry, ClaimAnswer::Refused, "its claim could not be made", aOut);
+    if (aEntry.tries_ == 0) {
+      entries_.erase(aName);
+    } else {
+      aEntry.phase_ = Phase::Orphan;
+    }
+  } else if (late && (aEntry.phase_ == Phase::Writing ||
+                      aEntry.phase_ == Phase::Reading)) {
+    Answer(aEntry, ClaimAnswer::Refused, "its claim took too long", aOut);
+  } else if (aEntry.phase_ == Phase::Orphan) {
+    if (aNow - aEntry.since_ >= options_.orphanLife_) {
+      entries_.erase(aName);
+    } else if (aNow - aEntry.since_ >= options_.orphanRead_ * aEntry.tries_) {
+      ++aEntry.tries_;
+      aOut.reads_.push_back(aName);
+    }
+  }
+}
+
+std::size_t
+ClaimTable::Open() const noexcept
+{
+  return static_cast<std::size_t>(
+    std::count_if(entries_.begin(), entries_.end(), [](const auto& aEntry) {
+      return aEntry.second.phase_ != Phase::Ended &&
+             aEntry.second.phase_ != Phase::Orphan;
+    }));
+}
+
+} // namespace marjoramtally
--- a/src/programs/entryd/entry.cpp
+++ b/src/programs/entryd/entry.cpp
@@ -25,7 +25,7 @@
   const HttpHeaders kHop{
     { "connection", "" }, { "content-length", "" }, { "transfer-encoding", "" },
     { "host", "" },       { "keep-alive", "" },     { "traceparent", "" },
-    { "te", "" },         { "upgrade", "" }
+    { "te", "" },         { "upgrade", "" },        { "x-deadline", "" }
   };
   return FindHeader(kHop, aName).has_value();
 }
@@ -102,6 +102,7 @@
 Entry::Entry(Host& aHost)
   : host_(aHost)
   , dispatcher_(aHost)
+  , claims_(aHost)
   , trainers_(aHost)
 {
   host_.onHttp_ = [this](HttpRequest aRequest, const HttpReplyPtr& aReply) {
@@ -116,12 +117,13 @@
 Entry::Start()
 {
   dispatcher_.Start();
+  claims_.Start();
 }
 
 bool
 Entry::Busy() const
 {
-  return dispatcher_.Unfinished() > 0;
+  return dispatcher_.Unfinished() > 0 || claims_.Open() > 0;
 }
 
 void
@@ -154,7 +156,7 @@
                         std::to_string(++lastRequest_) };
   spec.arrived_ = host_.Now();
   Duration deadline = service->second.deadline_;
-  if (const auto text = FindHeader(aRequest.headers_, "X-Deadline")) {
+  if (const auto text = FindHeader(aRequest.headers_, kDeadlineHeader)) {
     const auto parsed = ParseDuration(*text);
     if (!parsed || *parsed <= Duration::zero()) {
       return Error{ ErrorKind::BadInput,
@@ -187,20 +189,61 @@
                   const HttpRequest& aRequest,
                   const HttpReplyPtr& aReply)
 {
+  aSpec.fingerprint_ =
+    MakeFingerprint(
+      { aRequest.method_, aRequest.path_, aRequest.query_, aRequest.body_ })
+      .Get();
   Span span = StartSpan(TraceOf(aRequest), "entry");
   span.attributes_["service"] = aSpec.service_.Get();
-  const TraceContext context = span.context_;
-  dispatcher_.Submit(std::move(aSpec),
-                     std::move(aMessage),
-                     context,
-                     std::move(aJudge),
-                     [this, aReply, span](DispatchResult aResult) {
-                       Span ended = span;
-                       ended.attributes_["outcome"] =
-                         ToString(aResult.outcome_);
-                       host_.Traces().End(std::move(ended));
-                       aReply->Send(MakeResponse(std::move(aResult)));
-                     });
+  auto live = std::make_shared<LiveRequest>(LiveRequest{ std::move(aSpec),
+                                                         std::move(aMessage),
+                                                         std::move(aJudge),
+                                                         std::move(span),
+                                                         aReply });
+  if (live->spec_.idempotent_ || live->spec_.key_.Get().empty()) {
+    RunLive(live);
+    return;
+  }
+  claims_.Ask(live->spec_, [this, live](const ClaimVerdict& aVerdict) {
+    if (aVerdict.answer_ == ClaimAnswer::Run) {
+      RunLive(live);
+    } else {
+      AnswerLive(*live, MakeClaimResponse(aVerdict));
+    }
+  });
+}
+
+void
+Entry::RunLive(const LiveRequestPtr& aLive)
+{
+  const bool claimed =
+    !aLive->spec_.idempotent_ && !aLive->spec_.key_.Get().empty();
+  dispatcher_.Submit(
+    aLive->spec_,
+    std::move(aLive->message_),
+    aLive->span_.context_,
+    std::move(aLive->judge_),
+    [this, aLive, claimed](DispatchResult aResult) {
+      const Outcome outcome = aResult.outcome_;
+      HttpResponse response = MakeResponse(std::move(aResult));
+      if (!claimed) {
+        AnswerLive(*aLive, std::move(response));
+        return;
+      }
+      const int status = response.status_;
+      claims_.End(aLive->spec_, outcome, status, [this, aLive, response] {
+        AnswerLive(*aLive, response);
+      });
+    });
+}
+
+void
+Entry::AnswerLive(LiveRequest& aLive, HttpResponse aResponse)
+{
+  const auto outcome = FindHeader(aResponse.headers_, kOutcomeHeader);
+  aLive.span_.attributes_["outcome"] = std::string(outcome.value_or(""));
+  host_.Traces().End(std::move(aLive.span_));
+  aLive.reply_->Send(std::move(aResponse));
 }
 
 void
@@ -266,6 +309,10 @@
 void
 Entry::OnRpc(RpcCall aCall, RpcDone aDone)
 {
+  if (aCall.topic_ == RpcTopic::Claim) {
+    dispatcher_.Crashes().OnRpc(aCall, aDone);
+    return;
+  }
   if (aCall.topic_ != RpcTopic::Generate) {
     aDone(Error{ ErrorKind::BadInput, "an entry does not serve this topic" });
     return;
@@ -297,6 +344,9 @@
   spec.outputTokens_ = aRequest.maxTokens_;
   spec.id_ = RequestId{ host_.Settings().instance_ + "-" +
                         std::to_string(++lastRequest_) };
+  // The ids of a generation differ each time: what counts is the prompt.
+  spec.fingerprint_ =
+    MakeFingerprint({ aRequest.model_, aRequest.prompt_ }).Get();
   spec.arrived_ = host_.Now();
   spec.deadline_ = spec.arrived_ + aCall.timeout_;
   UpstreamMessage message = MakeCompletionMessage(aRequest, spec.id_);
--- a/src/programs/entryd/entry.hpp
+++ b/src/programs/entryd/entry.hpp
@@ -2,6 +2,7 @@
 /// control processes.
 #pragma once
 
+#include "programs/entryd/claim_gate.hpp"
 #include "programs/entryd/dispatcher.hpp"
 #include "programs/entryd/trainer_api.hpp"
 
@@ -17,6 +18,17 @@
   [[nodiscard]] bool Busy() const;
 
 private:
+  /// One live request on its way.
+  struct LiveRequest
+  {
+    RequestSpec spec_;
+    UpstreamMessage message_;
+    ResponseJudge judge_;
+    Span span_;
+    HttpReplyPtr reply_;
+  };
+  using LiveRequestPtr = std::shared_ptr<LiveRequest>;
+
   void OnHttp(HttpRequest aRequest, const HttpReplyPtr& aReply);
   void OnRpc(RpcCall aCall, RpcDone aDone);
   void ServeCall(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
@@ -33,8 +45,12 @@
                   const HttpRequest& aRequest,
                   const HttpReplyPtr& aReply);
 
+  void RunLive(const LiveRequestPtr& aLive);
+  void AnswerLive(LiveRequest& aLive, HttpResponse aResponse);
+
   Host& host_;
   Dispatcher dispatcher_;
+  ClaimGate claims_;
   TrainerApi trainers_;
   std::atomic<std::uint64_t> lastRequest_{ 0 };
 };
--- /dev/null
+++ b/tests/test_claims.cpp
@@ -0,0 +1,290 @@
+#include "marjoramtally/process.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace marjoramtally;
+
+namespace {
+
+constexpr std::uint64_t kBody = 7;
+
+/// The store's records, with the faults of one transaction at a time.
+struct FakeStore
+{
+  std::map<std::string, std::pair<std::string, std::uint64_t>> records_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t commits_ = 0;
+
+  CommitEnd Apply(const ClaimBatch& aBatch)
+  {
+    ++commits_;
+    for (const ClaimWrite& write : aBatch.writes_) {
+      const auto it = records_.find(write.name_);
+      const std::uint64_t now = it == records_.end() ? 0 : it->second.second;
+      if (now != write.expected_) {
+        return CommitEnd::Conflict;
+      }
+    }
+    ++revision_;
+    for (const ClaimWrite& write : aBatch.writes_) {
+      if (write.value_.empty()) {
+        records_.erase(write.name_);
+      } else {
+        records_[write.name_] = { write.value_, revision_ };
+      }
+    }
+    return CommitEnd::Applied;
+  }
+
+  ClaimReading Read(const std::string& aName) const
+  {
+    ClaimReading reading;
+    const auto it = records_.find(aName);
+    if (it != records_.end()) {
+      reading.record_ = DecodeClaim(it->second.first);
+      reading.revision_ = it->second.second;
+    }
+    return reading;
+  }
+};
+
+/// One entry instance: its table, and what its callers were told.
+struct Instance
+{
+  FakeStore& store_;
+  ManualClock& clock_;
+  ClaimTable table_;
+  std::vector<ClaimVerdict> verdicts_;
+  std::vector<ClaimTicket> closed_;
+  std::vector<ClaimBatch> held_;
+  std::uint64_t ticket_ = 0;
+  bool hold_ = false;
+
+  Instance(const char* aName, FakeStore& aStore, ManualClock& aClock)
+    : store_(aStore)
+    , clock_(aClock)
+    , table_(aName)
+  {
+  }
+
+  void Perform(ClaimActions aActions)
+  {
+    for (auto& verdict : aActions.verdicts_) {
+      verdicts_.push_back(std::move(verdict));
+    }
+    closed_.insert(
+      closed_.end(), aActions.closed_.begin(), aActions.closed_.end());
+    for (ClaimBatch& batch : aActions.batches_) {
+      if (hold_) {
+        held_.push_back(std::move(batch));
+        continue;
+      }
+      const CommitEnd end = store_.Apply(batch);
+      Perform(table_.OnCommit(batch.id_, end, store_.revision_, clock_.Now()));
+    }
+    for (const std::string& name : aActions.reads_) {
+      Perform(table_.OnRead(name, store_.Read(name), clock_.Now()));
+    }
+  }
+
+  void Ask(const std::string& aName, std::uint64_t aBody = kBody)
+  {
+    const TimePoint deadline = clock_.Now() + std::chrono::seconds(2);
+    Perform(table_.Ask(
+      { ClaimTicket{ ++ticket_ }, aName, Fingerprint{ aBody }, deadline },
+      clock_.Now()));
+  }
+
+  /// Ends the transaction that is held back.
+  void Release(CommitEnd aEnd)
+  {
+    hold_ = false;
+    const ClaimBatch batch = held_.front();
+    held_.erase(held_.begin());
+    Perform(table_.OnCommit(batch.id_, aEnd, store_.revision_, clock_.Now()));
+  }
+
+  void End(const std::string& aName, Outcome aOutcome)
+  {
+    Perform(table_.OnRunEnd(aName, aOutcome, 200, clock_.Now()));
+  }
+
+  void Tick() { Perform(table_.Tick(clock_.Now())); }
+
+  [[nodiscard]] ClaimAnswer Last() const { return verdicts_.back().answer_; }
+};
+
+struct World
+{
+  FakeStore store_;
+  ManualClock clock_;
+  Instance first_{ "a", store_, clock_ };
+  Instance second_{ "b", store_, clock_ };
+};
+
+} // namespace
+
+TEST_CASE("one of two instances runs a key, in whatever state the other is")
+{
+  World world;
+  world.first_.Ask("k");
+  CHECK(world.first_.Last() == ClaimAnswer::Run);
+  world.first_.Ask("k");
+  CHECK(world.first_.Last() == ClaimAnswer::InProgress);
+  // The first instance may be dead by now: the record alone decides.
+  world.second_.Ask("k");
+  CHECK(world.second_.Last() == ClaimAnswer::MayHaveRun);
+  world.first_.End("k", Outcome::Completed);
+  world.second_.Ask("k");
+  CHECK(world.second_.Last() == ClaimAnswer::AlreadyRan);
+  CHECK(world.second_.verdicts_.back().status_ == 200);
+  world.second_.Ask("k", kBody + 1);
+  CHECK(world.second_.Last() == ClaimAnswer::KeyReused);
+  world.first_.Ask("k");
+  CHECK(world.first_.Last() == ClaimAnswer::AlreadyRan);
+}
+
+TEST_CASE("a lost answer is read back by the claim's token")
+{
+  World world;
+  world.first_.hold_ = true;
+  world.first_.Ask("k");
+  SECTION("the claim took effect: it runs here and nowhere else")
+  {
+    CHECK(world.store_.Apply(world.first_.held_.front()) == CommitEnd::Applied);
+    world.second_.Ask("k");
+    CHECK(world.second_.Last() == ClaimAnswer::MayHaveRun);
+    world.first_.Release(CommitEnd::Unknown);
+    CHECK(world.first_.Last() == ClaimAnswer::Run);
+  }
+  SECTION("another instance claimed first")
+  {
+    world.second_.Ask("k");
+    CHECK(world.second_.Last() == ClaimAnswer::Run);
+    world.first_.Release(CommitEnd::Unknown);
+    CHECK(world.first_.Last() == ClaimAnswer::MayHaveRun);
+  }
+  SECTION("the transport sent the write twice and reports the second")
+  {
+    CHECK(world.store_.Apply(world.first_.held_.front()) == CommitEnd::Applied);
+    world.first_.Release(CommitEnd::Conflict);
+    CHECK(world.first_.Last() == ClaimAnswer::Run);
+  }
+}
+
+TEST_CASE("a claim that is absent when read back can take effect later")
+{
+  World world;
+  world.first_.hold_ = true;
+  world.first_.Ask("k");
+  const ClaimBatch delayed = world.first_.held_.front();
+  world.first_.Release(CommitEnd::Unknown);
+  // After the pause it is refused, and never runs here.
+  world.first_.Tick();
+  REQUIRE(world.first_.verdicts_.size() == 1);
+  CHECK(world.first_.Last() == ClaimAnswer::Refused);
+  CHECK(world.store_.Apply(delayed) == CommitEnd::Applied);
+  // What takes effect late is found and taken out, so that a resend runs.
+  for (int i = 0; i < 10; ++i) {
+    world.clock_.Advance(std::chrono::seconds(1));
+    world.first_.Tick();
+  }
+  CHECK(world.first_.verdicts_.size() == 1);
+  world.second_.Ask("k");
+  CHECK(world.second_.Last() == ClaimAnswer::Run);
+}
+
+TEST_CASE("with the store down claims are refused, later ones at once")
+{
+  World world;
+  world.first_.hold_ = true;
+  world.first_.Ask("k");
+  world.first_.Release(CommitEnd::NoEffect);
+  CHECK(world.first_.Last() == ClaimAnswer::Refused);
+  world.first_.Ask("l");
+  CHECK(world.first_.verdicts_.size() == 2);
+  CHECK(world.first_.Last() == ClaimAnswer::Refused);
+  CHECK(world.store_.commits_ == 0);
+  world.clock_.Advance(std::chrono::seconds(1));
+  world.first_.Ask("k");
+  CHECK(world.first_.Last() == ClaimAnswer::Run);
+}
+
+TEST_CASE("a claim won after its deadline is released and never run")
+{
+  World world;
+  world.first_.hold_ = true;
+  world.first_.Ask("k");
+  CHECK(world.store_.Apply(world.first_.held_.front()) == CommitEnd::Applied);
+  world.clock_.Advance(std::chrono::minutes(5));
+  world.first_.Release(CommitEnd::Applied);
+  CHECK(world.first_.Last() == ClaimAnswer::Refused);
+  CHECK(world.store_.records_.empty());
+  world.second_.Ask("k");
+  CHECK(world.second_.Last() == ClaimAnswer::Run);
+}
+
+TEST_CASE("a refused run is answered once its claim is released")
+{
+  World world;
+  world.first_.Ask("k");
+  world.first_.hold_ = true;
+  world.first_.End("k", Outcome::RefusedNotRun);
+  CHECK(world.first_.closed_.empty());
+  CHECK(world.store_.Apply(world.first_.held_.front()) == CommitEnd::Applied);
+  // A release that is sent again must not take out a later claim.
+  world.second_.Ask("k");
+  CHECK(world.second_.Last() == ClaimAnswer::Run);
+  world.first_.Release(CommitEnd::Unknown);
+  world.clock_.Advance(std::chrono::seconds(1));
+  world.first_.Tick();
+  CHECK(world.first_.closed_.size() == 1);
+  world.first_.Ask("k");
+  CHECK(world.first_.Last() == ClaimAnswer::MayHaveRun);
+}
+
+TEST_CASE("an unknown end is recorded as unknown")
+{
+  World world;
+  world.first_.Ask("k");
+  world.first_.End("k", Outcome::Unknown);
+  CHECK(world.first_.closed_.size() == 1);
+  world.second_.Ask("k");
+  CHECK(world.second_.Last() == ClaimAnswer::MayHaveRun);
+}
+
+TEST_CASE("claims that wait go in one transaction, conflicts apart")
+{
+  World world;
+  world.second_.Ask("k3");
+  world.first_.hold_ = true;
+  world.first_.Ask("first");
+  for (int i = 0; i < 16; ++i) {
+    world.first_.Ask("k" + std::to_string(i));
+  }
+  CHECK(world.first_.held_.size() == 1);
+  CHECK(world.store_.Apply(world.first_.held_.front()) == CommitEnd::Applied);
+  const std::uint64_t before = world.store_.commits_;
+  world.first_.Release(CommitEnd::Applied);
+  const auto run = std::count_if(
+    world.first_.verdicts_.begin(),
+    world.first_.verdicts_.end(),
+    [](const auto& aVerdict) { return aVerdict.answer_ == ClaimAnswer::Run; });
+  CHECK(run == 16);
+  // One of 16, then halves down to the one that conflicts: 1 + 2 * 4.
+  CHECK(world.store_.commits_ - before == 9);
+}
+
+TEST_CASE("claim records survive their text form and others do not")
+{
+  const ClaimRecord record{
+    "a/1", Fingerprint{ 0xfedcba9876543210 }, ClaimState::Completed, 201
+  };
+  CHECK(DecodeClaim(EncodeClaim(record)) == record);
+  CHECK_FALSE(DecodeClaim("a/1 zz claimed 0"));
+  CHECK_FALSE(DecodeClaim("a/1 1 other 0"));
+  CHECK_FALSE(DecodeClaim(""));
+  CHECK(ClaimName(ServiceId{ "a" }, IdempotencyKey{ "bc" }) !=
+        ClaimName(ServiceId{ "ab" }, IdempotencyKey{ "c" }));
+}
