One loop a thread serves, sends on and answers a request

Cause: perf showed 58% of the entry's time in the two sending threads (curl_multi_perform over all calls at each wake, a poll set rebuilt each time, a wake-up of another thread each way, blocks freed by a thread that had not taken them) and strands in the server. RESTinio and libcurl now share the loops of an IoPool; libcurl tells its sockets by curl_multi_socket_action, which stand in one epoll set watched as one descriptor; handles keep their options. Each loop accepts from the same listening socket, so that a port in use stays an error. Ruled out: SO_REUSEPORT for each loop (two processes of one user could bind the same port unnoticed).

--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -5,6 +5,7 @@
 #include "marjoramtally/runtime/http_client.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/http_types.hpp"
+#include "marjoramtally/runtime/io_pool.hpp"
 #include "marjoramtally/runtime/log.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/program.hpp"
--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marjoramtally/runtime/http_types.hpp"
+#include "marjoramtally/runtime/io_pool.hpp"
 
 #include <memory>
 
@@ -54,14 +55,19 @@
 /// Names a call in progress.
 using HttpCallId = std::uint64_t;
 
-/// Sends calls on its own threads. Callbacks run on those threads and must
-/// not block.
+/// Sends calls on the loops of a pool. Callbacks run on those loops, never
+/// within `Send`, and must not block.
 class HttpClient
 {
 public:
   /// @param aThreads number of sending threads
   [[nodiscard]] static std::unique_ptr<HttpClient> Create(
     std::uint32_t aThreads);
+  /// Sends on loops shared with a server: a call sent from one of them is
+  /// answered on the same one.
+  /// @param aPool stopped when the client is destroyed
+  [[nodiscard]] static std::unique_ptr<HttpClient> Create(
+    std::shared_ptr<IoPool> aPool);
 
   virtual ~HttpClient() = default;
   /// Starts a call; `aDone` is called exactly once.
--- a/include/marjoramtally/runtime/http_server.hpp
+++ b/include/marjoramtally/runtime/http_server.hpp
@@ -3,6 +3,7 @@
 
 #include "marjoramtally/base/result.hpp"
 #include "marjoramtally/runtime/http_types.hpp"
+#include "marjoramtally/runtime/io_pool.hpp"
 
 #include <memory>
 
@@ -36,7 +37,10 @@
   std::string address_ = "127.0.0.1";
   /// 0 takes a port from the kernel.
   std::uint16_t port_ = 0;
+  /// Number of loops if no pool is given.
   std::uint32_t threads_ = 2;
+  /// Loops to serve on; stopped when the server is destroyed.
+  std::shared_ptr<IoPool> pool_;
   /// Largest accepted request body, in bytes; larger ones get 413.
   std::uint64_t maxBodyBytes_ = 1U << 20U;
 };
--- /dev/null
+++ b/include/marjoramtally/runtime/io_pool.hpp
@@ -0,0 +1,30 @@
+/// Event loops that a server and a client can share, so that a request is
+/// received, sent on and answered on one thread.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace marjoramtally {
+
+class IoLoop;
+
+/// A fixed number of event loops, each on a thread of its own.
+class IoPool
+{
+public:
+  [[nodiscard]] static std::shared_ptr<IoPool> Create(std::uint32_t aThreads);
+
+  virtual ~IoPool() = default;
+  [[nodiscard]] virtual std::size_t Size() const noexcept = 0;
+  [[nodiscard]] virtual IoLoop& Loop(std::size_t aIndex) noexcept = 0;
+  /// @returns the index of the calling thread's loop; of the next in turn
+  /// if the caller runs on none
+  [[nodiscard]] virtual std::size_t Pick() noexcept = 0;
+  /// Ends all loops; what they had not yet run is dropped. Servers and
+  /// clients stop their pool when they are destroyed.
+  virtual void Stop() = 0;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint32_t kClientThreads = 2;
+constexpr std::uint32_t kStoreThreads = 1;
 constexpr auto kDrainPoll = std::chrono::milliseconds(10);
 /// Longest wait for the store when the record is taken out at shutdown.
 constexpr auto kLeaveLimit = std::chrono::seconds(1);
@@ -19,8 +19,11 @@
   : settings_(std::move(aSettings))
   , role_(std::move(aRole))
   , traces_(settings_.traceFile_, aProgram + "/" + settings_.instance_)
-  , client_(HttpClient::Create(kClientThreads))
-  , store_(MakeEtcdStore(*client_, settings_.store_, settings_.storeTimeout_))
+  , loops_(IoPool::Create(static_cast<std::uint32_t>(settings_.threads_)))
+  , client_(HttpClient::Create(loops_))
+  , storeClient_(HttpClient::Create(kStoreThreads))
+  , store_(
+      MakeEtcdStore(*storeClient_, settings_.store_, settings_.storeTimeout_))
   , cluster_(std::make_unique<Cluster>(settings_, *store_, timers_))
   , config_(std::make_unique<ConfigService>(
       settings_,
@@ -47,7 +50,7 @@
   HttpServerOptions options;
   options.address_ = settings_.address_;
   options.port_ = static_cast<std::uint16_t>(settings_.httpPort_);
-  options.threads_ = static_cast<std::uint32_t>(settings_.threads_);
+  options.pool_ = loops_;
   options.maxBodyBytes_ = settings_.maxBodyBytes_;
   auto server = HttpServer::Start(
     options, [this](HttpRequest aRequest, const HttpReplyPtr& aReply) {
@@ -125,6 +128,7 @@
   server_.reset();
   rpc_.reset();
   client_.reset();
+  storeClient_.reset();
   LogEvent(LogLevel::Info, "stopped");
 }
 
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -46,7 +46,12 @@
   Metrics metrics_;
   TraceWriter traces_;
   std::atomic<bool> draining_{ false };
+  /// Loops on which requests are received, sent on and answered.
+  std::shared_ptr<IoPool> loops_;
   std::unique_ptr<HttpClient> client_;
+  /// Calls to the store have a loop of their own, so that requests do not
+  /// wait for its answers to be read.
+  std::unique_ptr<HttpClient> storeClient_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<HttpServer> server_;
--- /dev/null
+++ b/src/runtime/curl_loop.cpp
@@ -0,0 +1,314 @@
+#include "runtime/curl_loop.hpp"
+
+#include <array>
+#include <asio/post.hpp>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Idle connections kept by each loop.
+constexpr long kIdleConnections = 512;
+/// Events taken from the epoll set at once.
+constexpr int kEventsAtOnce = 64;
+/// How often libcurl may want to act again at once before other work of the
+/// loop has its turn.
+constexpr int kActionsAtOnce = 4;
+
+std::uint32_t
+EpollEvents(int aWhat) noexcept
+{
+  std::uint32_t events = 0;
+  if (aWhat == CURL_POLL_IN || aWhat == CURL_POLL_INOUT) {
+    events |= EPOLLIN;
+  }
+  if (aWhat == CURL_POLL_OUT || aWhat == CURL_POLL_INOUT) {
+    events |= EPOLLOUT;
+  }
+  return events;
+}
+
+int
+CurlEvents(std::uint32_t aEvents) noexcept
+{
+  int events = 0;
+  events |= (aEvents & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0;
+  events |= (aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+  events |= (aEvents & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0;
+  return events;
+}
+
+} // namespace
+
+CurlLoop::CurlLoop(asio::io_context& aContext)
+  : context_(aContext)
+  , multi_(curl_multi_init())
+  , epoll_(epoll_create1(EPOLL_CLOEXEC))
+  , ready_(aContext, epoll_)
+  , timer_(aContext)
+{
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kIdleConnections);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  WatchReady();
+}
+
+CurlLoop::~CurlLoop()
+{
+  for (CURL* easy : idle_) {
+    curl_easy_cleanup(easy);
+  }
+  curl_multi_cleanup(multi_);
+}
+
+void
+CurlLoop::Post(std::unique_ptr<CurlTransfer> aTransfer)
+{
+  const std::lock_guard lock(mutex_);
+  posted_.push_back(std::move(aTransfer));
+  Schedule();
+}
+
+void
+CurlLoop::Cancel(HttpCallId aId)
+{
+  const std::lock_guard lock(mutex_);
+  cancels_.push_back(aId);
+  Schedule();
+}
+
+/// Called under the lock.
+void
+CurlLoop::Schedule()
+{
+  if (!scheduled_) {
+    scheduled_ = true;
+    asio::post(context_, [this] { Drive(); });
+  }
+}
+
+void
+CurlLoop::Drive()
+{
+  TakePosted();
+  ActIfDue();
+  Collect();
+  ArmTimer();
+}
+
+void
+CurlLoop::TakePosted()
+{
+  std::vector<std::unique_ptr<CurlTransfer>> posted;
+  std::vector<HttpCallId> cancels;
+  {
+    const std::lock_guard lock(mutex_);
+    posted.swap(posted_);
+    cancels.swap(cancels_);
+    scheduled_ = false;
+  }
+  for (auto& transfer : posted) {
+    StartTransfer(std::move(transfer));
+  }
+  for (const HttpCallId id : cancels) {
+    CancelTransfer(id);
+  }
+}
+
+CURL*
+CurlLoop::TakeHandle()
+{
+  if (idle_.empty()) {
+    CURL* easy = curl_easy_init();
+    CurlTransfer::PrepareHandle(easy);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, OnClose);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    return easy;
+  }
+  CURL* easy = idle_.back();
+  idle_.pop_back();
+  return easy;
+}
+
+void
+CurlLoop::StartTransfer(std::unique_ptr<CurlTransfer> aTransfer)
+{
+  CurlTransfer& transfer = *aTransfer;
+  transfer.Attach(TakeHandle());
+  active_.emplace(transfer.Id(), std::move(aTransfer));
+  curl_multi_add_handle(multi_, transfer.Handle());
+}
+
+void
+CurlLoop::CancelTransfer(HttpCallId aId)
+{
+  const auto it = active_.find(aId);
+  if (it != active_.end()) {
+    it->second->MarkCancelled();
+    Finish(*it->second, CURLE_ABORTED_BY_CALLBACK);
+  }
+}
+
+void
+CurlLoop::ActIfDue()
+{
+  for (int i = 0; i < kActionsAtOnce; ++i) {
+    if (due_ == Instant::max() || due_ > std::chrono::steady_clock::now()) {
+      return;
+    }
+    due_ = Instant::max();
+    int running = 0;
+    curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+  }
+}
+
+void
+CurlLoop::WatchReady()
+{
+  ready_.async_wait(asio::posix::stream_descriptor::wait_read,
+                    [this](const asio::error_code& aError) {
+                      if (!aError) {
+                        TakeReady();
+                        Drive();
+                        WatchReady();
+                      }
+                    });
+}
+
+void
+CurlLoop::TakeReady()
+{
+  std::array<epoll_event, kEventsAtOnce> events{};
+  const int count = epoll_wait(epoll_, events.data(), kEventsAtOnce, 0);
+  for (int i = 0; i < count; ++i) {
+    const epoll_event& event = events.at(static_cast<std::size_t>(i));
+    const curl_socket_t socket = event.data.fd;
+    if (InterestOf(socket).wanted_ == 0) {
+      // An idle connection that was closed: libcurl finds out itself.
+      epoll_ctl(epoll_, EPOLL_CTL_DEL, socket, nullptr);
+      InterestOf(socket).watched_ = 0;
+      continue;
+    }
+    int running = 0;
+    curl_multi_socket_action(
+      multi_, socket, CurlEvents(event.events), &running);
+  }
+}
+
+/// A timer that will run early enough is left alone: most calls end long
+/// before their time limit.
+void
+CurlLoop::ArmTimer()
+{
+  if (due_ >= armed_) {
+    return;
+  }
+  armed_ = due_;
+  timer_.expires_at(due_);
+  timer_.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      armed_ = Instant::max();
+      Drive();
+    }
+  });
+}
+
+void
+CurlLoop::Collect()
+{
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode code = message->data.result;
+    CurlTransfer* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    Finish(*transfer, code);
+  }
+}
+
+void
+CurlLoop::Finish(CurlTransfer& aTransfer, CURLcode aCode)
+{
+  HttpResult result = aTransfer.TakeResult(aCode);
+  curl_multi_remove_handle(multi_, aTransfer.Handle());
+  idle_.push_back(aTransfer.Handle());
+  const HttpDone done = aTransfer.TakeDone();
+  active_.erase(aTransfer.Id());
+  done(std::move(result));
+}
+
+void
+CurlLoop::EndAll()
+{
+  TakePosted();
+  while (!active_.empty()) {
+    CurlTransfer& transfer = *active_.begin()->second;
+    transfer.MarkCancelled();
+    Finish(transfer, CURLE_ABORTED_BY_CALLBACK);
+  }
+}
+
+CurlLoop::Interest&
+CurlLoop::InterestOf(curl_socket_t aSocket)
+{
+  const auto index = static_cast<std::size_t>(aSocket);
+  if (index >= interests_.size()) {
+    interests_.resize(index + 1);
+  }
+  return interests_[index];
+}
+
+void
+CurlLoop::SetInterest(curl_socket_t aSocket, std::uint32_t aWanted)
+{
+  Interest& interest = InterestOf(aSocket);
+  interest.wanted_ = aWanted;
+  const bool idle = aWanted == 0;
+  const bool quiet = (interest.watched_ & EPOLLOUT) == 0;
+  if (idle ? quiet : interest.watched_ == aWanted) {
+    return;
+  }
+  epoll_event event{};
+  event.events = idle ? EPOLLIN : aWanted;
+  event.data.fd = aSocket;
+  const int action = interest.watched_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+  epoll_ctl(epoll_, action, aSocket, &event);
+  interest.watched_ = event.events;
+}
+
+int
+CurlLoop::OnSocket(CURL* /*aEasy*/,
+                   curl_socket_t aSocket,
+                   int aWhat,
+                   void* aUser,
+                   void* /*aSocketUser*/)
+{
+  static_cast<CurlLoop*>(aUser)->SetInterest(aSocket, EpollEvents(aWhat));
+  return 0;
+}
+
+int
+CurlLoop::OnTimer(CURLM* /*aMulti*/, long aMillis, void* aUser)
+{
+  auto& self = *static_cast<CurlLoop*>(aUser);
+  self.due_ = aMillis < 0 ? Instant::max()
+                          : std::chrono::steady_clock::now() +
+                              std::chrono::milliseconds(aMillis);
+  return 0;
+}
+
+/// Closing a socket takes it out of the epoll set.
+int
+CurlLoop::OnClose(void* aUser, curl_socket_t aSocket)
+{
+  static_cast<CurlLoop*>(aUser)->InterestOf(aSocket) = {};
+  return close(aSocket);
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/runtime/curl_transfer.cpp
@@ -0,0 +1,195 @@
+#include "runtime/curl_transfer.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Read buffer of a call. Below the C library's limit for large blocks, so
+/// that taking and returning one is cheap.
+constexpr long kReadBufferBytes = 8L * 1024L;
+
+std::string_view
+TrimValue(std::string_view aText) noexcept
+{
+  while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
+    aText.remove_prefix(1);
+  }
+  while (!aText.empty() && (aText.back() == '\r' || aText.back() == '\n' ||
+                            aText.back() == ' ')) {
+    aText.remove_suffix(1);
+  }
+  return aText;
+}
+
+long
+Millis(Duration aDuration)
+{
+  const auto count =
+    std::chrono::ceil<std::chrono::milliseconds>(aDuration).count();
+  return static_cast<long>(std::max<std::int64_t>(count, 1));
+}
+
+} // namespace
+
+CurlTransfer::CurlTransfer(HttpCallId aId, HttpCall aCall, HttpDone aDone)
+  : id_(aId)
+  , call_(std::move(aCall))
+  , done_(std::move(aDone))
+{
+}
+
+std::size_t
+CurlTransfer::OnHeader(char* aData,
+                       std::size_t aSize,
+                       std::size_t aCount,
+                       void* aUser)
+{
+  auto& headers = static_cast<CurlTransfer*>(aUser)->response_.headers_;
+  const std::string_view line(aData, aSize * aCount);
+  if (line.starts_with("HTTP/")) {
+    headers.clear();
+    return line.size();
+  }
+  const std::size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    headers.push_back({ std::string(line.substr(0, colon)),
+                        std::string(TrimValue(line.substr(colon + 1))) });
+  }
+  return line.size();
+}
+
+std::size_t
+CurlTransfer::OnBody(char* aData,
+                     std::size_t aSize,
+                     std::size_t aCount,
+                     void* aUser)
+{
+  auto& transfer = *static_cast<CurlTransfer*>(aUser);
+  const std::size_t bytes = aSize * aCount;
+  transfer.ReportHead();
+  if (!transfer.call_.onData_) {
+    transfer.response_.body_.append(aData, bytes);
+    return bytes;
+  }
+  if (transfer.call_.onData_(std::string_view(aData, bytes))) {
+    return bytes;
+  }
+  transfer.cancelled_ = true;
+  return 0;
+}
+
+void
+CurlTransfer::PrepareHandle(CURL* aEasy)
+{
+  curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_PROXY, "");
+  curl_easy_setopt(aEasy, CURLOPT_BUFFERSIZE, kReadBufferBytes);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, OnBody);
+}
+
+void
+CurlTransfer::Attach(CURL* aEasy)
+{
+  easy_ = aEasy;
+  const long fresh = call_.atMostOnce_ ? 1L : 0L;
+  curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_URL, call_.url_.c_str());
+  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, Millis(call_.timeout_));
+  curl_easy_setopt(
+    easy_, CURLOPT_CONNECTTIMEOUT_MS, Millis(call_.connectTimeout_));
+  curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, fresh);
+  curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, fresh);
+  SetMethod();
+  SetHeaders();
+}
+
+void
+CurlTransfer::SetMethod()
+{
+  if (call_.method_ == "GET") {
+    curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, nullptr);
+    return;
+  }
+  const char* custom =
+    call_.method_ == "POST" ? nullptr : call_.method_.c_str();
+  curl_easy_setopt(easy_, CURLOPT_POST, 1L);
+  curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, custom);
+  curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, call_.body_.data());
+  curl_easy_setopt(easy_,
+                   CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(call_.body_.size()));
+}
+
+void
+CurlTransfer::SetHeaders()
+{
+  lines_.reserve(call_.headers_.size() + 1);
+  for (const HttpHeader& header : call_.headers_) {
+    lines_.push_back(header.name_ + ": " + header.value_);
+  }
+  lines_.emplace_back("Expect:");
+  nodes_.reserve(lines_.size());
+  for (std::string& line : lines_) {
+    nodes_.push_back({ line.data(), nullptr });
+  }
+  for (std::size_t i = 1; i < nodes_.size(); ++i) {
+    nodes_[i - 1].next = &nodes_[i];
+  }
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, nodes_.data());
+}
+
+/// Reports the head once, before the first piece of the body.
+void
+CurlTransfer::ReportHead()
+{
+  if (headSeen_) {
+    return;
+  }
+  headSeen_ = true;
+  long status = 0;
+  curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+  response_.status_ = static_cast<int>(status);
+  if (call_.onHead_) {
+    call_.onHead_(response_.status_, response_.headers_);
+  }
+}
+
+HttpEnd
+CurlTransfer::Classify(CURLcode aCode) const
+{
+  if (aCode == CURLE_OK) {
+    return HttpEnd::Whole;
+  }
+  long sentBytes = 0;
+  curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sentBytes);
+  if (sentBytes == 0) {
+    return HttpEnd::NotSent;
+  }
+  if (cancelled_) {
+    return HttpEnd::Cancelled;
+  }
+  return aCode == CURLE_OPERATION_TIMEDOUT ? HttpEnd::TimedOut
+                                           : HttpEnd::Broken;
+}
+
+HttpResult
+CurlTransfer::TakeResult(CURLcode aCode)
+{
+  HttpResult result;
+  result.end_ = Classify(aCode);
+  if (result.end_ == HttpEnd::Whole) {
+    ReportHead();
+  } else {
+    result.message_ = curl_easy_strerror(aCode);
+  }
+  result.response_ = std::move(response_);
+  return result;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/runtime/curl_transfer.hpp
@@ -0,0 +1,55 @@
+/// One call as libcurl carries it out.
+#pragma once
+
+#include "marjoramtally/runtime/http_client.hpp"
+
+#include <curl/curl.h>
+
+namespace marjoramtally {
+
+/// One call in progress; its address is the handle's private pointer, so it
+/// stays where it is until the call has ended.
+class CurlTransfer
+{
+public:
+  CurlTransfer(HttpCallId aId, HttpCall aCall, HttpDone aDone);
+
+  [[nodiscard]] HttpCallId Id() const noexcept { return id_; }
+  [[nodiscard]] CURL* Handle() const noexcept { return easy_; }
+  void MarkCancelled() noexcept { cancelled_ = true; }
+
+  /// Sets what is the same for every call; once for each handle.
+  static void PrepareHandle(CURL* aEasy);
+  /// Takes a prepared handle and sets what this call needs.
+  void Attach(CURL* aEasy);
+  /// Reads the result once libcurl has ended the call.
+  [[nodiscard]] HttpResult TakeResult(CURLcode aCode);
+  [[nodiscard]] HttpDone TakeDone() noexcept { return std::move(done_); }
+
+private:
+  static std::size_t OnHeader(char* aData,
+                              std::size_t aSize,
+                              std::size_t aCount,
+                              void* aUser);
+  static std::size_t OnBody(char* aData,
+                            std::size_t aSize,
+                            std::size_t aCount,
+                            void* aUser);
+  void SetMethod();
+  void SetHeaders();
+  void ReportHead();
+  [[nodiscard]] HttpEnd Classify(CURLcode aCode) const;
+
+  HttpCallId id_;
+  HttpCall call_;
+  HttpDone done_;
+  HttpResponse response_;
+  CURL* easy_ = nullptr;
+  /// The request's header lines and the list of them that libcurl reads.
+  std::vector<std::string> lines_;
+  std::vector<curl_slist> nodes_;
+  bool headSeen_ = false;
+  bool cancelled_ = false;
+};
+
+} // namespace marjoramtally
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,15 +1,19 @@
 #include "marjoramtally/runtime/http_server.hpp"
 
+#include "runtime/io_loop.hpp"
+
 #include <restinio/all.hpp>
 
-#include <thread>
+#include <future>
+#include <unistd.h>
 
 namespace marjoramtally {
 
 namespace {
 
-using Traits =
-  restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+/// Each connection stays on the one thread of its loop, so no strand.
+using Traits = restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
+                                                restinio::null_logger_t>;
 using Server = restinio::http_server_t<Traits>;
 using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
@@ -27,6 +31,8 @@
 /// What replies share with their server.
 struct ServerState
 {
+  /// Outlives all connections.
+  std::shared_ptr<IoPool> pool_;
   std::atomic<std::uint64_t> inFlight_{ 0 };
   std::atomic<bool> closing_{ false };
 };
@@ -44,8 +50,8 @@
 public:
   Reply(restinio::request_handle_t aRequest,
         std::shared_ptr<ServerState> aState)
-    : request_(std::move(aRequest))
-    , state_(std::move(aState))
+    : state_(std::move(aState))
+    , request_(std::move(aRequest))
   {
     ++state_->inFlight_;
   }
@@ -106,8 +112,8 @@
     }
   }
 
-  restinio::request_handle_t request_;
   std::shared_ptr<ServerState> state_;
+  restinio::request_handle_t request_;
   std::unique_ptr<StreamBuilder> stream_;
   std::atomic<bool> finished_{ false };
 };
@@ -135,32 +141,35 @@
   RestinioServer(HttpServerOptions aOptions, HttpHandler aHandler)
     : options_(std::move(aOptions))
     , handler_(std::move(aHandler))
-    , server_(restinio::external_io_context(context_),
-              [this](auto& aSettings) { Configure(aSettings); })
   {
+    state_->pool_ =
+      options_.pool_ ? options_.pool_ : IoPool::Create(options_.threads_);
   }
 
   ~RestinioServer() override
   {
-    StopAccepting();
-    guard_.reset();
-    context_.stop();
-    for (std::thread& thread : threads_) {
-      thread.join();
+    state_->pool_->Stop();
+    if (open_) {
+      CloseAll();
     }
   }
 
+  /// Each loop accepts from the same listening socket.
   Result<bool> Open()
   {
-    for (std::uint32_t i = 0; i < options_.threads_; ++i) {
-      threads_.emplace_back([this] { context_.run(); });
-    }
-    try {
-      server_.open_sync();
-    } catch (const std::exception& failure) {
-      return Error{ ErrorKind::Unavailable,
-                    "cannot listen on " + options_.address_ + ":" +
-                      std::to_string(options_.port_) + ": " + failure.what() };
+    for (std::size_t i = 0; i < state_->pool_->Size(); ++i) {
+      auto& context = state_->pool_->Loop(i).Context();
+      servers_.push_back(std::make_unique<Server>(
+        restinio::external_io_context(context),
+        [this](auto& aSettings) { Configure(aSettings); }));
+      try {
+        RunOn(i, [this, i] { servers_[i]->open_sync(); });
+      } catch (const std::exception& failure) {
+        return Error{ ErrorKind::Unavailable,
+                      "cannot listen on " + options_.address_ + ":" +
+                        std::to_string(options_.port_) + ": " +
+                        failure.what() };
+      }
     }
     open_ = true;
     return true;
@@ -172,7 +181,9 @@
   {
     state_->closing_ = true;
     if (open_.exchange(false)) {
-      server_.close_sync();
+      for (std::size_t i = 0; i < servers_.size(); ++i) {
+        RunOn(i, [this, i] { servers_[i]->close_sync(); });
+      }
     }
   }
 
@@ -182,12 +193,43 @@
   }
 
 private:
+  /// Runs a task on a loop and waits for it.
+  void RunOn(std::size_t aLoop, const std::function<void()>& aTask)
+  {
+    std::packaged_task<void()> task(aTask);
+    auto done = task.get_future();
+    asio::post(state_->pool_->Loop(aLoop).Context(), [&task] { task(); });
+    done.get();
+  }
+
+  void CloseAll()
+  {
+    for (const auto& server : servers_) {
+      server->close_sync();
+    }
+  }
+
+  /// The first loop's socket is bound to the port wanted; the others take
+  /// it over. So a port in use is an error, as with one socket, and every
+  /// loop accepts.
+  void TakeListener(restinio::asio_ns::ip::tcp::acceptor& aAcceptor)
+  {
+    if (listener_ < 0) {
+      listener_ = aAcceptor.native_handle();
+      port_ = aAcceptor.local_endpoint().port();
+      return;
+    }
+    const auto protocol = aAcceptor.local_endpoint().protocol();
+    aAcceptor.close();
+    aAcceptor.assign(protocol, ::dup(listener_));
+  }
+
   template<typename Settings>
   void Configure(Settings& aSettings)
   {
     const auto bodyLimit = options_.maxBodyBytes_ * kBodyReadFactor;
     aSettings.address(options_.address_)
-      .port(options_.port_)
+      .port(listener_ < 0 ? options_.port_ : std::uint16_t{ 0 })
       .buffer_size(kReadBufferBytes)
       .handle_request_timeout(kHandleTimeout)
       .read_next_http_message_timelimit(kIdleTimeout)
@@ -195,7 +237,7 @@
       .incoming_http_msg_limits(
         restinio::incoming_http_msg_limits_t{}.max_body_size(bodyLimit))
       .acceptor_post_bind_hook(
-        [this](auto& aAcceptor) { port_ = aAcceptor.local_endpoint().port(); })
+        [this](auto& aAcceptor) { TakeListener(aAcceptor); })
       .socket_options_setter([](auto& aOptions) {
         aOptions.set_option(restinio::asio_ns::ip::tcp::no_delay{ true });
       })
@@ -222,14 +264,11 @@
   HttpServerOptions options_;
   HttpHandler handler_;
   std::shared_ptr<ServerState> state_ = std::make_shared<ServerState>();
-  restinio::asio_ns::io_context context_;
-  std::optional<restinio::asio_ns::executor_work_guard<
-    restinio::asio_ns::io_context::executor_type>>
-    guard_{ context_.get_executor() };
   std::atomic<std::uint16_t> port_{ 0 };
   std::atomic<bool> open_{ false };
-  Server server_;
-  std::vector<std::thread> threads_;
+  /// The first loop's listening socket; below zero before it is bound.
+  int listener_ = -1;
+  std::vector<std::unique_ptr<Server>> servers_;
 };
 
 } // namespace
