--- a/include/marjoramtally/request/sample.hpp
+++ b/include/marjoramtally/request/sample.hpp
@@ -22,6 +22,8 @@
 {
   SampleId id_;
   std::string text_;
+  /// Tokens generated; the spans must cover them.
+  std::uint32_t tokens_ = 0;
   std::vector<VersionSpan> spans_;
   /// Score given by the trainer's scorer.
   double reward_ = 0;
