--- a/include/marjoramtally/base.hpp
+++ b/include/marjoramtally/base.hpp
@@ -1,6 +1,7 @@
 /// Public header of the base library: ids, units, time, results, findings.
 #pragma once
 
+#include "marjoramtally/base/backoff.hpp"
 #include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/fields.hpp"
 #include "marjoramtally/base/findings.hpp"
--- a/include/marjoramtally/connection/trainer_messages.hpp
+++ b/include/marjoramtally/connection/trainer_messages.hpp
@@ -34,8 +34,12 @@
   StepId step_;
 };
 
+/// Asks how far the open steps are.
+struct AskProgress
+{};
+
 using TrainerOperation =
-  std::variant<OpenStep, TakeSamples, AnnounceVersion, CloseStep>;
+  std::variant<OpenStep, TakeSamples, AnnounceVersion, CloseStep, AskProgress>;
 
 /// One operation of a trainer.
 struct TrainerRequest
@@ -48,7 +52,13 @@
 struct TrainerReply
 {
   FencingNumber term_;
+  /// Number of the take that this answers.
+  std::uint64_t number_ = 0;
   TakeResult taken_;
+  /// Newest version announced.
+  WeightVersion announced_;
+  /// Steps open at the owner.
+  std::vector<StepProgress> progress_;
   /// RPC address of the owner if it is another; then nothing else is set.
   std::string redirect_;
 };
--- a/include/marjoramtally/version/ledger.hpp
+++ b/include/marjoramtally/version/ledger.hpp
@@ -1,12 +1,15 @@
 /// The ledger of one trainer step: which samples are wanted, in generation,
-/// ready, or held by the trainer. The trainer's set of held samples decides;
-/// a ledger can be built anew by any owner from the opened step and a take.
+/// being scored, ready, or held by the trainer. The trainer's set of held
+/// samples decides; a ledger can be built anew by any owner from the opened
+/// step and a take.
 #pragma once
 
 #include "marjoramtally/base/index_set.hpp"
 #include "marjoramtally/request/sample.hpp"
 
+#include <array>
 #include <string>
+#include <unordered_map>
 
 namespace marjoramtally {
 
@@ -14,7 +17,7 @@
 struct StepSpec
 {
   StepId step_;
-  /// The trainer's weight version.
+  /// The weight version at which the trainer will take the step.
   WeightVersion version_;
   std::uint32_t groupSize_ = 1;
   std::uint32_t maxTokens_ = 256;
@@ -29,10 +32,15 @@
   StepId step_;
   /// The trainer's weight version now.
   WeightVersion version_;
+  /// Grows with each take of a trainer; the reply repeats it.
+  std::uint64_t number_ = 0;
   /// Indexes (group × group size + member) the trainer holds.
   IndexSet held_;
   /// Most samples wanted.
   std::uint32_t most_ = 64;
+  /// Whether only whole groups are wanted; then at least one group is
+  /// given even if it has more than `most_` samples.
+  bool wholeGroups_ = false;
 };
 
 /// Samples for a trainer.
@@ -43,53 +51,93 @@
   std::uint32_t remaining_ = 0;
 };
 
+/// How many samples of a step are in which state.
+struct StepProgress
+{
+  StepId step_;
+  std::uint32_t wanted_ = 0;
+  std::uint32_t inGeneration_ = 0;
+  std::uint32_t scoring_ = 0;
+  std::uint32_t ready_ = 0;
+  std::uint32_t held_ = 0;
+  bool operator==(const StepProgress&) const = default;
+};
+
 /// Samples of one step.
 class StepLedger
 {
 public:
-  /// @param aBound versions a delivered sample may be behind the trainer
-  StepLedger(StepSpec aSpec, std::uint64_t aBound);
+  explicit StepLedger(StepSpec aSpec);
 
   [[nodiscard]] const StepSpec& Spec() const noexcept { return spec_; }
+  [[nodiscard]] std::uint32_t Size() const noexcept;
+  [[nodiscard]] StepProgress Progress() const noexcept;
+  /// @returns whether a sample is to be generated
+  [[nodiscard]] bool AnyWanted() const noexcept;
   /// @returns the next sample to generate, marked as in generation
   [[nodiscard]] std::optional<SampleId> StartNext();
-  /// Records a candidate; uncertain labels are not accepted.
+  /// @returns whether the sample is of this step and neither ready nor held
+  [[nodiscard]] bool Lacks(const SampleId& aId) const noexcept;
+  /// Records that a generation ended and its candidate is being scored.
+  void Scoring(const SampleId& aId);
+  /// Keeps a candidate unless the sample is ready or held already.
   /// @returns whether it was kept
-  bool Generated(Sample aSample);
-  /// Records that a generation failed; the sample is wanted again.
-  void Failed(const SampleId& aId);
-  /// Answers a take. Candidates older than the bound are dropped and wanted
+  bool Keep(Sample aSample);
+  /// Records that a generation or its scoring failed; the sample is wanted
   /// again.
-  [[nodiscard]] TakeResult Take(const TakeSpec& aTake);
+  void Failed(const SampleId& aId);
+  /// Takes over the trainer's set: what it holds is done, and what it no
+  /// longer holds is wanted again.
+  void Hold(const IndexSet& aHeld);
+  /// Drops candidates with a version below `aOldest`.
+  /// @returns tokens dropped
+  std::uint64_t DropOlder(WeightVersion aOldest);
+  /// @returns ready samples, in the order in which they became ready
+  [[nodiscard]] TakeResult Collect(std::uint32_t aMost,
+                                   bool aWholeGroups) const;
   /// @returns generations in progress
-  [[nodiscard]] std::uint32_t InFlight() const noexcept { return inFlight_; }
-  /// @returns the oldest version that may be sampled now
-  [[nodiscard]] WeightVersion MinVersion() const noexcept;
-  [[nodiscard]] std::uint32_t Size() const noexcept;
+  [[nodiscard]] std::uint32_t InFlight() const noexcept;
 
 private:
   enum class State : std::uint8_t
   {
     Wanted,
     InGeneration,
+    Scoring,
     Ready,
     Held,
   };
+  static constexpr std::size_t kStates = 5;
   struct Slot
   {
     State state_ = State::Wanted;
-    Sample sample_;
+    /// Whether the index stands in `again_`.
+    bool queued_ = false;
   };
 
-  [[nodiscard]] std::uint32_t IndexOf(const SampleId& aId) const noexcept;
-  [[nodiscard]] bool Fresh(const Sample& aSample) const noexcept;
-  void MarkHeld(const IndexSet& aHeld);
+  [[nodiscard]] std::optional<std::uint32_t> IndexOf(
+    const SampleId& aId) const noexcept;
+  [[nodiscard]] std::uint32_t Count(State aState) const noexcept;
+  [[nodiscard]] std::optional<std::uint32_t> PopWanted();
+  [[nodiscard]] std::vector<std::uint32_t> ChooseReady(
+    std::uint32_t aMost) const;
+  [[nodiscard]] std::vector<std::uint32_t> ChooseGroups(
+    std::uint32_t aMost) const;
+  void Move(std::uint32_t aIndex, State aTo);
+  void CompactReady();
 
   StepSpec spec_;
-  std::uint64_t bound_;
-  WeightVersion trainerVersion_;
   std::vector<Slot> slots_;
-  std::uint32_t inFlight_ = 0;
+  std::array<std::uint32_t, kStates> counts_{};
+  /// Members of each group that are ready or held.
+  std::vector<std::uint32_t> groupDone_;
+  /// Indexes from here on were never started.
+  std::uint32_t next_ = 0;
+  /// Indexes wanted again; they go before those never started.
+  std::vector<std::uint32_t> again_;
+  /// Indexes that are ready, in the order in which they became so.
+  std::vector<std::uint32_t> ready_;
+  std::unordered_map<std::uint32_t, Sample> candidates_;
 };
 
 } // namespace marjoramtally
--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -53,6 +53,12 @@
   std::string model_;
   /// Versions a delivered sample may be behind.
   std::uint64_t staleness_ = 1;
+  /// Time since the oldest version of a delivered sample was superseded;
+  /// zero sets no bound.
+  Duration stalenessAge_{ 0 };
+  /// `idle` or `freshness`: which goes first, and so how far generation
+  /// leads the trainer.
+  std::string policy_ = "idle";
   /// Share among trainers.
   std::uint64_t weight_ = 1;
   /// Generations in flight at once.
--- a/src/connection/trainer.capnp
+++ b/src/connection/trainer.capnp
@@ -11,6 +11,7 @@
     take @2 :TakeSamples;
     announce @3 :UInt64;
     close @4 :UInt64;
+    progress @5 :Void;
   }
 }
 
@@ -28,6 +29,8 @@
   held @2 :Text;
   most @3 :UInt32;
   waitMs @4 :UInt32;
+  number @5 :UInt64;
+  wholeGroups @6 :Bool;
 }
 
 struct SampleRef {
@@ -48,6 +51,16 @@
   spans @2 :List(VersionSpan);
   reward @3 :Float64;
   upstream @4 :Text;
+  tokens @5 :UInt32;
+}
+
+struct StepProgress {
+  step @0 :UInt64;
+  wanted @1 :UInt32;
+  inGeneration @2 :UInt32;
+  scoring @3 :UInt32;
+  ready @4 :UInt32;
+  held @5 :UInt32;
 }
 
 struct TrainerReply {
@@ -55,6 +68,9 @@
   remaining @1 :UInt32;
   samples @2 :List(Sample);
   redirect @3 :Text;
+  number @4 :UInt64;
+  progress @5 :List(StepProgress);
+  announced @6 :UInt64;
 }
 
 struct GenerateRequest {
--- a/src/connection/trainer_messages.cpp
+++ b/src/connection/trainer_messages.cpp
@@ -97,6 +97,8 @@
   aOut.setHeld(aTake.spec_.held_.Format());
   aOut.setMost(aTake.spec_.most_);
   aOut.setWaitMs(Millis(aTake.wait_));
+  aOut.setNumber(aTake.spec_.number_);
+  aOut.setWholeGroups(aTake.spec_.wholeGroups_);
 }
 
 Result<TrainerOperation>
@@ -111,6 +113,8 @@
   take.spec_.version_ = WeightVersion{ aIn.getVersion() };
   take.spec_.held_ = *held;
   take.spec_.most_ = aIn.getMost();
+  take.spec_.number_ = aIn.getNumber();
+  take.spec_.wholeGroups_ = aIn.getWholeGroups();
   take.wait_ = std::chrono::milliseconds(aIn.getWaitMs());
   return TrainerOperation{ std::move(take) };
 }
@@ -128,6 +132,8 @@
         WeightVersion{ aIn.getAnnounce() } } };
     case wire::TrainerRequest::CLOSE:
       return TrainerOperation{ CloseStep{ StepId{ aIn.getClose() } } };
+    case wire::TrainerRequest::PROGRESS:
+      return TrainerOperation{ AskProgress{} };
   }
   return Error{ ErrorKind::BadInput, "unknown trainer operation" };
 }
@@ -141,6 +147,7 @@
   WriteSpans(aOut.initSpans(count), aSample.spans_);
   aOut.setReward(aSample.reward_);
   aOut.setUpstream(aSample.upstream_.Get());
+  aOut.setTokens(aSample.tokens_);
 }
 
 Sample
@@ -152,9 +159,28 @@
   sample.spans_ = ReadSpans(aIn.getSpans());
   sample.reward_ = aIn.getReward();
   sample.upstream_ = UpstreamId{ aIn.getUpstream().cStr() };
+  sample.tokens_ = aIn.getTokens();
   return sample;
 }
 
+void
+WriteProgress(wire::StepProgress::Builder aOut, const StepProgress& aProgress)
+{
+  aOut.setStep(aProgress.step_.Get());
+  aOut.setWanted(aProgress.wanted_);
+  aOut.setInGeneration(aProgress.inGeneration_);
+  aOut.setScoring(aProgress.scoring_);
+  aOut.setReady(aProgress.ready_);
+  aOut.setHeld(aProgress.held_);
+}
+
+StepProgress
+ReadProgress(wire::StepProgress::Reader aIn)
+{
+  return { StepId{ aIn.getStep() }, aIn.getWanted(), aIn.getInGeneration(),
+           aIn.getScoring(),        aIn.getReady(),  aIn.getHeld() };
+}
+
 } // namespace
 
 std::string
@@ -171,6 +197,7 @@
         root.setAnnounce(aNew.version_.Get());
       },
       [&](const CloseStep& aClose) { root.setClose(aClose.step_.Get()); },
+      [&](const AskProgress&) { root.setProgress(); },
     },
     aMessage.operation_);
   return impl::Flatten(builder);
@@ -189,6 +216,13 @@
   for (std::uint32_t i = 0; i < samples.size(); ++i) {
     WriteSample(list[i], samples[i]);
   }
+  root.setNumber(aMessage.number_);
+  root.setAnnounced(aMessage.announced_.Get());
+  const auto& progress = aMessage.progress_;
+  auto steps = root.initProgress(static_cast<std::uint32_t>(progress.size()));
+  for (std::uint32_t i = 0; i < progress.size(); ++i) {
+    WriteProgress(steps[i], progress[i]);
+  }
   return impl::Flatten(builder);
 }
 
@@ -248,6 +282,11 @@
     for (const auto sample : aIn.getSamples()) {
       reply.taken_.samples_.push_back(ReadSample(sample));
     }
+    reply.number_ = aIn.getNumber();
+    reply.announced_ = WeightVersion{ aIn.getAnnounced() };
+    for (const auto step : aIn.getProgress()) {
+      reply.progress_.push_back(ReadProgress(step));
+    }
     return reply;
   };
   return impl::ReadMessage<wire::TrainerReply, TrainerReply>(aBytes, convert);
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -32,6 +32,10 @@
   std::uint64_t threads_ = 2;
   /// Spans are appended here; empty writes none.
   std::string traceFile_;
+  /// Folder for bulk data; empty keeps nothing on disk.
+  std::string dataDir_;
+  /// Most bytes of samples kept in the folder.
+  std::uint64_t dataBytes_ = 256U << 20U;
   /// The bound ports are written here; empty writes none.
   std::string portFile_;
   std::string logLevel_ = "info";
--- /dev/null
+++ b/src/programs/controld/candidate_source.cpp
@@ -0,0 +1,179 @@
+#include "programs/controld/candidate_source.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr auto kGenerateTimeout = std::chrono::minutes(5);
+constexpr auto kScoreTimeout = std::chrono::seconds(10);
+/// Pauses between tries of a scorer.
+constexpr auto kFirstScorePause = std::chrono::milliseconds(50);
+constexpr auto kLongestScorePause = std::chrono::seconds(5);
+
+GenerateRequest
+MakeRequest(const CandidateOrder& aOrder)
+{
+  GenerateRequest request;
+  request.trainer_ = aOrder.rule_.id_;
+  request.service_ = ServiceId{ aOrder.rule_.service_ };
+  request.model_ = aOrder.rule_.model_;
+  request.sample_ = aOrder.sample_;
+  request.minVersion_ = aOrder.least_;
+  request.maxTokens_ = aOrder.maxTokens_;
+  request.prompt_ = aOrder.prompt_;
+  return request;
+}
+
+Sample
+MakeSample(const SampleId& aId, GenerateReply aReply)
+{
+  Sample sample;
+  sample.id_ = aId;
+  sample.text_ = std::move(aReply.text_);
+  sample.tokens_ = aReply.tokens_;
+  sample.spans_ = std::move(aReply.spans_);
+  sample.upstream_ = std::move(aReply.upstream_);
+  return sample;
+}
+
+/// @returns the reward if the scorer gave one
+std::optional<double>
+ReadReward(const HttpResult& aResult)
+{
+  if (aResult.end_ != HttpEnd::Whole || aResult.response_.status_ != 200) {
+    return std::nullopt;
+  }
+  const auto reply =
+    nlohmann::json::parse(aResult.response_.body_, nullptr, false);
+  if (!reply.is_object() || !reply.contains("reward") ||
+      !reply["reward"].is_number()) {
+    return std::nullopt;
+  }
+  return reply["reward"].get<double>();
+}
+
+std::uint64_t
+SeedOf(const SampleId& aId)
+{
+  return (aId.step_.Get() << 32U) ^
+         (static_cast<std::uint64_t>(aId.group_) << 12U) ^ aId.member_;
+}
+
+} // namespace
+
+std::optional<std::string>
+CandidateSource::ChooseEntry()
+{
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& [id, instance] : host_.Members().View()->instances_) {
+    if (instance.role_ == "entry") {
+      const bool same = instance.zone_.Get() == host_.Settings().zone_;
+      (same ? near : far).push_back(instance.rpc_);
+    }
+  }
+  const auto& choices = near.empty() ? far : near;
+  if (choices.empty()) {
+    return std::nullopt;
+  }
+  return choices[nextEntry_++ % choices.size()];
+}
+
+void
+CandidateSource::Make(const CandidateOrder& aOrder, CandidateEvents aEvents)
+{
+  const auto entry = ChooseEntry();
+  if (!entry) {
+    host_.Clockwork().After(Duration::zero(), [done = aEvents.done_] {
+      done(Error{ ErrorKind::Unavailable, "no entry is known" });
+    });
+    return;
+  }
+  RpcCall call;
+  call.topic_ = RpcTopic::Generate;
+  call.timeout_ = kGenerateTimeout;
+  call.traceparent_ = aOrder.trace_;
+  call.body_ = Encode(MakeRequest(aOrder));
+  host_.Rpc().Call(*entry,
+                   std::move(call),
+                   [this, order = aOrder, events = std::move(aEvents)](
+                     RpcReply aReply) { TakeReply(order, events, aReply); });
+}
+
+void
+CandidateSource::TakeReply(const CandidateOrder& aOrder,
+                           CandidateEvents aEvents,
+                           const RpcReply& aReply)
+{
+  auto reply = aReply ? DecodeGenerateReply(aReply.value())
+                      : Result<GenerateReply>(aReply.error());
+  if (!reply) {
+    aEvents.done_(reply.error());
+    return;
+  }
+  Sample sample = MakeSample(aOrder.sample_, std::move(reply).value());
+  if (aOrder.rule_.scorer_.empty()) {
+    aEvents.done_(std::move(sample));
+    return;
+  }
+  aEvents.scoring_();
+  const nlohmann::json body{ { "prompt", aOrder.prompt_ },
+                             { "text", sample.text_ } };
+  Score(std::make_shared<Scoring>(Scoring{
+    std::move(sample),
+    aOrder.rule_.scorer_,
+    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+    Backoff(kFirstScorePause, kLongestScorePause, SeedOf(aOrder.sample_)),
+    std::move(aEvents),
+  }));
+}
+
+void
+CandidateSource::Score(const ScoringPtr& aScoring)
+{
+  HttpCall call;
+  call.method_ = "POST";
+  call.url_ = "http://" + aScoring->scorer_ + "/score";
+  call.body_ = aScoring->body_;
+  call.timeout_ = kScoreTimeout;
+  host_.Http().Send(std::move(call),
+                    [this, aScoring](const HttpResult& aResult) {
+                      TakeScore(aScoring, aResult);
+                    });
+}
+
+void
+CandidateSource::TakeScore(const ScoringPtr& aScoring,
+                           const HttpResult& aResult)
+{
+  const auto reward = ReadReward(aResult);
+  if (!reward) {
+    ScoreLater(aScoring, aResult);
+    return;
+  }
+  aScoring->sample_.reward_ = *reward;
+  aScoring->events_.done_(std::move(aScoring->sample_));
+}
+
+void
+CandidateSource::ScoreLater(const ScoringPtr& aScoring,
+                            const HttpResult& aResult)
+{
+  LogEvent(LogLevel::Warn,
+           "scoring_failed",
+           { { "scorer", aScoring->scorer_ },
+             { "status", std::to_string(aResult.response_.status_) },
+             { "error", aResult.message_ } });
+  host_.Clockwork().After(aScoring->pauses_.Next(), [this, aScoring] {
+    if (aScoring->events_.stillWanted_(aScoring->sample_)) {
+      Score(aScoring);
+    } else {
+      aScoring->events_.done_(
+        Error{ ErrorKind::Conflict, "no longer wanted unscored" });
+    }
+  });
+}
+
+} // namespace marjoramtally
--- a/src/programs/controld/owners.cpp
+++ b/src/programs/controld/owners.cpp
@@ -23,6 +23,7 @@
       mine_[aDuty] = owner->second.term_;
       known = Ownership{ true, owner->second.term_, {} };
     } else {
+      mine_.erase(aDuty);
       known = Ownership{ false, {}, owner->second.rpc_ };
     }
   }
@@ -33,6 +34,72 @@
   Create(aDuty, std::move(aDone));
 }
 
+std::optional<FencingNumber>
+Owners::KeptTerm(const std::string& aDuty)
+{
+  const auto view = host_.Members().View();
+  const std::lock_guard lock(mutex_);
+  const auto mine = mine_.find(aDuty);
+  if (view->owners_.contains(aDuty) || mine == mine_.end()) {
+    return std::nullopt;
+  }
+  return mine->second;
+}
+
+void
+Owners::AcquireOrKeep(const std::string& aDuty,
+                      std::function<void(Result<Ownership>)> aDone)
+{
+  const auto term = KeptTerm(aDuty);
+  if (!term) {
+    Acquire(aDuty, std::move(aDone));
+    return;
+  }
+  bool renew = false;
+  {
+    const std::lock_guard lock(mutex_);
+    renew = renewing_.insert(aDuty).second;
+  }
+  if (renew) {
+    Renew(aDuty, *term);
+  }
+  aDone(Ownership{ true, *term, {} });
+}
+
+void
+Owners::Renew(const std::string& aDuty, FencingNumber aTerm)
+{
+  Create(aDuty, [this, aDuty, aTerm](const Result<Ownership>& aOwnership) {
+    {
+      const std::lock_guard lock(mutex_);
+      renewing_.erase(aDuty);
+      if (aOwnership && !aOwnership.value().mine_) {
+        mine_.erase(aDuty);
+      }
+    }
+    const bool renewed = aOwnership && aOwnership.value().mine_ &&
+                         aOwnership.value().term_ != aTerm;
+    if (renewed) {
+      LogEvent(LogLevel::Warn, "owner_record_renewed", { { "duty", aDuty } });
+    }
+    host_.Members().Refresh();
+  });
+}
+
+bool
+Owners::Lost(const std::string& aDuty)
+{
+  const auto view = host_.Members().View();
+  const auto owner = view->owners_.find(aDuty);
+  const bool lost = owner != view->owners_.end() &&
+                    owner->second.owner_ != host_.Members().Self().id_;
+  if (lost) {
+    const std::lock_guard lock(mutex_);
+    mine_.erase(aDuty);
+  }
+  return lost;
+}
+
 void
 Owners::Create(const std::string& aDuty,
                std::function<void(Result<Ownership>)> aDone)
--- a/src/programs/controld/owners.hpp
+++ b/src/programs/controld/owners.hpp
@@ -4,6 +4,8 @@
 
 #include "daemon/host.hpp"
 
+#include <set>
+
 namespace marjoramtally {
 
 /// What came of trying to own a duty.
@@ -28,8 +30,19 @@
   /// Finds the owner of a duty or becomes it.
   void Acquire(const std::string& aDuty,
                std::function<void(Result<Ownership>)> aDone);
+  /// As `Acquire`, but a duty that was ours stays ours until another owner
+  /// is seen, even if the store lost the record (its lease lapsed while the
+  /// store was down); the record is then made anew meanwhile. Only for
+  /// duties that two owners may carry out at once without harm.
+  void AcquireOrKeep(const std::string& aDuty,
+                     std::function<void(Result<Ownership>)> aDone);
+  /// @returns whether another instance is known to own the duty
+  [[nodiscard]] bool Lost(const std::string& aDuty);
 
 private:
+  /// @returns our term of a duty that the store has no record of
+  [[nodiscard]] std::optional<FencingNumber> KeptTerm(const std::string& aDuty);
+  void Renew(const std::string& aDuty, FencingNumber aTerm);
   void Create(const std::string& aDuty,
               std::function<void(Result<Ownership>)> aDone);
   void ReadBack(const std::string& aDuty,
@@ -39,6 +52,8 @@
   std::mutex mutex_;
   /// Terms of the duties that are ours, kept through store outages.
   std::map<std::string, FencingNumber> mine_;
+  /// Duties whose record is being made anew.
+  std::set<std::string> renewing_;
 };
 
 } // namespace marjoramtally
--- a/src/programs/controld/trainer_service.cpp
+++ b/src/programs/controld/trainer_service.cpp
@@ -1,62 +1,56 @@
 #include "programs/controld/trainer_service.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace marjoramtally {
 
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds(20);
-constexpr auto kGenerateTimeout = std::chrono::minutes(5);
-constexpr auto kScoreTimeout = std::chrono::seconds(10);
-/// Pause before a failed generation or scoring is tried again.
-constexpr auto kRetryPause = std::chrono::milliseconds(50);
+/// Pauses before a failed generation is tried again.
+constexpr auto kFirstPause = std::chrono::milliseconds(50);
+constexpr auto kLongestPause = std::chrono::seconds(2);
+
+/// Turns a visitor's overloads into one callable.
+template<typename... Functions>
+struct Overloaded : Functions...
+{
+  using Functions::operator()...;
+};
+template<typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
 
 std::string
-EncodeReply(FencingNumber aTerm, TakeResult aTaken)
+DutyOf(const TrainerId& aTrainer)
 {
-  TrainerReply reply;
-  reply.term_ = aTerm;
-  reply.taken_ = std::move(aTaken);
-  return Encode(reply);
+  return "trainer/" + aTrainer.Get();
 }
 
-/// Raises a model's version in the store unless it is as high already.
-StoreTxn
-MakeVersionTxn(const std::string& aKey,
-               const StoreRange& aRead,
-               WeightVersion aVersion)
+LedgerRules
+RulesOf(const TrainerRule& aRule)
 {
-  StoreTxn txn;
-  std::uint64_t modRevision = 0;
-  for (const StoreRecord& record : aRead.records_) {
-    if (record.key_ == aKey) {
-      modRevision = record.modRevision_;
-    }
+  LedgerRules rules;
+  rules.staleness_ = { aRule.staleness_, aRule.stalenessAge_ };
+  if (const LeadPolicy* policy = FindLeadPolicy(aRule.policy_)) {
+    rules.policy_ = policy;
   }
-  txn.compares_.push_back({ aKey, modRevision });
-  const nlohmann::json value{ { "version", aVersion.Get() } };
-  txn.puts_.push_back({ aKey, value.dump(), 0 });
-  return txn;
+  return rules;
 }
 
-WeightVersion
-StoredVersion(const std::string& aKey, const StoreRange& aRead)
+Error
+NotOpen(StepId aStep)
 {
-  for (const StoreRecord& record : aRead.records_) {
-    if (record.key_ == aKey) {
-      const auto body = nlohmann::json::parse(record.value_, nullptr, false);
-      return WeightVersion{ body.value("version", std::uint64_t{ 0 }) };
-    }
-  }
-  return WeightVersion{ 0 };
+  return { ErrorKind::NotFound,
+           "step " + std::to_string(aStep.Get()) +
+             " is not open here; open it again, then take" };
 }
 
 } // namespace
 
-TrainerService::TrainerService(Host& aHost, Owners& aOwners) noexcept
+TrainerService::TrainerService(Host& aHost, Owners& aOwners)
   : host_(aHost)
   , owners_(aOwners)
+  , candidates_(aHost)
+  , announcer_(aHost)
+  , kept_(aHost.Settings())
 {
 }
 
@@ -71,20 +65,27 @@
 {
   const std::lock_guard lock(mutex_);
   for (const auto& [id, state] : trainers_) {
-    if (!state.waiting_.empty()) {
+    if (state.waiting_) {
       return true;
     }
   }
   return false;
 }
 
+TrainerService::TrainerState*
+TrainerService::Find(const TrainerId& aTrainer)
+{
+  const auto found = trainers_.find(aTrainer);
+  return found == trainers_.end() ? nullptr : &found->second;
+}
+
 void
 TrainerService::Serve(TrainerRequest aRequest,
                       std::string aTrace,
                       RpcDone aDone)
 {
-  const std::string duty = "trainer/" + aRequest.trainer_.Get();
-  owners_.Acquire(
+  const std::string duty = DutyOf(aRequest.trainer_);
+  owners_.AcquireOrKeep(
     duty,
     [this,
      request = std::move(aRequest),
@@ -92,23 +93,21 @@
      done = std::move(aDone)](const Result<Ownership>& aOwnership) {
       if (!aOwnership) {
         done(aOwnership.error());
-        return;
-      }
-      if (!aOwnership.value().mine_) {
+      } else if (!aOwnership.value().mine_) {
         TrainerReply reply;
         reply.redirect_ = aOwnership.value().owner_;
         done(Encode(reply));
-        return;
+      } else {
+        Prepare(request, trace, aOwnership.value().term_, done);
       }
-      Apply(request, trace, aOwnership.value().term_, done);
     });
 }
 
 void
-TrainerService::Apply(const TrainerRequest& aRequest,
-                      const std::string& aTrace,
-                      FencingNumber aTerm,
-                      RpcDone aDone)
+TrainerService::Prepare(const TrainerRequest& aRequest,
+                        const std::string& aTrace,
+                        FencingNumber aTerm,
+                        RpcDone aDone)
 {
   const auto rules = host_.Members().View()->rules_;
   const auto rule = rules->trainers_.find(aRequest.trainer_);
@@ -117,24 +116,84 @@
                  "unknown trainer '" + aRequest.trainer_.Get() + "'" });
     return;
   }
-  const auto* announce = std::get_if<AnnounceVersion>(&aRequest.operation_);
-  if (announce != nullptr) {
-    Announce(rule->second, announce->version_, aTerm, std::move(aDone));
-    return;
+  {
+    const std::lock_guard lock(mutex_);
+    TrainerState* state = Find(aRequest.trainer_);
+    if (state != nullptr && state->term_ == aTerm) {
+      state->rule_ = rule->second;
+      state->ledger_.SetRules(RulesOf(rule->second));
+      Apply(aRequest, aTrace, std::move(aDone));
+      return;
+    }
   }
-  const std::lock_guard lock(mutex_);
-  TrainerState& state = trainers_[aRequest.trainer_];
-  state.term_ = aTerm;
-  state.rule_ = rule->second;
+  TakeOver(aRequest, aTrace, aTerm, std::move(aDone));
+}
+
+void
+TrainerService::TakeOver(const TrainerRequest& aRequest,
+                         const std::string& aTrace,
+                         FencingNumber aTerm,
+                         RpcDone aDone)
+{
+  const TrainerRule rule =
+    host_.Members().View()->rules_->trainers_.at(aRequest.trainer_);
+  announcer_.Load(
+    rule.model_,
+    [this, aRequest, aTrace, aTerm, rule, done = std::move(aDone)](
+      const Result<std::vector<WeightVersion>>& aPast) {
+      if (!aPast) {
+        done(aPast.error());
+        return;
+      }
+      const std::lock_guard lock(mutex_);
+      const auto [state, fresh] = trainers_.try_emplace(
+        aRequest.trainer_,
+        TrainerState{ {},
+                      {},
+                      {},
+                      {},
+                      {},
+                      Backoff(kFirstPause, kLongestPause, aTerm.Get()) });
+      state->second.term_ = aTerm;
+      state->second.rule_ = rule;
+      state->second.ledger_.SetRules(RulesOf(rule));
+      for (const WeightVersion past : aPast.value()) {
+        state->second.ledger_.Versions().AddPast(past);
+      }
+      if (fresh) {
+        LogEvent(LogLevel::Info,
+                 "trainer_taken_over",
+                 { { "trainer", rule.id_.Get() },
+                   { "term", std::to_string(aTerm.Get()) } });
+      }
+      Apply(aRequest, aTrace, done);
+    });
+}
+
+void
+TrainerService::Apply(const TrainerRequest& aRequest,
+                      const std::string& aTrace,
+                      RpcDone aDone)
+{
+  TrainerState& state = *Find(aRequest.trainer_);
   state.trace_ = aTrace;
-  if (const auto* open = std::get_if<OpenStep>(&aRequest.operation_)) {
-    Open(state, open->spec_, aDone);
-  } else if (const auto* take =
-               std::get_if<TakeSamples>(&aRequest.operation_)) {
-    Take(state, *take, std::move(aDone));
-  } else if (const auto* close = std::get_if<CloseStep>(&aRequest.operation_)) {
-    Close(state, close->step_, aDone);
-  }
+  TrainerReply reply;
+  reply.term_ = state.term_;
+  std::visit(
+    Overloaded{
+      [&](const OpenStep& aOpen) { Open(state, aOpen.spec_, aDone); },
+      [&](const TakeSamples& aTake) { Take(state, aTake, aDone); },
+      [&](const AnnounceVersion& aNew) {
+        Announce(state, aNew.version_, aDone);
+      },
+      [&](const CloseStep& aClose) { Close(state, aClose.step_, aDone); },
+      [&](const AskProgress&) {
+        reply.announced_ = state.ledger_.Versions().Newest();
+        reply.progress_ = state.ledger_.Progress();
+        aDone(Encode(reply));
+      },
+    },
+    aRequest.operation_);
 }
 
 void
@@ -142,258 +201,264 @@
                      const StepSpec& aSpec,
                      const RpcDone& aDone)
 {
-  const bool open = aState.ledger_.has_value();
-  if (open && aState.ledger_->Spec().step_ > aSpec.step_) {
-    aDone(Error{ ErrorKind::Conflict,
-                 "a later step is open: " +
-                   std::to_string(aState.ledger_->Spec().step_.Get()) });
-    return;
-  }
-  const bool same = open && aState.ledger_->Spec().step_ == aSpec.step_;
-  if (same && aState.ledger_->Spec() != aSpec) {
-    aDone(
-      Error{ ErrorKind::Conflict, "the step is open with another content" });
-    return;
-  }
-  if (!same) {
-    aState.ledger_.emplace(aSpec, aState.rule_.staleness_);
+  switch (aState.ledger_.Open(aSpec)) {
+    case OpenVerdict::Different:
+      aDone(
+        Error{ ErrorKind::Conflict, "the step is open with another content" });
+      return;
+    case OpenVerdict::TooMany:
+      aDone(Error{ ErrorKind::Conflict,
+                   std::to_string(TrainerLedger::kMaxOpenSteps) +
+                     " steps are open; close one first" });
+      return;
+    case OpenVerdict::Opened:
+      Restore(aState, aSpec);
+      break;
+    case OpenVerdict::Same:
+      break;
   }
-  aDone(EncodeReply(aState.term_, { {}, aState.ledger_->Size() }));
+  TrainerReply reply;
+  reply.term_ = aState.term_;
+  reply.taken_.remaining_ = aState.ledger_.Find(aSpec.step_)->Size();
+  aDone(Encode(reply));
 }
 
 void
-TrainerService::Take(TrainerState& aState, TakeSamples aTake, RpcDone aDone)
+TrainerService::Restore(TrainerState& aState, const StepSpec& aSpec)
 {
-  if (!aState.ledger_ || aState.ledger_->Spec().step_ != aTake.spec_.step_) {
-    aDone(Error{ ErrorKind::NotFound,
-                 "step " + std::to_string(aTake.spec_.step_.Get()) +
-                   " is not open here; open it again, then take" });
-    return;
+  std::size_t restored = 0;
+  for (Sample& sample : kept_.Read(aState.rule_.id_, aSpec)) {
+    const CandidateVerdict verdict =
+      aState.ledger_.Generated(std::move(sample), host_.Now());
+    restored += verdict == CandidateVerdict::Kept ? 1 : 0;
+  }
+  if (restored > 0) {
+    LogEvent(LogLevel::Info,
+             "candidates_restored",
+             { { "trainer", aState.rule_.id_.Get() },
+               { "step", std::to_string(aSpec.step_.Get()) },
+               { "samples", std::to_string(restored) } });
   }
-  const TimePoint until = host_.Now() + aTake.wait_;
-  aState.waiting_.push_back({ std::move(aTake), until, std::move(aDone) });
-  AnswerTakes(aState);
 }
 
 void
 TrainerService::Close(TrainerState& aState, StepId aStep, const RpcDone& aDone)
 {
-  if (aState.ledger_ && aState.ledger_->Spec().step_ == aStep) {
-    aState.ledger_.reset();
+  aState.ledger_.Close(aStep);
+  kept_.Remove(aState.rule_.id_, aStep);
+  TrainerReply reply;
+  reply.term_ = aState.term_;
+  aDone(Encode(reply));
+}
+
+void
+TrainerService::Take(TrainerState& aState, TakeSamples aTake, RpcDone aDone)
+{
+  const TakeVerdict verdict = aState.ledger_.Accept(aTake.spec_, host_.Now());
+  if (verdict == TakeVerdict::NotOpen) {
+    aDone(NotOpen(aTake.spec_.step_));
+    return;
+  }
+  const Error superseded{ ErrorKind::Conflict, "a later take came" };
+  if (verdict == TakeVerdict::Superseded) {
+    aDone(superseded);
+    return;
+  }
+  if (aState.waiting_) {
+    aState.waiting_->done_(superseded);
   }
-  aDone(EncodeReply(aState.term_, {}));
+  const TimePoint until = host_.Now() + aTake.wait_;
+  aState.waiting_ = WaitingTake{ std::move(aTake), until, std::move(aDone) };
+  AnswerTake(aState);
+  Fill(aState);
 }
 
 void
-TrainerService::AnswerTakes(TrainerState& aState)
+TrainerService::AnswerTake(TrainerState& aState)
 {
-  std::vector<WaitingTake> still;
-  for (WaitingTake& waiting : aState.waiting_) {
-    const bool current = aState.ledger_ && aState.ledger_->Spec().step_ ==
-                                             waiting.take_.spec_.step_;
-    if (!current) {
-      waiting.done_(Error{ ErrorKind::NotFound, "the step was closed" });
-      continue;
-    }
-    TakeResult taken = aState.ledger_->Take(waiting.take_.spec_);
-    const bool finished = taken.samples_.empty() && taken.remaining_ == 0;
-    if (!taken.samples_.empty() || finished || waiting.until_ <= host_.Now()) {
-      waiting.done_(EncodeReply(aState.term_, std::move(taken)));
-    } else {
-      still.push_back(std::move(waiting));
-    }
+  if (!aState.waiting_) {
+    return;
+  }
+  const TakeSpec& spec = aState.waiting_->take_.spec_;
+  if (aState.ledger_.Find(spec.step_) == nullptr) {
+    aState.waiting_->done_(NotOpen(spec.step_));
+    aState.waiting_.reset();
+    return;
+  }
+  TrainerReply reply;
+  reply.term_ = aState.term_;
+  reply.number_ = spec.number_;
+  reply.taken_ = aState.ledger_.Collect(spec, host_.Now());
+  const bool any = !reply.taken_.samples_.empty();
+  const bool finished = !any && reply.taken_.remaining_ == 0;
+  if (any || finished || aState.waiting_->until_ <= host_.Now()) {
+    aState.waiting_->done_(Encode(reply));
+    aState.waiting_.reset();
   }
-  aState.waiting_ = std::move(still);
 }
 
 void
 TrainerService::Tick()
 {
+  DropLost();
+  const auto view = host_.Members().View();
   const std::lock_guard lock(mutex_);
   for (auto& [id, state] : trainers_) {
-    AnswerTakes(state);
-    Fill(id, state);
+    const auto newest = view->versions_.find(state.rule_.model_);
+    if (newest != view->versions_.end()) {
+      state.ledger_.Versions().Announce(newest->second, host_.Now());
+    }
+    AnswerTake(state);
+    Fill(state);
+    CountTokens(state);
   }
 }
 
-std::optional<std::string>
-TrainerService::ChooseEntry()
+void
+TrainerService::DropLost()
 {
-  std::vector<std::string> near;
-  std::vector<std::string> far;
-  for (const auto& [id, instance] : host_.Members().View()->instances_) {
-    if (instance.role_ == "entry") {
-      const bool same = instance.zone_.Get() == host_.Settings().zone_;
-      (same ? near : far).push_back(instance.rpc_);
+  const std::lock_guard lock(mutex_);
+  std::erase_if(trainers_, [this](auto& aEntry) {
+    if (!owners_.Lost(DutyOf(aEntry.first))) {
+      return false;
     }
-  }
-  const auto& choices = near.empty() ? far : near;
-  if (choices.empty()) {
-    return std::nullopt;
-  }
-  return choices[nextEntry_++ % choices.size()];
+    LogEvent(
+      LogLevel::Info, "trainer_lost", { { "trainer", aEntry.first.Get() } });
+    if (aEntry.second.waiting_) {
+      aEntry.second.waiting_->done_(Error{
+        ErrorKind::Unavailable, "another instance owns the trainer now" });
+    }
+    return true;
+  });
 }
 
 void
-TrainerService::Fill(const TrainerId& aTrainer, TrainerState& aState)
+TrainerService::Fill(TrainerState& aState)
 {
-  while (aState.ledger_ &&
-         aState.ledger_->InFlight() < aState.rule_.inFlight_) {
-    const auto sample = aState.ledger_->StartNext();
-    if (!sample) {
+  while (aState.ledger_.InFlight() < aState.rule_.inFlight_) {
+    const auto start = aState.ledger_.StartNext(host_.Now());
+    if (!start) {
       return;
     }
-    Generate(aTrainer, aState, *sample);
+    StartGeneration(aState, *start);
   }
 }
 
 void
-TrainerService::Generate(const TrainerId& aTrainer,
-                         const TrainerState& aState,
-                         const SampleId& aSample)
+TrainerService::StartGeneration(TrainerState& aState,
+                                const GenerationStart& aStart)
 {
-  GenerateRequest request;
-  request.trainer_ = aTrainer;
-  request.service_ = ServiceId{ aState.rule_.service_ };
-  request.model_ = aState.rule_.model_;
-  request.sample_ = aSample;
-  request.minVersion_ = aState.ledger_->MinVersion();
-  request.maxTokens_ = aState.ledger_->Spec().maxTokens_;
-  request.prompt_ = aState.ledger_->Spec().prompts_[aSample.group_];
-  const auto entry = ChooseEntry();
-  if (!entry) {
-    host_.Clockwork().After(
-      kRetryPause, [this, aTrainer, aSample] { Fail(aTrainer, aSample); });
-    return;
-  }
-  RpcCall call;
-  call.topic_ = RpcTopic::Generate;
-  call.timeout_ = kGenerateTimeout;
-  call.traceparent_ = aState.trace_;
-  call.body_ = Encode(request);
-  host_.Rpc().Call(
-    *entry,
-    std::move(call),
-    [this, aTrainer, aSample, prompt = request.prompt_](RpcReply aReply) {
-      Generated(aTrainer, aSample, prompt, aReply);
-    });
+  const StepSpec& spec = aState.ledger_.Find(aStart.sample_.step_)->Spec();
+  CandidateOrder order;
+  order.rule_ = aState.rule_;
+  order.sample_ = aStart.sample_;
+  order.least_ = aStart.least_;
+  order.maxTokens_ = spec.maxTokens_;
+  order.prompt_ = spec.prompts_[aStart.sample_.group_];
+  order.trace_ = aState.trace_;
+  candidates_.Make(order, EventsOf(aState.rule_.id_, aStart.sample_));
 }
 
-void
-TrainerService::Generated(const TrainerId& aTrainer,
-                          const SampleId& aSample,
-                          const std::string& aPrompt,
-                          const RpcReply& aReply)
+CandidateEvents
+TrainerService::EventsOf(const TrainerId& aTrainer, const SampleId& aSample)
 {
-  const auto reply = aReply ? DecodeGenerateReply(aReply.value())
-                            : Result<GenerateReply>(aReply.error());
-  if (!reply) {
-    LogEvent(
-      LogLevel::Warn,
-      "generation_failed",
-      { { "trainer", aTrainer.Get() }, { "error", reply.error().message_ } });
-    host_.Clockwork().After(
-      kRetryPause, [this, aTrainer, aSample] { Fail(aTrainer, aSample); });
-    return;
-  }
-  Sample sample;
-  sample.id_ = aSample;
-  sample.text_ = reply.value().text_;
-  sample.spans_ = reply.value().spans_;
-  sample.upstream_ = reply.value().upstream_;
-  Score(aTrainer, std::move(sample), aPrompt);
+  CandidateEvents events;
+  events.scoring_ = [this, aTrainer, aSample] {
+    const std::lock_guard lock(mutex_);
+    if (TrainerState* state = Find(aTrainer)) {
+      state->ledger_.Scoring(aSample);
+      Fill(*state);
+    }
+  };
+  events.stillWanted_ = [this, aTrainer](const Sample& aCandidate) {
+    const std::lock_guard lock(mutex_);
+    TrainerState* state = Find(aTrainer);
+    return state != nullptr && state->ledger_.Judge(aCandidate, host_.Now()) ==
+                                 CandidateVerdict::Kept;
+  };
+  events.done_ = [this, aTrainer, aSample](const Result<Sample>& aMade) {
+    if (aMade) {
+      Keep(aTrainer, aMade.value());
+    } else {
+      Fail(aTrainer, aSample, aMade.error());
+    }
+  };
+  return events;
 }
 
 void
-TrainerService::Score(const TrainerId& aTrainer,
-                      Sample aSample,
-                      std::string aPrompt)
+TrainerService::Keep(const TrainerId& aTrainer, const Sample& aSample)
 {
-  std::string scorer;
-  {
-    const std::lock_guard lock(mutex_);
-    scorer = trainers_[aTrainer].rule_.scorer_;
-  }
-  if (scorer.empty()) {
-    Keep(aTrainer, std::move(aSample));
+  const std::lock_guard lock(mutex_);
+  TrainerState* state = Find(aTrainer);
+  if (state == nullptr) {
     return;
   }
-  const nlohmann::json body{ { "prompt", aPrompt }, { "text", aSample.text_ } };
-  HttpCall call;
-  call.method_ = "POST";
-  call.url_ = "http://" + scorer + "/score";
-  call.body_ = body.dump();
-  call.timeout_ = kScoreTimeout;
-  host_.Http().Send(
-    std::move(call),
-    [this, aTrainer, sample = std::move(aSample), prompt = std::move(aPrompt)](
-      const HttpResult& aResult) mutable {
-      const auto reply =
-        nlohmann::json::parse(aResult.response_.body_, nullptr, false);
-      if (aResult.end_ == HttpEnd::Whole && reply.is_object() &&
-          reply.contains("reward") && reply["reward"].is_number()) {
-        sample.reward_ = reply["reward"].get<double>();
-        Keep(aTrainer, std::move(sample));
-        return;
-      }
-      host_.Clockwork().After(
-        kRetryPause, [this, aTrainer, sample, prompt]() mutable {
-          Score(aTrainer, std::move(sample), std::move(prompt));
-        });
-    });
+  const UpstreamId upstream = aSample.upstream_;
+  const CandidateVerdict verdict =
+    state->ledger_.Generated(std::move(aSample), host_.Now());
+  if (verdict == CandidateVerdict::Uncertain) {
+    LogEvent(LogLevel::Warn,
+             "labels_uncertain",
+             { { "trainer", aTrainer.Get() }, { "upstream", upstream.Get() } });
+  }
+  state->pauses_.Reset();
+  AnswerTake(*state);
+  Fill(*state);
 }
 
 void
-TrainerService::Keep(const TrainerId& aTrainer, Sample aSample)
+TrainerService::Fail(const TrainerId& aTrainer,
+                     const SampleId& aSample,
+                     const Error& aError)
 {
+  LogEvent(LogLevel::Warn,
+           "candidate_failed",
+           { { "trainer", aTrainer.Get() }, { "error", aError.message_ } });
   const std::lock_guard lock(mutex_);
-  TrainerState& state = trainers_[aTrainer];
-  if (state.ledger_ && state.ledger_->Generated(std::move(aSample))) {
-    AnswerTakes(state);
-    Fill(aTrainer, state);
+  TrainerState* state = Find(aTrainer);
+  if (state == nullptr) {
+    return;
   }
+  host_.Clockwork().After(state->pauses_.Next(), [this, aTrainer, aSample] {
+    const std::lock_guard inner(mutex_);
+    if (TrainerState* now = Find(aTrainer)) {
+      now->ledger_.Failed(aSample);
+      Fill(*now);
+    }
+  });
 }
 
 void
-TrainerService::Fail(const TrainerId& aTrainer, const SampleId& aSample)
+TrainerService::CountTokens(TrainerState& aState)
 {
-  const std::lock_guard lock(mutex_);
-  TrainerState& state = trainers_[aTrainer];
-  if (state.ledger_ && state.ledger_->Spec().step_ == aSample.step_) {
-    state.ledger_->Failed(aSample);
-  }
+  const TokenCounters& now = aState.ledger_.Tokens();
+  const std::string label = "{trainer=\"" + aState.rule_.id_.Get() + "\"}";
+  Metrics& metrics = host_.Measures();
+  metrics.Set("sample_tokens_kept" + label, static_cast<double>(now.kept_));
+  metrics.Set("sample_tokens_stale" + label, static_cast<double>(now.stale_));
+  metrics.Set("sample_tokens_uncertain" + label,
+              static_cast<double>(now.uncertain_));
 }
 
 void
-TrainerService::Announce(const TrainerRule& aRule,
+TrainerService::Announce(TrainerState& aState,
                          WeightVersion aVersion,
-                         FencingNumber aTerm,
                          RpcDone aDone)
 {
-  const std::string key = std::string(kVersionPrefix) + aRule.model_;
-  host_.PlatformStore().Read(
-    key,
-    [this, key, aVersion, aTerm, done = std::move(aDone)](
-      const Result<StoreRange>& aRead) {
-      if (!aRead) {
-        done(aRead.error());
-        return;
-      }
-      if (StoredVersion(key, aRead.value()) >= aVersion) {
-        done(EncodeReply(aTerm, {}));
-        return;
+  aState.ledger_.Versions().Announce(aVersion, host_.Now());
+  TrainerReply reply;
+  reply.term_ = aState.term_;
+  reply.announced_ = aState.ledger_.Versions().Newest();
+  announcer_.Announce(
+    aState.rule_.model_,
+    aVersion,
+    [reply, done = std::move(aDone)](const Result<bool>& aStored) {
+      if (aStored) {
+        done(Encode(reply));
+      } else {
+        done(aStored.error());
       }
-      host_.PlatformStore().Commit(
-        MakeVersionTxn(key, aRead.value(), aVersion),
-        [this, aTerm, done](const Result<StoreCommit>& aCommit) {
-          if (!aCommit || !aCommit.value().applied_) {
-            done(Error{ ErrorKind::Unavailable,
-                        "the announcement may not be stored; repeat it" });
-            return;
-          }
-          host_.Members().Refresh();
-          done(EncodeReply(aTerm, {}));
-        });
     });
 }
 
--- a/src/programs/controld/trainer_service.hpp
+++ b/src/programs/controld/trainer_service.hpp
@@ -1,10 +1,12 @@
-/// Serves the trainers that this process owns: opens steps, generates
-/// candidates through entries, scores them, answers takes.
+/// Serves the trainers that this process owns: opens steps, keeps their
+/// ledgers filled with candidates, answers takes.
 #pragma once
 
-#include "marjoramtally/connection.hpp"
 #include "marjoramtally/version.hpp"
+#include "programs/controld/candidate_source.hpp"
+#include "programs/controld/candidate_store.hpp"
 #include "programs/controld/owners.hpp"
+#include "programs/controld/version_announcer.hpp"
 
 namespace marjoramtally {
 
@@ -12,7 +14,7 @@
 class TrainerService
 {
 public:
-  TrainerService(Host& aHost, Owners& aOwners) noexcept;
+  TrainerService(Host& aHost, Owners& aOwners);
 
   void Start();
   /// Serves one operation.
@@ -31,44 +33,56 @@
   {
     FencingNumber term_;
     TrainerRule rule_;
-    std::optional<StepLedger> ledger_;
-    std::vector<WaitingTake> waiting_;
+    TrainerLedger ledger_;
+    std::optional<WaitingTake> waiting_;
     std::string trace_;
+    /// Pauses after failed generations.
+    Backoff pauses_;
   };
 
-  void Tick();
+  /// Makes sure that the announced versions are known, then applies.
+  void Prepare(const TrainerRequest& aRequest,
+               const std::string& aTrace,
+               FencingNumber aTerm,
+               RpcDone aDone);
+  void TakeOver(const TrainerRequest& aRequest,
+                const std::string& aTrace,
+                FencingNumber aTerm,
+                RpcDone aDone);
   void Apply(const TrainerRequest& aRequest,
              const std::string& aTrace,
-             FencingNumber aTerm,
              RpcDone aDone);
   void Open(TrainerState& aState, const StepSpec& aSpec, const RpcDone& aDone);
-  void Take(TrainerState& aState, TakeSamples aTake, RpcDone aDone);
+  /// Brings back the candidates of a step that this instance kept on disk.
+  void Restore(TrainerState& aState, const StepSpec& aSpec);
   void Close(TrainerState& aState, StepId aStep, const RpcDone& aDone);
-  /// Answers waiting takes that have samples or waited long enough.
-  void AnswerTakes(TrainerState& aState);
+  void Take(TrainerState& aState, TakeSamples aTake, RpcDone aDone);
+  void Announce(TrainerState& aState, WeightVersion aVersion, RpcDone aDone);
+  void Tick();
+  /// Drops ledgers whose trainer another instance owns.
+  void DropLost();
+  /// Answers the waiting take if it has samples or waited long enough.
+  void AnswerTake(TrainerState& aState);
   /// Starts generations up to the limit.
-  void Fill(const TrainerId& aTrainer, TrainerState& aState);
-  void Generate(const TrainerId& aTrainer,
-                const TrainerState& aState,
-                const SampleId& aSample);
-  void Generated(const TrainerId& aTrainer,
-                 const SampleId& aSample,
-                 const std::string& aPrompt,
-                 const RpcReply& aReply);
-  void Score(const TrainerId& aTrainer, Sample aSample, std::string aPrompt);
-  void Keep(const TrainerId& aTrainer, Sample aSample);
-  void Fail(const TrainerId& aTrainer, const SampleId& aSample);
-  void Announce(const TrainerRule& aRule,
-                WeightVersion aVersion,
-                FencingNumber aTerm,
-                RpcDone aDone);
-  [[nodiscard]] std::optional<std::string> ChooseEntry();
+  void Fill(TrainerState& aState);
+  void StartGeneration(TrainerState& aState, const GenerationStart& aStart);
+  [[nodiscard]] CandidateEvents EventsOf(const TrainerId& aTrainer,
+                                         const SampleId& aSample);
+  void Keep(const TrainerId& aTrainer, const Sample& aSample);
+  void Fail(const TrainerId& aTrainer,
+            const SampleId& aSample,
+            const Error& aError);
+  void CountTokens(TrainerState& aState);
+  /// @returns the state of a trainer that is owned here, else null
+  [[nodiscard]] TrainerState* Find(const TrainerId& aTrainer);
 
   Host& host_;
   Owners& owners_;
+  CandidateSource candidates_;
+  VersionAnnouncer announcer_;
+  CandidateStore kept_;
   mutable std::mutex mutex_;
   std::map<TrainerId, TrainerState> trainers_;
-  std::uint64_t nextEntry_ = 0;
 };
 
 } // namespace marjoramtally
--- a/src/programs/entryd/trainer_api.cpp
+++ b/src/programs/entryd/trainer_api.cpp
@@ -70,6 +70,10 @@
     take.spec_.most_ =
       static_cast<std::uint32_t>(Bounded(aBody, "most", 1, kMaxSamplesPerTake));
   }
+  if (aBody.contains("take")) {
+    take.spec_.number_ = Bounded(aBody, "take", 0, UINT64_MAX);
+  }
+  take.spec_.wholeGroups_ = aBody.value("whole_groups", false);
   if (aBody.contains("wait_ms")) {
     take.wait_ =
       std::chrono::milliseconds(Bounded(aBody, "wait_ms", 0, kMaxWaitMillis));
@@ -90,6 +94,12 @@
   return CloseStep{ StepId{ Bounded(aBody, "step", 0, UINT64_MAX) } };
 }
 
+TrainerOperation
+ReadProgress(const Json& /*aBody*/)
+{
+  return AskProgress{};
+}
+
 /// One operation of the interface and its reader.
 struct OperationRoute
 {
@@ -97,11 +107,12 @@
   TrainerOperation (*read_)(const Json&);
 };
 
-constexpr std::array<OperationRoute, 4> kRoutes{ {
+constexpr std::array<OperationRoute, 5> kRoutes{ {
   { "open", ReadOpen },
   { "take", ReadTake },
   { "announce", ReadAnnounce },
   { "close", ReadClose },
+  { "progress", ReadProgress },
 } };
 
 Result<TrainerRequest>
@@ -125,7 +136,7 @@
   }
   return Error{ ErrorKind::NotFound,
                 "no trainer operation '" + name +
-                  "'; there are open, take, announce, close" };
+                  "'; there are open, take, announce, close, progress" };
 }
 
 Json
@@ -137,13 +148,12 @@
                       { "from", span.from_ },
                       { "to", span.to_ } });
   }
-  return { { "step", aSample.id_.step_.Get() },
-           { "group", aSample.id_.group_ },
-           { "member", aSample.id_.member_ },
-           { "text", aSample.text_ },
-           { "reward", aSample.reward_ },
-           { "upstream", aSample.upstream_.Get() },
-           { "weight_versions", spans } };
+  return {
+    { "step", aSample.id_.step_.Get() },     { "group", aSample.id_.group_ },
+    { "member", aSample.id_.member_ },       { "text", aSample.text_ },
+    { "tokens", aSample.tokens_ },           { "reward", aSample.reward_ },
+    { "upstream", aSample.upstream_.Get() }, { "weight_versions", spans }
+  };
 }
 
 HttpResponse
@@ -153,9 +163,21 @@
   for (const Sample& sample : aReply.taken_.samples_) {
     samples.push_back(FormatSample(sample));
   }
+  Json steps = Json::array();
+  for (const StepProgress& step : aReply.progress_) {
+    steps.push_back({ { "step", step.step_.Get() },
+                      { "wanted", step.wanted_ },
+                      { "in_generation", step.inGeneration_ },
+                      { "scoring", step.scoring_ },
+                      { "ready", step.ready_ },
+                      { "held", step.held_ } });
+  }
   const Json body{ { "term", aReply.term_.Get() },
+                   { "take", aReply.number_ },
                    { "remaining", aReply.taken_.remaining_ },
-                   { "samples", samples } };
+                   { "samples", samples },
+                   { "announced", aReply.announced_.Get() },
+                   { "steps", steps } };
   return JsonResponse(
     200, body.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
--- /dev/null
+++ b/src/version/lead.cpp
@@ -0,0 +1,129 @@
+#include "marjoramtally/version/lead.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Of a step, one part in this many may be started early where freshness
+/// goes first.
+constexpr std::uint32_t kEarlyPart = 4;
+
+/// Starts whatever can still be fresh enough when it is taken.
+class IdlePolicy final : public LeadPolicy
+{
+public:
+  [[nodiscard]] std::string_view Name() const noexcept override
+  {
+    return "idle";
+  }
+  [[nodiscard]] bool MayStart(
+    const StepOutlook& aOutlook) const noexcept override
+  {
+    return aOutlook.needed_ <= aOutlook.announced_;
+  }
+  [[nodiscard]] WeightVersion LeastVersion(
+    const StepOutlook& aOutlook) const noexcept override
+  {
+    return aOutlook.needed_;
+  }
+};
+
+/// Leaves most of a step for the version at which it is taken.
+class FreshnessPolicy final : public LeadPolicy
+{
+public:
+  [[nodiscard]] std::string_view Name() const noexcept override
+  {
+    return "freshness";
+  }
+  [[nodiscard]] bool MayStart(
+    const StepOutlook& aOutlook) const noexcept override
+  {
+    if (aOutlook.taken_ <= aOutlook.announced_) {
+      return true;
+    }
+    const bool next = aOutlook.taken_.Get() - aOutlook.announced_.Get() == 1;
+    return next && aOutlook.needed_ <= aOutlook.announced_ &&
+           aOutlook.started_ < aOutlook.size_ / kEarlyPart;
+  }
+  [[nodiscard]] WeightVersion LeastVersion(
+    const StepOutlook& aOutlook) const noexcept override
+  {
+    return std::max(aOutlook.needed_,
+                    std::min(aOutlook.announced_, aOutlook.taken_));
+  }
+};
+
+/// Generates each step at the very version at which it is taken.
+class StrictPolicy final : public LeadPolicy
+{
+public:
+  [[nodiscard]] std::string_view Name() const noexcept override
+  {
+    return "strict";
+  }
+  [[nodiscard]] bool MayStart(
+    const StepOutlook& aOutlook) const noexcept override
+  {
+    return aOutlook.taken_ <= aOutlook.announced_;
+  }
+  [[nodiscard]] WeightVersion LeastVersion(
+    const StepOutlook& aOutlook) const noexcept override
+  {
+    return aOutlook.taken_;
+  }
+};
+
+/// Starts all that is open, whatever its age will be.
+class UnlimitedPolicy final : public LeadPolicy
+{
+public:
+  [[nodiscard]] std::string_view Name() const noexcept override
+  {
+    return "unlimited";
+  }
+  [[nodiscard]] bool MayStart(
+    const StepOutlook& /*aOutlook*/) const noexcept override
+  {
+    return true;
+  }
+  [[nodiscard]] WeightVersion LeastVersion(
+    const StepOutlook& /*aOutlook*/) const noexcept override
+  {
+    return WeightVersion{ 0 };
+  }
+};
+
+const IdlePolicy kIdle;
+const FreshnessPolicy kFreshness;
+const StrictPolicy kStrict;
+const UnlimitedPolicy kUnlimited;
+
+const std::array<const LeadPolicy*, 4> kPolicies{ &kIdle,
+                                                  &kFreshness,
+                                                  &kStrict,
+                                                  &kUnlimited };
+
+} // namespace
+
+const LeadPolicy*
+FindLeadPolicy(std::string_view aName) noexcept
+{
+  for (const LeadPolicy* policy : kPolicies) {
+    if (policy->Name() == aName) {
+      return policy;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<std::string_view>
+LeadPolicyNames()
+{
+  return { kIdle.Name(), kFreshness.Name(), kStrict.Name() };
+}
+
+} // namespace marjoramtally
--- a/src/version/ledger.cpp
+++ b/src/version/ledger.cpp
@@ -1,13 +1,15 @@
 #include "marjoramtally/version/ledger.hpp"
 
+#include <algorithm>
+
 namespace marjoramtally {
 
-StepLedger::StepLedger(StepSpec aSpec, std::uint64_t aBound)
+StepLedger::StepLedger(StepSpec aSpec)
   : spec_(std::move(aSpec))
-  , bound_(aBound)
-  , trainerVersion_(spec_.version_)
   , slots_(spec_.prompts_.size() * spec_.groupSize_)
+  , groupDone_(spec_.prompts_.size())
 {
+  counts_[static_cast<std::size_t>(State::Wanted)] = Size();
 }
 
 std::uint32_t
@@ -17,106 +19,214 @@
 }
 
 std::uint32_t
-StepLedger::IndexOf(const SampleId& aId) const noexcept
+StepLedger::Count(State aState) const noexcept
 {
-  return aId.group_ * spec_.groupSize_ + aId.member_;
+  return counts_[static_cast<std::size_t>(aState)];
 }
 
-WeightVersion
-StepLedger::MinVersion() const noexcept
+StepProgress
+StepLedger::Progress() const noexcept
 {
-  const std::uint64_t version = trainerVersion_.Get();
-  return WeightVersion{ version > bound_ ? version - bound_ : 0 };
+  return { spec_.step_,           Count(State::Wanted), InFlight(),
+           Count(State::Scoring), Count(State::Ready),  Count(State::Held) };
 }
 
 bool
-StepLedger::Fresh(const Sample& aSample) const noexcept
+StepLedger::AnyWanted() const noexcept
 {
-  const auto oldest = OldestVersion(aSample.spans_);
-  return oldest && *oldest >= MinVersion();
+  return Count(State::Wanted) > 0;
 }
 
-std::optional<SampleId>
-StepLedger::StartNext()
+std::uint32_t
+StepLedger::InFlight() const noexcept
 {
-  for (std::uint32_t i = 0; i < Size(); ++i) {
-    if (slots_[i].state_ != State::Wanted) {
-      continue;
+  return Count(State::InGeneration);
+}
+
+std::optional<std::uint32_t>
+StepLedger::IndexOf(const SampleId& aId) const noexcept
+{
+  const bool known = aId.step_ == spec_.step_ &&
+                     aId.group_ < groupDone_.size() &&
+                     aId.member_ < spec_.groupSize_;
+  if (!known) {
+    return std::nullopt;
+  }
+  return aId.group_ * spec_.groupSize_ + aId.member_;
+}
+
+void
+StepLedger::Move(std::uint32_t aIndex, State aTo)
+{
+  Slot& slot = slots_[aIndex];
+  const auto done = [](State aState) -> std::uint32_t {
+    return aState == State::Ready || aState == State::Held ? 1 : 0;
+  };
+  --counts_[static_cast<std::size_t>(slot.state_)];
+  ++counts_[static_cast<std::size_t>(aTo)];
+  std::uint32_t& group = groupDone_[aIndex / spec_.groupSize_];
+  group = group + done(aTo) - done(slot.state_);
+  if (slot.state_ == State::Ready) {
+    candidates_.erase(aIndex);
+  }
+  slot.state_ = aTo;
+  if (aTo == State::Wanted && aIndex < next_ && !slot.queued_) {
+    slot.queued_ = true;
+    again_.push_back(aIndex);
+  }
+}
+
+std::optional<std::uint32_t>
+StepLedger::PopWanted()
+{
+  while (!again_.empty()) {
+    const std::uint32_t index = again_.back();
+    again_.pop_back();
+    slots_[index].queued_ = false;
+    if (slots_[index].state_ == State::Wanted) {
+      return index;
+    }
+  }
+  while (next_ < Size()) {
+    const std::uint32_t index = next_++;
+    if (slots_[index].state_ == State::Wanted) {
+      return index;
     }
-    slots_[i].state_ = State::InGeneration;
-    ++inFlight_;
-    return SampleId{ spec_.step_, i / spec_.groupSize_, i % spec_.groupSize_ };
   }
   return std::nullopt;
 }
 
-bool
-StepLedger::Generated(Sample aSample)
+std::optional<SampleId>
+StepLedger::StartNext()
 {
-  const std::uint32_t index = IndexOf(aSample.id_);
-  if (aSample.id_.step_ != spec_.step_ || index >= Size()) {
-    return false;
+  const auto index = PopWanted();
+  if (!index) {
+    return std::nullopt;
   }
-  Slot& slot = slots_[index];
-  if (slot.state_ == State::InGeneration) {
-    --inFlight_;
-    slot.state_ = State::Wanted;
+  Move(*index, State::InGeneration);
+  return SampleId{ spec_.step_,
+                   *index / spec_.groupSize_,
+                   *index % spec_.groupSize_ };
+}
+
+void
+StepLedger::Scoring(const SampleId& aId)
+{
+  const auto index = IndexOf(aId);
+  if (index && slots_[*index].state_ == State::InGeneration) {
+    Move(*index, State::Scoring);
   }
-  if (slot.state_ != State::Wanted || !Fresh(aSample)) {
+}
+
+bool
+StepLedger::Lacks(const SampleId& aId) const noexcept
+{
+  const auto index = IndexOf(aId);
+  return index && slots_[*index].state_ != State::Ready &&
+         slots_[*index].state_ != State::Held;
+}
+
+bool
+StepLedger::Keep(Sample aSample)
+{
+  if (!Lacks(aSample.id_)) {
     return false;
   }
-  slot.state_ = State::Ready;
-  slot.sample_ = std::move(aSample);
+  const auto index = IndexOf(aSample.id_);
+  Move(*index, State::Ready);
+  ready_.push_back(*index);
+  candidates_.insert_or_assign(*index, std::move(aSample));
   return true;
 }
 
 void
 StepLedger::Failed(const SampleId& aId)
 {
-  const std::uint32_t index = IndexOf(aId);
-  if (index < Size() && slots_[index].state_ == State::InGeneration) {
-    slots_[index].state_ = State::Wanted;
-    --inFlight_;
+  const auto index = IndexOf(aId);
+  if (index && (slots_[*index].state_ == State::InGeneration ||
+                slots_[*index].state_ == State::Scoring)) {
+    Move(*index, State::Wanted);
   }
 }
 
 void
-StepLedger::MarkHeld(const IndexSet& aHeld)
+StepLedger::Hold(const IndexSet& aHeld)
 {
   for (std::uint32_t i = 0; i < Size(); ++i) {
-    Slot& slot = slots_[i];
-    if (!aHeld.Contains(i) || slot.state_ == State::Held) {
+    const bool held = aHeld.Contains(i);
+    if (held == (slots_[i].state_ == State::Held)) {
       continue;
     }
-    if (slot.state_ == State::InGeneration) {
-      --inFlight_;
+    Move(i, held ? State::Held : State::Wanted);
+  }
+  CompactReady();
+}
+
+void
+StepLedger::CompactReady()
+{
+  std::erase_if(ready_, [this](std::uint32_t aIndex) {
+    return slots_[aIndex].state_ != State::Ready;
+  });
+}
+
+std::uint64_t
+StepLedger::DropOlder(WeightVersion aOldest)
+{
+  std::uint64_t dropped = 0;
+  for (const std::uint32_t index : ready_) {
+    const Sample& candidate = candidates_.at(index);
+    const auto oldest = OldestVersion(candidate.spans_);
+    if (!oldest || *oldest < aOldest) {
+      dropped += candidate.tokens_;
+      Move(index, State::Wanted);
     }
-    slot.state_ = State::Held;
-    slot.sample_ = Sample{};
   }
+  CompactReady();
+  return dropped;
 }
 
-TakeResult
-StepLedger::Take(const TakeSpec& aTake)
+std::vector<std::uint32_t>
+StepLedger::ChooseReady(std::uint32_t aMost) const
 {
-  trainerVersion_ = std::max(trainerVersion_, aTake.version_);
-  MarkHeld(aTake.held_);
-  TakeResult result;
-  std::uint32_t lacking = 0;
-  for (Slot& slot : slots_) {
-    if (slot.state_ == State::Held) {
+  const std::size_t count = std::min<std::size_t>(aMost, ready_.size());
+  return { ready_.begin(),
+           ready_.begin() + static_cast<std::ptrdiff_t>(count) };
+}
+
+std::vector<std::uint32_t>
+StepLedger::ChooseGroups(std::uint32_t aMost) const
+{
+  std::vector<std::uint32_t> chosen;
+  std::vector<bool> seen(groupDone_.size());
+  for (const std::uint32_t index : ready_) {
+    const std::uint32_t group = index / spec_.groupSize_;
+    const bool room =
+      chosen.empty() || chosen.size() + spec_.groupSize_ <= aMost;
+    if (seen[group] || !room || groupDone_[group] < spec_.groupSize_) {
       continue;
     }
-    ++lacking;
-    if (slot.state_ == State::Ready && !Fresh(slot.sample_)) {
-      slot = Slot{};
-    }
-    if (slot.state_ == State::Ready && result.samples_.size() < aTake.most_) {
-      result.samples_.push_back(slot.sample_);
+    seen[group] = true;
+    const std::uint32_t first = group * spec_.groupSize_;
+    for (std::uint32_t i = first; i < first + spec_.groupSize_; ++i) {
+      if (slots_[i].state_ == State::Ready) {
+        chosen.push_back(i);
+      }
     }
   }
-  result.remaining_ =
-    lacking - static_cast<std::uint32_t>(result.samples_.size());
+  return chosen;
+}
+
+TakeResult
+StepLedger::Collect(std::uint32_t aMost, bool aWholeGroups) const
+{
+  TakeResult result;
+  for (const std::uint32_t index :
+       aWholeGroups ? ChooseGroups(aMost) : ChooseReady(aMost)) {
+    result.samples_.push_back(candidates_.at(index));
+  }
+  result.remaining_ = Size() - Count(State::Held) -
+                      static_cast<std::uint32_t>(result.samples_.size());
   return result;
 }
 
--- a/src/version/rules_check.cpp
+++ b/src/version/rules_check.cpp
@@ -1,7 +1,35 @@
 #include "version/rules_parts.hpp"
 
+#include "marjoramtally/version/lead.hpp"
+
+#include <algorithm>
+
 namespace marjoramtally {
 
+namespace {
+
+/// Checks that a trainer's policy is one that there is.
+void
+CheckPolicy(const IniDocument& aMerged,
+            const TrainerRule& aRule,
+            Findings& aOut)
+{
+  const auto names = LeadPolicyNames();
+  if (std::find(names.begin(), names.end(), aRule.policy_) != names.end()) {
+    return;
+  }
+  std::string known;
+  for (const std::string_view name : names) {
+    known += (known.empty() ? "" : ", ") + std::string(name);
+  }
+  const std::string section = "trainer " + aRule.id_.Get();
+  aOut.Add(aMerged.at(section).at("policy").place_,
+           "[" + section + "] policy = '" + aRule.policy_ + "': none of " +
+             known);
+}
+
+} // namespace
+
 namespace impl {
 
 void
@@ -23,6 +51,7 @@
   }
   for (const auto& [id, rule] : aRules.trainers_) {
     check("trainer " + id.Get(), rule.service_);
+    CheckPolicy(aMerged, rule, aOut);
   }
   for (const auto& [id, rule] : aRules.services_) {
     if (rule.kind_ != "engine" && rule.kind_ != "plain") {
--- a/src/version/rules_sections.cpp
+++ b/src/version/rules_sections.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint64_t kMaxStaleness = 1000;
+/// A week, in microseconds.
+constexpr std::uint64_t kMaxAgeMicros = 604'800'000'000;
 constexpr std::uint64_t kMaxWeight = 1000;
 constexpr std::uint64_t kMaxReserve = 90;
 constexpr std::uint64_t kMaxInFlight = 100'000;
@@ -29,10 +31,12 @@
   { "leaving", &UpstreamRule::leaving_ },
 } };
 
-constexpr std::array<FieldSpec<TrainerRule>, 6> kTrainerFields{ {
+constexpr std::array<FieldSpec<TrainerRule>, 8> kTrainerFields{ {
   { "service", &TrainerRule::service_, true },
   { "model", &TrainerRule::model_, true },
   { "staleness", &TrainerRule::staleness_, false, 0, kMaxStaleness },
+  { "staleness-age", &TrainerRule::stalenessAge_, false, 0, kMaxAgeMicros },
+  { "policy", &TrainerRule::policy_ },
   { "weight", &TrainerRule::weight_, false, 1, kMaxWeight },
   { "in-flight", &TrainerRule::inFlight_, false, 1, kMaxInFlight },
   { "scorer", &TrainerRule::scorer_ },
