--- a/include/marjoramtally/version.hpp
+++ b/include/marjoramtally/version.hpp
@@ -7,4 +7,5 @@
 #include "marjoramtally/version/rules.hpp"
 #include "marjoramtally/version/sample_journal.hpp"
 #include "marjoramtally/version/staleness.hpp"
+#include "marjoramtally/version/take_client.hpp"
 #include "marjoramtally/version/trainer_ledger.hpp"
