Stand-in trainer opens steps ahead, counts all its idle time and its gaps

Cause: the trainer waited for each step's whole generation, and a wait for an announcement (owner dead) was not counted as idle.

--- a/src/standins/trainer.cpp
+++ b/src/standins/trainer.cpp
@@ -1,9 +1,11 @@
 /// Stand-in of a trainer. It keeps the set of samples that it holds and
-/// accepts only the answer to its present take.
+/// accepts only the answer to its present take, and opens steps ahead of the
+/// one that it takes.
 
 #include "standins/balancer.hpp"
 
 #include <iostream>
+#include <map>
 #include <thread>
 
 namespace marjoramtally::standin {
@@ -14,6 +16,7 @@
 constexpr std::uint64_t kTakeWaitMillis = 2000;
 constexpr std::uint64_t kSamplesPerTake = 32;
 constexpr std::uint64_t kTokens = 64;
+constexpr Duration::rep kMicrosPerMilli = 1000;
 
 class Trainer
 {
@@ -28,21 +31,24 @@
 
   int Run()
   {
-    const auto prompts = ReadPrompts();
-    if (prompts.empty()) {
+    prompts_ = ReadPrompts();
+    if (prompts_.empty()) {
       std::cerr << "trainer: no prompts in " << options_.promptsFile_ << '\n';
       return kExitBadInput;
     }
+    freeSince_ = clock_.Now();
     PublishWeights();
     for (std::uint64_t step = 1; step <= options_.steps_; ++step) {
-      TakeStep(step, prompts);
+      TakeStep(step);
       std::this_thread::sleep_for(
         std::chrono::milliseconds(options_.trainMillis_));
+      freeSince_ = clock_.Now();
       ++version_;
       PublishWeights();
     }
-    recorder_.Write(
-      { { "kind", "trainer_end" }, { "idle_ms", idle_.count() / 1000 } });
+    recorder_.Write({ { "kind", "trainer_end" },
+                      { "idle_ms", idle_.count() / kMicrosPerMilli },
+                      { "gap_ms", longestGap_.count() / kMicrosPerMilli } });
     return kExitOk;
   }
 
@@ -88,46 +94,88 @@
     }
   }
 
-  Json OpenBody(std::uint64_t aStep, const std::vector<std::string>& aPrompts)
+  /// A step is taken at the version after that of the step before.
+  Json OpenBody(std::uint64_t aStep, std::uint64_t aVersion) const
   {
     Json prompts = Json::array();
     for (std::uint64_t i = 0; i < options_.groups_; ++i) {
       prompts.push_back(
-        aPrompts[(aStep * options_.groups_ + i) % aPrompts.size()]);
+        prompts_[(aStep * options_.groups_ + i) % prompts_.size()]);
     }
     return { { "step", aStep },
-             { "version", version_ },
+             { "version", aVersion },
              { "group_size", options_.groupSize_ },
              { "max_tokens", kTokens },
              { "prompts", prompts } };
   }
 
-  void TakeStep(std::uint64_t aStep, const std::vector<std::string>& aPrompts)
+  /// Opens the present step and those that may be generated ahead of it.
+  void OpenAhead(std::uint64_t aStep)
   {
-    const Json open = OpenBody(aStep, aPrompts);
-    const TimePoint start = clock_.Now();
+    const std::uint64_t last =
+      std::min(options_.steps_, aStep + options_.ahead_);
+    for (std::uint64_t step = aStep; step <= last; ++step) {
+      const auto known =
+        open_.try_emplace(step, OpenBody(step, version_ + (step - aStep)));
+      if (known.second) {
+        Insist("open", known.first->second);
+      }
+    }
+  }
+
+  /// Opens all steps again after their owner changed.
+  void OpenAgain()
+  {
+    for (const auto& [step, body] : open_) {
+      Insist("open", body);
+    }
+  }
+
+  /// Takes once; only the answer to the present take counts.
+  /// @returns whether samples came
+  bool TakeOnce(std::uint64_t aStep, IndexSet& aHeld)
+  {
+    ++take_;
+    const auto [status, reply] = Insist("take",
+                                        { { "step", aStep },
+                                          { "version", version_ },
+                                          { "take", take_ },
+                                          { "held", aHeld.Format() },
+                                          { "most", kSamplesPerTake },
+                                          { "wait_ms", kTakeWaitMillis } });
+    if (status == 404) {
+      OpenAgain();
+      return false;
+    }
+    if (reply["take"] != take_) {
+      return false;
+    }
+    for (const Json& sample : reply["samples"]) {
+      Accept(aStep, sample, aHeld);
+    }
+    return !reply["samples"].empty();
+  }
+
+  void TakeStep(std::uint64_t aStep)
+  {
+    TimePoint lastSample = freeSince_;
     IndexSet held;
-    Insist("open", open);
+    OpenAhead(aStep);
     const std::uint64_t all = options_.groups_ * options_.groupSize_;
     while (held.size() < all) {
-      const auto [status, reply] = Insist("take",
-                                          { { "step", aStep },
-                                            { "version", version_ },
-                                            { "held", held.Format() },
-                                            { "most", kSamplesPerTake },
-                                            { "wait_ms", kTakeWaitMillis } });
-      if (status == 404) {
-        Insist("open", open);
-        continue;
-      }
-      for (const Json& sample : reply["samples"]) {
-        Accept(aStep, sample, held);
+      if (TakeOnce(aStep, held)) {
+        const TimePoint now = clock_.Now();
+        longestGap_ = std::max(longestGap_, now - lastSample);
+        lastSample = now;
       }
     }
-    idle_ += clock_.Now() - start;
+    const Duration idle = clock_.Now() - freeSince_;
+    idle_ += idle;
+    open_.erase(aStep);
     Insist("close", { { "step", aStep } });
     std::cout << "trainer " << options_.trainer_ << ": step " << aStep
-              << " whole at version " << version_ << std::endl;
+              << " whole at version " << version_ << ", idle "
+              << idle.count() / kMicrosPerMilli << " ms" << std::endl;
   }
 
   void Accept(std::uint64_t aStep, const Json& aSample, IndexSet& aHeld)
@@ -153,8 +201,16 @@
   Balancer balancer_;
   std::unique_ptr<HttpClient> client_;
   SystemClock clock_;
+  std::vector<std::string> prompts_;
+  /// Bodies that opened the steps not yet closed.
+  std::map<std::uint64_t, Json> open_;
   std::uint64_t version_ = 1;
+  std::uint64_t take_ = 0;
+  /// Since then the trainer has not trained.
+  TimePoint freeSince_;
   Duration idle_{ 0 };
+  /// Longest wait for the next sample of a step.
+  Duration longestGap_{ 0 };
 };
 
 } // namespace
--- a/src/standins/verify.cpp
+++ b/src/standins/verify.cpp
@@ -22,6 +22,7 @@
   std::uint64_t liveAsked_ = 0;
   std::uint64_t liveLate_ = 0;
   std::uint64_t idleMillis_ = 0;
+  std::uint64_t gapMillis_ = 0;
   std::uint64_t stalenessMax_ = 0;
   bool trainerEnded_ = false;
 };
@@ -40,6 +41,8 @@
     aTally.liveLate_ += aLine["late"].get<bool>() ? 1 : 0;
   } else if (kind == "trainer_end") {
     aTally.idleMillis_ += aLine["idle_ms"].get<std::uint64_t>();
+    aTally.gapMillis_ =
+      std::max(aTally.gapMillis_, aLine.value("gap_ms", std::uint64_t{ 0 }));
     aTally.trainerEnded_ = true;
   }
 }
@@ -98,6 +101,7 @@
             << " stale=" << tally.stale_ << " live_asked=" << tally.liveAsked_
             << " live_late=" << tally.liveLate_
             << " idle_ms=" << tally.idleMillis_
+            << " gap_ms=" << tally.gapMillis_
             << " staleness_max=" << tally.stalenessMax_ << '\n';
   const bool right = unique == expected && lost == 0 &&
                      tally.duplicates_ == 0 && tally.mislabelled_ == 0 &&
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the whole system as plain processes on loopback and checks the
 # outcome. KILL=1 kills one entry and one control instance midway;
+# KILL_AFTER=SECONDS says when; AHEAD=N lets the trainer open N steps ahead;
 # SWAP_FAILURES=N makes N of 1000 weight swaps fail.
 set -euo pipefail
 build=${1:?usage: demo.sh BUILD_DIR}
@@ -95,11 +96,11 @@
 callers=$!
 "$build/marjoram-standin" trainer --name trainer --entries "$entries" \
   --trainer begravelse --model begravelse --weight-store "$weights" \
-  --prompts "$root/conf/prompts.txt" --record "$run/records/trainer.jsonl" &
+  --ahead "${AHEAD:-1}" --prompts "$root/conf/prompts.txt" --record "$run/records/trainer.jsonl" &
 trainer=$!
 pids+=("$trainer")
 if [ "${KILL:-0}" = 1 ]; then
-  sleep 2.5
+  sleep "${KILL_AFTER:-2.5}"
   owner=$("$build/marjoramctl" status --store "http://$(address store)" |
     sed -n 's#^owners/trainer/begravelse .*"owner":"\([^"]*\)".*#\1#p')
   owner=${owner:-control-1}
