--- a/include/marjoramtally/process/early_refusal.hpp
+++ b/include/marjoramtally/process/early_refusal.hpp
@@ -42,13 +42,22 @@
 {
 public:
   /// Records a completion.
+  /// @param aExpectedCost what it was expected to cost: service times are
+  /// learned against it
+  /// @param aCost what it cost
   /// @param aBacklog whether requests were waiting: only then is the rate of
   /// completions the rate at which the queue drains
   void OnCompleted(RequestClass aClass,
+                   double aExpectedCost,
                    double aCost,
                    Duration aTook,
                    bool aBacklog,
                    TimePoint aNow) noexcept;
+  /// Records that a request's deadline passed at an upstream after a time
+  /// there.
+  void OnLate(RequestClass aClass,
+              double aExpectedCost,
+              Duration aTook) noexcept;
   /// @param aCostAhead expected cost that goes before the request, divided
   /// by the part of the drain rate that serves its queue
   [[nodiscard]] RefusalVerdict Judge(const RequestSpec& aRequest,
@@ -59,7 +68,7 @@
   void OnWaited(RequestClass aClass,
                 Duration aExpected,
                 Duration aWaited) noexcept;
-  /// @returns time at an upstream that nearly all requests keep within
+  /// @returns time at an upstream that a deadline must leave room for
   [[nodiscard]] Duration ServiceTime(RequestClass aClass,
                                      double aCost) const noexcept;
   /// @returns time until such a cost ahead has drained, corrected by how
@@ -70,11 +79,21 @@
   [[nodiscard]] double DrainRate() const noexcept { return drainRate_; }
 
 private:
-  /// Quantile of service time that a deadline must leave room for.
-  static constexpr double kQuantile = 0.99;
   /// Quantile of real over expected wait that corrects expectations.
-  static constexpr double kWaitQuantile = 0.9;
+  static constexpr double kWaitQuantile = 0.5;
 
+  /// What is learned of one class's time at upstreams.
+  struct ServiceTimes
+  {
+    /// Mean microseconds for each unit of expected cost; 0 is unknown.
+    double perCost_ = 0;
+    /// Mean distance from that mean.
+    double deviation_ = 0;
+  };
+
+  void LearnTime(RequestClass aClass,
+                 double aExpectedCost,
+                 Duration aTook) noexcept;
   [[nodiscard]] double WaitCorrection(RequestClass aClass) const noexcept;
 
   /// Cost completed in the present window.
@@ -88,12 +107,7 @@
     QuantileTracker(kWaitQuantile),
     QuantileTracker(kWaitQuantile)
   };
-  /// Microseconds at an upstream for each unit of cost.
-  std::array<QuantileTracker, kRequestClasses> timePerCost_{
-    QuantileTracker(kQuantile),
-    QuantileTracker(kQuantile),
-    QuantileTracker(kQuantile)
-  };
+  std::array<ServiceTimes, kRequestClasses> services_{};
 };
 
 } // namespace marjoramtally
--- a/include/marjoramtally/process/fair_queue.hpp
+++ b/include/marjoramtally/process/fair_queue.hpp
@@ -140,7 +140,9 @@
   /// Start tags of all that is outstanding: dispatched requests, first
   /// waiting requests, anticipated requests.
   std::multiset<double> outstanding_;
-  /// Active flows by progress.
+  /// Active flows with nothing waiting, by progress. Flows that wait are not
+  /// among them: the one to be dispatched is the least of those by its tag,
+  /// and a corrected cost may put that tag far after the last progress.
   std::set<FlowKey> active_;
   std::set<FlowTimer> anticipationEnds_;
   std::set<FlowTimer> blockingEnds_;
--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -252,12 +252,16 @@
   if (spec.class_ != RequestClass::Live) {
     --queue.othersInFlight_;
   }
+  const Duration took = aNow - entry.dispatchedAt_;
+  if (!aTokens && aNow >= spec.deadline_) {
+    queue.refusal_.OnLate(spec.class_, entry.cost_, took);
+  }
   if (aTokens) {
     const bool backlog =
       queue.live_.size() + queue.trainers_.size() + queue.background_.size() >
       0;
     queue.refusal_.OnCompleted(
-      spec.class_, cost, aNow - entry.dispatchedAt_, backlog, aNow);
+      spec.class_, entry.cost_, cost, took, backlog, aNow);
   }
 }
 
--- a/src/process/early_refusal.cpp
+++ b/src/process/early_refusal.cpp
@@ -1,13 +1,18 @@
 #include "marjoramtally/process/early_refusal.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjoramtally {
 
 namespace {
 
 /// Share of the estimate by which one value moves a quantile.
-constexpr double kQuantileStep = 0.1;
+constexpr double kQuantileStep = 0.03;
+/// Deviations above the mean time that a deadline must leave room for.
+constexpr double kDeviations = 1.5;
+/// Weight of a new time in the mean.
+constexpr double kServiceGain = 0.02;
 /// Completions of a window are one measurement of the drain rate.
 constexpr Duration kWindow = std::chrono::milliseconds(250);
 /// Weight of a new measurement.
@@ -44,21 +49,20 @@
 
 void
 EarlyRefusal::OnCompleted(RequestClass aClass,
+                          double aExpectedCost,
                           double aCost,
                           Duration aTook,
                           bool aBacklog,
                           TimePoint aNow) noexcept
 {
-  const double cost = std::max(aCost, 1.0);
-  timePerCost_.at(static_cast<std::size_t>(aClass))
-    .Add(static_cast<double>(aTook.count()) / cost);
+  LearnTime(aClass, aExpectedCost, aTook);
   if (!aBacklog || !windowOpen_) {
     windowOpen_ = aBacklog;
     windowCost_ = 0;
     windowStart_ = aNow;
     return;
   }
-  windowCost_ += cost;
+  windowCost_ += std::max(aCost, 1.0);
   const Duration elapsed = aNow - windowStart_;
   if (elapsed < kWindow) {
     return;
@@ -71,10 +75,39 @@
   windowStart_ = aNow;
 }
 
+void
+EarlyRefusal::OnLate(RequestClass aClass,
+                     double aExpectedCost,
+                     Duration aTook) noexcept
+{
+  // The whole answer would have taken longer still.
+  if (aTook > ServiceTime(aClass, aExpectedCost)) {
+    LearnTime(aClass, aExpectedCost, aTook);
+  }
+}
+
+void
+EarlyRefusal::LearnTime(RequestClass aClass,
+                        double aExpectedCost,
+                        Duration aTook) noexcept
+{
+  ServiceTimes& times = services_.at(static_cast<std::size_t>(aClass));
+  const double value =
+    static_cast<double>(aTook.count()) / std::max(aExpectedCost, 1.0);
+  if (times.perCost_ <= 0) {
+    times.perCost_ = value;
+    return;
+  }
+  const double off = value - times.perCost_;
+  times.perCost_ += kServiceGain * off;
+  times.deviation_ += kServiceGain * (std::abs(off) - times.deviation_);
+}
+
 Duration
 EarlyRefusal::ServiceTime(RequestClass aClass, double aCost) const noexcept
 {
-  return Micros(timePerCost_.at(static_cast<std::size_t>(aClass)).Get() *
+  const ServiceTimes& times = services_.at(static_cast<std::size_t>(aClass));
+  return Micros((times.perCost_ + kDeviations * times.deviation_) *
                 std::max(aCost, 1.0));
 }
 
--- a/src/process/fair_queue.cpp
+++ b/src/process/fair_queue.cpp
@@ -68,7 +68,7 @@
       ready_.insert({ flow.nextStart_, aIndex });
     }
   }
-  if (waits || flow.inFlight_ > 0 || flow.blocking_) {
+  if (!waits && (flow.inFlight_ > 0 || flow.blocking_)) {
     active_.insert({ flow.progress_, aIndex });
   }
 }
--- a/src/programs/load/bench_entry.cpp
+++ b/src/programs/load/bench_entry.cpp
@@ -38,6 +38,9 @@
 void
 BenchEntry::Pump()
 {
+  for (const TicketId doomed : queue_->TakeDoomed(loop_.Now())) {
+    Finish(doomed, BenchEnd::Refused);
+  }
   while (const auto ticket = queue_->Next(loop_.Now())) {
     const auto engine = Decide(flights_.at(*ticket));
     if (!engine) {
--- a/src/programs/load/decide.cpp
+++ b/src/programs/load/decide.cpp
@@ -16,8 +16,17 @@
 
 constexpr std::uint64_t kMostSeconds = 3600;
 
-constexpr std::array<DecideScenario, 1> kScenarios{ {
+constexpr std::array<DecideScenario, 4> kScenarios{ {
   { "routing", "policies at 50, 90 and 150% load", RunRoutingScenario },
+  { "sharing",
+    "trainers of weights 1:1:2 under variants of fair queueing",
+    RunSharingScenario },
+  { "overload",
+    "live callers, with and without trainers, up to twice the peak",
+    RunOverloadScenario },
+  { "queue",
+    "time of one request through the queue beside others that wait",
+    RunQueueScenario },
 } };
 
 const DecideScenario*
--- a/src/programs/load/decide.hpp
+++ b/src/programs/load/decide.hpp
@@ -42,6 +42,11 @@
   std::optional<double> cacheHitShare_;
   /// Of all trainers the least of share received over share due.
   std::optional<double> worstShareOverDue_;
+  std::optional<double> bestShareOverDue_;
+  /// Cost of whole requests a second.
+  std::optional<double> costPerSecond_;
+  /// 99th percentile of the time from arrival to refusal.
+  std::optional<double> refusedAfterMillis_;
   /// Share of live work that went to the slow upstream.
   std::optional<double> slowShare_;
   std::optional<double> decisionNanos_;
@@ -60,6 +65,13 @@
 [[nodiscard]] DecideRows
 RunRoutingScenario(const DecideOptions& aOptions);
 
+[[nodiscard]] DecideRows
+RunSharingScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunOverloadScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunQueueScenario(const DecideOptions& aOptions);
+
 /// Prints one aligned line for each row, with the columns that have values.
 void
 PrintTable(const DecideRows& aRows, std::ostream& aOut);
--- a/src/programs/load/decide_output.cpp
+++ b/src/programs/load/decide_output.cpp
@@ -17,7 +17,7 @@
   int digits_;
 };
 
-constexpr std::array<Column, 13> kColumns{ {
+constexpr std::array<Column, 16> kColumns{ {
   { "live_late", &DecideRow::liveLateShare_, 4 },
   { "live_p50_ms", &DecideRow::liveP50Millis_, 0 },
   { "live_p99_ms", &DecideRow::liveP99Millis_, 0 },
@@ -29,6 +29,9 @@
   { "wasted", &DecideRow::wastedShare_, 4 },
   { "cache_hits", &DecideRow::cacheHitShare_, 3 },
   { "worst_share", &DecideRow::worstShareOverDue_, 3 },
+  { "best_share", &DecideRow::bestShareOverDue_, 3 },
+  { "cost_per_s", &DecideRow::costPerSecond_, 0 },
+  { "held_p99_ms", &DecideRow::refusedAfterMillis_, 0 },
   { "slow_share", &DecideRow::slowShare_, 4 },
   { "decide_ns", &DecideRow::decisionNanos_, 0 },
 } };
--- a/src/programs/load/fleet.cpp
+++ b/src/programs/load/fleet.cpp
@@ -35,7 +35,7 @@
 
 Fleet::Fleet(const FleetSettings& aSettings,
              const RoutePolicySpec& aRoutes,
-             MakeQueue aMakeQueue)
+             const MakeQueue& aMakeQueue)
   : settings_(aSettings)
   , maker_(aSettings.seed_)
   , random_(aSettings.seed_ + 1)
@@ -63,7 +63,7 @@
 {
   live_.push_back(std::make_unique<LiveCallers>(
     loop_, maker_, aSettings, [this](BenchRequest aRequest) {
-      Receive(std::move(aRequest));
+      Submit(std::move(aRequest));
     }));
 }
 
@@ -72,7 +72,7 @@
 {
   trainers_.push_back(std::make_unique<FakeTrainer>(
     loop_, maker_, aSettings, [this](BenchRequest aRequest) {
-      Receive(std::move(aRequest));
+      Submit(std::move(aRequest));
     }));
   trainerOf_[aSettings.id_] = trainers_.back().get();
 }
@@ -91,7 +91,7 @@
 }
 
 void
-Fleet::Receive(BenchRequest aRequest)
+Fleet::Submit(BenchRequest aRequest)
 {
   entries_[random_.Below(entries_.size())]->Submit(std::move(aRequest));
 }
@@ -130,9 +130,9 @@
 Fleet::Count(const BenchOutcome& aOutcome)
 {
   const RequestSpec& spec = aOutcome.request_.spec_;
-  if (aOutcome.end_ == BenchEnd::Whole &&
-      spec.class_ == RequestClass::Trainer) {
-    trainerOf_.at(spec.trainer_)->OnWhole(aOutcome.request_.job_.id_);
+  const auto trainer = trainerOf_.find(spec.trainer_);
+  if (aOutcome.end_ == BenchEnd::Whole && trainer != trainerOf_.end()) {
+    trainer->second->OnWhole(aOutcome.request_.job_.id_);
   }
   if (listener_) {
     listener_(aOutcome);
@@ -156,6 +156,11 @@
   if (aOutcome.attempts_ > 0) {
     ++measures_.livePerEngine_[aOutcome.engine_.Get()];
   }
+  if (aOutcome.end_ == BenchEnd::Refused) {
+    const Duration held = aOutcome.at_ - spec.arrived_;
+    measures_.refusedAfterMillis_.Add(static_cast<double>(held.count()) /
+                                      kMicrosPerMilli);
+  }
   if (whole) {
     const Duration took = aOutcome.at_ - spec.arrived_;
     measures_.liveMillis_.Add(static_cast<double>(took.count()) /
--- a/src/programs/load/fleet.hpp
+++ b/src/programs/load/fleet.hpp
@@ -40,17 +40,19 @@
   std::uint64_t failed_ = 0;
   std::vector<std::uint64_t> livePerEngine_;
   Samples liveMillis_;
+  /// Time from arrival to refusal.
+  Samples refusedAfterMillis_;
 };
 
 /// Not thread-safe; one fleet is one run.
 class Fleet
 {
 public:
-  using MakeQueue = std::unique_ptr<QueuePolicy> (*)();
+  using MakeQueue = std::function<std::unique_ptr<QueuePolicy>()>;
 
   Fleet(const FleetSettings& aSettings,
         const RoutePolicySpec& aRoutes,
-        MakeQueue aMakeQueue = MakeClassQueue);
+        const MakeQueue& aMakeQueue = MakeClassQueue);
 
   /// Adds live callers; they start with the run.
   void AddLive(const LiveSettings& aSettings);
@@ -59,6 +61,9 @@
   /// Runs for a length of paused time.
   void Run(Duration aLength);
 
+  /// Hands a request to one of the entries.
+  void Submit(BenchRequest aRequest);
+
   [[nodiscard]] EventLoop& Loop() noexcept { return loop_; }
   [[nodiscard]] FakeEngine& Engine(EngineIndex aIndex)
   {
@@ -76,7 +81,6 @@
 private:
   void DeliverReports();
   void Deliver(EngineIndex aEngine, const CacheEvent& aEvent);
-  void Receive(BenchRequest aRequest);
   void Count(const BenchOutcome& aOutcome);
 
   FleetSettings settings_;
--- a/src/programs/load/policies.hpp
+++ b/src/programs/load/policies.hpp
@@ -88,6 +88,11 @@
   [[nodiscard]] virtual std::optional<TicketId> Next(TimePoint aNow) = 0;
   /// Takes a request out: it was sent or given up.
   virtual void Remove(TicketId aTicket, bool aSent, TimePoint aNow) = 0;
+  /// Takes out requests that can no longer be in time; they are refused.
+  [[nodiscard]] virtual std::vector<TicketId> TakeDoomed(TimePoint /*aNow*/)
+  {
+    return {};
+  }
   /// A request that was sent has ended.
   virtual void OnDone(TicketId /*aTicket*/,
                       const RequestSpec& /*aRequest*/,
--- a/tests/test_sharing.cpp
+++ b/tests/test_sharing.cpp
@@ -201,6 +201,22 @@
   CHECK(queue.Next(At(30)).has_value());
 }
 
+TEST_CASE("throttled flows cannot block each other after a correction")
+{
+  FairQueueSettings settings;
+  settings.throttle_ = 50;
+  FairQueue queue(settings);
+  queue.Push({ TicketId{ 1 }, FlowId{ "a" }, 1 }, {});
+  queue.Push({ TicketId{ 2 }, FlowId{ "a" }, 1 }, {});
+  queue.Push({ TicketId{ 3 }, FlowId{ "b" }, 100 }, {});
+  queue.Push({ TicketId{ 4 }, FlowId{ "b" }, 100 }, {});
+  queue.Dispatch(TicketId{ 1 });
+  queue.Dispatch(TicketId{ 3 });
+  queue.Complete(TicketId{ 1 }, 1000, {});
+  queue.Complete(TicketId{ 3 }, 100, {});
+  CHECK(queue.Next({}) == TicketId{ 4 });
+}
+
 TEST_CASE("what would miss its deadline is refused at once with a true time")
 {
   Admission admission;
