--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -10,6 +10,7 @@
 #include "marjoramtally/process/load_estimate.hpp"
 #include "marjoramtally/process/order_fencing.hpp"
 #include "marjoramtally/process/output_estimate.hpp"
+#include "marjoramtally/process/poll_plan.hpp"
 #include "marjoramtally/process/prefix_hints.hpp"
 #include "marjoramtally/process/rollout.hpp"
 #include "marjoramtally/process/router.hpp"
--- a/include/marjoramtally/process/router.hpp
+++ b/include/marjoramtally/process/router.hpp
@@ -16,7 +16,7 @@
 struct RouterTuning
 {
   /// Candidates drawn for a request; the best of them gets it.
-  std::size_t choices_ = 4;
+  std::size_t choices_ = 2;
   /// Share by which costs are blurred, so that routers with the same reports
   /// do not choose alike.
   double blur_ = 0.1;
@@ -63,8 +63,11 @@
   void OnReport(const UpstreamId& aId,
                 const UpstreamReport& aReport,
                 TimePoint aNow);
+  /// Puts reported versions in force that `OnReport` has put off to change
+  /// the routing state less often; to be called several times a second.
+  void Refresh(TimePoint aNow);
   /// Marks this incarnation as leaving, for good.
-  void MarkLeaving(const UpstreamId& aId);
+  void MarkLeaving(const UpstreamId& aId, TimePoint aNow);
   /// A prefix entered the cache of an upstream or left it.
   void OnCacheEvent(const UpstreamId& aId,
                     std::uint64_t aPrefix,
@@ -88,9 +91,9 @@
   using RoutedPtr = std::shared_ptr<const RoutedUpstream>;
 
   [[nodiscard]] RoutedPtr Make(UpstreamView aView, TimePoint aNow);
-  void Change(const UpstreamId& aId,
-              const std::function<void(RoutedUpstream&)>& aEdit);
-  void Publish();
+  void Edit(const UpstreamId& aId,
+            const std::function<void(RoutedUpstream&)>& aEdit);
+  void Publish(TimePoint aNow);
 
   ZoneId zone_;
   std::uint64_t seed_;
@@ -103,6 +106,9 @@
   std::map<UpstreamId, RoutedPtr> upstreams_;
   LeavingMarks leaving_;
   UpstreamSlot nextSlot_ = 0;
+  TimePoint publishedAt_;
+  /// Whether there are edits that are not published.
+  bool changed_ = false;
 };
 
 } // namespace marjoramtally
--- a/src/process/concurrency_limit.cpp
+++ b/src/process/concurrency_limit.cpp
@@ -8,9 +8,12 @@
 
 constexpr double kLeast = 1;
 constexpr double kMost = 4096;
+/// Growth by one answer: small limits of many entries must not double at
+/// once.
+constexpr double kMostGrowth = 0.25;
 constexpr double kShrinkFactor = 0.9;
 /// A live answer after this share of its time calls for less load.
-constexpr double kLateShare = 0.9;
+constexpr double kLateShare = 0.95;
 /// One cause shows in many answers; it shrinks the limit once.
 constexpr Duration::rep kShrinkPause = 500'000;
 constexpr auto kRelaxed = std::memory_order_relaxed;
@@ -52,7 +55,8 @@
     return;
   }
   const double limit = limit_.load(kRelaxed);
-  limit_.store(std::min(kMost, limit + 1 / limit), kRelaxed);
+  limit_.store(std::min(kMost, limit + std::min(kMostGrowth, 1 / limit)),
+               kRelaxed);
 }
 
 } // namespace marjoramtally
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -12,6 +12,9 @@
 constexpr double kMeanWeight = 0.05;
 /// A queue that is longer than this part of the batch calls for less load.
 constexpr std::uint64_t kQueuedShare = 8;
+/// Versions change on many upstreams at once: their reports share a change
+/// of the routing state.
+constexpr Duration kPublishPeriod = std::chrono::milliseconds(100);
 /// An upstream of the first list is taken as warm.
 constexpr Duration kWarm = std::chrono::minutes(10);
 
@@ -110,12 +113,12 @@
     next.emplace(view.id_, std::move(made));
   }
   upstreams_ = std::move(next);
-  Publish();
+  Publish(aNow);
 }
 
 void
-Router::Change(const UpstreamId& aId,
-               const std::function<void(RoutedUpstream&)>& aEdit)
+Router::Edit(const UpstreamId& aId,
+             const std::function<void(RoutedUpstream&)>& aEdit)
 {
   const auto found = upstreams_.find(aId);
   if (found == upstreams_.end()) {
@@ -124,12 +127,14 @@
   auto next = std::make_shared<RoutedUpstream>(*found->second);
   aEdit(*next);
   found->second = std::move(next);
-  Publish();
+  changed_ = true;
 }
 
 void
-Router::Publish()
+Router::Publish(TimePoint aNow)
 {
+  publishedAt_ = aNow;
+  changed_ = false;
   snapshot_.Publish(BuildSnapshot(upstreams_, zone_));
 }
 
@@ -152,28 +157,41 @@
   }
   const bool restarted = aReport.incarnation_ > upstream.view_.incarnation_;
   const bool leaves = aReport.leaving_ && !upstream.view_.leaving_;
-  if (upstream.models_ == aReport.models_ && !restarted && !leaves) {
-    return;
+  if (upstream.models_ != aReport.models_ || restarted || leaves) {
+    Edit(aId, [&](RoutedUpstream& aNext) {
+      aNext.models_ = aReport.models_;
+      aNext.view_.incarnation_ =
+        std::max(aNext.view_.incarnation_, aReport.incarnation_);
+      if (leaves) {
+        leaving_.Mark(aNext.view_);
+      }
+      aNext.view_.leaving_ = leaving_.Marked(aNext.view_);
+    });
+  }
+  const bool due = leaves || aNow - publishedAt_ >= kPublishPeriod;
+  if (changed_ && due) {
+    Publish(aNow);
+  }
+}
+
+void
+Router::Refresh(TimePoint aNow)
+{
+  const std::lock_guard lock(mutex_);
+  if (changed_) {
+    Publish(aNow);
   }
-  Change(aId, [&](RoutedUpstream& aNext) {
-    aNext.models_ = aReport.models_;
-    aNext.view_.incarnation_ =
-      std::max(aNext.view_.incarnation_, aReport.incarnation_);
-    if (leaves) {
-      leaving_.Mark(aNext.view_);
-    }
-    aNext.view_.leaving_ = leaving_.Marked(aNext.view_);
-  });
 }
 
 void
-Router::MarkLeaving(const UpstreamId& aId)
+Router::MarkLeaving(const UpstreamId& aId, TimePoint aNow)
 {
   const std::lock_guard lock(mutex_);
-  Change(aId, [this](RoutedUpstream& aNext) {
+  Edit(aId, [this](RoutedUpstream& aNext) {
     leaving_.Mark(aNext.view_);
     aNext.view_.leaving_ = true;
   });
+  Publish(aNow);
 }
 
 void
--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 4;
-constexpr auto kReportPeriod = std::chrono::milliseconds(200);
+constexpr auto kReportPeriod = std::chrono::milliseconds(50);
 constexpr auto kReportTimeout = std::chrono::seconds(1);
 constexpr auto kPumpPeriod = std::chrono::milliseconds(20);
 /// Attempts without a caller's deadline end after this long.
@@ -65,6 +65,7 @@
   : host_(aHost)
   , router_(ZoneId{ aHost.Settings().zone_ },
             std::hash<std::string>{}(aHost.Settings().instance_))
+  , polls_(ZoneId{ aHost.Settings().zone_ }, aHost.Settings().instance_)
 {
 }
 
@@ -110,6 +111,7 @@
   {
     const std::lock_guard lock(mutex_);
     router_.SetUpstreams(upstreams, host_.Now());
+    polls_.SetUpstreams(upstreams, host_.Now());
     TakeLimits(*aView->rules_, upstreams);
   }
   Pump();
@@ -138,8 +140,9 @@
   std::vector<UpstreamView> upstreams;
   {
     const std::lock_guard lock(mutex_);
-    upstreams = router_.Upstreams();
+    upstreams = polls_.Due(host_.Now());
   }
+  router_.Refresh(host_.Now());
   for (const UpstreamView& upstream : upstreams) {
     PollReport(upstream);
   }
@@ -165,7 +168,6 @@
                         return;
                       }
                       report.value().at_ = host_.Now();
-                      const std::lock_guard lock(mutex_);
                       router_.OnReport(id, report.value(), host_.Now());
                     });
 }
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -99,6 +99,7 @@
   Host& host_;
   mutable std::mutex mutex_;
   Router router_;
+  PollPlan polls_;
   Admission admission_;
   std::unordered_map<TicketId, FlightPtr> flights_;
   std::uint64_t lastTicket_ = 0;
--- a/src/programs/load/decide.cpp
+++ b/src/programs/load/decide.cpp
@@ -16,8 +16,15 @@
 
 constexpr std::uint64_t kMostSeconds = 3600;
 
-constexpr std::array<DecideScenario, 1> kScenarios{ {
+constexpr std::array<DecideScenario, 4> kScenarios{ {
   { "routing", "policies at 50, 90 and 150% load", RunRoutingScenario },
+  { "faults", "one engine of nine is slow or crashes", RunFaultsScenario },
+  { "herding",
+    "candidates and blur, few and many entries",
+    RunHerdingScenario },
+  { "cost",
+    "real time of a decision at 16 and 1,600 upstreams",
+    RunCostScenario },
 } };
 
 const DecideScenario*
--- a/src/programs/load/decide.hpp
+++ b/src/programs/load/decide.hpp
@@ -59,6 +59,12 @@
 
 [[nodiscard]] DecideRows
 RunRoutingScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunFaultsScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunHerdingScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunCostScenario(const DecideOptions& aOptions);
 
 /// Prints one aligned line for each row, with the columns that have values.
 void
--- /dev/null
+++ b/src/programs/load/decide_faults.cpp
@@ -0,0 +1,104 @@
+/// The scenario `faults`: one engine of nine becomes ten times slower, or
+/// crashes and comes back, at 70% load.
+
+#include "programs/load/offered_load.hpp"
+
+namespace marjoramtally::bench {
+
+namespace {
+
+constexpr double kLoad = 0.7;
+constexpr double kSlowdown = 10;
+constexpr EngineIndex kVictim{ 4 };
+constexpr TimePoint kFaultAt{ std::chrono::seconds(30) };
+constexpr TimePoint kFaultEnds{ std::chrono::seconds(70) };
+/// The share of live work is taken from this long after the fault.
+constexpr Duration kReaction = std::chrono::seconds(2);
+
+/// One fault: how it starts and ends.
+struct Fault
+{
+  std::string_view name_;
+  void (*start_)(FakeEngine&);
+  void (*end_)(FakeEngine&);
+};
+
+constexpr std::array<Fault, 2> kFaults{ {
+  { "slow",
+    [](FakeEngine& aEngine) { aEngine.SetSlowdown(kSlowdown); },
+    [](FakeEngine& aEngine) { aEngine.SetSlowdown(1); } },
+  { "crash",
+    [](FakeEngine& aEngine) { aEngine.Crash(); },
+    [](FakeEngine& aEngine) { aEngine.Restart(); } },
+} };
+
+/// What live callers saw that came during the fault.
+struct FaultView
+{
+  std::uint64_t live_ = 0;
+  /// Late, or failed in the caller's eyes.
+  std::uint64_t harmed_ = 0;
+  std::uint64_t afterReaction_ = 0;
+  std::uint64_t atVictim_ = 0;
+
+  void Count(const BenchOutcome& aOutcome)
+  {
+    const RequestSpec& spec = aOutcome.request_.spec_;
+    if (spec.class_ != RequestClass::Live || spec.arrived_ < kFaultAt ||
+        spec.arrived_ >= kFaultEnds) {
+      return;
+    }
+    ++live_;
+    harmed_ += aOutcome.end_ == BenchEnd::Whole ? 0 : 1;
+    if (spec.arrived_ >= kFaultAt + kReaction) {
+      ++afterReaction_;
+      atVictim_ += aOutcome.engine_ == kVictim ? 1 : 0;
+    }
+  }
+};
+
+double
+Share(std::uint64_t aPart, std::uint64_t aWhole)
+{
+  return static_cast<double>(aPart) /
+         static_cast<double>(std::max<std::uint64_t>(aWhole, 1));
+}
+
+DecideRow
+RunFault(const DecideOptions& aOptions,
+         const Fault& aFault,
+         const RoutePolicySpec& aPolicy)
+{
+  FleetSettings settings;
+  settings.seed_ = aOptions.seed_;
+  Fleet fleet(settings, aPolicy);
+  OfferMixedLoad(fleet, settings, kLoad);
+  FaultView view;
+  fleet.OnOutcome([&](const BenchOutcome& aOutcome) { view.Count(aOutcome); });
+  fleet.Loop().At(kFaultAt, [&] { aFault.start_(fleet.Engine(kVictim)); });
+  fleet.Loop().At(kFaultEnds, [&] { aFault.end_(fleet.Engine(kVictim)); });
+  fleet.Run(aOptions.length_);
+  DecideRow row = fleet.Row(
+    std::string(aFault.name_) + " " + std::string(aPolicy.name_), kLoad);
+  row.liveLateShare_ = Share(view.harmed_, view.live_);
+  row.slowShare_ = Share(view.atVictim_, view.afterReaction_);
+  return row;
+}
+
+} // namespace
+
+DecideRows
+RunFaultsScenario(const DecideOptions& aOptions)
+{
+  std::vector<RoutePolicySpec> policies = BaselinePolicies();
+  policies.push_back(OurPolicy());
+  DecideRows rows;
+  for (const Fault& fault : kFaults) {
+    for (const RoutePolicySpec& policy : policies) {
+      rows.push_back(RunFault(aOptions, fault, policy));
+    }
+  }
+  return rows;
+}
+
+} // namespace marjoramtally::bench
--- a/src/programs/load/policies.hpp
+++ b/src/programs/load/policies.hpp
@@ -76,6 +76,10 @@
 [[nodiscard]] const std::vector<RoutePolicySpec>&
 OurVariants();
 
+/// The library's router with other numbers of candidates and other blur.
+[[nodiscard]] const std::vector<RoutePolicySpec>&
+HerdingVariants();
+
 /// Orders the requests that wait at one entry.
 class QueuePolicy
 {
--- a/src/programs/load/router_policy.cpp
+++ b/src/programs/load/router_policy.cpp
@@ -36,6 +36,7 @@
     for (const UpstreamView& view : views) {
       router_.OnReport(view.id_, report, {});
     }
+    router_.Refresh({});
   }
 
   std::optional<EngineIndex> Pick(const RequestSpec& aRequest,
@@ -112,6 +113,21 @@
   return std::make_unique<RouterPolicy>(aEngines, aSeed, tuning);
 }
 
+/// Ours with a number of candidates, with or without blur and correction.
+template<std::size_t Choices, bool Blur, bool Correct>
+std::unique_ptr<RoutePolicy>
+MakeHerding(std::size_t aEngines, std::uint64_t aSeed)
+{
+  RouterTuning tuning;
+  tuning.choices_ = Choices;
+  tuning.blur_ = Blur ? tuning.blur_ : 0;
+  tuning.correctReports_ = Correct;
+  return std::make_unique<RouterPolicy>(aEngines, aSeed, tuning);
+}
+
+/// More than any fleet of the bench has.
+constexpr std::size_t kAll = 4096;
+
 } // namespace
 
 const RoutePolicySpec&
@@ -125,7 +141,6 @@
 OurVariants()
 {
   static constexpr std::size_t kTwo = 2;
-  static constexpr std::size_t kAll = 4096;
   static const std::vector<RoutePolicySpec> variants{
     { "ours-uncorrected", MakeVariant<&RouterTuning::correctReports_, false> },
     { "ours-no-prefix", MakeVariant<&RouterTuning::prefixHints_, false> },
@@ -136,4 +151,19 @@
   return variants;
 }
 
+const std::vector<RoutePolicySpec>&
+HerdingVariants()
+{
+  static const std::vector<RoutePolicySpec> variants{
+    { "all, as reported", MakeHerding<kAll, false, false> },
+    { "all, corrected", MakeHerding<kAll, false, true> },
+    { "all, corrected, blur", MakeHerding<kAll, true, true> },
+    { "2 of 9, corrected, blur", MakeHerding<2, true, true> },
+    { "4 of 9, as reported", MakeHerding<4, false, false> },
+    { "4 of 9, corrected", MakeHerding<4, false, true> },
+    { "4 of 9, corrected, blur", MakeHerding<4, true, true> },
+  };
+  return variants;
+}
+
 } // namespace marjoramtally::bench
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -46,6 +46,7 @@
     report.running_ = aRunning;
     report.at_ = now_ - aAge;
     router_.OnReport(Id(aIndex), report, now_);
+    router_.Refresh(now_);
   }
 
   UpstreamPtr Pick() { return router_.Pick(spec_, tried_, now_); }
@@ -125,7 +126,7 @@
   REQUIRE(bed.Pick());
   SECTION("marked by a peer")
   {
-    bed.router_.MarkLeaving(Bed::Id(0));
+    bed.router_.MarkLeaving(Bed::Id(0), bed.now_);
   }
   SECTION("marked by a list")
   {
@@ -324,3 +325,44 @@
   limit.OnUsed(now);
   CHECK(limit.Get() == shrunk);
 }
+
+TEST_CASE("polling is bounded however large the fleet is, and spares none")
+{
+  constexpr std::size_t kUpstreams = 1600;
+  constexpr std::size_t kZones = 12;
+  constexpr std::size_t kEntriesOfZone = 36;
+  std::vector<UpstreamView> views;
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    UpstreamView view;
+    view.id_ = Bed::Id(i);
+    view.service_ = ServiceId{ "s" };
+    view.zone_ = ZoneId{ "z" + std::to_string(i % kZones) };
+    views.push_back(view);
+  }
+  const PollSettings settings;
+  std::map<UpstreamId, std::size_t> polled;
+  for (std::size_t entry = 0; entry < kEntriesOfZone; ++entry) {
+    PollPlan plan(ZoneId{ "z0" }, "entry-" + std::to_string(entry));
+    TimePoint now;
+    plan.SetUpstreams(views, now);
+    CHECK(plan.size() == settings.subset_);
+    std::size_t polls = 0;
+    std::size_t far = 0;
+    for (int tick = 0; tick < 400; ++tick) {
+      for (const UpstreamView& due : plan.Due(now)) {
+        ++polls;
+        ++polled[due.id_];
+        far += due.zone_ != ZoneId{ "z0" } ? 1 : 0;
+      }
+      now = now + milliseconds(50);
+    }
+    CHECK(polls <= 20 * settings.mostPerSecond_ * 1.2);
+    CHECK(far > 0);
+    CHECK(far < polls / 2);
+  }
+  std::size_t near = 0;
+  for (const auto& [id, count] : polled) {
+    near += std::stoul(id.Get().substr(1)) % kZones == 0 ? 1 : 0;
+  }
+  CHECK(near >= kUpstreams / kZones * 97 / 100);
+}
