--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -107,6 +107,7 @@
   Host& host_;
   mutable std::mutex mutex_;
   Router router_;
+  PollPlan polls_;
   Admission admission_;
   RetryBudget retries_;
   CrashGuard crashes_;
--- a/src/programs/load/decide.cpp
+++ b/src/programs/load/decide.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t kMostSeconds = 3600;
 
-constexpr std::array<DecideScenario, 4> kScenarios{ {
+constexpr std::array<DecideScenario, 7> kScenarios{ {
   { "routing", "policies at 50, 90 and 150% load", RunRoutingScenario },
   { "sharing",
     "trainers of weights 1:1:2 under variants of fair queueing",
@@ -27,6 +27,13 @@
   { "queue",
     "time of one request through the queue beside others that wait",
     RunQueueScenario },
+  { "faults", "one engine of nine is slow or crashes", RunFaultsScenario },
+  { "herding",
+    "candidates and blur, few and many entries",
+    RunHerdingScenario },
+  { "cost",
+    "real time of a decision at 16 and 1,600 upstreams",
+    RunCostScenario },
 } };
 
 const DecideScenario*
--- a/src/programs/load/decide.hpp
+++ b/src/programs/load/decide.hpp
@@ -64,6 +64,12 @@
 
 [[nodiscard]] DecideRows
 RunRoutingScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunFaultsScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunHerdingScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunCostScenario(const DecideOptions& aOptions);
 
 [[nodiscard]] DecideRows
 RunSharingScenario(const DecideOptions& aOptions);
