Membership core and lease keeper as decision libraries

Cause: instances knew each other only by reading the store each second, so a zone cut off from it lost sight of its own members, and nothing told a paused holder that its lease had lapsed. Ruled out: full mesh of heartbeats (440 members send 440 messages a second each), a fixed leader of a zone (a duty that must be handed over), counting a lease from the answer's arrival. Found by its tests: sends within the zone used up an item's send count before it left the zone (a queue of its own now); a join whose first page lacked the seed stopped there (the seed's address is kept).

--- a/include/marjoramtally/connection.hpp
+++ b/include/marjoramtally/connection.hpp
@@ -1,5 +1,6 @@
 /// Public header of the connection library: what goes over connections.
 #pragma once
 
+#include "marjoramtally/connection/gossip_messages.hpp"
 #include "marjoramtally/connection/suspicion_messages.hpp"
 #include "marjoramtally/connection/trainer_messages.hpp"
--- /dev/null
+++ b/include/marjoramtally/process/gossip_items.hpp
@@ -0,0 +1,50 @@
+/// The items that members spread: newest version of each, with age, bounded
+/// in number.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/connection/gossip_messages.hpp"
+
+#include <map>
+#include <optional>
+
+namespace marjoramtally {
+
+/// Items by kind and key.
+class GossipItems
+{
+public:
+  explicit GossipItems(std::size_t aMost = 1024) noexcept
+    : most_(aMost)
+  {
+  }
+
+  /// @returns whether the item is newer than what was known and is kept
+  bool Merge(const GossipItem& aItem, TimePoint aNow);
+  /// @returns the item with its present age, if it has not expired
+  [[nodiscard]] std::optional<GossipItem> Find(GossipItemKind aKind,
+                                               const std::string& aKey,
+                                               TimePoint aNow) const;
+  /// @returns all items of a kind that have not expired
+  [[nodiscard]] std::vector<GossipItem> OfKind(GossipItemKind aKind,
+                                               TimePoint aNow) const;
+  /// Forgets expired items.
+  void Forget(TimePoint aNow);
+  [[nodiscard]] std::size_t Size() const noexcept { return items_.size(); }
+
+private:
+  using Key = std::pair<GossipItemKind, std::string>;
+  struct Entry
+  {
+    GossipItem item_;
+    /// When the origin made it, by this process's clock.
+    TimePoint made_;
+  };
+
+  [[nodiscard]] static GossipItem Aged(const Entry& aEntry, TimePoint aNow);
+
+  std::size_t most_;
+  std::map<Key, Entry> items_;
+};
+
+} // namespace marjoramtally
--- a/src/connection/wire.hpp
+++ b/src/connection/wire.hpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <kj/exception.h>
 #include <optional>
+#include <string>
 
 namespace marjoramtally::impl {
 
--- /dev/null
+++ b/src/process/lease.cpp
@@ -0,0 +1,127 @@
+#include "marjoramtally/process/lease.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Heartbeats sent in the time that a lease lives without one.
+constexpr int kHeartbeatsPerTtl = 3;
+/// A call that is not answered in this share of the time is given up.
+constexpr int kAnswersPerTtl = 2;
+/// Heartbeats are spread over the last part of their period.
+constexpr double kJitterShare = 0.1;
+constexpr std::uint32_t kMostDoublings = 16;
+
+} // namespace
+
+Duration
+Backoff::Next() noexcept
+{
+  const std::uint32_t doublings = std::min(failures_, kMostDoublings);
+  ++failures_;
+  const double wait = std::min(static_cast<double>(longest_.count()),
+                               static_cast<double>(first_.count()) *
+                                 static_cast<double>(1U << doublings));
+  const double spread = (1.0 + random_.Unit()) / 2.0;
+  return Duration{ static_cast<Duration::rep>(wait * spread) };
+}
+
+LeaseStep
+LeaseKeeper::Next(TimePoint aNow) noexcept
+{
+  if (asking_ && aNow - sentAt_ >= options_.ttl_ / kAnswersPerTtl) {
+    // The answer is lost.
+    OnAnswer(LeaseAnswer::Unknown, sentAt_, aNow);
+  }
+  if (asking_ || aNow < nextAt_) {
+    return LeaseStep::Wait;
+  }
+  asking_ = true;
+  sentAt_ = aNow;
+  return granted_ ? LeaseStep::KeepAlive : LeaseStep::Grant;
+}
+
+bool
+LeaseKeeper::OnAnswer(LeaseAnswer aAnswer,
+                      TimePoint aSentAt,
+                      TimePoint aNow) noexcept
+{
+  if (!asking_ || aSentAt != sentAt_) {
+    return false;
+  }
+  asking_ = false;
+  switch (aAnswer) {
+    case LeaseAnswer::Confirmed:
+      granted_ = true;
+      confirmedAt_ = sentAt_;
+      backoff_.Reset();
+      nextAt_ = sentAt_ + HeartbeatPeriod();
+      break;
+    case LeaseAnswer::Gone:
+      Drop();
+      nextAt_ = aNow;
+      break;
+    case LeaseAnswer::Unknown:
+      nextAt_ = aNow + backoff_.Next();
+      break;
+  }
+  return true;
+}
+
+void
+LeaseKeeper::Drop() noexcept
+{
+  granted_ = false;
+  asking_ = false;
+}
+
+TimePoint
+LeaseKeeper::StopAt() const noexcept
+{
+  if (!granted_) {
+    return TimePoint{ Duration::min() };
+  }
+  return confirmedAt_ + options_.ttl_ - options_.margin_;
+}
+
+Duration
+LeaseKeeper::HeartbeatPeriod() noexcept
+{
+  const auto period =
+    static_cast<double>((options_.ttl_ / kHeartbeatsPerTtl).count());
+  return Duration{ static_cast<Duration::rep>(
+    period * (1.0 - kJitterShare * random_.Unit())) };
+}
+
+std::string_view
+ToString(StoreCallKind aKind) noexcept
+{
+  constexpr std::array<std::string_view, kStoreCallKinds> kNames{
+    "read", "write", "lease", "watch"
+  };
+  return kNames.at(static_cast<std::size_t>(aKind));
+}
+
+bool
+StoreBudget::Take(StoreCallKind aKind, TimePoint aNow) noexcept
+{
+  if (last_ != TimePoint{}) {
+    const auto seconds = static_cast<double>((aNow - last_).count()) / 1e6;
+    left_ = std::min(burst_, left_ + seconds * perSecond_);
+  }
+  last_ = aNow;
+  const bool mayWait =
+    aKind == StoreCallKind::Read || aKind == StoreCallKind::Watch;
+  if (mayWait && left_ < 1.0) {
+    ++refused_;
+    return false;
+  }
+  // Debt is bounded too, so that reads come back after a burst of writes.
+  left_ = std::max(left_ - 1.0, -burst_);
+  ++counts_.at(static_cast<std::size_t>(aKind));
+  return true;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/member_table.cpp
@@ -0,0 +1,160 @@
+#include "marjoramtally/process/member_table.hpp"
+
+#include "marjoramtally/base/random.hpp"
+
+#include <tuple>
+
+namespace marjoramtally {
+
+namespace {
+
+/// FNV-1a; equal on all instances, unlike `std::hash`.
+std::uint64_t
+HashText(const std::string& aText) noexcept
+{
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325ULL;
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+  std::uint64_t hash = kOffset;
+  for (const char byte : aText) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  return hash;
+}
+
+std::uint64_t
+HashMember(const Member& aMember) noexcept
+{
+  const std::uint64_t leaving = aMember.leaving_ ? 1 : 0;
+  return Random(HashText(aMember.id_.Get()) ^
+                (aMember.incarnation_.Get() * 2 + leaving))
+    .Next();
+}
+
+/// Order of updates about one incarnation, leaving marks apart.
+bool
+Newer(const Member& aUpdate, const Member& aKnown) noexcept
+{
+  return std::tie(aUpdate.refutation_, aUpdate.state_) >
+         std::tie(aKnown.refutation_, aKnown.state_);
+}
+
+bool
+HasRecord(const Member& aMember) noexcept
+{
+  return !aMember.rpc_.empty() && !aMember.zone_.Get().empty();
+}
+
+} // namespace
+
+MergeOutcome
+MemberTable::Merge(const Member& aUpdate, TimePoint aNow)
+{
+  const auto it = entries_.find(aUpdate.id_);
+  if (it == entries_.end() ||
+      aUpdate.incarnation_ > it->second.member_.incarnation_) {
+    return Insert(aUpdate, aNow);
+  }
+  Member& known = it->second.member_;
+  if (aUpdate.incarnation_ < known.incarnation_) {
+    return MergeOutcome::Ignored;
+  }
+  const bool newer = Newer(aUpdate, known);
+  const bool marks = aUpdate.leaving_ && !known.leaving_;
+  if (!newer && !marks) {
+    return MergeOutcome::Ignored;
+  }
+  Toggle(known);
+  known.leaving_ = known.leaving_ || aUpdate.leaving_;
+  if (newer) {
+    known.refutation_ = aUpdate.refutation_;
+    known.state_ = aUpdate.state_;
+    it->second.deadline_ = kNever;
+  }
+  Toggle(known);
+  it->second.changed_ = aNow;
+  return MergeOutcome::Changed;
+}
+
+MergeOutcome
+MemberTable::Insert(const Member& aUpdate, TimePoint aNow)
+{
+  if (!HasRecord(aUpdate)) {
+    return aUpdate.state_ == MemberState::Dead ? MergeOutcome::Ignored
+                                               : MergeOutcome::NeedsRecord;
+  }
+  const auto it = entries_.find(aUpdate.id_);
+  if (it == entries_.end() && entries_.size() >= options_.most_) {
+    return MergeOutcome::Ignored;
+  }
+  DropFormerHolder(aUpdate, aNow);
+  if (it != entries_.end()) {
+    Toggle(it->second.member_);
+  }
+  entries_[aUpdate.id_] = Entry{ aUpdate, aNow, kNever };
+  Toggle(aUpdate);
+  return MergeOutcome::Changed;
+}
+
+void
+MemberTable::DropFormerHolder(const Member& aNewcomer, TimePoint aNow)
+{
+  if (aNewcomer.state_ == MemberState::Dead) {
+    return;
+  }
+  for (auto& [id, entry] : entries_) {
+    Member& other = entry.member_;
+    if (id != aNewcomer.id_ && other.rpc_ == aNewcomer.rpc_ &&
+        other.incarnation_ < aNewcomer.incarnation_ &&
+        other.state_ != MemberState::Dead) {
+      Toggle(other);
+      other.state_ = MemberState::Dead;
+      entry.changed_ = aNow;
+    }
+  }
+}
+
+void
+MemberTable::Forget(TimePoint aNow)
+{
+  std::erase_if(entries_, [&](const auto& aEntry) {
+    return aEntry.second.member_.state_ == MemberState::Dead &&
+           aNow - aEntry.second.changed_ >= options_.tombstone_;
+  });
+}
+
+const MemberTable::Entry*
+MemberTable::Find(const InstanceId& aId) const
+{
+  const auto it = entries_.find(aId);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+void
+MemberTable::SetDeadline(const InstanceId& aId, TimePoint aDeadline)
+{
+  const auto it = entries_.find(aId);
+  if (it != entries_.end()) {
+    it->second.deadline_ = aDeadline;
+  }
+}
+
+std::uint64_t
+MemberTable::HashOf(const ZoneId& aZone) const
+{
+  const auto it = zoneHashes_.find(aZone);
+  return it == zoneHashes_.end() ? 0 : it->second;
+}
+
+/// Adds a living member to the hashes, or takes it out again.
+void
+MemberTable::Toggle(const Member& aMember)
+{
+  if (aMember.state_ == MemberState::Dead) {
+    return;
+  }
+  const std::uint64_t hash = HashMember(aMember);
+  hash_ ^= hash;
+  zoneHashes_[aMember.zone_] ^= hash;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/membership_roles.cpp
@@ -0,0 +1,83 @@
+/// What follows from the table: peers, links, and who keeps them.
+
+#include "marjoramtally/process/membership.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Times that an update is sent for each power of ten of members.
+constexpr double kSendsPerDecade = 4.0;
+
+} // namespace
+
+bool
+Membership::IsBridge() const
+{
+  RefreshRoles();
+  return bridge_;
+}
+
+std::vector<InstanceId>
+Membership::Peers() const
+{
+  RefreshRoles();
+  return peers_;
+}
+
+std::vector<InstanceId>
+Membership::OneOfEachZone()
+{
+  std::vector<InstanceId> chosen;
+  for (const auto& [zone, members] : otherZones_) {
+    chosen.push_back(members[random_.Below(members.size())]);
+  }
+  return chosen;
+}
+
+std::uint32_t
+Membership::SendLimit(bool aRemote) const
+{
+  RefreshRoles();
+  if (aRemote) {
+    // About once to each zone from each of its bridges.
+    return std::max(static_cast<std::uint32_t>(kSendsPerDecade),
+                    static_cast<std::uint32_t>(otherZones_.size()));
+  }
+  const auto zoneSize = static_cast<double>(peers_.size() + 2);
+  return static_cast<std::uint32_t>(kSendsPerDecade *
+                                    std::ceil(std::log10(zoneSize)));
+}
+
+/// Derives peers, links and the bridges from the table: the first members of
+/// a zone by id that are alive and stay.
+void
+Membership::RefreshRoles() const
+{
+  if (rolesOf_ == changes_) {
+    return;
+  }
+  rolesOf_ = changes_;
+  peers_.clear();
+  otherZones_.clear();
+  std::size_t before = 0;
+  for (const auto& [id, entry] : table_.All()) {
+    const Member& member = entry.member_;
+    if (id == self_.id_ || member.state_ == MemberState::Dead) {
+      continue;
+    }
+    if (member.zone_ != self_.zone_) {
+      otherZones_[member.zone_].push_back(id);
+      continue;
+    }
+    peers_.push_back(id);
+    const bool stays = member.state_ == MemberState::Alive && !member.leaving_;
+    before += stays && id < self_.id_ ? 1 : 0;
+  }
+  bridge_ = before < options_.bridges_;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/membership_sync.cpp
@@ -0,0 +1,91 @@
+/// Syncs: joining, and settling what gossip has missed.
+
+#include "marjoramtally/process/membership.hpp"
+
+namespace marjoramtally {
+
+/// Asks for a sync after several peers in a row had another table.
+void
+Membership::CompareTables(const GossipMessage& aMessage, const Member* aSender)
+{
+  const bool home = aSender != nullptr && aSender->zone_ == self_.zone_;
+  std::size_t& mismatch = home ? localMismatch_ : remoteMismatch_;
+  if (aMessage.tableHash_ == table_.Hash()) {
+    mismatch = 0;
+    return;
+  }
+  ++mismatch;
+  const std::size_t limit =
+    home ? options_.localMismatches_ : options_.remoteMismatches_;
+  if (mismatch >= limit && !syncing_ && syncWith_.empty() &&
+      aSender != nullptr) {
+    mismatch = 0;
+    syncWith_ = aSender->rpc_;
+    syncCursor_.clear();
+  }
+}
+
+/// Joins by a seed, or goes on with a sync that is due.
+void
+Membership::SyncIfDue(TimePoint aNow, GossipActions& aOut)
+{
+  if (syncing_ || aNow < nextSync_) {
+    return;
+  }
+  const bool alone = peers_.empty() && otherZones_.empty();
+  if (syncWith_.empty() && (!joined_ || alone) && !seeds_.empty()) {
+    syncWith_ = seeds_[random_.Below(seeds_.size())];
+  }
+  if (syncWith_.empty()) {
+    return;
+  }
+  GossipMessage request = Compose(GossipKind::Sync, nullptr, aNow);
+  request.cursor_ = syncCursor_;
+  for (const auto& [zone, hash] : table_.Hashes()) {
+    request.zoneHashes_.push_back({ zone, hash });
+  }
+  syncing_ = true;
+  ++counters_.syncs_;
+  aOut.emplace_back(Send({ CallKind::Sync, {}, {} },
+                         syncWith_,
+                         std::move(request),
+                         options_.indirectTimeout_));
+}
+
+/// Members of the zones whose hash differs, from the cursor on.
+GossipMessage
+Membership::ComposePage(const GossipMessage& aRequest, TimePoint aNow)
+{
+  GossipMessage page = Compose(GossipKind::SyncPage, nullptr, aNow);
+  std::map<ZoneId, std::uint64_t> theirs;
+  for (const ZoneHash& zone : aRequest.zoneHashes_) {
+    theirs[zone.zone_] = zone.hash_;
+  }
+  std::size_t left = options_.pageBudget_;
+  const auto& all = table_.All();
+  for (auto it = all.upper_bound(InstanceId{ aRequest.cursor_ });
+       it != all.end();
+       ++it) {
+    const Member& member = it->second.member_;
+    const auto known = theirs.find(member.zone_);
+    if (known != theirs.end() && known->second == table_.HashOf(member.zone_)) {
+      continue;
+    }
+    Member update = member;
+    if (update.state_ == MemberState::Suspect) {
+      // A page tells what stands, not what is suspected.
+      update.state_ = MemberState::Alive;
+    }
+    const std::size_t bytes = WireBytes(update);
+    if (bytes > left) {
+      return page;
+    }
+    left -= bytes;
+    page.cursor_ = member.id_.Get();
+    page.updates_.push_back(std::move(update));
+  }
+  page.cursor_.clear();
+  return page;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/load/direct_gossip.hpp
@@ -0,0 +1,98 @@
+/// Drives many membership cores on a paused clock by direct calls: a message
+/// arrives at once, is lost, or finds nobody.
+#pragma once
+
+#include "marjoramtally/process/membership.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace marjoramtally {
+
+/// What one member sent and handled.
+struct GossipTraffic
+{
+  std::uint64_t bytesSent_ = 0;
+  std::uint64_t bytesReceived_ = 0;
+  std::uint64_t handled_ = 0;
+};
+
+/// Members by number, their clock and what may go wrong between them.
+class DirectGossip
+{
+public:
+  explicit DirectGossip(std::uint64_t aSeed)
+    : random_(aSeed)
+  {
+  }
+
+  /// Adds a member; it joins by `aSeeds` of the members before it.
+  /// @returns its number
+  std::size_t Add(const std::string& aName,
+                  const std::string& aZone,
+                  MembershipOptions aOptions = {});
+  /// Replaces a member by a new process at the same address.
+  void Restart(std::size_t aNumber);
+  /// Lets time pass in steps, ticking all members that run.
+  void Run(Duration aTime);
+
+  [[nodiscard]] Membership& At(std::size_t aNumber)
+  {
+    return *nodes_.at(aNumber).core_;
+  }
+  [[nodiscard]] std::size_t Count() const noexcept { return nodes_.size(); }
+  [[nodiscard]] TimePoint Now() const noexcept { return clock_.Now(); }
+  [[nodiscard]] const GossipTraffic& Traffic(std::size_t aNumber) const
+  {
+    return nodes_.at(aNumber).traffic_;
+  }
+
+  /// Neither ticks nor answers.
+  void SetStopped(std::size_t aNumber, bool aStopped)
+  {
+    nodes_.at(aNumber).stopped_ = aStopped;
+  }
+  /// Whether a message from one member reaches the other.
+  std::function<bool(std::size_t aFrom, std::size_t aTo)> reaches_;
+  /// Of a thousand messages, how many are lost.
+  std::uint64_t lostPerMille_ = 0;
+  /// Encodes and decodes each message and counts its bytes.
+  bool throughWire_ = true;
+  /// Length of one step.
+  Duration step_ = std::chrono::milliseconds(200);
+
+private:
+  struct Node
+  {
+    std::unique_ptr<Membership> core_;
+    MembershipOptions options_;
+    GossipTraffic traffic_;
+    bool stopped_ = false;
+  };
+  /// Who waits for the answer to a request.
+  struct Waiting
+  {
+    std::size_t from_ = 0;
+    GossipCall call_;
+    std::size_t to_ = 0;
+  };
+
+  void Dispatch(std::size_t aFrom, GossipActions aActions);
+  void Deliver(std::size_t aFrom, const GossipSend& aSend);
+  void Answer(std::size_t aFrom, const GossipReply& aReply);
+  void FailOverdue();
+  bool Arrives(std::size_t aFrom, std::size_t aTo);
+  GossipMessage Carry(std::size_t aFrom,
+                      std::size_t aTo,
+                      const GossipMessage& aMessage);
+
+  ManualClock clock_;
+  Random random_;
+  std::vector<Node> nodes_;
+  std::map<std::string, std::size_t> byAddress_;
+  std::uint64_t nextInbound_ = 1;
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::multimap<TimePoint, std::uint64_t> overdue_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/tests/test_membership.cpp
@@ -0,0 +1,253 @@
+#include "marjoramtally/process.hpp"
+#include "programs/load/direct_gossip.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kPerZone = 8;
+
+/// Three zones of eight members that know each other.
+struct ThreeZones
+{
+  DirectGossip gossip_{ 7 };
+
+  ThreeZones()
+  {
+    for (std::size_t i = 0; i < 3 * kPerZone; ++i) {
+      gossip_.Add("i" + std::to_string(100 + i), ZoneOf(i));
+    }
+    gossip_.Run(60s);
+  }
+
+  static std::string ZoneOf(std::size_t aNumber)
+  {
+    return "zone-" + std::to_string(aNumber / kPerZone);
+  }
+
+  const Member& Seen(std::size_t aBy, std::size_t aWhom)
+  {
+    const InstanceId id = gossip_.At(aWhom).Self().id_;
+    return gossip_.At(aBy).Table().Find(id)->member_;
+  }
+
+  std::uint64_t Deaths()
+  {
+    std::uint64_t deaths = 0;
+    for (std::size_t i = 0; i < gossip_.Count(); ++i) {
+      deaths += gossip_.At(i).Counters().deaths_;
+    }
+    return deaths;
+  }
+};
+
+} // namespace
+
+TEST_CASE("gossip survives the wire within its budget, bad bytes do not")
+{
+  GossipMessage message;
+  message.kind_ = GossipKind::Ack;
+  message.from_ = InstanceId{ "a" };
+  message.revision_ = ConfigRevision{ 7 };
+  message.zoneHashes_ = { { ZoneId{ "z" }, 9 } };
+  Member member;
+  member.id_ = InstanceId{ "b" };
+  member.leaving_ = true;
+  member.rpc_ = "10.0.0.1:80";
+  message.updates_ = { member };
+  GossipItem item;
+  item.key_ = "fingerprint";
+  item.payload_ = std::string("\0x", 2);
+  const std::size_t before = Encode(message).size();
+  message.items_ = { item };
+  const std::string bytes = Encode(message);
+  CHECK(bytes.size() - before <= WireBytes(item));
+  const auto back = DecodeGossipMessage(bytes);
+  REQUIRE(back);
+  CHECK(back.value() == message);
+  for (std::size_t cut = 0; cut + 1 < bytes.size(); ++cut) {
+    CHECK_FALSE(DecodeGossipMessage(bytes.substr(0, cut)));
+  }
+  item.payload_.assign(kMaxItemPayloadBytes + 1, 'x');
+  message.items_ = { item };
+  CHECK_FALSE(DecodeGossipMessage(Encode(message)));
+}
+
+TEST_CASE("updates about a member are ordered, leaving stays for good")
+{
+  MemberTable table;
+  Member member;
+  member.id_ = InstanceId{ "a" };
+  member.incarnation_ = Incarnation{ 5 };
+  member.zone_ = ZoneId{ "z" };
+  member.rpc_ = "10.0.0.1:80";
+  CHECK(table.Merge(member, {}) == MergeOutcome::Changed);
+  Member suspect = member;
+  suspect.state_ = MemberState::Suspect;
+  CHECK(table.Merge(suspect, {}) == MergeOutcome::Changed);
+  CHECK(table.Merge(member, {}) == MergeOutcome::Ignored);
+  member.refutation_ = 1;
+  CHECK(table.Merge(member, {}) == MergeOutcome::Changed);
+  CHECK(table.Merge(suspect, {}) == MergeOutcome::Ignored);
+  Member leaving = member;
+  leaving.leaving_ = true;
+  CHECK(table.Merge(leaving, {}) == MergeOutcome::Changed);
+  member.refutation_ = 9;
+  table.Merge(member, {});
+  CHECK(table.Find(member.id_)->member_.leaving_);
+  member.incarnation_ = Incarnation{ 6 };
+  CHECK(table.Merge(member, {}) == MergeOutcome::Changed);
+  CHECK_FALSE(table.Find(member.id_)->member_.leaving_);
+  CHECK(table.Merge(leaving, {}) == MergeOutcome::Ignored);
+  Member other = member;
+  other.id_ = InstanceId{ "b" };
+  other.incarnation_ = Incarnation{ 7 };
+  table.Merge(other, {});
+  CHECK(table.Find(member.id_)->member_.state_ == MemberState::Dead);
+}
+
+TEST_CASE("a dead member is found out everywhere, a restart comes back")
+{
+  ThreeZones zones;
+  zones.gossip_.SetStopped(3, true);
+  zones.gossip_.Run(25s);
+  for (std::size_t i = 0; i < zones.gossip_.Count(); ++i) {
+    if (i != 3) {
+      CHECK(zones.Seen(i, 3).state_ == MemberState::Dead);
+    }
+  }
+  const Incarnation former = zones.gossip_.At(3).Self().incarnation_;
+  zones.gossip_.Restart(3);
+  zones.gossip_.Run(25s);
+  for (std::size_t i = 0; i < zones.gossip_.Count(); ++i) {
+    CHECK(zones.Seen(i, 3).state_ == MemberState::Alive);
+    CHECK(zones.Seen(i, 3).incarnation_ > former);
+  }
+  CHECK(zones.gossip_.At(3).Table().All().size() == zones.gossip_.Count());
+}
+
+TEST_CASE("an asymmetric cut-off kills nobody, helpers reach the member")
+{
+  ThreeZones zones;
+  zones.gossip_.reaches_ = [](std::size_t aFrom, std::size_t aTo) {
+    return !(aFrom == 1 && aTo == 2);
+  };
+  zones.gossip_.Run(120s);
+  CHECK(zones.Deaths() == 0);
+  CHECK(zones.Seen(1, 2).state_ == MemberState::Alive);
+}
+
+TEST_CASE("a member that alone is cut off declares nobody dead")
+{
+  ThreeZones zones;
+  zones.gossip_.reaches_ = [](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom == 5) == (aTo == 5);
+  };
+  zones.gossip_.Run(60s);
+  CHECK(zones.gossip_.At(5).Isolated());
+  CHECK(zones.gossip_.At(5).Counters().deaths_ == 0);
+  CHECK(zones.Seen(0, 5).state_ == MemberState::Dead);
+  zones.gossip_.reaches_ = nullptr;
+  zones.gossip_.Run(60s);
+  CHECK(zones.Seen(0, 5).state_ == MemberState::Alive);
+  CHECK(zones.Seen(23, 5).state_ == MemberState::Alive);
+}
+
+TEST_CASE("a paused member does not accuse others when it wakes")
+{
+  ThreeZones zones;
+  zones.gossip_.SetStopped(4, true);
+  zones.gossip_.Run(40s);
+  zones.gossip_.SetStopped(4, false);
+  zones.gossip_.Run(30s);
+  CHECK(zones.gossip_.At(4).Counters().pauses_ == 1);
+  CHECK(zones.gossip_.At(4).Counters().deaths_ == 0);
+  CHECK(zones.Seen(0, 4).state_ == MemberState::Alive);
+  CHECK(zones.Seen(20, 4).state_ == MemberState::Alive);
+}
+
+TEST_CASE("a zone that is cut off goes on by itself and rejoins quietly")
+{
+  ThreeZones zones;
+  DirectGossip& gossip = zones.gossip_;
+  gossip.At(0).SetRevision(ConfigRevision{ 10 });
+  gossip.Run(10s);
+  gossip.reaches_ = [](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom < kPerZone) == (aTo < kPerZone);
+  };
+  gossip.Run(40s);
+  CHECK(gossip.At(0).Usable(gossip.Now()).size() == kPerZone);
+  CHECK(gossip.At(20).Usable(gossip.Now()).size() == 2 * kPerZone);
+  CHECK(zones.Deaths() == 0);
+  gossip.At(20).SetRevision(ConfigRevision{ 11 });
+  gossip.At(20).Leave(gossip.Now());
+  gossip.Run(20s);
+  CHECK(gossip.At(3).HighestRevision() == ConfigRevision{ 10 });
+  const std::uint64_t handled = gossip.Traffic(3).handled_;
+  gossip.reaches_ = nullptr;
+  gossip.Run(60s);
+  for (std::size_t i = 0; i < gossip.Count(); ++i) {
+    CHECK(gossip.At(i).HighestRevision() == ConfigRevision{ 11 });
+    CHECK(zones.Seen(i, 20).leaving_);
+    CHECK(gossip.At(i).Usable(gossip.Now()).size() == 3 * kPerZone - 1);
+  }
+  // No storm: a member handles about as many messages as on a quiet day.
+  CHECK(gossip.Traffic(3).handled_ - handled < 60 * 8);
+}
+
+TEST_CASE("the platform's late list seeds and marks, but revives nobody")
+{
+  ThreeZones zones;
+  DirectGossip& gossip = zones.gossip_;
+  const Member former = gossip.At(2).Self();
+  gossip.SetStopped(2, true);
+  gossip.Run(30s);
+  const PlatformInstance stale{ former.id_, former.rpc_, false, {} };
+  gossip.At(0).TakePlatformList(std::array{ stale }, gossip.Now());
+  gossip.Run(20s);
+  CHECK(zones.Seen(0, 2).state_ == MemberState::Dead);
+  gossip.Restart(2);
+  gossip.Run(20s);
+  // The list still says that the former process is leaving.
+  const PlatformInstance leaving{
+    former.id_, former.rpc_, true, former.incarnation_
+  };
+  gossip.At(0).TakePlatformList(std::array{ leaving }, gossip.Now());
+  gossip.Run(20s);
+  CHECK_FALSE(zones.Seen(9, 2).leaving_);
+}
+
+TEST_CASE("items spread with their age, within bounds, newest first")
+{
+  ThreeZones zones;
+  DirectGossip& gossip = zones.gossip_;
+  GossipItem item;
+  item.kind_ = GossipItemKind::Quarantine;
+  item.key_ = "fingerprint";
+  item.version_ = 2;
+  item.ttl_ = 60s;
+  gossip.At(0).Publish(item, gossip.Now());
+  gossip.Run(15s);
+  const auto far =
+    gossip.At(23).Items().Find(item.kind_, item.key_, gossip.Now());
+  REQUIRE(far.has_value());
+  CHECK(far->age_ >= 14s);
+  item.version_ = 1;
+  gossip.At(23).Publish(item, gossip.Now());
+  gossip.Run(5s);
+  CHECK(
+    gossip.At(23).Items().Find(item.kind_, item.key_, gossip.Now())->version_ ==
+    2);
+  gossip.Run(60s);
+  CHECK(gossip.At(9).Items().Find(item.kind_, item.key_, gossip.Now()) ==
+        std::nullopt);
+  GossipItems few(2);
+  for (const char* key : { "a", "b", "c" }) {
+    item.key_ = key;
+    few.Merge(item, {});
+  }
+  CHECK(few.Size() == 2);
+}
