marjoram-load membership: the core at the size to design for

Cause: detection, spread, bytes and cost of the protocol were not known. Ruled out: a model of the network; members are called directly on a paused clock, messages are lost by chance only.

--- a/src/programs/load/experiments.hpp
+++ b/src/programs/load/experiments.hpp
@@ -5,6 +5,9 @@
 
 int
 RunHttpLoad(int aArgc, char** aArgv);
+/// Membership core at the size to design for.
+int
+RunMembershipBench(int aArgc, char** aArgv);
 
 int
 RunDecide(int aArgc, char** aArgv);
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -16,13 +16,17 @@
   int (*run_)(int, char**);
 };
 
-constexpr std::array<Experiment, 2> kExperiments{ {
+constexpr std::array<Experiment, 3> kExperiments{ {
   { "http",
     "http --url URL ...: bounded load on loopback; http --help",
     marjoramtally::RunHttpLoad },
   { "decide",
     "decide [--scenario NAME] [--json]: policies against fake engines",
     marjoramtally::RunDecide },
+  { "membership",
+    "membership [--members N] [--zones N] [--trials N] [--seed N]: membership "
+    "on a paused clock",
+    marjoramtally::RunMembershipBench },
 } };
 
 } // namespace
