--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -4,6 +4,13 @@
 
 namespace marjoramtally {
 
+namespace {
+
+/// How often the table is gone through when no suspicion ends earlier.
+constexpr auto kSweepPeriod = std::chrono::seconds(30);
+
+} // namespace
+
 Membership::Membership(MembershipOptions aOptions,
                        Member aSelf,
                        std::uint64_t aSeed)
@@ -192,7 +199,9 @@
   Spread(GossipSubject::Of(aMember.id_),
          aMember.state_ == MemberState::Suspect);
   if (aMember.state_ == MemberState::Suspect) {
-    table_.SetDeadline(aMember.id_, aNow + options_.suspicion_);
+    const TimePoint deadline = aNow + options_.suspicion_;
+    table_.SetDeadline(aMember.id_, deadline);
+    nextExpiry_ = std::min(nextExpiry_, deadline);
   }
   if (aMember.leaving_ || aMember.state_ == MemberState::Dead) {
     urgent_ = true;
@@ -217,7 +226,7 @@
   Spread(GossipSubject::Of(aItem), aItem.zoneOnly_);
   switch (aItem.kind_) {
     case GossipItemKind::ZoneContact:
-      zoneSeen_[ZoneId{ aItem.key_ }] = aNow;
+      zoneSeen_[ZoneId{ aItem.key_ }] = aNow - aItem.age_;
       ++changes_;
       break;
     case GossipItemKind::Quarantine:
@@ -301,13 +310,22 @@
   if (Isolated() || aNow < nextExpiry_) {
     return;
   }
-  nextExpiry_ = aNow + options_.probePeriod_;
+  nextExpiry_ = aNow + kSweepPeriod;
   std::vector<InstanceId> ended;
   for (const auto& [id, entry] : table_.All()) {
     if (entry.deadline_ <= aNow) {
       ended.push_back(id);
+    } else {
+      nextExpiry_ = std::min(nextExpiry_, entry.deadline_);
     }
   }
+  for (const auto& [zone, seen] : zoneSeen_) {
+    if (seen != kNever && seen + options_.contactTtl_ > aNow) {
+      nextExpiry_ = std::min(nextExpiry_, seen + options_.contactTtl_);
+    }
+  }
+  // A zone may have been lost since, which no message tells.
+  ++changes_;
   for (const InstanceId& id : ended) {
     ++counters_.deaths_;
     SetState(id, MemberState::Dead, aNow);
