Daemons exchange membership; leases, records and budget of the store

Cause: every daemon read all live records each second (440 reads a second at the design size), a zone cut off from the store lost sight of its instances, and the session lease counted as held until the store said otherwise. Ruled out: all watch (440 waiting watches); links passing the records on (a protocol for state). The platform's lagging list of instances is a seed, with a stand-in. Conclusion: a cut-off zone keeps owners, versions and instances, and an older store reverts nothing (test_cluster).

--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -19,18 +19,6 @@
   }.dump();
 }
 
-void
-TakeInstance(const std::string& aName, const Json& aBody, ClusterView& aView)
-{
-  InstanceRecord record;
-  record.id_ = InstanceId{ aName };
-  record.role_ = aBody.value("role", "");
-  record.zone_ = ZoneId{ aBody.value("zone", "") };
-  record.http_ = aBody.value("http", "");
-  record.rpc_ = aBody.value("rpc", "");
-  aView.instances_.emplace(record.id_, std::move(record));
-}
-
 void
 TakeOwner(const std::string& aDuty,
           const Json& aBody,
@@ -47,7 +35,9 @@
 
 /// Sorts one record of the store into the view.
 void
-TakeRecord(const StoreRecord& aRecord, ClusterView& aView)
+TakeRecord(const StoreRecord& aRecord,
+           ClusterView& aView,
+           std::vector<std::string>& aSeeds)
 {
   const Json body = Json::parse(aRecord.value_, nullptr, false);
   if (!body.is_object()) {
@@ -57,7 +47,10 @@
   }
   const std::string& key = aRecord.key_;
   if (key.starts_with(kInstancePrefix)) {
-    TakeInstance(key.substr(kInstancePrefix.size()), body, aView);
+    const std::string rpc = body.value("rpc", "");
+    if (!rpc.empty()) {
+      aSeeds.push_back(rpc);
+    }
   } else if (key.starts_with(kOwnerPrefix)) {
     TakeOwner(key.substr(kOwnerPrefix.size()), body, aRecord, aView);
   } else if (key.starts_with(kVersionPrefix)) {
@@ -72,8 +65,13 @@
                  Store& aStore,
                  Timers& aTimers)
   : settings_(aSettings)
-  , store_(aStore)
   , timers_(aTimers)
+  , session_(aSettings, aStore, aTimers)
+  , records_(aSettings,
+             aStore,
+             aTimers,
+             std::string(kLivePrefix),
+             { std::string(kOwnerPrefix), std::string(kVersionPrefix) })
 {
 }
 
@@ -81,21 +79,19 @@
 Cluster::Start(InstanceRecord aSelf)
 {
   self_ = std::move(aSelf);
-  EnsureLease();
-  Refresh();
-  constexpr int kHeartbeatsPerTtl = 3;
-  timers_.Every(settings_.leaseTtl_ / kHeartbeatsPerTtl,
-                [this] { EnsureLease(); });
-  timers_.Every(settings_.refresh_, [this] { Refresh(); });
+  session_.Start(std::string(kInstancePrefix) + self_.id_.Get(),
+                 FormatInstance(self_));
+  records_.onRecords_ = [this](const LiveRecordMap& aRecords) {
+    TakeRecords(aRecords);
+  };
+  records_.Start();
+  timers_.Every(settings_.refresh_, [this] { Update({}); });
 }
 
 void
 Cluster::Leave(std::function<void()> aDone)
 {
-  leaving_ = true;
-  const StoreLeaseId lease = lease_.exchange(0);
-  store_.RevokeLease(
-    lease, [done = std::move(aDone)](const Result<bool>&) { done(); });
+  session_.Leave(std::move(aDone));
 }
 
 ClusterViewPtr
@@ -113,107 +109,68 @@
 }
 
 void
-Cluster::EnsureLease()
-{
-  if (leaving_) {
-    return;
-  }
-  const StoreLeaseId lease = lease_;
-  const TimePoint askedAt = clock_.Now();
-  if (lease == 0) {
-    store_.GrantLease(settings_.leaseTtl_,
-                      [this, askedAt](const Result<StoreLease>& aGrant) {
-                        if (aGrant && !leaving_) {
-                          Register(aGrant.value(), askedAt);
-                        }
-                      });
-    return;
-  }
-  store_.KeepAlive(
-    lease, [this, lease, askedAt](const Result<StoreLease>& aKept) {
-      if (aKept && aKept.value().ttl_ > Duration::zero() && lease_ == lease) {
-        leaseUntil_ = (askedAt + aKept.value().ttl_).sinceStart_.count();
-      }
-      const bool lapsed = aKept ? aKept.value().ttl_ <= Duration::zero()
-                                : aKept.error().kind_ == ErrorKind::NotFound;
-      StoreLeaseId expected = lease;
-      if (lapsed && lease_.compare_exchange_strong(expected, 0)) {
-        LogEvent(LogLevel::Warn, "lease_lapsed");
-        EnsureLease();
-      }
-    });
-}
-
-void
-Cluster::Register(const StoreLease& aLease, TimePoint aAskedAt)
+Cluster::Refresh()
 {
-  StoreTxn txn;
-  txn.puts_.push_back({ std::string(kInstancePrefix) + self_.id_.Get(),
-                        FormatInstance(self_),
-                        aLease.id_ });
-  store_.Commit(std::move(txn),
-                [this, aLease, aAskedAt](const Result<StoreCommit>& aCommit) {
-                  if (aCommit) {
-                    leaseUntil_ = (aAskedAt + aLease.ttl_).sinceStart_.count();
-                    lease_ = aLease.id_;
-                    LogEvent(LogLevel::Info, "registered");
-                  }
-                });
+  records_.ReadAll();
 }
 
 void
-Cluster::Refresh()
+Cluster::TakeRecords(const LiveRecordMap& aRecords)
 {
-  store_.Read(std::string(kLivePrefix),
-              [this](const Result<StoreRange>& aRead) {
-                if (!aRead) {
-                  LogEvent(LogLevel::Warn,
-                           "store_read_failed",
-                           { { "error", aRead.error().message_ } });
-                  return;
-                }
-                TakeLive(aRead.value());
-              });
+  ClusterView read;
+  std::vector<std::string> seeds;
+  for (const auto& [key, record] : aRecords) {
+    TakeRecord(record, read, seeds);
+  }
+  if (onSeeds_) {
+    onSeeds_(std::move(seeds));
+  }
+  Update([&read](ClusterView& aView) {
+    aView.owners_ = std::move(read.owners_);
+    for (const auto& [model, version] : read.versions_) {
+      WeightVersion& known = aView.versions_[model];
+      known = std::max(known, version);
+    }
+  });
 }
 
 void
-Cluster::TakeLive(const StoreRange& aRange)
+Cluster::SetMembers(const std::vector<Member>& aMembers)
 {
-  ClusterView next;
-  for (const StoreRecord& record : aRange.records_) {
-    TakeRecord(record, next);
-  }
-  const ClusterViewPtr before = View();
-  for (const auto& [model, version] : before->versions_) {
-    WeightVersion& known = next.versions_[model];
-    known = std::max(known, version);
-  }
-  Publish(std::move(next));
+  Update([&aMembers](ClusterView& aView) {
+    aView.instances_.clear();
+    for (const Member& member : aMembers) {
+      aView.instances_[member.id_] = {
+        member.id_, member.role_, member.zone_, member.http_, member.rpc_
+      };
+    }
+  });
 }
 
 void
 Cluster::SetRules(std::shared_ptr<const Rules> aRules)
 {
-  {
-    const std::lock_guard lock(mutex_);
-    if (rules_->revision_ >= aRules->revision_) {
-      return;
+  Update([&aRules](ClusterView& aView) {
+    if (aRules->revision_ > aView.rules_->revision_) {
+      aView.rules_ = std::move(aRules);
     }
-    rules_ = std::move(aRules);
-  }
-  Publish(*View());
+  });
 }
 
+/// Changes a copy of the view, puts it in place and tells the listeners.
 void
-Cluster::Publish(ClusterView aView)
+Cluster::Update(const std::function<void(ClusterView&)>& aChange)
 {
   ClusterViewPtr view;
   std::vector<std::function<void(const ClusterViewPtr&)>> listeners;
   {
     const std::lock_guard lock(mutex_);
-    aView.rules_ = rules_;
-    view = std::make_shared<const ClusterView>(std::move(aView));
-    view_ = view;
+    if (aChange) {
+      auto next = std::make_shared<ClusterView>(*view_);
+      aChange(*next);
+      view_ = std::move(next);
+    }
+    view = view_;
     listeners = listeners_;
   }
   for (const auto& listener : listeners) {
--- a/src/daemon/cluster.hpp
+++ b/src/daemon/cluster.hpp
@@ -2,7 +2,10 @@
 /// and a view of instances, owners, weight versions and rules.
 #pragma once
 
+#include "daemon/lease_session.hpp"
+#include "daemon/live_records.hpp"
 #include "daemon/settings.hpp"
+#include "marjoramtally/process/membership.hpp"
 #include "marjoramtally/runtime.hpp"
 #include "marjoramtally/version.hpp"
 
@@ -53,51 +56,52 @@
 
 using ClusterViewPtr = std::shared_ptr<const ClusterView>;
 
-/// Keeps the lease and the view. Thread-safe.
+/// Keeps the lease and the view. Owners and weight versions come from the
+/// store's records, instances from membership. Thread-safe.
 class Cluster
 {
 public:
+  using SeedListener = std::function<void(std::vector<std::string>)>;
+
   /// All arguments outlive the cluster.
   Cluster(const DaemonSettings& aSettings, Store& aStore, Timers& aTimers);
 
+  /// Given the RPC addresses in the store's records; set before `Start`.
+  SeedListener onSeeds_;
+
   /// Registers this process and starts to refresh the view.
   void Start(InstanceRecord aSelf);
   /// Takes this process's record out of the store.
   void Leave(std::function<void()> aDone);
   [[nodiscard]] ClusterViewPtr View() const;
   [[nodiscard]] const InstanceRecord& Self() const noexcept { return self_; }
-  /// @returns the session lease; 0 while there is none
-  [[nodiscard]] StoreLeaseId Lease() const noexcept { return lease_; }
+  /// @returns the session lease if this process may act by it now, else 0
+  [[nodiscard]] StoreLeaseId Lease() const { return session_.Lease(); }
   /// @returns until when the session lease holds for certain: its time to
   /// live, counted from when its last confirmed renewal was sent
-  [[nodiscard]] TimePoint LeaseUntil() const noexcept
-  {
-    return TimePoint{ Duration{ leaseUntil_ } };
-  }
-  /// Called after each refresh, on a store thread.
+  [[nodiscard]] TimePoint LeaseUntil() const { return session_.Until(); }
+  /// Called after each change of the view and every refresh period.
   void OnRefresh(std::function<void(const ClusterViewPtr&)> aListener);
   /// Puts rules of a higher revision into the view; others are ignored.
   void SetRules(std::shared_ptr<const Rules> aRules);
-  /// Reads the view anew now.
+  /// Puts the instances that membership knows into the view.
+  void SetMembers(const std::vector<Member>& aMembers);
+  /// Reads the store's records anew now.
   void Refresh();
+  /// Which instances watch the store, and what they saw change.
+  [[nodiscard]] LiveRecords& Records() noexcept { return records_; }
 
 private:
-  void EnsureLease();
-  void Register(const StoreLease& aLease, TimePoint aAskedAt);
-  void TakeLive(const StoreRange& aRange);
-  void Publish(ClusterView aView);
+  void TakeRecords(const LiveRecordMap& aRecords);
+  void Update(const std::function<void(ClusterView&)>& aChange);
 
   const DaemonSettings& settings_;
-  Store& store_;
   Timers& timers_;
+  LeaseSession session_;
+  LiveRecords records_;
   InstanceRecord self_;
-  std::atomic<StoreLeaseId> lease_{ 0 };
-  SystemClock clock_;
-  std::atomic<Duration::rep> leaseUntil_{ 0 };
-  std::atomic<bool> leaving_{ false };
   mutable std::mutex mutex_;
   ClusterViewPtr view_ = std::make_shared<ClusterView>();
-  std::shared_ptr<const Rules> rules_ = std::make_shared<Rules>();
   std::vector<std::function<void(const ClusterViewPtr&)>> listeners_;
 };
 
--- /dev/null
+++ b/src/daemon/gossip_service.hpp
@@ -0,0 +1,73 @@
+/// Drives the membership core of this process: timers and calls to peers.
+#pragma once
+
+#include "daemon/settings.hpp"
+#include "marjoramtally/process.hpp"
+#include "marjoramtally/runtime.hpp"
+
+#include <atomic>
+#include <mutex>
+
+namespace marjoramtally {
+
+/// Exchanges membership with peers. Thread-safe.
+class GossipService
+{
+public:
+  using MembersListener = std::function<void(const std::vector<Member>&)>;
+  /// Told of each higher configuration revision and the RPC address of the
+  /// peer that knows it; empty if that is this process.
+  using RevisionListener =
+    std::function<void(ConfigRevision, const std::string&)>;
+  /// Told of each newer item from a peer.
+  using ItemListener = std::function<void(const GossipItem&)>;
+
+  /// All arguments outlive the service.
+  GossipService(Timers& aTimers, Metrics& aMetrics);
+
+  /// Set these before `Start`; they are called without locks held.
+  MembersListener onMembers_;
+  RevisionListener onRevision_;
+  ItemListener onStoreRevision_;
+
+  /// @param aSelf this process's record; its incarnation is set here
+  void Start(Member aSelf, RpcNode& aRpc);
+  /// Answers a peer's call of the gossip topic.
+  void Serve(const RpcCall& aCall, RpcDone aDone);
+  /// Marks this process as leaving and tells peers.
+  void Leave();
+
+  void SetSeeds(std::vector<std::string> aAddresses);
+  void TakePlatformList(const std::vector<PlatformInstance>& aList);
+  void SetRevision(ConfigRevision aRevision);
+  void Publish(const GossipItem& aItem);
+  [[nodiscard]] std::vector<GossipItem> Items(GossipItemKind aKind) const;
+  /// Whether this process keeps its zone's links to others and the store.
+  [[nodiscard]] bool IsBridge() const;
+
+private:
+  void Tick();
+  void Run(GossipActions aActions);
+  void Send(const GossipSend& aSend);
+  void Answer(const GossipReply& aReply);
+  /// Tells the listeners what is new since the last time.
+  void Notify();
+  void Count();
+  template<typename Event>
+  void Feed(Event aEvent);
+
+  Timers& timers_;
+  Metrics& metrics_;
+  SystemClock clock_;
+  RpcNode* rpc_ = nullptr;
+  mutable std::mutex mutex_;
+  std::unique_ptr<Membership> core_;
+  std::uint64_t nextInbound_ = 1;
+  std::map<GossipCall, RpcDone> inbound_;
+  std::uint64_t notifiedChanges_ = UINT64_MAX;
+  ConfigRevision notifiedRevision_;
+  std::map<std::string, std::uint64_t> notifiedStore_;
+  bool warnedSuperseded_ = false;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -1,5 +1,7 @@
 #include "daemon/host.hpp"
 
+#include "daemon/counted_store.hpp"
+
 #include "marjoramtally/runtime/program.hpp"
 
 #include <thread>
@@ -20,16 +22,62 @@
   , role_(std::move(aRole))
   , traces_(settings_.traceFile_, aProgram + "/" + settings_.instance_)
   , client_(HttpClient::Create(kClientThreads))
-  , store_(MakeEtcdStore(*client_, settings_.store_, settings_.storeTimeout_))
+  , store_(MakeCountedStore(
+      MakeEtcdStore(*client_, settings_.store_, settings_.storeTimeout_),
+      StoreRate{},
+      metrics_))
   , cluster_(std::make_unique<Cluster>(settings_, *store_, timers_))
+  , gossip_(std::make_unique<GossipService>(timers_, metrics_))
+  , instanceList_(std::make_unique<InstanceListReader>(settings_,
+                                                       *client_,
+                                                       timers_,
+                                                       *gossip_))
   , config_(std::make_unique<ConfigService>(
       settings_,
       *store_,
       timers_,
       [this](std::shared_ptr<const Rules> aRules) {
+        gossip_->SetRevision(aRules->revision_);
         cluster_->SetRules(std::move(aRules));
       }))
 {
+  Connect();
+}
+
+/// Lets membership and the store's records feed each other.
+void
+Host::Connect()
+{
+  gossip_->onMembers_ = [this](const std::vector<Member>& aMembers) {
+    cluster_->SetMembers(aMembers);
+  };
+  gossip_->onStoreRevision_ = [this](const GossipItem& aItem) {
+    cluster_->Records().OnHint(aItem.key_, aItem.version_);
+  };
+  cluster_->onSeeds_ = [this](std::vector<std::string> aSeeds) {
+    gossip_->SetSeeds(std::move(aSeeds));
+  };
+  cluster_->Records().watches_ = [this] { return gossip_->IsBridge(); };
+  cluster_->Records().onChange_ = [this](const std::string& aGroup,
+                                         std::uint64_t aRevision) {
+    GossipItem item;
+    item.kind_ = GossipItemKind::StoreRevision;
+    item.key_ = aGroup;
+    item.version_ = aRevision;
+    gossip_->Publish(item);
+  };
+}
+
+void
+Host::StartGossip(const InstanceRecord& aSelf)
+{
+  Member self;
+  self.id_ = aSelf.id_;
+  self.role_ = aSelf.role_;
+  self.zone_ = aSelf.zone_;
+  self.http_ = aSelf.http_;
+  self.rpc_ = aSelf.rpc_;
+  gossip_->Start(std::move(self), *rpc_);
 }
 
 Result<bool>
@@ -38,6 +86,10 @@
   auto rpc = RpcNode::Start(settings_.address_,
                             static_cast<std::uint16_t>(settings_.rpcPort_),
                             [this](RpcCall aCall, RpcDone aDone) {
+                              if (aCall.topic_ == RpcTopic::Gossip) {
+                                gossip_->Serve(aCall, std::move(aDone));
+                                return;
+                              }
                               onRpc_(std::move(aCall), std::move(aDone));
                             });
   if (!rpc) {
@@ -66,7 +118,9 @@
   LogEvent(LogLevel::Info,
            "started",
            { { "http", self.http_ }, { "rpc", self.rpc_ } });
+  StartGossip(self);
   cluster_->Start(self);
+  instanceList_->Start();
   config_->Start();
   if (!settings_.portFile_.empty()) {
     return WriteFile(settings_.portFile_, self.http_ + "\n");
@@ -110,6 +164,7 @@
   LogEvent(LogLevel::Info, "draining");
   draining_ = true;
   auto left = std::make_shared<std::atomic<bool>>(false);
+  gossip_->Leave();
   cluster_->Leave([left] { *left = true; });
   std::this_thread::sleep_for(settings_.drainNotice_);
   server_->StopAccepting();
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -4,6 +4,7 @@
 
 #include "daemon/cluster.hpp"
 #include "daemon/config_service.hpp"
+#include "daemon/instance_list.hpp"
 
 namespace marjoramtally {
 
@@ -32,6 +33,7 @@
   [[nodiscard]] Timers& Clockwork() { return timers_; }
   [[nodiscard]] Cluster& Members() { return *cluster_; }
   [[nodiscard]] ConfigService& Config() { return *config_; }
+  [[nodiscard]] GossipService& Gossip() { return *gossip_; }
   [[nodiscard]] Metrics& Measures() { return metrics_; }
   [[nodiscard]] TraceWriter& Traces() { return traces_; }
   [[nodiscard]] TimePoint Now() const noexcept { return clock_.Now(); }
@@ -39,6 +41,8 @@
 private:
   void Handle(HttpRequest aRequest, const HttpReplyPtr& aReply);
   [[nodiscard]] HttpResponse Ready() const;
+  void Connect();
+  void StartGossip(const InstanceRecord& aSelf);
 
   DaemonSettings settings_;
   std::string role_;
@@ -51,6 +55,8 @@
   std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<Cluster> cluster_;
+  std::unique_ptr<GossipService> gossip_;
+  std::unique_ptr<InstanceListReader> instanceList_;
   std::unique_ptr<ConfigService> config_;
   Timers timers_;
 };
--- /dev/null
+++ b/src/daemon/live_records.cpp
@@ -0,0 +1,247 @@
+#include "daemon/live_records.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr auto kStepPeriod = std::chrono::milliseconds(100);
+constexpr auto kFirstBackoff = std::chrono::milliseconds(200);
+constexpr auto kLongestBackoff = std::chrono::seconds(10);
+/// An instance that hears of changes reads all anyway this often.
+constexpr int kRefreshesPerFullRead = 60;
+/// A watch that lags a hint by this long is helped by a read.
+constexpr auto kWatchGrace = std::chrono::seconds(2);
+/// Reads after a hint are spread over this time.
+constexpr std::uint64_t kHintSpreadMicros = 200'000;
+
+} // namespace
+
+LiveRecords::LiveRecords(const DaemonSettings& aSettings,
+                         Store& aStore,
+                         Timers& aTimers,
+                         std::string aPrefix,
+                         std::vector<std::string> aGroups)
+  : settings_(aSettings)
+  , store_(aStore)
+  , timers_(aTimers)
+  , prefix_(std::move(aPrefix))
+  , groups_(std::move(aGroups))
+  , backoff_(kFirstBackoff,
+             kLongestBackoff,
+             std::hash<std::string>{}(aSettings.instance_))
+  , random_(std::hash<std::string>{}(aSettings.instance_))
+{
+}
+
+void
+LiveRecords::Start()
+{
+  ReadAll();
+  timers_.Every(kStepPeriod, [this] { Step(); });
+}
+
+void
+LiveRecords::ReadAll()
+{
+  Read(prefix_);
+}
+
+/// Reads when due, and opens or closes the watch as the role says.
+void
+LiveRecords::Step()
+{
+  const bool wanted = !watches_ || watches_();
+  bool opens = false;
+  StoreWatchId closes = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!wanted && watching_) {
+      watching_ = false;
+      std::swap(closes, watch_);
+    }
+    opens = wanted && !watching_ && complete_ && !reading_ &&
+            clock_.Now() >= nextRead_;
+  }
+  if (closes != 0) {
+    store_.StopWatch(closes);
+  }
+  if (opens) {
+    OpenWatch();
+    return;
+  }
+  bool reads = false;
+  {
+    const std::lock_guard lock(mutex_);
+    reads = !watching_ && !reading_ && clock_.Now() >= nextRead_;
+  }
+  if (reads) {
+    ReadAll();
+  }
+}
+
+void
+LiveRecords::Read(const std::string& aPrefix)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    reading_ = true;
+  }
+  store_.Read(aPrefix, [this, aPrefix](const Result<StoreRange>& aRead) {
+    if (aRead) {
+      Take(aPrefix, aRead.value());
+      return;
+    }
+    Duration wait{ 0 };
+    {
+      const std::lock_guard lock(mutex_);
+      reading_ = false;
+      wait = backoff_.Next();
+      nextRead_ = clock_.Now() + wait;
+    }
+    LogEvent(LogLevel::Warn,
+             "store_read_failed",
+             { { "error", aRead.error().message_ },
+               { "again_in", FormatDuration(wait) } });
+  });
+}
+
+void
+LiveRecords::Take(const std::string& aPrefix, const StoreRange& aRange)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    reading_ = false;
+    if (aRange.revision_ < known_[aPrefix] ||
+        aRange.revision_ < known_[prefix_]) {
+      // Overtaken by a later read or by the watch, or an older store.
+      LogEvent(LogLevel::Info,
+               "store_read_older",
+               { { "revision", std::to_string(aRange.revision_) } });
+      nextRead_ = clock_.Now() + backoff_.Next();
+      return;
+    }
+    backoff_.Reset();
+    std::erase_if(records_, [&](const auto& aRecord) {
+      return aRecord.first.starts_with(aPrefix);
+    });
+    for (const StoreRecord& record : aRange.records_) {
+      records_[record.key_] = record;
+    }
+    known_[aPrefix] = aRange.revision_;
+    if (aPrefix == prefix_) {
+      complete_ = true;
+      revision_ = aRange.revision_;
+    }
+    nextRead_ = watching_ || !watches_ || watches_()
+                  ? clock_.Now()
+                  : clock_.Now() + settings_.refresh_ * kRefreshesPerFullRead;
+  }
+  Tell();
+}
+
+void
+LiveRecords::OnHint(const std::string& aGroup, std::uint64_t aRevision)
+{
+  if (Knows(aGroup, aRevision)) {
+    return;
+  }
+  Duration wait{ 0 };
+  {
+    const std::lock_guard lock(mutex_);
+    wait = watching_ ? Duration{ kWatchGrace }
+                     : Duration{ static_cast<Duration::rep>(
+                         random_.Below(kHintSpreadMicros)) };
+  }
+  timers_.After(wait, [this, aGroup, aRevision] {
+    if (!Knows(aGroup, aRevision)) {
+      Read(aGroup);
+    }
+  });
+}
+
+bool
+LiveRecords::Knows(const std::string& aGroup, std::uint64_t aRevision)
+{
+  const std::lock_guard lock(mutex_);
+  return known_[aGroup] >= aRevision || known_[prefix_] >= aRevision;
+}
+
+void
+LiveRecords::OpenWatch()
+{
+  std::uint64_t from = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    watching_ = true;
+    from = revision_ + 1;
+  }
+  const StoreWatchId watch =
+    store_.Watch(prefix_, from, [this](const StoreWatchBatch& aBatch) {
+      if (aBatch.ended_) {
+        WatchEnded();
+      } else {
+        TakeBatch(aBatch);
+      }
+    });
+  const std::lock_guard lock(mutex_);
+  watch_ = watching_ ? watch : 0;
+}
+
+void
+LiveRecords::TakeBatch(const StoreWatchBatch& aBatch)
+{
+  if (aBatch.events_.empty()) {
+    return;
+  }
+  std::map<std::string, std::uint64_t> changed;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const StoreEvent& event : aBatch.events_) {
+      const StoreRecord& record = event.record_;
+      if (event.deleted_) {
+        records_.erase(record.key_);
+      } else {
+        records_[record.key_] = record;
+      }
+      revision_ = std::max(revision_, record.modRevision_);
+      for (const std::string& group : groups_) {
+        if (record.key_.starts_with(group)) {
+          changed[group] = std::max(changed[group], record.modRevision_);
+        }
+      }
+    }
+    known_[prefix_] = std::max(known_[prefix_], revision_);
+  }
+  Tell();
+  for (const auto& [group, revision] : changed) {
+    if (onChange_) {
+      onChange_(group, revision);
+    }
+  }
+}
+
+/// Reads anew after a while, then watches again.
+void
+LiveRecords::WatchEnded()
+{
+  const std::lock_guard lock(mutex_);
+  watching_ = false;
+  watch_ = 0;
+  complete_ = false;
+  nextRead_ = clock_.Now() + backoff_.Next();
+}
+
+void
+LiveRecords::Tell()
+{
+  LiveRecordMap records;
+  {
+    const std::lock_guard lock(mutex_);
+    records = records_;
+  }
+  if (onRecords_) {
+    onRecords_(records);
+  }
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/live_records.hpp
@@ -0,0 +1,77 @@
+/// The store's records of what changes while the system runs, held here. Few
+/// instances of a zone watch the store; the others read what they hear has
+/// changed.
+#pragma once
+
+#include "daemon/settings.hpp"
+#include "marjoramtally/process/lease.hpp"
+#include "marjoramtally/runtime.hpp"
+
+#include <map>
+#include <mutex>
+
+namespace marjoramtally {
+
+/// Records by key.
+using LiveRecordMap = std::map<std::string, StoreRecord>;
+
+/// Keeps a copy of the records under one prefix. Thread-safe.
+class LiveRecords
+{
+public:
+  using Listener = std::function<void(const LiveRecordMap&)>;
+  /// Told which group of records changed at which revision.
+  using ChangeListener =
+    std::function<void(const std::string& aGroup, std::uint64_t aRevision)>;
+
+  /// All arguments outlive this.
+  /// @param aGroups prefixes that are read apart
+  LiveRecords(const DaemonSettings& aSettings,
+              Store& aStore,
+              Timers& aTimers,
+              std::string aPrefix,
+              std::vector<std::string> aGroups);
+
+  /// Set before `Start`.
+  Listener onRecords_;
+  ChangeListener onChange_;
+  /// Whether this process is to watch.
+  std::function<bool()> watches_;
+
+  void Start();
+  /// Reads all records now.
+  void ReadAll();
+  /// A peer saw a group change.
+  void OnHint(const std::string& aGroup, std::uint64_t aRevision);
+
+private:
+  void Step();
+  bool Knows(const std::string& aGroup, std::uint64_t aRevision);
+  void Read(const std::string& aPrefix);
+  void Take(const std::string& aPrefix, const StoreRange& aRange);
+  void OpenWatch();
+  void TakeBatch(const StoreWatchBatch& aBatch);
+  void WatchEnded();
+  void Tell();
+
+  const DaemonSettings& settings_;
+  Store& store_;
+  Timers& timers_;
+  std::string prefix_;
+  std::vector<std::string> groups_;
+  SystemClock clock_;
+  mutable std::mutex mutex_;
+  LiveRecordMap records_;
+  /// Revision up to which each prefix is known.
+  std::map<std::string, std::uint64_t> known_;
+  std::uint64_t revision_ = 0;
+  Backoff backoff_;
+  Random random_;
+  bool complete_ = false;
+  bool reading_ = false;
+  bool watching_ = false;
+  StoreWatchId watch_ = 0;
+  TimePoint nextRead_;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -13,13 +13,14 @@
 constexpr std::uint64_t kSecond = 1'000'000;
 
 using Settings = DaemonSettings;
-constexpr std::array<FieldSpec<Settings>, 16> kFields{ {
+constexpr std::array<FieldSpec<Settings>, 17> kFields{ {
   { "instance", &Settings::instance_, true },
   { "zone", &Settings::zone_, true },
   { "address", &Settings::address_ },
   { "http-port", &Settings::httpPort_, false, 0, kMaxPort },
   { "rpc-port", &Settings::rpcPort_, false, 0, kMaxPort },
   { "store", &Settings::store_, true },
+  { "instance-list", &Settings::instanceList_ },
   { "store-timeout", &Settings::storeTimeout_, false, 1000, 60 * kSecond },
   { "lease-ttl", &Settings::leaseTtl_, false, kSecond, 600 * kSecond },
   { "refresh", &Settings::refresh_, false, 10'000, 60 * kSecond },
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -19,6 +19,8 @@
   std::uint64_t rpcPort_ = 0;
   /// Base URL of the platform's store.
   std::string store_;
+  /// URL of the platform's list of instances; empty reads none.
+  std::string instanceList_;
   Duration storeTimeout_ = std::chrono::seconds(2);
   /// How long the store keeps this instance's lease without a heartbeat.
   Duration leaseTtl_ = std::chrono::seconds(10);
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -20,8 +20,9 @@
   int (*run_)(const Options&);
 };
 
-constexpr std::array<Mode, 8> kModes{ {
+constexpr std::array<Mode, 9> kModes{ {
   { "store", "the platform's key-value service", RunStore },
+  { "instances", "the platform's list of instances", RunInstanceList },
   { "engine", "a model engine", RunEngine },
   { "plain", "a plain service", RunPlain },
   { "weights", "the weight store", RunWeights },
@@ -59,6 +60,7 @@
   add("token-us", po::value(&aOptions.tokenMicros_), "time a token");
   add("service-us", po::value(&aOptions.serviceMicros_), "time a plain call");
   add("train-ms", po::value(&aOptions.trainMillis_), "time a training step");
+  add("lag-ms", po::value(&aOptions.lagMillis_), "of the list of instances");
   add("rate", po::value(&aOptions.rate_), "calls a second");
   add("deadline-ms", po::value(&aOptions.deadlineMillis_), "callers' deadline");
   add("swap-failures", po::value(&aOptions.swapFailures_), "of 1000 swaps");
--- a/src/standins/standin.hpp
+++ b/src/standins/standin.hpp
@@ -49,6 +49,8 @@
   std::uint64_t loadRate_ = 0;
   bool ignoreFencing_ = false;
   std::string stopFile_;
+  /// How late the list of instances is.
+  std::uint64_t lagMillis_ = 5000;
 };
 
 /// Appends one JSON object a line to a file. Thread-safe.
@@ -71,6 +73,8 @@
 int
 RunStore(const Options& aOptions);
 int
+RunInstanceList(const Options& aOptions);
+int
 RunEngine(const Options& aOptions);
 int
 RunPlain(const Options& aOptions);
