--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -23,9 +23,16 @@
   { "decide",
     "decide [--scenario NAME] [--json]: policies against fake engines",
     marjoramtally::RunDecide },
+<<<<<<< HEAD
   { "rollout",
     "rollout [--samplers N] [--store-rate N]: new weights on all samplers",
     marjoramtally::RunRolloutBench },
+=======
+  { "membership",
+    "membership [--members N] [--zones N] [--trials N] [--seed N]: membership "
+    "on a paused clock",
+    marjoramtally::RunMembershipBench },
+>>>>>>> membership
 } };
 
 } // namespace
