Seams of side-by-side work: one backoff, order of members, tables

Cause: two classes of one name for pauses between tries; they did the same, the one of the base library stays and the lease uses it. Conclusion: one piece of code serves both.

--- a/include/marjoramtally/process/lease.hpp
+++ b/include/marjoramtally/process/lease.hpp
@@ -2,8 +2,8 @@
 /// wait after a failure; and a budget of calls to the platform's store.
 #pragma once
 
+#include "marjoramtally/base/backoff.hpp"
 #include "marjoramtally/base/clock.hpp"
-#include "marjoramtally/base/random.hpp"
 
 #include <array>
 #include <cstdint>
@@ -11,30 +11,6 @@
 
 namespace marjoramtally {
 
-/// Waits that grow with each failure and are spread at random, so that many
-/// instances do not call again at once after an outage.
-class Backoff
-{
-public:
-  Backoff(Duration aFirst, Duration aLongest, std::uint64_t aSeed) noexcept
-    : first_(aFirst)
-    , longest_(aLongest)
-    , random_(aSeed)
-  {
-  }
-
-  /// @returns how long to wait after one more failure: between half and all
-  /// of twice the wait before, up to the longest
-  Duration Next() noexcept;
-  void Reset() noexcept { failures_ = 0; }
-
-private:
-  Duration first_;
-  Duration longest_;
-  Random random_;
-  std::uint32_t failures_ = 0;
-};
-
 /// Times of a lease.
 struct LeaseOptions
 {
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -12,22 +12,9 @@
 constexpr int kAnswersPerTtl = 2;
 /// Heartbeats are spread over the last part of their period.
 constexpr double kJitterShare = 0.1;
-constexpr std::uint32_t kMostDoublings = 16;
 
 } // namespace
 
-Duration
-Backoff::Next() noexcept
-{
-  const std::uint32_t doublings = std::min(failures_, kMostDoublings);
-  ++failures_;
-  const double wait = std::min(static_cast<double>(longest_.count()),
-                               static_cast<double>(first_.count()) *
-                                 static_cast<double>(1U << doublings));
-  const double spread = (1.0 + random_.Unit()) / 2.0;
-  return Duration{ static_cast<Duration::rep>(wait * spread) };
-}
-
 LeaseStep
 LeaseKeeper::Next(TimePoint aNow) noexcept
 {
--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -71,8 +71,8 @@
   : host_(aHost)
   , router_(ZoneId{ aHost.Settings().zone_ },
             std::hash<std::string>{}(aHost.Settings().instance_))
-  , crashes_(aHost)
   , polls_(ZoneId{ aHost.Settings().zone_ }, aHost.Settings().instance_)
+  , crashes_(aHost)
 {
 }
 
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -16,23 +16,20 @@
   int (*run_)(int, char**);
 };
 
-constexpr std::array<Experiment, 3> kExperiments{ {
+constexpr std::array<Experiment, 4> kExperiments{ {
   { "http",
     "http --url URL ...: bounded load on loopback; http --help",
     marjoramtally::RunHttpLoad },
   { "decide",
     "decide [--scenario NAME] [--json]: policies against fake engines",
     marjoramtally::RunDecide },
-<<<<<<< HEAD
   { "rollout",
     "rollout [--samplers N] [--store-rate N]: new weights on all samplers",
     marjoramtally::RunRolloutBench },
-=======
   { "membership",
     "membership [--members N] [--zones N] [--trials N] [--seed N]: membership "
     "on a paused clock",
     marjoramtally::RunMembershipBench },
->>>>>>> membership
 } };
 
 } // namespace
