Format of one file

Cause: a merge by hand left a call wrapped otherwise than the formatter does. Conclusion: no change of behaviour.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -24,11 +24,10 @@
   , loops_(IoPool::Create(static_cast<std::uint32_t>(settings_.threads_)))
   , client_(HttpClient::Create(loops_))
   , storeClient_(HttpClient::Create(kStoreThreads))
-  , store_(MakeCountedStore(MakeEtcdStore(*storeClient_,
-                                          settings_.store_,
-                                          settings_.storeTimeout_),
-                            StoreRate{},
-                            metrics_))
+  , store_(MakeCountedStore(
+      MakeEtcdStore(*storeClient_, settings_.store_, settings_.storeTimeout_),
+      StoreRate{},
+      metrics_))
   , cluster_(std::make_unique<Cluster>(settings_, *store_, timers_))
   , gossip_(std::make_unique<GossipService>(timers_, metrics_))
   , instanceList_(std::make_unique<InstanceListReader>(settings_,
