--- a/src/process/completion_cost.cpp
+++ b/src/process/completion_cost.cpp
@@ -7,8 +7,9 @@
 /// A step's fixed part, in sequences: what a step of no sequence takes over
 /// what one more sequence adds.
 constexpr double kStepBase = 32;
-/// Time to prefill a token over what a sequence adds to a step.
-constexpr double kPrefillUnits = 1.0 / 12;
+/// Weight of a token to prefill over one to generate; it holds up all requests
+/// that are there.
+constexpr double kPrefillUnits = 1.0 / 6;
 /// Share of a prompt that a cached prefix saves.
 constexpr double kPrefixShare = 0.75;
 
--- a/src/process/router_pick.cpp
+++ b/src/process/router_pick.cpp
@@ -187,8 +187,11 @@
     }
     return;
   }
+  std::size_t last = aEligible.size();
   for (std::size_t i = 0; i < aChoices; ++i) {
-    ConsiderAt(aChoice, aEligible, Draw(aEligible, aRandom), aHints);
+    const std::size_t drawn = Draw(aEligible, aRandom);
+    last = drawn == last ? (drawn + 1) % aEligible.size() : drawn;
+    ConsiderAt(aChoice, aEligible, last, aHints);
   }
   const std::size_t start = aRandom.Below(aEligible.size());
   const std::size_t more = std::min(kMoreDraws, aEligible.size());
--- a/src/programs/load/router_policy.cpp
+++ b/src/programs/load/router_policy.cpp
@@ -22,6 +22,7 @@
     : router_(ZoneId{ "zone" }, aSeed, aTuning)
   {
     std::vector<UpstreamView> views;
+    views.reserve(aEngines);
     for (std::size_t i = 0; i < aEngines; ++i) {
       UpstreamView view;
       view.id_ = IdOf(EngineIndex{ i });
@@ -44,6 +45,7 @@
                                   TimePoint aNow) override
   {
     std::vector<UpstreamId> tried;
+    tried.reserve(aTried.size());
     for (const EngineIndex engine : aTried) {
       tried.push_back(IdOf(engine));
     }
@@ -140,12 +142,12 @@
 const std::vector<RoutePolicySpec>&
 OurVariants()
 {
-  static constexpr std::size_t kTwo = 2;
+  static constexpr std::size_t kFour = 4;
   static const std::vector<RoutePolicySpec> variants{
     { "ours-uncorrected", MakeVariant<&RouterTuning::correctReports_, false> },
     { "ours-no-prefix", MakeVariant<&RouterTuning::prefixHints_, false> },
     { "ours-fixed-limit", MakeVariant<&RouterTuning::adaptiveLimit_, false> },
-    { "ours-2-choices", MakeVariant<&RouterTuning::choices_, kTwo> },
+    { "ours-4-choices", MakeVariant<&RouterTuning::choices_, kFour> },
     { "ours-all-choices", MakeVariant<&RouterTuning::choices_, kAll> },
   };
   return variants;
