Routing scenario: goodput, and the router together with admission

Ruled out: a scenario of its own, since the ratios are to be of one run. Conclusion: a row more for each load, and goodput over the best of the run.

--- a/src/programs/load/decide_routing.cpp
+++ b/src/programs/load/decide_routing.cpp
@@ -2,6 +2,9 @@
 /// three trainers, at several loads, with reports that lag one second.
 
 #include "programs/load/offered_load.hpp"
+#include "programs/load/queue_variants.hpp"
+
+#include <algorithm>
 
 namespace marjoramtally::bench {
 
@@ -9,6 +12,47 @@
 
 constexpr std::array<double, 3> kLoads{ 0.5, 0.9, 1.5 };
 
+/// Slots that an entry counts on: its part of the batches.
+constexpr std::uint64_t kEntrySlots = 9 * kSlotsPerEngine;
+
+std::unique_ptr<QueuePolicy>
+MakeAdmission()
+{
+  return MakeSharedQueue({ "admission", {}, kEntrySlots }, {});
+}
+
+DecideRow
+RunOnce(const DecideOptions& aOptions,
+        const RoutePolicySpec& aPolicy,
+        const Fleet::MakeQueue& aMakeQueue,
+        double aLoad)
+{
+  FleetSettings settings;
+  settings.seed_ = aOptions.seed_;
+  settings.olderSlowdown_ = kOlderSlowdown;
+  Fleet fleet(settings, aPolicy, aMakeQueue);
+  OfferMixedLoad(fleet, settings, aLoad);
+  fleet.Run(aOptions.length_);
+  DecideRow row = fleet.Row(aPolicy.name_, aLoad);
+  const Duration measured = fleet.Loop().Now() - settings.measureFrom_;
+  row.goodputShare_ = static_cast<double>(fleet.Measures().usefulTokens_) /
+                      static_cast<double>(measured.count());
+  return row;
+}
+
+/// Turns goodput into its share of the best of all rows.
+void
+ScaleGoodput(DecideRows& aRows)
+{
+  double best = 0;
+  for (const DecideRow& row : aRows) {
+    best = std::max(best, row.goodputShare_.value_or(0));
+  }
+  for (DecideRow& row : aRows) {
+    row.goodputShare_ = row.goodputShare_.value_or(0) / best;
+  }
+}
+
 } // namespace
 
 DecideRows
@@ -20,15 +64,12 @@
   DecideRows rows;
   for (const double load : kLoads) {
     for (const RoutePolicySpec& policy : policies) {
-      FleetSettings settings;
-      settings.seed_ = aOptions.seed_;
-      settings.olderSlowdown_ = kOlderSlowdown;
-      Fleet fleet(settings, policy);
-      OfferMixedLoad(fleet, settings, load);
-      fleet.Run(aOptions.length_);
-      rows.push_back(fleet.Row(policy.name_, load));
+      rows.push_back(RunOnce(aOptions, policy, MakeClassQueue, load));
     }
+    rows.push_back(RunOnce(aOptions, OurPolicy(), MakeAdmission, load));
+    rows.back().policy_ = "ours-and-admission";
   }
+  ScaleGoodput(rows);
   return rows;
 }
 
