--- a/src/daemon/live_records.cpp
+++ b/src/daemon/live_records.cpp
@@ -8,7 +8,7 @@
 constexpr auto kFirstBackoff = std::chrono::milliseconds(200);
 constexpr auto kLongestBackoff = std::chrono::seconds(10);
 /// An instance that hears of changes reads all anyway this often.
-constexpr int kRefreshesPerFullRead = 60;
+constexpr int kRefreshesPerFullRead = 600;
 /// A watch that lags a hint by this long is helped by a read.
 constexpr auto kWatchGrace = std::chrono::seconds(2);
 /// Reads after a hint are spread over this time.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -9,6 +9,18 @@
 /// How often the table is gone through when no suspicion ends earlier.
 constexpr auto kSweepPeriod = std::chrono::seconds(30);
 
+/// Counts a change that peers, links and bridges do not depend on, so that
+/// they need not be derived anew.
+void
+CountOtherChange(std::uint64_t& aChanges, std::uint64_t& aRolesOf)
+{
+  const bool current = aRolesOf == aChanges;
+  ++aChanges;
+  if (current) {
+    aRolesOf = aChanges;
+  }
+}
+
 } // namespace
 
 Membership::Membership(MembershipOptions aOptions,
@@ -227,12 +239,12 @@
   switch (aItem.kind_) {
     case GossipItemKind::ZoneContact:
       zoneSeen_[ZoneId{ aItem.key_ }] = aNow - aItem.age_;
-      ++changes_;
+      CountOtherChange(changes_, rolesOf_);
       break;
     case GossipItemKind::Quarantine:
     case GossipItemKind::StoreRevision:
       urgent_ = true;
-      ++changes_;
+      CountOtherChange(changes_, rolesOf_);
       break;
     case GossipItemKind::Load:
       break;
@@ -325,7 +337,7 @@
     }
   }
   // A zone may have been lost since, which no message tells.
-  ++changes_;
+  CountOtherChange(changes_, rolesOf_);
   for (const InstanceId& id : ended) {
     ++counters_.deaths_;
     SetState(id, MemberState::Dead, aNow);
