Announcements hold at the owner at once; trainer service in two units

Cause: a trainer that announced while the store was down or its write was lost got 503 and waited, though its owner could go on. Now: the owner answers at once and tells the store as soon as it can, with pauses from 50 ms to 2 s; a take at the version repeats the announcement to a later owner. Ruled out: answering 503 and leaving the repeats to the trainer.

--- a/src/programs/controld/trainer_service.hpp
+++ b/src/programs/controld/trainer_service.hpp
@@ -10,6 +10,21 @@
 
 namespace marjoramtally {
 
+namespace impl {
+
+/// Pauses before a failed generation or write to the store is tried again.
+inline constexpr auto kFirstPause = std::chrono::milliseconds(50);
+inline constexpr auto kLongestPause = std::chrono::seconds(2);
+
+/// @returns the duty of serving a trainer
+[[nodiscard]] std::string
+DutyOf(const TrainerId& aTrainer);
+/// @returns what a take of a step that is not open here is told
+[[nodiscard]] Error
+NotOpen(StepId aStep);
+
+} // namespace impl
+
 /// Ledgers of this process. Thread-safe.
 class TrainerService
 {
@@ -29,6 +44,15 @@
     TimePoint until_;
     RpcDone done_;
   };
+  /// What the platform's store knows of the announced versions.
+  struct StoredVersion
+  {
+    WeightVersion version_;
+    /// Whether a write is in progress.
+    bool busy_ = false;
+    TimePoint nextTry_;
+    Backoff pauses_{ impl::kFirstPause, impl::kLongestPause, 1 };
+  };
   struct TrainerState
   {
     FencingNumber term_;
@@ -37,7 +61,8 @@
     std::optional<WaitingTake> waiting_;
     std::string trace_;
     /// Pauses after failed generations.
-    Backoff pauses_;
+    Backoff pauses_{ impl::kFirstPause, impl::kLongestPause, 2 };
+    StoredVersion stored_;
   };
 
   /// Makes sure that the announced versions are known, then applies.
@@ -57,7 +82,15 @@
   void Restore(TrainerState& aState, const StepSpec& aSpec);
   void Close(TrainerState& aState, StepId aStep, const RpcDone& aDone);
   void Take(TrainerState& aState, TakeSamples aTake, RpcDone aDone);
-  void Announce(TrainerState& aState, WeightVersion aVersion, RpcDone aDone);
+  /// An announcement holds here at once; the store is told as soon as it can
+  /// be, and a take at the version repeats it to a later owner.
+  void Announce(TrainerState& aState,
+                WeightVersion aVersion,
+                const RpcDone& aDone);
+  void StoreVersion(TrainerState& aState);
+  void VersionStored(TrainerState& aState,
+                     WeightVersion aVersion,
+                     const Result<bool>& aStored);
   void Tick();
   /// Drops ledgers whose trainer another instance owns.
   void DropLost();
