Lead measured on the decision bench; freshness leads by one version

Cause: how far generation may lead was argued, not measured; the first form of the policy freshness started a quarter of a step early. Conclusion: share left out, lead of one version kept.

--- a/include/marjoramtally/version/lead.hpp
+++ b/include/marjoramtally/version/lead.hpp
@@ -19,9 +19,6 @@
   WeightVersion taken_;
   /// The oldest version that may be delivered then.
   WeightVersion needed_;
-  std::uint32_t size_ = 0;
-  /// Samples of the step that were started, are ready or are held.
-  std::uint32_t started_ = 0;
 };
 
 /// Decides whether a generation starts and from which version on.
@@ -38,9 +35,9 @@
 };
 
 /// Finds a policy by its name in the rules: `idle` keeps the trainer fed as
-/// far as its bound allows; `freshness` starts a quarter of a step early and
-/// sends only to engines that have the newest version; `strict` and
-/// `unlimited` are the baselines of the bench.
+/// far as its bound allows; `freshness` leads by one version at most, however
+/// wide the bound, and sends only to engines that have the newest version;
+/// `strict` does not lead; `unlimited` is a baseline of the bench.
 /// @returns null if there is none of that name
 [[nodiscard]] const LeadPolicy*
 FindLeadPolicy(std::string_view aName) noexcept;
--- a/src/programs/load/decide.cpp
+++ b/src/programs/load/decide.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t kMostSeconds = 3600;
 
-constexpr std::array<DecideScenario, 7> kScenarios{ {
+constexpr std::array<DecideScenario, 8> kScenarios{ {
   { "routing", "policies at 50, 90 and 150% load", RunRoutingScenario },
   { "sharing",
     "trainers of weights 1:1:2 under variants of fair queueing",
@@ -34,6 +34,9 @@
   { "cost",
     "real time of a decision at 16 and 1,600 upstreams",
     RunCostScenario },
+  { "lead",
+    "how far generation leads a trainer, at three loads",
+    RunLeadScenario },
 } };
 
 const DecideScenario*
--- a/src/programs/load/decide.hpp
+++ b/src/programs/load/decide.hpp
@@ -50,6 +50,12 @@
   /// Share of live work that went to the slow upstream.
   std::optional<double> slowShare_;
   std::optional<double> decisionNanos_;
+  /// Samples delivered over the staleness bound.
+  std::optional<double> overBound_;
+  /// Versions that a delivered sample is behind the trainer, at the mean.
+  std::optional<double> staleness_;
+  /// Steps that the trainer got whole.
+  std::optional<double> steps_;
 };
 
 using DecideRows = std::vector<DecideRow>;
@@ -65,6 +71,8 @@
 [[nodiscard]] DecideRows
 RunRoutingScenario(const DecideOptions& aOptions);
 [[nodiscard]] DecideRows
+RunLeadScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
 RunFaultsScenario(const DecideOptions& aOptions);
 [[nodiscard]] DecideRows
 RunHerdingScenario(const DecideOptions& aOptions);
--- a/src/programs/load/decide_output.cpp
+++ b/src/programs/load/decide_output.cpp
@@ -17,7 +17,7 @@
   int digits_;
 };
 
-constexpr std::array<Column, 16> kColumns{ {
+constexpr std::array<Column, 19> kColumns{ {
   { "live_late", &DecideRow::liveLateShare_, 4 },
   { "live_p50_ms", &DecideRow::liveP50Millis_, 0 },
   { "live_p99_ms", &DecideRow::liveP99Millis_, 0 },
@@ -34,6 +34,9 @@
   { "held_p99_ms", &DecideRow::refusedAfterMillis_, 0 },
   { "slow_share", &DecideRow::slowShare_, 4 },
   { "decide_ns", &DecideRow::decisionNanos_, 0 },
+  { "over_bound", &DecideRow::overBound_, 0 },
+  { "staleness", &DecideRow::staleness_, 3 },
+  { "steps", &DecideRow::steps_, 0 },
 } };
 
 constexpr int kPolicyWidth = 24;
--- a/src/programs/load/experiments.hpp
+++ b/src/programs/load/experiments.hpp
@@ -12,6 +12,9 @@
 int
 RunDecide(int aArgc, char** aArgv);
 
+int
+RunLedgerBench(int aArgc, char** aArgv);
+
 int
 RunRolloutBench(int aArgc, char** aArgv);
 
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -16,13 +16,16 @@
   int (*run_)(int, char**);
 };
 
-constexpr std::array<Experiment, 4> kExperiments{ {
+constexpr std::array<Experiment, 5> kExperiments{ {
   { "http",
     "http --url URL ...: bounded load on loopback; http --help",
     marjoramtally::RunHttpLoad },
   { "decide",
     "decide [--scenario NAME] [--json]: policies against fake engines",
     marjoramtally::RunDecide },
+  { "ledger",
+    "ledger: time and memory of a step's ledger, time of the journal",
+    marjoramtally::RunLedgerBench },
   { "rollout",
     "rollout [--samplers N] [--store-rate N]: new weights on all samplers",
     marjoramtally::RunRolloutBench },
--- a/src/version/lead.cpp
+++ b/src/version/lead.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/// Of a step, one part in this many may be started early where freshness
-/// goes first.
-constexpr std::uint32_t kEarlyPart = 4;
+/// Versions that generation leads the trainer where freshness goes first.
+constexpr std::uint64_t kFreshLead = 1;
 
 /// Starts whatever can still be fresh enough when it is taken.
 class IdlePolicy final : public LeadPolicy
@@ -31,7 +30,7 @@
   }
 };
 
-/// Leaves most of a step for the version at which it is taken.
+/// Leads by one version, however wide the bound, and samples only the newest.
 class FreshnessPolicy final : public LeadPolicy
 {
 public:
@@ -42,12 +41,8 @@
   [[nodiscard]] bool MayStart(
     const StepOutlook& aOutlook) const noexcept override
   {
-    if (aOutlook.taken_ <= aOutlook.announced_) {
-      return true;
-    }
-    const bool next = aOutlook.taken_.Get() - aOutlook.announced_.Get() == 1;
-    return next && aOutlook.needed_ <= aOutlook.announced_ &&
-           aOutlook.started_ < aOutlook.size_ / kEarlyPart;
+    return aOutlook.needed_ <= aOutlook.announced_ &&
+           aOutlook.taken_.Get() <= aOutlook.announced_.Get() + kFreshLead;
   }
   [[nodiscard]] WeightVersion LeastVersion(
     const StepOutlook& aOutlook) const noexcept override
--- a/src/version/trainer_ledger.cpp
+++ b/src/version/trainer_ledger.cpp
@@ -56,8 +56,6 @@
   outlook.taken_ = TakenAt(aStep);
   outlook.needed_ =
     OldestAllowed(rules_.staleness_, versions_, outlook.taken_, aNow);
-  outlook.size_ = aStep.Size();
-  outlook.started_ = aStep.Size() - aStep.Progress().wanted_;
   return outlook;
 }
 
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -212,15 +212,22 @@
   CHECK(start->least_ == WeightVersion{ 2 });
 }
 
-TEST_CASE("policies differ in what they start early")
+TEST_CASE("policies differ in how far they lead")
 {
+  // With a bound of two versions: samples started of the steps that are
+  // taken one and two versions later.
   const auto early = [](const char* aPolicy) {
-    TrainerLedger ledger = MakeLedger(1, aPolicy);
+    TrainerLedger ledger = MakeLedger(1);
+    LedgerRules rules;
+    rules.staleness_.versions_ = 2;
+    rules.policy_ = FindLeadPolicy(aPolicy);
+    ledger.SetRules(rules);
     REQUIRE(ledger.Open(MakeStep(2, 2)) == OpenVerdict::Opened);
+    REQUIRE(ledger.Open(MakeStep(3, 3)) == OpenVerdict::Opened);
     return GenerateAll(ledger, 1);
   };
-  CHECK(early("idle") == 4);
-  CHECK(early("freshness") == 1);
+  CHECK(early("idle") == 8);
+  CHECK(early("freshness") == 4);
   CHECK(early("strict") == 0);
   TrainerLedger ledger = MakeLedger(2, "freshness");
   REQUIRE(ledger.Open(MakeStep(2, 2)) == OpenVerdict::Opened);
