Accept configuration edits by compare-and-swap, settled by the log

Cause: a push based on an old state replaced all files of the others, and a lost answer was settled by the manifest's edit id alone, so that an edit that took effect and was then superseded was submitted again. Ruled out: a ring of edit ids in the manifest (how many are enough depends on how long an editor was away) and a key for each edit id (must be found again to be deleted). An attempt based on revision r can only become the one revision that it proposes, so the log's record of that revision settles it.

--- a/include/marjoramtally/connection.hpp
+++ b/include/marjoramtally/connection.hpp
@@ -3,4 +3,5 @@
 
 #include "marjoramtally/connection/gossip_messages.hpp"
 #include "marjoramtally/connection/suspicion_messages.hpp"
+#include "marjoramtally/connection/config_messages.hpp"
 #include "marjoramtally/connection/trainer_messages.hpp"
--- a/include/marjoramtally/version.hpp
+++ b/include/marjoramtally/version.hpp
@@ -9,3 +9,5 @@
 #include "marjoramtally/version/staleness.hpp"
 #include "marjoramtally/version/take_client.hpp"
 #include "marjoramtally/version/trainer_ledger.hpp"
+#include "marjoramtally/version/config_log.hpp"
+#include "marjoramtally/version/rules_edit.hpp"
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -1,10 +1,11 @@
 /// The operators' command line.
 
-#include "daemon/cluster.hpp"
 #include "marjoramtally/runtime/program.hpp"
 #include "programs/ctl/commands.hpp"
 
+#include <array>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -20,13 +21,49 @@
   int (*run_)(const CommandInput&);
 };
 
-constexpr std::array<Command, 4> kCommands{ {
-  { "check", "check DIR: report every finding in a rules folder", RunCheck },
-  { "push", "push DIR: make a rules folder the accepted rules", RunPush },
-  { "status", "status: instances, owners, versions, revision", RunStatus },
+constexpr std::array<Command, 13> kCommands{ {
+  { "check",
+    "check DIR [--explain KEY]: report every finding in a rules folder",
+    RunCheck },
+  { "diff", "diff DIR: keys that differ from the accepted rules", RunDiff },
+  { "pull", "pull DIR: bring the accepted files into a folder", RunPull },
+  { "push", "push DIR [--wait]: have a folder's changes accepted", RunPush },
+  { "edit",
+    "edit FILE 'SECTION.KEY=VALUE' [--wait]: change one accepted key",
+    RunEdit },
+  { "drain",
+    "drain UPSTREAM [--undo] [--wait]: send it no new work",
+    RunDrain },
+  { "history", "history: accepted revisions, oldest first", RunHistory },
+  { "revert-to",
+    "revert-to REVISION [--wait]: a new revision with old content",
+    RunRevertTo },
+  { "restore",
+    "restore ADDRESS: after the store came back older, accept again what "
+    "is in force at an instance",
+    RunRestore },
+  { "status", "status: what is accepted and in force where", RunStatus },
+  { "upstreams", "upstreams: as accepted", RunUpstreams },
+  { "trainers", "trainers: as accepted", RunTrainers },
   { "trace", "trace ID: print the tree of hops of one trace", RunTrace },
 } };
 
+/// @returns the operator's name, as far as the system tells
+std::string
+DefaultAuthor()
+{
+  const char* user = std::getenv("USER");
+  return user == nullptr ? "unknown" : user;
+}
+
+/// Tokens come by the environment, where other users do not see them.
+std::string
+TokenOfEnvironment()
+{
+  const char* token = std::getenv("MARJORAM_TOKEN");
+  return token == nullptr ? "" : token;
+}
+
 void
 PrintHelp(const po::options_description& aOptions)
 {
@@ -43,6 +80,7 @@
 main(int aArgc, char** aArgv)
 {
   CommandInput input;
+  input.token_ = TokenOfEnvironment();
   po::options_description visible("Options");
   auto add = visible.add_options();
   add("help", "print this text");
@@ -54,6 +92,14 @@
       po::value(&input.traceDir_)->default_value("."),
       "folder of trace files");
   add("json", po::bool_switch(&input.json_), "print JSON");
+  add("wait",
+      po::bool_switch(&input.wait_),
+      "wait until it is in force at every live instance");
+  add("undo", po::bool_switch(&input.undo_), "put a drained upstream back");
+  add("explain", po::value(&input.explain_), "a KEY or SECTION.KEY");
+  add("author",
+      po::value(&input.author_)->default_value(DefaultAuthor()),
+      "name that edits carry");
   po::options_description all;
   all.add(visible).add_options()("words",
                                  po::value(&input.words_)->multitoken());
