Relay accepted configuration from two watchers of a zone to the rest

Cause: every daemon read the manifest every refresh and all contents at each change, so that the store's calls grew with daemons. Ruled out: heartbeats alone as the carrier (a second or more for each hop). After: two instances of a zone watch the store and read changed contents; they tell all of their zone and the watchers of other zones until each has it, and those fetch what they lack from the teller. Only a higher revision is applied; a store that shows less is logged as config_reverted and shown on /status. A new instance asks a peer first, keeps the last revision in data-dir, and /readyz says why it refuses.

--- /dev/null
+++ b/src/daemon/config_peers.cpp
@@ -0,0 +1,220 @@
+#include "daemon/config_peers.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr Duration kTellTimeout = std::chrono::seconds(3);
+constexpr Duration kFetchTimeout = std::chrono::seconds(2);
+
+RpcCall
+MakeCall(const ConfigRequest& aRequest, Duration aTimeout)
+{
+  RpcCall call;
+  call.topic_ = RpcTopic::Config;
+  call.timeout_ = aTimeout;
+  call.body_ = EncodeConfigRequest(aRequest);
+  return call;
+}
+
+} // namespace
+
+ConfigPeers::ConfigPeers(ConfigState& aState, Metrics& aMetrics)
+  : state_(aState)
+  , metrics_(aMetrics)
+{
+}
+
+void
+ConfigPeers::Start(RpcNode& aNode, std::string aSelf)
+{
+  const std::lock_guard lock(mutex_);
+  node_ = &aNode;
+  self_ = std::move(aSelf);
+}
+
+void
+ConfigPeers::SetTargets(const std::vector<std::string>& aTargets)
+{
+  const std::lock_guard lock(mutex_);
+  targets_ = aTargets;
+  const std::set<std::string> kept(aTargets.begin(), aTargets.end());
+  std::erase_if(
+    known_, [&](const auto& aEntry) { return !kept.contains(aEntry.first); });
+}
+
+void
+ConfigPeers::Tell()
+{
+  const ConfigRevision revision = state_.Revision();
+  std::vector<std::string> behind;
+  RpcNode* node = nullptr;
+  {
+    const std::lock_guard lock(mutex_);
+    node = node_;
+    for (const std::string& target : targets_) {
+      if (known_[target] < revision && telling_.insert(target).second) {
+        behind.push_back(target);
+      }
+    }
+  }
+  if (node == nullptr) {
+    return;
+  }
+  for (const std::string& target : behind) {
+    metrics_.Count("config_tells_total");
+    node->Call(target,
+               MakeCall({ revision, self_, false, {} }, kTellTimeout),
+               [this, target](const RpcReply& aReply) {
+                 const auto reply = aReply
+                                      ? DecodeConfigReply(aReply.value())
+                                      : Result<ConfigReply>(aReply.error());
+                 const std::lock_guard lock(mutex_);
+                 telling_.erase(target);
+                 if (reply) {
+                   known_[target] = reply.value().revision_;
+                 }
+               });
+  }
+}
+
+void
+ConfigPeers::OnHeard(ConfigRevision aRevision, const std::string& aPeer)
+{
+  if (aRevision > state_.Revision() && !aPeer.empty()) {
+    Fetch(aPeer);
+  }
+}
+
+void
+ConfigPeers::Ask(const std::string& aPeer)
+{
+  Fetch(aPeer);
+}
+
+bool
+ConfigPeers::Fetching()
+{
+  const std::lock_guard lock(mutex_);
+  return fetching_;
+}
+
+void
+ConfigPeers::Fetch(const std::string& aPeer)
+{
+  RpcNode* node = nullptr;
+  {
+    const std::lock_guard lock(mutex_);
+    if (fetching_ || node_ == nullptr) {
+      return;
+    }
+    fetching_ = true;
+    node = node_;
+  }
+  const ConfigContent content = state_.Content();
+  ConfigRequest request{ content.manifest_.revision_, self_, true, {} };
+  for (const auto& [hash, text] : content.blobs_) {
+    request.known_.push_back(hash);
+  }
+  metrics_.Count("config_peer_fetches_total");
+  node->Call(aPeer,
+             MakeCall(request, kFetchTimeout),
+             [this](const RpcReply& aReply) { OnFetched(aReply); });
+}
+
+void
+ConfigPeers::OnFetched(const RpcReply& aReply)
+{
+  const auto reply = aReply ? DecodeConfigReply(aReply.value())
+                            : Result<ConfigReply>(aReply.error());
+  if (reply) {
+    Take(reply.value());
+  } else {
+    LogEvent(LogLevel::Warn,
+             "config_fetch_failed",
+             { { "error", reply.error().message_ } });
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    fetching_ = false;
+  }
+  AnswerWaiting();
+}
+
+void
+ConfigPeers::Take(const ConfigReply& aReply)
+{
+  const auto manifest = ParseManifest(aReply.manifest_);
+  if (!manifest || state_.Judge(manifest.value(), ManifestSource::Peer) !=
+                     ManifestVerdict::Newer) {
+    return;
+  }
+  std::map<std::string, std::string> blobs;
+  for (const ConfigBlob& blob : aReply.blobs_) {
+    if (ContentHash(blob.text_) == blob.hash_) {
+      blobs[blob.hash_] = blob.text_;
+    }
+  }
+  state_.Apply(manifest.value(), blobs, ManifestSource::Peer);
+}
+
+void
+ConfigPeers::AnswerWaiting()
+{
+  std::vector<RpcDone> waiting;
+  {
+    const std::lock_guard lock(mutex_);
+    waiting.swap(waiting_);
+  }
+  const std::string answer = Answer({});
+  for (const RpcDone& done : waiting) {
+    done(answer);
+  }
+}
+
+std::string
+ConfigPeers::Answer(const ConfigRequest& aRequest) const
+{
+  ConfigReply reply;
+  if (!aRequest.fetch_) {
+    reply.revision_ = state_.Revision();
+    return EncodeConfigReply(reply);
+  }
+  const ConfigContent content = state_.Content();
+  reply.revision_ = content.manifest_.revision_;
+  reply.manifest_ = FormatManifest(content.manifest_);
+  const std::set<std::string> known(aRequest.known_.begin(),
+                                    aRequest.known_.end());
+  for (const auto& [hash, text] : content.blobs_) {
+    if (!known.contains(hash)) {
+      reply.blobs_.push_back({ hash, text });
+    }
+  }
+  return EncodeConfigReply(reply);
+}
+
+void
+ConfigPeers::Serve(const RpcCall& aCall, RpcDone aDone)
+{
+  const auto request = DecodeConfigRequest(aCall.body_);
+  if (!request) {
+    aDone(request.error());
+    return;
+  }
+  const ConfigRequest& told = request.value();
+  if (told.fetch_ || told.revision_ <= state_.Revision()) {
+    aDone(Answer(told));
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    waiting_.push_back(std::move(aDone));
+  }
+  OnHeard(told.revision_, told.sender_);
+  // A fetch that ended in between has answered those before it only.
+  if (told.revision_ <= state_.Revision()) {
+    AnswerWaiting();
+  }
+}
+
+} // namespace marjoramtally
--- a/src/daemon/config_service.cpp
+++ b/src/daemon/config_service.cpp
@@ -1,100 +1,182 @@
 #include "daemon/config_service.hpp"
 
+#include <random>
+
 namespace marjoramtally {
 
+namespace {
+
+constexpr std::string_view kFileName = "/config.bin";
+/// A watcher also reads the manifest this often: a connection may be dead
+/// without a sign, and a store may come back older.
+constexpr Duration kWatcherReadPeriod = std::chrono::seconds(5);
+/// Others read it this often, should all who tell them be wrong.
+constexpr Duration kRepairReadPeriod = std::chrono::minutes(2);
+/// Rounds until the first view of the other instances is there.
+constexpr int kRoundsBeforeAsking = 2;
+/// Rounds that a new instance waits for a peer's answer.
+constexpr int kRoundsForPeer = 3;
+/// Rounds between reads while nothing is in force.
+constexpr int kRoundsWithoutRules = 5;
+
+std::string
+FileIn(const std::string& aFolder)
+{
+  return aFolder.empty() ? std::string{} : aFolder + std::string(kFileName);
+}
+
+FanoutMember
+ToMember(const InstanceRecord& aRecord)
+{
+  return { aRecord.zone_, aRecord.id_, aRecord.rpc_ };
+}
+
+} // namespace
+
 ConfigService::ConfigService(const DaemonSettings& aSettings,
                              Store& aStore,
                              Timers& aTimers,
-                             Listener aOnApplied)
+                             Metrics& aMetrics,
+                             Cluster& aMembers)
   : settings_(aSettings)
-  , store_(aStore)
   , timers_(aTimers)
-  , onApplied_(std::move(aOnApplied))
+  , members_(aMembers)
+  , state_(FileIn(aSettings.dataDir_),
+           aMetrics,
+           [this](std::shared_ptr<const Rules> aRules) {
+             const ConfigRevision revision = aRules->revision_;
+             members_.SetRules(std::move(aRules));
+             if (onRevision_) {
+               onRevision_(revision);
+             }
+             peers_.Tell();
+           })
+  , watch_(aStore, state_, aMetrics)
+  , peers_(state_, aMetrics)
+  , jitter_(std::random_device{}())
 {
 }
 
 void
-ConfigService::Start()
+ConfigService::Start(RpcNode& aNode)
 {
-  CheckManifest();
-  timers_.Every(settings_.refresh_, [this] { CheckManifest(); });
+  peers_.Start(aNode, members_.Self().rpc_);
+  state_.LoadFile();
+  timers_.Every(settings_.refresh_, [this] { Tick(); });
 }
 
-void
-ConfigService::CheckManifest()
+FanoutRole
+ConfigService::Role() const
 {
-  store_.Read(std::string(kManifestKey),
-              [this](const Result<StoreRange>& aRead) {
-                if (!aRead || aRead.value().records_.empty()) {
-                  return;
-                }
-                const auto manifest =
-                  ParseManifest(aRead.value().records_.front().value_);
-                if (!manifest) {
-                  LogEvent(LogLevel::Error,
-                           "manifest_unreadable",
-                           { { "error", manifest.error().message_ } });
-                  return;
-                }
-                if (manifest.value().revision_.Get() > applied_) {
-                  FetchBlobs(manifest.value());
-                }
-              });
+  const ClusterViewPtr view = members_.View();
+  std::vector<FanoutMember> members;
+  for (const auto& [id, record] : view->instances_) {
+    members.push_back(ToMember(record));
+  }
+  return ChooseFanout(std::move(members), ToMember(members_.Self()));
 }
 
 void
-ConfigService::FetchBlobs(const Manifest& aManifest)
+ConfigService::Tick()
 {
-  store_.Read(
-    std::string(kBlobPrefix),
-    [this, aManifest](const Result<StoreRange>& aRead) {
-      if (!aRead) {
-        return;
-      }
-      std::map<std::string, std::string> blobs;
-      for (const StoreRecord& record : aRead.value().records_) {
-        blobs[record.key_.substr(kBlobPrefix.size())] = record.value_;
-      }
-      std::vector<RulesFile> files;
-      for (const ManifestFile& file : aManifest.files_) {
-        const auto blob = blobs.find(file.hash_);
-        if (blob == blobs.end()) {
-          LogEvent(LogLevel::Error, "blob_missing", { { "file", file.name_ } });
-          return;
-        }
-        files.push_back({ file.name_, blob->second });
-      }
-      ApplyRules(aManifest, std::move(files));
-    });
+  const FanoutRole role = Role();
+  peers_.SetTargets(role.targets_);
+  if (!LookAtPeers()) {
+    return;
+  }
+  watch_.Keep(role.watches_, clock_.Now());
+  ReadIfDue(role.watches_);
+  if (Revision() == ConfigRevision{ 0 }) {
+    AskNextPeer();
+  }
+  peers_.Tell();
+}
+
+/// A new instance asks a peer before the store: the store may have come
+/// back older, and what peers have in force must not be undercut.
+bool
+ConfigService::LookAtPeers()
+{
+  if (lookedAtPeers_) {
+    return true;
+  }
+  if (++rounds_ < kRoundsBeforeAsking) {
+    return false;
+  }
+  if (rounds_ == kRoundsBeforeAsking) {
+    AskNextPeer();
+  }
+  lookedAtPeers_ =
+    !peers_.Fetching() || rounds_ >= kRoundsBeforeAsking + kRoundsForPeer;
+  return lookedAtPeers_;
 }
 
 void
-ConfigService::ApplyRules(const Manifest& aManifest,
-                          std::vector<RulesFile> aFiles)
+ConfigService::ReadIfDue(bool aWatches)
 {
-  const auto merged = MergeRulesFiles(std::move(aFiles));
-  auto built =
-    merged ? BuildRules(merged.value()) : Checked<Rules>(merged.error());
-  if (!built) {
-    LogEvent(LogLevel::Error,
-             "rules_rejected",
-             { { "findings", built.error().Render() } });
+  const TimePoint now = clock_.Now();
+  if (now < nextRead_) {
     return;
   }
-  auto rules = std::make_shared<Rules>(std::move(built).value());
-  rules->revision_ = aManifest.revision_;
-  const std::uint64_t revision = aManifest.revision_.Get();
-  std::uint64_t before = applied_;
-  while (before < revision &&
-         !applied_.compare_exchange_weak(before, revision)) {
+  Duration period = aWatches ? kWatcherReadPeriod : kRepairReadPeriod;
+  if (Revision() == ConfigRevision{ 0 }) {
+    period = settings_.refresh_ * kRoundsWithoutRules;
   }
-  if (before >= revision) {
-    return;
+  const auto spread = static_cast<std::uint64_t>(period.count());
+  nextRead_ = now + period / 2 +
+              Duration(static_cast<Duration::rep>(jitter_.Below(spread)));
+  watch_.Read();
+}
+
+void
+ConfigService::AskNextPeer()
+{
+  const ClusterViewPtr view = members_.View();
+  std::vector<std::string> addresses;
+  for (const auto& [id, record] : view->instances_) {
+    if (id != members_.Self().id_) {
+      addresses.push_back(record.rpc_);
+    }
+  }
+  if (!addresses.empty()) {
+    peers_.Ask(addresses[nextPeer_++ % addresses.size()]);
+  }
+}
+
+void
+ConfigService::OnHeard(ConfigRevision aRevision, const std::string& aPeer)
+{
+  peers_.OnHeard(aRevision, aPeer);
+}
+
+ConfigRevision
+ConfigService::Revision() const
+{
+  return state_.Revision();
+}
+
+void
+ConfigService::Serve(const RpcCall& aCall, RpcDone aDone)
+{
+  peers_.Serve(aCall, std::move(aDone));
+}
+
+std::string
+ConfigService::WhyNotReady() const
+{
+  const ConfigStatus status = state_.Status();
+  if (status.inForce_.revision_ > ConfigRevision{ 0 }) {
+    return lookedAtPeers_ ? std::string{}
+                          : "asking peers for a higher revision first";
+  }
+  if (!status.problem_.empty()) {
+    return status.problem_;
   }
-  LogEvent(LogLevel::Info,
-           "rules_applied",
-           { { "revision", std::to_string(revision) } });
-  onApplied_(std::move(rules));
+  const std::string store = watch_.LastError();
+  return store.empty()
+           ? "no accepted rules are known yet"
+           : "no accepted rules are known: " + store +
+               "; no peer gave any, and none was kept on a disk here";
 }
 
 } // namespace marjoramtally
--- a/src/daemon/config_service.hpp
+++ b/src/daemon/config_service.hpp
@@ -1,41 +1,62 @@
-/// Brings accepted rules into force in this process.
+/// Brings accepted configuration into force in this process: two instances
+/// of a zone watch the store, the others hear from them.
 #pragma once
 
-#include "daemon/manifest.hpp"
-#include "daemon/settings.hpp"
-#include "marjoramtally/runtime.hpp"
-
-#include <functional>
-#include <memory>
+#include "daemon/cluster.hpp"
+#include "daemon/config_peers.hpp"
+#include "daemon/config_relay.hpp"
+#include "daemon/config_watch.hpp"
+#include "marjoramtally/process/config_fanout.hpp"
 
 namespace marjoramtally {
 
-/// Reads the accepted configuration and hands on each higher revision.
-/// Thread-safe.
-class ConfigService
+/// Hands on each higher revision. Thread-safe.
+class ConfigService final : public ConfigRelay
 {
 public:
-  using Listener = std::function<void(std::shared_ptr<const Rules>)>;
-
   /// All arguments outlive the service.
-  /// @param aOnApplied called with rules of ever higher revisions
   ConfigService(const DaemonSettings& aSettings,
                 Store& aStore,
                 Timers& aTimers,
-                Listener aOnApplied);
+                Metrics& aMetrics,
+                Cluster& aMembers);
+
+  /// Told of each revision that comes into force; set before `Start`.
+  std::function<void(ConfigRevision)> onRevision_;
+
+  /// Applies what the data folder holds, then follows store and peers.
+  void Start(RpcNode& aNode);
+  void OnHeard(ConfigRevision aRevision, const std::string& aPeer) override;
+  [[nodiscard]] ConfigRevision Revision() const override;
+  /// Serves one call of the configuration topic.
+  void Serve(const RpcCall& aCall, RpcDone aDone);
 
-  void Start();
+  [[nodiscard]] ConfigStatus Status() const { return state_.Status(); }
+  [[nodiscard]] ConfigContent Content() const { return state_.Content(); }
+  /// @returns why this instance should not serve yet, for people; empty if
+  /// it may
+  [[nodiscard]] std::string WhyNotReady() const;
 
 private:
-  void CheckManifest();
-  void FetchBlobs(const Manifest& aManifest);
-  void ApplyRules(const Manifest& aManifest, std::vector<RulesFile> aFiles);
+  void Tick();
+  bool LookAtPeers();
+  void ReadIfDue(bool aWatches);
+  void AskNextPeer();
+  [[nodiscard]] FanoutRole Role() const;
 
   const DaemonSettings& settings_;
-  Store& store_;
   Timers& timers_;
-  Listener onApplied_;
-  std::atomic<std::uint64_t> applied_{ 0 };
+  Cluster& members_;
+  SystemClock clock_;
+  ConfigState state_;
+  ConfigWatch watch_;
+  ConfigPeers peers_;
+  std::atomic<bool> lookedAtPeers_{ false };
+  /// Used on the timers' thread only.
+  int rounds_ = 0;
+  TimePoint nextRead_;
+  std::size_t nextPeer_ = 0;
+  Random jitter_;
 };
 
 } // namespace marjoramtally
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -34,14 +34,11 @@
                                                        *client_,
                                                        timers_,
                                                        *gossip_))
-  , config_(std::make_unique<ConfigService>(
-      settings_,
-      *store_,
-      timers_,
-      [this](std::shared_ptr<const Rules> aRules) {
-        gossip_->SetRevision(aRules->revision_);
-        cluster_->SetRules(std::move(aRules));
-      }))
+  , config_(std::make_unique<ConfigService>(settings_,
+                                            *store_,
+                                            timers_,
+                                            metrics_,
+                                            *cluster_))
 {
   Connect();
 }
@@ -50,6 +47,13 @@
 void
 Host::Connect()
 {
+  config_->onRevision_ = [this](ConfigRevision aRevision) {
+    gossip_->SetRevision(aRevision);
+  };
+  gossip_->onRevision_ = [this](ConfigRevision aRevision,
+                                const std::string& aPeer) {
+    config_->OnHeard(aRevision, aPeer);
+  };
   gossip_->onMembers_ = [this](const std::vector<Member>& aMembers) {
     cluster_->SetMembers(aMembers);
   };
@@ -88,11 +92,7 @@
   auto rpc = RpcNode::Start(settings_.address_,
                             static_cast<std::uint16_t>(settings_.rpcPort_),
                             [this](RpcCall aCall, RpcDone aDone) {
-                              if (aCall.topic_ == RpcTopic::Gossip) {
-                                gossip_->Serve(aCall, std::move(aDone));
-                                return;
-                              }
-                              onRpc_(std::move(aCall), std::move(aDone));
+                              Serve(std::move(aCall), std::move(aDone));
                             });
   if (!rpc) {
     return rpc.error();
@@ -123,21 +123,50 @@
   StartGossip(self);
   cluster_->Start(self);
   instanceList_->Start();
-  config_->Start();
+  config_->Start(*rpc_);
   if (!settings_.portFile_.empty()) {
     return WriteFile(settings_.portFile_, self.http_ + "\n");
   }
   return true;
 }
 
+void
+Host::Serve(RpcCall aCall, RpcDone aDone)
+{
+  if (aCall.topic_ == RpcTopic::Config) {
+    config_->Serve(aCall, std::move(aDone));
+  } else if (aCall.topic_ == RpcTopic::Gossip) {
+    gossip_->Serve(aCall, std::move(aDone));
+  } else {
+    onRpc_(std::move(aCall), std::move(aDone));
+  }
+}
+
+InstanceStatus
+Host::Status() const
+{
+  InstanceStatus status;
+  status.self_ = cluster_->Self();
+  status.view_ = cluster_->View();
+  status.config_ = config_->Status();
+  if (draining_) {
+    status.notReady_ = "this instance is shutting down";
+  } else {
+    status.notReady_ = config_->WhyNotReady();
+  }
+  status.ready_ = status.notReady_.empty();
+  return status;
+}
+
 HttpResponse
 Host::Ready() const
 {
   if (draining_) {
     return ErrorResponse(503, "draining", "this instance is shutting down");
   }
-  if (cluster_->View()->rules_->revision_ == ConfigRevision{ 0 }) {
-    return ErrorResponse(503, "no_rules", "no accepted rules are known yet");
+  const std::string reason = config_->WhyNotReady();
+  if (!reason.empty()) {
+    return ErrorResponse(503, "no_rules", reason);
   }
   return JsonResponse(200, R"({"ready":true})");
 }
@@ -149,6 +178,18 @@
     aReply->Send(JsonResponse(200, R"({"alive":true})"));
   } else if (aRequest.path_ == "/readyz") {
     aReply->Send(Ready());
+  } else if (aRequest.path_ == "/status.json") {
+    aReply->Send(JsonResponse(200, RenderStatusJson(Status())));
+  } else if (aRequest.path_ == "/status") {
+    HttpResponse response;
+    response.headers_.push_back({ "Content-Type", "text/html; charset=utf-8" });
+    response.body_ = RenderStatusPage(Status());
+    aReply->Send(std::move(response));
+  } else if (aRequest.path_ == "/config") {
+    HttpResponse response;
+    response.headers_.push_back({ "Content-Type", "application/octet-stream" });
+    response.body_ = FormatContent(config_->Content());
+    aReply->Send(std::move(response));
   } else if (aRequest.path_ == "/metrics") {
     HttpResponse response;
     response.headers_.push_back({ "Content-Type", "text/plain" });
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -5,6 +5,7 @@
 #include "daemon/cluster.hpp"
 #include "daemon/config_service.hpp"
 #include "daemon/instance_list.hpp"
+#include "daemon/status_page.hpp"
 
 namespace marjoramtally {
 
@@ -40,9 +41,11 @@
 
 private:
   void Handle(HttpRequest aRequest, const HttpReplyPtr& aReply);
+  void Serve(RpcCall aCall, RpcDone aDone);
   [[nodiscard]] HttpResponse Ready() const;
   void Connect();
   void StartGossip(const InstanceRecord& aSelf);
+  [[nodiscard]] InstanceStatus Status() const;
 
   DaemonSettings settings_;
   std::string role_;
