Authenticate calls between instances; tokens of operators and trainers

Cause: any process that reached an RPC port could order a daemon about, and any caller could take a trainer's samples. Ruled out: TLS between instances (a certificate for each of 440 instances, issued and renewed by a service that operators will not run); slow password hashes (tokens are random, and a take would pay). POST /config/edit takes an operator's edit of one key without access to the store. At shutdown no call to a peer starts once its node may be gone. Tests: changed, redirected, late, replayed and foreign calls are refused.

--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -10,6 +10,7 @@
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/program.hpp"
 #include "marjoramtally/runtime/rpc.hpp"
+#include "marjoramtally/runtime/rpc_mac.hpp"
 #include "marjoramtally/runtime/store.hpp"
 #include "marjoramtally/runtime/timers.hpp"
 #include "marjoramtally/runtime/trace.hpp"
--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace marjoramtally {
 
@@ -47,8 +48,12 @@
 public:
   /// @param aAddress IP number to listen on
   /// @param aPort 0 takes a port from the kernel
-  [[nodiscard]] static Result<std::unique_ptr<RpcNode>>
-  Start(const std::string& aAddress, std::uint16_t aPort, RpcHandler aHandler);
+  /// @param aKeys shared keys, as `RpcMac` takes them; none: no proofs
+  [[nodiscard]] static Result<std::unique_ptr<RpcNode>> Start(
+    const std::string& aAddress,
+    std::uint16_t aPort,
+    RpcHandler aHandler,
+    std::vector<std::string> aKeys = {});
 
   virtual ~RpcNode() = default;
   [[nodiscard]] virtual std::uint16_t Port() const noexcept = 0;
--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -65,6 +65,19 @@
   std::uint64_t inFlight_ = 64;
   /// `IP:port` of the scoring service; empty for none.
   std::string scorer_;
+  /// SHA-256 of its bearer token, in hexadecimal digits; empty needs none.
+  std::string tokenHash_;
+};
+
+/// An operator, as named in the rules.
+using OperatorId = Strong<std::string, struct OperatorTag>;
+
+/// `[operator NAME]`: who may change rules through a daemon.
+struct OperatorRule
+{
+  OperatorId id_;
+  /// SHA-256 of the bearer token, in hexadecimal digits.
+  std::string tokenHash_;
 };
 
 /// `[class NAME]`, where the name is live, trainer or background: limits of
@@ -115,6 +128,7 @@
   std::map<ServiceId, ServiceRule> services_;
   std::map<UpstreamId, UpstreamRule> upstreams_;
   std::map<TrainerId, TrainerRule> trainers_;
+  std::map<OperatorId, OperatorRule> operators_;
   WeightStoreRule weightStore_;
   AllClassLimits classes_ = kDefaultClassLimits;
   OrdersRule orders_;
--- /dev/null
+++ b/src/daemon/config_http.hpp
@@ -0,0 +1,33 @@
+/// The configuration's routes for operators: read it, change one key.
+#pragma once
+
+#include "daemon/cluster.hpp"
+#include "daemon/config_service.hpp"
+
+namespace marjoramtally {
+
+/// Serves `GET /config` and `POST /config/edit`; the latter takes
+/// `{"file": …, "set": "SECTION.KEY=VALUE"}`. Thread-safe.
+class ConfigHttp
+{
+public:
+  /// All arguments outlive the object.
+  ConfigHttp(ConfigService& aConfig,
+             Cluster& aMembers,
+             Store& aStore,
+             Timers& aTimers);
+
+  /// @returns whether the path is one of these routes; then it is answered
+  bool TryServe(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
+
+private:
+  void ServeContent(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
+  void ServeEdit(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
+
+  ConfigService& config_;
+  Cluster& members_;
+  Store& store_;
+  Timers& timers_;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/config_peers.cpp
+++ b/src/daemon/config_peers.cpp
@@ -47,37 +47,41 @@
 ConfigPeers::Tell()
 {
   const ConfigRevision revision = state_.Revision();
-  std::vector<std::string> behind;
-  RpcNode* node = nullptr;
-  {
-    const std::lock_guard lock(mutex_);
-    node = node_;
-    for (const std::string& target : targets_) {
-      if (known_[target] < revision && telling_.insert(target).second) {
-        behind.push_back(target);
-      }
-    }
-  }
-  if (node == nullptr) {
+  const std::lock_guard lock(mutex_);
+  if (node_ == nullptr) {
     return;
   }
-  for (const std::string& target : behind) {
-    metrics_.Count("config_tells_total");
-    node->Call(target,
-               MakeCall({ revision, self_, false, {} }, kTellTimeout),
-               [this, target](const RpcReply& aReply) {
-                 const auto reply = aReply
-                                      ? DecodeConfigReply(aReply.value())
-                                      : Result<ConfigReply>(aReply.error());
-                 const std::lock_guard lock(mutex_);
-                 telling_.erase(target);
-                 if (reply) {
-                   known_[target] = reply.value().revision_;
-                 }
-               });
+  for (const std::string& target : targets_) {
+    if (known_[target] < revision && telling_.insert(target).second) {
+      TellOne(target, revision);
+    }
   }
 }
 
+void
+ConfigPeers::TellOne(const std::string& aTarget, ConfigRevision aRevision)
+{
+  metrics_.Count("config_tells_total");
+  node_->Call(aTarget,
+              MakeCall({ aRevision, self_, false, {} }, kTellTimeout),
+              [this, aTarget](const RpcReply& aReply) {
+                const auto reply = aReply ? DecodeConfigReply(aReply.value())
+                                          : Result<ConfigReply>(aReply.error());
+                const std::lock_guard held(mutex_);
+                telling_.erase(aTarget);
+                if (reply) {
+                  known_[aTarget] = reply.value().revision_;
+                }
+              });
+}
+
+void
+ConfigPeers::Stop()
+{
+  const std::lock_guard lock(mutex_);
+  node_ = nullptr;
+}
+
 void
 ConfigPeers::OnHeard(ConfigRevision aRevision, const std::string& aPeer)
 {
@@ -102,24 +106,20 @@
 void
 ConfigPeers::Fetch(const std::string& aPeer)
 {
-  RpcNode* node = nullptr;
-  {
-    const std::lock_guard lock(mutex_);
-    if (fetching_ || node_ == nullptr) {
-      return;
-    }
-    fetching_ = true;
-    node = node_;
-  }
   const ConfigContent content = state_.Content();
-  ConfigRequest request{ content.manifest_.revision_, self_, true, {} };
+  ConfigRequest request{ content.manifest_.revision_, {}, true, {} };
   for (const auto& [hash, text] : content.blobs_) {
     request.known_.push_back(hash);
   }
+  const std::lock_guard lock(mutex_);
+  if (fetching_ || node_ == nullptr) {
+    return;
+  }
+  fetching_ = true;
   metrics_.Count("config_peer_fetches_total");
-  node->Call(aPeer,
-             MakeCall(request, kFetchTimeout),
-             [this](const RpcReply& aReply) { OnFetched(aReply); });
+  node_->Call(aPeer,
+              MakeCall(request, kFetchTimeout),
+              [this](const RpcReply& aReply) { OnFetched(aReply); });
 }
 
 void
--- a/src/daemon/config_peers.hpp
+++ b/src/daemon/config_peers.hpp
@@ -17,6 +17,8 @@
   ConfigPeers(ConfigState& aState, Metrics& aMetrics);
 
   void Start(RpcNode& aNode, std::string aSelf);
+  /// Makes no more calls.
+  void Stop();
   /// Sets whom to tell; those who lag behind are told again and again.
   void SetTargets(const std::vector<std::string>& aTargets);
   /// Tells the targets that are not known to have the revision in force.
@@ -31,6 +33,7 @@
   void Serve(const RpcCall& aCall, RpcDone aDone);
 
 private:
+  void TellOne(const std::string& aTarget, ConfigRevision aRevision);
   void Fetch(const std::string& aPeer);
   void OnFetched(const RpcReply& aReply);
   void Take(const ConfigReply& aReply);
--- a/src/daemon/config_service.cpp
+++ b/src/daemon/config_service.cpp
@@ -65,6 +65,12 @@
   timers_.Every(settings_.refresh_, [this] { Tick(); });
 }
 
+void
+ConfigService::Stop()
+{
+  peers_.Stop();
+}
+
 FanoutRole
 ConfigService::Role() const
 {
--- a/src/daemon/config_service.hpp
+++ b/src/daemon/config_service.hpp
@@ -26,6 +26,8 @@
 
   /// Applies what the data folder holds, then follows store and peers.
   void Start(RpcNode& aNode);
+  /// Makes no more calls to peers.
+  void Stop();
   void OnHeard(ConfigRevision aRevision, const std::string& aPeer) override;
   [[nodiscard]] ConfigRevision Revision() const override;
   /// Serves one call of the configuration topic.
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -4,6 +4,7 @@
 
 #include "marjoramtally/runtime/program.hpp"
 
+#include <sstream>
 #include <thread>
 
 namespace marjoramtally {
@@ -15,6 +16,36 @@
 /// Longest wait for the store when the record is taken out at shutdown.
 constexpr auto kLeaveLimit = std::chrono::seconds(1);
 
+/// Fewer bytes are too easy to guess.
+constexpr std::size_t kMinKeyBytes = 32;
+
+Result<std::vector<std::string>>
+ReadPeerKeys(const std::string& aFile)
+{
+  std::vector<std::string> keys;
+  if (aFile.empty()) {
+    return keys;
+  }
+  const auto text = ReadFile(aFile);
+  if (!text) {
+    return text.error();
+  }
+  std::istringstream lines(text.value());
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.size() < kMinKeyBytes) {
+      return Error{ ErrorKind::BadInput,
+                    aFile + ":" + std::to_string(keys.size() + 1) +
+                      ": a key has at least 32 characters" };
+    }
+    keys.push_back(line);
+  }
+  if (keys.empty()) {
+    return Error{ ErrorKind::BadInput, aFile + ": holds no key" };
+  }
+  return keys;
+}
+
 } // namespace
 
 Host::Host(DaemonSettings aSettings, std::string aProgram, std::string aRole)
@@ -39,6 +70,7 @@
                                             timers_,
                                             metrics_,
                                             *cluster_))
+  , configHttp_(*config_, *cluster_, *store_, timers_)
 {
   Connect();
 }
@@ -89,11 +121,17 @@
 Result<bool>
 Host::Start()
 {
-  auto rpc = RpcNode::Start(settings_.address_,
-                            static_cast<std::uint16_t>(settings_.rpcPort_),
-                            [this](RpcCall aCall, RpcDone aDone) {
-                              Serve(std::move(aCall), std::move(aDone));
-                            });
+  auto keys = ReadPeerKeys(settings_.peerKeyFile_);
+  if (!keys) {
+    return keys.error();
+  }
+  auto rpc = RpcNode::Start(
+    settings_.address_,
+    static_cast<std::uint16_t>(settings_.rpcPort_),
+    [this](RpcCall aCall, RpcDone aDone) {
+      Serve(std::move(aCall), std::move(aDone));
+    },
+    std::move(keys).value());
   if (!rpc) {
     return rpc.error();
   }
@@ -185,17 +223,12 @@
     response.headers_.push_back({ "Content-Type", "text/html; charset=utf-8" });
     response.body_ = RenderStatusPage(Status());
     aReply->Send(std::move(response));
-  } else if (aRequest.path_ == "/config") {
-    HttpResponse response;
-    response.headers_.push_back({ "Content-Type", "application/octet-stream" });
-    response.body_ = FormatContent(config_->Content());
-    aReply->Send(std::move(response));
   } else if (aRequest.path_ == "/metrics") {
     HttpResponse response;
     response.headers_.push_back({ "Content-Type", "text/plain" });
     response.body_ = metrics_.Render();
     aReply->Send(std::move(response));
-  } else {
+  } else if (!configHttp_.TryServe(aRequest, aReply)) {
     onHttp_(std::move(aRequest), aReply);
   }
 }
@@ -220,6 +253,7 @@
     std::this_thread::sleep_for(kDrainPoll);
   }
   timers_.Stop();
+  config_->Stop();
   server_.reset();
   rpc_.reset();
   client_.reset();
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/cluster.hpp"
+#include "daemon/config_http.hpp"
 #include "daemon/config_service.hpp"
 #include "daemon/instance_list.hpp"
 #include "daemon/status_page.hpp"
@@ -66,6 +67,7 @@
   std::unique_ptr<GossipService> gossip_;
   std::unique_ptr<InstanceListReader> instanceList_;
   std::unique_ptr<ConfigService> config_;
+  ConfigHttp configHttp_;
   Timers timers_;
 };
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kSecond = 1'000'000;
 
 using Settings = DaemonSettings;
-constexpr std::array<FieldSpec<Settings>, 19> kFields{ {
+constexpr std::array<FieldSpec<Settings>, 20> kFields{ {
   { "instance", &Settings::instance_, true },
   { "zone", &Settings::zone_, true },
   { "address", &Settings::address_ },
@@ -28,6 +28,7 @@
   { "drain-limit", &Settings::drainLimit_, false, 0, 86'400 * kSecond },
   { "max-body-bytes", &Settings::maxBodyBytes_, false, 1, 1U << 30U },
   { "threads", &Settings::threads_, false, 1, 64 },
+  { "peer-key-file", &Settings::peerKeyFile_ },
   { "trace-file", &Settings::traceFile_ },
   { "data-dir", &Settings::dataDir_ },
   { "data-bytes", &Settings::dataBytes_, false, 1U << 20U, 1ULL << 40U },
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -32,6 +32,9 @@
   Duration drainLimit_ = std::chrono::minutes(20);
   std::uint64_t maxBodyBytes_ = 1U << 20U;
   std::uint64_t threads_ = 2;
+  /// File with the keys shared by all instances, one a line; the first
+  /// signs. Empty: calls between instances carry no proof.
+  std::string peerKeyFile_;
   /// Spans are appended here; empty writes none.
   std::string traceFile_;
   /// Folder for bulk data; empty keeps nothing on disk.
--- a/src/programs/entryd/trainer_api.cpp
+++ b/src/programs/entryd/trainer_api.cpp
@@ -1,5 +1,7 @@
 #include "programs/entryd/trainer_api.hpp"
 
+#include "daemon/access.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -227,6 +229,11 @@
       Error{ ErrorKind::NotFound, "unknown trainer '" + trainer.Get() + "'" }));
     return;
   }
+  const auto allowed = CheckTrainerAccess(*rules, trainer, aRequest.headers_);
+  if (!allowed) {
+    aReply->Send(ErrorResponse(401, "refused", allowed.error().message_));
+    return;
+  }
   auto forward = std::make_shared<Forward>();
   forward->request_ = std::move(request).value();
   forward->timeout_ = kOwnerGrace;
--- a/src/runtime/peer.capnp
+++ b/src/runtime/peer.capnp
@@ -6,7 +6,9 @@
 $Cxx.namespace("marjoramtally::wire");
 
 interface Peer {
-  call @0 (topic :UInt16, timeoutMs :UInt32, traceparent :Text, body :Data)
-    -> (error :UInt16, message :Text, body :Data);
+  call @0 (topic :UInt16, timeoutMs :UInt32, traceparent :Text, body :Data,
+           sentMs :UInt64, nonce :UInt64, mac :Data)
+    -> (error :UInt16, message :Text, body :Data, mac :Data);
+  # mac: proof by a shared key, empty without one; see rpc_mac.hpp.
   # error: 0 is none, else 1 + the number of the error kind.
 }
--- a/src/runtime/rpc.cpp
+++ b/src/runtime/rpc.cpp
@@ -1,11 +1,16 @@
 #include "marjoramtally/runtime/rpc.hpp"
 
+#include "marjoramtally/base/random.hpp"
+#include "marjoramtally/runtime/log.hpp"
+#include "marjoramtally/runtime/rpc_mac.hpp"
+
 #include "wire/peer.capnp.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <future>
 #include <kj/async-io.h>
 #include <mutex>
+#include <random>
 #include <thread>
 #include <unordered_map>
 #include <vector>
@@ -37,6 +42,14 @@
   return { reinterpret_cast<const char*>(aData.begin()), aData.size() };
 }
 
+std::uint64_t
+WallMillis()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 /// Tasks handed to the event loop's thread from others.
 class Mailbox
 {
@@ -73,12 +86,42 @@
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake_;
 };
 
+/// What all connections of a node share; used on the node's thread.
+struct NodeContext
+{
+  RpcHandler handler_;
+  RpcMac mac_;
+  /// The address that peers call.
+  std::string self_;
+};
+
+/// Writes an answer with its proof.
+void
+WriteReply(wire::Peer::CallResults::Builder aResults,
+           const RpcReply& aReply,
+           const RpcMac& aMac,
+           const RpcStamp& aCall)
+{
+  std::uint16_t error = 0;
+  if (aReply) {
+    aResults.setBody(AsData(aReply.value()));
+  } else {
+    error = static_cast<std::uint16_t>(
+      static_cast<std::uint16_t>(aReply.error().kind_) + 1);
+    aResults.setError(error);
+    aResults.setMessage(aReply.error().message_);
+  }
+  const std::string& covered =
+    aReply ? aReply.value() : aReply.error().message_;
+  aResults.setMac(AsData(aMac.SignReply(aCall, error, covered)));
+}
+
 /// Serves calls by handing them to the node's handler.
 class PeerServer final : public wire::Peer::Server
 {
 public:
-  PeerServer(RpcHandler& aHandler, std::shared_ptr<Mailbox> aMailbox)
-    : handler_(aHandler)
+  PeerServer(NodeContext& aNode, std::shared_ptr<Mailbox> aMailbox)
+    : node_(aNode)
     , mailbox_(std::move(aMailbox))
   {
   }
@@ -91,29 +134,44 @@
     call.timeout_ = std::chrono::milliseconds(params.getTimeoutMs());
     call.traceparent_ = params.getTraceparent().cStr();
     call.body_ = AsString(params.getBody());
+    const RpcStamp stamp{ params.getSentMs(),
+                          params.getNonce(),
+                          AsString(params.getMac()) };
+    const RpcVerdict verdict = node_.mac_.Accept(
+      { params.getTopic(), node_.self_, call.body_ }, stamp, WallMillis());
+    if (verdict != RpcVerdict::Accepted) {
+      Refuse(aContext, verdict, stamp);
+      return kj::READY_NOW;
+    }
     auto pair = kj::newPromiseAndFulfiller<kj::Own<RpcReply>>();
     auto fulfiller =
       std::make_shared<kj::Own<kj::PromiseFulfiller<kj::Own<RpcReply>>>>(
         kj::mv(pair.fulfiller));
-    handler_(std::move(call), [fulfiller, mailbox = mailbox_](RpcReply aReply) {
-      mailbox->Post([fulfiller, reply = std::move(aReply)]() mutable {
-        (*fulfiller)->fulfill(kj::heap<RpcReply>(std::move(reply)));
+    node_.handler_(
+      std::move(call), [fulfiller, mailbox = mailbox_](RpcReply aReply) {
+        mailbox->Post([fulfiller, reply = std::move(aReply)]() mutable {
+          (*fulfiller)->fulfill(kj::heap<RpcReply>(std::move(reply)));
+        });
+      });
+    return pair.promise.then(
+      [aContext, stamp, &node = node_](kj::Own<RpcReply> aReply) mutable {
+        WriteReply(aContext.getResults(), *aReply, node.mac_, stamp);
       });
-    });
-    return pair.promise.then([aContext](kj::Own<RpcReply> aReply) mutable {
-      auto results = aContext.getResults();
-      if (*aReply) {
-        results.setBody(AsData(aReply->value()));
-        return;
-      }
-      const auto kind = static_cast<std::uint16_t>(aReply->error().kind_);
-      results.setError(static_cast<std::uint16_t>(kind + 1));
-      results.setMessage(aReply->error().message_);
-    });
   }
 
 private:
-  RpcHandler& handler_;
+  void Refuse(CallContext aContext,
+              RpcVerdict aVerdict,
+              const RpcStamp& aStamp) const
+  {
+    const std::string reason(ToString(aVerdict));
+    LogEvent(LogLevel::Warn, "peer_call_refused", { { "reason", reason } });
+    const RpcReply reply =
+      Error{ ErrorKind::Refused, "the call's proof is refused: " + reason };
+    WriteReply(aContext.getResults(), reply, node_.mac_, aStamp);
+  }
+
+  NodeContext& node_;
   std::shared_ptr<Mailbox> mailbox_;
 };
 
@@ -163,8 +221,9 @@
   , private kj::TaskSet::ErrorHandler
 {
 public:
-  explicit KjNode(RpcHandler aHandler)
-    : handler_(std::move(aHandler))
+  KjNode(RpcHandler aHandler, std::vector<std::string> aKeys)
+    : context_{ std::move(aHandler), RpcMac(std::move(aKeys)), {} }
+    , nonces_(RandomSeed())
   {
   }
 
@@ -199,6 +258,13 @@
   using CallPtr = std::shared_ptr<RpcCall>;
   using DonePtr = std::shared_ptr<RpcDone>;
 
+  static std::uint64_t RandomSeed()
+  {
+    std::random_device device;
+    constexpr unsigned kHalf = 32;
+    return (std::uint64_t{ device() } << kHalf) | device();
+  }
+
   void Run(const std::string& aAddress,
            std::uint16_t aPort,
            std::promise<Result<bool>>& aOpened)
@@ -213,6 +279,7 @@
       auto address = network_->parseAddress(text.c_str()).wait(io.waitScope);
       auto receiver = address->listen();
       port_ = static_cast<std::uint16_t>(receiver->getPort());
+      context_.self_ = aAddress + ":" + std::to_string(port_);
       tasks.add(AcceptLoop(kj::mv(receiver)));
     } catch (const kj::Exception& failure) {
       aOpened.set_value(Error{ ErrorKind::Unavailable,
@@ -236,7 +303,7 @@
     auto& receiver = *aReceiver;
     return receiver.accept()
       .then([this](kj::Own<kj::AsyncIoStream> aStream) {
-        auto server = kj::heap<PeerServer>(handler_, mailbox_);
+        auto server = kj::heap<PeerServer>(context_, mailbox_);
         auto link = kj::heap<ServerLink>(kj::mv(aStream),
                                          wire::Peer::Client(kj::mv(server)));
         auto gone = link->network_.onDisconnect();
@@ -306,6 +373,13 @@
     request.setTimeoutMs(static_cast<std::uint32_t>(limit.count()));
     request.setTraceparent(aCall->traceparent_);
     request.setBody(AsData(aCall->body_));
+    const RpcStamp stamp = context_.mac_.Stamp(
+      { static_cast<std::uint16_t>(aCall->topic_), aPeer, aCall->body_ },
+      WallMillis(),
+      nonces_.Next());
+    request.setSentMs(stamp.unixMillis_);
+    request.setNonce(stamp.nonce_);
+    request.setMac(AsData(stamp.mac_));
     kj::Promise<capnp::Response<wire::Peer::CallResults>> reply =
       request.send();
     return reply
@@ -314,8 +388,9 @@
                          KJ_FAIL_REQUIRE("the call took too long");
                        }))
       .then(
-        [aDone](capnp::Response<wire::Peer::CallResults>&& aResults) {
-          (*aDone)(Decode(aResults));
+        [this, aDone, stamp](
+          capnp::Response<wire::Peer::CallResults>&& aResults) {
+          (*aDone)(Decode(aResults, stamp));
         },
         [this, aPeer, aLink, aDone](kj::Exception&& aFailure) {
           DropIfLost(aPeer, aLink, aFailure);
@@ -337,15 +412,24 @@
     }
   }
 
-  static RpcReply Decode(wire::Peer::CallResults::Reader aResults)
+  RpcReply Decode(wire::Peer::CallResults::Reader aResults,
+                  const RpcStamp& aCall) const
   {
     const std::uint16_t error = aResults.getError();
+    std::string covered = error == 0
+                            ? AsString(aResults.getBody())
+                            : std::string(aResults.getMessage().cStr());
+    const std::string mac = AsString(aResults.getMac());
+    if (!context_.mac_.VerifyReply(aCall, error, covered, mac)) {
+      LogEvent(LogLevel::Warn, "peer_answer_refused");
+      return Error{ ErrorKind::Timeout, "the answer's proof is wrong" };
+    }
     if (error == 0) {
-      return AsString(aResults.getBody());
+      return covered;
     }
     const auto last = static_cast<std::uint16_t>(ErrorKind::Internal);
     const auto kind = std::min<std::uint16_t>(error - 1, last);
-    return Error{ static_cast<ErrorKind>(kind), aResults.getMessage().cStr() };
+    return Error{ static_cast<ErrorKind>(kind), std::move(covered) };
   }
 
   void taskFailed(kj::Exception&& /*aFailure*/) override
@@ -353,7 +437,8 @@
     // Lost connections end their tasks; calls report their own failures.
   }
 
-  RpcHandler handler_;
+  NodeContext context_;
+  Random nonces_;
   std::shared_ptr<Mailbox> mailbox_ = std::make_shared<Mailbox>();
   std::thread thread_;
   std::atomic<std::uint16_t> port_{ 0 };
@@ -370,9 +455,10 @@
 Result<std::unique_ptr<RpcNode>>
 RpcNode::Start(const std::string& aAddress,
                std::uint16_t aPort,
-               RpcHandler aHandler)
+               RpcHandler aHandler,
+               std::vector<std::string> aKeys)
 {
-  auto node = std::make_unique<KjNode>(std::move(aHandler));
+  auto node = std::make_unique<KjNode>(std::move(aHandler), std::move(aKeys));
   auto opened = node->Open(aAddress, aPort);
   if (!opened) {
     return opened.error();
--- a/src/version/rules_check.cpp
+++ b/src/version/rules_check.cpp
@@ -32,6 +32,24 @@
 
 namespace impl {
 
+/// Reports what is no hash, without repeating it: it may be the token.
+void
+CheckTokenHash(const IniDocument& aMerged,
+               const std::string& aSection,
+               const std::string& aHash,
+               Findings& aOut)
+{
+  constexpr std::size_t kHashDigits = 64;
+  const bool isHash =
+    aHash.size() == kHashDigits &&
+    aHash.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!aHash.empty() && !isHash) {
+    aOut.Add(aMerged.at(aSection).at("token-sha256").place_,
+             "[" + aSection +
+               "] token-sha256 is not 64 lower-case hexadecimal digits");
+  }
+}
+
 void
 CheckReferences(const IniDocument& aMerged, const Rules& aRules, Findings& aOut)
 {
@@ -52,6 +70,10 @@
   for (const auto& [id, rule] : aRules.trainers_) {
     check("trainer " + id.Get(), rule.service_);
     CheckPolicy(aMerged, rule, aOut);
+    CheckTokenHash(aMerged, "trainer " + id.Get(), rule.tokenHash_, aOut);
+  }
+  for (const auto& [id, rule] : aRules.operators_) {
+    CheckTokenHash(aMerged, "operator " + id.Get(), rule.tokenHash_, aOut);
   }
   for (const auto& [id, rule] : aRules.services_) {
     if (rule.kind_ != "engine" && rule.kind_ != "plain") {
--- a/src/version/rules_sections.cpp
+++ b/src/version/rules_sections.cpp
@@ -31,7 +31,7 @@
   { "leaving", &UpstreamRule::leaving_ },
 } };
 
-constexpr std::array<FieldSpec<TrainerRule>, 8> kTrainerFields{ {
+constexpr std::array<FieldSpec<TrainerRule>, 9> kTrainerFields{ {
   { "service", &TrainerRule::service_, true },
   { "model", &TrainerRule::model_, true },
   { "staleness", &TrainerRule::staleness_, false, 0, kMaxStaleness },
@@ -40,6 +40,11 @@
   { "weight", &TrainerRule::weight_, false, 1, kMaxWeight },
   { "in-flight", &TrainerRule::inFlight_, false, 1, kMaxInFlight },
   { "scorer", &TrainerRule::scorer_ },
+  { "token-sha256", &TrainerRule::tokenHash_ },
+} };
+
+constexpr std::array<FieldSpec<OperatorRule>, 1> kOperatorFields{ {
+  { "token-sha256", &OperatorRule::tokenHash_, true },
 } };
 
 constexpr std::array<FieldSpec<WeightStoreRule>, 3> kWeightStoreFields{ {
@@ -159,6 +164,13 @@
                                         kUpstreamFields,
                                         aRules.upstreams_,
                                         aFindings);
+  } else if (kind == "operator" && !name.empty()) {
+    ReadNamed<OperatorId, OperatorRule>(aSectionName,
+                                        name,
+                                        aSection,
+                                        kOperatorFields,
+                                        aRules.operators_,
+                                        aFindings);
   } else if (kind == "trainer" && !name.empty()) {
     ReadNamed<TrainerId, TrainerRule>(aSectionName,
                                       name,
@@ -172,7 +184,8 @@
     aFindings.Add(PlaceOf(aSection),
                   "[" + aSectionName +
                     "] is none of [service NAME], [upstream NAME], "
-                    "[trainer NAME], [class NAME], [weight-store], [orders]");
+                    "[trainer NAME], [operator NAME], [class NAME], "
+                    "[weight-store], [orders]");
   }
 }
 
