--- a/src/standins/store.cpp
+++ b/src/standins/store.cpp
@@ -79,11 +79,18 @@
 
   void Handle(const HttpRequest& aRequest, const HttpReplyPtr& aReply)
   {
+    if (aRequest.path_ == "/metrics") {
+      HttpResponse response;
+      response.body_ = metrics_.Render();
+      aReply->Send(std::move(response));
+      return;
+    }
     const Json body = Json::parse(aRequest.body_, nullptr, false);
     if (!body.is_object()) {
       aReply->Send(ErrorResponse(400, "bad_input", "no JSON object"));
       return;
     }
+    CountCall(aRequest.path_, body);
     const std::lock_guard lock(mutex_);
     if (aRequest.path_ == "/v3/watch") {
       OpenWatch(body.at("create_request"), aReply);
@@ -106,6 +113,24 @@
   };
   static const std::array<Route, 6> kRoutes;
 
+  /// @returns the key that a call is about; empty for leases
+  static std::string KeyOf(const Json& aBody)
+  {
+    const Json& watch = aBody.value("create_request", aBody);
+    const Json compares = watch.value("compare", Json::array());
+    const Json& holder = compares.empty() ? watch : compares.front();
+    return Decode(holder.value("key", ""));
+  }
+
+  /// Counts a call by its operation and by the part of the system's keys.
+  void CountCall(const std::string& aPath, const Json& aBody)
+  {
+    const std::string key = KeyOf(aBody);
+    const bool config = key.find("/config/") != std::string::npos;
+    metrics_.Count("store_calls_total{call=\"" + aPath + "\",part=\"" +
+                   (config ? "config" : "live") + "\"}");
+  }
+
   Json Header() const { return { { "revision", std::to_string(revision_) } }; }
 
   static Json FormatEntry(const std::string& aKey, const Entry& aEntry)
@@ -312,6 +337,7 @@
   }
 
   SystemClock clock_;
+  Metrics metrics_;
   std::mutex mutex_;
   std::int64_t revision_ = 1;
   std::int64_t lastLease_ = 1000;
