Figures of configuration over 100 daemons

Cause: the bench's first run printed times of 784 s: awk rounded milliseconds since 1970 to six digits; they are printed whole now. Ruled out: a real delay (the logs of that run were seconds apart).

--- a/tools/bench_config.sh
+++ b/tools/bench_config.sh
@@ -73,7 +73,7 @@
 cat "$run"/c*.log | awk '/event=rules_applied/ {
     split(substr($1, 6), t, /[-T:.]/)
     for (i = 2; i <= NF; ++i) if ($i ~ /^revision=/) r = substr($i, 10)
-    print r, mktime(t[1] " " t[2] " " t[3] " " t[4] " " t[5] " " t[6]) * 1000 + t[7]
+    printf "%s %.0f\n", r, mktime(t[1] " " t[2] " " t[3] " " t[4] " " t[5] " " t[6]) * 1000 + t[7]
   }' >"$run/applied"
 awk -v daemons="$daemons" 'NR == FNR {start[$1] = $2; next}
   ($1 in start) {n[$1]++; if ($2 > last[$1]) last[$1] = $2}
