--- a/include/marjoramtally/version.hpp
+++ b/include/marjoramtally/version.hpp
@@ -2,12 +2,12 @@
 /// configuration or of weights, or for a trainer's step.
 #pragma once
 
+#include "marjoramtally/version/config_log.hpp"
 #include "marjoramtally/version/lead.hpp"
 #include "marjoramtally/version/ledger.hpp"
 #include "marjoramtally/version/rules.hpp"
+#include "marjoramtally/version/rules_edit.hpp"
 #include "marjoramtally/version/sample_journal.hpp"
 #include "marjoramtally/version/staleness.hpp"
 #include "marjoramtally/version/take_client.hpp"
 #include "marjoramtally/version/trainer_ledger.hpp"
-#include "marjoramtally/version/config_log.hpp"
-#include "marjoramtally/version/rules_edit.hpp"
