Model of claims: at most once over resends, lost answers and lapses

Cause: the claim's proof was argued and tested, not explored. The model has three sends of one key, writes that are taken late, never or without an answer, releases that come late and twice, and a record's lapse. Ruled out: a caller's sends in turn only; they run at the same time here. Conclusion: the deadline check at a won claim and the release bound to its revision are both needed, not only the claim and its read-back.

--- /dev/null
+++ b/spec/claims.pml
@@ -0,0 +1,128 @@
+/* Claims of one idempotency key: a caller's sends of the same request at
+ * instances that share nothing but the store. A send runs only after its
+ * claim, a record created if absent, is proven to be there: by the answer
+ * to the write, or by reading the record back and finding its own token.
+ *
+ * The store may take a write and lose the answer, take it late, or never.
+ * A refused send releases its claim; the release may arrive late and twice,
+ * and holds only for its own token. A record lapses after a window much
+ * longer than any deadline, so what was asked before it is late after it.
+ * A process may stop anywhere (death or pause).
+ *
+ * At most once: no interleaving runs the request twice.
+ */
+/* mutants: NO_READ_BACK NO_CLAIM RETRY_AFTER_SEND NO_DEADLINE BLIND_RELEASE */
+
+#define SENDS 3
+#define TRIES 2
+
+byte record = 0;            /* token of the claimant; 0 is absent */
+byte delayed[SENDS + 1];    /* writes of a token that may yet take effect */
+byte releases[SENDS + 1];   /* releases of a token that may yet arrive */
+byte runs = 0;
+bool lapsed = false;
+
+inline Create(token)
+{
+  record = (record == 0 -> token : record)
+}
+
+inline Run()
+{
+  atomic {
+    if
+#ifdef NO_DEADLINE
+    :: true -> runs++
+#else
+    :: !lapsed -> runs++
+    :: lapsed -> skip
+#endif
+    fi;
+    assert(runs <= 1)
+  }
+#ifdef RETRY_AFTER_SEND
+  /* The upstream's answer is lost: it is sent once more. */
+  runs++;
+  assert(runs <= 1)
+#endif
+}
+
+proctype Send(byte token)
+{
+  byte tries = 0;
+  bool answered;
+  bool won;
+
+#ifdef NO_CLAIM
+  goto execute;
+#endif
+claim:
+  answered = false;
+  won = false;
+  tries++;
+  if
+  :: atomic { Create(token); answered = true; won = (record == token) }
+  :: atomic { Create(token) }
+  :: delayed[token]++
+  :: skip
+  fi;
+  if
+  :: answered && won -> goto execute
+  :: !(answered && won) -> skip
+  fi;
+#ifdef NO_READ_BACK
+  if
+  :: !answered -> goto execute
+  :: answered -> skip
+  fi;
+#endif
+  atomic {
+    if
+    :: record == token -> goto execute
+    :: record == 0 && tries < TRIES -> goto claim
+    :: record != token && (record != 0 || tries >= TRIES) -> goto refused
+    fi
+  }
+execute:
+  if
+  :: Run(); goto end
+  :: goto refused              /* proven not to have run, or too late */
+  fi;
+refused:
+  releases[token] = 2;
+end:
+  skip
+}
+
+#ifdef BLIND_RELEASE
+#define Released(token) 0
+#else
+#define Released(token) (record == token -> 0 : record)
+#endif
+
+/* What may reach the store late, of one token. */
+#define Late(token) \
+  :: atomic { delayed[token] > 0 -> delayed[token]--; Create(token) } \
+  :: atomic { releases[token] > 0 -> releases[token]--; \
+       record = Released(token) }
+
+proctype StoreSide()
+{
+end_idle:
+  do
+  Late(1)
+  Late(2)
+  Late(3)
+  :: atomic { !lapsed && record != 0 -> record = 0; lapsed = true }
+  od
+}
+
+init
+{
+  atomic {
+    run Send(1);
+    run Send(2);
+    run Send(3);
+    run StoreSide()
+  }
+}
