Streamed completions that outlive their engine, with back-pressure

Cause: a request with "stream" was collected whole before its caller saw a token, and an engine that died made a caller start again. Now events pass one by one; a stream is whole only with finish reason and final event; after a break the next attempt resumes after the tokens that the caller holds, or its text must repeat them byte by byte; else an error event ends the stream. A reader that takes nothing holds its engine back once 256 KiB wait for it. Ruled out: dropping or buffering without bound for slow readers, and skipping by count what a new attempt repeats (engines sample at random). Messages of live callers are a unit of their own.

--- a/include/marjoramtally/request.hpp
+++ b/include/marjoramtally/request.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "marjoramtally/request/attempts.hpp"
+#include "marjoramtally/request/completion_stream.hpp"
+#include "marjoramtally/request/event_stream.hpp"
 #include "marjoramtally/request/fingerprint.hpp"
 #include "marjoramtally/request/outcome.hpp"
 #include "marjoramtally/request/request.hpp"
--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -38,6 +38,9 @@
   /// Called on a client thread for each piece of a body, if set; the result
   /// then carries no body. Return false to cancel.
   std::function<bool(std::string_view)> onData_;
+  /// Asked before each piece, if set; on false no more is received, and the
+  /// sender is held back, until `HttpClient::Resume`.
+  std::function<bool()> mayReceive_;
   /// Called once with the status before the first piece, if set.
   std::function<void(int, const HttpHeaders&)> onHead_;
 };
@@ -74,6 +77,8 @@
   virtual HttpCallId Send(HttpCall aCall, HttpDone aDone) = 0;
   /// Ends a call early; its `aDone` still runs.
   virtual void Cancel(HttpCallId aId) = 0;
+  /// Goes on receiving after `mayReceive_` was false.
+  virtual void Resume(HttpCallId aId) = 0;
 };
 
 /// Blocking convenience for command-line tools.
--- a/src/programs/entryd/completions.cpp
+++ b/src/programs/entryd/completions.cpp
@@ -45,8 +45,13 @@
 {
   try {
     const Json body = Json::parse(aBody);
+    const bool stream = body.value("stream", false);
+    if (stream && body.value("n", 1) != 1) {
+      return Error{ ErrorKind::BadInput, "a stream has one choice: 'n' is 1" };
+    }
     return CompletionAsk{ body.at("model").get<std::string>(),
-                          body.value("max_tokens", kDefaultMaxTokens) };
+                          body.value("max_tokens", kDefaultMaxTokens),
+                          stream };
   } catch (const Json::exception& failure) {
     return Error{ ErrorKind::BadInput,
                   std::string("the body is no completion request: ") +
--- a/src/programs/entryd/completions.hpp
+++ b/src/programs/entryd/completions.hpp
@@ -11,6 +11,8 @@
 {
   std::string model_;
   std::uint64_t maxTokens_ = 0;
+  /// Whether the answer is to come as server-sent events.
+  bool stream_ = false;
 };
 
 [[nodiscard]] Result<CompletionAsk>
--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -336,12 +336,19 @@
   call.timeout_ = std::max<Duration>(left, std::chrono::milliseconds(1));
   call.headers_.push_back({ std::string(kDeadlineHeader),
                             FormatDuration(WholeMillis(call.timeout_)) });
-  host_.Http().Send(
+  const auto sink = aFlight->message_.sink_;
+  if (sink) {
+    sink->Prepare(call);
+  }
+  const HttpCallId sent = host_.Http().Send(
     std::move(call),
     [this, aTicket, aFlight, aUpstream, span](HttpResult aResult) mutable {
       host_.Traces().End(std::move(span));
       EndAttempt(aTicket, aFlight, aUpstream, std::move(aResult));
     });
+  if (sink) {
+    sink->OnSent(sent);
+  }
 }
 
 void
@@ -350,7 +357,9 @@
                        const UpstreamView& aUpstream,
                        HttpResult aResult)
 {
-  const AttemptEnd end = JudgeAttempt(aResult, aFlight->judge_);
+  const auto& sink = aFlight->message_.sink_;
+  const AttemptEnd end =
+    sink ? sink->Judge(aResult) : JudgeAttempt(aResult, aFlight->judge_);
   const ServiceId service = aFlight->spec_.service_;
   const auto tokens = end == AttemptEnd::Whole
                         ? std::optional(CountTokens(aResult.response_))
@@ -403,6 +412,10 @@
   if (next == NextStep::FinishCompleted) {
     retries_.OnSuccess(aFlight.spec_.service_);
   }
+  const auto& sink = aFlight.message_.sink_;
+  if (next == NextStep::Retry && sink && sink->GivenUp()) {
+    return aFlight.attempts_.GiveUp();
+  }
   if (next == NextStep::Retry && !retries_.Take(aFlight.spec_.service_)) {
     host_.Measures().Count("marjoram_retries_refused_total");
     return aFlight.attempts_.GiveUp();
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "daemon/host.hpp"
 #include "marjoramtally/process.hpp"
 #include "marjoramtally/request.hpp"
+#include "programs/entryd/attempt_sink.hpp"
 #include "programs/entryd/crash_guard.hpp"
 
 #include <unordered_map>
@@ -18,6 +19,8 @@
   std::string target_;
   HttpHeaders headers_;
   std::string body_;
+  /// Takes the answer piece by piece, if set; the result has no body then.
+  std::shared_ptr<AttemptSink> sink_{};
 };
 
 /// What became of a request.
--- a/src/programs/entryd/entry.cpp
+++ b/src/programs/entryd/entry.cpp
@@ -1,6 +1,8 @@
 #include "programs/entryd/entry.hpp"
 
 #include "programs/entryd/completions.hpp"
+#include "programs/entryd/live_messages.hpp"
+#include "programs/entryd/stream_relay.hpp"
 
 namespace marjoramtally {
 
@@ -10,93 +12,6 @@
 constexpr std::string_view kTrainerPath = "/v1/trainers/";
 constexpr std::string_view kCompletionPath = "/v1/completions";
 
-AttemptEnd
-JudgePlain(const HttpResponse& aResponse)
-{
-  const auto outcome = FindHeader(aResponse.headers_, kOutcomeHeader);
-  const bool refused = outcome == ToString(Outcome::RefusedNotRun);
-  return refused ? AttemptEnd::NotRun : AttemptEnd::Whole;
-}
-
-/// Headers that belong to one connection and are not passed on.
-bool
-IsHopHeader(std::string_view aName)
-{
-  const HttpHeaders kHop{
-    { "connection", "" }, { "content-length", "" }, { "transfer-encoding", "" },
-    { "host", "" },       { "keep-alive", "" },     { "traceparent", "" },
-    { "te", "" },         { "upgrade", "" },        { "x-deadline", "" }
-  };
-  return FindHeader(kHop, aName).has_value();
-}
-
-HttpHeaders
-PassedHeaders(const HttpHeaders& aHeaders)
-{
-  HttpHeaders passed;
-  for (const HttpHeader& header : aHeaders) {
-    if (!IsHopHeader(header.name_)) {
-      passed.push_back(header);
-    }
-  }
-  return passed;
-}
-
-int
-FailureStatus(const DispatchResult& aResult)
-{
-  if (aResult.outcome_ == Outcome::Unknown) {
-    return aResult.late_ ? 504 : 502;
-  }
-  return 503;
-}
-
-/// @returns whole seconds, at least one
-std::string
-FormatRetryAfter(Duration aDuration)
-{
-  const auto seconds = std::chrono::ceil<std::chrono::seconds>(aDuration);
-  return std::to_string(
-    std::max<std::chrono::seconds::rep>(seconds.count(), 1));
-}
-
-HttpResponse
-MakeResponse(DispatchResult aResult)
-{
-  HttpResponse response;
-  if (aResult.outcome_ == Outcome::Completed) {
-    response.status_ = aResult.response_.status_;
-    response.headers_ = PassedHeaders(aResult.response_.headers_);
-    response.body_ = std::move(aResult.response_.body_);
-  } else {
-    response = ErrorResponse(
-      FailureStatus(aResult), ToString(aResult.outcome_), aResult.reason_);
-    response.headers_.push_back(
-      { "Retry-After", FormatRetryAfter(aResult.retryAfter_) });
-  }
-  response.headers_.push_back(
-    { std::string(kOutcomeHeader), std::string(ToString(aResult.outcome_)) });
-  return response;
-}
-
-HttpResponse
-RefuseInput(int aStatus, std::string_view aKind, std::string_view aMessage)
-{
-  HttpResponse response = ErrorResponse(aStatus, aKind, aMessage);
-  response.headers_.push_back(
-    { std::string(kOutcomeHeader),
-      std::string(ToString(Outcome::RefusedNotRun)) });
-  return response;
-}
-
-TraceContext
-TraceOf(const HttpRequest& aRequest)
-{
-  const auto header = FindHeader(aRequest.headers_, "traceparent");
-  const auto parsed = header ? TraceContext::Parse(*header) : std::nullopt;
-  return parsed ? *parsed : TraceContext::Fresh();
-}
-
 } // namespace
 
 Entry::Entry(Host& aHost)
@@ -187,7 +102,8 @@
                   UpstreamMessage aMessage,
                   ResponseJudge aJudge,
                   const HttpRequest& aRequest,
-                  const HttpReplyPtr& aReply)
+                  const HttpReplyPtr& aReply,
+                  bool aStream)
 {
   aSpec.fingerprint_ =
     MakeFingerprint(
@@ -199,7 +115,13 @@
                                                          std::move(aMessage),
                                                          std::move(aJudge),
                                                          std::move(span),
-                                                         aReply });
+                                                         aReply,
+                                                         nullptr });
+  if (aStream) {
+    live->stream_ =
+      std::make_shared<StreamRelay>(host_.Http(), aReply, live->message_.body_);
+    live->message_.sink_ = live->stream_;
+  }
   if (live->spec_.idempotent_ || live->spec_.key_.Get().empty()) {
     RunLive(live);
     return;
@@ -243,7 +165,11 @@
   const auto outcome = FindHeader(aResponse.headers_, kOutcomeHeader);
   aLive.span_.attributes_["outcome"] = std::string(outcome.value_or(""));
   host_.Traces().End(std::move(aLive.span_));
-  aLive.reply_->Send(std::move(aResponse));
+  if (aLive.stream_) {
+    aLive.stream_->Finish(std::move(aResponse));
+  } else {
+    aLive.reply_->Send(std::move(aResponse));
+  }
 }
 
 void
@@ -268,8 +194,12 @@
   }
   message.headers_ = PassedHeaders(aRequest.headers_);
   message.body_ = aRequest.body_;
-  SubmitLive(
-    std::move(spec).value(), std::move(message), JudgePlain, aRequest, aReply);
+  SubmitLive(std::move(spec).value(),
+             std::move(message),
+             JudgePlain,
+             aRequest,
+             aReply,
+             false);
 }
 
 void
@@ -303,7 +233,8 @@
              std::move(message),
              JudgeCompletion,
              aRequest,
-             aReply);
+             aReply,
+             ask.value().stream_);
 }
 
 void
--- a/src/programs/entryd/entry.hpp
+++ b/src/programs/entryd/entry.hpp
@@ -8,6 +8,8 @@
 
 namespace marjoramtally {
 
+class StreamRelay;
+
 /// The entry process's own work on top of its host.
 class Entry
 {
@@ -26,6 +28,8 @@
     ResponseJudge judge_;
     Span span_;
     HttpReplyPtr reply_;
+    /// Set if the answer is streamed.
+    std::shared_ptr<StreamRelay> stream_;
   };
   using LiveRequestPtr = std::shared_ptr<LiveRequest>;
 
@@ -43,7 +47,8 @@
                   UpstreamMessage aMessage,
                   ResponseJudge aJudge,
                   const HttpRequest& aRequest,
-                  const HttpReplyPtr& aReply);
+                  const HttpReplyPtr& aReply,
+                  bool aStream);
 
   void RunLive(const LiveRequestPtr& aLive);
   void AnswerLive(LiveRequest& aLive, HttpResponse aResponse);
--- /dev/null
+++ b/src/programs/entryd/live_messages.cpp
@@ -0,0 +1,97 @@
+#include "programs/entryd/live_messages.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+/// Headers that belong to one connection and are not passed on.
+bool
+IsHopHeader(std::string_view aName)
+{
+  const HttpHeaders kHop{
+    { "connection", "" }, { "content-length", "" }, { "transfer-encoding", "" },
+    { "host", "" },       { "keep-alive", "" },     { "traceparent", "" },
+    { "te", "" },         { "upgrade", "" },        { "x-deadline", "" },
+    { "x-outcome", "" }
+  };
+  return FindHeader(kHop, aName).has_value();
+}
+
+int
+FailureStatus(const DispatchResult& aResult)
+{
+  if (aResult.outcome_ == Outcome::Unknown) {
+    return aResult.late_ ? 504 : 502;
+  }
+  return 503;
+}
+
+/// @returns whole seconds, at least one
+std::string
+FormatRetryAfter(Duration aDuration)
+{
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(aDuration);
+  return std::to_string(
+    std::max<std::chrono::seconds::rep>(seconds.count(), 1));
+}
+
+} // namespace
+
+AttemptEnd
+JudgePlain(const HttpResponse& aResponse)
+{
+  const auto outcome = FindHeader(aResponse.headers_, kOutcomeHeader);
+  const bool refused = outcome == ToString(Outcome::RefusedNotRun);
+  return refused ? AttemptEnd::NotRun : AttemptEnd::Whole;
+}
+
+HttpHeaders
+PassedHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders passed;
+  for (const HttpHeader& header : aHeaders) {
+    if (!IsHopHeader(header.name_)) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+HttpResponse
+MakeResponse(DispatchResult aResult)
+{
+  HttpResponse response;
+  if (aResult.outcome_ == Outcome::Completed) {
+    response.status_ = aResult.response_.status_;
+    response.headers_ = PassedHeaders(aResult.response_.headers_);
+    response.body_ = std::move(aResult.response_.body_);
+  } else {
+    response = ErrorResponse(
+      FailureStatus(aResult), ToString(aResult.outcome_), aResult.reason_);
+    response.headers_.push_back(
+      { "Retry-After", FormatRetryAfter(aResult.retryAfter_) });
+  }
+  response.headers_.push_back(
+    { std::string(kOutcomeHeader), std::string(ToString(aResult.outcome_)) });
+  return response;
+}
+
+HttpResponse
+RefuseInput(int aStatus, std::string_view aKind, std::string_view aMessage)
+{
+  HttpResponse response = ErrorResponse(aStatus, aKind, aMessage);
+  response.headers_.push_back(
+    { std::string(kOutcomeHeader),
+      std::string(ToString(Outcome::RefusedNotRun)) });
+  return response;
+}
+
+TraceContext
+TraceOf(const HttpRequest& aRequest)
+{
+  const auto header = FindHeader(aRequest.headers_, "traceparent");
+  const auto parsed = header ? TraceContext::Parse(*header) : std::nullopt;
+  return parsed ? *parsed : TraceContext::Fresh();
+}
+
+} // namespace marjoramtally
--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -81,6 +81,14 @@
   Schedule();
 }
 
+void
+CurlLoop::Resume(HttpCallId aId)
+{
+  const std::lock_guard lock(mutex_);
+  resumes_.push_back(aId);
+  Schedule();
+}
+
 /// Called under the lock.
 void
 CurlLoop::Schedule()
@@ -105,10 +113,12 @@
 {
   std::vector<std::unique_ptr<CurlTransfer>> posted;
   std::vector<HttpCallId> cancels;
+  std::vector<HttpCallId> resumes;
   {
     const std::lock_guard lock(mutex_);
     posted.swap(posted_);
     cancels.swap(cancels_);
+    resumes.swap(resumes_);
     scheduled_ = false;
   }
   for (auto& transfer : posted) {
@@ -117,6 +127,9 @@
   for (const HttpCallId id : cancels) {
     CancelTransfer(id);
   }
+  for (const HttpCallId id : resumes) {
+    ResumeTransfer(id);
+  }
 }
 
 CURL*
@@ -153,6 +166,18 @@
   }
 }
 
+void
+CurlLoop::ResumeTransfer(HttpCallId aId)
+{
+  const auto it = active_.find(aId);
+  if (it == active_.end()) {
+    return;
+  }
+  if (curl_easy_pause(it->second->Handle(), CURLPAUSE_CONT) != CURLE_OK) {
+    CancelTransfer(aId);
+  }
+}
+
 void
 CurlLoop::ActIfDue()
 {
--- a/src/runtime/curl_loop.hpp
+++ b/src/runtime/curl_loop.hpp
@@ -28,6 +28,8 @@
   void Post(std::unique_ptr<CurlTransfer> aTransfer);
   /// Ends a call early; from any thread.
   void Cancel(HttpCallId aId);
+  /// Goes on receiving a paused transfer.
+  void Resume(HttpCallId aId);
   /// Ends all calls as cancelled. Only once the loop has stopped.
   void EndAll();
 
@@ -55,6 +57,7 @@
   void TakePosted();
   void StartTransfer(std::unique_ptr<CurlTransfer> aTransfer);
   void CancelTransfer(HttpCallId aId);
+  void ResumeTransfer(HttpCallId aId);
   void ActIfDue();
   void WatchReady();
   void TakeReady();
@@ -82,6 +85,7 @@
   bool scheduled_ = false;
   std::vector<std::unique_ptr<CurlTransfer>> posted_;
   std::vector<HttpCallId> cancels_;
+  std::vector<HttpCallId> resumes_;
 };
 
 } // namespace marjoramtally
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -68,6 +68,9 @@
 {
   auto& transfer = *static_cast<CurlTransfer*>(aUser);
   const std::size_t bytes = aSize * aCount;
+  if (transfer.call_.mayReceive_ && !transfer.call_.mayReceive_()) {
+    return CURL_WRITEFUNC_PAUSE;
+  }
   transfer.ReportHead();
   if (!transfer.call_.onData_) {
     transfer.response_.body_.append(aData, bytes);
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -44,6 +44,11 @@
     loops_[aId % loops_.size()]->Cancel(aId);
   }
 
+  void Resume(HttpCallId aId) override
+  {
+    loops_[aId % loops_.size()]->Resume(aId);
+  }
+
 private:
   std::shared_ptr<IoPool> pool_;
   std::atomic<HttpCallId> lastNumber_{ 0 };
--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -1,7 +1,9 @@
 /// Stand-in of a model engine: completions that take time by the token,
 /// weight versions that change while they run, orders with fencing numbers.
 
-#include "standins/engine_orders.hpp"
+#include "standins/engine_stream.hpp"
+
+#include <cstdlib>
 
 namespace marjoramtally::standin {
 
@@ -58,22 +60,49 @@
       return;
     }
     ++running_;
+    const std::string prompt = aBody.value("prompt", "");
+    if (!options_.crashOn_.empty() &&
+        prompt.find(options_.crashOn_) != std::string::npos) {
+      timers_.After(Duration(options_.tokenMicros_), [] { std::_Exit(1); });
+    }
+    if (aBody.value("stream", false)) {
+      Stream(aBody, model, most, aReply);
+      return;
+    }
     const std::uint64_t tokens = most / 2 + random_.Below(most / 2 + 1) + 1;
     const std::uint64_t number = ++generations_;
     const TimePoint start = clock_.Now();
     const Duration perToken{ options_.tokenMicros_ };
     timers_.After(perToken * tokens,
-                  [this,
-                   model,
-                   tokens,
-                   number,
-                   start,
-                   aReply,
-                   prompt = aBody.value("prompt", "")] {
+                  [this, model, tokens, number, start, aReply, prompt] {
                     aReply->Send(Finish(model, prompt, tokens, number, start));
                   });
   }
 
+  void Stream(const Json& aBody,
+              const std::string& aModel,
+              std::uint64_t aMost,
+              const HttpReplyPtr& aReply)
+  {
+    const std::uint64_t from =
+      options_.noResume_ ? 0 : aBody.value("resume_from", std::uint64_t{ 0 });
+    const StreamSpec spec{ aModel, aBody.value("prompt", ""), aMost, from };
+    const auto onEnd = [this, aModel, from](bool aWhole) {
+      {
+        const std::lock_guard lock(mutex_);
+        --running_;
+      }
+      orders_.End(aModel);
+      recorder_.Write({ { "kind", "stream" },
+                        { "engine", options_.name_ },
+                        { "from", from },
+                        { "whole", aWhole } });
+    };
+    std::make_shared<TokenStream>(
+      options_, orders_, timers_, spec, aReply, onEnd)
+      ->Start();
+  }
+
   HttpResponse Finish(const std::string& aModel,
                       const std::string& aPrompt,
                       std::uint64_t aTokens,
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -68,6 +68,12 @@
   add("load-rate",
       po::value(&aOptions.loadRate_),
       "weight store's reads a second; 0 is no limit");
+  add("no-resume",
+      po::bool_switch(&aOptions.noResume_),
+      "start streams anew instead of resuming them");
+  add("crash-on",
+      po::value(&aOptions.crashOn_),
+      "die of prompts that contain this text");
   add("ignore-fencing",
       po::bool_switch(&aOptions.ignoreFencing_),
       "take any order");
--- a/src/standins/standin.hpp
+++ b/src/standins/standin.hpp
@@ -50,6 +50,10 @@
   /// Reads a second that the weight store allows; 0 is no limit.
   std::uint64_t loadRate_ = 0;
   bool ignoreFencing_ = false;
+  /// An engine starts streams anew instead of resuming them.
+  bool noResume_ = false;
+  /// An engine dies of prompts that contain this; empty is none.
+  std::string crashOn_;
   std::string stopFile_;
   /// How late the list of instances is.
   std::uint64_t lagMillis_ = 5000;
--- /dev/null
+++ b/tests/test_http_client.cpp
@@ -0,0 +1,211 @@
+#include "marjoramtally/runtime.hpp"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace marjoramtally;
+
+namespace {
+
+const std::string kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// A listener whose connections are served by a script on one thread.
+class RawServer
+{
+public:
+  using Script = std::function<void(RawServer&)>;
+
+  explicit RawServer(Script aScript)
+    : listener_(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    listen(listener_, 8);
+    url_ = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    thread_ = std::thread([this, script = std::move(aScript)] {
+      script(*this);
+      StopListening();
+    });
+  }
+
+  ~RawServer() { thread_.join(); }
+
+  int Accept() { return accept(listener_, nullptr, nullptr); }
+
+  /// Reads one request, whose body is `x`.
+  void Read(int aConnection)
+  {
+    std::string bytes;
+    char byte = 0;
+    while (!bytes.ends_with("\r\n\r\nx") && read(aConnection, &byte, 1) == 1) {
+      bytes.push_back(byte);
+    }
+    requests_ += bytes.empty() ? 0 : 1;
+  }
+
+  static void Write(int aConnection, const std::string& aBytes)
+  {
+    send(aConnection, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  }
+
+  void StopListening()
+  {
+    if (listener_ >= 0) {
+      close(listener_);
+      listener_ = -1;
+    }
+  }
+
+  std::string url_;
+  std::atomic<int> requests_{ 0 };
+
+private:
+  int listener_;
+  std::thread thread_;
+};
+
+HttpCall
+Post(const RawServer& aServer, bool aAtMostOnce = false)
+{
+  HttpCall call;
+  call.method_ = "POST";
+  call.url_ = aServer.url_;
+  call.body_ = "x";
+  call.atMostOnce_ = aAtMostOnce;
+  call.timeout_ = std::chrono::seconds(5);
+  return call;
+}
+
+/// Answers one request with bytes and closes.
+RawServer::Script
+AnswerOnce(std::string aBytes)
+{
+  return [bytes = std::move(aBytes)](RawServer& aServer) {
+    const int connection = aServer.Accept();
+    aServer.Read(connection);
+    RawServer::Write(connection, bytes);
+    close(connection);
+  };
+}
+
+/// Answers a first request and keeps the connection, then reads a second
+/// one and closes without an answer.
+int
+AnswerThenClose(RawServer& aServer)
+{
+  const int connection = aServer.Accept();
+  aServer.Read(connection);
+  RawServer::Write(connection, kWhole);
+  return connection;
+}
+
+} // namespace
+
+TEST_CASE("only a refused connection proves that nothing was sent")
+{
+  const auto client = HttpClient::Create(1);
+  std::string url;
+  {
+    RawServer server([](RawServer&) {});
+    url = server.url_;
+  }
+  HttpCall call;
+  call.url_ = url;
+  CHECK(SendAndWait(*client, call).end_ == HttpEnd::NotSent);
+}
+
+TEST_CASE("an answer that its protocol does not prove whole is broken")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const auto bytes = GENERATE_COPY(
+    std::string(),
+    head + "Content-Length: 10\r\n\r\nshort",
+    head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+    head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n");
+  const auto client = HttpClient::Create(1);
+  RawServer server(AnswerOnce(bytes));
+  CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Broken);
+}
+
+TEST_CASE("what was sent on a dead connection is never called unsent")
+{
+  const auto client = HttpClient::Create(1);
+  RawServer server([](RawServer& aServer) {
+    const int connection = AnswerThenClose(aServer);
+    // The library's own second try then meets a refused connection.
+    aServer.StopListening();
+    aServer.Read(connection);
+    close(connection);
+  });
+  CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Whole);
+  CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Broken);
+  CHECK(server.requests_ == 2);
+}
+
+TEST_CASE("the library sends twice on a dead connection, but not at most once")
+{
+  const bool atMostOnce = GENERATE(false, true);
+  const auto client = HttpClient::Create(1);
+  RawServer server([&](RawServer& aServer) {
+    const int kept = AnswerThenClose(aServer);
+    const int second = atMostOnce ? aServer.Accept() : kept;
+    aServer.Read(second);
+    close(second);
+    if (atMostOnce) {
+      close(kept);
+      return;
+    }
+    const int third = aServer.Accept();
+    aServer.Read(third);
+    RawServer::Write(third, kWhole);
+    close(third);
+  });
+  CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Whole);
+  const HttpResult result = SendAndWait(*client, Post(server, atMostOnce));
+  CHECK(result.end_ == (atMostOnce ? HttpEnd::Broken : HttpEnd::Whole));
+  CHECK(server.requests_ == (atMostOnce ? 2 : 3));
+}
+
+TEST_CASE("a paused answer waits for its reader and comes whole")
+{
+  const std::string body(100'000, 'b');
+  const auto client = HttpClient::Create(1);
+  RawServer server(AnswerOnce("HTTP/1.1 200 OK\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body));
+  std::atomic<int> pauses{ 0 };
+  std::atomic<HttpCallId> id{ 0 };
+  std::string received;
+  HttpCall call = Post(server);
+  call.mayReceive_ = [&] {
+    if (pauses >= 3) {
+      return true;
+    }
+    ++pauses;
+    // The sender's thread resumes: its order comes after the pause.
+    while (id == 0) {
+      std::this_thread::yield();
+    }
+    client->Resume(id);
+    return false;
+  };
+  call.onData_ = [&](std::string_view aBytes) {
+    received += aBytes;
+    return true;
+  };
+  std::promise<HttpResult> ended;
+  id = client->Send(std::move(call), [&ended](HttpResult aResult) {
+    ended.set_value(std::move(aResult));
+  });
+  CHECK(ended.get_future().get().end_ == HttpEnd::Whole);
+  CHECK(pauses == 3);
+  CHECK(received == body);
+}
--- /dev/null
+++ b/tests/test_streams.cpp
@@ -0,0 +1,117 @@
+#include "marjoramtally/request.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+
+namespace {
+
+/// One event of a stand-in engine, one token each.
+std::string
+Token(std::uint32_t aOffset, const std::string& aText, int aVersion = 1)
+{
+  return FormatEvent(R"({"choices":[{"text":")" + aText +
+                     R"(","finish_reason":null}],"offset":)" +
+                     std::to_string(aOffset) + R"(,"tokens":1,)" +
+                     R"("weight_version":)" + std::to_string(aVersion) + "}");
+}
+
+std::string
+Last(std::uint32_t aOffset)
+{
+  return FormatEvent(
+    R"({"choices":[{"text":"","finish_reason":"stop"}],"offset":)" +
+    std::to_string(aOffset) + R"(,"tokens":0,"weight_versions":[]})");
+}
+
+const std::string kDone = FormatEvent("[DONE]");
+
+} // namespace
+
+TEST_CASE("events are whole however their bytes are cut")
+{
+  const std::string bytes = ": comment\r\ndata: a\r\ndata: b\r\n\r\ndata:c\n\n";
+  for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+    EventStreamParser parser;
+    auto events = parser.Feed(bytes.substr(0, cut)).value();
+    const auto more = parser.Feed(bytes.substr(cut)).value();
+    events.insert(events.end(), more.begin(), more.end());
+    CHECK(events == std::vector<std::string>{ "a\nb", "c" });
+    CHECK_FALSE(parser.Partial());
+  }
+  EventStreamParser parser;
+  CHECK_FALSE(
+    parser.Feed(std::string(EventStreamParser::kMaxEventBytes + 1, 'x')));
+}
+
+TEST_CASE("a stream is whole only with finish reason and final event")
+{
+  CompletionStream stream;
+  stream.StartAttempt();
+  const std::string first = Token(0, "ab");
+  CHECK(stream.Feed(first).value() == first);
+  CHECK_FALSE(stream.Whole());
+  SECTION("whole")
+  {
+    CHECK(stream.Feed(Last(1) + kDone));
+    CHECK(stream.Whole());
+  }
+  SECTION("no finish reason")
+  {
+    CHECK_FALSE(stream.Feed(kDone));
+    CHECK_FALSE(stream.Whole());
+  }
+  SECTION("a token is missing")
+  {
+    CHECK_FALSE(stream.Feed(Token(2, "c")));
+  }
+  SECTION("no completion")
+  {
+    CHECK_FALSE(stream.Feed(FormatEvent("[]")));
+  }
+}
+
+TEST_CASE("a stream that broke is resumed, or repeated without doubling")
+{
+  CompletionStream stream;
+  stream.StartAttempt();
+  REQUIRE(stream.Feed(Token(0, "ab") + Token(1, "cd") + "data: {\"cho"));
+  CHECK(stream.Tokens() == 2);
+  stream.StartAttempt();
+  SECTION("an engine that resumes")
+  {
+    REQUIRE(stream.Feed(Token(2, "ef", 2)));
+    const auto last = stream.Feed(Last(3) + kDone);
+    REQUIRE(last);
+    CHECK(stream.Whole());
+    CHECK(stream.Text() == "abcdef");
+    // The labels name the versions of both attempts.
+    CHECK(last.value().find(R"({"from":0,"to":2,"version":1})") !=
+          std::string::npos);
+    CHECK(last.value().find(R"({"from":2,"to":3,"version":2})") !=
+          std::string::npos);
+  }
+  SECTION("an engine that starts anew and says the same")
+  {
+    CHECK(stream.Feed(Token(0, "ab")).value().empty());
+    // Its tokens may be cut elsewhere.
+    const auto passed = stream.Feed(Token(1, "c") + Token(2, "def"));
+    REQUIRE(passed);
+    CHECK(passed.value().find(R"("text":"ef")") != std::string::npos);
+    REQUIRE(stream.Feed(Last(3) + kDone));
+    CHECK(stream.Whole());
+    CHECK(stream.Text() == "abcdef");
+  }
+  SECTION("an engine that says something else")
+  {
+    CHECK_FALSE(stream.Feed(Token(0, "ax")));
+    CHECK(stream.Contradicted());
+    CHECK_FALSE(stream.Whole());
+  }
+  SECTION("an engine that says less")
+  {
+    REQUIRE(stream.Feed(Token(0, "ab") + Last(1)));
+    CHECK_FALSE(stream.Feed(kDone));
+    CHECK(stream.Contradicted());
+  }
+}
