--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -30,6 +30,8 @@
   Duration drainNotice_ = std::chrono::milliseconds(500);
   /// Longest wait for requests in progress at shutdown.
   Duration drainLimit_ = std::chrono::minutes(20);
+  /// How long an idempotency key is remembered.
+  Duration claimWindow_ = std::chrono::hours(24);
   std::uint64_t maxBodyBytes_ = 1U << 20U;
   std::uint64_t threads_ = 2;
   /// File with the keys shared by all instances, one a line; the first
--- a/src/programs/entryd/claim_gate.cpp
+++ b/src/programs/entryd/claim_gate.cpp
@@ -10,8 +10,6 @@
 constexpr std::string_view kClaimPrefix = "/marjoramtally/claims/";
 /// Ends names, so that reading one does not read longer ones.
 constexpr std::string_view kNameEnd = ".";
-/// How long a key is remembered.
-constexpr auto kClaimWindow = std::chrono::hours(24);
 /// One lease serves all claims of this long, then a new one is taken.
 constexpr auto kLeaseRotation = std::chrono::hours(1);
 constexpr auto kLeaseRetry = std::chrono::seconds(1);
@@ -127,7 +125,8 @@
     granting_ = true;
   }
   host_.PlatformStore().GrantLease(
-    kClaimWindow + kLeaseRotation, [this](const Result<StoreLease>& aLease) {
+    host_.Settings().claimWindow_ + kLeaseRotation,
+    [this](const Result<StoreLease>& aLease) {
       const std::lock_guard lock(mutex_);
       granting_ = false;
       leaseDue_ = host_.Now() +
