--- a/src/programs/controld/trainer_service.cpp
+++ b/src/programs/controld/trainer_service.cpp
@@ -207,13 +207,16 @@
   if (state == nullptr) {
     return;
   }
-  const UpstreamId upstream = aSample.upstream_;
   const CandidateVerdict verdict =
-    state->ledger_.Generated(std::move(aSample), host_.Now());
+    state->ledger_.Generated(aSample, host_.Now());
   if (verdict == CandidateVerdict::Uncertain) {
     LogEvent(LogLevel::Warn,
              "labels_uncertain",
-             { { "trainer", aTrainer.Get() }, { "upstream", upstream.Get() } });
+             { { "trainer", aTrainer.Get() },
+               { "upstream", aSample.upstream_.Get() } });
+  } else if (verdict == CandidateVerdict::Kept) {
+    const StepSpec& spec = state->ledger_.Find(aSample.id_.step_)->Spec();
+    kept_.Append(aTrainer, spec, aSample);
   }
   state->pauses_.Reset();
   AnswerTake(*state);
