Tables deduce their size

Cause: two changes that each added a row to the same table, and its number, merged without a conflict into a table with too many rows; seen three times. Change: the tables of settings, experiments, scenarios and modes deduce it. Conclusion: a row is one line of a change.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kSecond = 1'000'000;
 
 using Settings = DaemonSettings;
-constexpr std::array<FieldSpec<Settings>, 20> kFields{ {
+constexpr auto kFields = std::to_array<FieldSpec<Settings>>({
   { "instance", &Settings::instance_, true },
   { "zone", &Settings::zone_, true },
   { "address", &Settings::address_ },
@@ -39,7 +39,7 @@
   { "data-bytes", &Settings::dataBytes_, false, 1U << 20U, 1ULL << 40U },
   { "port-file", &Settings::portFile_ },
   { "log-level", &Settings::logLevel_ },
-} };
+});
 
 /// A log level by its name.
 struct LevelName
@@ -48,12 +48,12 @@
   LogLevel level_;
 };
 
-constexpr std::array<LevelName, 4> kLevels{ {
+constexpr auto kLevels = std::to_array<LevelName>({
   { "debug", LogLevel::Debug },
   { "info", LogLevel::Info },
   { "warn", LogLevel::Warn },
   { "error", LogLevel::Error },
-} };
+});
 
 std::optional<LogLevel>
 ParseLevel(std::string_view aName)
--- a/src/programs/load/decide.cpp
+++ b/src/programs/load/decide.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t kMostSeconds = 3600;
 
-constexpr std::array<DecideScenario, 8> kScenarios{ {
+constexpr auto kScenarios = std::to_array<DecideScenario>({
   { "routing", "policies at 50, 90 and 150% load", RunRoutingScenario },
   { "sharing",
     "trainers of weights 1:1:2 under variants of fair queueing",
@@ -37,7 +37,7 @@
   { "lead",
     "how far generation leads a trainer, at three loads",
     RunLeadScenario },
-} };
+});
 
 const DecideScenario*
 FindScenario(std::string_view aName)
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -16,7 +16,7 @@
   int (*run_)(int, char**);
 };
 
-constexpr std::array<Experiment, 5> kExperiments{ {
+constexpr auto kExperiments = std::to_array<Experiment>({
   { "http",
     "http --url URL ...: bounded load on loopback; http --help",
     marjoramtally::RunHttpLoad },
@@ -33,7 +33,7 @@
     "membership [--members N] [--zones N] [--trials N] [--seed N]: membership "
     "on a paused clock",
     marjoramtally::RunMembershipBench },
-} };
+});
 
 } // namespace
 
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -20,7 +20,7 @@
   int (*run_)(const Options&);
 };
 
-constexpr std::array<Mode, 9> kModes{ {
+constexpr auto kModes = std::to_array<Mode>({
   { "store", "the platform's key-value service", RunStore },
   { "instances", "the platform's list of instances", RunInstanceList },
   { "engine", "a model engine", RunEngine },
@@ -30,7 +30,7 @@
   { "trainer", "a trainer that takes steps", RunTrainer },
   { "callers", "live callers of a plain service", RunCallers },
   { "verify", "compares what trainers and engines recorded", RunVerify },
-} };
+});
 
 po::options_description
 Describe(Options& aOptions)
