Configuration measured with proofs between instances

Cause: what a proof on each call costs a change was not known. Ruled out: turning proofs off for told revisions (a forged one would make 36 instances fetch).

--- a/tools/bench_config.sh
+++ b/tools/bench_config.sh
@@ -3,6 +3,7 @@
 # start of `marjoramctl edit` until a revision is in force at every daemon,
 # the store's calls for a change, and memory.
 # usage: bench_config.sh BUILD_DIR [DAEMONS [ZONES [CHANGES]]]
+# KEY=1 lets calls between the daemons carry a proof by a shared key.
 set -euo pipefail
 build=$(cd "${1:?usage: bench_config.sh BUILD_DIR [DAEMONS [ZONES [CHANGES]]]}" && pwd)
 daemons=${2:-100}
@@ -27,6 +28,7 @@
 
 printf '[service abonnenter]\nkind = plain\nupstream-limit = 1\n' >"$run/rules/10-base.ini"
 ctl push "$run/rules" >/dev/null
+head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run/peer.key"
 for i in $(seq "$daemons"); do
   cat >"$run/c$i.ini" <<INI
 [daemon]
@@ -37,6 +39,9 @@
 refresh = 1s
 threads = 1
 INI
+  if [ "${KEY:-0}" = 1 ]; then
+    echo "peer-key-file = $run/peer.key" >>"$run/c$i.ini"
+  fi
   "$build/marjoram-controld" --settings "$run/c$i.ini" >"$run/c$i.out" 2>"$run/c$i.log" &
   pids+=($!)
 done
@@ -88,5 +93,6 @@
   printf "bench: store calls for configuration: idle %.2f/s; a change %.1f (all %.1f less idle)\n",
     idle * 1000 / span, (used - idle * busy / span) / n, used / n
   printf "bench: store calls for leases and views, idle: %.1f/s\n", live * 1000 / span}'
+echo "bench: calls refused for their proof: $(cat "$run"/c*.log | grep -c 'event=peer_.*_refused' || true)"
 for pid in "${pids[@]:1}"; do awk '/VmRSS/ {print $2}' "/proc/$pid/status"; done | sort -n |
   awk '{m[NR] = $1} END {printf "bench: memory of a daemon: median %.1f MB, max %.1f MB\n", m[int((NR + 1) / 2)] / 1024, m[NR] / 1024}'
