A paused owner holds up a take for its wait and a second at most

Cause: the trial that pauses the owner past its lease showed a gap of 5181 ms (lease 3 s): the entry waited 3 s beyond the take's wait, and asked the paused owner once more when another control process redirected to it. Ruled out: a shorter wait of the trainer's takes (more calls at all times).

--- a/src/programs/entryd/trainer_api.cpp
+++ b/src/programs/entryd/trainer_api.cpp
@@ -17,8 +17,11 @@
 constexpr std::uint32_t kMaxGroupSize = 1024;
 constexpr std::uint32_t kMaxTokens = 1U << 20U;
 constexpr std::size_t kMaxPeersAsked = 4;
-/// Time for an owner to answer beyond the wait that was asked for.
+/// Time for an owner to answer; it may have to ask the store.
 constexpr auto kOwnerGrace = std::chrono::seconds(3);
+/// Time for an owner to answer a take beyond the wait that was asked for.
+/// Short, as the owner may be paused while another has taken over.
+constexpr auto kTakeGrace = std::chrono::seconds(1);
 
 /// A number of a JSON object within bounds; throws a message otherwise.
 std::uint64_t
@@ -239,7 +242,7 @@
   forward->timeout_ = kOwnerGrace;
   if (const auto* take =
         std::get_if<TakeSamples>(&forward->request_.operation_)) {
-    forward->timeout_ += take->wait_;
+    forward->timeout_ = kTakeGrace + take->wait_;
   }
   forward->span_ = StartSpan(aTrace, "trainer");
   forward->span_.attributes_["trainer"] = trainer.Get();
@@ -316,9 +319,13 @@
   }
   const auto reply = DecodeTrainerReply(aReply.value());
   if (reply && !reply.value().redirect_.empty()) {
-    const bool more = aForward->asked_.size() < kMaxPeersAsked;
+    const auto& asked = aForward->asked_;
+    const std::string& owner = reply.value().redirect_;
+    const bool more =
+      asked.size() < kMaxPeersAsked &&
+      std::find(asked.begin(), asked.end(), owner) == asked.end();
     if (more) {
-      Ask(aForward, reply.value().redirect_);
+      Ask(aForward, owner);
     } else {
       AskNext(aForward, "the trainer's owner is changing");
     }
