--- a/src/request/completion_stream.cpp
+++ b/src/request/completion_stream.cpp
@@ -109,7 +109,7 @@
   const std::uint32_t held = tokens_;
   const auto text = NewText(aPiece);
   if (!text) {
-    return text;
+    return text.error();
   }
   next_ += aPiece.tokens_;
   tokens_ = std::max(tokens_, next_);
