Late members of groups: a second run within a budget, first one wins

Cause: one slow engine stalls each group that has a member there; nothing looked at members that were late. The dispatcher hedges; resuming waits for streamed answers. Also: a suspected request that must wait to run alone no longer holds up its trainer's queue.

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -24,4 +24,5 @@
 #include "marjoramtally/process/retry_budget.hpp"
 #include "marjoramtally/process/rollout.hpp"
 #include "marjoramtally/process/router.hpp"
+#include "marjoramtally/process/straggler.hpp"
 #include "marjoramtally/process/upstream_health.hpp"
--- a/include/marjoramtally/process/admission.hpp
+++ b/include/marjoramtally/process/admission.hpp
@@ -90,6 +90,11 @@
   [[nodiscard]] std::vector<ServiceId> Waiting() const;
   /// @returns time in which the queue ahead of such a request drains
   [[nodiscard]] Duration ExpectedWait(const RequestSpec& aRequest) const;
+  /// @returns tokens that such a request is expected to generate
+  [[nodiscard]] double ExpectedTokens(const RequestSpec& aRequest) const
+  {
+    return estimate_.Tokens(aRequest);
+  }
   [[nodiscard]] std::size_t size() const noexcept;
   /// @returns requests of a class that wait
   [[nodiscard]] std::size_t size(RequestClass aClass) const noexcept
--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Members of groups sent a second time in one review.
+constexpr std::size_t kHedgesPerReview = 4;
 constexpr std::uint32_t kMaxAttempts = 4;
 constexpr auto kReportPeriod = std::chrono::milliseconds(50);
 constexpr auto kReportTimeout = std::chrono::seconds(1);
@@ -86,6 +88,7 @@
   host_.Clockwork().Every(kPumpPeriod, [this] {
     Expire();
     Pump();
+    HedgeStragglers();
   });
 }
 
@@ -261,6 +264,7 @@
     UpstreamView upstream_;
   };
   std::vector<Start> starts;
+  std::vector<QueuedRequest> suspects;
   {
     const std::lock_guard lock(mutex_);
     const TimePoint now = host_.Now();
@@ -270,14 +274,23 @@
       const FlightPtr flight = flights_.at(ticket);
       const auto upstream = router_.Pick(
         queued->spec_, crashes_.Avoid(queued->spec_, flight->tried_), now);
-      if (!upstream || !crashes_.TryStart(queued->spec_, upstream->id_)) {
+      if (!upstream) {
         admission_.Stall(ticket);
         continue;
       }
+      if (!crashes_.TryStart(queued->spec_, upstream->id_)) {
+        // A suspect waits for its turn alone and holds up nobody.
+        suspects.push_back(*queued);
+        admission_.Remove(ticket);
+        continue;
+      }
       router_.OnSent(upstream->id_, queued->spec_, now);
       admission_.Dispatch(ticket, now);
       starts.push_back({ ticket, flight, *upstream });
     }
+    for (QueuedRequest& suspect : suspects) {
+      admission_.EnqueueFront(std::move(suspect), now);
+    }
   }
   for (const Start& start : starts) {
     SendAttempt(start.ticket_, start.flight_, start.upstream_);
@@ -320,7 +333,16 @@
                         const UpstreamView& aUpstream)
 {
   host_.Traces().End(aFlight->queueSpan_);
-  aFlight->sentAt_ = host_.Now();
+  {
+    const std::lock_guard lock(mutex_);
+    aFlight->sent_.push_back({ aUpstream.id_, host_.Now(), std::nullopt });
+    if (aFlight->spec_.class_ == RequestClass::Trainer &&
+        aFlight->sent_.size() == 1) {
+      stragglers_.OnStarted(
+        { aTicket, 0, admission_.ExpectedTokens(aFlight->spec_), false },
+        host_.Now());
+    }
+  }
   Span span = StartSpan(aFlight->trace_, "upstream");
   span.attributes_["upstream"] = aUpstream.id_.Get();
   HttpCall call;
@@ -340,17 +362,111 @@
   if (sink) {
     sink->Prepare(call);
   }
-  const HttpCallId sent = host_.Http().Send(
+  const HttpCallId id = host_.Http().Send(
     std::move(call),
     [this, aTicket, aFlight, aUpstream, span](HttpResult aResult) mutable {
       host_.Traces().End(std::move(span));
       EndAttempt(aTicket, aFlight, aUpstream, std::move(aResult));
     });
   if (sink) {
-    sink->OnSent(sent);
+    sink->OnSent(id);
+  }
+  const std::lock_guard lock(mutex_);
+  for (Sent& sent : aFlight->sent_) {
+    if (sent.upstream_ == aUpstream.id_) {
+      sent.call_ = id;
+    }
   }
 }
 
+void
+Dispatcher::HedgeStragglers()
+{
+  struct Hedge
+  {
+    TicketId ticket_;
+    FlightPtr flight_;
+    UpstreamPtr upstream_;
+  };
+  std::vector<Hedge> hedges;
+  {
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = host_.Now();
+    // Capacity is idle only while nothing waits for it.
+    const std::size_t idle = admission_.size() == 0 ? kHedgesPerReview : 0;
+    for (const StragglerAction& late : stragglers_.Review(now, idle)) {
+      const auto flight = flights_.find(late.ticket_);
+      if (flight == flights_.end() || flight->second->sent_.size() != 1 ||
+          !flight->second->spec_.idempotent_ ||
+          flight->second->message_.sink_) {
+        continue;
+      }
+      const RequestSpec& spec = flight->second->spec_;
+      const UpstreamId& slow = flight->second->sent_.front().upstream_;
+      std::vector<UpstreamId> avoid = flight->second->tried_;
+      avoid.push_back(slow);
+      const UpstreamPtr upstream =
+        router_.Pick(spec, crashes_.Avoid(spec, avoid), now);
+      if (!upstream || upstream->id_ == slow ||
+          !crashes_.TryStart(spec, upstream->id_)) {
+        continue;
+      }
+      router_.OnSent(upstream->id_, spec, now);
+      hedges.push_back({ late.ticket_, flight->second, upstream });
+    }
+  }
+  for (const Hedge& hedge : hedges) {
+    host_.Measures().Count("marjoram_hedges_total");
+    SendAttempt(hedge.ticket_, hedge.flight_, *hedge.upstream_);
+  }
+}
+
+Dispatcher::Sent
+Dispatcher::TakeSent(Flight& aFlight, const UpstreamId& aUpstream)
+{
+  for (auto it = aFlight.sent_.begin(); it != aFlight.sent_.end(); ++it) {
+    if (it->upstream_ == aUpstream) {
+      Sent sent = std::move(*it);
+      aFlight.sent_.erase(it);
+      return sent;
+    }
+  }
+  return {};
+}
+
+bool
+Dispatcher::Decides(Flight& aFlight,
+                    const UpstreamId& aUpstream,
+                    const HttpResult& aResult,
+                    AttemptEnd aEnd)
+{
+  const Sent sent = TakeSent(aFlight, aUpstream);
+  const std::uint64_t tokens = CountTokens(aResult.response_);
+  router_.OnDone(aUpstream,
+                 aFlight.spec_,
+                 { aEnd,
+                   aResult.end_ == HttpEnd::TimedOut,
+                   aResult.end_ == HttpEnd::Cancelled,
+                   sent.at_,
+                   tokens },
+                 host_.Now());
+  if (aFlight.won_) {
+    if (aEnd == AttemptEnd::Whole) {
+      stragglers_.OnWasted(static_cast<double>(tokens));
+    }
+    return false;
+  }
+  aFlight.tried_.push_back(aUpstream);
+  aFlight.won_ = aEnd == AttemptEnd::Whole;
+  if (!aFlight.won_ && !aFlight.sent_.empty()) {
+    // The other attempt goes on; this one counts as made.
+    static_cast<void>(
+      aFlight.attempts_.After(aFlight.spec_, aEnd, host_.Now()));
+    return false;
+  }
+  return true;
+}
+
 void
 Dispatcher::EndAttempt(TicketId aTicket,
                        const FlightPtr& aFlight,
@@ -367,18 +483,21 @@
   NextStep next = NextStep::Retry;
   crashes_.OnEnd(aFlight->spec_, aUpstream.id_, aResult.end_, end);
   const QuarantineVerdict verdict = crashes_.Judge(aFlight->spec_);
+  std::vector<Sent> losers;
   {
     const std::lock_guard lock(mutex_);
-    router_.OnDone(aUpstream.id_,
-                   aFlight->spec_,
-                   { end,
-                     aResult.end_ == HttpEnd::TimedOut,
-                     false,
-                     aFlight->sentAt_,
-                     CountTokens(aResult.response_) },
-                   host_.Now());
+    if (!Decides(*aFlight, aUpstream.id_, aResult, end)) {
+      return;
+    }
+    losers = aFlight->sent_;
+    for (const Sent& loser : losers) {
+      stragglers_.OnWasted(stragglers_.TokensIn(host_.Now() - loser.at_));
+    }
     admission_.Complete(aTicket, tokens, host_.Now());
-    aFlight->tried_.push_back(aUpstream.id_);
+    stragglers_.OnEnded(aTicket,
+                        tokens ? std::optional(static_cast<double>(*tokens))
+                               : std::nullopt,
+                        host_.Now());
     next = NextAfter(*aFlight, end);
     if (next == NextStep::Retry && verdict.refused_) {
       next = aFlight->attempts_.GiveUp();
@@ -389,6 +508,11 @@
       admission_.EnqueueFront({ aTicket, aFlight->spec_ }, host_.Now());
     }
   }
+  for (const Sent& loser : losers) {
+    if (loser.call_) {
+      host_.Http().Cancel(*loser.call_);
+    }
+  }
   if (next != NextStep::Retry) {
     DispatchResult result;
     result.upstream_ = aUpstream.id_;
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -63,6 +63,14 @@
   [[nodiscard]] CrashGuard& Crashes() noexcept { return crashes_; }
 
 private:
+  /// An attempt in progress.
+  struct Sent
+  {
+    UpstreamId upstream_;
+    TimePoint at_;
+    /// Set once the client has taken it.
+    std::optional<HttpCallId> call_;
+  };
   struct Flight
   {
     RequestSpec spec_;
@@ -73,8 +81,10 @@
     std::vector<UpstreamId> tried_;
     TraceContext trace_;
     Span queueSpan_;
-    /// When its last attempt was sent.
-    TimePoint sentAt_{};
+    /// Attempts in progress; more than one if it is hedged.
+    std::vector<Sent> sent_{};
+    /// Whether a whole answer was taken; later ones are dropped.
+    bool won_ = false;
   };
   using FlightPtr = std::shared_ptr<Flight>;
 
@@ -94,6 +104,18 @@
   void SendAttempt(TicketId aTicket,
                    const FlightPtr& aFlight,
                    const UpstreamView& aUpstream);
+  /// Sends members of groups that run late a second time.
+  void HedgeStragglers();
+  /// Takes an attempt off the list of those in progress.
+  [[nodiscard]] static Sent TakeSent(Flight& aFlight,
+                                     const UpstreamId& aUpstream);
+  /// Records an attempt's end; the lock is held.
+  /// @returns whether it decides the request, which then has no other attempt
+  /// in progress but those to be cancelled
+  [[nodiscard]] bool Decides(Flight& aFlight,
+                             const UpstreamId& aUpstream,
+                             const HttpResult& aResult,
+                             AttemptEnd aEnd);
   void EndAttempt(TicketId aTicket,
                   const FlightPtr& aFlight,
                   const UpstreamView& aUpstream,
@@ -112,6 +134,7 @@
   Router router_;
   PollPlan polls_;
   Admission admission_;
+  StragglerPolicy stragglers_;
   RetryBudget retries_;
   CrashGuard crashes_;
   std::unordered_map<TicketId, FlightPtr> flights_;
--- a/src/programs/load/decide.hpp
+++ b/src/programs/load/decide.hpp
@@ -85,6 +85,8 @@
 RunOverloadScenario(const DecideOptions& aOptions);
 [[nodiscard]] DecideRows
 RunQueueScenario(const DecideOptions& aOptions);
+[[nodiscard]] DecideRows
+RunGroupsScenario(const DecideOptions& aOptions);
 
 /// Prints one aligned line for each row, with the columns that have values.
 void
--- a/src/programs/load/fake_engine.cpp
+++ b/src/programs/load/fake_engine.cpp
@@ -42,6 +42,17 @@
   return wasted;
 }
 
+std::uint64_t
+FakeEngine::Progress(JobId aJob) const
+{
+  for (const Sequence& sequence : batch_) {
+    if (sequence.job_.id_ == aJob) {
+      return sequence.generated_;
+    }
+  }
+  return 0;
+}
+
 void
 FakeEngine::Crash()
 {
--- a/src/programs/load/fake_engine.hpp
+++ b/src/programs/load/fake_engine.hpp
@@ -90,6 +90,8 @@
   void Submit(const EngineJob& aJob, Done aDone);
   /// @returns the tokens generated so far, which are thrown away
   std::uint64_t Cancel(JobId aJob);
+  /// @returns the tokens that a running job has; 0 for others
+  [[nodiscard]] std::uint64_t Progress(JobId aJob) const;
   /// Multiplies the time of every step.
   void SetSlowdown(double aFactor) noexcept { slowdown_ = aFactor; }
   /// Fails all jobs, forgets the cache and refuses until `Restart`.
