Embedded store, faults of the store's stand-in, contract of both adapters

The same cases run over both adapters: compare-and-swap, transactions, leases, resumed watches. Callers write a span of their own; the demo ends with one trace tree. Ruled out: records in memory with a log of our own (SQLite's is proven, and other processes can open it). Conclusion: the stand-in's database, faults and HTTP are units of their own.

--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -1,6 +1,7 @@
 /// Public header of the runtime library: sockets, threads, logs, store.
 #pragma once
 
+#include "marjoramtally/runtime/embedded_store.hpp"
 #include "marjoramtally/runtime/etcd_store.hpp"
 #include "marjoramtally/runtime/http_client.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
@@ -8,6 +9,7 @@
 #include "marjoramtally/runtime/io_pool.hpp"
 #include "marjoramtally/runtime/log.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
+#include "marjoramtally/runtime/open_store.hpp"
 #include "marjoramtally/runtime/program.hpp"
 #include "marjoramtally/runtime/rpc.hpp"
 #include "marjoramtally/runtime/rpc_mac.hpp"
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -55,8 +55,13 @@
   , loops_(IoPool::Create(static_cast<std::uint32_t>(settings_.threads_)))
   , client_(HttpClient::Create(loops_))
   , storeClient_(HttpClient::Create(kStoreThreads))
+  , openedStore_(OpenStore(settings_.store_,
+                           *storeClient_,
+                           settings_.storeTimeout_,
+                           clock_))
   , store_(MakeCountedStore(
-      MakeEtcdStore(*storeClient_, settings_.store_, settings_.storeTimeout_),
+      openedStore_ ? std::move(openedStore_).value()
+                   : MakeEtcdStore(*storeClient_, "", Duration::zero()),
       StoreRate{},
       metrics_))
   , cluster_(std::make_unique<Cluster>(settings_, *store_, timers_))
@@ -121,6 +126,9 @@
 Result<bool>
 Host::Start()
 {
+  if (!openedStore_) {
+    return openedStore_.error();
+  }
   auto keys = ReadPeerKeys(settings_.peerKeyFile_);
   if (!keys) {
     return keys.error();
@@ -258,6 +266,7 @@
   rpc_.reset();
   client_.reset();
   storeClient_.reset();
+  store_.reset();
   LogEvent(LogLevel::Info, "stopped");
 }
 
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -60,6 +60,8 @@
   /// Calls to the store have a loop of their own, so that requests do not
   /// wait for its answers to be read.
   std::unique_ptr<HttpClient> storeClient_;
+  /// Whether the store could be opened; `Start` reports it if not.
+  Result<std::unique_ptr<Store>> openedStore_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<HttpServer> server_;
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -17,7 +17,8 @@
   std::string address_ = "127.0.0.1";
   std::uint64_t httpPort_ = 0;
   std::uint64_t rpcPort_ = 0;
-  /// Base URL of the platform's store.
+  /// Base URL of the platform's store, or `file:FOLDER` for the embedded one
+  /// that the processes of one machine share.
   std::string store_;
   /// URL of the platform's list of instances; empty reads none.
   std::string instanceList_;
--- a/src/programs/ctl/session.cpp
+++ b/src/programs/ctl/session.cpp
@@ -30,12 +30,25 @@
   return body.is_object() ? body.value("revision", std::uint64_t{ 0 }) : 0;
 }
 
+/// A store that cannot be opened is told of; calls to it then fail.
+std::unique_ptr<Store>
+OpenOrExplain(HttpClient& aClient, const std::string& aAddress)
+{
+  static const SystemClock kClock;
+  auto store = OpenStore(aAddress, aClient, kStoreTimeout, kClock);
+  if (!store) {
+    std::cerr << "marjoramctl: " << store.error().message_ << '\n';
+    return MakeEtcdStore(aClient, "", kStoreTimeout);
+  }
+  return std::move(store).value();
+}
+
 } // namespace
 
 Session::Session(const CommandInput& aInput)
   : input_(aInput)
   , client_(HttpClient::Create(1))
-  , store_(MakeEtcdStore(*client_, aInput.store_, kStoreTimeout))
+  , store_(OpenOrExplain(*client_, aInput.store_))
 {
 }
 
--- /dev/null
+++ b/src/runtime/embedded_records.hpp
@@ -0,0 +1,67 @@
+/// The records, leases and changes of the embedded store, in one SQLite file.
+#pragma once
+
+#include "marjoramtally/runtime/store.hpp"
+
+#include "runtime/sqlite.hpp"
+
+#include <optional>
+
+namespace marjoramtally {
+
+/// Changes after a revision, as a watch needs them.
+struct RecordChanges
+{
+  /// Set if some of them are no longer kept.
+  bool lost_ = false;
+  std::uint64_t revision_ = 0;
+  std::vector<StoreEvent> events_;
+};
+
+/// Each function is one transaction that first ends the leases due. Throws
+/// `SqliteError`. For one thread.
+class EmbeddedRecords
+{
+public:
+  /// @param aFile made if there is none
+  /// @param aNow the present, by the clock that leases end by
+  EmbeddedRecords(const std::string& aFile, TimePoint aNow);
+
+  [[nodiscard]] StoreRange Read(const std::string& aPrefix, TimePoint aNow);
+  /// @returns nothing if a put names a lease that is not there
+  [[nodiscard]] std::optional<StoreCommit> Commit(const StoreTxn& aTxn,
+                                                  TimePoint aNow);
+  [[nodiscard]] StoreLease Grant(Duration aTtl, TimePoint aNow);
+  /// @returns a time of zero if the lease has ended
+  [[nodiscard]] StoreLease KeepAlive(StoreLeaseId aLease, TimePoint aNow);
+  void Revoke(StoreLeaseId aLease, TimePoint aNow);
+  /// Changes of keys with a prefix, from a revision on.
+  [[nodiscard]] RecordChanges ChangesFrom(const std::string& aPrefix,
+                                          std::uint64_t aRevision,
+                                          TimePoint aNow);
+  [[nodiscard]] std::uint64_t Revision();
+
+private:
+  class Transaction;
+  struct Close
+  {
+    void operator()(sqlite3* aDatabase) const { sqlite3_close(aDatabase); }
+  };
+
+  void Run(const std::string& aSql);
+  [[nodiscard]] SqliteStatement Prepare(const std::string& aSql);
+  [[nodiscard]] std::int64_t Meta(const std::string& aName);
+  void SetMeta(const std::string& aName, std::int64_t aValue);
+  [[nodiscard]] bool Holds(const StoreCompare& aCompare);
+  [[nodiscard]] bool HasLease(StoreLeaseId aLease);
+  void Put(const StorePut& aPut, std::int64_t aRevision);
+  void Delete(const std::string& aKey, std::int64_t aRevision);
+  void EndLease(StoreLeaseId aLease);
+  [[nodiscard]] bool AnyLeaseDue(TimePoint aNow);
+  void EndLeasesDue(TimePoint aNow);
+  void ForgetOldChanges();
+
+  std::unique_ptr<sqlite3, Close> database_;
+};
+
+} // namespace marjoramtally
--- a/src/standins/callers.cpp
+++ b/src/standins/callers.cpp
@@ -18,12 +18,15 @@
 CallOnce(const Options& aOptions,
          Balancer& aBalancer,
          Recorder& aRecorder,
+         TraceWriter& aTraces,
          std::uint64_t aNumber)
 {
   const SystemClock clock;
   const TimePoint deadline =
     clock.Now() + std::chrono::milliseconds(aOptions.deadlineMillis_);
   const std::string body = "subscriber-" + std::to_string(aNumber);
+  // The caller is the first hop: its span has no parent.
+  Span span = StartSpan({ TraceContext::Fresh().traceId_, "" }, "caller");
   bool answered = false;
   while (!answered && clock.Now() < deadline) {
     HttpCall call;
@@ -31,13 +34,15 @@
     call.url_ = "/v1/services/" + aOptions.model_ + "/lookup";
     call.body_ = body;
     call.timeout_ = deadline - clock.Now();
-    call.headers_.push_back({ "traceparent", TraceContext::Fresh().Format() });
+    call.headers_.push_back({ "traceparent", span.context_.Format() });
     const HttpResult result = aBalancer.Send(std::move(call));
     const Json reply = Json::parse(result.response_.body_, nullptr, false);
     answered = result.end_ == HttpEnd::Whole &&
                result.response_.status_ == 200 && reply.is_object() &&
                reply.value("echo", "") == body;
   }
+  span.attributes_["answered"] = answered ? "yes" : "no";
+  aTraces.End(std::move(span));
   aRecorder.Write({ { "kind", "live" },
                     { "number", aNumber },
                     { "late", !answered || clock.Now() > deadline } });
@@ -50,6 +55,7 @@
 {
   Balancer balancer(aOptions.entries_);
   Recorder recorder(aOptions.recordFile_);
+  TraceWriter traces(aOptions.traceFile_, "caller/" + aOptions.name_);
   const Duration gap{ 1'000'000 / std::max<std::uint64_t>(aOptions.rate_, 1) };
   constexpr std::size_t kWorkers = 16;
   std::atomic<std::uint64_t> next{ 0 };
@@ -60,7 +66,7 @@
       if (std::filesystem::exists(aOptions.stopFile_)) {
         return;
       }
-      CallOnce(aOptions, balancer, recorder, number);
+      CallOnce(aOptions, balancer, recorder, traces, number);
     }
   };
   std::vector<std::thread> workers;
--- /dev/null
+++ b/src/standins/faults.cpp
@@ -0,0 +1,147 @@
+#include "standins/faults.hpp"
+
+#include <array>
+
+namespace marjoramtally::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t kMostMillis = 600'000;
+constexpr std::uint64_t kMostLost = 1'000'000;
+
+bool
+ReadDown(const Json& aValue, FaultSettings& aOut)
+{
+  const auto mode = aValue.is_string() ? aValue.get<std::string>() : "";
+  aOut.down_ = mode == "refuse"   ? DownMode::Refuse
+               : mode == "silent" ? DownMode::Silent
+                                  : DownMode::Up;
+  return mode == "refuse" || mode == "silent" || mode == "no";
+}
+
+bool
+ReadMillis(const Json& aValue, Duration& aOut)
+{
+  if (!aValue.is_number_unsigned() || aValue > kMostMillis) {
+    return false;
+  }
+  aOut = std::chrono::milliseconds(aValue.get<std::uint64_t>());
+  return true;
+}
+
+bool
+ReadSlow(const Json& aValue, FaultSettings& aOut)
+{
+  return ReadMillis(aValue, aOut.slow_);
+}
+
+bool
+ReadReorder(const Json& aValue, FaultSettings& aOut)
+{
+  return ReadMillis(aValue, aOut.reorder_);
+}
+
+bool
+ReadLoseNext(const Json& aValue, FaultSettings& aOut)
+{
+  if (!aValue.is_number_unsigned() || aValue > kMostLost) {
+    return false;
+  }
+  aOut.loseNext_ = aValue.get<std::uint64_t>();
+  return true;
+}
+
+bool
+ReadLoseShare(const Json& aValue, FaultSettings& aOut)
+{
+  if (!aValue.is_number() || aValue < 0 || aValue > 1) {
+    return false;
+  }
+  aOut.loseShare_ = aValue.get<double>();
+  return true;
+}
+
+/// One key of the settings and its reader.
+struct FaultKey
+{
+  std::string_view name_;
+  std::string_view form_;
+  bool (*read_)(const Json&, FaultSettings&);
+};
+
+constexpr std::array<FaultKey, 5> kKeys{ {
+  { "down", "no, refuse or silent", ReadDown },
+  { "slow_ms", "0 to 600000", ReadSlow },
+  { "reorder_ms", "0 to 600000", ReadReorder },
+  { "lose_next", "0 to 1000000", ReadLoseNext },
+  { "lose_share", "0 to 1", ReadLoseShare },
+} };
+
+void
+ReadKey(const std::string& aName,
+        const Json& aValue,
+        FaultSettings& aOut,
+        Findings& aFindings)
+{
+  const SourcePlace place{ "faults", 0 };
+  for (const FaultKey& key : kKeys) {
+    if (key.name_ != aName) {
+      continue;
+    }
+    if (!key.read_(aValue, aOut)) {
+      aFindings.Add(place, aName + " must be " + std::string(key.form_));
+    }
+    return;
+  }
+  aFindings.Add(place, "unknown key '" + aName + "'");
+}
+
+} // namespace
+
+Findings
+Faults::Set(const std::string& aText)
+{
+  Findings findings;
+  const Json body = Json::parse(aText, nullptr, false);
+  if (!body.is_object()) {
+    findings.Add({ "faults", 0 }, "no JSON object");
+    return findings;
+  }
+  FaultSettings settings;
+  for (const auto& [name, value] : body.items()) {
+    ReadKey(name, value, settings, findings);
+  }
+  if (findings.empty()) {
+    const std::lock_guard lock(mutex_);
+    settings_ = settings;
+  }
+  return findings;
+}
+
+FaultDecision
+Faults::Decide(bool aWrite)
+{
+  const std::lock_guard lock(mutex_);
+  FaultDecision decision;
+  decision.down_ = settings_.down_;
+  decision.before_ = settings_.slow_;
+  if (settings_.reorder_ > Duration::zero()) {
+    const auto most = static_cast<std::uint64_t>(settings_.reorder_.count());
+    decision.after_ =
+      Duration{ static_cast<std::int64_t>(random_.Below(most)) };
+  }
+  if (!aWrite || decision.down_ != DownMode::Up) {
+    return decision;
+  }
+  if (settings_.loseNext_ > 0) {
+    --settings_.loseNext_;
+    decision.loseAnswer_ = true;
+  } else if (settings_.loseShare_ > 0) {
+    decision.loseAnswer_ = random_.Unit() < settings_.loseShare_;
+  }
+  return decision;
+}
+
+} // namespace marjoramtally::standin
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -77,6 +77,8 @@
   add("ignore-fencing",
       po::bool_switch(&aOptions.ignoreFencing_),
       "take any order");
+  add("trace-file", po::value(&aOptions.traceFile_), "callers' spans");
+  add("faults", po::value(&aOptions.faults_), "JSON as for POST /faults");
   add(
     "stop-file", po::value(&aOptions.stopFile_), "callers end once it exists");
   return described;
--- a/src/standins/standin.hpp
+++ b/src/standins/standin.hpp
@@ -57,6 +57,10 @@
   std::string stopFile_;
   /// How late the list of instances is.
   std::uint64_t lagMillis_ = 5000;
+  /// Spans are appended here; empty writes none.
+  std::string traceFile_;
+  /// Faults in force from the start, as JSON.
+  std::string faults_ = "{}";
 };
 
 /// Appends one JSON object a line to a file. Thread-safe.
--- /dev/null
+++ b/src/standins/store_database.hpp
@@ -0,0 +1,105 @@
+/// The records, leases and watches of the store's stand-in, as etcd v3's
+/// JSON gateway shows them.
+#pragma once
+
+#include "standins/standin.hpp"
+
+namespace marjoramtally::standin {
+
+/// One record as stored.
+struct Entry
+{
+  std::string value_;
+  std::int64_t createRevision_ = 0;
+  std::int64_t modRevision_ = 0;
+  std::int64_t version_ = 0;
+  std::int64_t lease_ = 0;
+};
+
+/// One lease as granted.
+struct Lease
+{
+  std::int64_t ttlSeconds_ = 0;
+  TimePoint expires_;
+};
+
+/// One change, kept for watches that start at an earlier revision.
+struct Change
+{
+  std::int64_t revision_ = 0;
+  std::string key_;
+  Json event_;
+};
+
+/// One open watch.
+struct Watch
+{
+  std::string from_;
+  std::string end_;
+  HttpReplyPtr reply_;
+};
+
+/// In memory; thread-safe.
+class Database
+{
+public:
+  Database();
+
+  /// @returns whether requests of that path write
+  [[nodiscard]] static bool Writes(std::string_view aPath);
+  /// @returns the key that a call is about; empty for leases
+  [[nodiscard]] static std::string KeyOf(const Json& aBody);
+  /// Serves one request but for watches.
+  [[nodiscard]] HttpResponse Serve(const std::string& aPath, const Json& aBody);
+  /// Streams changes until the database is restored.
+  void OpenWatch(const Json& aCreate, const HttpReplyPtr& aReply);
+  /// Keeps the state, for `Restore`.
+  void Save();
+  /// Goes back to the state kept, as a store restarted from a backup.
+  void Restore();
+
+private:
+  struct Route
+  {
+    std::string_view path_;
+    HttpResponse (Database::*serve_)(const Json&);
+    bool write_ = false;
+  };
+  static const std::array<Route, 6> kRoutes;
+
+  /// What a restart from a backup brings back.
+  struct State
+  {
+    std::int64_t revision_ = 1;
+    std::int64_t lastLease_ = 1000;
+    std::map<std::string, Entry> entries_;
+    std::map<std::int64_t, Lease> leases_;
+  };
+
+  Json Header() const;
+  static Json FormatEntry(const std::string& aKey, const Entry& aEntry);
+  Json RangeOf(const Json& aBody) const;
+  HttpResponse Range(const Json& aBody);
+  void ApplyPut(const Json& aPut);
+  void ApplyDelete(const std::string& aKey);
+  bool Holds(const Json& aCompare) const;
+  HttpResponse Put(const Json& aBody);
+  HttpResponse Txn(const Json& aBody);
+  HttpResponse Grant(const Json& aBody);
+  HttpResponse KeepAlive(const Json& aBody);
+  HttpResponse Revoke(const Json& aBody);
+  void EndLease(std::int64_t aId);
+  void ExpireLeases();
+  static bool Covers(const Watch& aWatch, const std::string& aKey);
+  void SendEvents(const Watch& aWatch, const Json& aEvents);
+  void Publish(const std::string& aKey, const Json& aEvent);
+  SystemClock clock_;
+  std::mutex mutex_;
+  State state_;
+  State saved_;
+  std::deque<Change> changes_;
+  std::vector<Watch> watches_;
+  Timers timers_;
+};
+
+} // namespace marjoramtally::standin
--- /dev/null
+++ b/src/standins/store_standin.cpp
@@ -0,0 +1,113 @@
+#include "standins/store_standin.hpp"
+
+namespace marjoramtally::standin {
+
+void
+StoreStandin::Handle(const HttpRequest& aRequest, const HttpReplyPtr& aReply)
+{
+  if (aRequest.path_ == "/faults") {
+    aReply->Send(TakeFaults(aRequest.body_));
+  } else if (aRequest.path_ == "/metrics") {
+    HttpResponse response;
+    response.body_ = metrics_.Render();
+    aReply->Send(std::move(response));
+  } else {
+    const Json body = Json::parse(aRequest.body_, nullptr, false);
+    if (!body.is_object()) {
+      aReply->Send(ErrorResponse(400, "bad_input", "no JSON object"));
+      return;
+    }
+    CountCall(aRequest.path_, body);
+    ServeWithFaults(aRequest.path_, body, aReply);
+  }
+}
+
+/// Counts a call by its operation and by the part of the system's keys.
+void
+StoreStandin::CountCall(const std::string& aPath, const Json& aBody)
+{
+  const bool config =
+    Database::KeyOf(aBody).find("/config/") != std::string::npos;
+  metrics_.Count("store_calls_total{call=\"" + aPath + "\",part=\"" +
+                 (config ? "config" : "live") + "\"}");
+}
+
+/// Faults, and `{"save":true}` and `{"restore":true}`, which keep the state
+/// and go back to it.
+HttpResponse
+StoreStandin::TakeFaults(const std::string& aText)
+{
+  const Json body = Json::parse(aText, nullptr, false);
+  const bool alone = body.is_object() && body.size() == 1;
+  if (alone && body.contains("save")) {
+    database_.Save();
+  } else if (alone && body.contains("restore")) {
+    database_.Restore();
+  } else if (const Findings findings = faults_.Set(aText); !findings.empty()) {
+    return ErrorResponse(400, "bad_input", findings.Render());
+  }
+  return JsonResponse(200, R"({"taken":true})");
+}
+
+void
+StoreStandin::ServeWithFaults(const std::string& aPath,
+                              const Json& aBody,
+                              const HttpReplyPtr& aReply)
+{
+  const FaultDecision decision = faults_.Decide(Database::Writes(aPath));
+  if (decision.down_ == DownMode::Refuse) {
+    aReply->Send(ErrorResponse(503, "unavailable", "the store is down"));
+  } else if (decision.down_ == DownMode::Silent) {
+    Hold(aReply);
+  } else if (decision.before_ > Duration::zero()) {
+    timers_.After(decision.before_, [this, aPath, aBody, aReply, decision] {
+      Serve(aPath, aBody, aReply, decision);
+    });
+  } else {
+    Serve(aPath, aBody, aReply, decision);
+  }
+}
+
+/// Keeps a reply that is never sent, so that its connection stays open.
+void
+StoreStandin::Hold(const HttpReplyPtr& aReply)
+{
+  constexpr std::size_t kMostHeld = 10'000;
+  const std::lock_guard lock(mutex_);
+  held_.push_back(aReply);
+  if (held_.size() > kMostHeld) {
+    held_.pop_front();
+  }
+}
+
+void
+StoreStandin::Serve(const std::string& aPath,
+                    const Json& aBody,
+                    const HttpReplyPtr& aReply,
+                    const FaultDecision& aDecision)
+{
+  if (aPath == "/v3/watch") {
+    database_.OpenWatch(aBody.value("create_request", Json::object()), aReply);
+  } else {
+    Answer(aReply, database_.Serve(aPath, aBody), aDecision);
+  }
+}
+
+void
+StoreStandin::Answer(const HttpReplyPtr& aReply,
+                     HttpResponse aResponse,
+                     const FaultDecision& aDecision)
+{
+  if (aDecision.loseAnswer_) {
+    Hold(aReply);
+  } else if (aDecision.after_ > Duration::zero()) {
+    timers_.After(aDecision.after_,
+                  [aReply, response = std::move(aResponse)]() mutable {
+                    aReply->Send(std::move(response));
+                  });
+  } else {
+    aReply->Send(std::move(aResponse));
+  }
+}
+
+} // namespace marjoramtally::standin
--- /dev/null
+++ b/tests/test_store.cpp
@@ -0,0 +1,359 @@
+/// The contract of both stores' adapters: the same cases over the embedded
+/// one and over the platform's, met through its stand-in.
+
+#include "marjoramtally/runtime.hpp"
+#include "standins/store_standin.hpp"
+
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <filesystem>
+#include <future>
+#include <unistd.h>
+
+namespace {
+
+using namespace marjoramtally;
+
+/// Ends a test that hangs; no test depends on it.
+constexpr auto kHangLimit = std::chrono::seconds(20);
+
+/// A folder of its own, removed at the end.
+class TempFolder
+{
+public:
+  TempFolder()
+  {
+    std::string form =
+      (std::filesystem::temp_directory_path() / "mt-store.XXXXXX").string();
+    path_ = mkdtemp(form.data());
+  }
+  ~TempFolder() { std::filesystem::remove_all(path_); }
+  TempFolder(const TempFolder&) = delete;
+  TempFolder& operator=(const TempFolder&) = delete;
+  std::filesystem::path path_;
+};
+
+/// The platform's store: its stand-in on loopback and the adapter.
+class PlatformStore
+{
+public:
+  PlatformStore()
+  {
+    auto server = HttpServer::Start(
+      {}, [this](const HttpRequest& aRequest, const HttpReplyPtr& aReply) {
+        standin_.Handle(aRequest, aReply);
+      });
+    server_ = std::move(server).value();
+    store_ =
+      MakeEtcdStore(*client_,
+                    "http://127.0.0.1:" + std::to_string(server_->Port()),
+                    std::chrono::milliseconds(300));
+  }
+  ~PlatformStore()
+  {
+    client_.reset();
+    server_.reset();
+  }
+  PlatformStore(const PlatformStore&) = delete;
+  PlatformStore& operator=(const PlatformStore&) = delete;
+
+  /// Asks the stand-in for something that it does at once.
+  void Ask(const std::string& aFaults)
+  {
+    HttpCall call;
+    call.method_ = "POST";
+    call.url_ =
+      "http://127.0.0.1:" + std::to_string(server_->Port()) + "/faults";
+    call.body_ = aFaults;
+    REQUIRE(SendAndWait(*client_, std::move(call)).response_.status_ == 200);
+  }
+
+  standin::StoreStandin standin_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpClient> client_ = HttpClient::Create(1);
+  std::unique_ptr<Store> store_;
+};
+
+/// Either adapter, by a case's generator.
+struct AnyStore
+{
+  explicit AnyStore(bool aEmbedded)
+  {
+    if (aEmbedded) {
+      embedded_ = OpenEmbeddedStore(folder_.path_, clock_).value();
+      store_ = embedded_.get();
+    } else {
+      platform_ = std::make_unique<PlatformStore>();
+      store_ = platform_->store_.get();
+    }
+  }
+
+  TempFolder folder_;
+  ManualClock clock_;
+  std::unique_ptr<Store> embedded_;
+  std::unique_ptr<PlatformStore> platform_;
+  Store* store_ = nullptr;
+};
+
+/// Waits for the answer of a call.
+template<typename T, typename Function>
+Result<T>
+Await(Function aCall)
+{
+  auto promise = std::make_shared<std::promise<Result<T>>>();
+  auto future = promise->get_future();
+  aCall([promise](Result<T> aResult) { promise->set_value(aResult); });
+  REQUIRE(future.wait_for(kHangLimit) == std::future_status::ready);
+  return future.get();
+}
+
+Result<StoreCommit>
+Commit(Store& aStore, StoreTxn aTxn)
+{
+  return Await<StoreCommit>(
+    [&](auto aDone) { aStore.Commit(std::move(aTxn), aDone); });
+}
+
+Result<StoreCommit>
+Put(Store& aStore,
+    std::string aKey,
+    std::string aValue,
+    StoreLeaseId aLease = 0)
+{
+  StoreTxn txn;
+  txn.puts_.push_back({ std::move(aKey), std::move(aValue), aLease });
+  return Commit(aStore, std::move(txn));
+}
+
+StoreRange
+Read(Store& aStore, const std::string& aPrefix)
+{
+  return Await<StoreRange>([&](auto aDone) { aStore.Read(aPrefix, aDone); })
+    .value();
+}
+
+StoreLease
+Grant(Store& aStore, Duration aTtl)
+{
+  return Await<StoreLease>([&](auto aDone) { aStore.GrantLease(aTtl, aDone); })
+    .value();
+}
+
+StoreLease
+KeepAlive(Store& aStore, StoreLeaseId aLease)
+{
+  return Await<StoreLease>([&](auto aDone) { aStore.KeepAlive(aLease, aDone); })
+    .value();
+}
+
+/// Creates a key unless it is there.
+StoreTxn
+CreateOnce(std::string aKey, std::string aValue)
+{
+  StoreTxn txn;
+  txn.compares_.push_back({ aKey, 0 });
+  txn.puts_.push_back({ std::move(aKey), std::move(aValue), 0 });
+  return txn;
+}
+
+/// Keeps what a watch is told.
+class Told
+{
+public:
+  void Take(const StoreWatchBatch& aBatch)
+  {
+    {
+      const std::lock_guard lock(mutex_);
+      ended_ = ended_ || aBatch.ended_;
+      for (const StoreEvent& event : aBatch.events_) {
+        events_.push_back((event.deleted_ ? "-" : "+") + event.record_.key_);
+      }
+    }
+    changed_.notify_all();
+  }
+  std::vector<std::string> WaitFor(std::size_t aEvents)
+  {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(
+      lock, kHangLimit, [&] { return events_.size() >= aEvents; });
+    return events_;
+  }
+  bool WaitForEnd()
+  {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, kHangLimit, [&] { return ended_; });
+  }
+
+private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> events_;
+  bool ended_ = false;
+};
+
+std::function<void(const StoreWatchBatch&)>
+Into(const std::shared_ptr<Told>& aTold)
+{
+  return [aTold](const StoreWatchBatch& aBatch) { aTold->Take(aBatch); };
+}
+
+} // namespace
+
+TEST_CASE("of two compare-and-swaps from one revision one wins", "[store]")
+{
+  AnyStore any(GENERATE(true, false));
+  Store& store = *any.store_;
+  const auto first = Commit(store, CreateOnce("/claim/a", "one"));
+  REQUIRE(first.value().applied_);
+  CHECK_FALSE(Commit(store, CreateOnce("/claim/a", "two")).value().applied_);
+  const StoreRange range = Read(store, "/claim/");
+  REQUIRE(range.records_.size() == 1);
+  CHECK(range.records_[0].value_ == "one");
+  CHECK(range.records_[0].modRevision_ == first.value().revision_);
+
+  StoreTxn replace;
+  replace.compares_.push_back({ "/claim/a", range.records_[0].modRevision_ });
+  replace.puts_.push_back({ "/claim/a", "three", 0 });
+  CHECK(Commit(store, replace).value().applied_);
+  CHECK_FALSE(Commit(store, replace).value().applied_);
+  const StoreRecord after = Read(store, "/claim/a").records_.at(0);
+  CHECK(after.value_ == "three");
+  CHECK(after.createRevision_ == first.value().revision_);
+  CHECK(after.modRevision_ > after.createRevision_);
+}
+
+TEST_CASE("a transaction takes effect whole or not at all", "[store]")
+{
+  AnyStore any(GENERATE(true, false));
+  Store& store = *any.store_;
+  REQUIRE(Put(store, "/t/a", "1").value().applied_);
+  StoreTxn txn = CreateOnce("/t/a", "2");
+  txn.puts_.push_back({ "/t/b", "2", 0 });
+  txn.deletes_.emplace_back("/t/a");
+  CHECK_FALSE(Commit(store, txn).value().applied_);
+  CHECK(Read(store, "/t/").records_.size() == 1);
+  const auto missing = Put(store, "/t/c", "3", 424242);
+  REQUIRE_FALSE(missing);
+  CHECK(missing.error().kind_ == ErrorKind::NotFound);
+  CHECK(Read(store, "/t/c").records_.empty());
+}
+
+TEST_CASE("a revoked lease takes its records with it", "[store]")
+{
+  AnyStore any(GENERATE(true, false));
+  Store& store = *any.store_;
+  const StoreLease lease = Grant(store, std::chrono::seconds(30));
+  REQUIRE(Put(store, "/l/a", "1", lease.id_).value().applied_);
+  REQUIRE(Put(store, "/l/b", "1").value().applied_);
+  CHECK(KeepAlive(store, lease.id_).ttl_ == std::chrono::seconds(30));
+  REQUIRE(
+    Await<bool>([&](auto aDone) { store.RevokeLease(lease.id_, aDone); }));
+  CHECK(Read(store, "/l/").records_.size() == 1);
+  CHECK(KeepAlive(store, lease.id_).ttl_ == Duration::zero());
+}
+
+TEST_CASE("a watch resumes where its last one ended", "[store]")
+{
+  AnyStore any(GENERATE(true, false));
+  Store& store = *any.store_;
+  REQUIRE(Put(store, "/w/a", "1").value().applied_);
+  const auto second = Put(store, "/w/b", "1").value();
+  REQUIRE(Put(store, "/other", "1").value().applied_);
+  auto told = std::make_shared<Told>();
+  const auto watch = store.Watch("/w/", second.revision_, Into(told));
+  CHECK(told->WaitFor(1) == std::vector<std::string>{ "+/w/b" });
+  StoreTxn txn;
+  txn.deletes_.emplace_back("/w/a");
+  REQUIRE(Commit(store, txn).value().applied_);
+  REQUIRE(Put(store, "/w/c", "1").value().applied_);
+  CHECK(told->WaitFor(3) ==
+        std::vector<std::string>{ "+/w/b", "-/w/a", "+/w/c" });
+  store.StopWatch(watch);
+}
+
+TEST_CASE("an embedded lease ends by the clock", "[store]")
+{
+  AnyStore any(true);
+  Store& store = *any.store_;
+  const StoreLease lease = Grant(store, std::chrono::seconds(10));
+  REQUIRE(Put(store, "/l/a", "1", lease.id_).value().applied_);
+  any.clock_.Advance(std::chrono::seconds(9));
+  CHECK(KeepAlive(store, lease.id_).ttl_ == std::chrono::seconds(10));
+  any.clock_.Advance(std::chrono::seconds(9));
+  CHECK(Read(store, "/l/").records_.size() == 1);
+  any.clock_.Advance(std::chrono::seconds(1));
+  CHECK(Read(store, "/l/").records_.empty());
+  CHECK(KeepAlive(store, lease.id_).ttl_ == Duration::zero());
+}
+
+TEST_CASE("embedded records outlast the process and are shared", "[store]")
+{
+  AnyStore any(true);
+  const auto first = Commit(*any.store_, CreateOnce("/claim/a", "one"));
+  const StoreLease lease = Grant(*any.store_, std::chrono::seconds(10));
+  REQUIRE(Put(*any.store_, "/l/a", "1", lease.id_).value().applied_);
+  // Another process of the machine.
+  auto other = OpenEmbeddedStore(any.folder_.path_, any.clock_).value();
+  CHECK_FALSE(Commit(*other, CreateOnce("/claim/a", "two")).value().applied_);
+  auto told = std::make_shared<Told>();
+  (void)other->Watch("/w/", first.value().revision_, Into(told));
+  REQUIRE(Put(*any.store_, "/w/a", "1").value().applied_);
+  CHECK(told->WaitFor(1) == std::vector<std::string>{ "+/w/a" });
+  other.reset();
+  any.embedded_.reset();
+  // After a restart of the machine its clock starts anew: the lease has no
+  // more left than its whole time.
+  ManualClock fresh;
+  const auto again = OpenEmbeddedStore(any.folder_.path_, fresh).value();
+  CHECK(Read(*again, "/claim/").records_.at(0).value_ == "one");
+  fresh.Advance(std::chrono::seconds(10));
+  CHECK(Read(*again, "/l/").records_.empty());
+  CHECK(Put(*again, "/z", "1").value().revision_ > first.value().revision_);
+}
+
+TEST_CASE("a write whose answer is lost can be read back", "[store]")
+{
+  PlatformStore platform;
+  Store& store = *platform.store_;
+  platform.Ask(R"({"lose_next":1})");
+  const auto lost = Commit(store, CreateOnce("/claim/a", "token-1"));
+  REQUIRE_FALSE(lost);
+  CHECK(lost.error().kind_ != ErrorKind::Unavailable);
+  CHECK(Read(store, "/claim/a").records_.at(0).value_ == "token-1");
+}
+
+TEST_CASE("a store that is down runs nothing", "[store]")
+{
+  PlatformStore platform;
+  Store& store = *platform.store_;
+  platform.Ask(GENERATE(R"({"down":"refuse"})", R"({"down":"silent"})"));
+  CHECK_FALSE(Put(store, "/a", "1"));
+  platform.Ask("{}");
+  CHECK(Read(store, "/a").records_.empty());
+}
+
+TEST_CASE("a restart with an older state ends the watches", "[store]")
+{
+  PlatformStore platform;
+  Store& store = *platform.store_;
+  REQUIRE(Put(store, "/a", "1").value().applied_);
+  platform.Ask(R"({"save":true})");
+  const auto later = Put(store, "/b", "1").value();
+  auto told = std::make_shared<Told>();
+  (void)store.Watch("/", 0, Into(told));
+  platform.Ask(R"({"restore":true})");
+  CHECK(told->WaitForEnd());
+  const StoreRange range = Read(store, "/");
+  CHECK(range.records_.size() == 1);
+  CHECK(range.revision_ < later.revision_);
+}
+
+TEST_CASE("faults that are not understood change nothing", "[store]")
+{
+  standin::Faults faults;
+  REQUIRE(faults.Set(R"({"lose_next":1})").empty());
+  CHECK(faults.Set(R"({"lose_next":-1,"slow":3})").Items().size() == 2);
+  CHECK(faults.Set("no JSON").Items().size() == 1);
+  CHECK(faults.Decide(true).loseAnswer_);
+  CHECK_FALSE(faults.Decide(true).loseAnswer_);
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -92,7 +92,7 @@
 done
 
 standin callers callers --entries "$entries" --model abonnenter \
-  --rate 100 --stop-file "$run/stop"
+  --rate 100 --stop-file "$run/stop" --trace-file "$run/callers.trace"
 callers=$!
 "$build/marjoram-standin" trainer --name trainer --entries "$entries" \
   --trainer begravelse --model begravelse --weight-store "$weights" \
@@ -118,4 +118,7 @@
 fi
 touch "$run/stop"
 wait "$callers" || true
+trace=$(tail -n 1 "$run/callers.trace" | sed 's/.*"traceId":"\([0-9a-f]*\)".*/\1/')
+echo "demo: the hops of one live call (marjoramctl trace $trace):"
+"$build/marjoramctl" trace "$trace" --dir "$run"
 "$build/marjoram-standin" verify --records "$run/records"
