--- a/src/programs/load/decide_lead.cpp
+++ b/src/programs/load/decide_lead.cpp
@@ -94,14 +94,13 @@
   {
     BeginStep();
     loop_.RunUntil(TimePoint{ aLength });
+    idle_ +=
+      waitingSince_ == kNever ? Duration{ 0 } : loop_.Now() - waitingSince_;
     DecideRow row;
     row.policy_ = case_.name_;
-    const Duration counted = loop_.Now() - countedFrom_;
-    if (waitingSince_ != kNever) {
-      idle_ += loop_.Now() - waitingSince_;
-    }
-    row.trainerIdleShare_ = Share(idle_.count(), counted.count());
-    row.wastedShare_ = Share(generated_ - UsedTokens(), generated_);
+    row.trainerIdleShare_ =
+      Share(idle_.count(), (loop_.Now() - countedFrom_).count());
+    row.wastedShare_ = Share(generated_ - ledger_.Tokens().kept_, generated_);
     row.overBound_ = static_cast<double>(overBound_);
     row.staleness_ = Share(staleness_, delivered_);
     row.steps_ = static_cast<double>(wholeSteps_);
@@ -119,12 +118,6 @@
              : static_cast<double>(aPart) / static_cast<double>(aWhole);
   }
 
-  /// Tokens that were delivered or may still be.
-  [[nodiscard]] std::uint64_t UsedTokens() const
-  {
-    return ledger_.Tokens().kept_;
-  }
-
   void BeginStep()
   {
     ++step_;
@@ -313,7 +306,6 @@
   std::optional<GenerationStart> pending_;
   std::uint64_t inFlight_ = 0;
   std::uint64_t lastJob_ = 0;
-  /// `kNever` while the trainer trains.
   TimePoint waitingSince_ = kNever;
   TimePoint countedFrom_;
   Duration idle_{ 0 };
