--- a/include/marjoramtally/process/order_fencing.hpp
+++ b/include/marjoramtally/process/order_fencing.hpp
@@ -23,6 +23,7 @@
   Duration margin_ = std::chrono::milliseconds(500);
   /// Longest time in which an order that was received takes effect.
   Duration effect_ = std::chrono::milliseconds(500);
+  bool operator==(const FencingPolicy&) const = default;
 };
 
 /// What the owner may do now.
--- a/include/marjoramtally/process/rollout.hpp
+++ b/include/marjoramtally/process/rollout.hpp
@@ -13,6 +13,9 @@
 
 namespace marjoramtally {
 
+/// How often a pause between two tries doubles.
+inline constexpr std::uint64_t kMostDoublings = 4;
+
 /// Limits of one owner.
 struct RolloutPolicy
 {
@@ -82,7 +85,8 @@
                TimePoint aAskedAt,
                TimePoint aNow);
   void OnUnreadable(const UpstreamId& aUpstream, TimePoint aNow);
-  void OnOrderEnd(const UpstreamId& aUpstream, OrderEnd aEnd, TimePoint aNow);
+  /// An order ended; one from before the upstream was lost is ignored.
+  void OnOrderEnd(const SendOrder& aOrder, OrderEnd aEnd, TimePoint aNow);
   /// @returns what to do now
   [[nodiscard]] RolloutActions Decide(TimePoint aNow);
   [[nodiscard]] RolloutCounts Counts() const;
@@ -141,6 +145,7 @@
   std::unique_ptr<LoadPermits> permits_;
   TimePoint leaseUntil_;
   std::uint64_t loadsInProgress_ = 0;
+  std::uint64_t lastOrder_ = 0;
   std::map<ServiceId, ServiceGoal> goals_;
   std::map<UpstreamId, Upstream> upstreams_;
   RolloutActions notices_;
--- a/include/marjoramtally/process/rollout_messages.hpp
+++ b/include/marjoramtally/process/rollout_messages.hpp
@@ -21,6 +21,8 @@
   /// Loaded ahead, not necessarily served.
   ModelVersions loaded_;
   std::string role_;
+  std::uint64_t running_ = 0;
+  std::uint64_t queued_ = 0;
 };
 
 /// Kind of an order. All are absolute: they name the state to be in.
@@ -35,6 +37,8 @@
 struct SendOrder
 {
   UpstreamId upstream_;
+  /// Names the order when its end is reported.
+  std::uint64_t number_ = 0;
   OrderKind kind_ = OrderKind::Prefetch;
   FencingNumber term_;
   std::string model_;
--- a/src/programs/controld/order_service.cpp
+++ b/src/programs/controld/order_service.cpp
@@ -291,9 +291,9 @@
     return;
   }
   if (const auto* order = std::get_if<SendOrder>(&aAction)) {
-    sender_.Send(*order, [this, id = order->upstream_](OrderEnd aEnd) {
+    sender_.Send(*order, [this, sent = *order](OrderEnd aEnd) {
       const std::lock_guard lock(mutex_);
-      rollout_.OnOrderEnd(id, aEnd, host_.Now());
+      rollout_.OnOrderEnd(sent, aEnd, host_.Now());
     });
     return;
   }
--- a/src/programs/load/rollout_fleet.cpp
+++ b/src/programs/load/rollout_fleet.cpp
@@ -151,12 +151,12 @@
   }
 
   void End(Rollout& aOwner,
-           const UpstreamId& aId,
+           const SendOrder& aOrder,
            Duration aAfter,
            std::function<OrderEnd()> aEffect)
   {
-    loop_.After(aAfter, [this, &aOwner, aId, effect = std::move(aEffect)] {
-      aOwner.OnOrderEnd(aId, effect(), loop_.Now());
+    loop_.After(aAfter, [this, &aOwner, aOrder, effect = std::move(aEffect)] {
+      aOwner.OnOrderEnd(aOrder, effect(), loop_.Now());
     });
   }
 
@@ -164,18 +164,18 @@
   {
     const UpstreamId id = aOrder.upstream_;
     if (aOrder.kind_ == OrderKind::Role) {
-      End(aOwner, id, kCallTime, [] { return OrderEnd::Done; });
+      End(aOwner, aOrder, kCallTime, [] { return OrderEnd::Done; });
     } else if (aOrder.kind_ == OrderKind::Switch) {
-      Switch(aOwner, id);
+      Switch(aOwner, aOrder);
     } else if (weights_.Load(loop_.Now())) {
       SetAnswering(id, plan_.loadsAhead_);
-      End(aOwner, id, Spread(plan_.loadTime_), [this, id] {
+      End(aOwner, aOrder, Spread(plan_.loadTime_), [this, id] {
         SetAnswering(id, true);
         SamplerOf(id).state_.loaded_[kModel] = kNew;
         return OrderEnd::Done;
       });
     } else {
-      End(aOwner, id, kCallTime, [] { return OrderEnd::StoreBusy; });
+      End(aOwner, aOrder, kCallTime, [] { return OrderEnd::StoreBusy; });
     }
   }
 
@@ -189,13 +189,14 @@
   }
 
   /// A failed swap leaves the old version and loses what was loaded.
-  void Switch(Rollout& aOwner, const UpstreamId& aId)
+  void Switch(Rollout& aOwner, const SendOrder& aOrder)
   {
-    SetAnswering(aId, false);
+    const UpstreamId& id = aOrder.upstream_;
+    SetAnswering(id, false);
     const bool fails = random_.Unit() < plan_.failedSwaps_;
-    End(aOwner, aId, Spread(plan_.switchTime_), [this, aId, fails] {
-      FakeSampler& sampler = SamplerOf(aId);
-      SetAnswering(aId, true);
+    End(aOwner, aOrder, Spread(plan_.switchTime_), [this, id, fails] {
+      FakeSampler& sampler = SamplerOf(id);
+      SetAnswering(id, true);
       if (fails) {
         ++outcome_.failedSwaps_;
         sampler.state_.loaded_.clear();
