Allocation of engines by floor, share and ceiling, driven by orders of role

Cause: nothing shared engines out among live callers and trainers. Now: a decision library with hysteresis for slow moves and water marks for live callers, who take back without it; a service in the control daemon that samples the load of 20 engines a second, publishes roles in a transaction that needs its record of ownership, and the owners of upstreams order them. Conclusion: kept; off unless a service's rules ask for it.

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "marjoramtally/process/admission.hpp"
+#include "marjoramtally/process/allocation.hpp"
 #include "marjoramtally/process/claim_record.hpp"
 #include "marjoramtally/process/claims.hpp"
 #include "marjoramtally/process/concurrency_limit.hpp"
--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -28,6 +28,12 @@
   /// Generations in progress end on the old weights for so long at a
   /// switch; 0 resumes them on the new ones.
   Duration drain_{ 0 };
+  /// Whether engines are shared out among its live callers and trainers by
+  /// orders of role.
+  bool allocate_ = false;
+  /// Engines that live callers have at least and at most.
+  std::uint64_t liveFloor_ = 1;
+  std::uint64_t liveCeiling_ = 100'000;
 };
 
 /// `[upstream NAME]`
@@ -40,6 +46,8 @@
   std::string address_;
   /// Whether it refuses orders with an old fencing number.
   bool fencing_ = true;
+  /// Role that it is ordered to have, unless the service allocates roles.
+  std::string role_;
   /// Set by operators to take it out of service.
   bool leaving_ = false;
 };
@@ -67,6 +75,9 @@
   std::string scorer_;
   /// SHA-256 of its bearer token, in hexadecimal digits; empty needs none.
   std::string tokenHash_;
+  /// Engines that it has at least and at most where the service allocates.
+  std::uint64_t enginesFloor_ = 0;
+  std::uint64_t enginesCeiling_ = 100'000;
 };
 
 /// An operator, as named in the rules.
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -33,6 +33,16 @@
   aView.owners_.emplace(aDuty, std::move(record));
 }
 
+void
+TakeRoles(const Json& aBody, ClusterView& aView)
+{
+  for (const auto& [engine, role] : aBody.items()) {
+    if (role.is_string()) {
+      aView.roles_[UpstreamId{ engine }] = role.get<std::string>();
+    }
+  }
+}
+
 /// Sorts one record of the store into the view.
 void
 TakeRecord(const StoreRecord& aRecord,
@@ -53,6 +63,8 @@
     }
   } else if (key.starts_with(kOwnerPrefix)) {
     TakeOwner(key.substr(kOwnerPrefix.size()), body, aRecord, aView);
+  } else if (key.starts_with(kRolePrefix)) {
+    TakeRoles(body, aView);
   } else if (key.starts_with(kVersionPrefix)) {
     aView.versions_[key.substr(kVersionPrefix.size())] =
       WeightVersion{ body.value("version", std::uint64_t{ 0 }) };
@@ -71,7 +83,9 @@
              aStore,
              aTimers,
              std::string(kLivePrefix),
-             { std::string(kOwnerPrefix), std::string(kVersionPrefix) })
+             { std::string(kOwnerPrefix),
+               std::string(kVersionPrefix),
+               std::string(kRolePrefix) })
 {
 }
 
@@ -127,6 +141,7 @@
   }
   Update([&read](ClusterView& aView) {
     aView.owners_ = std::move(read.owners_);
+    aView.roles_ = std::move(read.roles_);
     for (const auto& [model, version] : read.versions_) {
       WeightVersion& known = aView.versions_[model];
       known = std::max(known, version);
--- a/src/daemon/cluster.hpp
+++ b/src/daemon/cluster.hpp
@@ -21,6 +21,10 @@
 inline constexpr std::string_view kOwnerPrefix = "/marjoramtally/live/owners/";
 inline constexpr std::string_view kVersionPrefix =
   "/marjoramtally/live/versions/";
+/// Roles of a service's engines, as its allocation's owner wants them.
+inline constexpr std::string_view kRolePrefix = "/marjoramtally/live/roles/";
+/// The role of engines that are for live callers.
+inline constexpr std::string_view kLiveRole = "live";
 
 /// One of our processes as it registers itself.
 struct InstanceRecord
@@ -51,6 +55,8 @@
   std::map<std::string, OwnerRecord> owners_;
   /// Announced weight version of each model.
   std::map<std::string, WeightVersion> versions_;
+  /// Allocated role of each engine.
+  std::map<UpstreamId, std::string> roles_;
   std::shared_ptr<const Rules> rules_ = std::make_shared<Rules>();
 };
 
--- /dev/null
+++ b/src/programs/controld/allocation_service.cpp
@@ -0,0 +1,194 @@
+#include "programs/controld/allocation_service.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr auto kPeriod = std::chrono::seconds(1);
+/// Engines whose load is read in a round, however many there are.
+constexpr std::size_t kSample = 20;
+
+std::vector<UpstreamId>
+EnginesOf(const ClusterView& aView, const ServiceRule& aRule)
+{
+  std::vector<UpstreamId> engines;
+  for (const auto& [id, upstream] : aView.rules_->upstreams_) {
+    if (upstream.service_ == aRule.id_.Get() && !upstream.leaving_) {
+      engines.push_back(id);
+    }
+  }
+  return engines;
+}
+
+std::vector<EngineUserRule>
+UsersOf(const ClusterView& aView, const ServiceRule& aRule)
+{
+  std::vector<EngineUserRule> users;
+  users.push_back({ EngineUserId{ std::string(kLiveRole) },
+                    aRule.liveFloor_,
+                    aRule.liveCeiling_,
+                    1,
+                    true });
+  for (const auto& [id, trainer] : aView.rules_->trainers_) {
+    if (trainer.service_ == aRule.id_.Get()) {
+      users.push_back({ EngineUserId{ id.Get() },
+                        trainer.enginesFloor_,
+                        trainer.enginesCeiling_,
+                        trainer.weight_,
+                        false });
+    }
+  }
+  return users;
+}
+
+} // namespace
+
+AllocationService::AllocationService(Host& aHost, Owners& aOwners)
+  : host_(aHost)
+  , owners_(aOwners)
+  , sender_(aHost)
+  , random_(std::hash<std::string>{}(aHost.Settings().instance_))
+{
+}
+
+void
+AllocationService::Start()
+{
+  host_.Clockwork().Every(kPeriod, [this] { Tick(); });
+}
+
+void
+AllocationService::Tick()
+{
+  const auto view = host_.Members().View();
+  for (const auto& [id, rule] : view->rules_->services_) {
+    if (!rule.allocate_) {
+      continue;
+    }
+    owners_.Acquire(
+      "allocation/" + id.Get(),
+      [this, view, service = rule](const Result<Ownership>& aOwned) {
+        const std::lock_guard lock(mutex_);
+        if (aOwned && aOwned.value().mine_) {
+          Run(*view, service, aOwned.value().term_);
+        } else {
+          pools_.erase(service.id_);
+        }
+      });
+  }
+}
+
+void
+AllocationService::Run(const ClusterView& aView,
+                       const ServiceRule& aRule,
+                       FencingNumber aTerm)
+{
+  Pool& pool = pools_[aRule.id_];
+  pool.allocation_.SetUsers(UsersOf(aView, aRule));
+  pool.allocation_.SetEngines(EnginesOf(aView, aRule));
+  if (pool.term_ != aTerm) {
+    pool.term_ = aTerm;
+    Adopt(aView, aRule, pool);
+  }
+  TakeDemand(pool);
+  for (const EngineMove& move : pool.allocation_.Decide(host_.Now())) {
+    LogEvent(LogLevel::Info,
+             "engine_moved",
+             { { "upstream", move.engine_.Get() },
+               { "from", move.from_.Get() },
+               { "to", move.to_.Get() },
+               { "urgent", move.urgent_ ? "yes" : "no" } });
+    host_.Measures().Count("engine_moves{urgent=\"" +
+                           std::string(move.urgent_ ? "yes" : "no") + "\"}");
+  }
+  Publish(aRule.id_, pool);
+  Sample(aView, aRule);
+}
+
+void
+AllocationService::Adopt(const ClusterView& aView,
+                         const ServiceRule& aRule,
+                         Pool& aPool)
+{
+  for (const UpstreamId& engine : EnginesOf(aView, aRule)) {
+    const auto role = aView.roles_.find(engine);
+    if (role != aView.roles_.end()) {
+      aPool.allocation_.Adopt(engine, EngineUserId{ role->second });
+    }
+  }
+}
+
+void
+AllocationService::TakeDemand(Pool& aPool)
+{
+  for (const auto& [user, load] : aPool.sampled_) {
+    const auto held = static_cast<double>(aPool.allocation_.Held(user));
+    aPool.allocation_.OnDemand(
+      user, held * load.first / static_cast<double>(load.second), host_.Now());
+  }
+  aPool.sampled_.clear();
+}
+
+void
+AllocationService::Sample(const ClusterView& aView, const ServiceRule& aRule)
+{
+  std::vector<UpstreamId> engines = EnginesOf(aView, aRule);
+  const std::size_t count = std::min(kSample, engines.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(engines[i], engines[i + random_.Below(engines.size() - i)]);
+    sender_.Read(engines[i],
+                 [this,
+                  service = aRule.id_,
+                  limit = aRule.upstreamLimit_,
+                  id = engines[i]](const std::optional<UpstreamState>& aState) {
+                   const std::lock_guard lock(mutex_);
+                   const auto pool = pools_.find(service);
+                   if (!aState || pool == pools_.end()) {
+                     return;
+                   }
+                   auto& load =
+                     pool->second.sampled_[pool->second.allocation_.UserOf(id)];
+                   load.first +=
+                     static_cast<double>(aState->running_ + aState->queued_) /
+                     static_cast<double>(limit);
+                   ++load.second;
+                 });
+  }
+}
+
+void
+AllocationService::Publish(const ServiceId& aService, Pool& aPool)
+{
+  nlohmann::json roles = nlohmann::json::object();
+  for (const auto& [engine, user] : aPool.allocation_.Assigned()) {
+    roles[engine.Get()] = user.Get();
+  }
+  const std::string text = roles.dump();
+  if (aPool.writing_ || text == aPool.published_) {
+    return;
+  }
+  aPool.writing_ = true;
+  StoreTxn txn;
+  // Only the present owner's record may change the roles.
+  txn.compares_.push_back(
+    { std::string(kOwnerPrefix) + "allocation/" + aService.Get(),
+      aPool.term_.Get() });
+  txn.puts_.push_back({ std::string(kRolePrefix) + aService.Get(), text, 0 });
+  host_.PlatformStore().Commit(
+    std::move(txn), [this, aService, text](const Result<StoreCommit>& aCommit) {
+      const std::lock_guard lock(mutex_);
+      const auto pool = pools_.find(aService);
+      if (pool == pools_.end()) {
+        return;
+      }
+      pool->second.writing_ = false;
+      if (aCommit && aCommit.value().applied_) {
+        pool->second.published_ = text;
+      }
+    });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/controld/allocation_service.hpp
@@ -0,0 +1,48 @@
+/// Drives the allocation of engines for the services whose rules ask for it:
+/// samples loads, publishes roles in the store.
+#pragma once
+
+#include "marjoramtally/process/allocation.hpp"
+#include "programs/controld/order_sender.hpp"
+#include "programs/controld/owners.hpp"
+
+namespace marjoramtally {
+
+/// Allocations that this process owns. Thread-safe.
+class AllocationService
+{
+public:
+  AllocationService(Host& aHost, Owners& aOwners);
+  void Start();
+
+private:
+  struct Pool
+  {
+    Allocation allocation_{ AllocationPolicy{} };
+    FencingNumber term_;
+    /// Sum and number of the loads sampled in this round, by user.
+    std::map<EngineUserId, std::pair<double, std::uint64_t>> sampled_;
+    bool writing_ = false;
+    /// The roles published last.
+    std::string published_;
+  };
+
+  void Tick();
+  void Run(const ClusterView& aView,
+           const ServiceRule& aRule,
+           FencingNumber aTerm);
+  /// Takes over what the last owner published.
+  void Adopt(const ClusterView& aView, const ServiceRule& aRule, Pool& aPool);
+  void TakeDemand(Pool& aPool);
+  void Sample(const ClusterView& aView, const ServiceRule& aRule);
+  void Publish(const ServiceId& aService, Pool& aPool);
+
+  Host& host_;
+  Owners& owners_;
+  OrderSender sender_;
+  std::mutex mutex_;
+  Random random_;
+  std::map<ServiceId, Pool> pools_;
+};
+
+} // namespace marjoramtally
--- a/src/programs/controld/main.cpp
+++ b/src/programs/controld/main.cpp
@@ -1,5 +1,6 @@
 /// The control daemon: ledgers of trainers and orders to engines.
 
+#include "programs/controld/allocation_service.hpp"
 #include "programs/controld/order_service.hpp"
 #include "programs/controld/trainer_service.hpp"
 
@@ -41,6 +42,7 @@
   Owners owners(host);
   TrainerService trainers(host, owners);
   OrderService orders(host, owners);
+  AllocationService allocation(host, owners);
   host.onRpc_ = [&trainers](RpcCall aCall, RpcDone aDone) {
     ServeRpc(trainers, std::move(aCall), std::move(aDone));
   };
@@ -57,6 +59,7 @@
   }
   trainers.Start();
   orders.Start();
+  allocation.Start();
   host.RunUntilStopped([&trainers] { return trainers.Busy(); });
   return kExitOk;
 }
--- a/src/programs/controld/order_sender.cpp
+++ b/src/programs/controld/order_sender.cpp
@@ -31,6 +31,15 @@
   return versions;
 }
 
+std::uint64_t
+ParseCount(const Json& aBody, const char* aKey)
+{
+  const auto found = aBody.find(aKey);
+  return found != aBody.end() && found->is_number_unsigned()
+           ? found->get<std::uint64_t>()
+           : 0;
+}
+
 std::optional<UpstreamState>
 ParseState(const std::string& aText)
 {
@@ -41,6 +50,8 @@
   UpstreamState state;
   state.served_ = ParseVersions(body, "models");
   state.loaded_ = ParseVersions(body, "loaded");
+  state.running_ = ParseCount(body, "running");
+  state.queued_ = ParseCount(body, "queued");
   const auto role = body.find("role");
   if (role != body.end() && role->is_string()) {
     state.role_ = role->get<std::string>();
--- a/src/programs/controld/order_service.cpp
+++ b/src/programs/controld/order_service.cpp
@@ -209,6 +209,7 @@
   rollout_.Own({ aRule.id_, ServiceId{ aRule.service_ }, aRule.fencing_ },
                owner->term_,
                host_.Now());
+  rollout_.SetRole(aRule.id_, RoleFor(aView, aRule));
   claims_.erase(aRule.id_);
   if (preferred) {
     misplaced_.erase(aRule.id_);
@@ -242,6 +243,16 @@
   return PreferredOwner(aRule.id_, owners);
 }
 
+std::string
+OrderService::RoleFor(const ClusterView& aView, const UpstreamRule& aRule)
+{
+  const auto allocated = aView.roles_.find(aRule.id_);
+  const bool allocates =
+    aView.rules_->services_.at(ServiceId{ aRule.service_ }).allocate_;
+  return allocates && allocated != aView.roles_.end() ? allocated->second
+                                                      : aRule.role_;
+}
+
 void
 OrderService::Claim(const UpstreamRule& aRule)
 {
--- a/src/programs/controld/order_service.hpp
+++ b/src/programs/controld/order_service.hpp
@@ -40,6 +40,9 @@
   [[nodiscard]] InstanceId PreferredFor(const ClusterView& aView,
                                         const ServiceOwners& aService,
                                         const UpstreamRule& aRule) const;
+  /// The role that an engine is to have.
+  [[nodiscard]] static std::string RoleFor(const ClusterView& aView,
+                                           const UpstreamRule& aRule);
   void Claim(const UpstreamRule& aRule);
   /// Gives an upstream up for its preferred owner once that has been clear
   /// for a while and nothing is in progress.
--- a/src/programs/load/experiments.hpp
+++ b/src/programs/load/experiments.hpp
@@ -18,4 +18,7 @@
 int
 RunRolloutBench(int aArgc, char** aArgv);
 
+int
+RunAllocationBench(int aArgc, char** aArgv);
+
 } // namespace marjoramtally
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -33,6 +33,9 @@
     "membership [--members N] [--zones N] [--trials N] [--seed N]: membership "
     "on a paused clock",
     marjoramtally::RunMembershipBench },
+  { "allocation",
+    "allocation: engines shared among live callers and trainers",
+    marjoramtally::RunAllocationBench },
 });
 
 } // namespace
--- a/src/version/rules_sections.cpp
+++ b/src/version/rules_sections.cpp
@@ -14,24 +14,28 @@
 constexpr std::uint64_t kMaxInFlight = 100'000;
 constexpr std::uint64_t kMaxDrainMicros = 600'000'000;
 
-constexpr std::array<FieldSpec<ServiceRule>, 6> kServiceFields{ {
+constexpr std::array<FieldSpec<ServiceRule>, 9> kServiceFields{ {
   { "kind", &ServiceRule::kind_, true },
   { "deadline", &ServiceRule::deadline_, false, 1'000, 3'600'000'000 },
   { "upstream-limit", &ServiceRule::upstreamLimit_, false, 1, kMaxInFlight },
   { "floor", &ServiceRule::floor_, false, 0, 100 },
   { "wave", &ServiceRule::wave_, false, 0, kMaxInFlight },
   { "drain", &ServiceRule::drain_, false, 0, kMaxDrainMicros },
+  { "allocate", &ServiceRule::allocate_ },
+  { "live-floor", &ServiceRule::liveFloor_, false, 0, kMaxInFlight },
+  { "live-ceiling", &ServiceRule::liveCeiling_, false, 1, kMaxInFlight },
 } };
 
-constexpr std::array<FieldSpec<UpstreamRule>, 5> kUpstreamFields{ {
+constexpr std::array<FieldSpec<UpstreamRule>, 6> kUpstreamFields{ {
   { "service", &UpstreamRule::service_, true },
   { "zone", &UpstreamRule::zone_, true },
   { "address", &UpstreamRule::address_, true },
   { "fencing", &UpstreamRule::fencing_ },
+  { "role", &UpstreamRule::role_ },
   { "leaving", &UpstreamRule::leaving_ },
 } };
 
-constexpr std::array<FieldSpec<TrainerRule>, 9> kTrainerFields{ {
+constexpr std::array<FieldSpec<TrainerRule>, 11> kTrainerFields{ {
   { "service", &TrainerRule::service_, true },
   { "model", &TrainerRule::model_, true },
   { "staleness", &TrainerRule::staleness_, false, 0, kMaxStaleness },
@@ -41,6 +45,8 @@
   { "in-flight", &TrainerRule::inFlight_, false, 1, kMaxInFlight },
   { "scorer", &TrainerRule::scorer_ },
   { "token-sha256", &TrainerRule::tokenHash_ },
+  { "engines-floor", &TrainerRule::enginesFloor_, false, 0, kMaxInFlight },
+  { "engines-ceiling", &TrainerRule::enginesCeiling_, false, 1, kMaxInFlight },
 } };
 
 constexpr std::array<FieldSpec<OperatorRule>, 1> kOperatorFields{ {
