Orders: an owner keeps its upstreams while its lease cannot be renewed

Cause: the session reports no lease once it may not act by it, and the order service took that for a new lease and dropped all it owned; so in an outage of the store an engine that came back empty was not loaded again, though its upstream checks numbers (tests of the library have this case; the daemon did not drive it so). Ruled out: keeping everything over a new lease too; the records went with the old one. Upstreams that ignore numbers stay bounded by the end of the lease. Not run on real daemons: an outage of the store with a crashed engine.

--- a/src/programs/controld/order_service.cpp
+++ b/src/programs/controld/order_service.cpp
@@ -81,7 +81,9 @@
 OrderService::Survey(const ClusterView& aView)
 {
   const StoreLeaseId lease = host_.Members().Lease();
-  if (lease != lease_) {
+  // Without a lease we stay owners by the numbers that we have shown; what
+  // needs the lease is bounded by its end.
+  if (lease != 0 && lease != lease_) {
     // What we owned went with the last lease, whatever the view still says.
     for (const auto& [id, rule] : aView.rules_->upstreams_) {
       rollout_.Lose(id);
