Linter: a token's event is returned by move

Cause: a const local cannot be moved out of its function; the linter named it. Measured: the linter is clean over this unit. Conclusion: no change of behaviour.

--- a/src/standins/engine_stream.cpp
+++ b/src/standins/engine_stream.cpp
@@ -67,7 +67,7 @@
 TokenStream::TokenEvent()
 {
   const Json spans = orders_.Spans(spec_.model_, 1, clock_.Now());
-  const Json event{
+  Json event{
     { "model", spec_.model_ },
     { "choices",
       { { { "text", TokenText(spec_.prompt_, next_) },
