Dispatcher split into units with one job each

Changed: report_poller (poll plan and reports, with a lock of its own that is held over nothing else), dispatch_queue (admission and what starts), hedges (straggler policy), flight (a request and its attempts), dispatch_result (outcomes and reasons), upstream_list, upstream_message. The dispatcher keeps the one lock over queue, hedges, retry budget and flights; its header says what is called with it and what without. Message builders no longer include the dispatcher. Ruled out: a lock for each unit, as one request's decision touches queue, hedges and flight at once. No test or check was changed.

--- a/src/programs/entryd/completions.hpp
+++ b/src/programs/entryd/completions.hpp
@@ -2,7 +2,8 @@
 #pragma once
 
 #include "marjoramtally/connection.hpp"
-#include "programs/entryd/dispatcher.hpp"
+#include "programs/entryd/dispatch_result.hpp"
+#include "programs/entryd/upstream_message.hpp"
 
 namespace marjoramtally {
 
--- /dev/null
+++ b/src/programs/entryd/dispatch_queue.cpp
@@ -0,0 +1,65 @@
+#include "programs/entryd/dispatch_queue.hpp"
+
+namespace marjoramtally {
+
+void
+DispatchQueue::TakeLimits(const Rules& aRules,
+                          const std::vector<UpstreamView>& aUpstreams)
+{
+  admission_.SetClasses(aRules.classes_);
+  for (const auto& [id, trainer] : aRules.trainers_) {
+    admission_.SetWeight(ServiceId{ trainer.service_ }, id, trainer.weight_);
+  }
+  std::map<ServiceId, std::uint64_t> slots;
+  for (const UpstreamView& upstream : aUpstreams) {
+    slots[upstream.service_] += upstream.leaving_ ? 0 : upstream.limit_;
+  }
+  for (const auto& [service, count] : slots) {
+    admission_.SetCapacity(service, count);
+  }
+}
+
+std::vector<AttemptStart>
+DispatchQueue::PickStarts(const ServiceId& aService,
+                          const Flights& aFlights,
+                          TimePoint aNow)
+{
+  std::vector<AttemptStart> starts;
+  std::vector<QueuedRequest> suspects;
+  admission_.Resume(aService);
+  while (const QueuedRequest* queued = admission_.Next(aService, aNow)) {
+    const TicketId ticket = queued->ticket_;
+    const FlightPtr& flight = aFlights.at(ticket);
+    UpstreamPtr upstream = router_.Pick(
+      queued->spec_, crashes_.Avoid(queued->spec_, flight->tried_), aNow);
+    if (!upstream) {
+      admission_.Stall(ticket);
+    } else if (!crashes_.TryStart(queued->spec_, upstream->id_)) {
+      // A suspect waits for its turn alone and holds up nobody.
+      suspects.push_back(*queued);
+      admission_.Remove(ticket);
+    } else {
+      router_.OnSent(upstream->id_, queued->spec_, aNow);
+      admission_.Dispatch(ticket, aNow);
+      starts.push_back({ ticket, flight, std::move(upstream) });
+    }
+  }
+  for (QueuedRequest& suspect : suspects) {
+    admission_.EnqueueFront(std::move(suspect), aNow);
+  }
+  return starts;
+}
+
+std::vector<ExpiredRequest>
+DispatchQueue::TakeExpired(const Flights& aFlights, TimePoint aNow)
+{
+  std::vector<ExpiredRequest> expired;
+  for (const QueuedRequest& request : admission_.Expire(aNow)) {
+    expired.push_back({ request.ticket_,
+                        aFlights.at(request.ticket_),
+                        admission_.ExpectedWait(request.spec_) });
+  }
+  return expired;
+}
+
+} // namespace marjoramtally
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -2,48 +2,21 @@
 #pragma once
 
 #include "daemon/host.hpp"
-#include "marjoramtally/process.hpp"
-#include "marjoramtally/request.hpp"
-#include "programs/entryd/attempt_sink.hpp"
-#include "programs/entryd/crash_guard.hpp"
+#include "programs/entryd/dispatch_queue.hpp"
+#include "programs/entryd/hedges.hpp"
+#include "programs/entryd/report_poller.hpp"
 #include "programs/entryd/request_measures.hpp"
 
-#include <unordered_map>
-
 namespace marjoramtally {
 
-/// The HTTP message to send to whichever upstream is chosen.
-struct UpstreamMessage
-{
-  std::string method_;
-  /// Path and query.
-  std::string target_;
-  HttpHeaders headers_;
-  std::string body_;
-  /// Takes the answer piece by piece, if set; the result has no body then.
-  std::shared_ptr<AttemptSink> sink_{};
-};
-
-/// What became of a request.
-struct DispatchResult
-{
-  Outcome outcome_ = Outcome::RefusedNotRun;
-  /// Set if completed.
-  HttpResponse response_;
-  UpstreamId upstream_;
-  /// Why it was not completed, for people.
-  std::string reason_;
-  /// Whether it was its deadline that ended it.
-  bool late_ = false;
-  /// When sending it again makes sense.
-  Duration retryAfter_ = std::chrono::seconds(1);
-};
-
-using DispatchDone = std::function<void(DispatchResult)>;
-/// Judges a whole response: does it prove that the answer is complete?
-using ResponseJudge = std::function<AttemptEnd(const HttpResponse&)>;
-
 /// The dispatcher of one entry process. Thread-safe.
+///
+/// One lock guards the queue, the hedges, the retry budget, the flights and
+/// what changes in a flight. Each member function takes it itself, but for
+/// those marked, which are called with it held. Router, crash guard, report
+/// poller and measures are thread-safe: they are called with the lock held or
+/// not, and never call back. Callers' callbacks, the HTTP client and traces
+/// are only called without it; of a sink, only `GivenUp` is called with it.
 class Dispatcher
 {
 public:
@@ -64,82 +37,65 @@
   [[nodiscard]] CrashGuard& Crashes() noexcept { return crashes_; }
 
 private:
-  /// An attempt in progress.
-  struct Sent
-  {
-    UpstreamId upstream_;
-    TimePoint at_;
-    /// Set once the client has taken it.
-    std::optional<HttpCallId> call_;
-  };
-  struct Flight
+  /// What follows from an attempt that decides its request.
+  struct Decision
   {
-    RequestSpec spec_;
-    UpstreamMessage message_;
-    ResponseJudge judge_;
-    DispatchDone done_;
-    Attempts attempts_;
-    std::vector<UpstreamId> tried_;
-    TraceContext trace_;
-    Span queueSpan_;
-    /// Attempts in progress; more than one if it is hedged.
-    std::vector<Sent> sent_{};
-    /// Whether a whole answer was taken; later ones are dropped.
-    bool won_ = false;
+    NextStep next_ = NextStep::Retry;
+    /// Attempts to be cancelled.
+    std::vector<SentAttempt> losers_{};
   };
-  using FlightPtr = std::shared_ptr<Flight>;
 
   void TakeView(const ClusterViewPtr& aView);
-  void PollReports();
-  void PollReport(const UpstreamView& aUpstream);
-  /// Takes over the rules' limits of classes, trainers and services.
-  void TakeLimits(const Rules& aRules,
-                  const std::vector<UpstreamView>& aUpstreams);
-  /// Dispatches what may go now, of all services or of one.
-  void Pump();
-  void PumpService(const ServiceId& aService);
+  [[nodiscard]] TicketId Open(const FlightPtr& aFlight);
   void Refuse(TicketId aTicket,
               const FlightPtr& aFlight,
               const AdmissionVerdict& aVerdict);
   void Expire();
-  void SendAttempt(TicketId aTicket,
-                   const FlightPtr& aFlight,
-                   const UpstreamView& aUpstream);
-  /// Sends members of groups that run late a second time.
+  /// Dispatches what may go now, of all services or of one.
+  void Pump();
+  void PumpService(const ServiceId& aService);
   void HedgeStragglers();
-  /// Takes an attempt off the list of those in progress.
-  [[nodiscard]] static Sent TakeSent(Flight& aFlight,
-                                     const UpstreamId& aUpstream);
-  /// Records an attempt's end; the lock is held.
-  /// @returns whether it decides the request, which then has no other attempt
-  /// in progress but those to be cancelled
-  [[nodiscard]] bool Decides(Flight& aFlight,
-                             const UpstreamId& aUpstream,
-                             const HttpResult& aResult,
-                             AttemptEnd aEnd);
-  void EndAttempt(TicketId aTicket,
-                  const FlightPtr& aFlight,
-                  const UpstreamView& aUpstream,
-                  HttpResult aResult);
+  void SendAttempt(const AttemptStart& aStart);
+  /// Puts an attempt on the list of those in progress.
+  void RecordStart(const AttemptStart& aStart);
+  void RecordCall(const AttemptStart& aStart, HttpCallId aCall);
+  void EndAttempt(const AttemptStart& aStart, HttpResult aResult);
+  /// Records an attempt's end.
+  /// @param aVerdict whether its request may run again
+  /// @param aResult gets the reason if it may not
+  /// @returns what follows, if it decides the request
+  [[nodiscard]] std::optional<Decision> Decide(
+    const AttemptStart& aStart,
+    AttemptEnd aEnd,
+    const QuarantineVerdict& aVerdict,
+    HttpResult& aResult);
+  /// Tells the router how an attempt ended; the lock is held.
+  void TellRouter(const AttemptStart& aStart,
+                  AttemptEnd aEnd,
+                  const HttpResult& aResult);
+  /// Decides what follows an attempt, within the retry budget and the
+  /// quarantine; the lock is held.
+  [[nodiscard]] NextStep NextAfter(Flight& aFlight,
+                                   AttemptEnd aEnd,
+                                   const QuarantineVerdict& aVerdict,
+                                   HttpResult& aResult);
   void Finish(TicketId aTicket,
               const FlightPtr& aFlight,
               DispatchResult aResult);
   /// Ends a request whose fingerprint is quarantined.
   /// @returns whether it was
   bool FinishIfQuarantined(TicketId aTicket, const FlightPtr& aFlight);
-  /// Decides what follows an attempt, within the retry budget.
-  [[nodiscard]] NextStep NextAfter(Flight& aFlight, AttemptEnd aEnd);
 
   Host& host_;
   RequestMeasures measures_{ host_.Measures() };
-  mutable std::mutex mutex_;
   Router router_;
-  PollPlan polls_;
-  Admission admission_;
-  StragglerPolicy stragglers_;
-  RetryBudget retries_;
   CrashGuard crashes_;
-  std::unordered_map<TicketId, FlightPtr> flights_;
+  ReportPoller reports_;
+  mutable std::mutex mutex_;
+  DispatchQueue queue_;
+  Hedges hedges_;
+  RetryBudget retries_;
+  Flights flights_;
   std::uint64_t lastTicket_ = 0;
 };
 
--- a/src/programs/entryd/live_messages.hpp
+++ b/src/programs/entryd/live_messages.hpp
@@ -1,7 +1,7 @@
 /// HTTP messages of live callers: what is passed on, and what is answered.
 #pragma once
 
-#include "programs/entryd/dispatcher.hpp"
+#include "programs/entryd/dispatch_result.hpp"
 
 namespace marjoramtally {
 
--- /dev/null
+++ b/src/programs/entryd/report_poller.cpp
@@ -0,0 +1,97 @@
+#include "programs/entryd/report_poller.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr auto kReportPeriod = std::chrono::milliseconds(50);
+constexpr auto kReportTimeout = std::chrono::seconds(1);
+
+Result<UpstreamReport>
+ParseReport(const std::string& aBody)
+{
+  try {
+    const auto body = nlohmann::json::parse(aBody);
+    UpstreamReport report;
+    report.running_ = body.at("running").get<std::uint64_t>();
+    report.queued_ = body.at("queued").get<std::uint64_t>();
+    for (const auto& [model, version] : body.at("models").items()) {
+      report.models_[model] = WeightVersion{ version.get<std::uint64_t>() };
+    }
+    report.leaving_ = body.value("leaving", false);
+    report.incarnation_ = body.value("incarnation", std::uint64_t{ 0 });
+    return report;
+  } catch (const nlohmann::json::exception& failure) {
+    return Error{ ErrorKind::BadInput, failure.what() };
+  }
+}
+
+} // namespace
+
+ReportPoller::ReportPoller(Host& aHost, Router& aRouter)
+  : host_(aHost)
+  , router_(aRouter)
+  , plan_(ZoneId{ aHost.Settings().zone_ }, aHost.Settings().instance_)
+{
+}
+
+void
+ReportPoller::Start()
+{
+  host_.Clockwork().Every(kReportPeriod, [this] { PollDue(); });
+}
+
+void
+ReportPoller::SetUpstreams(const std::vector<UpstreamView>& aUpstreams)
+{
+  const std::lock_guard lock(mutex_);
+  plan_.SetUpstreams(aUpstreams, host_.Now());
+}
+
+void
+ReportPoller::PollDue()
+{
+  std::vector<UpstreamView> upstreams;
+  {
+    const std::lock_guard lock(mutex_);
+    upstreams = plan_.Due(host_.Now());
+  }
+  router_.Refresh(host_.Now());
+  for (const UpstreamView& upstream : upstreams) {
+    Poll(upstream);
+  }
+}
+
+void
+ReportPoller::Poll(const UpstreamView& aUpstream)
+{
+  HttpCall call;
+  call.url_ = "http://" + aUpstream.address_ + "/load";
+  call.timeout_ = kReportTimeout;
+  host_.Http().Send(std::move(call),
+                    [this, id = aUpstream.id_](const HttpResult& aResult) {
+                      TakeReport(id, aResult);
+                    });
+}
+
+void
+ReportPoller::TakeReport(const UpstreamId& aId, const HttpResult& aResult)
+{
+  if (aResult.end_ != HttpEnd::Whole) {
+    return;
+  }
+  auto report = ParseReport(aResult.response_.body_);
+  if (!report) {
+    LogEvent(
+      LogLevel::Warn,
+      "report_unreadable",
+      { { "upstream", aId.Get() }, { "error", report.error().message_ } });
+    return;
+  }
+  report.value().at_ = host_.Now();
+  router_.OnReport(aId, report.value(), host_.Now());
+}
+
+} // namespace marjoramtally
