--- a/include/marjoramtally/marjoramtally.hpp
+++ b/include/marjoramtally/marjoramtally.hpp
@@ -4,6 +4,7 @@
 
 #include "marjoramtally/base.hpp"
 #include "marjoramtally/connection.hpp"
+#include "marjoramtally/fwd.hpp"
 #include "marjoramtally/process.hpp"
 #include "marjoramtally/request.hpp"
 #include "marjoramtally/version.hpp"
--- a/include/marjoramtally/runtime/program.hpp
+++ b/include/marjoramtally/runtime/program.hpp
@@ -35,9 +35,13 @@
 };
 
 /// Parses a daemon's command line.
+/// @param aPurpose what the daemon does, for `--help`
 /// @returns an exit code if the program is already done
 [[nodiscard]] std::variant<DaemonOptions, int>
-ParseDaemonOptions(int aArgc, char** aArgv, const std::string& aProgram);
+ParseDaemonOptions(int aArgc,
+                   char** aArgv,
+                   const std::string& aProgram,
+                   std::string_view aPurpose);
 
 /// Reads a settings file into its document.
 [[nodiscard]] Checked<IniDocument>
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -104,9 +104,10 @@
 StartDaemon(int aArgc,
             char** aArgv,
             const std::string& aProgram,
+            std::string_view aPurpose,
             int& aExitCode)
 {
-  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram);
+  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram, aPurpose);
   if (const int* code = std::get_if<int>(&parsed)) {
     aExitCode = *code;
     return std::nullopt;
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -55,11 +55,13 @@
 
 /// Parses the command line and loads the settings, reporting all findings
 /// to standard error.
+/// @param aPurpose what the daemon does, for `--help`
 /// @returns nothing if the program is done; then `aExitCode` is set
 [[nodiscard]] std::optional<DaemonSettings>
 StartDaemon(int aArgc,
             char** aArgv,
             const std::string& aProgram,
+            std::string_view aPurpose,
             int& aExitCode);
 
 } // namespace marjoramtally
--- a/src/programs/controld/main.cpp
+++ b/src/programs/controld/main.cpp
@@ -33,7 +33,12 @@
 main(int aArgc, char** aArgv)
 {
   int code = kExitOk;
-  auto settings = StartDaemon(aArgc, aArgv, "marjoram-controld", code);
+  auto settings =
+    StartDaemon(aArgc,
+                aArgv,
+                "marjoram-controld",
+                "Keeps trainers' samples and orders engines to their versions.",
+                code);
   if (!settings) {
     return code;
   }
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -17,37 +17,49 @@
 struct Command
 {
   std::string_view name_;
+  std::string_view arguments_;
   std::string_view help_;
   int (*run_)(const CommandInput&);
 };
 
 constexpr std::array<Command, 13> kCommands{ {
   { "check",
-    "check DIR [--explain KEY]: report every finding in a rules folder",
+    "DIR [--explain KEY]",
+    "report every finding in a rules folder",
     RunCheck },
-  { "diff", "diff DIR: keys that differ from the accepted rules", RunDiff },
-  { "pull", "pull DIR: bring the accepted files into a folder", RunPull },
-  { "push", "push DIR [--wait]: have a folder's changes accepted", RunPush },
+  { "diff", "DIR", "show keys that differ from the accepted rules", RunDiff },
+  { "pull", "DIR", "bring the accepted files into a folder", RunPull },
+  { "push", "DIR [--wait]", "have a folder's changes accepted", RunPush },
   { "edit",
-    "edit FILE 'SECTION.KEY=VALUE' [--wait]: change one accepted key",
+    "FILE 'SECTION.KEY=VALUE' [--wait]",
+    "change one accepted key",
     RunEdit },
   { "drain",
-    "drain UPSTREAM [--undo] [--wait]: send it no new work",
+    "UPSTREAM [--undo] [--wait]",
+    "send an upstream no new work",
     RunDrain },
-  { "history", "history: accepted revisions, oldest first", RunHistory },
+  { "history", "", "list accepted revisions, oldest first", RunHistory },
   { "revert-to",
-    "revert-to REVISION [--wait]: a new revision with old content",
+    "REVISION [--wait]",
+    "accept a new revision with old content",
     RunRevertTo },
   { "restore",
-    "restore ADDRESS: after the store came back older, accept again what "
-    "is in force at an instance",
+    "ADDRESS",
+    "accept again what an instance has in force (older store)",
     RunRestore },
-  { "status", "status: what is accepted and in force where", RunStatus },
-  { "upstreams", "upstreams: as accepted", RunUpstreams },
-  { "trainers", "trainers: as accepted", RunTrainers },
-  { "trace", "trace ID: print the tree of hops of one trace", RunTrace },
+  { "status", "", "show what is accepted, and in force where", RunStatus },
+  { "upstreams", "", "list upstreams as accepted", RunUpstreams },
+  { "trainers", "", "list trainers as accepted", RunTrainers },
+  { "trace", "ID [--dir DIR]", "print the hops of one trace", RunTrace },
 } };
 
+constexpr std::string_view kHelpEnd =
+  "\nExamples:\n"
+  "  marjoramctl check conf\n"
+  "  marjoramctl edit 50-night.ini 'trainer begravelse.weight=2' --wait\n"
+  "  marjoramctl drain engine-3 --wait\n"
+  "\nExit codes: 0 done, 1 failed, 2 bad input.\n";
+
 /// @returns the operator's name, as far as the system tells
 std::string
 DefaultAuthor()
@@ -67,11 +79,14 @@
 void
 PrintHelp(const po::options_description& aOptions)
 {
-  std::cout << "marjoramctl COMMAND [ARGUMENTS] [options]\n\nCommands:\n";
+  std::cout << "Usage: marjoramctl COMMAND [ARGUMENTS] [OPTIONS]\n"
+               "Reads and changes what the operators' rules say.\n\n"
+               "Commands:\n";
   for (const Command& command : kCommands) {
-    std::cout << "  " << command.help_ << '\n';
+    std::cout << "  " << command.name_ << ' ' << command.arguments_
+              << "\n      " << command.help_ << '\n';
   }
-  std::cout << '\n' << aOptions;
+  std::cout << '\n' << aOptions << kHelpEnd;
 }
 
 } // namespace
@@ -87,16 +102,19 @@
   add("version", "print the version");
   add("store",
       po::value(&input.store_)->default_value("http://127.0.0.1:2379"),
-      "URL of the platform's store");
+      "URL of the platform's store, or file:FOLDER");
   add("dir",
       po::value(&input.traceDir_)->default_value("."),
-      "folder of trace files");
+      "folder of trace files, for trace");
   add("json", po::bool_switch(&input.json_), "print JSON");
   add("wait",
       po::bool_switch(&input.wait_),
       "wait until it is in force at every live instance");
-  add("undo", po::bool_switch(&input.undo_), "put a drained upstream back");
-  add("explain", po::value(&input.explain_), "a KEY or SECTION.KEY");
+  add(
+    "undo", po::bool_switch(&input.undo_), "with drain: put the upstream back");
+  add("explain",
+      po::value(&input.explain_),
+      "with check: tell where a KEY or SECTION.KEY is set");
   add("author",
       po::value(&input.author_)->default_value(DefaultAuthor()),
       "name that edits carry");
--- a/src/programs/entryd/main.cpp
+++ b/src/programs/entryd/main.cpp
@@ -9,7 +9,12 @@
 {
   using namespace marjoramtally;
   int code = kExitOk;
-  auto settings = StartDaemon(aArgc, aArgv, "marjoram-entryd", code);
+  auto settings =
+    StartDaemon(aArgc,
+                aArgv,
+                "marjoram-entryd",
+                "Takes requests of callers and trainers and sends them on.",
+                code);
   if (!settings) {
     return code;
   }
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -54,15 +54,20 @@
 }
 
 std::variant<DaemonOptions, int>
-ParseDaemonOptions(int aArgc, char** aArgv, const std::string& aProgram)
+ParseDaemonOptions(int aArgc,
+                   char** aArgv,
+                   const std::string& aProgram,
+                   std::string_view aPurpose)
 {
   namespace po = boost::program_options;
   DaemonOptions options;
-  po::options_description described(aProgram + " [options]");
+  po::options_description described("Options");
   auto add = described.add_options();
   add("help", "print this text");
   add("version", "print the version");
-  add("settings", po::value(&options.settingsFile_), "settings file (INI)");
+  add("settings",
+      po::value(&options.settingsFile_),
+      "settings file (INI); needed");
   add("check", "check the settings, report all findings and exit");
   po::variables_map values;
   try {
@@ -73,7 +78,11 @@
     return kExitBadInput;
   }
   if (values.count("help") != 0) {
-    std::cout << described;
+    std::cout << "Usage: " << aProgram << " --settings FILE [--check]\n"
+              << aPurpose << "\n\n"
+              << described
+              << "\nExit codes: 0 ended by SIGTERM or SIGINT, or settings "
+                 "checked; 1 failed; 2 bad input.\n";
     return kExitOk;
   }
   if (values.count("version") != 0) {
