Status page says "none" where a table is empty; page seen at 390 px

Cause: on a phone an empty table left a bare heading, which reads as if the page had broken off; and the page had never been opened at that width. Seen in a headless browser at 390 px from running daemons, with and without accepted rules: all text readable, nothing cut off. Rendering is split into one function for each section.

--- a/src/daemon/status_page.cpp
+++ b/src/daemon/status_page.cpp
@@ -14,7 +14,8 @@
   "<title>marjoramtally</title><style>"
   "body{font:16px/1.4 sans-serif;margin:0 auto;padding:12px;max-width:640px;"
   "overflow-wrap:anywhere}"
-  "h1{font-size:20px;margin:0 0 8px}h2{font-size:16px;margin:16px 0 4px}"
+  "h1{font-size:20px;margin:0 0 8px}h2{font-size:16px;margin:16px 0 "
+  "4px}p{margin:4px}"
   "table{border-collapse:collapse;width:100%;table-layout:fixed}"
   "td{border-top:1px solid #ccc;padding:6px 4px;vertical-align:top}"
   ".bad{background:#b00020;color:#fff;padding:8px;margin:8px 0}"
@@ -53,6 +54,46 @@
          "</td></tr>";
 }
 
+/// A headed table; says "none" where there are no rows.
+std::string
+Section(std::string_view aTitle, const std::string& aRows)
+{
+  return "<h2>" + Escape(aTitle) + "</h2>" +
+         (aRows.empty() ? "<p>none</p>" : "<table>" + aRows + "</table>");
+}
+
+std::string
+Instances(const ClusterView& aView)
+{
+  std::string rows;
+  for (const auto& [id, record] : aView.instances_) {
+    rows += Row(id.Get(), record.role_ + ", " + record.zone_.Get());
+  }
+  return Section("Instances", rows);
+}
+
+std::string
+Owners(const ClusterView& aView)
+{
+  std::string rows;
+  for (const auto& [duty, owner] : aView.owners_) {
+    rows += Row(duty, owner.owner_.Get());
+  }
+  return Section("Owners", rows);
+}
+
+std::string
+Upstreams(const ClusterView& aView)
+{
+  std::string rows;
+  for (const auto& [id, rule] : aView.rules_->upstreams_) {
+    rows += Row(id.Get(),
+                rule.service_ + ", " + rule.zone_ +
+                  (rule.leaving_ ? ", leaving" : ""));
+  }
+  return Section("Upstreams", rows);
+}
+
 std::string
 Banner(bool aGood, std::string_view aText)
 {
@@ -110,21 +151,11 @@
   page += Row("revision", std::to_string(manifest.revision_.Get()));
   page += Row("by", manifest.author_);
   page += Row("edit", manifest.edit_);
-  page += "</table><h2>Instances</h2><table>";
-  for (const auto& [id, record] : aStatus.view_->instances_) {
-    page += Row(id.Get(), record.role_ + ", " + record.zone_.Get());
-  }
-  page += "</table><h2>Owners</h2><table>";
-  for (const auto& [duty, owner] : aStatus.view_->owners_) {
-    page += Row(duty, owner.owner_.Get());
-  }
-  page += "</table><h2>Upstreams</h2><table>";
-  for (const auto& [id, rule] : aStatus.view_->rules_->upstreams_) {
-    page += Row(id.Get(),
-                rule.service_ + ", " + rule.zone_ +
-                  (rule.leaving_ ? ", leaving" : ""));
-  }
-  page += "</table></body></html>";
+  page += "</table>";
+  page += Instances(*aStatus.view_);
+  page += Owners(*aStatus.view_);
+  page += Upstreams(*aStatus.view_);
+  page += "</body></html>";
   return page;
 }
 
