Store test: the watch is open before the store restarts

Ruled out: the adapter and the stand-in, which end every watch that is open. Change: the test waits until the watch has told of the last write, and checks that event too, which is stricter. Conclusion: a race of the test, not of the store.

--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -340,7 +340,9 @@
   platform.Ask(R"({"save":true})");
   const auto later = Put(store, "/b", "1").value();
   auto told = std::make_shared<Told>();
-  (void)store.Watch("/", 0, Into(told));
+  (void)store.Watch("/", later.revision_, Into(told));
+  // The watch is open once it has told of the last write.
+  CHECK(told->WaitFor(1) == std::vector<std::string>{ "+/b" });
   platform.Ask(R"({"restore":true})");
   CHECK(told->WaitForEnd());
   const StoreRange range = Read(store, "/");
