--- a/include/marjoramtally/process/upstream.hpp
+++ b/include/marjoramtally/process/upstream.hpp
@@ -32,11 +32,21 @@
   ServiceId service_;
   ZoneId zone_;
   std::string address_;
+  /// Marked as leaving by a list, a report or a peer; holds for good.
   bool leaving_ = false;
+  /// Taken out by the operators' rules. As accepted rules never go back, the
+  /// latest word counts, also one that puts the upstream back.
+  bool drained_ = false;
   /// Requests in flight from this process.
   std::uint64_t limit_ = 64;
   /// Grows with each start of the upstream; 0 if the source does not say.
   std::uint64_t incarnation_ = 0;
+
+  /// @returns whether it may be given new work
+  [[nodiscard]] bool TakesWork() const noexcept
+  {
+    return !leaving_ && !drained_;
+  }
 };
 
 using UpstreamPtr = std::shared_ptr<const UpstreamView>;
--- a/src/process/router_pick.cpp
+++ b/src/process/router_pick.cpp
@@ -229,7 +229,7 @@
                                         : snapshot.bySlot_.end();
     if (hinted != snapshot.bySlot_.end() &&
         hinted->second->view_.service_ == aRequest.service_ &&
-        !hinted->second->view_.leaving_ &&
+        hinted->second->view_.TakesWork() &&
         hinted->second->Serves(aRequest.model_, aRequest.minVersion_)) {
       choice.Consider(
         hinted->second, hint.trust_, hinted->second->view_.zone_ != zone_);
--- a/src/process/routing_snapshot.cpp
+++ b/src/process/routing_snapshot.cpp
@@ -75,7 +75,7 @@
   for (const auto& [id, upstream] : aUpstreams) {
     snapshot->byId_.emplace(id, upstream);
     snapshot->bySlot_.emplace(upstream->slot_, upstream);
-    if (upstream->view_.leaving_) {
+    if (!upstream->view_.TakesWork()) {
       continue;
     }
     ServicePools& pools = snapshot->pools_[upstream->view_.service_];
--- a/src/programs/entryd/dispatch_queue.cpp
+++ b/src/programs/entryd/dispatch_queue.cpp
@@ -12,7 +12,7 @@
   }
   std::map<ServiceId, std::uint64_t> slots;
   for (const UpstreamView& upstream : aUpstreams) {
-    slots[upstream.service_] += upstream.leaving_ ? 0 : upstream.limit_;
+    slots[upstream.service_] += upstream.TakesWork() ? upstream.limit_ : 0;
   }
   for (const auto& [service, count] : slots) {
     admission_.SetCapacity(service, count);
--- a/src/programs/entryd/upstream_list.cpp
+++ b/src/programs/entryd/upstream_list.cpp
@@ -12,7 +12,7 @@
     view.service_ = ServiceId{ rule.service_ };
     view.zone_ = ZoneId{ rule.zone_ };
     view.address_ = rule.address_;
-    view.leaving_ = rule.leaving_;
+    view.drained_ = rule.leaving_;
     view.limit_ = aRules.services_.at(view.service_).upstreamLimit_;
     upstreams.push_back(std::move(view));
   }
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -155,6 +155,22 @@
   CHECK(bed.Pick());
 }
 
+TEST_CASE("operators drain an upstream and put it back")
+{
+  Bed bed(1);
+  bed.views_[0].drained_ = true;
+  bed.Apply();
+  bed.Report(0, 0);
+  CHECK_FALSE(bed.Pick());
+  bed.views_[0].drained_ = false;
+  bed.Apply();
+  CHECK(bed.Pick());
+  // What it says itself still holds for good.
+  bed.router_.MarkLeaving(Bed::Id(0), bed.now_);
+  bed.Apply();
+  CHECK_FALSE(bed.Pick());
+}
+
 TEST_CASE("limits of rules bind each upstream")
 {
   Bed bed(1);
