A hedge is on record before the lock that chose it is let go

Cause: a second attempt for a late member was chosen under the lock and put on the request's list later, under another hold of it. If the first attempt ended in between, it saw no other and decided the request; the second one's end then decided it again, so its answer could be given twice. Found by reading; no run showed it. Also, a hedge ended the queue's span a second time. Change: attempts are recorded under the lock that chooses them; a request that is won is never hedged; only a start from the queue ends the queue's span. Conclusion: the end of any attempt sees all others. A test that forces this order needs the dispatcher without its sockets, which is left open.

--- a/src/programs/entryd/dispatcher.cpp
+++ b/src/programs/entryd/dispatcher.cpp
@@ -151,8 +151,10 @@
   {
     const std::lock_guard lock(mutex_);
     starts = queue_.PickStarts(aService, flights_, host_.Now());
+    RecordStarts(starts);
   }
   for (const AttemptStart& start : starts) {
+    host_.Traces().End(start.flight_->queueSpan_);
     SendAttempt(start);
   }
 }
@@ -165,6 +167,7 @@
     const std::lock_guard lock(mutex_);
     // Capacity is idle only while nothing waits for it.
     hedges = hedges_.Review(flights_, queue_.empty(), host_.Now());
+    RecordStarts(hedges);
   }
   for (const AttemptStart& hedge : hedges) {
     host_.Measures().Count("marjoram_hedges_total");
@@ -176,8 +179,6 @@
 Dispatcher::SendAttempt(const AttemptStart& aStart)
 {
   const Flight& flight = *aStart.flight_;
-  host_.Traces().End(flight.queueSpan_);
-  RecordStart(aStart);
   Span span = StartSpan(flight.trace_, "upstream");
   span.attributes_["upstream"] = aStart.upstream_->id_.Get();
   HttpCall call =
@@ -198,14 +199,15 @@
 }
 
 void
-Dispatcher::RecordStart(const AttemptStart& aStart)
+Dispatcher::RecordStarts(const std::vector<AttemptStart>& aStarts)
 {
-  const std::lock_guard lock(mutex_);
-  Flight& flight = *aStart.flight_;
   const TimePoint now = host_.Now();
-  flight.sent_.push_back({ aStart.upstream_->id_, now, std::nullopt });
-  hedges_.OnStarted(
-    aStart.ticket_, flight, queue_.ExpectedTokens(flight.spec_), now);
+  for (const AttemptStart& start : aStarts) {
+    Flight& flight = *start.flight_;
+    flight.sent_.push_back({ start.upstream_->id_, now, std::nullopt });
+    hedges_.OnStarted(
+      start.ticket_, flight, queue_.ExpectedTokens(flight.spec_), now);
+  }
 }
 
 void
--- a/src/programs/entryd/dispatcher.hpp
+++ b/src/programs/entryd/dispatcher.hpp
@@ -56,8 +56,9 @@
   void PumpService(const ServiceId& aService);
   void HedgeStragglers();
   void SendAttempt(const AttemptStart& aStart);
-  /// Puts an attempt on the list of those in progress.
-  void RecordStart(const AttemptStart& aStart);
+  /// Puts attempts on the lists of those in progress. The lock that chose
+  /// them is still held, so that the end of another attempt sees them.
+  void RecordStarts(const std::vector<AttemptStart>& aStarts);
   void RecordCall(const AttemptStart& aStart, HttpCallId aCall);
   void EndAttempt(const AttemptStart& aStart, HttpResult aResult);
   /// Records an attempt's end.
--- a/src/programs/entryd/hedges.cpp
+++ b/src/programs/entryd/hedges.cpp
@@ -10,8 +10,8 @@
 bool
 MayHedge(const Flight& aFlight)
 {
-  return aFlight.sent_.size() == 1 && aFlight.spec_.idempotent_ &&
-         !aFlight.message_.sink_;
+  return aFlight.sent_.size() == 1 && !aFlight.won_ &&
+         aFlight.spec_.idempotent_ && !aFlight.message_.sink_;
 }
 
 } // namespace
