Header of calls between processes and help say what is true

Cause: the header promised an answer to each call, but a node that stops drops the calls that are open; the help did not name the variable of the operator's token. Conclusion: words only, no change of behaviour.

--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -57,7 +57,8 @@
 
   virtual ~RpcNode() = default;
   [[nodiscard]] virtual std::uint16_t Port() const noexcept = 0;
-  /// Calls a peer; `aDone` is called exactly once on the node's thread.
+  /// Calls a peer; `aDone` is called once on the node's thread, or not at
+  /// all if the node is destroyed before the answer.
   /// `Unavailable` means that the call was not sent.
   virtual void Call(const std::string& aPeer, RpcCall aCall, RpcDone aDone) = 0;
 };
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -58,6 +58,7 @@
   "  marjoramctl check conf\n"
   "  marjoramctl edit 50-night.ini 'trainer begravelse.weight=2' --wait\n"
   "  marjoramctl drain engine-3 --wait\n"
+  "\nAn operator's token is read from the environment's MARJORAM_TOKEN.\n"
   "\nExit codes: 0 done, 1 failed, 2 bad input.\n";
 
 /// @returns the operator's name, as far as the system tells
