--- a/include/marjoramtally/base.hpp
+++ b/include/marjoramtally/base.hpp
@@ -8,6 +8,7 @@
 #include "marjoramtally/base/ids.hpp"
 #include "marjoramtally/base/index_set.hpp"
 #include "marjoramtally/base/ini.hpp"
+#include "marjoramtally/base/overloaded.hpp"
 #include "marjoramtally/base/random.hpp"
 #include "marjoramtally/base/result.hpp"
 #include "marjoramtally/base/strong.hpp"
--- a/src/connection/trainer_messages.cpp
+++ b/src/connection/trainer_messages.cpp
@@ -1,21 +1,13 @@
 #include "marjoramtally/connection/trainer_messages.hpp"
 
 #include "connection/wire.hpp"
+#include "marjoramtally/base/overloaded.hpp"
 #include "wire/trainer.capnp.h"
 
 namespace marjoramtally {
 
 namespace {
 
-/// Turns a visitor's overloads into one callable.
-template<typename... Functions>
-struct Overloaded : Functions...
-{
-  using Functions::operator()...;
-};
-template<typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 void
 WriteRef(wire::SampleRef::Builder aOut, const SampleId& aId)
 {
--- a/src/programs/controld/trainer_operations.cpp
+++ b/src/programs/controld/trainer_operations.cpp
@@ -1,20 +1,13 @@
 #include "programs/controld/trainer_service.hpp"
 
+#include "marjoramtally/base/overloaded.hpp"
+
 #include <algorithm>
 
 namespace marjoramtally {
 
 namespace {
 
-/// Turns a visitor's overloads into one callable.
-template<typename... Functions>
-struct Overloaded : Functions...
-{
-  using Functions::operator()...;
-};
-template<typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 LedgerRules
 RulesOf(const TrainerRule& aRule)
 {
