--- a/include/marjoramtally/base/clock.hpp
+++ b/include/marjoramtally/base/clock.hpp
@@ -54,6 +54,14 @@
   [[nodiscard]] TimePoint Now() const noexcept override;
 };
 
+/// The machine's monotonic clock that also counts the time for which the
+/// machine was suspended; for leases, which go on running elsewhere.
+class BootClock final : public Clock
+{
+public:
+  [[nodiscard]] TimePoint Now() const noexcept override;
+};
+
 /// A paused clock that moves only when told to.
 /// @example `ManualClock clock; clock.Advance(std::chrono::seconds(1));`
 class ManualClock final : public Clock
--- /dev/null
+++ b/include/marjoramtally/process/route_table.hpp
@@ -0,0 +1,107 @@
+/// Routes of the operators' configuration: which service answers a request,
+/// and what may be done with it.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/base/ids.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoramtally {
+
+/// What may be repeated, and how the answer comes.
+enum class RouteKind
+{
+  /// May run more than once.
+  Idempotent,
+  /// Runs at most once for each attempt of the caller.
+  AtMostOnce,
+  /// Answered by a stream of events; at most once unless resumable.
+  Stream,
+  /// A job of many generations, answered item by item.
+  Rollout,
+};
+
+/// One service of a weighted split.
+struct ServiceWeight
+{
+  ServiceId service_;
+  std::uint32_t weight_ = 1;
+};
+
+/// One route.
+struct Route
+{
+  std::string name_;
+  std::string host_;
+  /// Begins and ends with a slash.
+  std::string prefix_;
+  RouteKind kind_ = RouteKind::Idempotent;
+  /// Longest time that a caller is kept waiting.
+  Duration timeout_ = std::chrono::seconds(10);
+  /// Time within which an answer is worth all it can be.
+  Duration objective_ = std::chrono::seconds(1);
+  /// 0 is the highest.
+  std::uint32_t priority_ = 0;
+  /// Most upstreams that one attempt of the caller may be sent to.
+  std::uint32_t maxAttempts_ = 1;
+  bool resumable_ = false;
+  /// All results are due this long after a job was submitted.
+  Duration runDeadline_ = std::chrono::seconds(10);
+  /// An item of a job may be given up this long after the submission.
+  Duration maxQueue_ = std::chrono::seconds(60);
+  /// A result must have been made under one weight version.
+  bool singleVersion_ = false;
+  std::vector<ServiceWeight> services_;
+};
+
+/// One service.
+struct ServiceSpec
+{
+  ServiceId service_;
+  std::string healthPath_;
+  /// Most connections of all callers together to one upstream.
+  std::uint32_t maxConnections_ = 0;
+  /// Names of the models that its upstreams hold; empty: a plain service.
+  std::vector<std::string> models_;
+};
+
+/// The operators' configuration as far as requests need it.
+struct RoutingConfig
+{
+  ConfigRevision revision_;
+  std::vector<Route> routes_;
+  std::map<ServiceId, ServiceSpec> services_;
+  std::uint64_t maxBodyBytes_ = 0;
+};
+
+/// The configuration in force. Revisions only grow.
+class RouteTable
+{
+public:
+  /// @returns whether the configuration is newer and now in force
+  bool Apply(RoutingConfig aConfig);
+  /// @returns whether any configuration is known
+  [[nodiscard]] bool Known() const noexcept
+  {
+    return config_.revision_.Get() != 0;
+  }
+  /// @returns the route with the longest prefix of the path among those of
+  /// the host, or nullptr
+  [[nodiscard]] const Route* Match(std::string_view aHost,
+                                   std::string_view aPath) const noexcept;
+  [[nodiscard]] const RoutingConfig& Config() const noexcept { return config_; }
+
+private:
+  RoutingConfig config_;
+};
+
+/// Draws a service of a route's split.
+/// @param aDraw any number; the same number draws the same service
+[[nodiscard]] const ServiceId&
+DrawService(const Route& aRoute, std::uint64_t aDraw) noexcept;
+
+} // namespace marjoramtally
--- /dev/null
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -0,0 +1,148 @@
+/// The upstreams that are registered, what is in flight at each of them, and
+/// the choice of one for a request or an item of a job.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/base/ids.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marjoramtally {
+
+/// A weight version of a model that an upstream holds.
+struct ModelVersion
+{
+  std::string model_;
+  WeightVersion version_;
+};
+
+/// One upstream as it registered itself. The id names one incarnation.
+struct UpstreamEntry
+{
+  UpstreamId id_;
+  ServiceId service_;
+  /// IP number and port.
+  std::string address_;
+  ZoneId zone_;
+  std::uint32_t slots_ = 1;
+  bool draining_ = false;
+  std::vector<ModelVersion> models_;
+};
+
+/// How a call to an upstream ended, as far as its health goes.
+enum class CallVerdict
+{
+  /// An answer of the upstream itself, whatever its status.
+  Answered,
+  /// It said that it is full.
+  Full,
+  /// No whole answer: refused, broken, garbled or silent.
+  Failed,
+  /// Given up by us or by the caller.
+  Abandoned,
+};
+
+/// Times that govern the choice.
+struct BoardPolicy
+{
+  /// An entry that vanished may come back this long: registrations that lapse
+  /// while the store is away return within two seconds, and an upstream that
+  /// left must get nothing two seconds later.
+  Duration vanishGrace_ = std::chrono::milliseconds(1500);
+  /// An upstream that failed a call is avoided this long, doubled with each
+  /// further failure.
+  Duration avoidFirst_ = std::chrono::milliseconds(300);
+  Duration avoidLongest_ = std::chrono::seconds(3);
+  /// An upstream that said it is full is avoided this long.
+  Duration fullPause_ = std::chrono::milliseconds(100);
+  /// Weight of the newest observation in the smoothed pace.
+  double paceWeight_ = 0.2;
+  /// A pace this many times the median of its service is slow.
+  double slowFactor_ = 1.8;
+};
+
+/// One upstream and what this process knows of it.
+struct BoardUpstream
+{
+  UpstreamEntry entry_;
+  /// Calls of this process in progress.
+  std::uint32_t inFlight_ = 0;
+  /// Failures in a row.
+  std::uint32_t failures_ = 0;
+  TimePoint avoidUntil_;
+  /// When the entry vanished; `kNever` while it is registered.
+  TimePoint vanished_ = kNever;
+  /// Smoothed time between two events of a stream; 0 is unknown.
+  Duration pace_{ 0 };
+  std::map<std::string, WeightVersion> versions_;
+};
+
+/// What is asked of an upstream for an item.
+struct ItemNeeds
+{
+  ServiceId service_;
+  std::string model_;
+  WeightVersion minVersion_;
+  /// Preferred if it has a free slot: it holds the shared prompt.
+  UpstreamId preferred_;
+  /// Never chosen.
+  UpstreamId excluded_;
+};
+
+/// All upstreams of the fleet.
+class UpstreamBoard
+{
+public:
+  explicit UpstreamBoard(ZoneId aZone, BoardPolicy aPolicy = {});
+
+  /// An upstream registered or changed.
+  void OnEntry(UpstreamEntry aEntry);
+  /// An upstream's registration is gone.
+  void OnVanished(const UpstreamId& aId, TimePoint aNow);
+  /// The whole list was read: what is not in it has vanished.
+  void OnList(std::vector<UpstreamEntry> aEntries, TimePoint aNow);
+
+  void OnStart(const UpstreamId& aId);
+  void OnEnd(const UpstreamId& aId, CallVerdict aVerdict, TimePoint aNow);
+  /// The upstream answered for another incarnation: this one is gone.
+  void OnReplaced(const UpstreamId& aId, TimePoint aNow);
+  /// An event of a stream came so long after the one before.
+  void OnPace(const UpstreamId& aId, Duration aGap);
+  /// The upstream showed its version of a model.
+  void OnVersion(const UpstreamId& aId,
+                 const std::string& aModel,
+                 WeightVersion aVersion);
+
+  /// Chooses for a request: fewest in flight a slot, own zone first.
+  /// @param aTried upstreams not to be chosen again
+  [[nodiscard]] const BoardUpstream* Pick(const ServiceId& aService,
+                                          const std::set<UpstreamId>& aTried,
+                                          TimePoint aNow) const;
+  /// Chooses for an item: a free slot at an upstream with the version.
+  /// @returns nullptr while none is free
+  [[nodiscard]] const BoardUpstream* PickForItem(const ItemNeeds& aNeeds,
+                                                 TimePoint aNow) const;
+  /// @returns whether an upstream is much slower than its peers
+  [[nodiscard]] bool Slow(const UpstreamId& aId) const;
+  [[nodiscard]] const BoardUpstream* Find(const UpstreamId& aId) const;
+  [[nodiscard]] std::vector<const BoardUpstream*> OfService(
+    const ServiceId& aService) const;
+  /// @returns whether the upstream may get new work
+  [[nodiscard]] bool Usable(const BoardUpstream& aUpstream,
+                            TimePoint aNow) const noexcept;
+
+private:
+  [[nodiscard]] bool Fits(const BoardUpstream& aUpstream,
+                          const ItemNeeds& aNeeds,
+                          TimePoint aNow) const;
+
+  ZoneId zone_;
+  BoardPolicy policy_;
+  std::map<UpstreamId, BoardUpstream> upstreams_;
+};
+
+} // namespace marjoramtally
--- a/include/marjoramtally/runtime/http_server.hpp
+++ b/include/marjoramtally/runtime/http_server.hpp
@@ -26,6 +26,12 @@
   /// that it is whole (a final event), for an end after a failure looks
   /// the same.
   virtual void End() = 0;
+  /// Ends the response by closing its connection, so that a streamed one is
+  /// seen to be incomplete: its last chunk is missing.
+  virtual void Abort() = 0;
+  /// Calls the function once if the caller closes the connection before the
+  /// response has ended.
+  virtual void OnCallerGone(std::function<void()> aGone) = 0;
 };
 
 using HttpReplyPtr = std::shared_ptr<HttpReply>;
--- a/include/marjoramtally/runtime/log.hpp
+++ b/include/marjoramtally/runtime/log.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,14 +23,27 @@
   std::string value_;
 };
 
-/// Sets up logging to standard error.
+/// Where lines go.
+enum class LogTarget
+{
+  Error,
+  /// Standard output.
+  Output,
+};
+
+/// @returns a level by its name: debug, info, warn or error
+[[nodiscard]] std::optional<LogLevel>
+ParseLogLevel(std::string_view aName) noexcept;
+
+/// Sets up logging.
 /// @param aProgram the value of each line's `program=`
 /// @param aInstance the value of each line's `instance=`
 /// @param aLevel least level written
 void
 InitLog(const std::string& aProgram,
         const std::string& aInstance,
-        LogLevel aLevel);
+        LogLevel aLevel,
+        LogTarget aTarget = LogTarget::Error);
 
 /// Writes one event.
 /// @example `LogEvent(LogLevel::Info, "started", { { "port", "80" } });`
--- /dev/null
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -0,0 +1,158 @@
+/// The state of one job: what is still to run, what each item's text is so
+/// far, and which results may be listed. Events and the time go in.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/base/result.hpp"
+#include "marjoramtally/request/event_stream.hpp"
+#include "marjoramtally/version/job.hpp"
+
+#include <map>
+
+namespace marjoramtally {
+
+/// Index of an item in its job's submission.
+using ItemIndex = std::size_t;
+
+/// Where an item stands.
+enum class ItemState
+{
+  Waiting,
+  Running,
+  /// Its text is whole and its score is awaited.
+  Scoring,
+  /// Its result is final and not yet written.
+  Finished,
+  /// Its result stands at a position of the job.
+  Listed,
+};
+
+/// Limits of one job.
+struct JobPolicy
+{
+  /// Answers that report a failed run before an item is given up.
+  std::uint32_t maxAttempts_ = 3;
+  /// Failed answers of the score call before an item is given up.
+  std::uint32_t maxScoreFailures_ = 4;
+  /// From acceptance on, an item that has no text yet may be given up.
+  Duration maxQueue_ = std::chrono::seconds(60);
+  /// From acceptance on, results are due.
+  Duration runDeadline_ = std::chrono::seconds(10);
+  bool singleVersion_ = false;
+  /// A finished result waits this long for the rest of its group before it
+  /// is written on its own: trainers count whole groups, and each write is a
+  /// call to the store.
+  Duration groupWait_ = std::chrono::milliseconds(1200);
+  /// This long before the deadline nothing waits any more.
+  Duration lastCall_ = std::chrono::milliseconds(900);
+};
+
+/// Text made so far, and how far it goes.
+struct PartialText
+{
+  std::string text_;
+  std::uint64_t lastEvent_ = 0;
+  std::vector<WeightVersion> versions_;
+  /// The upstream ended the text.
+  bool whole_ = false;
+};
+
+/// One job.
+class JobLedger
+{
+public:
+  /// @param aAccepted when the job was accepted, by our clock
+  JobLedger(JobSpec aSpec, JobPolicy aPolicy, TimePoint aAccepted);
+
+  /// Results that stand already, read from the store in their order.
+  void Restore(const std::vector<JobResult>& aListed);
+  /// Text of an item that an earlier job made; ignored if its versions do not
+  /// fit this job.
+  void Reuse(ItemIndex aItem, PartialText aText);
+
+  [[nodiscard]] const JobSpec& Spec() const noexcept { return spec_; }
+  [[nodiscard]] ItemState State(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].state_;
+  }
+  [[nodiscard]] const PartialText& Text(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].text_;
+  }
+  [[nodiscard]] std::optional<ItemIndex> Find(const ItemId& aId) const;
+  /// @returns items to run, in the order in which they should start
+  [[nodiscard]] std::vector<ItemIndex> Waiting() const;
+  /// @returns items whose score is to be asked for and is not yet
+  [[nodiscard]] std::vector<ItemIndex> Unscored() const;
+
+  /// The item was sent to an upstream.
+  void OnStarted(ItemIndex aItem);
+  /// An event of the item's stream, made under that version.
+  /// @returns an error if the stream must be given up: the event is not the
+  /// next one, or its version does not fit
+  [[nodiscard]] Result<bool> OnEvent(ItemIndex aItem,
+                                     const ServerEvent& aEvent,
+                                     WeightVersion aVersion);
+  /// The run ended before the text was whole; it goes on after its last
+  /// event.
+  void OnInterrupted(ItemIndex aItem);
+  /// The upstream ended the stream as whole.
+  void OnWhole(ItemIndex aItem, TimePoint aNow);
+  /// The upstream answered that the run failed.
+  void OnRunFailed(ItemIndex aItem, TimePoint aNow);
+  /// The upstream answered that the item can never be done.
+  void OnImpossible(ItemIndex aItem, TimePoint aNow);
+
+  void OnScoreAsked(ItemIndex aItem) { items_[aItem].scoreAsked_ = true; }
+  void OnScored(ItemIndex aItem, std::string aScore, TimePoint aNow);
+  /// @param aFailures answers in which the scorer itself reported a failure
+  void OnScoreFailed(ItemIndex aItem, std::uint32_t aFailures, TimePoint aNow);
+  /// @returns how often the scorer may still report a failure
+  [[nodiscard]] std::uint32_t ScoreAttemptsLeft(ItemIndex aItem) const noexcept;
+
+  /// Gives up items that waited too long.
+  void GiveUpLate(TimePoint aNow);
+  /// @returns results to write now, in the order of their positions
+  [[nodiscard]] std::vector<ItemIndex> Listable(TimePoint aNow) const;
+  [[nodiscard]] JobResult ResultOf(ItemIndex aItem) const;
+  /// The results were written; they stand at the next positions.
+  void OnListed(const std::vector<ItemIndex>& aItems);
+  [[nodiscard]] const std::vector<ItemIndex>& Listed() const noexcept
+  {
+    return listed_;
+  }
+  [[nodiscard]] bool Done() const noexcept
+  {
+    return listed_.size() == items_.size();
+  }
+  /// @returns when `Listable` or `GiveUpLate` may next have something to do
+  [[nodiscard]] TimePoint NextDue() const noexcept;
+
+private:
+  struct Item
+  {
+    ItemState state_ = ItemState::Waiting;
+    PartialText text_;
+    bool errored_ = false;
+    bool scoreAsked_ = false;
+    std::string score_;
+    std::uint32_t failures_ = 0;
+    std::uint32_t scoreFailures_ = 0;
+    TimePoint finished_;
+  };
+
+  void Finish(ItemIndex aItem, bool aErrored, TimePoint aNow);
+  [[nodiscard]] bool GroupFinished(ItemIndex aItem) const;
+  [[nodiscard]] bool Fits(const std::vector<WeightVersion>& aVersions) const;
+
+  JobSpec spec_;
+  JobPolicy policy_;
+  TimePoint accepted_;
+  std::vector<Item> items_;
+  std::vector<ItemIndex> listed_;
+  std::map<ItemId, ItemIndex> byId_;
+  /// Items of each group that are not yet finished.
+  std::map<GroupId, std::uint32_t> open_;
+};
+
+} // namespace marjoramtally
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "marjoramtally/base/clock.hpp"
 
+#include <ctime>
+
 namespace marjoramtally {
 
 TimePoint
@@ -9,6 +11,16 @@
   return TimePoint{ std::chrono::duration_cast<Duration>(since) };
 }
 
+TimePoint
+BootClock::Now() const noexcept
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto since =
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return TimePoint{ std::chrono::duration_cast<Duration>(since) };
+}
+
 TimePoint
 ManualClock::Now() const noexcept
 {
--- /dev/null
+++ b/src/daemon/gateway_host.cpp
@@ -0,0 +1,148 @@
+#include "daemon/gateway_host.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <csignal>
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+namespace marjoramtally {
+
+namespace {
+
+/// The end is not left to the forced kill: this long before it the process
+/// ends by itself.
+constexpr auto kEndMargin = std::chrono::milliseconds(700);
+/// How often the end of the last request is looked for.
+constexpr auto kIdleCheck = std::chrono::milliseconds(100);
+/// The metrics' reader sends no body.
+constexpr std::uint64_t kMetricsBodyBytes = 1024;
+
+std::string
+MakeIncarnation(const std::string& aInstance)
+{
+  const auto time = std::chrono::system_clock::now().time_since_epoch().count();
+  return aInstance + "." + std::to_string(time % 1'000'000'000'000'000) + "." +
+         std::to_string(getpid());
+}
+
+/// Signals that the main thread waits for.
+sigset_t
+WaitedSignals()
+{
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
+  return set;
+}
+
+} // namespace
+
+GatewayHost::GatewayHost(GatewaySettings aSettings,
+                         std::unique_ptr<Platform> aPlatform,
+                         const StoreFactory& aStore)
+  : settings_(std::move(aSettings))
+  , incarnation_(MakeIncarnation(settings_.instance_))
+  , platform_(std::move(aPlatform))
+{
+  // Threads inherit the mask, so that only `Run` sees these signals.
+  const sigset_t waited = WaitedSignals();
+  pthread_sigmask(SIG_BLOCK, &waited, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  pool_ = IoPool::Create(1);
+  timers_ = std::make_unique<LoopTimers>(*pool_, 0);
+  client_ = HttpClient::Create(pool_);
+  store_ = aStore(*client_, *timers_, settings_.store_);
+}
+
+GatewayHost::~GatewayHost()
+{
+  pool_->Stop();
+}
+
+Result<std::unique_ptr<HttpServer>>
+GatewayHost::Serve(const ListenAddress& aAddress,
+                   std::uint64_t aMaxBodyBytes,
+                   HttpHandler aHandler)
+{
+  HttpServerOptions options;
+  options.address_ = aAddress.address_;
+  options.port_ = aAddress.port_;
+  options.pool_ = pool_;
+  options.maxBodyBytes_ = aMaxBodyBytes;
+  return HttpServer::Start(std::move(options), std::move(aHandler));
+}
+
+void
+GatewayHost::ServeMetrics()
+{
+  if (settings_.metricsPort_ == 0) {
+    return;
+  }
+  const ListenAddress address{
+    settings_.address_, static_cast<std::uint16_t>(settings_.metricsPort_)
+  };
+  auto server =
+    Serve(address,
+          kMetricsBodyBytes,
+          [this](const HttpRequest&, const HttpReplyPtr& aReply) {
+            HttpResponse response;
+            response.headers_.push_back({ "Content-Type", "text/plain" });
+            response.body_ = metrics_.Render();
+            aReply->Send(std::move(response));
+          });
+  if (server) {
+    metricsServer_ = std::move(server).value();
+  } else {
+    LogEvent(LogLevel::Warn,
+             "metrics_unavailable",
+             { { "error", server.error().message_ } });
+  }
+}
+
+void
+GatewayHost::OnLoop(const std::function<void()>& aTask)
+{
+  std::promise<void> done;
+  pool_->Post(0, [&] {
+    aTask();
+    done.set_value();
+  });
+  done.get_future().get();
+}
+
+void
+GatewayHost::Run(const std::function<void()>& aStart,
+                 const std::function<void()>& aStop,
+                 const std::function<bool()>& aIdle)
+{
+  ServeMetrics();
+  OnLoop(aStart);
+  LogEvent(LogLevel::Info,
+           "started",
+           { { "incarnation", incarnation_ }, { "zone", settings_.zone_ } });
+  const sigset_t waited = WaitedSignals();
+  int signal = 0;
+  while (sigwait(&waited, &signal) == 0 && signal == SIGHUP) {
+    // Addresses and identity stay for the life of a process; the operators'
+    // configuration is followed in the store.
+    LogEvent(LogLevel::Info, "reload", { { "outcome", "nothing to apply" } });
+  }
+  LogEvent(
+    LogLevel::Info, "stopping", { { "signal", std::to_string(signal) } });
+  const auto end =
+    std::chrono::steady_clock::now() + settings_.grace_ - kEndMargin;
+  OnLoop(aStop);
+  bool idle = false;
+  while (!idle && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kIdleCheck);
+    OnLoop([&] { idle = aIdle(); });
+  }
+  LogEvent(LogLevel::Info, "stopped", { { "idle", idle ? "yes" : "no" } });
+  pool_->Stop();
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/gateway_host.hpp
@@ -0,0 +1,83 @@
+/// What the daemons on the users' platform share: one event loop for all of
+/// their work, a client, the platform's store, signals and metrics.
+#pragma once
+
+#include "daemon/gateway_settings.hpp"
+#include "marjoramtally/runtime/http_client.hpp"
+#include "marjoramtally/runtime/http_server.hpp"
+#include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/metrics.hpp"
+#include "marjoramtally/runtime/platform.hpp"
+#include "marjoramtally/runtime/store.hpp"
+
+namespace marjoramtally {
+
+/// Makes the platform's store on a client and the timers of its loop.
+using StoreFactory =
+  std::function<std::unique_ptr<Store>(HttpClient&,
+                                       LoopTimers&,
+                                       const std::string& aAddress)>;
+
+/// One process. Everything but construction and `Run` happens on one loop,
+/// so that nothing needs a lock.
+class GatewayHost
+{
+public:
+  GatewayHost(GatewaySettings aSettings,
+              std::unique_ptr<Platform> aPlatform,
+              const StoreFactory& aStore);
+  ~GatewayHost();
+  GatewayHost(const GatewayHost&) = delete;
+  GatewayHost& operator=(const GatewayHost&) = delete;
+
+  [[nodiscard]] const GatewaySettings& Settings() const noexcept
+  {
+    return settings_;
+  }
+  [[nodiscard]] const Platform& Formats() const noexcept { return *platform_; }
+  [[nodiscard]] HttpClient& Client() noexcept { return *client_; }
+  [[nodiscard]] LoopTimers& Timers() noexcept { return *timers_; }
+  [[nodiscard]] Store& PlatformStore() noexcept { return *store_; }
+  [[nodiscard]] const Clock& LoopClock() const noexcept { return clock_; }
+  /// Counts the time for which the machine was suspended.
+  [[nodiscard]] const Clock& LeaseClock() const noexcept { return bootClock_; }
+  [[nodiscard]] TimePoint Now() const noexcept { return clock_.Now(); }
+  [[nodiscard]] Metrics& Measures() noexcept { return metrics_; }
+  /// Names this run of the process.
+  [[nodiscard]] const std::string& Incarnation() const noexcept
+  {
+    return incarnation_;
+  }
+
+  /// Serves on the loop.
+  [[nodiscard]] Result<std::unique_ptr<HttpServer>> Serve(
+    const ListenAddress& aAddress,
+    std::uint64_t aMaxBodyBytes,
+    HttpHandler aHandler);
+
+  /// Runs until the process is to end: on the loop, `aStart` at once and
+  /// `aStop` when the stop signal came; then waits until `aIdle` holds or the
+  /// grace is nearly over.
+  void Run(const std::function<void()>& aStart,
+           const std::function<void()>& aStop,
+           const std::function<bool()>& aIdle);
+
+private:
+  /// Runs a task on the loop and waits for it.
+  void OnLoop(const std::function<void()>& aTask);
+  void ServeMetrics();
+
+  GatewaySettings settings_;
+  SystemClock clock_;
+  BootClock bootClock_;
+  Metrics metrics_;
+  std::string incarnation_;
+  std::shared_ptr<IoPool> pool_;
+  std::unique_ptr<LoopTimers> timers_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<Platform> platform_;
+  std::unique_ptr<Store> store_;
+  std::unique_ptr<HttpServer> metricsServer_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/gateway_settings.cpp
@@ -0,0 +1,133 @@
+#include "daemon/gateway_settings.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+#include "marjoramtally/runtime/program.hpp"
+
+#include <array>
+#include <iostream>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::uint64_t kMaxPort = 65535;
+constexpr std::uint64_t kMillisecond = 1000;
+constexpr std::uint64_t kSecond = 1'000'000;
+
+using Settings = GatewaySettings;
+constexpr auto kFields = std::to_array<FieldSpec<Settings>>({
+  { "instance", &Settings::instance_, true },
+  { "zone", &Settings::zone_, true },
+  { "address", &Settings::address_ },
+  { "front", &Settings::front_ },
+  { "ready", &Settings::ready_ },
+  { "store", &Settings::store_, true },
+  { "metrics-port", &Settings::metricsPort_, false, 0, kMaxPort },
+  { "lease-ttl", &Settings::leaseTtl_, false, kSecond, 600 * kSecond },
+  { "grace", &Settings::grace_, false, 100 * kMillisecond, 600 * kSecond },
+  { "status-time", &Settings::statusTime_, false, kSecond, 86'400 * kSecond },
+  { "log-level", &Settings::logLevel_ },
+});
+
+/// Reports an address that is neither empty nor IP:PORT.
+void
+CheckAddress(const IniSection& aSection,
+             const std::string& aKey,
+             Findings& aFindings)
+{
+  const auto it = aSection.find(aKey);
+  if (it == aSection.end() || it->second.text_.empty()) {
+    return;
+  }
+  if (!ParseListenAddress(it->second.text_)) {
+    aFindings.Add(it->second.place_,
+                  "[gateway] " + aKey + " = '" + it->second.text_ +
+                    "': not IP:PORT");
+  }
+}
+
+} // namespace
+
+std::optional<ListenAddress>
+ParseListenAddress(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return std::nullopt;
+  }
+  const auto port = ParseNumber(aText.substr(colon + 1), 0, kMaxPort);
+  if (!port) {
+    return std::nullopt;
+  }
+  return ListenAddress{ std::string(aText.substr(0, colon)),
+                        static_cast<std::uint16_t>(*port) };
+}
+
+Checked<GatewaySettings>
+ReadGatewaySettings(const std::string& aFile, const IniDocument& aDocument)
+{
+  GatewaySettings settings;
+  Findings findings;
+  const SourcePlace file{ aFile, 0 };
+  const auto found = aDocument.find("gateway");
+  const IniSection section =
+    found == aDocument.end() ? IniSection{} : found->second;
+  for (const auto& [name, other] : aDocument) {
+    if (name != "gateway") {
+      findings.Add(other.empty() ? file : other.begin()->second.place_,
+                   "[" + name + "] is not [gateway]");
+    }
+  }
+  ReadFields<Settings>("gateway", section, file, kFields, settings, findings);
+  CheckAddress(section, "front", findings);
+  CheckAddress(section, "ready", findings);
+  CheckAddress(section, "store", findings);
+  if (!ParseLogLevel(settings.logLevel_)) {
+    findings.Add(file,
+                 "[gateway] log-level = '" + settings.logLevel_ +
+                   "': none of debug, info, warn, error");
+  }
+  if (!findings.empty()) {
+    return findings;
+  }
+  return settings;
+}
+
+std::optional<GatewaySettings>
+StartGatewayDaemon(int aArgc,
+                   char** aArgv,
+                   const std::string& aProgram,
+                   std::string_view aPurpose,
+                   int& aExitCode)
+{
+  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram, aPurpose);
+  if (const int* code = std::get_if<int>(&parsed)) {
+    aExitCode = *code;
+    return std::nullopt;
+  }
+  const auto& options = std::get<DaemonOptions>(parsed);
+  const auto document = LoadSettings(options.settingsFile_);
+  if (!document) {
+    std::cerr << document.error().Render();
+    aExitCode = kExitBadInput;
+    return std::nullopt;
+  }
+  auto settings = ReadGatewaySettings(options.settingsFile_, document.value());
+  if (!settings) {
+    std::cerr << settings.error().Render();
+    aExitCode = kExitBadInput;
+    return std::nullopt;
+  }
+  if (options.checkOnly_) {
+    std::cout << options.settingsFile_ << ": ok\n";
+    aExitCode = kExitOk;
+    return std::nullopt;
+  }
+  InitLog(aProgram,
+          settings.value().instance_,
+          *ParseLogLevel(settings.value().logLevel_),
+          LogTarget::Output);
+  return std::move(settings).value();
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/leased_key.hpp
@@ -0,0 +1,85 @@
+/// A record of this process that hangs on a lease, kept as long as the
+/// process lives: a sign of life, or the ownership of a duty.
+#pragma once
+
+#include "marjoramtally/base.hpp"
+#include "marjoramtally/base/backoff.hpp"
+#include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/store.hpp"
+
+namespace marjoramtally {
+
+/// Options of a leased key.
+struct LeasedKeyOptions
+{
+  std::string key_;
+  std::string value_;
+  Duration ttl_ = std::chrono::seconds(3);
+  /// Wait for a key that another process holds, instead of writing over it.
+  bool exclusive_ = false;
+};
+
+/// Grants a lease, writes the key, renews the lease, and starts over when it
+/// is lost. Used on one loop.
+class LeasedKey
+{
+public:
+  /// All arguments outlive this.
+  /// @param aClock counts suspension, as the store does
+  LeasedKey(Store& aStore,
+            LoopTimers& aTimers,
+            const Clock& aClock,
+            LeasedKeyOptions aOptions);
+  ~LeasedKey();
+  LeasedKey(const LeasedKey&) = delete;
+  LeasedKey& operator=(const LeasedKey&) = delete;
+
+  /// Set before `Start`. The key is ours since that revision.
+  std::function<void(FencingNumber)> onHeld_;
+  std::function<void()> onLost_;
+
+  void Start();
+  /// Another process's key was seen to be gone.
+  void Retry();
+  /// Ends the lease, so that others need not wait for it to lapse.
+  void Release();
+
+  /// @returns whether the key is ours for certain, less a margin for what is
+  /// sent now to arrive
+  [[nodiscard]] bool Held() const noexcept;
+  [[nodiscard]] FencingNumber Fence() const noexcept { return fence_; }
+  /// @returns whether the last call to the store was answered
+  [[nodiscard]] bool Reached() const noexcept { return reached_; }
+
+private:
+  void Grant();
+  void Write();
+  void OnWritten(const Result<StoreCommit>& aCommit);
+  void ReadBack();
+  void OnReadBack(const Result<StoreRange>& aRange);
+  void Renew();
+  void OnRenewed(TimePoint aSent, const Result<StoreLease>& aLease);
+  void Lose();
+  void Later(Duration aPause, void (LeasedKey::*aStep)());
+  template<typename T>
+  StoreDone<T> Guarded(std::function<void(const Result<T>&)> aTake);
+
+  Store& store_;
+  LoopTimers& timers_;
+  const Clock& clock_;
+  LeasedKeyOptions options_;
+  StoreLeaseId lease_ = 0;
+  FencingNumber fence_;
+  bool held_ = false;
+  /// Another process holds the key.
+  bool waiting_ = false;
+  bool reached_ = false;
+  bool released_ = false;
+  TimePoint until_;
+  TimePoint granted_;
+  Backoff pauses_;
+  LoopTimerId next_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/prefix_follower.hpp
@@ -0,0 +1,38 @@
+/// Follows the records under a prefix of the store: reads them all, then
+/// watches; reads again when the watch lost its place.
+#pragma once
+
+#include "marjoramtally/base.hpp"
+#include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/store.hpp"
+
+namespace marjoramtally {
+
+/// Told of the records of one prefix. Used on one loop.
+class PrefixFollower
+{
+public:
+  /// All arguments outlive this.
+  PrefixFollower(Store& aStore, LoopTimers& aTimers, std::string aPrefix);
+  ~PrefixFollower();
+  PrefixFollower(const PrefixFollower&) = delete;
+  PrefixFollower& operator=(const PrefixFollower&) = delete;
+
+  /// Set before `Start`. Told of a whole reading: what is not in it is gone.
+  std::function<void(const StoreRange&)> onAll_;
+  /// Told of one change.
+  std::function<void(const StoreEvent&)> onChange_;
+  /// Told once after all changes of one answer, and after a whole reading.
+  std::function<void()> onSettled_;
+  /// Told why a reading failed.
+  std::function<void(const Error&)> onFailure_;
+
+  void Start();
+  void Stop();
+
+private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -41,31 +41,6 @@
   { "log-level", &Settings::logLevel_ },
 });
 
-/// A log level by its name.
-struct LevelName
-{
-  std::string_view name_;
-  LogLevel level_;
-};
-
-constexpr auto kLevels = std::to_array<LevelName>({
-  { "debug", LogLevel::Debug },
-  { "info", LogLevel::Info },
-  { "warn", LogLevel::Warn },
-  { "error", LogLevel::Error },
-});
-
-std::optional<LogLevel>
-ParseLevel(std::string_view aName)
-{
-  for (const LevelName& known : kLevels) {
-    if (known.name_ == aName) {
-      return known.level_;
-    }
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 Checked<DaemonSettings>
@@ -89,7 +64,7 @@
                              kFields,
                              settings,
                              findings);
-  if (!ParseLevel(settings.logLevel_)) {
+  if (!ParseLogLevel(settings.logLevel_)) {
     findings.Add(section->second.at("log-level").place_,
                  "[daemon] log-level = '" + settings.logLevel_ +
                    "': none of debug, info, warn, error");
@@ -132,7 +107,7 @@
   }
   InitLog(aProgram,
           settings.value().instance_,
-          *ParseLevel(settings.value().logLevel_));
+          *ParseLogLevel(settings.value().logLevel_));
   return std::move(settings).value();
 }
 
--- /dev/null
+++ b/src/process/job_takeover.cpp
@@ -0,0 +1,91 @@
+#include "marjoramtally/process/job_takeover.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+JobTakeover::JobTakeover(std::string aSelf, TakeoverPolicy aPolicy)
+  : self_(std::move(aSelf))
+  , policy_(aPolicy)
+{
+}
+
+void
+JobTakeover::OnAlive(const std::string& aIncarnation, TimePoint /*aNow*/)
+{
+  alive_.insert(aIncarnation);
+  gone_.erase(aIncarnation);
+}
+
+void
+JobTakeover::OnGone(const std::string& aIncarnation, TimePoint aNow)
+{
+  if (alive_.erase(aIncarnation) != 0) {
+    gone_[aIncarnation] = aNow;
+  }
+}
+
+void
+JobTakeover::OnOwner(const JobId& aJob, std::string aOwner, TimePoint aNow)
+{
+  jobs_[aJob] = Orphan{ std::move(aOwner), aNow };
+}
+
+void
+JobTakeover::OnEnded(const JobId& aJob)
+{
+  jobs_.erase(aJob);
+}
+
+std::size_t
+JobTakeover::Rank(const JobId& aJob) const
+{
+  const std::hash<std::string> hash;
+  const std::size_t own = hash(self_ + aJob.Get());
+  return static_cast<std::size_t>(
+    std::count_if(alive_.begin(), alive_.end(), [&](const std::string& aOther) {
+      return aOther != self_ && hash(aOther + aJob.Get()) > own;
+    }));
+}
+
+TimePoint
+JobTakeover::ClaimAt(const JobId& aJob, const Orphan& aOrphan) const
+{
+  if (aOrphan.owner_ == self_ || alive_.contains(aOrphan.owner_)) {
+    return kNever;
+  }
+  const Duration turn =
+    policy_.rankStep_ * static_cast<std::int64_t>(Rank(aJob));
+  if (aOrphan.owner_.empty()) {
+    return aOrphan.since_ + turn;
+  }
+  const auto gone = gone_.find(aOrphan.owner_);
+  const TimePoint since = gone == gone_.end()
+                            ? aOrphan.since_
+                            : std::max(gone->second, aOrphan.since_);
+  return since + policy_.returnGrace_ + turn;
+}
+
+std::vector<JobId>
+JobTakeover::Due(TimePoint aNow) const
+{
+  std::vector<JobId> due;
+  for (const auto& [job, orphan] : jobs_) {
+    if (ClaimAt(job, orphan) <= aNow) {
+      due.push_back(job);
+    }
+  }
+  return due;
+}
+
+TimePoint
+JobTakeover::NextDue() const
+{
+  TimePoint next = kNever;
+  for (const auto& [job, orphan] : jobs_) {
+    next = std::min(next, ClaimAt(job, orphan));
+  }
+  return next;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/route_table.cpp
@@ -0,0 +1,51 @@
+#include "marjoramtally/process/route_table.hpp"
+
+namespace marjoramtally {
+
+bool
+RouteTable::Apply(RoutingConfig aConfig)
+{
+  if (aConfig.revision_ <= config_.revision_) {
+    return false;
+  }
+  config_ = std::move(aConfig);
+  return true;
+}
+
+const Route*
+RouteTable::Match(std::string_view aHost, std::string_view aPath) const noexcept
+{
+  const Route* best = nullptr;
+  for (const Route& route : config_.routes_) {
+    const bool fits = route.host_ == aHost && aPath.starts_with(route.prefix_);
+    const bool longer =
+      best == nullptr || route.prefix_.size() > best->prefix_.size();
+    if (fits && longer) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+const ServiceId&
+DrawService(const Route& aRoute, std::uint64_t aDraw) noexcept
+{
+  static const ServiceId kNone;
+  std::uint64_t total = 0;
+  for (const ServiceWeight& entry : aRoute.services_) {
+    total += entry.weight_;
+  }
+  if (total == 0) {
+    return aRoute.services_.empty() ? kNone : aRoute.services_.front().service_;
+  }
+  std::uint64_t left = aDraw % total;
+  for (const ServiceWeight& entry : aRoute.services_) {
+    if (left < entry.weight_) {
+      return entry.service_;
+    }
+    left -= entry.weight_;
+  }
+  return aRoute.services_.back().service_;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/upstream_board.cpp
@@ -0,0 +1,265 @@
+#include "marjoramtally/process/upstream_board.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace marjoramtally {
+
+namespace {
+
+double
+LoadOf(const BoardUpstream& aUpstream) noexcept
+{
+  return static_cast<double>(aUpstream.inFlight_) /
+         std::max(1U, aUpstream.entry_.slots_);
+}
+
+} // namespace
+
+UpstreamBoard::UpstreamBoard(ZoneId aZone, BoardPolicy aPolicy)
+  : zone_(std::move(aZone))
+  , policy_(aPolicy)
+{
+}
+
+void
+UpstreamBoard::OnEntry(UpstreamEntry aEntry)
+{
+  BoardUpstream& upstream = upstreams_[aEntry.id_];
+  upstream.vanished_ = kNever;
+  for (const ModelVersion& model : aEntry.models_) {
+    WeightVersion& known = upstream.versions_[model.model_];
+    known = std::max(known, model.version_);
+  }
+  // A leaving mark holds for the incarnation, also against an older entry.
+  const bool draining = upstream.entry_.draining_ || aEntry.draining_;
+  upstream.entry_ = std::move(aEntry);
+  upstream.entry_.draining_ = draining;
+}
+
+void
+UpstreamBoard::OnVanished(const UpstreamId& aId, TimePoint aNow)
+{
+  const auto it = upstreams_.find(aId);
+  if (it != upstreams_.end() && it->second.vanished_ == kNever) {
+    it->second.vanished_ = aNow;
+  }
+  // What vanished long ago and has nothing in flight is forgotten.
+  std::erase_if(upstreams_, [&](const auto& aEntry) {
+    const BoardUpstream& upstream = aEntry.second;
+    return upstream.vanished_ != kNever && upstream.inFlight_ == 0 &&
+           aNow - upstream.vanished_ > policy_.vanishGrace_;
+  });
+}
+
+void
+UpstreamBoard::OnList(std::vector<UpstreamEntry> aEntries, TimePoint aNow)
+{
+  std::set<UpstreamId> listed;
+  for (UpstreamEntry& entry : aEntries) {
+    listed.insert(entry.id_);
+    OnEntry(std::move(entry));
+  }
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : missing) {
+    OnVanished(id, aNow);
+  }
+}
+
+void
+UpstreamBoard::OnStart(const UpstreamId& aId)
+{
+  const auto it = upstreams_.find(aId);
+  if (it != upstreams_.end()) {
+    ++it->second.inFlight_;
+  }
+}
+
+void
+UpstreamBoard::OnEnd(const UpstreamId& aId,
+                     CallVerdict aVerdict,
+                     TimePoint aNow)
+{
+  const auto it = upstreams_.find(aId);
+  if (it == upstreams_.end()) {
+    return;
+  }
+  BoardUpstream& upstream = it->second;
+  if (upstream.inFlight_ > 0) {
+    --upstream.inFlight_;
+  }
+  if (aVerdict == CallVerdict::Answered) {
+    upstream.failures_ = 0;
+  } else if (aVerdict == CallVerdict::Full) {
+    upstream.avoidUntil_ =
+      std::max(upstream.avoidUntil_, aNow + policy_.fullPause_);
+  } else if (aVerdict == CallVerdict::Failed) {
+    const std::uint32_t doublings = std::min(upstream.failures_, 10U);
+    const Duration pause =
+      std::min(policy_.avoidFirst_ * (std::int64_t{ 1 } << doublings),
+               policy_.avoidLongest_);
+    ++upstream.failures_;
+    upstream.avoidUntil_ = std::max(upstream.avoidUntil_, aNow + pause);
+  }
+}
+
+void
+UpstreamBoard::OnReplaced(const UpstreamId& aId, TimePoint aNow)
+{
+  const auto it = upstreams_.find(aId);
+  if (it != upstreams_.end()) {
+    it->second.entry_.draining_ = true;
+    OnVanished(aId, aNow);
+  }
+}
+
+void
+UpstreamBoard::OnPace(const UpstreamId& aId, Duration aGap)
+{
+  const auto it = upstreams_.find(aId);
+  if (it == upstreams_.end()) {
+    return;
+  }
+  Duration& pace = it->second.pace_;
+  if (pace.count() == 0) {
+    pace = aGap;
+    return;
+  }
+  const double change = static_cast<double>((aGap - pace).count());
+  pace += Duration{ static_cast<std::int64_t>(change * policy_.paceWeight_) };
+}
+
+void
+UpstreamBoard::OnVersion(const UpstreamId& aId,
+                         const std::string& aModel,
+                         WeightVersion aVersion)
+{
+  const auto it = upstreams_.find(aId);
+  if (it != upstreams_.end()) {
+    WeightVersion& known = it->second.versions_[aModel];
+    known = std::max(known, aVersion);
+  }
+}
+
+bool
+UpstreamBoard::Usable(const BoardUpstream& aUpstream,
+                      TimePoint aNow) const noexcept
+{
+  const bool gone = aUpstream.vanished_ != kNever &&
+                    aNow - aUpstream.vanished_ >= policy_.vanishGrace_;
+  return !gone && !aUpstream.entry_.draining_;
+}
+
+const BoardUpstream*
+UpstreamBoard::Pick(const ServiceId& aService,
+                    const std::set<UpstreamId>& aTried,
+                    TimePoint aNow) const
+{
+  const BoardUpstream* best = nullptr;
+  std::tuple<bool, bool, double, bool> bestRank;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ != aService || aTried.contains(id) ||
+        !Usable(upstream, aNow)) {
+      continue;
+    }
+    const bool avoided = upstream.avoidUntil_ > aNow;
+    const bool vanished = upstream.vanished_ != kNever;
+    const bool far = upstream.entry_.zone_ != zone_;
+    const std::tuple rank{ vanished, avoided, LoadOf(upstream), far };
+    if (best == nullptr || rank < bestRank) {
+      best = &upstream;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+bool
+UpstreamBoard::Fits(const BoardUpstream& aUpstream,
+                    const ItemNeeds& aNeeds,
+                    TimePoint aNow) const
+{
+  if (aUpstream.entry_.service_ != aNeeds.service_ ||
+      aUpstream.entry_.id_ == aNeeds.excluded_ || !Usable(aUpstream, aNow)) {
+    return false;
+  }
+  if (!aNeeds.model_.empty()) {
+    const auto version = aUpstream.versions_.find(aNeeds.model_);
+    if (version == aUpstream.versions_.end() ||
+        version->second < aNeeds.minVersion_) {
+      return false;
+    }
+  }
+  return aUpstream.avoidUntil_ <= aNow &&
+         aUpstream.inFlight_ < aUpstream.entry_.slots_;
+}
+
+const BoardUpstream*
+UpstreamBoard::PickForItem(const ItemNeeds& aNeeds, TimePoint aNow) const
+{
+  const BoardUpstream* best = nullptr;
+  std::tuple<bool, bool, double> bestRank;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!Fits(upstream, aNeeds, aNow)) {
+      continue;
+    }
+    if (id == aNeeds.preferred_ && !Slow(id)) {
+      return &upstream;
+    }
+    const std::tuple rank{ upstream.vanished_ != kNever,
+                           Slow(id),
+                           LoadOf(upstream) };
+    if (best == nullptr || rank < bestRank) {
+      best = &upstream;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+bool
+UpstreamBoard::Slow(const UpstreamId& aId) const
+{
+  const BoardUpstream* upstream = Find(aId);
+  if (upstream == nullptr || upstream->pace_.count() == 0) {
+    return false;
+  }
+  std::vector<Duration> paces;
+  for (const auto& [id, other] : upstreams_) {
+    if (other.entry_.service_ == upstream->entry_.service_ &&
+        other.pace_.count() > 0) {
+      paces.push_back(other.pace_);
+    }
+  }
+  const auto middle =
+    paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return static_cast<double>(upstream->pace_.count()) >
+         policy_.slowFactor_ * static_cast<double>(middle->count());
+}
+
+const BoardUpstream*
+UpstreamBoard::Find(const UpstreamId& aId) const
+{
+  const auto it = upstreams_.find(aId);
+  return it == upstreams_.end() ? nullptr : &it->second;
+}
+
+std::vector<const BoardUpstream*>
+UpstreamBoard::OfService(const ServiceId& aService) const
+{
+  std::vector<const BoardUpstream*> found;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ == aService) {
+      found.push_back(&upstream);
+    }
+  }
+  return found;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -0,0 +1,353 @@
+#include "programs/gatewayd/forwarder.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace marjoramtally {
+
+namespace {
+
+/// A connection within the platform takes a few milliseconds; one that takes
+/// longer goes to a dead upstream.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(250);
+/// Share of the objective after which an idempotent request is sent to
+/// another upstream.
+constexpr double kPatienceShare = 0.7;
+constexpr auto kLeastPatience = std::chrono::milliseconds(80);
+/// A refused caller comes back after this time.
+constexpr auto kComeBack = std::chrono::milliseconds(200);
+/// Less time than this is not worth an attempt.
+constexpr auto kLeastAttempt = std::chrono::milliseconds(15);
+
+constexpr std::array<std::string_view, 10> kConnectionFields{
+  "connection",          "keep-alive",     "te",
+  "transfer-encoding",   "trailer",        "upgrade",
+  "proxy-connection",    "content-length", "expect",
+  "proxy-authorization",
+};
+
+bool
+SameName(std::string_view aLeft, std::string_view aRight) noexcept
+{
+  return aLeft.size() == aRight.size() &&
+         std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    [](char aOne, char aOther) {
+                      return std::tolower(static_cast<unsigned char>(aOne)) ==
+                             std::tolower(static_cast<unsigned char>(aOther));
+                    });
+}
+
+bool
+ConcernsConnection(std::string_view aName)
+{
+  return std::any_of(
+    kConnectionFields.begin(),
+    kConnectionFields.end(),
+    [&](std::string_view aField) { return SameName(aName, aField); });
+}
+
+std::int64_t
+Millis(Duration aDuration)
+{
+  return std::chrono::floor<std::chrono::milliseconds>(aDuration).count();
+}
+
+} // namespace
+
+HttpHeaders
+PassedHeaders(const HttpHeaders& aHeaders, const WireNames& aNames)
+{
+  HttpHeaders passed;
+  for (const HttpHeader& header : aHeaders) {
+    if (!ConcernsConnection(header.name_) &&
+        !SameName(header.name_, aNames.deadline_) &&
+        !SameName(header.name_, aNames.expectUpstream_)) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+HttpResponse
+RefusedResponse(std::string_view aWhy, Duration aComeBack)
+{
+  HttpResponse response = ErrorResponse(503, "refused_not_run", aWhy);
+  const double seconds = std::chrono::duration<double>(aComeBack).count();
+  response.headers_.push_back(
+    { "Retry-After", fmt::format("{:.3f}", seconds) });
+  return response;
+}
+
+Forwarder::Forwarder(GatewayHost& aHost, UpstreamBoard& aBoard)
+  : host_(aHost)
+  , board_(aBoard)
+{
+}
+
+ForwardId
+Forwarder::Start(ForwardRequest aRequest, ForwardDone aDone)
+{
+  const ForwardId id = ++last_;
+  Flight& flight = flights_[id];
+  flight.request_ = std::move(aRequest);
+  flight.done_ = std::move(aDone);
+  flight.started_ = host_.Now();
+  flight.limitTimer_ =
+    host_.Timers().After(flight.request_.limit_, [this, id] { OnLimit(id); });
+  SendNext(id);
+  return id;
+}
+
+void
+Forwarder::Cancel(ForwardId aId)
+{
+  const auto it = flights_.find(aId);
+  if (it == flights_.end()) {
+    return;
+  }
+  Abandon(it->second);
+  host_.Timers().Cancel(it->second.limitTimer_);
+  LogEvent(LogLevel::Info,
+           "request_abandoned",
+           { { "id", it->second.request_.attempt_ },
+             { "upstream", it->second.upstream_.Get() } });
+  flights_.erase(it);
+}
+
+Duration
+Forwarder::Left(const Flight& aFlight) const
+{
+  return aFlight.started_ + aFlight.request_.limit_ - host_.Now();
+}
+
+bool
+Forwarder::MayRetry(const Flight& aFlight) const
+{
+  const bool repeatable =
+    aFlight.ran_ == 0 || aFlight.request_.kind_ == RouteKind::Idempotent;
+  return repeatable && aFlight.ran_ < aFlight.request_.maxAttempts_ &&
+         Left(aFlight) > kLeastAttempt;
+}
+
+void
+Forwarder::SendNext(ForwardId aId)
+{
+  Flight& flight = flights_.at(aId);
+  const BoardUpstream* upstream =
+    board_.Pick(flight.request_.service_, flight.tried_, host_.Now());
+  if (upstream == nullptr || !MayRetry(flight)) {
+    if (flight.failure_) {
+      Finish(aId, { std::move(*flight.failure_), true });
+    } else if (flight.ran_ == 0) {
+      GiveUp(aId, 503, upstream == nullptr ? "no upstream" : "no time left");
+    } else {
+      GiveUp(aId, 502, "no upstream gave a whole answer");
+    }
+    return;
+  }
+  Send(aId, flight, *upstream);
+}
+
+HttpCall
+Forwarder::MakeCall(const Flight& aFlight, const UpstreamEntry& aUpstream) const
+{
+  const WireNames& names = host_.Formats().Names();
+  const ForwardRequest& request = aFlight.request_;
+  HttpCall call;
+  call.method_ = request.method_;
+  call.url_ = "http://" + aUpstream.address_ + request.target_;
+  call.headers_ = request.headers_;
+  call.headers_.push_back(
+    { names.deadline_, std::to_string(Millis(Left(aFlight))) });
+  call.headers_.push_back({ names.expectUpstream_, aUpstream.id_.Get() });
+  call.body_ = request.body_;
+  call.timeout_ = Left(aFlight);
+  call.connectTimeout_ = std::min<Duration>(kConnectTimeout, call.timeout_);
+  call.atMostOnce_ = request.kind_ != RouteKind::Idempotent;
+  return call;
+}
+
+void
+Forwarder::Send(ForwardId aId, Flight& aFlight, const BoardUpstream& aUpstream)
+{
+  aFlight.upstream_ = aUpstream.entry_.id_;
+  aFlight.tried_.insert(aFlight.upstream_);
+  aFlight.inFlight_ = true;
+  const std::uint32_t attempt = ++aFlight.attempt_;
+  board_.OnStart(aFlight.upstream_);
+  aFlight.call_ =
+    host_.Client().Send(MakeCall(aFlight, aUpstream.entry_),
+                        [this, aId, attempt](HttpResult aResult) {
+                          OnResult(aId, attempt, std::move(aResult));
+                        });
+  const auto patience = std::max<Duration>(
+    kLeastPatience,
+    Duration{ static_cast<std::int64_t>(
+      kPatienceShare *
+      static_cast<double>(aFlight.request_.objective_.count())) });
+  if (aFlight.request_.kind_ == RouteKind::Idempotent &&
+      aFlight.ran_ + 1 < aFlight.request_.maxAttempts_) {
+    aFlight.patienceTimer_ =
+      host_.Timers().After(patience, [this, aId] { OnPatienceOver(aId); });
+  }
+}
+
+void
+Forwarder::EndAttempt(Flight& aFlight, CallVerdict aVerdict)
+{
+  host_.Timers().Cancel(aFlight.patienceTimer_);
+  if (!aFlight.inFlight_) {
+    return;
+  }
+  aFlight.inFlight_ = false;
+  ++aFlight.attempt_;
+  board_.OnEnd(aFlight.upstream_, aVerdict, host_.Now());
+}
+
+void
+Forwarder::Abandon(Flight& aFlight)
+{
+  if (aFlight.inFlight_) {
+    host_.Client().Cancel(aFlight.call_);
+  }
+  EndAttempt(aFlight, CallVerdict::Abandoned);
+}
+
+void
+Forwarder::OnResult(ForwardId aId, std::uint32_t aAttempt, HttpResult aResult)
+{
+  const auto it = flights_.find(aId);
+  if (it == flights_.end() || it->second.attempt_ != aAttempt) {
+    return;
+  }
+  Flight& flight = it->second;
+  if (aResult.end_ == HttpEnd::Whole) {
+    OnAnswer(aId, flight, std::move(aResult.response_));
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "attempt_failed",
+           { { "id", flight.request_.attempt_ },
+             { "upstream", flight.upstream_.Get() },
+             { "sent", aResult.end_ == HttpEnd::NotSent ? "no" : "yes" },
+             { "error", aResult.message_ } });
+  if (aResult.end_ != HttpEnd::NotSent) {
+    ++flight.ran_;
+  }
+  EndAttempt(flight, CallVerdict::Failed);
+  SendNext(aId);
+}
+
+void
+Forwarder::OnAnswer(ForwardId aId, Flight& aFlight, HttpResponse aResponse)
+{
+  const WireNames& names = host_.Formats().Names();
+  const auto echo = FindHeader(aResponse.headers_, names.attempt_);
+  const bool ours = !echo || *echo == aFlight.request_.attempt_;
+  const bool success = aResponse.status_ >= 200 && aResponse.status_ < 300;
+  const bool signedAnswer =
+    FindHeader(aResponse.headers_, names.signature_).has_value();
+  if (ours && (FindHeader(aResponse.headers_, names.notRun_) ||
+               aResponse.status_ == 421)) {
+    if (aResponse.status_ == 421) {
+      board_.OnReplaced(aFlight.upstream_, host_.Now());
+    }
+    EndAttempt(aFlight, CallVerdict::Full);
+    SendNext(aId);
+    return;
+  }
+  ++aFlight.ran_;
+  if (!ours || (success && !signedAnswer)) {
+    LogEvent(LogLevel::Warn,
+             "answer_rejected",
+             { { "id", aFlight.request_.attempt_ },
+               { "upstream", aFlight.upstream_.Get() },
+               { "why", ours ? "not signed" : "belongs to another request" } });
+    EndAttempt(aFlight, CallVerdict::Failed);
+    SendNext(aId);
+    return;
+  }
+  EndAttempt(aFlight, CallVerdict::Answered);
+  aFlight.failures_ += aResponse.status_ == 500 ? 1 : 0;
+  if (aResponse.status_ >= 500 && MayRetry(aFlight)) {
+    aFlight.failure_ = std::move(aResponse);
+    SendNext(aId);
+    return;
+  }
+  Finish(aId, { std::move(aResponse), true });
+}
+
+void
+Forwarder::OnPatienceOver(ForwardId aId)
+{
+  const auto it = flights_.find(aId);
+  if (it == flights_.end() || !it->second.inFlight_) {
+    return;
+  }
+  Flight& flight = it->second;
+  const BoardUpstream* other =
+    board_.Pick(flight.request_.service_, flight.tried_, host_.Now());
+  if (other == nullptr || other->avoidUntil_ > host_.Now()) {
+    return;
+  }
+  ++flight.ran_;
+  Abandon(flight);
+  LogEvent(LogLevel::Info,
+           "attempt_outwaited",
+           { { "id", flight.request_.attempt_ },
+             { "upstream", flight.upstream_.Get() },
+             { "next", other->entry_.id_.Get() } });
+  SendNext(aId);
+}
+
+void
+Forwarder::OnLimit(ForwardId aId)
+{
+  const auto it = flights_.find(aId);
+  if (it == flights_.end()) {
+    return;
+  }
+  it->second.ran_ += it->second.inFlight_ ? 1 : 0;
+  Abandon(it->second);
+  GiveUp(aId, it->second.ran_ == 0 ? 503 : 504, "the time limit passed");
+}
+
+void
+Forwarder::GiveUp(ForwardId aId, int aStatus, std::string_view aWhy)
+{
+  const Flight& flight = flights_.at(aId);
+  LogEvent(LogLevel::Warn,
+           "request_given_up",
+           { { "id", flight.request_.attempt_ },
+             { "service", flight.request_.service_.Get() },
+             { "status", std::to_string(aStatus) },
+             { "attempts", std::to_string(flight.tried_.size()) },
+             { "last_upstream", flight.upstream_.Get() },
+             { "why", std::string(aWhy) } });
+  ForwardOutcome outcome;
+  outcome.notRun_ = aStatus == 503;
+  outcome.response_ = outcome.notRun_
+                        ? RefusedResponse(aWhy, kComeBack)
+                        : ErrorResponse(aStatus, "unknown_outcome", aWhy);
+  Finish(aId, std::move(outcome));
+}
+
+void
+Forwarder::Finish(ForwardId aId, ForwardOutcome aOutcome)
+{
+  auto node = flights_.extract(aId);
+  Flight& flight = node.mapped();
+  host_.Timers().Cancel(flight.limitTimer_);
+  host_.Timers().Cancel(flight.patienceTimer_);
+  host_.Measures().Observe(
+    "request_seconds",
+    std::chrono::duration<double>(host_.Now() - flight.started_).count());
+  aOutcome.failures_ = flight.failures_;
+  flight.done_(std::move(aOutcome));
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/gateway.cpp
@@ -0,0 +1,301 @@
+#include "programs/gatewayd/gateway.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+/// Largest body taken while no configuration says otherwise, in bytes.
+constexpr std::uint64_t kMaxBodyBytes = 32ULL << 20U;
+constexpr std::uint64_t kReadyBodyBytes = 1024;
+/// Callers keep coming until the balancer has missed the readiness twice,
+/// asked once a second; so long the doors stay open.
+constexpr auto kLeaveTime = std::chrono::milliseconds(2600);
+/// A caller that came before any configuration was known comes back.
+constexpr auto kComeBack = std::chrono::milliseconds(300);
+
+LeasedKeyOptions
+LifeOptions(const GatewayHost& aHost)
+{
+  return { job_keys::Life(aHost.Incarnation()),
+           aHost.Settings().instance_,
+           aHost.Settings().leaseTtl_,
+           false };
+}
+
+/// @returns the host without a port
+std::string
+HostName(const HttpRequest& aRequest)
+{
+  const std::string_view host =
+    FindHeader(aRequest.headers_, "Host").value_or("");
+  return std::string(host.substr(0, host.find(':')));
+}
+
+} // namespace
+
+Gateway::Gateway(GatewayHost& aHost)
+  : host_(aHost)
+  , board_(ZoneId{ aHost.Settings().zone_ })
+  , forwarder_(aHost, board_)
+  , store_(aHost)
+  , directory_(aHost, store_)
+  , runner_(aHost, routes_, board_, forwarder_, store_)
+  , jobs_(aHost, store_, directory_, runner_)
+  , life_(aHost.PlatformStore(),
+          aHost.Timers(),
+          aHost.LeaseClock(),
+          LifeOptions(aHost))
+  , config_(aHost.PlatformStore(),
+            aHost.Timers(),
+            aHost.Formats().Places().config_)
+  , upstreams_(aHost.PlatformStore(),
+               aHost.Timers(),
+               aHost.Formats().Places().upstreams_)
+  , random_(std::hash<std::string>{}(aHost.Incarnation()))
+{
+}
+
+Result<bool>
+Gateway::Open()
+{
+  const auto front = ParseListenAddress(host_.Settings().front_);
+  const auto ready = ParseListenAddress(host_.Settings().ready_);
+  if (!front || !ready) {
+    return Error{ ErrorKind::BadInput, "[gateway] lacks front or ready" };
+  }
+  auto readyServer =
+    host_.Serve(*ready,
+                kReadyBodyBytes,
+                [this](const HttpRequest&, const HttpReplyPtr& aReply) {
+                  HandleReady(aReply);
+                });
+  if (!readyServer) {
+    return readyServer.error();
+  }
+  ready_ = std::move(readyServer).value();
+  auto frontServer = host_.Serve(
+    *front, kMaxBodyBytes, [this](HttpRequest aRequest, HttpReplyPtr aReply) {
+      Handle(std::move(aRequest), std::move(aReply));
+    });
+  if (!frontServer) {
+    return frontServer.error();
+  }
+  front_ = std::move(frontServer).value();
+  return true;
+}
+
+void
+Gateway::Start()
+{
+  FollowConfig();
+  FollowUpstreams();
+  life_.Start();
+  directory_.Start();
+}
+
+void
+Gateway::Stop()
+{
+  stopping_ = true;
+  stopped_ = host_.Now();
+  directory_.StopClaiming();
+  jobs_.StopAccepting();
+}
+
+bool
+Gateway::Idle()
+{
+  if (host_.Now() - stopped_ < kLeaveTime) {
+    return false;
+  }
+  front_->StopAccepting();
+  if (front_->InFlight() != 0 || !runner_.Idle()) {
+    return false;
+  }
+  life_.Release();
+  return true;
+}
+
+void
+Gateway::FollowConfig()
+{
+  config_.onAll_ = [this](const StoreRange& aRange) {
+    for (const StoreRecord& record : aRange.records_) {
+      TakeConfig(record);
+    }
+  };
+  config_.onChange_ = [this](const StoreEvent& aEvent) {
+    if (!aEvent.deleted_) {
+      TakeConfig(aEvent.record_);
+    }
+  };
+  config_.onSettled_ = [this] { runner_.OnBoardChanged(); };
+  config_.Start();
+}
+
+void
+Gateway::TakeConfig(const StoreRecord& aRecord)
+{
+  if (aRecord.key_ != host_.Formats().Places().config_) {
+    return;
+  }
+  auto config = host_.Formats().ReadConfig(aRecord.value_);
+  if (!config) {
+    LogEvent(LogLevel::Error,
+             "config_unreadable",
+             { { "error", config.error().message_ } });
+    return;
+  }
+  const std::uint64_t revision = config.value().revision_.Get();
+  const bool applied = routes_.Apply(std::move(config).value());
+  LogEvent(LogLevel::Info,
+           "config_read",
+           { { "revision", std::to_string(revision) },
+             { "outcome", applied ? "applied" : "older than the present" } });
+}
+
+void
+Gateway::FollowUpstreams()
+{
+  upstreams_.onAll_ = [this](const StoreRange& aRange) {
+    TakeUpstreams(aRange);
+  };
+  upstreams_.onChange_ = [this](const StoreEvent& aEvent) {
+    if (aEvent.deleted_) {
+      const UpstreamId id = host_.Formats().UpstreamOf(aEvent.record_.key_);
+      LogEvent(LogLevel::Info, "upstream_vanished", { { "id", id.Get() } });
+      board_.OnVanished(id, host_.Now());
+    } else {
+      TakeUpstream(aEvent.record_);
+    }
+  };
+  upstreams_.onSettled_ = [this] { runner_.OnBoardChanged(); };
+  upstreams_.Start();
+}
+
+void
+Gateway::TakeUpstream(const StoreRecord& aRecord)
+{
+  auto entry = host_.Formats().ReadUpstream(aRecord.key_, aRecord.value_);
+  if (!entry) {
+    LogEvent(LogLevel::Error,
+             "upstream_unreadable",
+             { { "key", aRecord.key_ }, { "error", entry.error().message_ } });
+    return;
+  }
+  const BoardUpstream* known = board_.Find(entry.value().id_);
+  if (known == nullptr || known->entry_.draining_ != entry.value().draining_) {
+    LogEvent(LogLevel::Info,
+             "upstream_registered",
+             { { "id", entry.value().id_.Get() },
+               { "service", entry.value().service_.Get() },
+               { "draining", entry.value().draining_ ? "yes" : "no" } });
+  }
+  board_.OnEntry(std::move(entry).value());
+}
+
+void
+Gateway::TakeUpstreams(const StoreRange& aRange)
+{
+  std::vector<UpstreamEntry> entries;
+  for (const StoreRecord& record : aRange.records_) {
+    auto entry = host_.Formats().ReadUpstream(record.key_, record.value_);
+    if (entry) {
+      entries.push_back(std::move(entry).value());
+    } else {
+      LogEvent(LogLevel::Error,
+               "upstream_unreadable",
+               { { "key", record.key_ }, { "error", entry.error().message_ } });
+    }
+  }
+  LogEvent(LogLevel::Info,
+           "upstreams_read",
+           { { "count", std::to_string(entries.size()) },
+             { "revision", std::to_string(aRange.revision_) } });
+  board_.OnList(std::move(entries), host_.Now());
+}
+
+bool
+Gateway::Ready() const
+{
+  return !stopping_ && routes_.Known();
+}
+
+void
+Gateway::HandleReady(const HttpReplyPtr& aReply)
+{
+  if (Ready()) {
+    aReply->Send(HttpResponse{ 200, {}, "ready\n" });
+  } else {
+    aReply->Send(ErrorResponse(
+      503, "not_ready", stopping_ ? "stopping" : "no configuration yet"));
+  }
+}
+
+void
+Gateway::Handle(HttpRequest aRequest, HttpReplyPtr aReply)
+{
+  if (!routes_.Known()) {
+    aReply->Send(RefusedResponse("no configuration yet", kComeBack));
+    return;
+  }
+  const Route* route = routes_.Match(HostName(aRequest), aRequest.path_);
+  if (route == nullptr) {
+    const auto query = host_.Formats().ReadQuery(aRequest);
+    if (query) {
+      jobs_.Query(*query, aRequest, std::move(aReply));
+      return;
+    }
+    LogEvent(
+      LogLevel::Info,
+      "no_route",
+      { { "host", HostName(aRequest) },
+        { "path", aRequest.path_ },
+        { "revision", std::to_string(routes_.Config().revision_.Get()) } });
+    aReply->Send(ErrorResponse(404, "no_route", "no route takes this path"));
+    return;
+  }
+  if (route->kind_ == RouteKind::Rollout && aRequest.method_ == "POST") {
+    jobs_.Submit(std::move(aRequest), std::move(aReply));
+    return;
+  }
+  Forward(*route, std::move(aRequest), aReply);
+}
+
+void
+Gateway::Forward(const Route& aRoute,
+                 HttpRequest aRequest,
+                 const HttpReplyPtr& aReply)
+{
+  const WireNames& names = host_.Formats().Names();
+  ForwardRequest request;
+  request.attempt_ =
+    std::string(FindHeader(aRequest.headers_, names.attempt_).value_or(""));
+  request.method_ = std::move(aRequest.method_);
+  request.target_ = aRequest.query_.empty()
+                      ? std::move(aRequest.path_)
+                      : aRequest.path_ + "?" + aRequest.query_;
+  request.headers_ = PassedHeaders(aRequest.headers_, names);
+  request.body_ = std::move(aRequest.body_);
+  request.service_ = DrawService(aRoute, random_.Next());
+  request.kind_ = aRoute.kind_;
+  request.maxAttempts_ = aRoute.maxAttempts_;
+  const auto deadline = ParseNumber(
+    FindHeader(aRequest.headers_, names.deadline_).value_or(""), 0, UINT32_MAX);
+  request.limit_ = deadline
+                     ? std::min<Duration>(aRoute.timeout_,
+                                          std::chrono::milliseconds(*deadline))
+                     : aRoute.timeout_;
+  request.objective_ = aRoute.objective_;
+  const ForwardId id =
+    forwarder_.Start(std::move(request), [aReply](ForwardOutcome aOutcome) {
+      HttpResponse response = std::move(aOutcome.response_);
+      response.headers_ = PassedHeaders(response.headers_, {});
+      aReply->Send(std::move(response));
+    });
+  aReply->OnCallerGone([this, id] { forwarder_.Cancel(id); });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/gateway.hpp
@@ -0,0 +1,56 @@
+/// The gateway: takes requests of callers and trainers, sends them to
+/// upstreams and runs jobs.
+#pragma once
+
+#include "daemon/leased_key.hpp"
+#include "programs/gatewayd/job_api.hpp"
+
+namespace marjoramtally {
+
+/// Everything that one gateway process does. Used on one loop but for
+/// construction.
+class Gateway
+{
+public:
+  explicit Gateway(GatewayHost& aHost);
+
+  /// Opens the doors; on any thread.
+  /// @returns an error naming an address that cannot be bound
+  [[nodiscard]] Result<bool> Open();
+  void Start();
+  /// Is no longer ready, gives its jobs back and serves what is in progress.
+  void Stop();
+  [[nodiscard]] bool Idle();
+
+private:
+  void FollowConfig();
+  void FollowUpstreams();
+  void TakeConfig(const StoreRecord& aRecord);
+  void TakeUpstream(const StoreRecord& aRecord);
+  void TakeUpstreams(const StoreRange& aRange);
+  void Handle(HttpRequest aRequest, HttpReplyPtr aReply);
+  void HandleReady(const HttpReplyPtr& aReply);
+  void Forward(const Route& aRoute,
+               HttpRequest aRequest,
+               const HttpReplyPtr& aReply);
+  [[nodiscard]] bool Ready() const;
+
+  GatewayHost& host_;
+  RouteTable routes_;
+  UpstreamBoard board_;
+  Forwarder forwarder_;
+  JobStore store_;
+  JobDirectory directory_;
+  JobRunner runner_;
+  JobApi jobs_;
+  LeasedKey life_;
+  PrefixFollower config_;
+  PrefixFollower upstreams_;
+  Random random_;
+  bool stopping_ = false;
+  TimePoint stopped_;
+  std::unique_ptr<HttpServer> front_;
+  std::unique_ptr<HttpServer> ready_;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_api.cpp
@@ -0,0 +1,439 @@
+#include "programs/gatewayd/job_api.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// A page of results holds at most so many bytes of text; the platform's
+/// limit is 1 MB for the whole body.
+constexpr std::size_t kPageBytes = 800'000;
+/// A refused submission comes back after this time.
+constexpr auto kComeBack = std::chrono::milliseconds(300);
+/// A job's owner record that could not be loaded is tried again.
+constexpr auto kLoadAgain = std::chrono::milliseconds(300);
+constexpr std::size_t kLongestId = 100;
+
+std::int64_t
+WallMillis()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+/// Ids become parts of keys in the store.
+bool
+GoodId(const JobId& aJob)
+{
+  const std::string& id = aJob.Get();
+  return !id.empty() && id.size() <= kLongestId &&
+         std::all_of(id.begin(), id.end(), [](unsigned char aByte) {
+           return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' ||
+                  aByte == '.';
+         });
+}
+
+HttpResponse
+NoSuchJob()
+{
+  return ErrorResponse(404, "no_such_job", "there is no such job");
+}
+
+} // namespace
+
+JobApi::JobApi(GatewayHost& aHost,
+               JobStore& aStore,
+               JobDirectory& aDirectory,
+               JobRunner& aRunner)
+  : host_(aHost)
+  , store_(aStore)
+  , directory_(aDirectory)
+  , runner_(aRunner)
+  , mirrors_(aHost)
+{
+  directory_.onOwner_ = [this](const JobId& aJob, const KnownJob& aKnown) {
+    TakeOwner(aJob, aKnown);
+  };
+  directory_.onEnd_ = [this](const JobId& aJob) { runner_.End(aJob); };
+  runner_.onListed_ = [this](const JobId& aJob) { Wake(aJob); };
+  runner_.onDropped_ = [this](const JobId& aJob) {
+    if (waiters_.contains(aJob)) {
+      mirrors_.Touch(aJob);
+    }
+  };
+  mirrors_.onChange_ = [this](const JobId& aJob) { Wake(aJob); };
+}
+
+void
+JobApi::StopAccepting()
+{
+  accepting_ = false;
+  runner_.GiveBack();
+}
+
+void
+JobApi::TakeOwner(const JobId& aJob, const KnownJob& aKnown)
+{
+  const bool mine = aKnown.record_.owner_ == host_.Incarnation();
+  if (runner_.Owns(aJob)) {
+    if (!mine || runner_.FenceOf(aJob) != aKnown.fence_) {
+      runner_.Drop(aJob);
+    } else {
+      return;
+    }
+  }
+  if (mine && accepting_) {
+    LoadOwned(aJob, aKnown.fence_);
+  }
+}
+
+void
+JobApi::LoadOwned(const JobId& aJob, FencingNumber aFence)
+{
+  if (!loading_.insert(aJob).second) {
+    return;
+  }
+  store_.Load(aJob, [this, aJob, aFence](const Result<StoredJob>& aStored) {
+    loading_.erase(aJob);
+    const KnownJob* known = directory_.Find(aJob);
+    if (known == nullptr || known->fence_ != aFence || known->ended_ ||
+        runner_.Owns(aJob) || !accepting_) {
+      return;
+    }
+    if (!aStored) {
+      LogEvent(
+        LogLevel::Warn,
+        "job_load_failed",
+        { { "job", aJob.Get() }, { "error", aStored.error().message_ } });
+      host_.Timers().After(kLoadAgain,
+                           [this, aJob, aFence] { LoadOwned(aJob, aFence); });
+      return;
+    }
+    auto spec =
+      host_.Formats().ReadSubmission(aStored.value().submission_.body_);
+    if (!spec) {
+      LogEvent(LogLevel::Error,
+               "job_unreadable",
+               { { "job", aJob.Get() }, { "error", spec.error().message_ } });
+      return;
+    }
+    const auto age = std::chrono::milliseconds(
+      std::max<std::int64_t>(0, WallMillis() - known->record_.acceptedMillis_));
+    runner_.Add(aJob,
+                aFence,
+                aStored.value().submission_,
+                std::move(spec).value(),
+                aStored.value().results_,
+                age);
+  });
+}
+
+void
+JobApi::Submit(HttpRequest aRequest, HttpReplyPtr aReply)
+{
+  const auto id =
+    FindHeader(aRequest.headers_, host_.Formats().Names().attempt_);
+  const JobId job{ std::string(id.value_or("")) };
+  if (!GoodId(job)) {
+    aReply->Send(ErrorResponse(
+      400, "bad_job", "the job's id is missing or not letters and digits"));
+    return;
+  }
+  if (directory_.Find(job) != nullptr) {
+    aReply->Send(JsonResponse(202, "{}"));
+    return;
+  }
+  if (!accepting_) {
+    aReply->Send(RefusedResponse("shutting down", kComeBack));
+    return;
+  }
+  auto spec = host_.Formats().ReadSubmission(aRequest.body_);
+  if (!spec) {
+    LogEvent(LogLevel::Warn,
+             "job_rejected",
+             { { "job", job.Get() }, { "error", spec.error().message_ } });
+    aReply->Send(ErrorResponse(400, "bad_job", spec.error().message_));
+    return;
+  }
+  const JobSubmissionRecord submission{
+    std::string(FindHeader(aRequest.headers_, "Host").value_or("")),
+    std::move(aRequest.path_),
+    std::move(aRequest.body_)
+  };
+  const std::uint64_t total = spec.value().items_.size();
+  store_.Accept(job,
+                submission,
+                total,
+                [this, job, submission, spec = std::move(spec).value(), aReply](
+                  const AcceptResult& aResult) {
+                  Accepted(job, submission, spec, aResult, aReply);
+                });
+}
+
+void
+JobApi::Accepted(const JobId& aJob,
+                 const JobSubmissionRecord& aSubmission,
+                 JobSpec aSpec,
+                 const AcceptResult& aResult,
+                 const HttpReplyPtr& aReply)
+{
+  constexpr std::array<std::string_view, 4> kNames{
+    "accepted", "known", "refused", "unknown"
+  };
+  LogEvent(
+    LogLevel::Info,
+    "job_submitted",
+    { { "job", aJob.Get() },
+      { "outcome",
+        std::string(kNames.at(static_cast<std::size_t>(aResult.end_))) } });
+  switch (aResult.end_) {
+    case AcceptEnd::Accepted:
+      aReply->Send(JsonResponse(202, "{}"));
+      totals_[aJob] = aSpec.items_.size();
+      if (!runner_.Owns(aJob) && accepting_) {
+        runner_.Add(
+          aJob, aResult.fence_, aSubmission, std::move(aSpec), {}, {});
+      }
+      return;
+    case AcceptEnd::Known:
+      aReply->Send(JsonResponse(202, "{}"));
+      return;
+    case AcceptEnd::Refused:
+      aReply->Send(RefusedResponse("the store took nothing", kComeBack));
+      return;
+    case AcceptEnd::Unknown:
+      aReply->Send(ErrorResponse(
+        504, "unknown_outcome", "the store did not say whether it took it"));
+      return;
+  }
+}
+
+void
+JobApi::Query(const JobQuery& aQuery,
+              const HttpRequest& aRequest,
+              HttpReplyPtr aReply)
+{
+  if (!GoodId(aQuery.job_)) {
+    aReply->Send(NoSuchJob());
+    return;
+  }
+  switch (aQuery.verb_) {
+    case JobQuery::Verb::Read: {
+      constexpr std::uint64_t kLongestWaitMillis = 1000;
+      const auto wait =
+        FindHeader(aRequest.headers_, host_.Formats().Names().wait_);
+      const auto millis =
+        ParseNumber(wait.value_or("0"), 0, UINT32_MAX).value_or(0);
+      Read(aQuery,
+           std::chrono::milliseconds(std::min(millis, kLongestWaitMillis)),
+           std::move(aReply));
+      return;
+    }
+    case JobQuery::Verb::Body:
+      Body(aQuery, std::move(aReply));
+      return;
+    case JobQuery::Verb::End:
+      End(aQuery, std::move(aReply));
+      return;
+  }
+}
+
+void
+JobApi::IfExists(const JobId& aJob,
+                 HttpReplyPtr aReply,
+                 std::function<void()> aKnown)
+{
+  if (runner_.Owns(aJob) || directory_.Find(aJob) != nullptr) {
+    aKnown();
+    return;
+  }
+  store_.ReadOwner(
+    aJob,
+    [this, aJob, aReply, known = std::move(aKnown)](
+      const Result<std::optional<StoreRecord>>& aOwner) {
+      if (!aOwner) {
+        aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
+      } else if (!aOwner.value()) {
+        aReply->Send(NoSuchJob());
+      } else {
+        const auto record = ReadOwnerRecord(aOwner.value()->value_);
+        totals_[aJob] = record ? record.value().total_ : 0;
+        known();
+      }
+    });
+}
+
+void
+JobApi::Read(const JobQuery& aQuery, Duration aWait, HttpReplyPtr aReply)
+{
+  IfExists(aQuery.job_, aReply, [this, aQuery, aWait, aReply] {
+    if (!runner_.Owns(aQuery.job_)) {
+      mirrors_.Touch(aQuery.job_);
+    }
+    if (!TryRead(aQuery.job_, aQuery.after_, aWait.count() == 0, aReply)) {
+      Wait(aQuery.job_, aQuery.after_, aWait, aReply);
+    }
+  });
+}
+
+bool
+JobApi::TryRead(const JobId& aJob,
+                std::uint64_t aAfter,
+                bool aFinal,
+                const HttpReplyPtr& aReply)
+{
+  const JobLedger* ledger = runner_.Find(aJob);
+  const std::vector<JobResult>* mirrored =
+    ledger == nullptr ? mirrors_.Find(aJob) : nullptr;
+  if (ledger == nullptr && mirrored == nullptr) {
+    if (mirrors_.Failed(aJob)) {
+      aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
+      return true;
+    }
+    return false;
+  }
+  const std::size_t count =
+    ledger != nullptr ? ledger->Listed().size() : mirrored->size();
+  if (count <= aAfter && !aFinal) {
+    return false;
+  }
+  ResultPage page;
+  const KnownJob* known = directory_.Find(aJob);
+  const auto total = totals_.find(aJob);
+  page.total_ = ledger != nullptr        ? ledger->Spec().items_.size()
+                : known != nullptr       ? known->record_.total_
+                : total != totals_.end() ? total->second
+                                         : 0;
+  std::size_t bytes = 0;
+  std::uint64_t next = aAfter;
+  for (; next < count; ++next) {
+    JobResult result = ledger != nullptr
+                         ? ledger->ResultOf(ledger->Listed()[next])
+                         : (*mirrored)[next];
+    bytes += result.text_.size();
+    if (bytes > kPageBytes && !page.results_.empty()) {
+      break;
+    }
+    page.results_.push_back(std::move(result));
+  }
+  page.next_ = next;
+  aReply->Send(JsonResponse(200, host_.Formats().WritePage(page)));
+  return true;
+}
+
+void
+JobApi::Wait(const JobId& aJob,
+             std::uint64_t aAfter,
+             Duration aWait,
+             HttpReplyPtr aReply)
+{
+  // Even without a wait the first reading of a mirror has to come in.
+  constexpr Duration kReadingWait = std::chrono::milliseconds(1000);
+  const Duration wait = aWait.count() == 0 ? kReadingWait : aWait;
+  Waiter waiter{ aAfter, aReply, 0 };
+  waiter.timer_ = host_.Timers().After(wait, [this, aJob, aReply] {
+    const auto it = waiters_.find(aJob);
+    if (it == waiters_.end()) {
+      return;
+    }
+    const auto found = std::find_if(
+      it->second.begin(), it->second.end(), [&](const Waiter& aWaiter) {
+        return aWaiter.reply_ == aReply;
+      });
+    if (found == it->second.end()) {
+      return;
+    }
+    const std::uint64_t after = found->after_;
+    it->second.erase(found);
+    if (it->second.empty()) {
+      waiters_.erase(it);
+    }
+    if (!TryRead(aJob, after, true, aReply)) {
+      aReply->Send(RefusedResponse("the store did not answer", kComeBack));
+    }
+  });
+  waiters_[aJob].push_back(std::move(waiter));
+}
+
+void
+JobApi::Wake(const JobId& aJob)
+{
+  const auto it = waiters_.find(aJob);
+  if (it == waiters_.end()) {
+    return;
+  }
+  std::erase_if(it->second, [this, &aJob](const Waiter& aWaiter) {
+    if (!TryRead(aJob, aWaiter.after_, false, aWaiter.reply_)) {
+      return false;
+    }
+    host_.Timers().Cancel(aWaiter.timer_);
+    return true;
+  });
+  if (it->second.empty()) {
+    waiters_.erase(it);
+  }
+}
+
+void
+JobApi::Body(const JobQuery& aQuery, HttpReplyPtr aReply)
+{
+  const auto answer = [item = aQuery.item_, aReply](const JobSpec& aSpec) {
+    for (const JobItem& candidate : aSpec.items_) {
+      if (candidate.id_ == item) {
+        HttpResponse response;
+        response.headers_.push_back(
+          { "Content-Type", "application/octet-stream" });
+        response.body_ = candidate.body_;
+        aReply->Send(std::move(response));
+        return;
+      }
+    }
+    aReply->Send(
+      ErrorResponse(404, "no_such_item", "the job has no such item"));
+  };
+  if (const JobLedger* ledger = runner_.Find(aQuery.job_)) {
+    answer(ledger->Spec());
+    return;
+  }
+  IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, answer, aReply] {
+    store_.Load(job, [this, answer, aReply](const Result<StoredJob>& aStored) {
+      if (!aStored) {
+        aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
+        return;
+      }
+      const auto spec =
+        host_.Formats().ReadSubmission(aStored.value().submission_.body_);
+      answer(spec ? spec.value() : JobSpec{});
+    });
+  });
+}
+
+void
+JobApi::End(const JobQuery& aQuery, HttpReplyPtr aReply)
+{
+  const KnownJob* known = directory_.Find(aQuery.job_);
+  if (known != nullptr && known->ended_) {
+    aReply->Send(JsonResponse(200, "{}"));
+    return;
+  }
+  IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, aReply] {
+    store_.End(job, [this, job, aReply](bool aWritten) {
+      LogEvent(LogLevel::Info,
+               "job_end_asked",
+               { { "job", job.Get() },
+                 { "outcome", aWritten ? "written" : "not known" } });
+      if (!aWritten) {
+        aReply->Send(RefusedResponse("the store did not answer", kComeBack));
+        return;
+      }
+      runner_.End(job);
+      aReply->Send(JsonResponse(200, "{}"));
+    });
+  });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_api.hpp
@@ -0,0 +1,76 @@
+/// Jobs over HTTP: submission, reading, bodies, end.
+#pragma once
+
+#include "programs/gatewayd/job_directory.hpp"
+#include "programs/gatewayd/job_mirrors.hpp"
+#include "programs/gatewayd/job_runner.hpp"
+
+namespace marjoramtally {
+
+/// Answers calls about jobs. Used on one loop.
+class JobApi
+{
+public:
+  /// All arguments outlive this.
+  JobApi(GatewayHost& aHost,
+         JobStore& aStore,
+         JobDirectory& aDirectory,
+         JobRunner& aRunner);
+
+  void Submit(HttpRequest aRequest, HttpReplyPtr aReply);
+  void Query(const JobQuery& aQuery,
+             const HttpRequest& aRequest,
+             HttpReplyPtr aReply);
+  /// No more jobs are taken in.
+  void StopAccepting();
+
+private:
+  /// A read that waits for a result.
+  struct Waiter
+  {
+    std::uint64_t after_ = 0;
+    HttpReplyPtr reply_;
+    LoopTimerId timer_ = 0;
+  };
+
+  void TakeOwner(const JobId& aJob, const KnownJob& aKnown);
+  void LoadOwned(const JobId& aJob, FencingNumber aFence);
+  void Accepted(const JobId& aJob,
+                const JobSubmissionRecord& aSubmission,
+                JobSpec aSpec,
+                const AcceptResult& aResult,
+                const HttpReplyPtr& aReply);
+
+  void Read(const JobQuery& aQuery, Duration aWait, HttpReplyPtr aReply);
+  /// Answers a read if it can be answered now.
+  /// @param aFinal answer even if there is no result
+  [[nodiscard]] bool TryRead(const JobId& aJob,
+                             std::uint64_t aAfter,
+                             bool aFinal,
+                             const HttpReplyPtr& aReply);
+  void Wait(const JobId& aJob,
+            std::uint64_t aAfter,
+            Duration aWait,
+            HttpReplyPtr aReply);
+  void Wake(const JobId& aJob);
+  void Body(const JobQuery& aQuery, HttpReplyPtr aReply);
+  void End(const JobQuery& aQuery, HttpReplyPtr aReply);
+  /// Looks a job up that the directory does not know; calls `aKnown` if it
+  /// exists, else answers.
+  void IfExists(const JobId& aJob,
+                HttpReplyPtr aReply,
+                std::function<void()> aKnown);
+
+  GatewayHost& host_;
+  JobStore& store_;
+  JobDirectory& directory_;
+  JobRunner& runner_;
+  JobMirrors mirrors_;
+  std::map<JobId, std::vector<Waiter>> waiters_;
+  std::set<JobId> loading_;
+  /// Totals of jobs that the directory does not list yet.
+  std::map<JobId, std::uint64_t> totals_;
+  bool accepting_ = true;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -0,0 +1,171 @@
+#include "programs/gatewayd/job_directory.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+/// A claim that got no answer is tried again after this time.
+constexpr auto kClaimAgain = std::chrono::milliseconds(500);
+
+} // namespace
+
+JobDirectory::JobDirectory(GatewayHost& aHost, JobStore& aJobs)
+  : host_(aHost)
+  , store_(aJobs)
+  , follower_(aHost.PlatformStore(), aHost.Timers(), job_keys::kControl)
+  , takeover_(aHost.Incarnation())
+{
+  follower_.onAll_ = [this](const StoreRange& aRange) { TakeAll(aRange); };
+  follower_.onChange_ = [this](const StoreEvent& aEvent) {
+    TakeChange(aEvent);
+  };
+  follower_.onSettled_ = [this] { ClaimDue(); };
+}
+
+void
+JobDirectory::Start()
+{
+  follower_.Start();
+}
+
+const KnownJob*
+JobDirectory::Find(const JobId& aJob) const
+{
+  const auto it = jobs_.find(aJob);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+void
+JobDirectory::TakeAll(const StoreRange& aRange)
+{
+  std::set<std::string> seen;
+  for (const StoreRecord& record : aRange.records_) {
+    seen.insert(record.key_);
+    TakeRecord(record);
+  }
+  const std::set<std::string> lives = lives_;
+  for (const std::string& key : lives) {
+    if (!seen.contains(key)) {
+      TakeRemoval(key);
+    }
+  }
+}
+
+void
+JobDirectory::TakeChange(const StoreEvent& aEvent)
+{
+  if (aEvent.deleted_) {
+    TakeRemoval(aEvent.record_.key_);
+  } else {
+    TakeRecord(aEvent.record_);
+  }
+}
+
+void
+JobDirectory::TakeRecord(const StoreRecord& aRecord)
+{
+  const std::string_view key = aRecord.key_;
+  const std::string_view lives = job_keys::kLives;
+  const std::string_view owners = job_keys::kOwners;
+  const std::string_view ends = job_keys::kEnds;
+  if (key.starts_with(lives)) {
+    lives_.insert(aRecord.key_);
+    takeover_.OnAlive(std::string(key.substr(lives.size())), host_.Now());
+  } else if (key.starts_with(owners)) {
+    TakeOwner(JobId{ std::string(key.substr(owners.size())) }, aRecord);
+  } else if (key.starts_with(ends)) {
+    TakeEnd(JobId{ std::string(key.substr(ends.size())) });
+  }
+}
+
+void
+JobDirectory::TakeRemoval(const std::string& aKey)
+{
+  const std::string_view key = aKey;
+  const std::string_view lives = job_keys::kLives;
+  const std::string_view owners = job_keys::kOwners;
+  if (key.starts_with(lives)) {
+    lives_.erase(aKey);
+    takeover_.OnGone(std::string(key.substr(lives.size())), host_.Now());
+  } else if (key.starts_with(owners)) {
+    const JobId job{ std::string(key.substr(owners.size())) };
+    takeover_.OnEnded(job);
+    jobs_.erase(job);
+    endsEarly_.erase(job);
+  }
+}
+
+void
+JobDirectory::TakeOwner(const JobId& aJob, const StoreRecord& aRecord)
+{
+  const FencingNumber fence{ aRecord.modRevision_ };
+  KnownJob& known = jobs_[aJob];
+  if (fence <= known.fence_) {
+    return;
+  }
+  auto record = ReadOwnerRecord(aRecord.value_);
+  if (!record) {
+    LogEvent(LogLevel::Error,
+             "record_unreadable",
+             { { "key", aRecord.key_ }, { "error", record.error().message_ } });
+    return;
+  }
+  known.record_ = std::move(record).value();
+  known.fence_ = fence;
+  known.ended_ = known.ended_ || endsEarly_.contains(aJob);
+  if (known.ended_) {
+    return;
+  }
+  takeover_.OnOwner(aJob, known.record_.owner_, host_.Now());
+  if (onOwner_) {
+    onOwner_(aJob, known);
+  }
+}
+
+void
+JobDirectory::TakeEnd(const JobId& aJob)
+{
+  endsEarly_.insert(aJob);
+  takeover_.OnEnded(aJob);
+  const auto it = jobs_.find(aJob);
+  if (it != jobs_.end()) {
+    it->second.ended_ = true;
+  }
+  if (onEnd_) {
+    onEnd_(aJob);
+  }
+}
+
+void
+JobDirectory::ClaimDue()
+{
+  host_.Timers().Cancel(claimTimer_);
+  if (!claiming_) {
+    return;
+  }
+  const TimePoint now = host_.Now();
+  const std::vector<JobId> due = takeover_.Due(now);
+  for (const JobId& job : due) {
+    const KnownJob& known = jobs_.at(job);
+    LogEvent(LogLevel::Info,
+             "job_claimed",
+             { { "job", job.Get() },
+               { "last_owner", known.record_.owner_ },
+               { "fence", std::to_string(known.fence_.Get()) } });
+    JobOwnerRecord record = known.record_;
+    record.owner_ = host_.Incarnation();
+    // The watch tells of the new owner, also if this answer is lost.
+    store_.ChangeOwner(job, record, known.fence_, [](const auto&) {});
+  }
+  const TimePoint next = takeover_.NextDue();
+  if (next == kNever) {
+    return;
+  }
+  const Duration wait = due.empty() ? std::max(next - now, Duration{ 1000 })
+                                    : Duration{ kClaimAgain };
+  claimTimer_ = host_.Timers().After(wait, [this] { ClaimDue(); });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -0,0 +1,60 @@
+/// All jobs of the fleet, their owners and ends, followed in the store, and
+/// the takeover of jobs whose owner is gone.
+#pragma once
+
+#include "daemon/prefix_follower.hpp"
+#include "marjoramtally/process/job_takeover.hpp"
+#include "programs/gatewayd/job_store.hpp"
+
+namespace marjoramtally {
+
+/// One job as the directory knows it.
+struct KnownJob
+{
+  JobOwnerRecord record_;
+  FencingNumber fence_;
+  bool ended_ = false;
+};
+
+/// Follows the jobs. Used on one loop.
+class JobDirectory
+{
+public:
+  /// Both outlive this.
+  JobDirectory(GatewayHost& aHost, JobStore& aJobs);
+
+  /// Set before `Start`. A job's owner changed.
+  std::function<void(const JobId&, const KnownJob&)> onOwner_;
+  std::function<void(const JobId&)> onEnd_;
+
+  void Start();
+  /// Claims nothing more: the process is about to end.
+  void StopClaiming() { claiming_ = false; }
+  [[nodiscard]] const KnownJob* Find(const JobId& aJob) const;
+  [[nodiscard]] const std::map<JobId, KnownJob>& Jobs() const noexcept
+  {
+    return jobs_;
+  }
+
+private:
+  void TakeAll(const StoreRange& aRange);
+  void TakeChange(const StoreEvent& aEvent);
+  void TakeRecord(const StoreRecord& aRecord);
+  void TakeRemoval(const std::string& aKey);
+  void TakeOwner(const JobId& aJob, const StoreRecord& aRecord);
+  void TakeEnd(const JobId& aJob);
+  void ClaimDue();
+
+  GatewayHost& host_;
+  JobStore& store_;
+  PrefixFollower follower_;
+  JobTakeover takeover_;
+  std::map<JobId, KnownJob> jobs_;
+  /// Keys of signs of life, to see which are missing from a whole reading.
+  std::set<std::string> lives_;
+  std::set<JobId> endsEarly_;
+  bool claiming_ = true;
+  LoopTimerId claimTimer_ = 0;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -0,0 +1,153 @@
+/// The jobs that this process owns: sends their items to upstreams, scores
+/// the texts, writes the results.
+#pragma once
+
+#include "marjoramtally/version/job_ledger.hpp"
+#include "programs/gatewayd/forwarder.hpp"
+#include "programs/gatewayd/job_store.hpp"
+#include "programs/gatewayd/partial_texts.hpp"
+
+namespace marjoramtally {
+
+/// All owned jobs. Used on one loop.
+class JobRunner
+{
+public:
+  /// All arguments outlive this.
+  JobRunner(GatewayHost& aHost,
+            const RouteTable& aRoutes,
+            UpstreamBoard& aBoard,
+            Forwarder& aForwarder,
+            JobStore& aStore);
+
+  /// Called after results of a job were written.
+  std::function<void(const JobId&)> onListed_;
+  /// Called when this process stops owning a job.
+  std::function<void(const JobId&)> onDropped_;
+
+  /// A job is ours.
+  /// @param aAge time since its acceptance
+  void Add(const JobId& aJob,
+           FencingNumber aFence,
+           const JobSubmissionRecord& aSubmission,
+           JobSpec aSpec,
+           const std::vector<JobResult>& aListed,
+           Duration aAge);
+  /// Another process owns the job.
+  void Drop(const JobId& aJob);
+  /// The job was ended: nothing more is sent.
+  void End(const JobId& aJob);
+  /// Upstreams, versions or routes changed.
+  void OnBoardChanged() { Dispatch(); }
+  /// Gives all jobs back; `Idle` holds once that is done.
+  void GiveBack();
+  [[nodiscard]] bool Idle() const noexcept { return jobs_.empty(); }
+
+  [[nodiscard]] bool Owns(const JobId& aJob) const
+  {
+    return jobs_.contains(aJob);
+  }
+  [[nodiscard]] FencingNumber FenceOf(const JobId& aJob) const;
+  /// @returns the ledger of an owned job, or nullptr
+  [[nodiscard]] const JobLedger* Find(const JobId& aJob) const;
+
+private:
+  using RunId = std::uint64_t;
+
+  struct OwnedJob
+  {
+    std::string host_;
+    FencingNumber fence_;
+    JobLedger ledger_;
+    TimePoint accepted_;
+    TimePoint deadline_;
+    std::uint64_t sequence_ = 0;
+    bool ended_ = false;
+    std::map<ItemIndex, RunId> runs_;
+    /// Where items of a group run, for the prompt that they share.
+    std::map<GroupId, UpstreamId> places_;
+    /// Where an item was given up on last.
+    std::map<ItemIndex, UpstreamId> avoided_;
+    std::map<ItemIndex, ForwardId> scores_;
+  };
+
+  /// One stream of an item.
+  struct Run
+  {
+    JobId job_;
+    ItemIndex item_ = 0;
+    UpstreamId upstream_;
+    HttpCallId call_ = 0;
+    EventStreamParser parser_;
+    int status_ = 0;
+    bool notRun_ = false;
+    WeightVersion version_;
+    std::uint32_t events_ = 0;
+    TimePoint lastProgress_;
+    /// Why the run is to be given up; empty while it is not.
+    std::string fault_;
+  };
+
+  /// Results on their way to the store; unchanged until it is known whether
+  /// they were written.
+  struct Batch
+  {
+    std::vector<ResultsWrite> writes_;
+    std::vector<std::vector<ItemIndex>> items_;
+  };
+
+  void Dispatch();
+  void DispatchJob(const JobId& aId,
+                   OwnedJob& aJob,
+                   std::set<ServiceId>& aFull);
+  void StartRun(const JobId& aId,
+                OwnedJob& aJob,
+                ItemIndex aItem,
+                const BoardUpstream& aUpstream);
+  [[nodiscard]] HttpCall MakeCall(const OwnedJob& aJob,
+                                  ItemIndex aItem,
+                                  const UpstreamEntry& aUpstream) const;
+  void OnHead(RunId aId, int aStatus, const HttpHeaders& aHeaders);
+  [[nodiscard]] bool OnData(RunId aId, std::string_view aData);
+  [[nodiscard]] bool OnEvent(Run& aRun, const ServerEvent& aEvent);
+  void OnRunEnd(RunId aId, const HttpResult& aResult);
+  void SettleRun(const Run& aRun, OwnedJob& aJob, const HttpResult& aResult);
+  void StopRun(RunId aId, CallVerdict aVerdict);
+  void StopRuns(OwnedJob& aJob);
+  void WatchRuns();
+  void CheckRuns();
+  [[nodiscard]] bool ShouldMove(const Run& aRun) const;
+
+  void Score(const JobId& aId, OwnedJob& aJob);
+  void StartScore(const JobId& aId, OwnedJob& aJob, ItemIndex aItem);
+  void OnScore(const JobId& aId, ItemIndex aItem, ForwardOutcome aOutcome);
+
+  /// Scores, writes and starts whatever may be.
+  void Advance(const JobId& aId, OwnedJob& aJob);
+  void PlanFlush();
+  void Flush();
+  void SendBatch();
+  void OnBatchEnd(WriteEnd aEnd);
+  void FinishBatch();
+  /// Finds out what became of a batch that a comparison refused.
+  void SettleBatch();
+  void Keep(OwnedJob& aJob);
+
+  GatewayHost& host_;
+  const RouteTable& routes_;
+  UpstreamBoard& board_;
+  Forwarder& forwarder_;
+  JobStore& store_;
+  std::map<JobId, OwnedJob> jobs_;
+  std::uint64_t lastSequence_ = 0;
+  std::map<RunId, Run> runs_;
+  RunId lastRun_ = 0;
+  PartialTexts partials_;
+  std::optional<Batch> batch_;
+  LoopTimerId flushTimer_ = 0;
+  LoopTimerId checkTimer_ = 0;
+  LoopTimerId retryTimer_ = 0;
+  bool givingBack_ = false;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_store.cpp
@@ -0,0 +1,305 @@
+#include "programs/gatewayd/job_store.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace marjoramtally {
+
+namespace {
+
+/// A submission is stored in parts of this size: a value of the store holds
+/// 1 MiB at most.
+constexpr std::size_t kPartBytes = 700U * 1024U;
+
+/// Removals in one transaction; the store takes 32 entries.
+constexpr std::size_t kRemovalsAtOnce = 30;
+
+std::int64_t
+WallMillis()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+void
+SortByKey(std::vector<StoreRecord>& aRecords)
+{
+  std::sort(aRecords.begin(),
+            aRecords.end(),
+            [](const StoreRecord& aLeft, const StoreRecord& aRight) {
+              return aLeft.key_ < aRight.key_;
+            });
+}
+
+Result<JobSubmissionRecord>
+JoinSubmission(std::vector<StoreRecord> aParts)
+{
+  SortByKey(aParts);
+  std::string text;
+  for (const StoreRecord& part : aParts) {
+    text += part.value_;
+  }
+  return ReadSubmissionRecord(text);
+}
+
+} // namespace
+
+namespace job_keys {
+
+std::string
+Owner(const JobId& aJob)
+{
+  return kOwners + aJob.Get();
+}
+
+std::string
+End(const JobId& aJob)
+{
+  return kEnds + aJob.Get();
+}
+
+std::string
+Life(const std::string& aIncarnation)
+{
+  return kLives + aIncarnation;
+}
+
+std::string
+Submission(const JobId& aJob)
+{
+  return kSubmissions + aJob.Get() + "/";
+}
+
+std::string
+Results(const JobId& aJob)
+{
+  return kResults + aJob.Get() + "/";
+}
+
+std::string
+ResultsAt(const JobId& aJob, std::uint64_t aPosition)
+{
+  return fmt::format("{}{:08}", Results(aJob), aPosition);
+}
+
+} // namespace job_keys
+
+Result<std::vector<JobResult>>
+JoinResults(const std::vector<StoreRecord>& aRecords)
+{
+  std::vector<StoreRecord> records = aRecords;
+  SortByKey(records);
+  std::vector<JobResult> results;
+  for (const StoreRecord& record : records) {
+    auto part = ReadResultsRecord(record.value_);
+    if (!part) {
+      return part.error();
+    }
+    std::move(
+      part.value().begin(), part.value().end(), std::back_inserter(results));
+  }
+  return results;
+}
+
+JobStore::JobStore(GatewayHost& aHost)
+  : host_(aHost)
+  , store_(aHost.PlatformStore())
+{
+}
+
+void
+JobStore::Accept(const JobId& aJob,
+                 const JobSubmissionRecord& aSubmission,
+                 std::uint64_t aTotal,
+                 std::function<void(AcceptResult)> aDone)
+{
+  const std::string text = WriteSubmissionRecord(aSubmission);
+  const std::string owner =
+    WriteOwnerRecord({ host_.Incarnation(), aTotal, WallMillis() });
+  StoreTxn txn;
+  txn.compares_.push_back({ job_keys::Owner(aJob), 0 });
+  for (std::size_t at = 0; at < text.size(); at += kPartBytes) {
+    txn.puts_.push_back(
+      { fmt::format("{}{:04}", job_keys::Submission(aJob), at / kPartBytes),
+        text.substr(at, kPartBytes),
+        0 });
+  }
+  txn.puts_.push_back({ job_keys::Owner(aJob), owner, 0 });
+  store_.Commit(
+    std::move(txn),
+    [this, aJob, owner, done = std::move(aDone)](
+      const Result<StoreCommit>& aCommit) {
+      if (aCommit && aCommit.value().applied_) {
+        done(
+          { AcceptEnd::Accepted, FencingNumber{ aCommit.value().revision_ } });
+      } else if (!aCommit && aCommit.error().kind_ == ErrorKind::Unavailable) {
+        done({ AcceptEnd::Refused, {} });
+      } else {
+        SettleAccept(
+          aJob, owner, done, aCommit ? AcceptEnd::Refused : AcceptEnd::Unknown);
+      }
+    });
+}
+
+void
+JobStore::SettleAccept(const JobId& aJob,
+                       std::string aRecord,
+                       std::function<void(AcceptResult)> aDone,
+                       AcceptEnd aIfAbsent)
+{
+  ReadOwner(aJob,
+            [record = std::move(aRecord), done = std::move(aDone), aIfAbsent](
+              const Result<std::optional<StoreRecord>>& aOwner) {
+              if (!aOwner) {
+                done({ AcceptEnd::Unknown, {} });
+              } else if (!aOwner.value()) {
+                done({ aIfAbsent, {} });
+              } else if (aOwner.value()->value_ == record) {
+                done({ AcceptEnd::Accepted,
+                       FencingNumber{ aOwner.value()->modRevision_ } });
+              } else {
+                done({ AcceptEnd::Known, {} });
+              }
+            });
+}
+
+void
+JobStore::ReadOwner(const JobId& aJob,
+                    StoreDone<std::optional<StoreRecord>> aDone)
+{
+  const std::string key = job_keys::Owner(aJob);
+  store_.Read(key,
+              [key, done = std::move(aDone)](const Result<StoreRange>& aRange) {
+                if (!aRange) {
+                  done(aRange.error());
+                  return;
+                }
+                for (const StoreRecord& record : aRange.value().records_) {
+                  if (record.key_ == key) {
+                    done(std::optional(record));
+                    return;
+                  }
+                }
+                done(std::optional<StoreRecord>());
+              });
+}
+
+void
+JobStore::Load(const JobId& aJob, StoreDone<StoredJob> aDone)
+{
+  store_.Read(
+    job_keys::Submission(aJob),
+    [this, aJob, done = std::move(aDone)](const Result<StoreRange>& aParts) {
+      if (!aParts) {
+        done(aParts.error());
+        return;
+      }
+      auto submission = JoinSubmission(aParts.value().records_);
+      if (!submission) {
+        done(submission.error());
+        return;
+      }
+      store_.Read(job_keys::Results(aJob),
+                  [done, submission = std::move(submission).value()](
+                    const Result<StoreRange>& aRecords) {
+                    if (!aRecords) {
+                      done(aRecords.error());
+                      return;
+                    }
+                    auto results = JoinResults(aRecords.value().records_);
+                    if (!results) {
+                      done(results.error());
+                      return;
+                    }
+                    done(StoredJob{ submission, std::move(results).value() });
+                  });
+    });
+}
+
+void
+JobStore::ChangeOwner(const JobId& aJob,
+                      const JobOwnerRecord& aRecord,
+                      FencingNumber aKnown,
+                      StoreDone<std::optional<FencingNumber>> aDone)
+{
+  StoreTxn txn;
+  txn.compares_.push_back({ job_keys::Owner(aJob), aKnown.Get() });
+  txn.puts_.push_back({ job_keys::Owner(aJob), WriteOwnerRecord(aRecord), 0 });
+  store_.Commit(
+    std::move(txn), [done = std::move(aDone)](const Result<StoreCommit>& aEnd) {
+      if (!aEnd) {
+        done(aEnd.error());
+      } else if (aEnd.value().applied_) {
+        done(std::optional(FencingNumber{ aEnd.value().revision_ }));
+      } else {
+        done(std::optional<FencingNumber>());
+      }
+    });
+}
+
+void
+JobStore::WriteResults(const std::vector<ResultsWrite>& aWrites,
+                       std::function<void(WriteEnd)> aDone)
+{
+  StoreTxn txn;
+  for (const ResultsWrite& write : aWrites) {
+    const std::string key = job_keys::ResultsAt(write.job_, write.position_);
+    txn.compares_.push_back(
+      { job_keys::Owner(write.job_), write.fence_.Get() });
+    txn.compares_.push_back({ key, 0 });
+    txn.puts_.push_back({ key, write.record_, 0 });
+  }
+  store_.Commit(
+    std::move(txn), [done = std::move(aDone)](const Result<StoreCommit>& aEnd) {
+      if (!aEnd) {
+        done(aEnd.error().kind_ == ErrorKind::Unavailable ? WriteEnd::Refused
+                                                          : WriteEnd::Unknown);
+      } else {
+        done(aEnd.value().applied_ ? WriteEnd::Written : WriteEnd::Fenced);
+      }
+    });
+}
+
+void
+JobStore::End(const JobId& aJob, std::function<void(bool)> aDone)
+{
+  StoreTxn txn;
+  txn.puts_.push_back({ job_keys::End(aJob), "", 0 });
+  store_.Commit(std::move(txn),
+                [done = std::move(aDone)](const Result<StoreCommit>& aEnd) {
+                  done(aEnd && aEnd.value().applied_);
+                });
+}
+
+void
+JobStore::Remove(const JobId& aJob, std::uint64_t aRecords)
+{
+  std::vector<std::string> keys{ job_keys::Owner(aJob), job_keys::End(aJob) };
+  store_.Read(
+    job_keys::Submission(aJob),
+    [this, aJob, keys, aRecords](const Result<StoreRange>& aParts) mutable {
+      if (!aParts) {
+        return;
+      }
+      for (const StoreRecord& part : aParts.value().records_) {
+        keys.push_back(part.key_);
+      }
+      for (std::uint64_t i = 0; i < aRecords; ++i) {
+        keys.push_back(job_keys::ResultsAt(aJob, i));
+      }
+      // The owner record goes last: as long as it stands, the job is known.
+      std::rotate(keys.begin(), keys.begin() + 2, keys.end());
+      for (std::size_t at = 0; at < keys.size(); at += kRemovalsAtOnce) {
+        const std::size_t end = std::min(at + kRemovalsAtOnce, keys.size());
+        StoreTxn txn;
+        txn.deletes_.assign(keys.begin() + static_cast<std::ptrdiff_t>(at),
+                            keys.begin() + static_cast<std::ptrdiff_t>(end));
+        store_.Commit(std::move(txn), [](const Result<StoreCommit>&) {});
+      }
+    });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/job_store.hpp
@@ -0,0 +1,131 @@
+/// Jobs in the platform's store: their submissions, owners, results, ends.
+///
+/// A job is accepted by the transaction that creates its owner record. Each
+/// later write of an owner compares that record's revision, so that an owner
+/// that was replaced, however late it notices, writes nothing more.
+#pragma once
+
+#include "daemon/gateway_host.hpp"
+#include "marjoramtally/version/job_record.hpp"
+
+namespace marjoramtally {
+
+/// Keys in the store.
+namespace job_keys {
+
+/// Followed by all processes: owners, ends and signs of life.
+inline constexpr const char* kControl = "mt/c/";
+inline constexpr const char* kOwners = "mt/c/own/";
+inline constexpr const char* kEnds = "mt/c/end/";
+inline constexpr const char* kLives = "mt/c/live/";
+inline constexpr const char* kSubmissions = "mt/spec/";
+inline constexpr const char* kResults = "mt/res/";
+
+[[nodiscard]] std::string
+Owner(const JobId& aJob);
+[[nodiscard]] std::string
+End(const JobId& aJob);
+[[nodiscard]] std::string
+Life(const std::string& aIncarnation);
+/// Prefix of the parts of a submission.
+[[nodiscard]] std::string
+Submission(const JobId& aJob);
+/// Prefix of the records of results.
+[[nodiscard]] std::string
+Results(const JobId& aJob);
+/// The record whose first result stands at the position.
+[[nodiscard]] std::string
+ResultsAt(const JobId& aJob, std::uint64_t aPosition);
+
+} // namespace job_keys
+
+/// How an acceptance ended.
+enum class AcceptEnd
+{
+  Accepted,
+  /// The job was accepted before.
+  Known,
+  /// Nothing was written.
+  Refused,
+  /// It may or may not have been accepted.
+  Unknown,
+};
+
+/// What came of an acceptance.
+struct AcceptResult
+{
+  AcceptEnd end_ = AcceptEnd::Unknown;
+  FencingNumber fence_;
+};
+
+/// A job as it stands in the store.
+struct StoredJob
+{
+  JobSubmissionRecord submission_;
+  std::vector<JobResult> results_;
+};
+
+/// Results of one job to be written at its next positions.
+struct ResultsWrite
+{
+  JobId job_;
+  FencingNumber fence_;
+  std::uint64_t position_ = 0;
+  /// The encoded results.
+  std::string record_;
+};
+
+/// How a write of results ended.
+enum class WriteEnd
+{
+  Written,
+  /// Nothing was written; try again.
+  Refused,
+  /// One of the jobs has another owner.
+  Fenced,
+  /// The writes may have taken effect, now or later.
+  Unknown,
+};
+
+/// Reads and writes jobs. Used on one loop.
+class JobStore
+{
+public:
+  explicit JobStore(GatewayHost& aHost);
+
+  void Accept(const JobId& aJob,
+              const JobSubmissionRecord& aSubmission,
+              std::uint64_t aTotal,
+              std::function<void(AcceptResult)> aDone);
+  void Load(const JobId& aJob, StoreDone<StoredJob> aDone);
+  /// Reads the owner record; nothing if there is no such job.
+  void ReadOwner(const JobId& aJob,
+                 StoreDone<std::optional<StoreRecord>> aDone);
+  /// Makes another process, or none, the owner.
+  /// @param aDone told the new fencing number, or nothing if another process
+  /// was faster
+  void ChangeOwner(const JobId& aJob,
+                   const JobOwnerRecord& aRecord,
+                   FencingNumber aKnown,
+                   StoreDone<std::optional<FencingNumber>> aDone);
+  void WriteResults(const std::vector<ResultsWrite>& aWrites,
+                    std::function<void(WriteEnd)> aDone);
+  void End(const JobId& aJob, std::function<void(bool)> aDone);
+  /// Removes all records of a job.
+  void Remove(const JobId& aJob, std::uint64_t aRecords);
+
+private:
+  void SettleAccept(const JobId& aJob,
+                    std::string aRecord,
+                    std::function<void(AcceptResult)> aDone,
+                    AcceptEnd aIfAbsent);
+
+  GatewayHost& host_;
+  Store& store_;
+};
+
+/// @returns the results of a job's records in their order
+[[nodiscard]] Result<std::vector<JobResult>>
+JoinResults(const std::vector<StoreRecord>& aRecords);
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/gatewayd/main.cpp
@@ -0,0 +1,37 @@
+/// The gateway daemon on the users' platform.
+
+#include "programs/gatewayd/gateway.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+#include "marjoramtally/runtime/program.hpp"
+#include "platform.hpp"
+
+int
+main(int aArgc, char** aArgv)
+{
+  using namespace marjoramtally;
+  int code = kExitOk;
+  auto settings =
+    StartGatewayDaemon(aArgc,
+                       aArgv,
+                       "marjoram-gatewayd",
+                       "Takes requests of callers and trainers, sends them to "
+                       "upstreams and runs jobs.",
+                       code);
+  if (!settings) {
+    return code;
+  }
+  GatewayHost host(std::move(*settings), MakePlatform(), MakePlatformStoreAt);
+  Gateway gateway(host);
+  const auto opened = gateway.Open();
+  if (!opened) {
+    LogEvent(LogLevel::Error,
+             "start_failed",
+             { { "error", opened.error().message_ } });
+    return kExitFailed;
+  }
+  host.Run([&gateway] { gateway.Start(); },
+           [&gateway] { gateway.Stop(); },
+           [&gateway] { return gateway.Idle(); });
+  return kExitOk;
+}
--- /dev/null
+++ b/src/programs/orderd/main.cpp
@@ -0,0 +1,28 @@
+/// The daemon that orders upstreams to new weight versions.
+
+#include "programs/orderd/order_duty.hpp"
+
+#include "marjoramtally/runtime/program.hpp"
+#include "platform.hpp"
+
+int
+main(int aArgc, char** aArgv)
+{
+  using namespace marjoramtally;
+  int code = kExitOk;
+  auto settings =
+    StartGatewayDaemon(aArgc,
+                       aArgv,
+                       "marjoram-orderd",
+                       "Orders upstreams to the weight versions that trainers "
+                       "name.",
+                       code);
+  if (!settings) {
+    return code;
+  }
+  GatewayHost host(std::move(*settings), MakePlatform(), MakePlatformStoreAt);
+  OrderDuty duty(host);
+  host.Run(
+    [&duty] { duty.Start(); }, [&duty] { duty.Stop(); }, [] { return true; });
+  return kExitOk;
+}
--- /dev/null
+++ b/src/programs/orderd/order_duty.cpp
@@ -0,0 +1,401 @@
+#include "programs/orderd/order_duty.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr const char* kDutyPrefix = "mt/duty/";
+constexpr const char* kDutyKey = "mt/duty/orders";
+
+/// An upstream answers an order in some milliseconds; one that does not may
+/// still carry it out.
+constexpr auto kOrderTimeout = std::chrono::milliseconds(500);
+constexpr auto kConnectTimeout = std::chrono::milliseconds(250);
+/// A load takes about 0.9 s; reports lag by some hundred milliseconds.
+constexpr auto kFirstLook = std::chrono::milliseconds(1000);
+constexpr auto kNextLook = std::chrono::milliseconds(250);
+/// A load that is not seen to end is ordered anew after this time.
+constexpr auto kLongestLoad = std::chrono::seconds(5);
+/// Pause after a failure; longer than reports lag.
+constexpr auto kRestTime = std::chrono::milliseconds(500);
+
+} // namespace
+
+OrderDuty::OrderDuty(GatewayHost& aHost)
+  : host_(aHost)
+  , duty_(aHost.PlatformStore(),
+          aHost.Timers(),
+          aHost.LeaseClock(),
+          { kDutyKey, aHost.Incarnation(), aHost.Settings().leaseTtl_, true })
+  , holders_(aHost.PlatformStore(), aHost.Timers(), kDutyPrefix)
+{
+  duty_.onHeld_ = [this](FencingNumber aFence) { OnHeld(aFence); };
+  duty_.onLost_ = [this] { OnLost(); };
+  holders_.onChange_ = [this](const StoreEvent& aEvent) {
+    if (aEvent.deleted_ && aEvent.record_.key_ == kDutyKey) {
+      duty_.Retry();
+    }
+  };
+  holders_.onAll_ = [this](const StoreRange& aRange) {
+    if (aRange.records_.empty()) {
+      duty_.Retry();
+    }
+  };
+}
+
+void
+OrderDuty::Start()
+{
+  duty_.Start();
+  holders_.Start();
+}
+
+void
+OrderDuty::Stop()
+{
+  OnLost();
+  holders_.Stop();
+  duty_.Release();
+}
+
+void
+OrderDuty::OnHeld(FencingNumber aFence)
+{
+  LogEvent(LogLevel::Info,
+           "duty_held",
+           { { "duty", "orders" }, { "fence", std::to_string(aFence.Get()) } });
+  // Orders of the holder before may still be on their way for the time of
+  // its lease.
+  host_.Timers().After(host_.Settings().leaseTtl_, [this, aFence] {
+    if (duty_.Held() && duty_.Fence() == aFence) {
+      Follow();
+    }
+  });
+}
+
+void
+OrderDuty::OnLost()
+{
+  if (active_) {
+    LogEvent(LogLevel::Info, "duty_lost", { { "duty", "orders" } });
+  }
+  active_ = false;
+  upstreams_.reset();
+  versions_.reset();
+  retirements_.reset();
+  targets_.clear();
+}
+
+void
+OrderDuty::Follow()
+{
+  active_ = true;
+  const StorePlaces& places = host_.Formats().Places();
+  const auto follow = [this](const std::string& aPrefix,
+                             void (OrderDuty::*aTake)(const StoreRecord&)) {
+    auto follower = std::make_unique<PrefixFollower>(
+      host_.PlatformStore(), host_.Timers(), aPrefix);
+    follower->onAll_ = [this, aTake](const StoreRange& aRange) {
+      for (const StoreRecord& record : aRange.records_) {
+        (this->*aTake)(record);
+      }
+    };
+    follower->onChange_ = [this, aTake](const StoreEvent& aEvent) {
+      if (!aEvent.deleted_) {
+        (this->*aTake)(aEvent.record_);
+      } else {
+        targets_.erase(host_.Formats().UpstreamOf(aEvent.record_.key_));
+      }
+    };
+    follower->onSettled_ = [this] { Plan(); };
+    follower->Start();
+    return follower;
+  };
+  upstreams_ = follow(places.upstreams_, &OrderDuty::TakeUpstream);
+  versions_ = follow(places.versions_, &OrderDuty::TakeVersion);
+  retirements_ = follow(places.retirements_, &OrderDuty::TakeRetirement);
+}
+
+void
+OrderDuty::TakeUpstream(const StoreRecord& aRecord)
+{
+  auto entry = host_.Formats().ReadUpstream(aRecord.key_, aRecord.value_);
+  if (!entry) {
+    LogEvent(LogLevel::Error,
+             "upstream_unreadable",
+             { { "key", aRecord.key_ }, { "error", entry.error().message_ } });
+    return;
+  }
+  if (entry.value().draining_) {
+    targets_.erase(entry.value().id_);
+    return;
+  }
+  Target& target = targets_[entry.value().id_];
+  for (const ModelVersion& model : entry.value().models_) {
+    WeightVersion& known = target.versions_[model.model_];
+    known = std::max(known, model.version_);
+  }
+  target.entry_ = std::move(entry).value();
+}
+
+void
+OrderDuty::TakeVersion(const StoreRecord& aRecord)
+{
+  const auto named = host_.Formats().ReadVersion(aRecord.value_);
+  if (!named) {
+    LogEvent(LogLevel::Error,
+             "version_unreadable",
+             { { "key", aRecord.key_ }, { "error", named.error().message_ } });
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "version_named",
+           { { "model", named.value().model_ },
+             { "version", std::to_string(named.value().version_.Get()) } });
+  plan_.OnNamed(named.value().model_, named.value().version_);
+}
+
+void
+OrderDuty::TakeRetirement(const StoreRecord& aRecord)
+{
+  const std::string& prefix = host_.Formats().Places().retirements_;
+  const std::string instance = aRecord.key_.substr(prefix.size());
+  if (!retired_.insert(instance).second) {
+    return;
+  }
+  // Instances keep nothing of their own; what lasts lies in the store.
+  const auto [key, value] =
+    host_.Formats().RetireStatus(InstanceId{ instance }, true);
+  LogEvent(LogLevel::Info, "instance_retired", { { "instance", instance } });
+  if (instance == host_.Settings().instance_) {
+    Stop();
+  }
+  StoreTxn txn;
+  txn.puts_.push_back({ key, value, 0 });
+  host_.PlatformStore().Commit(
+    std::move(txn), [this, aRecord, instance](const Result<StoreCommit>& aEnd) {
+      if (!aEnd) {
+        retired_.erase(instance);
+        host_.Timers().After(kRestTime,
+                             [this, aRecord] { TakeRetirement(aRecord); });
+      }
+    });
+}
+
+void
+OrderDuty::Plan()
+{
+  if (!active_ || !duty_.Held()) {
+    return;
+  }
+  std::vector<PlanUpstream> upstreams;
+  for (const auto& [id, target] : targets_) {
+    if (!target.versions_.empty()) {
+      upstreams.push_back({ id,
+                            target.entry_.service_,
+                            target.versions_,
+                            target.phase_ != Phase::Idle });
+    }
+  }
+  for (const PlannedLoad& load : plan_.Next(upstreams)) {
+    Begin(load);
+  }
+}
+
+void
+OrderDuty::Begin(const PlannedLoad& aLoad)
+{
+  Target& target = targets_.at(aLoad.upstream_);
+  target.load_ = aLoad;
+  target.since_ = host_.Now();
+  if (target.orders_) {
+    SendOrder(target);
+  } else {
+    ReadState(target);
+  }
+}
+
+HttpDone
+OrderDuty::Answer(Target& aTarget,
+                  void (OrderDuty::*aTake)(const UpstreamId&,
+                                           const HttpResult&))
+{
+  const UpstreamId id = aTarget.entry_.id_;
+  const std::uint64_t step = ++aTarget.step_;
+  return [this, id, step, aTake](const HttpResult& aResult) {
+    const auto it = targets_.find(id);
+    if (active_ && it != targets_.end() && it->second.step_ == step) {
+      (this->*aTake)(id, aResult);
+    }
+  };
+}
+
+void
+OrderDuty::Later(Target& aTarget,
+                 Duration aPause,
+                 void (OrderDuty::*aStep)(Target&))
+{
+  const UpstreamId id = aTarget.entry_.id_;
+  const std::uint64_t step = ++aTarget.step_;
+  host_.Timers().After(aPause, [this, id, step, aStep] {
+    const auto it = targets_.find(id);
+    if (active_ && it != targets_.end() && it->second.step_ == step) {
+      (this->*aStep)(it->second);
+    }
+  });
+}
+
+void
+OrderDuty::ReadState(Target& aTarget)
+{
+  if (aTarget.phase_ != Phase::Loading) {
+    aTarget.phase_ = Phase::Reading;
+  }
+  HttpCall call = host_.Formats().MakeReportCall(aTarget.entry_);
+  call.timeout_ = kOrderTimeout;
+  call.connectTimeout_ = kConnectTimeout;
+  host_.Client().Send(std::move(call), Answer(aTarget, &OrderDuty::OnState));
+}
+
+void
+OrderDuty::OnState(const UpstreamId& aId, const HttpResult& aResult)
+{
+  Target& target = targets_.at(aId);
+  if (aResult.end_ != HttpEnd::Whole || aResult.response_.status_ != 200) {
+    Rest(target, "no report");
+    return;
+  }
+  const auto report = host_.Formats().ReadReport(aResult.response_.body_);
+  if (!report) {
+    Rest(target, report.error().message_);
+    return;
+  }
+  for (const ModelVersion& model : report.value().models_) {
+    WeightVersion& known = target.versions_[model.model_];
+    known = std::max(known, model.version_);
+  }
+  const bool reached =
+    target.versions_[target.load_.model_] >= target.load_.version_;
+  if (target.phase_ == Phase::Loading) {
+    if (reached || host_.Now() - target.since_ > kLongestLoad) {
+      LogEvent(LogLevel::Info,
+               "load_ended",
+               { { "upstream", aId.Get() },
+                 { "model", target.load_.model_ },
+                 { "version", std::to_string(target.load_.version_.Get()) },
+                 { "outcome", reached ? "loaded" : "not seen to end" } });
+      target.phase_ = Phase::Idle;
+      if (!reached) {
+        target.orders_.reset();
+      }
+      Plan();
+    } else {
+      LookAgain(target, kNextLook);
+    }
+    return;
+  }
+  target.orders_ = report.value().orders_;
+  if (reached) {
+    target.phase_ = Phase::Idle;
+    Plan();
+  } else if (report.value().busy_) {
+    Rest(target, "another order is under way");
+  } else {
+    SendOrder(target);
+  }
+}
+
+void
+OrderDuty::SendOrder(Target& aTarget)
+{
+  if (!duty_.Held()) {
+    aTarget.phase_ = Phase::Idle;
+    return;
+  }
+  aTarget.phase_ = Phase::Sending;
+  const VersionOrder order{ aTarget.load_.model_,
+                            aTarget.load_.version_,
+                            host_.Incarnation(),
+                            duty_.Fence(),
+                            aTarget.orders_ };
+  LogEvent(
+    LogLevel::Info,
+    "order_sent",
+    { { "upstream", aTarget.entry_.id_.Get() },
+      { "model", order.model_ },
+      { "version", std::to_string(order.version_.Get()) },
+      { "fence", std::to_string(order.fence_.Get()) },
+      { "expected", std::to_string(order.expectedOrders_.value_or(0)) } });
+  HttpCall call = host_.Formats().MakeOrder(aTarget.entry_, order);
+  call.timeout_ = kOrderTimeout;
+  call.connectTimeout_ = kConnectTimeout;
+  host_.Client().Send(std::move(call),
+                      Answer(aTarget, &OrderDuty::OnOrderAnswer));
+}
+
+void
+OrderDuty::OnOrderAnswer(const UpstreamId& aId, const HttpResult& aResult)
+{
+  Target& target = targets_.at(aId);
+  const int status =
+    aResult.end_ == HttpEnd::Whole ? aResult.response_.status_ : 0;
+  LogEvent(LogLevel::Info,
+           "order_answered",
+           { { "upstream", aId.Get() },
+             { "status", std::to_string(status) },
+             { "error", aResult.message_ } });
+  switch (status) {
+    case 202:
+      ++*target.orders_;
+      target.phase_ = Phase::Loading;
+      LookAgain(target, kFirstLook);
+      return;
+    case 200:
+      target.versions_[target.load_.model_] = target.load_.version_;
+      target.phase_ = Phase::Idle;
+      target.orders_.reset();
+      Plan();
+      return;
+    case 412:
+      // Another process has the duty under a higher number.
+      duty_.Release();
+      OnLost();
+      return;
+    case 421:
+      targets_.erase(aId);
+      Plan();
+      return;
+    default:
+      Rest(target, status == 0 ? "no answer" : "refused");
+      return;
+  }
+}
+
+void
+OrderDuty::LookAgain(Target& aTarget, Duration aPause)
+{
+  Later(aTarget, aPause, &OrderDuty::ReadState);
+}
+
+void
+OrderDuty::Rest(Target& aTarget, std::string_view aWhy)
+{
+  LogEvent(
+    LogLevel::Info,
+    "order_put_off",
+    { { "upstream", aTarget.entry_.id_.Get() }, { "why", std::string(aWhy) } });
+  aTarget.phase_ = Phase::Resting;
+  aTarget.orders_.reset();
+  Later(aTarget, kRestTime, &OrderDuty::WakeUp);
+}
+
+void
+OrderDuty::WakeUp(Target& aTarget)
+{
+  aTarget.phase_ = Phase::Idle;
+  Plan();
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/orderd/order_duty.hpp
@@ -0,0 +1,83 @@
+/// The duty of ordering upstreams to new weight versions: one process has it
+/// at a time, by a key on its lease; the key's revision is the fencing number
+/// of its orders.
+#pragma once
+
+#include "daemon/gateway_host.hpp"
+#include "daemon/leased_key.hpp"
+#include "daemon/prefix_follower.hpp"
+#include "marjoramtally/process/weight_plan.hpp"
+
+namespace marjoramtally {
+
+/// Holds the duty or waits for it. Used on one loop.
+class OrderDuty
+{
+public:
+  explicit OrderDuty(GatewayHost& aHost);
+
+  void Start();
+  void Stop();
+
+private:
+  /// Where an upstream's order stands.
+  enum class Phase
+  {
+    Idle,
+    Reading,
+    Sending,
+    /// Accepted; its end is looked for in reports.
+    Loading,
+    /// Something failed; it is tried again after a pause.
+    Resting,
+  };
+
+  struct Target
+  {
+    UpstreamEntry entry_;
+    std::map<std::string, WeightVersion> versions_;
+    /// Orders that the upstream has accepted, if known for certain.
+    std::optional<std::uint64_t> orders_;
+    Phase phase_ = Phase::Idle;
+    PlannedLoad load_;
+    TimePoint since_;
+    /// Answers to earlier steps are ignored.
+    std::uint64_t step_ = 0;
+  };
+
+  void OnHeld(FencingNumber aFence);
+  void OnLost();
+  void Follow();
+  void TakeUpstream(const StoreRecord& aRecord);
+  void TakeVersion(const StoreRecord& aRecord);
+  void TakeRetirement(const StoreRecord& aRecord);
+  void Plan();
+  void Begin(const PlannedLoad& aLoad);
+  void ReadState(Target& aTarget);
+  void OnState(const UpstreamId& aId, const HttpResult& aResult);
+  void SendOrder(Target& aTarget);
+  void OnOrderAnswer(const UpstreamId& aId, const HttpResult& aResult);
+  void LookAgain(Target& aTarget, Duration aPause);
+  void Rest(Target& aTarget, std::string_view aWhy);
+  /// Runs a step later unless the target has moved on.
+  void Later(Target& aTarget,
+             Duration aPause,
+             void (OrderDuty::*aStep)(Target&));
+  void WakeUp(Target& aTarget);
+  HttpDone Answer(Target& aTarget,
+                  void (OrderDuty::*aTake)(const UpstreamId&,
+                                           const HttpResult&));
+
+  GatewayHost& host_;
+  LeasedKey duty_;
+  PrefixFollower holders_;
+  std::unique_ptr<PrefixFollower> upstreams_;
+  std::unique_ptr<PrefixFollower> versions_;
+  std::unique_ptr<PrefixFollower> retirements_;
+  WeightPlan plan_;
+  std::map<UpstreamId, Target> targets_;
+  bool active_ = false;
+  std::set<std::string> retired_;
+};
+
+} // namespace marjoramtally
--- a/src/request/event_stream.cpp
+++ b/src/request/event_stream.cpp
@@ -1,32 +1,71 @@
 #include "marjoramtally/request/event_stream.hpp"
 
+#include "marjoramtally/base/units.hpp"
+
+#include <algorithm>
+
 namespace marjoramtally {
 
 namespace {
 
-constexpr std::string_view kDataField = "data:";
+constexpr std::string_view kDataField = "data";
+constexpr std::string_view kIdField = "id";
+
+/// One line of an event: a field's name and its value.
+struct FieldLine
+{
+  std::string_view name_;
+  std::string_view value_;
+};
+
+FieldLine
+SplitField(std::string_view aLine) noexcept
+{
+  const std::size_t colon = std::min(aLine.find(':'), aLine.size());
+  std::string_view value = aLine.substr(std::min(colon + 1, aLine.size()));
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  return { aLine.substr(0, colon), value };
+}
 
 } // namespace
 
 Result<std::vector<std::string>>
 EventStreamParser::Feed(std::string_view aBytes)
 {
-  std::vector<std::string> events;
-  for (const char byte : aBytes) {
-    if (byte == '\n') {
-      TakeLine(events);
-      continue;
-    }
-    line_.push_back(byte);
-    if (line_.size() + data_.size() > kMaxEventBytes) {
+  auto events = FeedEvents(aBytes);
+  if (!events) {
+    return events.error();
+  }
+  std::vector<std::string> data;
+  for (ServerEvent& event : events.value()) {
+    data.push_back(std::move(event.data_));
+  }
+  return data;
+}
+
+Result<std::vector<ServerEvent>>
+EventStreamParser::FeedEvents(std::string_view aBytes)
+{
+  std::vector<ServerEvent> events;
+  while (!aBytes.empty()) {
+    const std::size_t end = aBytes.find('\n');
+    line_ += aBytes.substr(0, end);
+    if (line_.size() + event_.data_.size() > kMaxEventBytes) {
       return Error{ ErrorKind::BadInput, "an event of the stream is too long" };
     }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    aBytes.remove_prefix(end + 1);
+    TakeLine(events);
   }
   return events;
 }
 
 void
-EventStreamParser::TakeLine(std::vector<std::string>& aEvents)
+EventStreamParser::TakeLine(std::vector<ServerEvent>& aEvents)
 {
   std::string_view line = line_;
   if (line.ends_with('\r')) {
@@ -34,24 +73,34 @@
   }
   if (line.empty()) {
     if (hasData_) {
-      aEvents.push_back(std::move(data_));
+      aEvents.push_back(std::move(event_));
     }
-    data_.clear();
+    event_ = {};
     hasData_ = false;
-  } else if (line.starts_with(kDataField)) {
-    line.remove_prefix(kDataField.size());
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
-    }
-    if (hasData_) {
-      data_.push_back('\n');
-    }
-    data_ += line;
-    hasData_ = true;
+    line_.clear();
+    return;
+  }
+  const FieldLine field = SplitField(line);
+  if (field.name_ == kDataField) {
+    TakeData(field.value_);
+  } else if (field.name_ == kIdField) {
+    event_.id_ = ParseNumber(field.value_, 0, UINT64_MAX);
+  } else if (!labelField_.empty() && field.name_ == labelField_) {
+    event_.label_ = ParseNumber(field.value_, 0, UINT64_MAX);
   }
   line_.clear();
 }
 
+void
+EventStreamParser::TakeData(std::string_view aValue)
+{
+  if (hasData_) {
+    event_.data_.push_back('\n');
+  }
+  event_.data_ += aValue;
+  hasData_ = true;
+}
+
 std::string
 FormatEvent(std::string_view aData)
 {
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -5,15 +5,79 @@
 #include <restinio/all.hpp>
 
 #include <future>
+#include <map>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace marjoramtally {
 
 namespace {
 
+using Tcp = restinio::asio_ns::ip::tcp;
+
+/// A connection's socket that its replies can find by the caller's address.
+/// The HTTP library reads nothing while a request is in progress and so does
+/// not notice a caller that leaves; a reply watches the socket for that.
+class CallerSocket : public Tcp::socket
+{
+public:
+  using Tcp::socket::socket;
+  CallerSocket(CallerSocket&& aOther) noexcept
+    : Tcp::socket(std::move(aOther))
+  {
+  }
+  CallerSocket& operator=(CallerSocket&&) = delete;
+  CallerSocket(const CallerSocket&) = delete;
+  CallerSocket& operator=(const CallerSocket&) = delete;
+  ~CallerSocket()
+  {
+    if (known_) {
+      Known().erase(caller_);
+    }
+  }
+
+  /// The library's first read is the moment from which on the socket stays
+  /// where it is.
+  template<typename... Args>
+  auto async_read_some(Args&&... aArgs)
+  {
+    if (!known_) {
+      asio::error_code failure;
+      caller_ = remote_endpoint(failure);
+      known_ = !failure;
+      if (known_) {
+        Known()[caller_] = this;
+      }
+    }
+    return Tcp::socket::async_read_some(std::forward<Args>(aArgs)...);
+  }
+
+  /// @returns the open connection of a caller, or nullptr
+  static CallerSocket* Find(const Tcp::endpoint& aCaller)
+  {
+    const auto it = Known().find(aCaller);
+    return it == Known().end() ? nullptr : it->second;
+  }
+
+private:
+  /// Each loop has one thread, which alone uses its connections.
+  static std::map<Tcp::endpoint, CallerSocket*>& Known()
+  {
+    static thread_local std::map<Tcp::endpoint, CallerSocket*> known;
+    return known;
+  }
+
+  Tcp::endpoint caller_;
+  bool known_ = false;
+};
+
 /// Each connection stays on the one thread of its loop, so no strand.
-using Traits = restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
-                                                restinio::null_logger_t>;
+using Traits =
+  restinio::traits_t<restinio::asio_timer_manager_t,
+                     restinio::null_logger_t,
+                     restinio::details::autodetect_request_handler_type,
+                     restinio::noop_strand_t,
+                     CallerSocket>;
 using Server = restinio::http_server_t<Traits>;
 using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
@@ -45,7 +109,9 @@
   return restinio::http_status_line_t{ code, aStatus < 400 ? "OK" : "Error" };
 }
 
-class Reply final : public HttpReply
+class Reply final
+  : public HttpReply
+  , public std::enable_shared_from_this<Reply>
 {
 public:
   Reply(restinio::request_handle_t aRequest,
@@ -88,11 +154,51 @@
 
   void End() override
   {
-    stream_->done();
-    stream_.reset();
+    if (stream_) {
+      stream_->done();
+      stream_.reset();
+    }
     Finish();
   }
 
+  void Abort() override
+  {
+    CallerSocket* socket = CallerSocket::Find(request_->remote_endpoint());
+    if (socket != nullptr && !finished_) {
+      asio::error_code ignored;
+      socket->shutdown(Tcp::socket::shutdown_both, ignored);
+    }
+    // The library notices the closed socket by writing to it.
+    if (stream_) {
+      End();
+    } else if (!finished_) {
+      Send(HttpResponse{ 500, {}, {} });
+    }
+  }
+
+  void OnCallerGone(std::function<void()> aGone) override
+  {
+    CallerSocket* socket = CallerSocket::Find(request_->remote_endpoint());
+    if (socket == nullptr) {
+      return;
+    }
+    const int handle = socket->native_handle();
+    socket->async_wait(
+      Tcp::socket::wait_read,
+      [self = weak_from_this(), handle, gone = std::move(aGone)](
+        const asio::error_code& aError) {
+        const auto reply = self.lock();
+        if (aError || !reply || reply->finished_) {
+          return;
+        }
+        char byte = 0;
+        const auto got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN)) {
+          gone();
+        }
+      });
+  }
+
 private:
   template<typename Builder>
   void AddHeaders(Builder& aBuilder, const HttpHeaders& aHeaders)
--- a/src/runtime/io_pool.cpp
+++ b/src/runtime/io_pool.cpp
@@ -3,6 +3,7 @@
 #include "runtime/io_loop.hpp"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -54,6 +55,11 @@
     return gCurrent.pool_ == this ? gCurrent.index_ : next_++ % loops_.size();
   }
 
+  void Post(std::size_t aIndex, std::function<void()> aTask) override
+  {
+    asio::post(loops_[aIndex]->Context(), std::move(aTask));
+  }
+
   void Stop() override
   {
     const std::lock_guard lock(mutex_);
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -1,5 +1,6 @@
 #include "marjoramtally/runtime/log.hpp"
 
+#include <array>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -52,18 +53,46 @@
   aLine += '"';
 }
 
+/// A log level by its name.
+struct LevelName
+{
+  std::string_view name_;
+  LogLevel level_;
+};
+
+constexpr auto kLevels = std::to_array<LevelName>({
+  { "debug", LogLevel::Debug },
+  { "info", LogLevel::Info },
+  { "warn", LogLevel::Warn },
+  { "error", LogLevel::Error },
+});
+
 } // namespace
 
+std::optional<LogLevel>
+ParseLogLevel(std::string_view aName) noexcept
+{
+  for (const LevelName& known : kLevels) {
+    if (known.name_ == aName) {
+      return known.level_;
+    }
+  }
+  return std::nullopt;
+}
+
 void
 InitLog(const std::string& aProgram,
         const std::string& aInstance,
-        LogLevel aLevel)
+        LogLevel aLevel,
+        LogTarget aTarget)
 {
   gPrefix = "program=" + aProgram + " instance=" + aInstance + " ";
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
     LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n")));
   const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-    layout, log4cxx::ConsoleAppender::getSystemErr()));
+    layout,
+    aTarget == LogTarget::Output ? log4cxx::ConsoleAppender::getSystemOut()
+                                 : log4cxx::ConsoleAppender::getSystemErr()));
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   log4cxx::Logger::getRootLogger()->setLevel(NativeLevel(aLevel));
--- /dev/null
+++ b/src/version/job_ledger.cpp
@@ -0,0 +1,276 @@
+#include "marjoramtally/version/job_ledger.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+JobLedger::JobLedger(JobSpec aSpec, JobPolicy aPolicy, TimePoint aAccepted)
+  : spec_(std::move(aSpec))
+  , policy_(aPolicy)
+  , accepted_(aAccepted)
+  , items_(spec_.items_.size())
+{
+  for (ItemIndex i = 0; i < spec_.items_.size(); ++i) {
+    byId_.emplace(spec_.items_[i].id_, i);
+    ++open_[spec_.items_[i].group_];
+  }
+}
+
+void
+JobLedger::Restore(const std::vector<JobResult>& aListed)
+{
+  for (const JobResult& result : aListed) {
+    const auto item = Find(result.id_);
+    if (!item || items_[*item].state_ == ItemState::Listed) {
+      continue;
+    }
+    Item& state = items_[*item];
+    state.text_.text_ = result.text_;
+    state.text_.versions_ = result.versions_;
+    state.text_.whole_ = result.completed_;
+    state.score_ = result.score_;
+    Finish(*item, !result.completed_, accepted_);
+    OnListed({ *item });
+  }
+}
+
+bool
+JobLedger::Fits(const std::vector<WeightVersion>& aVersions) const
+{
+  const bool fresh = std::all_of(
+    aVersions.begin(), aVersions.end(), [this](const WeightVersion& aVersion) {
+      return aVersion >= spec_.minVersion_;
+    });
+  return fresh && (!policy_.singleVersion_ || aVersions.size() <= 1);
+}
+
+void
+JobLedger::Reuse(ItemIndex aItem, PartialText aText)
+{
+  Item& item = items_[aItem];
+  if (item.state_ != ItemState::Waiting || !Fits(aText.versions_)) {
+    return;
+  }
+  item.text_ = std::move(aText);
+  if (item.text_.whole_) {
+    item.state_ = ItemState::Scoring;
+  }
+}
+
+std::optional<ItemIndex>
+JobLedger::Find(const ItemId& aId) const
+{
+  const auto it = byId_.find(aId);
+  return it == byId_.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::vector<ItemIndex>
+JobLedger::Waiting() const
+{
+  std::vector<ItemIndex> waiting;
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    if (items_[i].state_ == ItemState::Waiting) {
+      waiting.push_back(i);
+    }
+  }
+  return waiting;
+}
+
+std::vector<ItemIndex>
+JobLedger::Unscored() const
+{
+  std::vector<ItemIndex> unscored;
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    if (items_[i].state_ == ItemState::Scoring && !items_[i].scoreAsked_) {
+      unscored.push_back(i);
+    }
+  }
+  return unscored;
+}
+
+void
+JobLedger::OnStarted(ItemIndex aItem)
+{
+  items_[aItem].state_ = ItemState::Running;
+}
+
+Result<bool>
+JobLedger::OnEvent(ItemIndex aItem,
+                   const ServerEvent& aEvent,
+                   WeightVersion aVersion)
+{
+  PartialText& text = items_[aItem].text_;
+  if (!aEvent.id_ || *aEvent.id_ != text.lastEvent_ + 1) {
+    return Error{ ErrorKind::BadInput, "the event is not the next one" };
+  }
+  auto versions = text.versions_;
+  if (std::find(versions.begin(), versions.end(), aVersion) == versions.end()) {
+    versions.push_back(aVersion);
+  }
+  if (!Fits(versions)) {
+    text = {};
+    return Error{ ErrorKind::Conflict, "the weight version does not fit" };
+  }
+  text.versions_ = std::move(versions);
+  if (text.lastEvent_ > 0) {
+    text.text_ += '\n';
+  }
+  text.text_ += aEvent.data_;
+  text.lastEvent_ = *aEvent.id_;
+  return true;
+}
+
+void
+JobLedger::OnInterrupted(ItemIndex aItem)
+{
+  if (items_[aItem].state_ == ItemState::Running) {
+    items_[aItem].state_ = ItemState::Waiting;
+  }
+}
+
+void
+JobLedger::OnWhole(ItemIndex aItem, TimePoint aNow)
+{
+  Item& item = items_[aItem];
+  item.text_.whole_ = true;
+  if (spec_.items_[aItem].score_) {
+    item.state_ = ItemState::Scoring;
+  } else {
+    Finish(aItem, false, aNow);
+  }
+}
+
+void
+JobLedger::OnRunFailed(ItemIndex aItem, TimePoint aNow)
+{
+  Item& item = items_[aItem];
+  if (++item.failures_ >= policy_.maxAttempts_) {
+    Finish(aItem, true, aNow);
+  } else {
+    OnInterrupted(aItem);
+  }
+}
+
+void
+JobLedger::OnImpossible(ItemIndex aItem, TimePoint aNow)
+{
+  Finish(aItem, true, aNow);
+}
+
+void
+JobLedger::OnScored(ItemIndex aItem, std::string aScore, TimePoint aNow)
+{
+  if (items_[aItem].state_ == ItemState::Scoring) {
+    items_[aItem].score_ = std::move(aScore);
+    Finish(aItem, false, aNow);
+  }
+}
+
+void
+JobLedger::OnScoreFailed(ItemIndex aItem,
+                         std::uint32_t aFailures,
+                         TimePoint aNow)
+{
+  Item& item = items_[aItem];
+  item.scoreAsked_ = false;
+  item.scoreFailures_ += aFailures;
+  if (item.state_ == ItemState::Scoring &&
+      item.scoreFailures_ >= policy_.maxScoreFailures_) {
+    Finish(aItem, true, aNow);
+  }
+}
+
+std::uint32_t
+JobLedger::ScoreAttemptsLeft(ItemIndex aItem) const noexcept
+{
+  const std::uint32_t failures = items_[aItem].scoreFailures_;
+  return policy_.maxScoreFailures_ -
+         std::min(policy_.maxScoreFailures_, failures);
+}
+
+void
+JobLedger::Finish(ItemIndex aItem, bool aErrored, TimePoint aNow)
+{
+  Item& item = items_[aItem];
+  if (item.state_ == ItemState::Finished || item.state_ == ItemState::Listed) {
+    return;
+  }
+  item.state_ = ItemState::Finished;
+  item.errored_ = aErrored;
+  item.finished_ = aNow;
+  --open_[spec_.items_[aItem].group_];
+}
+
+void
+JobLedger::GiveUpLate(TimePoint aNow)
+{
+  if (aNow - accepted_ < policy_.maxQueue_) {
+    return;
+  }
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    Finish(i, true, aNow);
+  }
+}
+
+bool
+JobLedger::GroupFinished(ItemIndex aItem) const
+{
+  return open_.at(spec_.items_[aItem].group_) == 0;
+}
+
+std::vector<ItemIndex>
+JobLedger::Listable(TimePoint aNow) const
+{
+  const bool late =
+    aNow - accepted_ >= policy_.runDeadline_ - policy_.lastCall_;
+  std::vector<ItemIndex> listable;
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    const Item& item = items_[i];
+    if (item.state_ == ItemState::Finished &&
+        (late || GroupFinished(i) ||
+         aNow - item.finished_ >= policy_.groupWait_)) {
+      listable.push_back(i);
+    }
+  }
+  return listable;
+}
+
+JobResult
+JobLedger::ResultOf(ItemIndex aItem) const
+{
+  const Item& item = items_[aItem];
+  JobResult result;
+  result.id_ = spec_.items_[aItem].id_;
+  result.completed_ = !item.errored_;
+  if (result.completed_) {
+    result.text_ = item.text_.text_;
+    result.versions_ = item.text_.versions_;
+    result.score_ = item.score_;
+  }
+  return result;
+}
+
+void
+JobLedger::OnListed(const std::vector<ItemIndex>& aItems)
+{
+  for (const ItemIndex item : aItems) {
+    items_[item].state_ = ItemState::Listed;
+    listed_.push_back(item);
+  }
+}
+
+TimePoint
+JobLedger::NextDue() const noexcept
+{
+  TimePoint due = accepted_ + policy_.maxQueue_;
+  for (const Item& item : items_) {
+    if (item.state_ == ItemState::Finished) {
+      const TimePoint lastCall =
+        accepted_ + policy_.runDeadline_ - policy_.lastCall_;
+      due = std::min({ due, item.finished_ + policy_.groupWait_, lastCall });
+    }
+  }
+  return due;
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/version/job_record.cpp
@@ -0,0 +1,123 @@
+#include "marjoramtally/version/job_record.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string
+Dump(const Json& aValue)
+{
+  return aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/// Runs a reader; what it does not find is an error that names the record.
+template<typename Reader>
+auto
+Read(const char* aWhat, Reader aReader) -> Result<decltype(aReader())>
+{
+  try {
+    return aReader();
+  } catch (const Json::exception& failure) {
+    return Error{ ErrorKind::BadInput,
+                  std::string("a record of ") + aWhat +
+                    " is unreadable: " + failure.what() };
+  }
+}
+
+Json
+WriteResult(const JobResult& aResult)
+{
+  Json versions = Json::array();
+  for (const WeightVersion& version : aResult.versions_) {
+    versions.push_back(version.Get());
+  }
+  return { { "id", aResult.id_.Get() },
+           { "completed", aResult.completed_ },
+           { "text", aResult.text_ },
+           { "versions", std::move(versions) },
+           { "score", aResult.score_ } };
+}
+
+JobResult
+ReadResult(const Json& aValue)
+{
+  JobResult result;
+  result.id_ = ItemId{ aValue.at("id").get<std::string>() };
+  result.completed_ = aValue.at("completed").get<bool>();
+  result.text_ = aValue.at("text").get<std::string>();
+  for (const Json& version : aValue.at("versions")) {
+    result.versions_.emplace_back(version.get<std::uint64_t>());
+  }
+  result.score_ = aValue.at("score").get<std::string>();
+  return result;
+}
+
+} // namespace
+
+std::string
+WriteOwnerRecord(const JobOwnerRecord& aRecord)
+{
+  return Dump({ { "owner", aRecord.owner_ },
+                { "total", aRecord.total_ },
+                { "accepted", aRecord.acceptedMillis_ } });
+}
+
+Result<JobOwnerRecord>
+ReadOwnerRecord(std::string_view aText)
+{
+  return Read("an owner", [&] {
+    const Json value = Json::parse(aText);
+    return JobOwnerRecord{ value.at("owner").get<std::string>(),
+                           value.at("total").get<std::uint64_t>(),
+                           value.at("accepted").get<std::int64_t>() };
+  });
+}
+
+std::string
+WriteSubmissionRecord(const JobSubmissionRecord& aRecord)
+{
+  // The body follows the first line as it was received.
+  return Dump({ { "host", aRecord.host_ }, { "path", aRecord.path_ } }) + '\n' +
+         aRecord.body_;
+}
+
+Result<JobSubmissionRecord>
+ReadSubmissionRecord(std::string_view aText)
+{
+  return Read("a submission", [&] {
+    const std::size_t end = std::min(aText.find('\n'), aText.size());
+    const Json head = Json::parse(aText.substr(0, end));
+    const std::size_t body = std::min(end + 1, aText.size());
+    return JobSubmissionRecord{ head.at("host").get<std::string>(),
+                                head.at("path").get<std::string>(),
+                                std::string(aText.substr(body)) };
+  });
+}
+
+std::string
+WriteResultsRecord(const std::vector<JobResult>& aResults)
+{
+  Json list = Json::array();
+  for (const JobResult& result : aResults) {
+    list.push_back(WriteResult(result));
+  }
+  return Dump(list);
+}
+
+Result<std::vector<JobResult>>
+ReadResultsRecord(std::string_view aText)
+{
+  return Read("results", [&] {
+    std::vector<JobResult> results;
+    for (const Json& value : Json::parse(aText)) {
+      results.push_back(ReadResult(value));
+    }
+    return results;
+  });
+}
+
+} // namespace marjoramtally
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 build=${1:?usage: lint.sh BUILD_DIR}
 cd "$(dirname "$0")/.."
-git ls-files -co --exclude-standard 'src/*.cpp' 'examples/*.cpp' |
+git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'examples/*.cpp' |
   xargs -P "$(nproc)" -n 4 clang-tidy-14 -p "$build" --quiet 2>/dev/null
