--- a/include/marjoramtally/runtime/store.hpp
+++ b/include/marjoramtally/runtime/store.hpp
@@ -96,6 +96,10 @@
   virtual ~Store() = default;
   /// Reads all records whose key starts with the prefix.
   virtual void Read(std::string aPrefix, StoreDone<StoreRange> aDone) = 0;
+  /// Reads the records under the prefix whose keys come after a key.
+  virtual void ReadAfter(std::string aPrefix,
+                         std::string aAfter,
+                         StoreDone<StoreRange> aDone);
   virtual void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) = 0;
   virtual void GrantLease(Duration aTtl, StoreDone<StoreLease> aDone) = 0;
   virtual void KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone) = 0;
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kPageBytes = 800'000;
 /// A refused submission comes back after this time.
 constexpr auto kComeBack = std::chrono::milliseconds(300);
+/// A read of another process's job that finds nothing is answered after one
+/// more reading so much later.
+constexpr auto kRemoteWait = std::chrono::milliseconds(600);
 /// A job's owner record that could not be loaded is tried again.
 constexpr auto kLoadAgain = std::chrono::milliseconds(300);
 constexpr std::size_t kLongestId = 100;
@@ -53,19 +56,14 @@
   , store_(aStore)
   , directory_(aDirectory)
   , runner_(aRunner)
-  , mirrors_(aHost)
+  , remote_(aHost)
 {
   directory_.onOwner_ = [this](const JobId& aJob, const KnownJob& aKnown) {
     TakeOwner(aJob, aKnown);
   };
   directory_.onEnd_ = [this](const JobId& aJob) { runner_.End(aJob); };
   runner_.onListed_ = [this](const JobId& aJob) { Wake(aJob); };
-  runner_.onDropped_ = [this](const JobId& aJob) {
-    if (waiters_.contains(aJob)) {
-      mirrors_.Touch(aJob);
-    }
-  };
-  mirrors_.onChange_ = [this](const JobId& aJob) { Wake(aJob); };
+  runner_.onDropped_ = [this](const JobId& aJob) { Wake(aJob); };
 }
 
 void
@@ -271,110 +269,130 @@
 JobApi::Read(const JobQuery& aQuery, Duration aWait, HttpReplyPtr aReply)
 {
   IfExists(aQuery.job_, aReply, [this, aQuery, aWait, aReply] {
-    if (!runner_.Owns(aQuery.job_)) {
-      mirrors_.Touch(aQuery.job_);
-    }
-    if (!TryRead(aQuery.job_, aQuery.after_, aWait.count() == 0, aReply)) {
-      Wait(aQuery.job_, aQuery.after_, aWait, aReply);
+    if (runner_.Owns(aQuery.job_)) {
+      ReadOwned(aQuery.job_, aQuery.after_, aWait, aReply);
+    } else {
+      ReadRemote(aQuery.job_, aQuery.after_, aWait, aReply);
     }
   });
 }
 
-bool
-JobApi::TryRead(const JobId& aJob,
-                std::uint64_t aAfter,
-                bool aFinal,
-                const HttpReplyPtr& aReply)
+std::uint64_t
+JobApi::TotalOf(const JobId& aJob) const
 {
-  const JobLedger* ledger = runner_.Find(aJob);
-  const std::vector<JobResult>* mirrored =
-    ledger == nullptr ? mirrors_.Find(aJob) : nullptr;
-  if (ledger == nullptr && mirrored == nullptr) {
-    if (mirrors_.Failed(aJob)) {
-      aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
-      return true;
-    }
-    return false;
+  if (const JobLedger* ledger = runner_.Find(aJob)) {
+    return ledger->Spec().items_.size();
   }
-  const std::size_t count =
-    ledger != nullptr ? ledger->Listed().size() : mirrored->size();
-  if (count <= aAfter && !aFinal) {
-    return false;
+  if (const KnownJob* known = directory_.Find(aJob)) {
+    return known->record_.total_;
   }
-  ResultPage page;
-  const KnownJob* known = directory_.Find(aJob);
   const auto total = totals_.find(aJob);
-  page.total_ = ledger != nullptr        ? ledger->Spec().items_.size()
-                : known != nullptr       ? known->record_.total_
-                : total != totals_.end() ? total->second
-                                         : 0;
+  return total == totals_.end() ? 0 : total->second;
+}
+
+void
+JobApi::SendPage(const JobId& aJob,
+                 std::uint64_t aAfter,
+                 const HttpReplyPtr& aReply)
+{
+  const JobLedger* ledger = runner_.Find(aJob);
+  const std::vector<JobResult>& remote = remote_.Of(aJob);
+  const std::size_t count =
+    ledger != nullptr ? ledger->Listed().size() : remote.size();
+  ResultPage page;
+  page.total_ = TotalOf(aJob);
+  page.next_ = aAfter;
   std::size_t bytes = 0;
-  std::uint64_t next = aAfter;
-  for (; next < count; ++next) {
+  for (; page.next_ < count; ++page.next_) {
     JobResult result = ledger != nullptr
-                         ? ledger->ResultOf(ledger->Listed()[next])
-                         : (*mirrored)[next];
+                         ? ledger->ResultOf(ledger->Listed()[page.next_])
+                         : remote[page.next_];
     bytes += result.text_.size();
     if (bytes > kPageBytes && !page.results_.empty()) {
       break;
     }
     page.results_.push_back(std::move(result));
   }
-  page.next_ = next;
   aReply->Send(JsonResponse(200, host_.Formats().WritePage(page)));
-  return true;
 }
 
 void
-JobApi::Wait(const JobId& aJob,
-             std::uint64_t aAfter,
-             Duration aWait,
-             HttpReplyPtr aReply)
+JobApi::ReadOwned(const JobId& aJob,
+                  std::uint64_t aAfter,
+                  Duration aWait,
+                  HttpReplyPtr aReply)
 {
-  // Even without a wait the first reading of a mirror has to come in.
-  constexpr Duration kReadingWait = std::chrono::milliseconds(1000);
-  const Duration wait = aWait.count() == 0 ? kReadingWait : aWait;
-  Waiter waiter{ aAfter, aReply, 0 };
-  waiter.timer_ = host_.Timers().After(wait, [this, aJob, aReply] {
-    const auto it = waiters_.find(aJob);
-    if (it == waiters_.end()) {
-      return;
-    }
-    const auto found = std::find_if(
-      it->second.begin(), it->second.end(), [&](const Waiter& aWaiter) {
-        return aWaiter.reply_ == aReply;
-      });
-    if (found == it->second.end()) {
-      return;
-    }
-    const std::uint64_t after = found->after_;
-    it->second.erase(found);
-    if (it->second.empty()) {
-      waiters_.erase(it);
-    }
-    if (!TryRead(aJob, after, true, aReply)) {
-      aReply->Send(RefusedResponse("the store did not answer", kComeBack));
+  const bool any = runner_.Find(aJob)->Listed().size() > aAfter;
+  if (any || aWait.count() == 0) {
+    SendPage(aJob, aAfter, aReply);
+    return;
+  }
+  const LoopTimerId timer = host_.Timers().After(
+    aWait, [this, aJob, aReply] { EndWait(aJob, aReply); });
+  waiters_[aJob].push_back({ aAfter, aReply, timer });
+}
+
+void
+JobApi::ReadRemote(const JobId& aJob,
+                   std::uint64_t aAfter,
+                   Duration aWait,
+                   HttpReplyPtr aReply)
+{
+  remote_.Refresh(aJob, [this, aJob, aAfter, aWait, aReply](bool aRead) {
+    if (!aRead) {
+      aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
+    } else if (remote_.Of(aJob).size() > aAfter || aWait.count() == 0) {
+      SendPage(aJob, aAfter, aReply);
+    } else {
+      host_.Timers().After(
+        std::min<Duration>(aWait, kRemoteWait),
+        [this, aJob, aAfter, aReply] { ReadRemote(aJob, aAfter, {}, aReply); });
     }
   });
-  waiters_[aJob].push_back(std::move(waiter));
 }
 
 void
-JobApi::Wake(const JobId& aJob)
+JobApi::EndWait(const JobId& aJob, const HttpReplyPtr& aReply)
 {
   const auto it = waiters_.find(aJob);
   if (it == waiters_.end()) {
     return;
   }
-  std::erase_if(it->second, [this, &aJob](const Waiter& aWaiter) {
-    if (!TryRead(aJob, aWaiter.after_, false, aWaiter.reply_)) {
-      return false;
+  const auto found = std::find_if(
+    it->second.begin(), it->second.end(), [&](const Waiter& aWaiter) {
+      return aWaiter.reply_ == aReply;
+    });
+  if (found == it->second.end()) {
+    return;
+  }
+  const std::uint64_t after = found->after_;
+  it->second.erase(found);
+  if (runner_.Owns(aJob)) {
+    SendPage(aJob, after, aReply);
+  } else {
+    ReadRemote(aJob, after, {}, aReply);
+  }
+}
+
+void
+JobApi::Wake(const JobId& aJob)
+{
+  auto node = waiters_.extract(aJob);
+  if (node.empty()) {
+    return;
+  }
+  for (const Waiter& waiter : node.mapped()) {
+    const JobLedger* ledger = runner_.Find(aJob);
+    if (ledger != nullptr && ledger->Listed().size() <= waiter.after_) {
+      waiters_[aJob].push_back(waiter);
+      continue;
+    }
+    host_.Timers().Cancel(waiter.timer_);
+    if (ledger != nullptr) {
+      SendPage(aJob, waiter.after_, waiter.reply_);
+    } else {
+      ReadRemote(aJob, waiter.after_, {}, waiter.reply_);
     }
-    host_.Timers().Cancel(aWaiter.timer_);
-    return true;
-  });
-  if (it->second.empty()) {
-    waiters_.erase(it);
   }
 }
 
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "programs/gatewayd/job_directory.hpp"
-#include "programs/gatewayd/job_mirrors.hpp"
 #include "programs/gatewayd/job_runner.hpp"
+#include "programs/gatewayd/remote_results.hpp"
 
 namespace marjoramtally {
 
@@ -25,7 +25,7 @@
   void StopAccepting();
 
 private:
-  /// A read that waits for a result.
+  /// A read of a job of ours that waits for a result.
   struct Waiter
   {
     std::uint64_t after_ = 0;
@@ -42,16 +42,21 @@
                 const HttpReplyPtr& aReply);
 
   void Read(const JobQuery& aQuery, Duration aWait, HttpReplyPtr aReply);
-  /// Answers a read if it can be answered now.
-  /// @param aFinal answer even if there is no result
-  [[nodiscard]] bool TryRead(const JobId& aJob,
-                             std::uint64_t aAfter,
-                             bool aFinal,
-                             const HttpReplyPtr& aReply);
-  void Wait(const JobId& aJob,
-            std::uint64_t aAfter,
-            Duration aWait,
-            HttpReplyPtr aReply);
+  /// Reads from the ledger of a job of ours.
+  void ReadOwned(const JobId& aJob,
+                 std::uint64_t aAfter,
+                 Duration aWait,
+                 HttpReplyPtr aReply);
+  /// Reads from the store; if there is nothing, once more after the wait.
+  void ReadRemote(const JobId& aJob,
+                  std::uint64_t aAfter,
+                  Duration aWait,
+                  HttpReplyPtr aReply);
+  void SendPage(const JobId& aJob,
+                std::uint64_t aAfter,
+                const HttpReplyPtr& aReply);
+  [[nodiscard]] std::uint64_t TotalOf(const JobId& aJob) const;
+  void EndWait(const JobId& aJob, const HttpReplyPtr& aReply);
   void Wake(const JobId& aJob);
   void Body(const JobQuery& aQuery, HttpReplyPtr aReply);
   void End(const JobQuery& aQuery, HttpReplyPtr aReply);
@@ -65,7 +70,7 @@
   JobStore& store_;
   JobDirectory& directory_;
   JobRunner& runner_;
-  JobMirrors mirrors_;
+  RemoteResults remote_;
   std::map<JobId, std::vector<Waiter>> waiters_;
   std::set<JobId> loading_;
   /// Totals of jobs that the directory does not list yet.
--- /dev/null
+++ b/src/programs/gatewayd/remote_results.hpp
@@ -0,0 +1,38 @@
+/// Results of jobs that other processes own, read from the store when
+/// somebody asks for them here.
+#pragma once
+
+#include "programs/gatewayd/job_store.hpp"
+
+namespace marjoramtally {
+
+/// What was read of such jobs; each reading asks only for what is new. Used
+/// on one loop.
+class RemoteResults
+{
+public:
+  explicit RemoteResults(GatewayHost& aHost);
+
+  /// Reads what was written since the last reading. A watch would miss what
+  /// is written while the store keeps silent, and a position that was read
+  /// elsewhere has to be here at once.
+  void Refresh(const JobId& aJob, std::function<void(bool aRead)> aDone);
+  [[nodiscard]] const std::vector<JobResult>& Of(const JobId& aJob) const;
+
+private:
+  struct Known
+  {
+    std::string lastKey_;
+    std::vector<JobResult> results_;
+    TimePoint lastRead_;
+  };
+
+  void Take(Known& aKnown, std::vector<StoreRecord> aRecords);
+  void ForgetOld();
+
+  GatewayHost& host_;
+  std::map<JobId, Known> known_;
+  LoopTimerId forgetTimer_ = 0;
+};
+
+} // namespace marjoramtally
