--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -42,7 +42,7 @@
   /// A finished result waits this long for the rest of its group before it
   /// is written on its own: trainers count whole groups, and each write is a
   /// call to the store.
-  Duration groupWait_ = std::chrono::milliseconds(1200);
+  Duration groupWait_ = std::chrono::milliseconds(2000);
   /// This long before the deadline nothing waits any more.
   Duration lastCall_ = std::chrono::milliseconds(900);
 };
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -24,6 +24,8 @@
   { "store", &Settings::store_, true },
   { "metrics-port", &Settings::metricsPort_, false, 0, kMaxPort },
   { "lease-ttl", &Settings::leaseTtl_, false, kSecond, 600 * kSecond },
+  { "fencing", &Settings::fencing_ },
+  { "order-turn", &Settings::orderTurn_, false, 0, 600 * kSecond },
   { "grace", &Settings::grace_, false, 100 * kMillisecond, 600 * kSecond },
   { "status-time", &Settings::statusTime_, false, kSecond, 86'400 * kSecond },
   { "log-level", &Settings::logLevel_ },
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -22,8 +22,14 @@
   std::string store_;
   /// 0 serves no metrics.
   std::uint64_t metricsPort_ = 0;
-  /// How long the store keeps this process's lease without a heartbeat.
-  Duration leaseTtl_ = std::chrono::seconds(3);
+  /// How long the store keeps this process's leases without a heartbeat: the
+  /// time until others take over from a process that is gone.
+  Duration leaseTtl_ = std::chrono::milliseconds(1500);
+  /// Whether upstreams refuse orders with an old fencing number.
+  bool fencing_ = false;
+  /// A process that gives the orders back waits until so long after its last
+  /// one; where upstreams check no numbers, so does the next holder.
+  Duration orderTurn_ = std::chrono::seconds(3);
   /// From the stop signal to the forced end.
   Duration grace_ = std::chrono::seconds(8);
   /// How long a job's results can be read after its submission.
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -17,8 +17,9 @@
 constexpr auto kCheckPause = std::chrono::milliseconds(400);
 /// Items that found no upstream are tried again after this time.
 constexpr auto kRetryPause = std::chrono::milliseconds(100);
-/// Results that finish within this time are written together.
-constexpr auto kFlushPause = std::chrono::milliseconds(40);
+/// Results that finish within this time are written together: each write is
+/// a priced call, and a step has seconds.
+constexpr auto kFlushPause = std::chrono::milliseconds(200);
 /// A write that failed is tried again after this time.
 constexpr auto kFlushAgain = std::chrono::milliseconds(250);
 /// Most jobs of one write: each takes two comparisons of the store's 32.
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -60,15 +60,29 @@
   duty_.Release();
 }
 
+void
+OrderDuty::Withdraw()
+{
+  OnLost();
+  holders_.Stop();
+  const Duration since = host_.Now() - lastOrder_;
+  const Duration rest =
+    std::max(host_.Settings().orderTurn_ - since, Duration{ 0 });
+  host_.Timers().After(rest, [this] { duty_.Release(); });
+}
+
 void
 OrderDuty::OnHeld(FencingNumber aFence)
 {
   LogEvent(LogLevel::Info,
            "duty_held",
            { { "duty", "orders" }, { "fence", std::to_string(aFence.Get()) } });
-  // Orders of the holder before may still be on their way for the time of
-  // its lease.
-  host_.Timers().After(host_.Settings().leaseTtl_, [this, aFence] {
+  // A holder whose lease lapsed was out of reach, and upstreams refuse its
+  // number from our first order on. Where they check none, its last orders
+  // have to be over.
+  const Duration wait =
+    host_.Settings().fencing_ ? Duration{ 0 } : host_.Settings().orderTurn_;
+  host_.Timers().After(wait, [this, aFence] {
     if (duty_.Held() && duty_.Fence() == aFence) {
       Follow();
     }
@@ -170,7 +184,7 @@
     host_.Formats().RetireStatus(InstanceId{ instance }, true);
   LogEvent(LogLevel::Info, "instance_retired", { { "instance", instance } });
   if (instance == host_.Settings().instance_) {
-    Stop();
+    Withdraw();
   }
   StoreTxn txn;
   txn.puts_.push_back({ key, value, 0 });
@@ -331,6 +345,7 @@
   HttpCall call = host_.Formats().MakeOrder(aTarget.entry_, order);
   call.timeout_ = kOrderTimeout;
   call.connectTimeout_ = kConnectTimeout;
+  lastOrder_ = host_.Now();
   host_.Client().Send(std::move(call),
                       Answer(aTarget, &OrderDuty::OnOrderAnswer));
 }
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -17,6 +17,7 @@
   explicit OrderDuty(GatewayHost& aHost);
 
   void Start();
+  /// The process ends: the next holder need not wait.
   void Stop();
 
 private:
@@ -45,6 +46,8 @@
     std::uint64_t step_ = 0;
   };
 
+  /// Gives the duty back while the process lives on.
+  void Withdraw();
   void OnHeld(FencingNumber aFence);
   void OnLost();
   void Follow();
@@ -77,6 +80,7 @@
   WeightPlan plan_;
   std::map<UpstreamId, Target> targets_;
   bool active_ = false;
+  TimePoint lastOrder_;
   std::set<std::string> retired_;
 };
 
