Shutdown ends in time; a next owner goes on from the texts of the last

(2) Each owner that left or died cost a job all its unlisted texts, and steps that then took over 7 s put the trainer 12 s behind. (3) After a restart of all, jobs waited 3 to 5 s for the sign of life of their owners to lapse. Change: closing runs directly when called on the loop; results that are final and texts in progress are written with the release of a job and, with the writes of results, every 1.5 s; a restarted instance claims the jobs of its last run at once; followers tell nothing after they stopped; daemons end without running destructors under calls that were cut.

--- a/include/marjoramtally/process/job_takeover.hpp
+++ b/include/marjoramtally/process/job_takeover.hpp
@@ -11,6 +11,14 @@
 
 namespace marjoramtally {
 
+/// Names one run of the process of an instance.
+[[nodiscard]] std::string
+MakeIncarnationName(const InstanceId& aInstance, std::string_view aRun);
+
+/// @returns the instance that an incarnation runs on
+[[nodiscard]] InstanceId
+InstanceOf(std::string_view aIncarnation);
+
 /// Times that govern takeovers.
 struct TakeoverPolicy
 {
--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -114,6 +114,8 @@
   void GiveUpLate(TimePoint aNow);
   /// @returns results to write now, in the order of their positions
   [[nodiscard]] std::vector<ItemIndex> Listable(TimePoint aNow) const;
+  /// @returns all results that are final and not written
+  [[nodiscard]] std::vector<ItemIndex> Finished() const;
   [[nodiscard]] JobResult ResultOf(ItemIndex aItem) const;
   /// The results were written; they stand at the next positions.
   void OnListed(const std::vector<ItemIndex>& aItems);
--- a/include/marjoramtally/version/job_record.hpp
+++ b/include/marjoramtally/version/job_record.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "marjoramtally/base/result.hpp"
-#include "marjoramtally/version/job.hpp"
+#include "marjoramtally/version/job_ledger.hpp"
 
 #include <chrono>
 
@@ -28,6 +28,17 @@
   std::string body_;
 };
 
+/// The text of an item that is not listed yet.
+struct PartialRecord
+{
+  ItemId item_;
+  PartialText text_;
+};
+
+[[nodiscard]] std::string
+WritePartialRecords(const std::vector<PartialRecord>& aTexts);
+[[nodiscard]] Result<std::vector<PartialRecord>>
+ReadPartialRecords(std::string_view aText);
 [[nodiscard]] std::string
 WriteOwnerRecord(const JobOwnerRecord& aRecord);
 [[nodiscard]] Result<JobOwnerRecord>
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -1,5 +1,6 @@
 #include "daemon/gateway_host.hpp"
 
+#include "marjoramtally/process/job_takeover.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <csignal>
@@ -23,8 +24,9 @@
 MakeIncarnation(const std::string& aInstance)
 {
   const auto time = std::chrono::system_clock::now().time_since_epoch().count();
-  return aInstance + "." + std::to_string(time % 1'000'000'000'000'000) + "." +
-         std::to_string(getpid());
+  return MakeIncarnationName(InstanceId{ aInstance },
+                             std::to_string(time) + "." +
+                               std::to_string(getpid()));
 }
 
 /// Signals that the main thread waits for.
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -57,7 +57,7 @@
 
   /// Runs until the process is to end: on the loop, `aStart` at once and
   /// `aStop` when the stop signal came; then waits until `aIdle` holds or the
-  /// grace is nearly over.
+  /// grace is nearly over. After it the loop is still.
   void Run(const std::function<void()>& aStart,
            const std::function<void()>& aStop,
            const std::function<bool()>& aIdle);
--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -39,7 +39,7 @@
   void Take(const Result<StoreRange>& aRange)
   {
     if (!aRange) {
-      Tell(owner_.onFailure_, aRange.error());
+      Tell(&PrefixFollower::onFailure_, aRange.error());
       timers_.After(pauses_.Next(), [self = weak_from_this()] {
         const auto state = self.lock();
         if (state && !state->stopped_) {
@@ -49,8 +49,11 @@
       return;
     }
     pauses_.Reset();
-    Tell(owner_.onAll_, aRange.value());
-    Tell(owner_.onSettled_);
+    Tell(&PrefixFollower::onAll_, aRange.value());
+    Tell(&PrefixFollower::onSettled_);
+    if (stopped_) {
+      return;
+    }
     watch_ =
       store_.Watch(prefix_,
                    aRange.value().revision_ + 1,
@@ -69,16 +72,21 @@
       return;
     }
     for (const StoreEvent& event : aBatch.events_) {
-      Tell(owner_.onChange_, event);
+      Tell(&PrefixFollower::onChange_, event);
     }
-    Tell(owner_.onSettled_);
+    Tell(&PrefixFollower::onSettled_);
   }
 
+  /// A callback may stop or destroy the follower: then nothing more is told.
   template<typename Callback, typename... Args>
-  static void Tell(const Callback& aCallback, const Args&... aArgs)
+  void Tell(Callback PrefixFollower::*aCallback, const Args&... aArgs)
   {
-    if (aCallback) {
-      aCallback(aArgs...);
+    if (stopped_) {
+      return;
+    }
+    const Callback callback = owner_.*aCallback;
+    if (callback) {
+      callback(aArgs...);
     }
   }
 
--- a/src/process/job_takeover.cpp
+++ b/src/process/job_takeover.cpp
@@ -4,6 +4,26 @@
 
 namespace marjoramtally {
 
+namespace {
+
+/// Between the instance's name and the number of the run.
+constexpr char kRunMark = '~';
+
+} // namespace
+
+std::string
+MakeIncarnationName(const InstanceId& aInstance, std::string_view aRun)
+{
+  return aInstance.Get() + kRunMark + std::string(aRun);
+}
+
+InstanceId
+InstanceOf(std::string_view aIncarnation)
+{
+  return InstanceId{ std::string(
+    aIncarnation.substr(0, aIncarnation.rfind(kRunMark))) };
+}
+
 JobTakeover::JobTakeover(std::string aSelf, TakeoverPolicy aPolicy)
   : self_(std::move(aSelf))
   , policy_(aPolicy)
@@ -51,7 +71,14 @@
 TimePoint
 JobTakeover::ClaimAt(const JobId& aJob, const Orphan& aOrphan) const
 {
-  if (aOrphan.owner_ == self_ || alive_.contains(aOrphan.owner_)) {
+  if (aOrphan.owner_ == self_) {
+    return kNever;
+  }
+  if (InstanceOf(aOrphan.owner_) == InstanceOf(self_)) {
+    // The last run of this very process has ended, whatever its lease says.
+    return aOrphan.since_;
+  }
+  if (alive_.contains(aOrphan.owner_)) {
     return kNever;
   }
   const Duration turn =
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -126,6 +126,7 @@
                 aStored.value().submission_,
                 std::move(spec).value(),
                 aStored.value().results_,
+                aStored.value().partials_,
                 age);
   });
 }
@@ -194,7 +195,7 @@
       totals_[aJob] = aSpec.items_.size();
       if (!runner_.Owns(aJob) && accepting_) {
         runner_.Add(
-          aJob, aResult.fence_, aSubmission, std::move(aSpec), {}, {});
+          aJob, aResult.fence_, aSubmission, std::move(aSpec), {}, {}, {});
       }
       return;
     case AcceptEnd::Known:
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -22,10 +22,15 @@
 constexpr auto kFlushPause = std::chrono::milliseconds(200);
 /// A write that failed is tried again after this time.
 constexpr auto kFlushAgain = std::chrono::milliseconds(250);
-/// Most jobs of one write: each takes two comparisons of the store's 32.
-constexpr std::size_t kJobsAtOnce = 10;
+/// Most jobs of one write: each takes four of the store's 32 entries.
+constexpr std::size_t kJobsAtOnce = 7;
 /// Most bytes of results in one record; a value of the store holds 1 MiB.
 constexpr std::size_t kRecordBytes = 600U * 1024U;
+/// Texts in progress are written so often, with results where there are any:
+/// what the next owner need not make anew.
+constexpr auto kPartialsPause = std::chrono::milliseconds(1500);
+/// Shorter texts are sooner made anew than read.
+constexpr std::uint64_t kLeastEvents = 5;
 /// Items are given up this much later than they may be: clocks differ by
 /// some seconds.
 constexpr auto kGiveUpSlack = std::chrono::seconds(6);
@@ -75,6 +80,7 @@
                const JobSubmissionRecord& aSubmission,
                JobSpec aSpec,
                const std::vector<JobResult>& aListed,
+               const std::vector<PartialRecord>& aPartials,
                Duration aAge)
 {
   const Route* route = routes_.Match(aSubmission.host_, aSubmission.path_);
@@ -97,6 +103,12 @@
   const TimePoint accepted = host_.Now() - aAge;
   JobLedger ledger(std::move(aSpec), policy, accepted);
   ledger.Restore(aListed);
+  for (const PartialRecord& partial : aPartials) {
+    const auto item = ledger.Find(partial.item_);
+    if (item) {
+      ledger.Reuse(*item, partial.text_);
+    }
+  }
   for (const ItemIndex item : ledger.Waiting()) {
     auto text = partials_.Take(ledger.Spec().items_[item].id_);
     if (text) {
@@ -111,20 +123,16 @@
              { "min_version", std::to_string(ledger.Spec().minVersion_.Get()) },
              { "items", std::to_string(ledger.Spec().items_.size()) },
              { "listed", std::to_string(aListed.size()) },
+             { "partial", std::to_string(aPartials.size()) },
              { "age_ms", std::to_string(Millis(aAge)) },
              { "fence", std::to_string(aFence.Get()) } });
   const auto [it, added] = jobs_.emplace(aJob,
-                                         OwnedJob{ aSubmission.host_,
-                                                   aFence,
-                                                   std::move(ledger),
-                                                   accepted,
-                                                   accepted + policy.maxQueue_,
-                                                   ++lastSequence_,
-                                                   false,
-                                                   {},
-                                                   {},
-                                                   {},
-                                                   {} });
+                                         OwnedJob(aSubmission.host_,
+                                                  aFence,
+                                                  std::move(ledger),
+                                                  accepted,
+                                                  accepted + policy.maxQueue_,
+                                                  ++lastSequence_));
   if (added) {
     Advance(aJob, it->second);
   }
@@ -195,13 +203,23 @@
 JobRunner::GiveBack()
 {
   givingBack_ = true;
+  for (auto& [id, job] : jobs_) {
+    StopRuns(job);
+  }
+  if (!batch_) {
+    GiveBackJobs();
+  }
+}
+
+void
+JobRunner::GiveBackJobs()
+{
   std::vector<JobId> ids;
   for (const auto& [id, job] : jobs_) {
     ids.push_back(id);
   }
   for (const JobId& id : ids) {
     OwnedJob& job = jobs_.at(id);
-    StopRuns(job);
     if (job.ended_ || job.ledger_.Done()) {
       Drop(id);
       continue;
@@ -213,9 +231,74 @@
     const JobOwnerRecord record{ "",
                                  job.ledger_.Spec().items_.size(),
                                  (wall - age).count() };
-    store_.ChangeOwner(
-      id, record, job.fence_, [this, id](const auto&) { Drop(id); });
+    Batch last;
+    AddToBatch(id, job, job.ledger_.Finished(), true, last);
+    LogEvent(LogLevel::Info,
+             "job_given_back",
+             { { "job", id.Get() },
+               { "bytes_of_texts",
+                 std::to_string(last.writes_.front().partials_.size()) } });
+    store_.GiveBack(
+      last.writes_.front(), record, [this, id](WriteEnd) { Drop(id); });
+  }
+}
+
+std::string
+JobRunner::EncodePartials(const JobLedger& aLedger,
+                          const std::vector<ItemIndex>& aListed)
+{
+  const std::set<ItemIndex> listed(aListed.begin(), aListed.end());
+  std::vector<PartialRecord> texts;
+  std::size_t bytes = 0;
+  for (ItemIndex i = 0; i < aLedger.Spec().items_.size(); ++i) {
+    const PartialText& text = aLedger.Text(i);
+    if (aLedger.State(i) == ItemState::Listed || listed.contains(i) ||
+        text.lastEvent_ < kLeastEvents ||
+        bytes + text.text_.size() > kRecordBytes) {
+      continue;
+    }
+    bytes += text.text_.size();
+    texts.push_back({ aLedger.Spec().items_[i].id_, text });
+  }
+  return texts.empty() ? std::string() : WritePartialRecords(texts);
+}
+
+bool
+JobRunner::PartialsDue(const OwnedJob& aJob) const
+{
+  return host_.Now() - std::max(aJob.lastPartials_, aJob.accepted_) >=
+         kPartialsPause;
+}
+
+void
+JobRunner::AddToBatch(const JobId& aId,
+                      OwnedJob& aJob,
+                      const std::vector<ItemIndex>& aItems,
+                      bool aWithPartials,
+                      Batch& aBatch)
+{
+  std::vector<ItemIndex> items;
+  std::vector<JobResult> results;
+  std::size_t bytes = 0;
+  for (const ItemIndex item : aItems) {
+    JobResult result = aJob.ledger_.ResultOf(item);
+    bytes += result.text_.size();
+    if (bytes > kRecordBytes && !items.empty()) {
+      break;
+    }
+    items.push_back(item);
+    results.push_back(std::move(result));
   }
+  ResultsWrite write{ aId, aJob.fence_, aJob.ledger_.Listed().size(), {}, {} };
+  if (!items.empty()) {
+    write.record_ = WriteResultsRecord(results);
+  }
+  if (aWithPartials) {
+    write.partials_ = EncodePartials(aJob.ledger_, items);
+    aJob.lastPartials_ = host_.Now();
+  }
+  aBatch.writes_.push_back(std::move(write));
+  aBatch.items_.push_back(std::move(items));
 }
 
 void
@@ -668,6 +751,10 @@
     }
     const bool ready = !job.ledger_.Listable(now).empty();
     due = std::min(due, ready ? now + kFlushPause : job.ledger_.NextDue());
+    if (!job.runs_.empty()) {
+      due = std::min(
+        due, std::max(job.lastPartials_, job.accepted_) + kPartialsPause);
+    }
   }
   host_.Timers().Cancel(flushTimer_);
   flushTimer_ = 0;
@@ -687,24 +774,15 @@
       continue;
     }
     job.ledger_.GiveUpLate(now);
-    std::vector<ItemIndex> items;
-    std::vector<JobResult> results;
-    std::size_t bytes = 0;
-    for (const ItemIndex item : job.ledger_.Listable(now)) {
-      JobResult result = job.ledger_.ResultOf(item);
-      bytes += result.text_.size();
-      if (bytes > kRecordBytes && !items.empty()) {
-        break;
-      }
-      items.push_back(item);
-      results.push_back(std::move(result));
+    const std::vector<ItemIndex> items = job.ledger_.Listable(now);
+    const bool partials = !job.runs_.empty() && PartialsDue(job);
+    if (!items.empty() || partials) {
+      AddToBatch(id, job, items, partials, batch);
     }
-    if (!items.empty()) {
-      batch.writes_.push_back({ id,
-                                job.fence_,
-                                job.ledger_.Listed().size(),
-                                WriteResultsRecord(results) });
-      batch.items_.push_back(std::move(items));
+    if (!batch.writes_.empty() && batch.writes_.back().record_.empty() &&
+        batch.writes_.back().partials_.empty()) {
+      batch.writes_.pop_back();
+      batch.items_.pop_back();
     }
   }
   if (batch.writes_.empty()) {
@@ -745,6 +823,9 @@
 {
   const Batch batch = std::move(*batch_);
   batch_.reset();
+  if (givingBack_) {
+    host_.Timers().After({}, [this] { GiveBackJobs(); });
+  }
   for (std::size_t i = 0; i < batch.writes_.size(); ++i) {
     const JobId& id = batch.writes_[i].job_;
     const auto it = jobs_.find(id);
@@ -771,6 +852,9 @@
     if (--*left == 0) {
       batch_.reset();
       PlanFlush();
+      if (givingBack_) {
+        GiveBackJobs();
+      }
     }
   };
   for (std::size_t i = 0; i < batch->writes_.size(); ++i) {
@@ -780,7 +864,8 @@
       key, [this, batch, i, finish](const Result<StoreRange>& aRange) {
         const ResultsWrite& mine = batch->writes_[i];
         const auto it = jobs_.find(mine.job_);
-        const bool found = aRange && !aRange.value().records_.empty();
+        const bool found =
+          !mine.record_.empty() && aRange && !aRange.value().records_.empty();
         if (it != jobs_.end() && found) {
           if (aRange.value().records_.front().value_ == mine.record_) {
             it->second.ledger_.OnListed(batch->items_[i]);
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -32,6 +32,7 @@
            const JobSubmissionRecord& aSubmission,
            JobSpec aSpec,
            const std::vector<JobResult>& aListed,
+           const std::vector<PartialRecord>& aPartials,
            Duration aAge);
   /// Another process owns the job.
   void Drop(const JobId& aJob);
@@ -56,6 +57,21 @@
 
   struct OwnedJob
   {
+    OwnedJob(std::string aHost,
+             FencingNumber aFence,
+             JobLedger aLedger,
+             TimePoint aAccepted,
+             TimePoint aDeadline,
+             std::uint64_t aSequence)
+      : host_(std::move(aHost))
+      , fence_(aFence)
+      , ledger_(std::move(aLedger))
+      , accepted_(aAccepted)
+      , deadline_(aDeadline)
+      , sequence_(aSequence)
+    {
+    }
+
     std::string host_;
     FencingNumber fence_;
     JobLedger ledger_;
@@ -69,6 +85,8 @@
     /// Where an item was given up on last.
     std::map<ItemIndex, UpstreamId> avoided_;
     std::map<ItemIndex, ForwardId> scores_;
+    /// When texts of items in progress were last written.
+    TimePoint lastPartials_;
   };
 
   /// One stream of an item.
@@ -122,6 +140,18 @@
   void StartScore(const JobId& aId, OwnedJob& aJob, ItemIndex aItem);
   void OnScore(const JobId& aId, ItemIndex aItem, ForwardOutcome aOutcome);
 
+  /// Adds what is to be written of a job to a batch.
+  void AddToBatch(const JobId& aId,
+                  OwnedJob& aJob,
+                  const std::vector<ItemIndex>& aItems,
+                  bool aWithPartials,
+                  Batch& aBatch);
+  [[nodiscard]] static std::string EncodePartials(
+    const JobLedger& aLedger,
+    const std::vector<ItemIndex>& aListed);
+  [[nodiscard]] bool PartialsDue(const OwnedJob& aJob) const;
+  void GiveBackJobs();
+
   /// Scores, writes and starts whatever may be.
   void Advance(const JobId& aId, OwnedJob& aJob);
   void PlanFlush();
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -85,6 +85,12 @@
   return fmt::format("{}{:08}", Results(aJob), aPosition);
 }
 
+std::string
+Partials(const JobId& aJob)
+{
+  return kPartials + aJob.Get();
+}
+
 } // namespace job_keys
 
 Result<std::vector<JobResult>>
@@ -202,23 +208,54 @@
         done(submission.error());
         return;
       }
-      store_.Read(job_keys::Results(aJob),
-                  [done, submission = std::move(submission).value()](
-                    const Result<StoreRange>& aRecords) {
-                    if (!aRecords) {
-                      done(aRecords.error());
-                      return;
-                    }
-                    auto results = JoinResults(aRecords.value().records_);
-                    if (!results) {
-                      done(results.error());
-                      return;
-                    }
-                    done(StoredJob{ submission, std::move(results).value() });
-                  });
+      store_.Read(
+        job_keys::Results(aJob),
+        [this, aJob, done, submission = std::move(submission).value()](
+          const Result<StoreRange>& aRecords) {
+          if (!aRecords) {
+            done(aRecords.error());
+            return;
+          }
+          auto results = JoinResults(aRecords.value().records_);
+          if (!results) {
+            done(results.error());
+            return;
+          }
+          LoadPartials(aJob,
+                       StoredJob{ submission, std::move(results).value(), {} },
+                       done);
+        });
     });
 }
 
+void
+JobStore::LoadPartials(const JobId& aJob,
+                       StoredJob aSoFar,
+                       StoreDone<StoredJob> aDone)
+{
+  store_.Read(job_keys::Partials(aJob),
+              [job = std::move(aSoFar), done = std::move(aDone)](
+                const Result<StoreRange>& aRange) mutable {
+                if (!aRange) {
+                  done(aRange.error());
+                  return;
+                }
+                for (const StoreRecord& record : aRange.value().records_) {
+                  auto texts = ReadPartialRecords(record.value_);
+                  if (texts) {
+                    job.partials_ = std::move(texts).value();
+                  } else {
+                    // The texts are made anew.
+                    LogEvent(LogLevel::Error,
+                             "record_unreadable",
+                             { { "key", record.key_ },
+                               { "error", texts.error().message_ } });
+                  }
+                }
+                done(std::move(job));
+              });
+}
+
 void
 JobStore::ChangeOwner(const JobId& aJob,
                       const JobOwnerRecord& aRecord,
@@ -246,14 +283,45 @@
 {
   StoreTxn txn;
   for (const ResultsWrite& write : aWrites) {
-    const std::string key = job_keys::ResultsAt(write.job_, write.position_);
-    txn.compares_.push_back(
-      { job_keys::Owner(write.job_), write.fence_.Get() });
-    txn.compares_.push_back({ key, 0 });
-    txn.puts_.push_back({ key, write.record_, 0 });
+    AddWrite(txn, write);
   }
+  CommitWrites(std::move(txn), std::move(aDone));
+}
+
+void
+JobStore::GiveBack(const ResultsWrite& aWrite,
+                   const JobOwnerRecord& aRecord,
+                   std::function<void(WriteEnd)> aDone)
+{
+  StoreTxn txn;
+  AddWrite(txn, aWrite);
+  txn.puts_.push_back(
+    { job_keys::Owner(aWrite.job_), WriteOwnerRecord(aRecord), 0 });
+  CommitWrites(std::move(txn), std::move(aDone));
+}
+
+void
+JobStore::AddWrite(StoreTxn& aTxn, const ResultsWrite& aWrite)
+{
+  aTxn.compares_.push_back(
+    { job_keys::Owner(aWrite.job_), aWrite.fence_.Get() });
+  if (!aWrite.record_.empty()) {
+    const std::string key = job_keys::ResultsAt(aWrite.job_, aWrite.position_);
+    aTxn.compares_.push_back({ key, 0 });
+    aTxn.puts_.push_back({ key, aWrite.record_, 0 });
+  }
+  if (!aWrite.partials_.empty()) {
+    aTxn.puts_.push_back(
+      { job_keys::Partials(aWrite.job_), aWrite.partials_, 0 });
+  }
+}
+
+void
+JobStore::CommitWrites(StoreTxn aTxn, std::function<void(WriteEnd)> aDone)
+{
   store_.Commit(
-    std::move(txn), [done = std::move(aDone)](const Result<StoreCommit>& aEnd) {
+    std::move(aTxn),
+    [done = std::move(aDone)](const Result<StoreCommit>& aEnd) {
       if (!aEnd) {
         done(aEnd.error().kind_ == ErrorKind::Unavailable ? WriteEnd::Refused
                                                           : WriteEnd::Unknown);
@@ -277,7 +345,9 @@
 void
 JobStore::Remove(const JobId& aJob, std::uint64_t aRecords)
 {
-  std::vector<std::string> keys{ job_keys::Owner(aJob), job_keys::End(aJob) };
+  std::vector<std::string> keys{ job_keys::Owner(aJob),
+                                 job_keys::End(aJob),
+                                 job_keys::Partials(aJob) };
   store_.Read(
     job_keys::Submission(aJob),
     [this, aJob, keys, aRecords](const Result<StoreRange>& aParts) mutable {
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -20,6 +20,7 @@
 inline constexpr const char* kLives = "mt/c/live/";
 inline constexpr const char* kSubmissions = "mt/spec/";
 inline constexpr const char* kResults = "mt/res/";
+inline constexpr const char* kPartials = "mt/part/";
 
 [[nodiscard]] std::string
 Owner(const JobId& aJob);
@@ -36,6 +37,9 @@
 /// The record whose first result stands at the position.
 [[nodiscard]] std::string
 ResultsAt(const JobId& aJob, std::uint64_t aPosition);
+/// Texts made so far of items that are not listed.
+[[nodiscard]] std::string
+Partials(const JobId& aJob);
 
 } // namespace job_keys
 
@@ -63,6 +67,7 @@
 {
   JobSubmissionRecord submission_;
   std::vector<JobResult> results_;
+  std::vector<PartialRecord> partials_;
 };
 
 /// Results of one job to be written at its next positions.
@@ -71,8 +76,10 @@
   JobId job_;
   FencingNumber fence_;
   std::uint64_t position_ = 0;
-  /// The encoded results.
+  /// The encoded results; empty writes none.
   std::string record_;
+  /// Encoded texts of the items that are not listed; empty writes none.
+  std::string partials_;
 };
 
 /// How a write of results ended.
@@ -110,11 +117,20 @@
                    StoreDone<std::optional<FencingNumber>> aDone);
   void WriteResults(const std::vector<ResultsWrite>& aWrites,
                     std::function<void(WriteEnd)> aDone);
+  /// Writes the last results of an owner that gives the job back.
+  void GiveBack(const ResultsWrite& aWrite,
+                const JobOwnerRecord& aRecord,
+                std::function<void(WriteEnd)> aDone);
   void End(const JobId& aJob, std::function<void(bool)> aDone);
   /// Removes all records of a job.
   void Remove(const JobId& aJob, std::uint64_t aRecords);
 
 private:
+  static void AddWrite(StoreTxn& aTxn, const ResultsWrite& aWrite);
+  void CommitWrites(StoreTxn aTxn, std::function<void(WriteEnd)> aDone);
+  void LoadPartials(const JobId& aJob,
+                    StoredJob aSoFar,
+                    StoreDone<StoredJob> aDone);
   void SettleAccept(const JobId& aJob,
                     std::string aRecord,
                     std::function<void(AcceptResult)> aDone,
--- a/src/programs/gatewayd/main.cpp
+++ b/src/programs/gatewayd/main.cpp
@@ -6,6 +6,8 @@
 #include "marjoramtally/runtime/program.hpp"
 #include "platform.hpp"
 
+#include <cstdlib>
+
 int
 main(int aArgc, char** aArgv)
 {
@@ -33,5 +35,7 @@
   host.Run([&gateway] { gateway.Start(); },
            [&gateway] { gateway.Stop(); },
            [&gateway] { return gateway.Idle(); });
-  return kExitOk;
+  // What is still in progress has been cut by the grace; its callbacks must
+  // not run into objects that are being destroyed.
+  std::_Exit(kExitOk);
 }
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -5,6 +5,8 @@
 #include "marjoramtally/runtime/program.hpp"
 #include "platform.hpp"
 
+#include <cstdlib>
+
 int
 main(int aArgc, char** aArgv)
 {
@@ -24,5 +26,7 @@
   OrderDuty duty(host);
   host.Run(
     [&duty] { duty.Start(); }, [&duty] { duty.Stop(); }, [] { return true; });
-  return kExitOk;
+  // What is still in progress has been cut by the grace; its callbacks must
+  // not run into objects that are being destroyed.
+  std::_Exit(kExitOk);
 }
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -299,12 +299,17 @@
   }
 
 private:
-  /// Runs a task on a loop and waits for it.
+  /// Runs a task on a loop and waits for it; at once if called there.
   void RunOn(std::size_t aLoop, const std::function<void()>& aTask)
   {
+    auto& context = state_->pool_->Loop(aLoop).Context();
+    if (context.get_executor().running_in_this_thread()) {
+      aTask();
+      return;
+    }
     std::packaged_task<void()> task(aTask);
     auto done = task.get_future();
-    asio::post(state_->pool_->Loop(aLoop).Context(), [&task] { task(); });
+    asio::post(context, [&task] { task(); });
     done.get();
   }
 
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -235,6 +235,18 @@
   return listable;
 }
 
+std::vector<ItemIndex>
+JobLedger::Finished() const
+{
+  std::vector<ItemIndex> finished;
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    if (items_[i].state_ == ItemState::Finished) {
+      finished.push_back(i);
+    }
+  }
+  return finished;
+}
+
 JobResult
 JobLedger::ResultOf(ItemIndex aItem) const
 {
--- a/src/version/job_record.cpp
+++ b/src/version/job_record.cpp
@@ -29,16 +29,32 @@
 }
 
 Json
-WriteResult(const JobResult& aResult)
+WriteVersions(const std::vector<WeightVersion>& aVersions)
 {
   Json versions = Json::array();
-  for (const WeightVersion& version : aResult.versions_) {
+  for (const WeightVersion& version : aVersions) {
     versions.push_back(version.Get());
   }
+  return versions;
+}
+
+std::vector<WeightVersion>
+ReadVersions(const Json& aValue)
+{
+  std::vector<WeightVersion> versions;
+  for (const Json& version : aValue) {
+    versions.emplace_back(version.get<std::uint64_t>());
+  }
+  return versions;
+}
+
+Json
+WriteResult(const JobResult& aResult)
+{
   return { { "id", aResult.id_.Get() },
            { "completed", aResult.completed_ },
            { "text", aResult.text_ },
-           { "versions", std::move(versions) },
+           { "versions", WriteVersions(aResult.versions_) },
            { "score", aResult.score_ } };
 }
 
@@ -49,15 +65,45 @@
   result.id_ = ItemId{ aValue.at("id").get<std::string>() };
   result.completed_ = aValue.at("completed").get<bool>();
   result.text_ = aValue.at("text").get<std::string>();
-  for (const Json& version : aValue.at("versions")) {
-    result.versions_.emplace_back(version.get<std::uint64_t>());
-  }
+  result.versions_ = ReadVersions(aValue.at("versions"));
   result.score_ = aValue.at("score").get<std::string>();
   return result;
 }
 
 } // namespace
 
+std::string
+WritePartialRecords(const std::vector<PartialRecord>& aTexts)
+{
+  Json list = Json::array();
+  for (const PartialRecord& entry : aTexts) {
+    list.push_back({ { "id", entry.item_.Get() },
+                     { "text", entry.text_.text_ },
+                     { "last", entry.text_.lastEvent_ },
+                     { "versions", WriteVersions(entry.text_.versions_) },
+                     { "whole", entry.text_.whole_ } });
+  }
+  return Dump(list);
+}
+
+Result<std::vector<PartialRecord>>
+ReadPartialRecords(std::string_view aText)
+{
+  return Read("partial texts", [&] {
+    std::vector<PartialRecord> texts;
+    for (const Json& value : Json::parse(aText)) {
+      PartialText text;
+      text.text_ = value.at("text").get<std::string>();
+      text.lastEvent_ = value.at("last").get<std::uint64_t>();
+      text.versions_ = ReadVersions(value.at("versions"));
+      text.whole_ = value.at("whole").get<bool>();
+      texts.push_back(
+        { ItemId{ value.at("id").get<std::string>() }, std::move(text) });
+    }
+    return texts;
+  });
+}
+
 std::string
 WriteOwnerRecord(const JobOwnerRecord& aRecord)
 {
