--- a/include/marjoramtally/runtime/io_pool.hpp
+++ b/include/marjoramtally/runtime/io_pool.hpp
@@ -31,28 +31,4 @@
   virtual void Stop() = 0;
 };
 
-/// Names a timer that was set.
-using LoopTimerId = std::uint64_t;
-
-/// Timers of one loop, which alone uses them. One timer of the kernel serves
-/// all, and one that is cancelled causes no wake-up of its own.
-class LoopTimers
-{
-public:
-  /// @param aPool outlives this
-  LoopTimers(IoPool& aPool, std::size_t aIndex);
-  ~LoopTimers();
-  LoopTimers(const LoopTimers&) = delete;
-  LoopTimers& operator=(const LoopTimers&) = delete;
-
-  /// Runs a function once after a delay.
-  LoopTimerId After(Duration aDelay, std::function<void()> aTask);
-  /// Drops a timer; one that ran or was dropped is ignored.
-  void Cancel(LoopTimerId aTimer);
-
-private:
-  struct State;
-  std::shared_ptr<State> state_;
-};
-
 } // namespace marjoramtally
--- a/include/marjoramtally/runtime/platform.hpp
+++ b/include/marjoramtally/runtime/platform.hpp
@@ -87,7 +87,7 @@
 };
 
 /// What an upstream says of its orders and versions.
-struct UpstreamReport
+struct OrderState
 {
   bool busy_ = false;
   std::uint64_t orders_ = 0;
@@ -124,7 +124,7 @@
     const VersionOrder& aOrder) const = 0;
   [[nodiscard]] virtual HttpCall MakeReportCall(
     const UpstreamEntry& aUpstream) const = 0;
-  [[nodiscard]] virtual Result<UpstreamReport> ReadReport(
+  [[nodiscard]] virtual Result<OrderState> ReadReport(
     std::string_view aBody) const = 0;
 
   /// @returns the key and value that tell how the emptying of an instance
--- a/include/marjoramtally/version.hpp
+++ b/include/marjoramtally/version.hpp
@@ -3,6 +3,9 @@
 #pragma once
 
 #include "marjoramtally/version/config_log.hpp"
+#include "marjoramtally/version/job.hpp"
+#include "marjoramtally/version/job_ledger.hpp"
+#include "marjoramtally/version/job_record.hpp"
 #include "marjoramtally/version/lead.hpp"
 #include "marjoramtally/version/ledger.hpp"
 #include "marjoramtally/version/rules.hpp"
--- /dev/null
+++ b/src/daemon/gateway_context.hpp
@@ -0,0 +1,65 @@
+/// What the parts of a daemon on the users' platform work with; tests put
+/// fakes in place of all of it.
+#pragma once
+
+#include "daemon/gateway_settings.hpp"
+#include "marjoramtally/runtime/http_client.hpp"
+#include "marjoramtally/runtime/loop_timers.hpp"
+#include "marjoramtally/runtime/metrics.hpp"
+#include "marjoramtally/runtime/platform.hpp"
+#include "marjoramtally/runtime/store.hpp"
+
+namespace marjoramtally {
+
+/// References to the process's settings, clocks and doors to the outside.
+class GatewayContext
+{
+public:
+  /// All that is pointed to outlives this.
+  struct Parts
+  {
+    const GatewaySettings* settings_ = nullptr;
+    const Platform* platform_ = nullptr;
+    HttpClient* client_ = nullptr;
+    LoopTimers* timers_ = nullptr;
+    Store* store_ = nullptr;
+    const Clock* clock_ = nullptr;
+    const Clock* leaseClock_ = nullptr;
+    Metrics* metrics_ = nullptr;
+    std::string incarnation_;
+  };
+
+  explicit GatewayContext(Parts aParts)
+    : parts_(std::move(aParts))
+  {
+  }
+
+  [[nodiscard]] const GatewaySettings& Settings() const noexcept
+  {
+    return *parts_.settings_;
+  }
+  [[nodiscard]] const Platform& Formats() const noexcept
+  {
+    return *parts_.platform_;
+  }
+  [[nodiscard]] HttpClient& Client() const noexcept { return *parts_.client_; }
+  [[nodiscard]] LoopTimers& Timers() const noexcept { return *parts_.timers_; }
+  [[nodiscard]] Store& PlatformStore() const noexcept { return *parts_.store_; }
+  [[nodiscard]] TimePoint Now() const noexcept { return parts_.clock_->Now(); }
+  /// Counts the time for which the machine was suspended.
+  [[nodiscard]] const Clock& LeaseClock() const noexcept
+  {
+    return *parts_.leaseClock_;
+  }
+  [[nodiscard]] Metrics& Measures() const noexcept { return *parts_.metrics_; }
+  /// Names this run of the process.
+  [[nodiscard]] const std::string& Incarnation() const noexcept
+  {
+    return parts_.incarnation_;
+  }
+
+private:
+  Parts parts_;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -47,7 +47,6 @@
                          std::unique_ptr<Platform> aPlatform,
                          const StoreFactory& aStore)
   : settings_(std::move(aSettings))
-  , incarnation_(MakeIncarnation(settings_.instance_))
   , platform_(std::move(aPlatform))
 {
   // Threads inherit the mask, so that only `Run` sees these signals.
@@ -55,9 +54,19 @@
   pthread_sigmask(SIG_BLOCK, &waited, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   pool_ = IoPool::Create(1);
-  timers_ = std::make_unique<LoopTimers>(*pool_, 0);
+  timers_ = LoopTimers::Create(*pool_, 0);
   client_ = HttpClient::Create(pool_);
   store_ = aStore(*client_, *timers_, settings_.store_);
+  context_ = std::make_unique<GatewayContext>(
+    GatewayContext::Parts{ &settings_,
+                           platform_.get(),
+                           client_.get(),
+                           timers_.get(),
+                           store_.get(),
+                           &clock_,
+                           &bootClock_,
+                           &metrics_,
+                           MakeIncarnation(settings_.instance_) });
 }
 
 GatewayHost::~GatewayHost()
@@ -125,7 +134,8 @@
   OnLoop(aStart);
   LogEvent(LogLevel::Info,
            "started",
-           { { "incarnation", incarnation_ }, { "zone", settings_.zone_ } });
+           { { "incarnation", context_->Incarnation() },
+             { "zone", settings_.zone_ } });
   const sigset_t waited = WaitedSignals();
   int signal = 0;
   while (sigwait(&waited, &signal) == 0 && signal == SIGHUP) {
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -2,13 +2,9 @@
 /// their work, a client, the platform's store, signals and metrics.
 #pragma once
 
-#include "daemon/gateway_settings.hpp"
-#include "marjoramtally/runtime/http_client.hpp"
+#include "daemon/gateway_context.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/io_pool.hpp"
-#include "marjoramtally/runtime/metrics.hpp"
-#include "marjoramtally/runtime/platform.hpp"
-#include "marjoramtally/runtime/store.hpp"
 
 namespace marjoramtally {
 
@@ -30,24 +26,7 @@
   GatewayHost(const GatewayHost&) = delete;
   GatewayHost& operator=(const GatewayHost&) = delete;
 
-  [[nodiscard]] const GatewaySettings& Settings() const noexcept
-  {
-    return settings_;
-  }
-  [[nodiscard]] const Platform& Formats() const noexcept { return *platform_; }
-  [[nodiscard]] HttpClient& Client() noexcept { return *client_; }
-  [[nodiscard]] LoopTimers& Timers() noexcept { return *timers_; }
-  [[nodiscard]] Store& PlatformStore() noexcept { return *store_; }
-  [[nodiscard]] const Clock& LoopClock() const noexcept { return clock_; }
-  /// Counts the time for which the machine was suspended.
-  [[nodiscard]] const Clock& LeaseClock() const noexcept { return bootClock_; }
-  [[nodiscard]] TimePoint Now() const noexcept { return clock_.Now(); }
-  [[nodiscard]] Metrics& Measures() noexcept { return metrics_; }
-  /// Names this run of the process.
-  [[nodiscard]] const std::string& Incarnation() const noexcept
-  {
-    return incarnation_;
-  }
+  [[nodiscard]] GatewayContext& Context() noexcept { return *context_; }
 
   /// Serves on the loop.
   [[nodiscard]] Result<std::unique_ptr<HttpServer>> Serve(
@@ -71,12 +50,12 @@
   SystemClock clock_;
   BootClock bootClock_;
   Metrics metrics_;
-  std::string incarnation_;
   std::shared_ptr<IoPool> pool_;
   std::unique_ptr<LoopTimers> timers_;
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<Platform> platform_;
   std::unique_ptr<Store> store_;
+  std::unique_ptr<GatewayContext> context_;
   std::unique_ptr<HttpServer> metricsServer_;
 };
 
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -4,7 +4,7 @@
 
 #include "marjoramtally/base.hpp"
 #include "marjoramtally/base/backoff.hpp"
-#include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/store.hpp"
 
 namespace marjoramtally {
--- a/src/daemon/prefix_follower.hpp
+++ b/src/daemon/prefix_follower.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "marjoramtally/base.hpp"
-#include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/store.hpp"
 
 namespace marjoramtally {
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -82,7 +82,7 @@
   return response;
 }
 
-Forwarder::Forwarder(GatewayHost& aHost, UpstreamBoard& aBoard)
+Forwarder::Forwarder(GatewayContext& aHost, UpstreamBoard& aBoard)
   : host_(aHost)
   , board_(aBoard)
 {
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -2,7 +2,7 @@
 /// retries, time limits.
 #pragma once
 
-#include "daemon/gateway_host.hpp"
+#include "daemon/gateway_context.hpp"
 
 #include <set>
 #include <unordered_map>
@@ -50,7 +50,7 @@
 {
 public:
   /// Both outlive this.
-  Forwarder(GatewayHost& aHost, UpstreamBoard& aBoard);
+  Forwarder(GatewayContext& aHost, UpstreamBoard& aBoard);
 
   /// Starts a request; `aDone` is called once unless it is cancelled.
   ForwardId Start(ForwardRequest aRequest, ForwardDone aDone);
@@ -95,7 +95,7 @@
   void GiveUp(ForwardId aId, int aStatus, std::string_view aWhy);
   [[nodiscard]] Duration Left(const Flight& aFlight) const;
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   UpstreamBoard& board_;
   ForwardId last_ = 0;
   std::unordered_map<ForwardId, Flight> flights_;
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -16,7 +16,7 @@
 constexpr auto kComeBack = std::chrono::milliseconds(300);
 
 LeasedKeyOptions
-LifeOptions(const GatewayHost& aHost)
+LifeOptions(const GatewayContext& aHost)
 {
   return { job_keys::Life(aHost.Incarnation()),
            aHost.Settings().instance_,
@@ -35,8 +35,9 @@
 
 } // namespace
 
-Gateway::Gateway(GatewayHost& aHost)
+Gateway::Gateway(GatewayContext& aHost, GatewayHost& aServers)
   : host_(aHost)
+  , servers_(aServers)
   , board_(ZoneId{ aHost.Settings().zone_ })
   , forwarder_(aHost, board_)
   , store_(aHost)
@@ -66,16 +67,16 @@
     return Error{ ErrorKind::BadInput, "[gateway] lacks front or ready" };
   }
   auto readyServer =
-    host_.Serve(*ready,
-                kReadyBodyBytes,
-                [this](const HttpRequest&, const HttpReplyPtr& aReply) {
-                  HandleReady(aReply);
-                });
+    servers_.Serve(*ready,
+                   kReadyBodyBytes,
+                   [this](const HttpRequest&, const HttpReplyPtr& aReply) {
+                     HandleReady(aReply);
+                   });
   if (!readyServer) {
     return readyServer.error();
   }
   ready_ = std::move(readyServer).value();
-  auto frontServer = host_.Serve(
+  auto frontServer = servers_.Serve(
     *front, kMaxBodyBytes, [this](HttpRequest aRequest, HttpReplyPtr aReply) {
       Handle(std::move(aRequest), std::move(aReply));
     });
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -2,6 +2,7 @@
 /// upstreams and runs jobs.
 #pragma once
 
+#include "daemon/gateway_host.hpp"
 #include "daemon/leased_key.hpp"
 #include "programs/gatewayd/job_api.hpp"
 
@@ -12,7 +13,9 @@
 class Gateway
 {
 public:
-  explicit Gateway(GatewayHost& aHost);
+  /// Both outlive this.
+  /// @param aServers opens doors on the loop
+  Gateway(GatewayContext& aHost, GatewayHost& aServers);
 
   /// Opens the doors; on any thread.
   /// @returns an error naming an address that cannot be bound
@@ -35,7 +38,8 @@
                const HttpReplyPtr& aReply);
   [[nodiscard]] bool Ready() const;
 
-  GatewayHost& host_;
+  GatewayContext& host_;
+  GatewayHost& servers_;
   RouteTable routes_;
   UpstreamBoard board_;
   Forwarder forwarder_;
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-JobApi::JobApi(GatewayHost& aHost,
+JobApi::JobApi(GatewayContext& aHost,
                JobStore& aStore,
                JobDirectory& aDirectory,
                JobRunner& aRunner)
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -1,6 +1,7 @@
 /// Jobs over HTTP: submission, reading, bodies, end.
 #pragma once
 
+#include "marjoramtally/runtime/http_server.hpp"
 #include "programs/gatewayd/job_directory.hpp"
 #include "programs/gatewayd/job_runner.hpp"
 #include "programs/gatewayd/remote_results.hpp"
@@ -12,7 +13,7 @@
 {
 public:
   /// All arguments outlive this.
-  JobApi(GatewayHost& aHost,
+  JobApi(GatewayContext& aHost,
          JobStore& aStore,
          JobDirectory& aDirectory,
          JobRunner& aRunner);
@@ -66,7 +67,7 @@
                 HttpReplyPtr aReply,
                 std::function<void()> aKnown);
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   JobStore& store_;
   JobDirectory& directory_;
   JobRunner& runner_;
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-JobDirectory::JobDirectory(GatewayHost& aHost, JobStore& aJobs)
+JobDirectory::JobDirectory(GatewayContext& aHost, JobStore& aJobs)
   : host_(aHost)
   , store_(aJobs)
   , follower_(aHost.PlatformStore(), aHost.Timers(), job_keys::kControl)
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -21,7 +21,7 @@
 {
 public:
   /// Both outlive this.
-  JobDirectory(GatewayHost& aHost, JobStore& aJobs);
+  JobDirectory(GatewayContext& aHost, JobStore& aJobs);
 
   /// Set before `Start`. A job's owner changed.
   std::function<void(const JobId&, const KnownJob&)> onOwner_;
@@ -45,7 +45,7 @@
   void TakeEnd(const JobId& aJob);
   void ClaimDue();
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   JobStore& store_;
   PrefixFollower follower_;
   JobTakeover takeover_;
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-JobRunner::JobRunner(GatewayHost& aHost,
+JobRunner::JobRunner(GatewayContext& aHost,
                      const RouteTable& aRoutes,
                      UpstreamBoard& aBoard,
                      Forwarder& aForwarder,
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -14,7 +14,7 @@
 {
 public:
   /// All arguments outlive this.
-  JobRunner(GatewayHost& aHost,
+  JobRunner(GatewayContext& aHost,
             const RouteTable& aRoutes,
             UpstreamBoard& aBoard,
             Forwarder& aForwarder,
@@ -163,7 +163,7 @@
   void SettleBatch();
   void Keep(OwnedJob& aJob);
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   const RouteTable& routes_;
   UpstreamBoard& board_;
   Forwarder& forwarder_;
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -110,7 +110,7 @@
   return results;
 }
 
-JobStore::JobStore(GatewayHost& aHost)
+JobStore::JobStore(GatewayContext& aHost)
   : host_(aHost)
   , store_(aHost.PlatformStore())
 {
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -5,7 +5,7 @@
 /// that was replaced, however late it notices, writes nothing more.
 #pragma once
 
-#include "daemon/gateway_host.hpp"
+#include "daemon/gateway_context.hpp"
 #include "marjoramtally/version/job_record.hpp"
 
 namespace marjoramtally {
@@ -98,7 +98,7 @@
 class JobStore
 {
 public:
-  explicit JobStore(GatewayHost& aHost);
+  explicit JobStore(GatewayContext& aHost);
 
   void Accept(const JobId& aJob,
               const JobSubmissionRecord& aSubmission,
@@ -136,7 +136,7 @@
                     std::function<void(AcceptResult)> aDone,
                     AcceptEnd aIfAbsent);
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   Store& store_;
 };
 
--- a/src/programs/gatewayd/main.cpp
+++ b/src/programs/gatewayd/main.cpp
@@ -24,7 +24,7 @@
     return code;
   }
   GatewayHost host(std::move(*settings), MakePlatform(), MakePlatformStoreAt);
-  Gateway gateway(host);
+  Gateway gateway(host.Context(), host);
   const auto opened = gateway.Open();
   if (!opened) {
     LogEvent(LogLevel::Error,
--- a/src/programs/gatewayd/remote_results.cpp
+++ b/src/programs/gatewayd/remote_results.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-RemoteResults::RemoteResults(GatewayHost& aHost)
+RemoteResults::RemoteResults(GatewayContext& aHost)
   : host_(aHost)
 {
 }
--- a/src/programs/gatewayd/remote_results.hpp
+++ b/src/programs/gatewayd/remote_results.hpp
@@ -11,7 +11,7 @@
 class RemoteResults
 {
 public:
-  explicit RemoteResults(GatewayHost& aHost);
+  explicit RemoteResults(GatewayContext& aHost);
 
   /// Reads what was written since the last reading. A watch would miss what
   /// is written while the store keeps silent, and a position that was read
@@ -30,7 +30,7 @@
   void Take(Known& aKnown, std::vector<StoreRecord> aRecords);
   void ForgetOld();
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   std::map<JobId, Known> known_;
   LoopTimerId forgetTimer_ = 0;
 };
--- a/src/programs/load/decide_groups.cpp
+++ b/src/programs/load/decide_groups.cpp
@@ -74,7 +74,7 @@
 private:
   struct EngineRun
   {
-    JobId job_;
+    GenerationId job_;
     std::size_t engine_ = 0;
   };
   struct Member
@@ -111,7 +111,7 @@
     Member& member = members_.at(aTicket);
     const std::size_t engine = LeastLoaded(aNot);
     EngineJob job;
-    job.id_ = JobId{ ++lastJob_ };
+    job.id_ = GenerationId{ ++lastJob_ };
     job.class_ = RequestClass::Trainer;
     job.promptTokens_ = 200 + aResumed;
     job.outputTokens_ = member.tokens_;
@@ -123,7 +123,7 @@
   }
 
   /// The first whole run wins; the others are cancelled.
-  void Finish(TicketId aTicket, JobId aJob)
+  void Finish(TicketId aTicket, GenerationId aJob)
   {
     const Member member = std::move(members_.at(aTicket));
     members_.erase(aTicket);
--- a/src/programs/load/decide_lead.cpp
+++ b/src/programs/load/decide_lead.cpp
@@ -192,7 +192,7 @@
     ++inFlight_;
     ++aSampler.inFlight_;
     EngineJob job;
-    job.id_ = JobId{ ++lastJob_ };
+    job.id_ = GenerationId{ ++lastJob_ };
     job.class_ = RequestClass::Trainer;
     job.promptTokens_ = kPromptTokens;
     job.outputTokens_ = OutputTokens(random_);
--- a/src/programs/load/fake_engine.cpp
+++ b/src/programs/load/fake_engine.cpp
@@ -21,7 +21,7 @@
 }
 
 std::uint64_t
-FakeEngine::Cancel(JobId aJob)
+FakeEngine::Cancel(GenerationId aJob)
 {
   const auto isJob = [aJob](const Sequence& aSequence) {
     return aSequence.job_.id_ == aJob;
@@ -43,7 +43,7 @@
 }
 
 std::uint64_t
-FakeEngine::Progress(JobId aJob) const
+FakeEngine::Progress(GenerationId aJob) const
 {
   for (const Sequence& sequence : batch_) {
     if (sequence.job_.id_ == aJob) {
--- a/src/programs/load/fake_engine.hpp
+++ b/src/programs/load/fake_engine.hpp
@@ -11,7 +11,7 @@
 namespace marjoramtally::bench {
 
 /// Names a job over all engines.
-using JobId = Strong<std::uint64_t, struct JobTag>;
+using GenerationId = Strong<std::uint64_t, struct GenerationTag>;
 
 /// Costs and limits of one engine.
 struct EngineSettings
@@ -33,7 +33,7 @@
 /// What an engine is asked to run.
 struct EngineJob
 {
-  JobId id_;
+  GenerationId id_;
   RequestClass class_ = RequestClass::Live;
   std::uint64_t promptTokens_ = 0;
   /// Head of the prompt that a cached prefix saves.
@@ -89,9 +89,9 @@
   /// crashed engine refuses at once.
   void Submit(const EngineJob& aJob, Done aDone);
   /// @returns the tokens generated so far, which are thrown away
-  std::uint64_t Cancel(JobId aJob);
+  std::uint64_t Cancel(GenerationId aJob);
   /// @returns the tokens that a running job has; 0 for others
-  [[nodiscard]] std::uint64_t Progress(JobId aJob) const;
+  [[nodiscard]] std::uint64_t Progress(GenerationId aJob) const;
   /// Multiplies the time of every step.
   void SetSlowdown(double aFactor) noexcept { slowdown_ = aFactor; }
   /// Fails all jobs, forgets the cache and refuses until `Restart`.
--- a/src/programs/load/workload.cpp
+++ b/src/programs/load/workload.cpp
@@ -32,7 +32,7 @@
 {
   const double drawn = Exponential(random_, aShape.meanOutputTokens_);
   BenchRequest request;
-  request.job_.id_ = JobId{ ++lastJob_ };
+  request.job_.id_ = GenerationId{ ++lastJob_ };
   request.job_.class_ = aClass;
   request.job_.promptTokens_ = aShape.promptTokens_;
   request.job_.prefixTokens_ = aShape.prefixTokens_;
@@ -140,7 +140,7 @@
 }
 
 void
-FakeTrainer::OnWhole(JobId aJob)
+FakeTrainer::OnWhole(GenerationId aJob)
 {
   const auto found = groupOf_.find(aJob);
   if (found == groupOf_.end()) {
--- a/src/programs/load/workload.hpp
+++ b/src/programs/load/workload.hpp
@@ -113,7 +113,7 @@
   void Start();
   /// Tells that one of its requests is whole; others are sent again by the
   /// trainer's owner and never end here.
-  void OnWhole(JobId aJob);
+  void OnWhole(GenerationId aJob);
   /// @returns time without a whole step to train on, after the first step
   [[nodiscard]] Duration Idle() const noexcept { return idle_; }
   [[nodiscard]] const std::vector<double>& GroupSeconds() const noexcept
@@ -129,7 +129,7 @@
   RequestMaker& maker_;
   TrainerSettings settings_;
   BenchSink sink_;
-  std::map<JobId, std::uint32_t> groupOf_;
+  std::map<GenerationId, std::uint32_t> groupOf_;
   std::vector<std::uint32_t> missing_;
   std::uint32_t missingGroups_ = 0;
   TimePoint opened_;
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -2,6 +2,8 @@
 
 #include "programs/orderd/order_duty.hpp"
 
+#include "daemon/gateway_host.hpp"
+
 #include "marjoramtally/runtime/program.hpp"
 #include "platform.hpp"
 
@@ -23,7 +25,7 @@
     return code;
   }
   GatewayHost host(std::move(*settings), MakePlatform(), MakePlatformStoreAt);
-  OrderDuty duty(host);
+  OrderDuty duty(host.Context());
   host.Run(
     [&duty] { duty.Start(); }, [&duty] { duty.Stop(); }, [] { return true; });
   // What is still in progress has been cut by the grace; its callbacks must
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-OrderDuty::OrderDuty(GatewayHost& aHost)
+OrderDuty::OrderDuty(GatewayContext& aHost)
   : host_(aHost)
   , duty_(aHost.PlatformStore(),
           aHost.Timers(),
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -3,7 +3,7 @@
 /// of its orders.
 #pragma once
 
-#include "daemon/gateway_host.hpp"
+#include "daemon/gateway_context.hpp"
 #include "daemon/leased_key.hpp"
 #include "daemon/prefix_follower.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
@@ -14,7 +14,7 @@
 class OrderDuty
 {
 public:
-  explicit OrderDuty(GatewayHost& aHost);
+  explicit OrderDuty(GatewayContext& aHost);
 
   void Start();
   /// The process ends: the next holder need not wait.
@@ -71,7 +71,7 @@
                   void (OrderDuty::*aTake)(const UpstreamId&,
                                            const HttpResult&));
 
-  GatewayHost& host_;
+  GatewayContext& host_;
   LeasedKey duty_;
   PrefixFollower holders_;
   std::unique_ptr<PrefixFollower> upstreams_;
--- a/src/runtime/loop_timers.cpp
+++ b/src/runtime/loop_timers.cpp
@@ -1,19 +1,24 @@
-#include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/loop_timers.hpp"
 
+#include "marjoramtally/runtime/io_pool.hpp"
 #include "runtime/io_loop.hpp"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
-#include <map>
+#include <unordered_map>
 
 namespace marjoramtally {
 
-struct LoopTimers::State : std::enable_shared_from_this<State>
+namespace {
+
+/// What the handler of the kernel's timer shares with its owner.
+struct TimerState : std::enable_shared_from_this<TimerState>
 {
   using Instant = std::chrono::steady_clock::time_point;
   /// Ids grow, so that timers due at once run in the order they were set.
   using Place = std::pair<Instant, LoopTimerId>;
 
-  explicit State(asio::io_context& aContext)
+  explicit TimerState(asio::io_context& aContext)
     : timer_(aContext)
   {
   }
@@ -50,39 +55,80 @@
   Instant armed_ = Instant::max();
   LoopTimerId last_ = 0;
   std::map<Place, std::function<void()>> tasks_;
-  std::map<LoopTimerId, Instant> places_;
+  std::unordered_map<LoopTimerId, Instant> places_;
 };
 
-LoopTimers::LoopTimers(IoPool& aPool, std::size_t aIndex)
-  : state_(std::make_shared<State>(aPool.Loop(aIndex).Context()))
+class AsioTimers final : public LoopTimers
 {
-}
+public:
+  AsioTimers(IoPool& aPool, std::size_t aIndex)
+    : state_(std::make_shared<TimerState>(aPool.Loop(aIndex).Context()))
+  {
+  }
+
+  ~AsioTimers() override
+  {
+    state_->tasks_.clear();
+    state_->places_.clear();
+  }
+
+  LoopTimerId After(Duration aDelay, std::function<void()> aTask) override
+  {
+    const auto due = std::chrono::steady_clock::now() + aDelay;
+    const LoopTimerId id = ++state_->last_;
+    state_->tasks_.emplace(TimerState::Place{ due, id }, std::move(aTask));
+    state_->places_.emplace(id, due);
+    state_->Arm();
+    return id;
+  }
 
-LoopTimers::~LoopTimers()
+  void Cancel(LoopTimerId aTimer) override
+  {
+    const auto place = state_->places_.find(aTimer);
+    if (place != state_->places_.end()) {
+      state_->tasks_.erase(TimerState::Place{ place->second, aTimer });
+      state_->places_.erase(place);
+    }
+  }
+
+private:
+  std::shared_ptr<TimerState> state_;
+};
+
+} // namespace
+
+std::unique_ptr<LoopTimers>
+LoopTimers::Create(IoPool& aPool, std::size_t aIndex)
 {
-  state_->tasks_.clear();
-  state_->places_.clear();
+  return std::make_unique<AsioTimers>(aPool, aIndex);
 }
 
 LoopTimerId
-LoopTimers::After(Duration aDelay, std::function<void()> aTask)
+ManualTimers::After(Duration aDelay, std::function<void()> aTask)
 {
-  const auto due = std::chrono::steady_clock::now() + aDelay;
-  const LoopTimerId id = ++state_->last_;
-  state_->tasks_.emplace(State::Place{ due, id }, std::move(aTask));
-  state_->places_.emplace(id, due);
-  state_->Arm();
+  const LoopTimerId id = ++last_;
+  tasks_.emplace(Place{ clock_.Now() + aDelay, id }, std::move(aTask));
   return id;
 }
 
 void
-LoopTimers::Cancel(LoopTimerId aTimer)
+ManualTimers::Cancel(LoopTimerId aTimer)
+{
+  std::erase_if(tasks_, [aTimer](const auto& aTask) {
+    return aTask.first.second == aTimer;
+  });
+}
+
+void
+ManualTimers::Advance(Duration aDelta)
 {
-  const auto place = state_->places_.find(aTimer);
-  if (place != state_->places_.end()) {
-    state_->tasks_.erase(State::Place{ place->second, aTimer });
-    state_->places_.erase(place);
+  const TimePoint end = clock_.Now() + aDelta;
+  while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
+    auto node = tasks_.extract(tasks_.begin());
+    clock_.Advance(node.key().first - clock_.Now());
+    node.mapped()();
   }
+  clock_.Advance(end - clock_.Now());
 }
 
 } // namespace marjoramtally
--- /dev/null
+++ b/tests/test_job_ledger.cpp
@@ -0,0 +1,279 @@
+/// One job's ledger: texts, versions, scores, positions.
+
+#include "marjoramtally/version.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 100s };
+
+JobItem
+MakeItem(const std::string& aId, const std::string& aGroup)
+{
+  JobItem item;
+  item.id_ = ItemId{ aId };
+  item.group_ = GroupId{ aGroup };
+  item.score_ = ScoreCall{ RequestId{ "s-" + aId }, "h", "/score", "x" };
+  return item;
+}
+
+/// Two groups of two items; versions from 5 on.
+JobSpec
+MakeSpec()
+{
+  JobSpec spec;
+  spec.model_ = "m";
+  spec.minVersion_ = WeightVersion{ 5 };
+  spec.items_ = { MakeItem("a", "g"),
+                  MakeItem("b", "g"),
+                  MakeItem("c", "h"),
+                  MakeItem("d", "h") };
+  return spec;
+}
+
+JobLedger
+MakeLedger(JobPolicy aPolicy = {})
+{
+  return JobLedger(MakeSpec(), aPolicy, kStart);
+}
+
+ServerEvent
+MakeEvent(std::uint64_t aId)
+{
+  return { aId, "t" + std::to_string(aId), std::nullopt };
+}
+
+bool
+Take(JobLedger& aLedger,
+     ItemIndex aItem,
+     std::uint64_t aEvent,
+     std::uint64_t aVersion = 5)
+{
+  return aLedger.OnEvent(aItem, MakeEvent(aEvent), WeightVersion{ aVersion })
+    .has_value();
+}
+
+void
+Complete(JobLedger& aLedger, ItemIndex aItem, TimePoint aNow)
+{
+  aLedger.OnStarted(aItem);
+  REQUIRE(Take(aLedger, aItem, 1));
+  aLedger.OnWhole(aItem, aNow);
+  aLedger.OnScored(aItem, "sig", aNow);
+}
+
+} // namespace
+
+TEST_CASE("an item's text is its events in order and names their versions")
+{
+  JobLedger ledger = MakeLedger();
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1, 5));
+  REQUIRE(Take(ledger, 0, 2, 6));
+  REQUIRE(Take(ledger, 0, 3, 6));
+  ledger.OnWhole(0, kStart);
+  REQUIRE(ledger.Unscored() == std::vector<ItemIndex>{ 0 });
+  ledger.OnScored(0, "sig", kStart);
+  const JobResult result = ledger.ResultOf(0);
+  REQUIRE(result.completed_);
+  REQUIRE(result.text_ == "t1\nt2\nt3");
+  REQUIRE(result.versions_ ==
+          std::vector{ WeightVersion{ 5 }, WeightVersion{ 6 } });
+  REQUIRE(result.score_ == "sig");
+}
+
+TEST_CASE("an event that is not the next one ends the run")
+{
+  JobLedger ledger = MakeLedger();
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1));
+  REQUIRE_FALSE(Take(ledger, 0, 1));
+  REQUIRE_FALSE(Take(ledger, 0, 3));
+  REQUIRE_FALSE(
+    ledger.OnEvent(0, { std::nullopt, "x", {} }, WeightVersion{ 5 }));
+  ledger.OnInterrupted(0);
+  // What was taken stands; the next run goes on after it.
+  REQUIRE(ledger.Text(0).lastEvent_ == 1);
+  REQUIRE(ledger.Waiting().front() == 0);
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 2));
+}
+
+TEST_CASE("an event under too old a version discards the text")
+{
+  JobLedger ledger = MakeLedger();
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1, 5));
+  REQUIRE_FALSE(Take(ledger, 0, 2, 4));
+  REQUIRE(ledger.Text(0).lastEvent_ == 0);
+  REQUIRE(ledger.Text(0).text_.empty());
+}
+
+TEST_CASE("where one version is wanted a second one discards the text")
+{
+  JobPolicy policy;
+  policy.singleVersion_ = true;
+  JobLedger ledger = MakeLedger(policy);
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1, 5));
+  REQUIRE_FALSE(Take(ledger, 0, 2, 6));
+  REQUIRE(ledger.Text(0).lastEvent_ == 0);
+}
+
+TEST_CASE("an item is given up after its failed runs, not after broken ones")
+{
+  JobLedger ledger = MakeLedger();
+  for (int i = 0; i < 20; ++i) {
+    ledger.OnStarted(0);
+    ledger.OnInterrupted(0);
+  }
+  REQUIRE(ledger.State(0) == ItemState::Waiting);
+  for (std::uint32_t i = 0; i < JobPolicy{}.maxAttempts_; ++i) {
+    REQUIRE(ledger.State(0) == ItemState::Waiting);
+    ledger.OnStarted(0);
+    ledger.OnRunFailed(0, kStart);
+  }
+  REQUIRE(ledger.State(0) == ItemState::Finished);
+  REQUIRE_FALSE(ledger.ResultOf(0).completed_);
+  REQUIRE(ledger.ResultOf(0).text_.empty());
+}
+
+TEST_CASE("a text without its score is not listed as completed")
+{
+  JobLedger ledger = MakeLedger();
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1));
+  ledger.OnWhole(0, kStart);
+  ledger.OnScoreAsked(0);
+  REQUIRE(ledger.Unscored().empty());
+  ledger.OnScoreFailed(0, 0, kStart);
+  REQUIRE(ledger.Unscored() == std::vector<ItemIndex>{ 0 });
+  REQUIRE(ledger.Listable(kStart + 60s).empty());
+  ledger.OnScoreFailed(0, 3, kStart);
+  REQUIRE(ledger.ScoreAttemptsLeft(0) == 1);
+  ledger.OnScoreFailed(0, 1, kStart);
+  REQUIRE(ledger.State(0) == ItemState::Finished);
+  REQUIRE_FALSE(ledger.ResultOf(0).completed_);
+}
+
+TEST_CASE("results wait for their group, but not for long")
+{
+  JobLedger ledger = MakeLedger();
+  Complete(ledger, 0, kStart);
+  REQUIRE(ledger.Listable(kStart).empty());
+  Complete(ledger, 2, kStart + 1s);
+  Complete(ledger, 1, kStart + 1s);
+  REQUIRE(ledger.Listable(kStart + 1s) == std::vector<ItemIndex>{ 0, 1 });
+  REQUIRE(ledger.Listable(kStart + 3s) == std::vector<ItemIndex>{ 0, 1, 2 });
+}
+
+TEST_CASE("close to the deadline results wait for nothing")
+{
+  JobPolicy policy;
+  policy.runDeadline_ = 2s;
+  JobLedger ledger = MakeLedger(policy);
+  Complete(ledger, 0, kStart + 1s);
+  REQUIRE(ledger.Listable(kStart + 1s).empty());
+  REQUIRE(ledger.NextDue() == kStart + 2s - policy.lastCall_);
+  REQUIRE(ledger.Listable(ledger.NextDue()) == std::vector<ItemIndex>{ 0 });
+}
+
+TEST_CASE("a listed result keeps its position and is not run again")
+{
+  JobLedger ledger = MakeLedger();
+  Complete(ledger, 2, kStart);
+  ledger.OnListed({ 2 });
+  ledger.OnInterrupted(2);
+  REQUIRE(ledger.Listed() == std::vector<ItemIndex>{ 2 });
+  REQUIRE(ledger.Waiting() == std::vector<ItemIndex>{ 0, 1, 3 });
+  ledger.GiveUpLate(kStart + 1h);
+  REQUIRE(ledger.ResultOf(2).completed_);
+}
+
+TEST_CASE("nothing is given up before its time")
+{
+  JobPolicy policy;
+  policy.maxQueue_ = 40s;
+  JobLedger ledger = MakeLedger(policy);
+  ledger.GiveUpLate(kStart + 39s);
+  REQUIRE(ledger.Waiting().size() == 4);
+  ledger.GiveUpLate(kStart + 40s);
+  REQUIRE(ledger.Waiting().empty());
+  REQUIRE(ledger.Listable(kStart + 40s).size() == 4);
+}
+
+TEST_CASE("a next owner restores what is listed and goes on from texts")
+{
+  JobLedger first = MakeLedger();
+  Complete(first, 3, kStart);
+  first.OnListed({ 3 });
+  first.OnStarted(0);
+  REQUIRE(Take(first, 0, 1));
+  REQUIRE(Take(first, 0, 2));
+
+  JobLedger second = MakeLedger();
+  second.Restore({ first.ResultOf(3) });
+  second.Reuse(0, first.Text(0));
+  second.Reuse(3, first.Text(0));
+  REQUIRE(second.Listed() == std::vector<ItemIndex>{ 3 });
+  REQUIRE(second.ResultOf(3).text_ == first.ResultOf(3).text_);
+  REQUIRE(second.Text(0).lastEvent_ == 2);
+  second.OnStarted(0);
+  REQUIRE(Take(second, 0, 3));
+}
+
+TEST_CASE("a text of an earlier job is used only if its versions fit")
+{
+  JobLedger ledger = MakeLedger();
+  ledger.Reuse(0, { "old", 4, { WeightVersion{ 4 } }, false });
+  REQUIRE(ledger.Text(0).lastEvent_ == 0);
+  ledger.Reuse(0, { "new", 4, { WeightVersion{ 5 } }, true });
+  REQUIRE(ledger.State(0) == ItemState::Scoring);
+}
+
+TEST_CASE("records of jobs come back as they were written")
+{
+  const JobOwnerRecord owner{ "front-1~7", 36, 1'234 };
+  const auto owned = ReadOwnerRecord(WriteOwnerRecord(owner));
+  REQUIRE(owned.value().owner_ == owner.owner_);
+  REQUIRE(owned.value().total_ == owner.total_);
+  REQUIRE(owned.value().acceptedMillis_ == owner.acceptedMillis_);
+
+  const JobSubmissionRecord submission{ "h.example", "/p/1", "{\"a\":\n1}\n" };
+  const auto submitted =
+    ReadSubmissionRecord(WriteSubmissionRecord(submission));
+  REQUIRE(submitted.value().host_ == submission.host_);
+  REQUIRE(submitted.value().path_ == submission.path_);
+  REQUIRE(submitted.value().body_ == submission.body_);
+
+  JobResult result;
+  result.id_ = ItemId{ "a" };
+  result.completed_ = true;
+  result.text_ = "one\ntwo \"three\"";
+  result.versions_ = { WeightVersion{ 5 }, WeightVersion{ 6 } };
+  result.score_ = "sig";
+  const auto results = ReadResultsRecord(WriteResultsRecord({ result }));
+  REQUIRE(results.value().size() == 1);
+  REQUIRE(results.value().front().text_ == result.text_);
+  REQUIRE(results.value().front().versions_ == result.versions_);
+
+  const PartialRecord partial{ ItemId{ "b" },
+                               { "t", 3, { WeightVersion{ 7 } }, false } };
+  const auto partials = ReadPartialRecords(WritePartialRecords({ partial }));
+  REQUIRE(partials.value().front().item_ == partial.item_);
+  REQUIRE(partials.value().front().text_.lastEvent_ == 3);
+}
+
+TEST_CASE("an unreadable record is an error that says what it is")
+{
+  REQUIRE(ReadOwnerRecord("{").error().kind_ == ErrorKind::BadInput);
+  REQUIRE(ReadOwnerRecord("{}").error().message_.find("owner") !=
+          std::string::npos);
+  REQUIRE_FALSE(ReadSubmissionRecord(""));
+  REQUIRE_FALSE(ReadResultsRecord("[{}]"));
+  REQUIRE_FALSE(ReadPartialRecords("[1]"));
+}
--- /dev/null
+++ b/tests/test_upstream_board.cpp
@@ -0,0 +1,363 @@
+/// Routes, the choice of upstreams, takeovers and the plan of weights.
+
+#include "marjoramtally/process.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 100s };
+const ServiceId kService{ "svc" };
+
+UpstreamEntry
+MakeEntry(const std::string& aId,
+          const std::string& aZone = "z1",
+          std::uint64_t aVersion = 1)
+{
+  UpstreamEntry entry;
+  entry.id_ = UpstreamId{ aId };
+  entry.service_ = kService;
+  entry.address_ = "127.0.0.1:1";
+  entry.zone_ = ZoneId{ aZone };
+  entry.slots_ = 2;
+  entry.models_ = { { "m", WeightVersion{ aVersion } } };
+  return entry;
+}
+
+UpstreamBoard
+MakeBoard(const std::vector<UpstreamEntry>& aEntries)
+{
+  UpstreamBoard board(ZoneId{ "z1" });
+  for (const UpstreamEntry& entry : aEntries) {
+    board.OnEntry(entry);
+  }
+  return board;
+}
+
+std::string
+PickId(const UpstreamBoard& aBoard,
+       TimePoint aNow = kStart,
+       const std::set<UpstreamId>& aTried = {})
+{
+  const BoardUpstream* picked = aBoard.Pick(kService, aTried, aNow);
+  return picked == nullptr ? "" : picked->entry_.id_.Get();
+}
+
+ItemNeeds
+Needs(std::uint64_t aVersion, const std::string& aPreferred = "")
+{
+  return { kService,
+           "m",
+           WeightVersion{ aVersion },
+           UpstreamId{ aPreferred },
+           UpstreamId{} };
+}
+
+Route
+MakeRoute(const std::string& aName, const std::string& aPrefix)
+{
+  Route route;
+  route.name_ = aName;
+  route.host_ = "h";
+  route.prefix_ = aPrefix;
+  return route;
+}
+
+PlanUpstream
+MakePlanUpstream(int aNumber, std::uint64_t aA, std::uint64_t aB)
+{
+  PlanUpstream upstream;
+  upstream.id_ = UpstreamId{ "u" + std::to_string(aNumber) };
+  upstream.service_ = kService;
+  upstream.versions_ = { { "a", WeightVersion{ aA } },
+                         { "b", WeightVersion{ aB } } };
+  return upstream;
+}
+
+} // namespace
+
+TEST_CASE("the route with the longest prefix of the host's routes wins")
+{
+  RouteTable table;
+  REQUIRE_FALSE(table.Known());
+  RoutingConfig config;
+  config.revision_ = ConfigRevision{ 3 };
+  config.routes_ = { MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/") };
+  REQUIRE(table.Apply(config));
+  REQUIRE(table.Match("h", "/a/b/c")->name_ == "long");
+  REQUIRE(table.Match("h", "/a/bc")->name_ == "short");
+  REQUIRE(table.Match("h", "/b/") == nullptr);
+  REQUIRE(table.Match("other", "/a/b") == nullptr);
+}
+
+TEST_CASE("an older configuration never comes back in force")
+{
+  RouteTable table;
+  RoutingConfig config;
+  config.revision_ = ConfigRevision{ 7 };
+  config.routes_ = { MakeRoute("new", "/a/") };
+  REQUIRE(table.Apply(config));
+  config.revision_ = ConfigRevision{ 6 };
+  config.routes_.clear();
+  REQUIRE_FALSE(table.Apply(config));
+  REQUIRE(table.Match("h", "/a/") != nullptr);
+}
+
+TEST_CASE("a split draws its services by their weights")
+{
+  Route route = MakeRoute("r", "/");
+  route.services_ = { { ServiceId{ "x" }, 90 }, { ServiceId{ "y" }, 10 } };
+  int first = 0;
+  for (std::uint64_t draw = 0; draw < 100; ++draw) {
+    first += DrawService(route, draw) == ServiceId{ "x" } ? 1 : 0;
+  }
+  REQUIRE(first == 90);
+  REQUIRE(DrawService(MakeRoute("none", "/"), 5) == ServiceId{});
+}
+
+TEST_CASE("a request goes to the least loaded, own zone first")
+{
+  UpstreamBoard board =
+    MakeBoard({ MakeEntry("far", "z2"), MakeEntry("near") });
+  REQUIRE(PickId(board) == "near");
+  board.OnStart(UpstreamId{ "near" });
+  REQUIRE(PickId(board) == "far");
+  REQUIRE(PickId(board, kStart, { UpstreamId{ "far" } }) == "near");
+}
+
+TEST_CASE("a leaving mark holds for the incarnation")
+{
+  UpstreamBoard board = MakeBoard({ MakeEntry("a") });
+  UpstreamEntry leaving = MakeEntry("a");
+  leaving.draining_ = true;
+  board.OnEntry(leaving);
+  REQUIRE(PickId(board).empty());
+  board.OnEntry(MakeEntry("a"));
+  REQUIRE(PickId(board).empty());
+}
+
+TEST_CASE("an entry that vanished gets no work once its grace is over")
+{
+  UpstreamBoard board = MakeBoard({ MakeEntry("a"), MakeEntry("b", "z2") });
+  board.OnVanished(UpstreamId{ "a" }, kStart);
+  REQUIRE(PickId(board) == "b");
+  REQUIRE(PickId(board, kStart, { UpstreamId{ "b" } }) == "a");
+  const TimePoint late = kStart + BoardPolicy{}.vanishGrace_;
+  REQUIRE(PickId(board, late, { UpstreamId{ "b" } }).empty());
+  // It was back: a lapse while the store was away.
+  board.OnEntry(MakeEntry("a"));
+  REQUIRE(PickId(board, late, { UpstreamId{ "b" } }) == "a");
+}
+
+TEST_CASE("a whole list tells what has vanished")
+{
+  UpstreamBoard board = MakeBoard({ MakeEntry("a"), MakeEntry("b") });
+  board.OnList({ MakeEntry("b") }, kStart);
+  const TimePoint late = kStart + 10s;
+  REQUIRE(PickId(board, late) == "b");
+  REQUIRE(PickId(board, late, { UpstreamId{ "b" } }).empty());
+}
+
+TEST_CASE("an upstream that fails is avoided while there is another")
+{
+  UpstreamBoard board = MakeBoard({ MakeEntry("a"), MakeEntry("b", "z2") });
+  board.OnStart(UpstreamId{ "a" });
+  board.OnEnd(UpstreamId{ "a" }, CallVerdict::Failed, kStart);
+  REQUIRE(PickId(board) == "b");
+  REQUIRE(PickId(board, kStart, { UpstreamId{ "b" } }) == "a");
+  REQUIRE(PickId(board, kStart + 1s) == "a");
+}
+
+TEST_CASE("an item goes only where its version is and a slot is free")
+{
+  UpstreamBoard board =
+    MakeBoard({ MakeEntry("old", "z1", 4), MakeEntry("new", "z1", 5) });
+  for (int i = 0; i < 2; ++i) {
+    const BoardUpstream* picked = board.PickForItem(Needs(5), kStart);
+    REQUIRE(picked->entry_.id_ == UpstreamId{ "new" });
+    board.OnStart(picked->entry_.id_);
+  }
+  REQUIRE(board.PickForItem(Needs(5), kStart) == nullptr);
+  board.OnVersion(UpstreamId{ "old" }, "m", WeightVersion{ 5 });
+  REQUIRE(board.PickForItem(Needs(5), kStart)->entry_.id_ ==
+          UpstreamId{ "old" });
+}
+
+TEST_CASE("an item prefers the upstream that holds its prompt, unless slow")
+{
+  UpstreamBoard board =
+    MakeBoard({ MakeEntry("a"), MakeEntry("b"), MakeEntry("c") });
+  board.OnStart(UpstreamId{ "a" });
+  REQUIRE(board.PickForItem(Needs(1, "a"), kStart)->entry_.id_ ==
+          UpstreamId{ "a" });
+  for (int i = 0; i < 20; ++i) {
+    board.OnPace(UpstreamId{ "a" }, 100ms);
+    board.OnPace(UpstreamId{ "b" }, 30ms);
+    board.OnPace(UpstreamId{ "c" }, 30ms);
+  }
+  REQUIRE(board.Slow(UpstreamId{ "a" }));
+  REQUIRE(board.PickForItem(Needs(1, "a"), kStart)->entry_.id_ !=
+          UpstreamId{ "a" });
+}
+
+TEST_CASE("a job is taken over by one process, in turn, after a grace")
+{
+  const JobId job{ "j" };
+  const std::vector<std::string> names{ "x~1", "y~1", "z~1" };
+  int first = 0;
+  for (const std::string& self : names) {
+    JobTakeover takeover(self);
+    for (const std::string& name : names) {
+      takeover.OnAlive(name, kStart);
+    }
+    takeover.OnAlive("w~1", kStart);
+    takeover.OnOwner(job, "w~1", kStart);
+    REQUIRE(takeover.NextDue() == kNever);
+    takeover.OnGone("w~1", kStart + 1s);
+    REQUIRE(takeover.Due(kStart + 2s).empty());
+    first +=
+      takeover.Due(kStart + 1s + TakeoverPolicy{}.returnGrace_).empty() ? 0 : 1;
+    REQUIRE(takeover.Due(kStart + 10s).size() == 1);
+    takeover.OnOwner(job, names.front(), kStart + 3s);
+    REQUIRE(takeover.Due(kStart + 20s).empty());
+  }
+  REQUIRE(first == 1);
+}
+
+TEST_CASE("signs of life that come back stop a takeover")
+{
+  JobTakeover takeover("x~1");
+  takeover.OnAlive("x~1", kStart);
+  takeover.OnAlive("w~1", kStart);
+  takeover.OnOwner(JobId{ "j" }, "w~1", kStart);
+  takeover.OnGone("w~1", kStart);
+  takeover.OnAlive("w~1", kStart + 1s);
+  REQUIRE(takeover.Due(kStart + 60s).empty());
+}
+
+TEST_CASE("a restarted instance takes its jobs back at once")
+{
+  JobTakeover takeover("x~2");
+  takeover.OnAlive("x~1", kStart);
+  takeover.OnAlive("y~1", kStart);
+  takeover.OnOwner(JobId{ "j" }, "x~1", kStart);
+  REQUIRE(takeover.Due(kStart) == std::vector{ JobId{ "j" } });
+  REQUIRE(InstanceOf(MakeIncarnationName(InstanceId{ "a~b" }, "7")) ==
+          InstanceId{ "a~b" });
+}
+
+TEST_CASE("a job that was given back is claimed without a grace")
+{
+  JobTakeover takeover("x~1");
+  takeover.OnAlive("x~1", kStart);
+  takeover.OnOwner(JobId{ "j" }, "", kStart);
+  REQUIRE(takeover.Due(kStart).size() == 1);
+  takeover.OnEnded(JobId{ "j" });
+  REQUIRE(takeover.Due(kStart).empty());
+}
+
+TEST_CASE("a new version is loaded only where its model is at home")
+{
+  WeightPlan plan({ 8 });
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.push_back(MakePlanUpstream(i, 1, 1));
+  }
+  plan.OnNamed("a", WeightVersion{ 2 });
+  std::set<UpstreamId> loaded;
+  for (int round = 0; round < 4; ++round) {
+    for (const PlannedLoad& load : plan.Next(fleet)) {
+      REQUIRE(load.model_ == "a");
+      loaded.insert(load.upstream_);
+      for (PlanUpstream& upstream : fleet) {
+        if (upstream.id_ == load.upstream_) {
+          upstream.versions_["a"] = load.version_;
+        }
+      }
+    }
+  }
+  REQUIRE(loaded.size() == 2);
+  for (const UpstreamId& id : loaded) {
+    REQUIRE(plan.HomeOf(id) == "a");
+  }
+}
+
+TEST_CASE("half of a model's upstreams go on serving while others load")
+{
+  WeightPlan plan({ 8 });
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < 8; ++i) {
+    fleet.push_back(MakePlanUpstream(i, 1, 1));
+  }
+  plan.OnNamed("a", WeightVersion{ 2 });
+  const auto loads = plan.Next(fleet);
+  REQUIRE(loads.size() == 2);
+  for (PlanUpstream& upstream : fleet) {
+    upstream.busy_ =
+      upstream.id_ == loads[0].upstream_ || upstream.id_ == loads[1].upstream_;
+  }
+  REQUIRE(plan.Next(fleet).empty());
+}
+
+TEST_CASE("loads at once are bounded over all models")
+{
+  WeightPlan plan({ 2 });
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < 12; ++i) {
+    fleet.push_back(MakePlanUpstream(i, 1, 1));
+  }
+  plan.OnNamed("a", WeightVersion{ 2 });
+  plan.OnNamed("b", WeightVersion{ 2 });
+  REQUIRE(plan.Next(fleet).size() == 2);
+}
+
+TEST_CASE("a next holder keeps homes by the versions it finds")
+{
+  WeightPlan plan({ 8 });
+  plan.OnNamed("a", WeightVersion{ 9 });
+  plan.OnNamed("b", WeightVersion{ 9 });
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.push_back(i % 2 == 0 ? MakePlanUpstream(i, 9, 2)
+                               : MakePlanUpstream(i, 2, 9));
+  }
+  REQUIRE(plan.Next(fleet).empty());
+  REQUIRE(plan.HomeOf(UpstreamId{ "u0" }) == "a");
+  REQUIRE(plan.HomeOf(UpstreamId{ "u1" }) == "b");
+}
+
+TEST_CASE("when upstreams go, a model without any gets one of the others")
+{
+  WeightPlan plan({ 8 });
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.push_back(i < 2 ? MakePlanUpstream(i, 9, 2)
+                          : MakePlanUpstream(i, 2, 9));
+  }
+  plan.OnNamed("a", WeightVersion{ 9 });
+  plan.OnNamed("b", WeightVersion{ 9 });
+  REQUIRE(plan.Next(fleet).empty());
+  fleet.resize(2);
+  const auto loads = plan.Next(fleet);
+  REQUIRE(loads.size() == 1);
+  REQUIRE(loads.front().model_ == "b");
+}
+
+TEST_CASE("one upstream for two models is at home for both")
+{
+  WeightPlan plan({ 8 });
+  plan.OnNamed("a", WeightVersion{ 2 });
+  plan.OnNamed("b", WeightVersion{ 2 });
+  std::vector<PlanUpstream> fleet{ MakePlanUpstream(0, 1, 1) };
+  std::set<std::string> models;
+  for (int round = 0; round < 2; ++round) {
+    for (const PlannedLoad& load : plan.Next(fleet)) {
+      models.insert(load.model_);
+      fleet.front().versions_[load.model_] = load.version_;
+    }
+  }
+  REQUIRE(models.size() == 2);
+}
