--- /dev/null
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -0,0 +1,68 @@
+/// Which processes watch the store for the others, and whom to ask.
+///
+/// Every process works the plan out from the signs of life, so that nothing
+/// has to be agreed: while views differ, a process asks one that does not
+/// relay, is told so and turns to the store itself.
+#pragma once
+
+#include "marjoramtally/base/ids.hpp"
+#include "marjoramtally/base/result.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoramtally {
+
+/// What a process says of itself beside its sign of life.
+struct LifeRecord
+{
+  ZoneId zone_;
+  /// Where its peers call it, as IP:PORT; empty: it cannot be called.
+  std::string address_;
+};
+
+[[nodiscard]] std::string
+WriteLifeRecord(const LifeRecord& aRecord);
+[[nodiscard]] Result<LifeRecord>
+ReadLifeRecord(std::string_view aText);
+
+/// Sizes of the plan.
+struct RelayPlanPolicy
+{
+  /// Fewer processes than this watch the store themselves: what relays would
+  /// save is less than what they cost in failures.
+  std::size_t leastPeers_ = 5;
+  /// Processes that one relay serves.
+  std::size_t peersOfRelay_ = 24;
+  /// Relays at the least, for one to fail.
+  std::size_t leastRelays_ = 2;
+};
+
+/// The plan as one process sees it.
+class RelayPlan
+{
+public:
+  explicit RelayPlan(std::string aSelf, RelayPlanPolicy aPolicy = {});
+
+  void OnAlive(const std::string& aIncarnation, LifeRecord aRecord);
+  void OnGone(const std::string& aIncarnation);
+
+  /// @returns addresses of the relays to ask, in the order in which this
+  /// process asks them; empty: it watches the store itself
+  [[nodiscard]] const std::vector<std::string>& Relays() const noexcept
+  {
+    return relays_;
+  }
+
+private:
+  void Update();
+
+  std::string self_;
+  RelayPlanPolicy policy_;
+  std::map<std::string, LifeRecord> alive_;
+  std::vector<std::string> relays_;
+};
+
+} // namespace marjoramtally
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -39,6 +39,9 @@
 {
   /// Loads at the same time; with more, each takes longer.
   std::uint32_t atOnce_ = 2;
+  /// In a larger service, one load at once for so many upstreams: the weight
+  /// stores of all sites that we know bear a fifth of their samplers.
+  std::uint32_t upstreamsOfLoad_ = 5;
 };
 
 /// The plan. Remembers homes, so that they change as little as may be.
--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -25,6 +25,8 @@
   Config = 4,
   /// Entry to entry: claims and quarantine.
   Claim = 5,
+  /// Any to a relay: changes of the store's records.
+  Watch = 6,
 };
 
 /// One call; its body is an encoded message of the topic's schema.
--- a/include/marjoramtally/runtime/store.hpp
+++ b/include/marjoramtally/runtime/store.hpp
@@ -73,6 +73,10 @@
 struct StoreWatchBatch
 {
   bool ended_ = false;
+  /// The watch goes on, but for a while nothing was heard. Only some stores
+  /// tell, and only they send batches without events, which say that nothing
+  /// changed up to their revision.
+  bool interrupted_ = false;
   std::uint64_t revision_ = 0;
   std::vector<StoreEvent> events_;
 };
--- /dev/null
+++ b/include/marjoramtally/runtime/watch_history.hpp
@@ -0,0 +1,44 @@
+/// The latest changes under one prefix of the store, as a relay keeps them
+/// for others.
+#pragma once
+
+#include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/runtime/store.hpp"
+
+#include <deque>
+#include <optional>
+
+namespace marjoramtally {
+
+/// Bounded history of one prefix.
+class WatchHistory
+{
+public:
+  /// Most changes kept.
+  static constexpr std::size_t kMost = 2048;
+  /// An answer of the store vouches for the changes this long. A watch is
+  /// renewed every 1.4 s, and a change has to be known after two seconds.
+  static constexpr Duration kConfirmedFor = std::chrono::milliseconds(1700);
+
+  /// A watch was opened that tells all changes after this revision.
+  void Start(std::uint64_t aAfter, TimePoint aNow);
+  void Append(const StoreWatchBatch& aBatch, TimePoint aNow);
+  /// The watch ended or was interrupted: nothing is vouched for.
+  void Lose() { known_.reset(); }
+
+  /// @returns whether what is held is whole as of a moment ago
+  [[nodiscard]] bool Confirmed(TimePoint aNow) const noexcept;
+  /// @returns whether all changes after the revision are held
+  [[nodiscard]] bool Covers(std::uint64_t aAfter) const noexcept;
+  /// @returns the changes after the revision, up to the latest known one
+  [[nodiscard]] StoreWatchBatch After(std::uint64_t aAfter) const;
+
+private:
+  std::deque<StoreEvent> events_;
+  /// All changes after this revision are held.
+  std::uint64_t start_ = 0;
+  std::optional<std::uint64_t> known_;
+  TimePoint confirmed_;
+};
+
+} // namespace marjoramtally
--- a/src/daemon/counted_store.cpp
+++ b/src/daemon/counted_store.cpp
@@ -57,7 +57,7 @@
     std::function<void(const StoreWatchBatch&)> aOnBatch) override
   {
     if (!Take(StoreCallKind::Watch)) {
-      aOnBatch(StoreWatchBatch{ true, 0, {} });
+      aOnBatch(StoreWatchBatch{ true, false, 0, {} });
       return 0;
     }
     return store_->Watch(
--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/gateway_settings.hpp"
+#include "marjoramtally/process/relay_plan.hpp"
 #include "marjoramtally/runtime/http_client.hpp"
 #include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
@@ -26,6 +27,7 @@
     const Clock* clock_ = nullptr;
     const Clock* leaseClock_ = nullptr;
     Metrics* metrics_ = nullptr;
+    RelayPlan* relays_ = nullptr;
     std::string incarnation_;
   };
 
@@ -52,6 +54,8 @@
     return *parts_.leaseClock_;
   }
   [[nodiscard]] Metrics& Measures() const noexcept { return *parts_.metrics_; }
+  /// Which processes watch the store for the others.
+  [[nodiscard]] RelayPlan& Relays() const noexcept { return *parts_.relays_; }
   /// Names this run of the process.
   [[nodiscard]] const std::string& Incarnation() const noexcept
   {
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -17,6 +17,8 @@
 constexpr auto kEndMargin = std::chrono::milliseconds(700);
 /// How often the end of the last request is looked for.
 constexpr auto kIdleCheck = std::chrono::milliseconds(100);
+/// For the way of a relay's answer, beyond the time it holds it back.
+constexpr auto kRelaySlack = std::chrono::milliseconds(300);
 /// The metrics' reader sends no body.
 constexpr std::uint64_t kMetricsBodyBytes = 1024;
 
@@ -45,7 +47,8 @@
 
 GatewayHost::GatewayHost(GatewaySettings aSettings,
                          std::unique_ptr<Platform> aPlatform,
-                         const StoreFactory& aStore)
+                         const StoreFactory& aStore,
+                         bool aRelayed)
   : settings_(std::move(aSettings))
   , platform_(std::move(aPlatform))
 {
@@ -57,16 +60,26 @@
   timers_ = LoopTimers::Create(*pool_, 0);
   client_ = HttpClient::Create(pool_);
   store_ = aStore(*client_, *timers_, settings_.store_);
-  context_ = std::make_unique<GatewayContext>(
-    GatewayContext::Parts{ &settings_,
-                           platform_.get(),
-                           client_.get(),
-                           timers_.get(),
-                           store_.get(),
-                           &clock_,
-                           &bootClock_,
-                           &metrics_,
-                           MakeIncarnation(settings_.instance_) });
+  const std::string incarnation = MakeIncarnation(settings_.instance_);
+  relayPlan_ = std::make_unique<RelayPlan>(incarnation);
+  if (aRelayed && settings_.rpcPort_ != 0) {
+    StartRelaying();
+  }
+  Store* store = store_.get();
+  if (relayed_) {
+    store = relayed_.get();
+  }
+  context_ =
+    std::make_unique<GatewayContext>(GatewayContext::Parts{ &settings_,
+                                                            platform_.get(),
+                                                            client_.get(),
+                                                            timers_.get(),
+                                                            store,
+                                                            &clock_,
+                                                            &bootClock_,
+                                                            &metrics_,
+                                                            relayPlan_.get(),
+                                                            incarnation });
 }
 
 GatewayHost::~GatewayHost()
@@ -74,6 +87,77 @@
   pool_->Stop();
 }
 
+void
+GatewayHost::StartRelaying()
+{
+  auto node =
+    RpcNode::Start(settings_.address_,
+                   static_cast<std::uint16_t>(settings_.rpcPort_),
+                   [this](const RpcCall& aCall, RpcDone aDone) {
+                     pool_->Post(0, [this, aCall, done = std::move(aDone)] {
+                       ServeRelay(aCall, done);
+                     });
+                   });
+  if (!node) {
+    LogEvent(LogLevel::Warn,
+             "relay_unavailable",
+             { { "error", node.error().message_ } });
+    return;
+  }
+  rpc_ = std::move(node).value();
+  relayed_ = std::make_unique<RelayedStore>(
+    *store_,
+    *timers_,
+    clock_,
+    [this](const std::string& aAddress,
+           const WatchAsk& aAsk,
+           StoreDone<StoreWatchBatch> aDone) {
+      AskRelay(aAddress, aAsk, std::move(aDone));
+    },
+    [this]() -> const std::vector<std::string>& {
+      return relayPlan_->Relays();
+    });
+}
+
+void
+GatewayHost::ServeRelay(const RpcCall& aCall, RpcDone aDone)
+{
+  const auto ask = DecodeWatchAsk(aCall.body_);
+  if (aCall.topic_ != RpcTopic::Watch || !ask) {
+    aDone(Error{ ErrorKind::BadInput, "not a question for changes" });
+    return;
+  }
+  relayed_->Serve(ask.value(), [done = std::move(aDone)](const auto& aBatch) {
+    if (aBatch) {
+      done(EncodeWatchBatch(aBatch.value()));
+    } else {
+      done(aBatch.error());
+    }
+  });
+}
+
+void
+GatewayHost::AskRelay(const std::string& aAddress,
+                      const WatchAsk& aAsk,
+                      StoreDone<StoreWatchBatch> aDone)
+{
+  RpcCall call;
+  call.topic_ = RpcTopic::Watch;
+  call.timeout_ = aAsk.wait_ + kRelaySlack;
+  call.body_ = EncodeWatchAsk(aAsk);
+  rpc_->Call(aAddress,
+             std::move(call),
+             [this, done = std::move(aDone)](const RpcReply& aReply) {
+               pool_->Post(0, [done, aReply] {
+                 if (aReply) {
+                   done(DecodeWatchBatch(aReply.value()));
+                 } else {
+                   done(aReply.error());
+                 }
+               });
+             });
+}
+
 Result<std::unique_ptr<HttpServer>>
 GatewayHost::Serve(const ListenAddress& aAddress,
                    std::uint64_t aMaxBodyBytes,
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "daemon/gateway_context.hpp"
+#include "daemon/relayed_store.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/io_pool.hpp"
+#include "marjoramtally/runtime/rpc.hpp"
 
 namespace marjoramtally {
 
@@ -19,9 +21,12 @@
 class GatewayHost
 {
 public:
+  /// @param aRelayed watches of the store go through relays, and this process
+  /// may be one
   GatewayHost(GatewaySettings aSettings,
               std::unique_ptr<Platform> aPlatform,
-              const StoreFactory& aStore);
+              const StoreFactory& aStore,
+              bool aRelayed);
   ~GatewayHost();
   GatewayHost(const GatewayHost&) = delete;
   GatewayHost& operator=(const GatewayHost&) = delete;
@@ -45,6 +50,11 @@
   /// Runs a task on the loop and waits for it.
   void OnLoop(const std::function<void()>& aTask);
   void ServeMetrics();
+  void StartRelaying();
+  void AskRelay(const std::string& aAddress,
+                const WatchAsk& aAsk,
+                StoreDone<StoreWatchBatch> aDone);
+  void ServeRelay(const RpcCall& aCall, RpcDone aDone);
 
   GatewaySettings settings_;
   SystemClock clock_;
@@ -55,6 +65,9 @@
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<Platform> platform_;
   std::unique_ptr<Store> store_;
+  std::unique_ptr<RelayPlan> relayPlan_;
+  std::unique_ptr<RelayedStore> relayed_;
+  std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<GatewayContext> context_;
   std::unique_ptr<HttpServer> metricsServer_;
 };
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -22,6 +22,7 @@
   { "front", &Settings::front_ },
   { "ready", &Settings::ready_ },
   { "store", &Settings::store_, true },
+  { "rpc-port", &Settings::rpcPort_, false, 0, kMaxPort },
   { "metrics-port", &Settings::metricsPort_, false, 0, kMaxPort },
   { "lease-ttl", &Settings::leaseTtl_, false, kSecond, 600 * kSecond },
   { "fencing", &Settings::fencing_ },
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -20,6 +20,8 @@
   std::string ready_;
   /// The platform's store, as IP:PORT.
   std::string store_;
+  /// Where peers ask for the store's changes; 0 relays nothing.
+  std::uint64_t rpcPort_ = 0;
   /// 0 serves no metrics.
   std::uint64_t metricsPort_ = 0;
   /// How long the store keeps this process's leases without a heartbeat: the
--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -71,6 +71,9 @@
       Read();
       return;
     }
+    if (aBatch.events_.empty()) {
+      return;
+    }
     for (const StoreEvent& event : aBatch.events_) {
       Tell(&PrefixFollower::onChange_, event);
     }
--- /dev/null
+++ b/src/daemon/relayed_store.cpp
@@ -0,0 +1,312 @@
+#include "daemon/relayed_store.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+/// How long a relay may hold an answer back: a silent relay is found within
+/// this and the slack of the call.
+constexpr auto kRelayHold = std::chrono::milliseconds(1000);
+/// A process that watches the store itself since relays failed tries them
+/// again after this time.
+constexpr auto kDirectTime = std::chrono::seconds(5);
+/// A relay that does not yet know a revision gets this long.
+constexpr auto kCatchUp = std::chrono::milliseconds(50);
+
+} // namespace
+
+RelayedStore::RelayedStore(
+  Store& aStore,
+  LoopTimers& aTimers,
+  const Clock& aClock,
+  AskPeer aAskPeer,
+  std::function<const std::vector<std::string>&()> aRelays)
+  : store_(aStore)
+  , timers_(aTimers)
+  , clock_(aClock)
+  , askPeer_(std::move(aAskPeer))
+  , relays_(std::move(aRelays))
+{
+}
+
+RelayedStore::~RelayedStore()
+{
+  *alive_ = false;
+}
+
+void
+RelayedStore::Read(std::string aPrefix, StoreDone<StoreRange> aDone)
+{
+  store_.Read(std::move(aPrefix), std::move(aDone));
+}
+
+void
+RelayedStore::ReadAfter(std::string aPrefix,
+                        std::string aAfter,
+                        StoreDone<StoreRange> aDone)
+{
+  store_.ReadAfter(std::move(aPrefix), std::move(aAfter), std::move(aDone));
+}
+
+void
+RelayedStore::Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone)
+{
+  store_.Commit(std::move(aTxn), std::move(aDone));
+}
+
+void
+RelayedStore::GrantLease(Duration aTtl, StoreDone<StoreLease> aDone)
+{
+  store_.GrantLease(aTtl, std::move(aDone));
+}
+
+void
+RelayedStore::KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone)
+{
+  store_.KeepAlive(aLease, std::move(aDone));
+}
+
+void
+RelayedStore::RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone)
+{
+  store_.RevokeLease(aLease, std::move(aDone));
+}
+
+StoreWatchId
+RelayedStore::Watch(std::string aPrefix,
+                    std::uint64_t aFromRevision,
+                    std::function<void(const StoreWatchBatch&)> aOnBatch)
+{
+  const StoreWatchId id = ++last_;
+  Own& own = watches_[id];
+  own.prefix_ = std::move(aPrefix);
+  own.after_ = aFromRevision == 0 ? 0 : aFromRevision - 1;
+  own.onBatch_ = std::move(aOnBatch);
+  Open(id);
+  return id;
+}
+
+void
+RelayedStore::StopWatch(StoreWatchId aWatch)
+{
+  const auto it = watches_.find(aWatch);
+  if (it != watches_.end()) {
+    store_.StopWatch(it->second.direct_);
+    watches_.erase(it);
+  }
+}
+
+RelayedStore::Own*
+RelayedStore::Find(StoreWatchId aId)
+{
+  const auto it = watches_.find(aId);
+  return it == watches_.end() ? nullptr : &it->second;
+}
+
+/// Opens a watch anew, through a relay if the plan names some.
+void
+RelayedStore::Open(StoreWatchId aId)
+{
+  Own& own = watches_.at(aId);
+  const std::vector<std::string>& relays = relays_();
+  if (relays.empty() || clock_.Now() < own.directUntil_) {
+    OpenDirect(aId);
+    return;
+  }
+  if (own.failures_ >= relays.size()) {
+    LogEvent(LogLevel::Info,
+             "relays_failed",
+             { { "prefix", own.prefix_ },
+               { "relays", std::to_string(relays.size()) } });
+    own.failures_ = 0;
+    own.directUntil_ = clock_.Now() + kDirectTime;
+    OpenDirect(aId);
+    return;
+  }
+  AskRelay(aId, relays[own.nextRelay_ % relays.size()]);
+}
+
+void
+RelayedStore::OpenDirect(StoreWatchId aId)
+{
+  Own& own = watches_.at(aId);
+  own.history_.Start(own.after_, clock_.Now());
+  own.direct_ = store_.Watch(
+    own.prefix_, own.after_ + 1, [this, aId](const StoreWatchBatch& aBatch) {
+      OnDirect(aId, aBatch);
+    });
+}
+
+void
+RelayedStore::OnDirect(StoreWatchId aId, const StoreWatchBatch& aBatch)
+{
+  Own* own = Find(aId);
+  if (own == nullptr) {
+    return;
+  }
+  if (aBatch.interrupted_) {
+    own->history_.Lose();
+    WakeAskers(own->prefix_);
+    own->history_.Start(own->after_, {});
+    return;
+  }
+  if (aBatch.ended_) {
+    own->history_.Lose();
+    WakeAskers(own->prefix_);
+    Deliver(aId, aBatch);
+    return;
+  }
+  own->history_.Append(aBatch, clock_.Now());
+  WakeAskers(own->prefix_);
+  const bool relayed = !relays_().empty() && clock_.Now() >= own->directUntil_;
+  const StoreWatchId direct = own->direct_;
+  Deliver(aId, aBatch);
+  own = Find(aId);
+  if (own != nullptr && relayed && own->direct_ == direct) {
+    store_.StopWatch(direct);
+    own->direct_ = 0;
+    own->history_.Lose();
+    Open(aId);
+  }
+}
+
+void
+RelayedStore::AskRelay(StoreWatchId aId, const std::string& aAddress)
+{
+  Own& own = watches_.at(aId);
+  const std::uint64_t round = ++own.round_;
+  const WatchAsk ask{ own.prefix_, own.after_, kRelayHold };
+  askPeer_(
+    aAddress,
+    ask,
+    [this, alive = alive_, aId, round](const Result<StoreWatchBatch>& aBatch) {
+      if (!*alive) {
+        return;
+      }
+      const Own* asker = Find(aId);
+      if (asker != nullptr && asker->round_ == round) {
+        OnRelay(aId, aBatch);
+      }
+    });
+}
+
+void
+RelayedStore::OnRelay(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch)
+{
+  Own& own = watches_.at(aId);
+  if (!aBatch) {
+    LogEvent(LogLevel::Info,
+             "relay_failed",
+             { { "prefix", own.prefix_ },
+               { "after", std::to_string(own.after_) },
+               { "error", aBatch.error().message_ } });
+    ++own.failures_;
+    ++own.nextRelay_;
+    Open(aId);
+    return;
+  }
+  own.failures_ = 0;
+  Deliver(aId, aBatch.value());
+  if (Find(aId) != nullptr) {
+    Open(aId);
+  }
+}
+
+void
+RelayedStore::Deliver(StoreWatchId aId, const StoreWatchBatch& aBatch)
+{
+  Own& own = watches_.at(aId);
+  own.after_ = std::max(own.after_, aBatch.revision_);
+  const auto onBatch = own.onBatch_;
+  if (aBatch.ended_) {
+    watches_.erase(aId);
+  }
+  if (aBatch.ended_ || !aBatch.events_.empty()) {
+    onBatch(aBatch);
+  }
+}
+
+RelayedStore::Own*
+RelayedStore::FindServed(const std::string& aPrefix)
+{
+  for (auto& [id, own] : watches_) {
+    if (own.prefix_ == aPrefix && own.direct_ != 0) {
+      return &own;
+    }
+  }
+  return nullptr;
+}
+
+void
+RelayedStore::Serve(const WatchAsk& aAsk, StoreDone<StoreWatchBatch> aDone)
+{
+  const Own* own = FindServed(aAsk.prefix_);
+  if (own == nullptr) {
+    aDone(Error{ ErrorKind::NotFound, "this process does not relay that" });
+    return;
+  }
+  if (!own->history_.Confirmed(clock_.Now())) {
+    aDone(Error{ ErrorKind::Unavailable, "the store does not answer here" });
+    return;
+  }
+  if (!own->history_.Covers(aAsk.after_)) {
+    aDone(Error{ ErrorKind::Conflict, "that history is not held here" });
+    return;
+  }
+  StoreWatchBatch batch = own->history_.After(aAsk.after_);
+  if (!batch.events_.empty()) {
+    aDone(std::move(batch));
+    return;
+  }
+  const std::uint64_t number = ++lastAsker_;
+  const std::string& prefix = aAsk.prefix_;
+  const LoopTimerId timer =
+    timers_.After(std::max<Duration>(aAsk.wait_, kCatchUp),
+                  [this, prefix, number] { EndAsker(prefix, number); });
+  askers_[prefix][number] = { aAsk.after_, std::move(aDone), timer };
+}
+
+/// Answers those that wait for changes under a prefix, if there are any now
+/// or nothing can be vouched for any more.
+void
+RelayedStore::WakeAskers(const std::string& aPrefix)
+{
+  const auto it = askers_.find(aPrefix);
+  if (it == askers_.end()) {
+    return;
+  }
+  const Own* own = FindServed(aPrefix);
+  const bool confirmed =
+    own != nullptr && own->history_.Confirmed(clock_.Now());
+  std::vector<std::uint64_t> due;
+  for (const auto& [number, asker] : it->second) {
+    if (!confirmed || !own->history_.After(asker.after_).events_.empty()) {
+      due.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : due) {
+    EndAsker(aPrefix, number);
+  }
+}
+
+void
+RelayedStore::EndAsker(const std::string& aPrefix, std::uint64_t aNumber)
+{
+  auto node = askers_[aPrefix].extract(aNumber);
+  if (node.empty()) {
+    return;
+  }
+  const Asker& asker = node.mapped();
+  timers_.Cancel(asker.timer_);
+  const Own* own = FindServed(aPrefix);
+  if (own == nullptr || !own->history_.Confirmed(clock_.Now())) {
+    asker.done_(
+      Error{ ErrorKind::Unavailable, "the store does not answer here" });
+    return;
+  }
+  asker.done_(own->history_.After(asker.after_));
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/daemon/relayed_store.hpp
@@ -0,0 +1,100 @@
+/// The store with watches that go through other processes where the plan says
+/// so, and that serves its own watches to others. Reads and writes go to the
+/// store itself.
+#pragma once
+
+#include "marjoramtally/process/relay_plan.hpp"
+#include "marjoramtally/runtime/loop_timers.hpp"
+#include "marjoramtally/runtime/store.hpp"
+#include "marjoramtally/runtime/watch_history.hpp"
+#include "marjoramtally/runtime/watch_messages.hpp"
+
+#include <map>
+
+namespace marjoramtally {
+
+/// Asks a peer for changes; the answer comes on the loop.
+using AskPeer = std::function<void(const std::string& aAddress,
+                                   const WatchAsk& aAsk,
+                                   StoreDone<StoreWatchBatch> aDone)>;
+
+/// Used on one loop.
+class RelayedStore final : public Store
+{
+public:
+  /// All arguments outlive this.
+  /// @param aRelays addresses of relays to ask now, in order
+  RelayedStore(Store& aStore,
+               LoopTimers& aTimers,
+               const Clock& aClock,
+               AskPeer aAskPeer,
+               std::function<const std::vector<std::string>&()> aRelays);
+  ~RelayedStore() override;
+
+  void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override;
+  void ReadAfter(std::string aPrefix,
+                 std::string aAfter,
+                 StoreDone<StoreRange> aDone) override;
+  void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) override;
+  void GrantLease(Duration aTtl, StoreDone<StoreLease> aDone) override;
+  void KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone) override;
+  void RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone) override;
+  StoreWatchId Watch(
+    std::string aPrefix,
+    std::uint64_t aFromRevision,
+    std::function<void(const StoreWatchBatch&)> aOnBatch) override;
+  void StopWatch(StoreWatchId aWatch) override;
+
+  /// Answers a peer, at once or when there is a change.
+  void Serve(const WatchAsk& aAsk, StoreDone<StoreWatchBatch> aDone);
+
+private:
+  /// One watch of this process.
+  struct Own
+  {
+    std::string prefix_;
+    std::uint64_t after_ = 0;
+    std::function<void(const StoreWatchBatch&)> onBatch_;
+    /// The store's watch, while this process watches itself.
+    StoreWatchId direct_ = 0;
+    /// When to look for a relay again.
+    TimePoint directUntil_;
+    /// What came over the store's watch, for peers.
+    WatchHistory history_;
+    std::size_t nextRelay_ = 0;
+    std::size_t failures_ = 0;
+    std::uint64_t round_ = 0;
+  };
+
+  /// A peer that waits for a change.
+  struct Asker
+  {
+    std::uint64_t after_ = 0;
+    StoreDone<StoreWatchBatch> done_;
+    LoopTimerId timer_ = 0;
+  };
+
+  void Open(StoreWatchId aId);
+  void OpenDirect(StoreWatchId aId);
+  void OnDirect(StoreWatchId aId, const StoreWatchBatch& aBatch);
+  void AskRelay(StoreWatchId aId, const std::string& aAddress);
+  void OnRelay(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch);
+  void Deliver(StoreWatchId aId, const StoreWatchBatch& aBatch);
+  [[nodiscard]] Own* Find(StoreWatchId aId);
+  [[nodiscard]] Own* FindServed(const std::string& aPrefix);
+  void WakeAskers(const std::string& aPrefix);
+  void EndAsker(const std::string& aPrefix, std::uint64_t aNumber);
+
+  Store& store_;
+  LoopTimers& timers_;
+  const Clock& clock_;
+  AskPeer askPeer_;
+  std::function<const std::vector<std::string>&()> relays_;
+  StoreWatchId last_ = 0;
+  std::map<StoreWatchId, Own> watches_;
+  std::uint64_t lastAsker_ = 0;
+  std::map<std::string, std::map<std::uint64_t, Asker>> askers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/process/relay_plan.cpp
@@ -0,0 +1,103 @@
+#include "marjoramtally/process/relay_plan.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace marjoramtally {
+
+namespace {
+
+using Json = nlohmann::json;
+
+} // namespace
+
+std::string
+WriteLifeRecord(const LifeRecord& aRecord)
+{
+  return Json{
+    { "zone", aRecord.zone_.Get() }, { "address", aRecord.address_ }
+  }.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<LifeRecord>
+ReadLifeRecord(std::string_view aText)
+{
+  try {
+    const Json value = Json::parse(aText);
+    return LifeRecord{ ZoneId{ value.at("zone").get<std::string>() },
+                       value.at("address").get<std::string>() };
+  } catch (const Json::exception& failure) {
+    return Error{ ErrorKind::BadInput,
+                  std::string("a sign of life is unreadable: ") +
+                    failure.what() };
+  }
+}
+
+RelayPlan::RelayPlan(std::string aSelf, RelayPlanPolicy aPolicy)
+  : self_(std::move(aSelf))
+  , policy_(aPolicy)
+{
+}
+
+void
+RelayPlan::OnAlive(const std::string& aIncarnation, LifeRecord aRecord)
+{
+  alive_[aIncarnation] = std::move(aRecord);
+  Update();
+}
+
+void
+RelayPlan::OnGone(const std::string& aIncarnation)
+{
+  alive_.erase(aIncarnation);
+  Update();
+}
+
+/// Relays are the first by a hash, spread over zones; who joins or leaves
+/// changes few of them.
+void
+RelayPlan::Update()
+{
+  relays_.clear();
+  std::vector<std::pair<std::size_t, const std::string*>> order;
+  const std::hash<std::string> hash;
+  for (const auto& [incarnation, record] : alive_) {
+    if (!record.address_.empty()) {
+      order.emplace_back(hash(incarnation), &incarnation);
+    }
+  }
+  if (order.size() < policy_.leastPeers_) {
+    return;
+  }
+  std::sort(order.begin(), order.end());
+  const std::size_t wanted = std::max(
+    policy_.leastRelays_,
+    (order.size() + policy_.peersOfRelay_ - 1) / policy_.peersOfRelay_);
+  std::vector<std::string> chosen;
+  std::set<ZoneId> zones;
+  for (const bool sameZone : { false, true }) {
+    for (const auto& [number, incarnation] : order) {
+      const bool taken =
+        std::find(chosen.begin(), chosen.end(), *incarnation) != chosen.end();
+      const ZoneId& zone = alive_.at(*incarnation).zone_;
+      if (chosen.size() < wanted && !taken &&
+          (sameZone || zones.insert(zone).second)) {
+        chosen.push_back(*incarnation);
+      }
+    }
+  }
+  if (std::find(chosen.begin(), chosen.end(), self_) != chosen.end()) {
+    return;
+  }
+  // Each process starts with another relay.
+  std::rotate(chosen.begin(),
+              chosen.begin() +
+                static_cast<std::ptrdiff_t>(hash(self_) % chosen.size()),
+              chosen.end());
+  for (const std::string& incarnation : chosen) {
+    relays_.push_back(alive_.at(incarnation).address_);
+  }
+}
+
+} // namespace marjoramtally
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -175,12 +175,15 @@
       wanted.begin(), wanted.end(), [](const auto& aLeft, const auto& aRight) {
         return std::get<0>(aLeft) > std::get<0>(aRight);
       });
+    const auto share =
+      static_cast<std::uint32_t>(upstreams.size()) / policy_.upstreamsOfLoad_;
+    const std::uint32_t atOnce = std::max(policy_.atOnce_, share);
     std::set<UpstreamId> chosen;
     for (const auto& [gap, upstream, model] : wanted) {
       // The larger half of a model's upstreams goes on serving.
       const std::size_t home = CountHomes(model, upstreams);
       const std::size_t most = std::max<std::size_t>(1, home / 2);
-      if (busy >= policy_.atOnce_) {
+      if (busy >= atOnce) {
         break;
       }
       if (busyOfModel[model] >= most || !chosen.insert(upstream->id_).second) {
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -19,7 +19,9 @@
 LifeOptions(const GatewayContext& aHost)
 {
   return { job_keys::Life(aHost.Incarnation()),
-           aHost.Settings().instance_,
+           WriteLifeRecord({ ZoneId{ aHost.Settings().zone_ },
+                             aHost.Settings().address_ + ":" +
+                               std::to_string(aHost.Settings().rpcPort_) }),
            aHost.Settings().leaseTtl_,
            false };
 }
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -71,8 +71,7 @@
   const std::string_view owners = job_keys::kOwners;
   const std::string_view ends = job_keys::kEnds;
   if (key.starts_with(lives)) {
-    lives_.insert(aRecord.key_);
-    takeover_.OnAlive(std::string(key.substr(lives.size())), host_.Now());
+    TakeLife(std::string(key.substr(lives.size())), aRecord);
   } else if (key.starts_with(owners)) {
     TakeOwner(JobId{ std::string(key.substr(owners.size())) }, aRecord);
   } else if (key.starts_with(ends)) {
@@ -80,6 +79,22 @@
   }
 }
 
+void
+JobDirectory::TakeLife(const std::string& aIncarnation,
+                       const StoreRecord& aRecord)
+{
+  lives_.insert(aRecord.key_);
+  takeover_.OnAlive(aIncarnation, host_.Now());
+  auto life = ReadLifeRecord(aRecord.value_);
+  if (life) {
+    host_.Relays().OnAlive(aIncarnation, std::move(life).value());
+  } else {
+    LogEvent(LogLevel::Error,
+             "record_unreadable",
+             { { "key", aRecord.key_ }, { "error", life.error().message_ } });
+  }
+}
+
 void
 JobDirectory::TakeRemoval(const std::string& aKey)
 {
@@ -88,7 +103,9 @@
   const std::string_view owners = job_keys::kOwners;
   if (key.starts_with(lives)) {
     lives_.erase(aKey);
-    takeover_.OnGone(std::string(key.substr(lives.size())), host_.Now());
+    const std::string incarnation(key.substr(lives.size()));
+    takeover_.OnGone(incarnation, host_.Now());
+    host_.Relays().OnGone(incarnation);
   } else if (key.starts_with(owners)) {
     const JobId job{ std::string(key.substr(owners.size())) };
     takeover_.OnEnded(job);
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -40,6 +40,7 @@
   void TakeAll(const StoreRange& aRange);
   void TakeChange(const StoreEvent& aEvent);
   void TakeRecord(const StoreRecord& aRecord);
+  void TakeLife(const std::string& aIncarnation, const StoreRecord& aRecord);
   void TakeRemoval(const std::string& aKey);
   void TakeOwner(const JobId& aJob, const StoreRecord& aRecord);
   void TakeEnd(const JobId& aJob);
--- a/src/programs/gatewayd/main.cpp
+++ b/src/programs/gatewayd/main.cpp
@@ -23,7 +23,8 @@
   if (!settings) {
     return code;
   }
-  GatewayHost host(std::move(*settings), MakePlatform(), MakePlatformStoreAt);
+  GatewayHost host(
+    std::move(*settings), MakePlatform(), MakePlatformStoreAt, true);
   Gateway gateway(host.Context(), host);
   const auto opened = gateway.Open();
   if (!opened) {
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -24,7 +24,8 @@
   if (!settings) {
     return code;
   }
-  GatewayHost host(std::move(*settings), MakePlatform(), MakePlatformStoreAt);
+  GatewayHost host(
+    std::move(*settings), MakePlatform(), MakePlatformStoreAt, false);
   OrderDuty duty(host.Context());
   host.Run(
     [&duty] { duty.Start(); }, [&duty] { duty.Stop(); }, [] { return true; });
--- a/src/runtime/embedded_store.cpp
+++ b/src/runtime/embedded_store.cpp
@@ -193,12 +193,12 @@
       }
     }
     if (aChanges.lost_) {
-      aWatch.onBatch_({ true, aChanges.revision_, {} });
+      aWatch.onBatch_({ true, false, aChanges.revision_, {} });
       return;
     }
     aWatch.from_ = std::max(aWatch.from_, aChanges.revision_ + 1);
     if (!aChanges.events_.empty()) {
-      aWatch.onBatch_({ false, aChanges.revision_, aChanges.events_ });
+      aWatch.onBatch_({ false, false, aChanges.revision_, aChanges.events_ });
     }
   }
 
--- a/src/runtime/etcd_store.cpp
+++ b/src/runtime/etcd_store.cpp
@@ -216,7 +216,7 @@
     watches_[id] = watch;
     watch->call_ = client_.Send(std::move(call), [watch](const HttpResult&) {
       if (!watch->stopped_) {
-        watch->onBatch_(StoreWatchBatch{ true, 0, {} });
+        watch->onBatch_(StoreWatchBatch{ true, false, 0, {} });
       }
     });
     return id;
--- /dev/null
+++ b/src/runtime/watch_messages.cpp
@@ -0,0 +1,100 @@
+#include "marjoramtally/runtime/watch_messages.hpp"
+
+#include "connection/wire.hpp"
+#include "wire/watch.capnp.h"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Longer waits are cut to this.
+constexpr std::uint32_t kMostWaitMillis = 60'000;
+
+void
+Write(wire::WatchChange::Builder aOut, const StoreEvent& aEvent)
+{
+  const StoreRecord& record = aEvent.record_;
+  aOut.setKey(record.key_);
+  aOut.setValue(
+    kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value_.data()),
+                 record.value_.size()));
+  aOut.setRevision(record.modRevision_);
+  aOut.setCreated(record.createRevision_);
+  aOut.setLease(record.lease_);
+  aOut.setDeleted(aEvent.deleted_);
+}
+
+StoreEvent
+Read(wire::WatchChange::Reader aIn)
+{
+  StoreEvent event;
+  const auto value = aIn.getValue();
+  event.deleted_ = aIn.getDeleted();
+  event.record_.key_ = aIn.getKey().cStr();
+  event.record_.value_.assign(reinterpret_cast<const char*>(value.begin()),
+                              value.size());
+  event.record_.modRevision_ = aIn.getRevision();
+  event.record_.createRevision_ = aIn.getCreated();
+  event.record_.lease_ = aIn.getLease();
+  return event;
+}
+
+} // namespace
+
+std::string
+EncodeWatchAsk(const WatchAsk& aAsk)
+{
+  capnp::MallocMessageBuilder builder;
+  auto ask = builder.initRoot<wire::WatchAsk>();
+  ask.setPrefix(aAsk.prefix_);
+  ask.setAfter(aAsk.after_);
+  const auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aAsk.wait_).count();
+  ask.setWaitMs(static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(millis, 0, kMostWaitMillis)));
+  return impl::Flatten(builder);
+}
+
+Result<WatchAsk>
+DecodeWatchAsk(std::string_view aBytes)
+{
+  return impl::ReadMessage<wire::WatchAsk, WatchAsk>(
+    aBytes, [](wire::WatchAsk::Reader aIn) -> Result<WatchAsk> {
+      const std::uint32_t wait = std::min(aIn.getWaitMs(), kMostWaitMillis);
+      return WatchAsk{ aIn.getPrefix().cStr(),
+                       aIn.getAfter(),
+                       std::chrono::milliseconds(wait) };
+    });
+}
+
+std::string
+EncodeWatchBatch(const StoreWatchBatch& aBatch)
+{
+  capnp::MallocMessageBuilder builder;
+  auto message = builder.initRoot<wire::WatchChanges>();
+  message.setRevision(aBatch.revision_);
+  const auto count = static_cast<std::uint32_t>(aBatch.events_.size());
+  auto changes = message.initChanges(count);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    Write(changes[i], aBatch.events_[i]);
+  }
+  return impl::Flatten(builder);
+}
+
+Result<StoreWatchBatch>
+DecodeWatchBatch(std::string_view aBytes)
+{
+  return impl::ReadMessage<wire::WatchChanges, StoreWatchBatch>(
+    aBytes, [](wire::WatchChanges::Reader aIn) -> Result<StoreWatchBatch> {
+      StoreWatchBatch batch;
+      batch.revision_ = aIn.getRevision();
+      for (const auto change : aIn.getChanges()) {
+        batch.events_.push_back(Read(change));
+      }
+      return batch;
+    });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/tests/fake_store.hpp
@@ -0,0 +1,233 @@
+/// A store in memory on paused timers, with faults that a test sets.
+#pragma once
+
+#include "marjoramtally/runtime/loop_timers.hpp"
+#include "marjoramtally/runtime/store.hpp"
+
+#include <map>
+
+namespace marjoramtally::test {
+
+/// How the store fails.
+enum class StoreFault
+{
+  None,
+  /// Nothing is done, and the caller is told so.
+  Refuses,
+  /// Done, but the answer is lost.
+  LosesAnswers,
+  /// Nothing is done, and no answer comes.
+  Silent,
+};
+
+/// Records, leases and watches. Answers come with the next timer.
+class FakeStore final : public Store
+{
+public:
+  explicit FakeStore(LoopTimers& aTimers)
+    : timers_(aTimers)
+  {
+  }
+
+  StoreFault fault_ = StoreFault::None;
+  /// Watches hear nothing while this holds.
+  bool deaf_ = false;
+  std::size_t commits_ = 0;
+  std::map<std::string, StoreRecord> records_;
+
+  void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override
+  {
+    StoreRange range{ revision_, {} };
+    for (const auto& [key, record] : records_) {
+      if (key.starts_with(aPrefix)) {
+        range.records_.push_back(record);
+      }
+    }
+    Answer<StoreRange>(std::move(range), std::move(aDone));
+  }
+
+  void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) override
+  {
+    ++commits_;
+    if (fault_ == StoreFault::Refuses || fault_ == StoreFault::Silent) {
+      Answer<StoreCommit>(StoreCommit{}, std::move(aDone));
+      return;
+    }
+    for (const StoreCompare& compare : aTxn.compares_) {
+      const auto it = records_.find(compare.key_);
+      const std::uint64_t found =
+        it == records_.end() ? 0 : it->second.modRevision_;
+      if (found != compare.modRevision_) {
+        Answer<StoreCommit>(StoreCommit{ false, revision_ }, std::move(aDone));
+        return;
+      }
+    }
+    ++revision_;
+    std::vector<StoreEvent> events;
+    for (const StorePut& put : aTxn.puts_) {
+      StoreRecord& record = records_[put.key_];
+      record.key_ = put.key_;
+      record.value_ = put.value_;
+      record.modRevision_ = revision_;
+      record.lease_ = put.lease_;
+      events.push_back({ false, record });
+    }
+    for (const std::string& key : aTxn.deletes_) {
+      Erase(key, events);
+    }
+    Tell(events);
+    Answer<StoreCommit>(StoreCommit{ true, revision_ }, std::move(aDone));
+  }
+
+  void GrantLease(Duration aTtl, StoreDone<StoreLease> aDone) override
+  {
+    leases_.insert({ ++lastLease_, aTtl });
+    Answer<StoreLease>(StoreLease{ lastLease_, aTtl }, std::move(aDone));
+  }
+
+  void KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone) override
+  {
+    const auto it = leases_.find(aLease);
+    if (it == leases_.end() && fault_ == StoreFault::None) {
+      Answer<StoreLease>(Error{ ErrorKind::NotFound, "no such lease" },
+                         std::move(aDone));
+      return;
+    }
+    Answer<StoreLease>(
+      StoreLease{ aLease, it == leases_.end() ? Duration{} : it->second },
+      std::move(aDone));
+  }
+
+  void RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone) override
+  {
+    Lapse(aLease);
+    Answer<bool>(true, std::move(aDone));
+  }
+
+  StoreWatchId Watch(
+    std::string aPrefix,
+    std::uint64_t /*aFromRevision*/,
+    std::function<void(const StoreWatchBatch&)> aOnBatch) override
+  {
+    watches_[++lastWatch_] = { std::move(aPrefix), std::move(aOnBatch) };
+    return lastWatch_;
+  }
+
+  void StopWatch(StoreWatchId aWatch) override { watches_.erase(aWatch); }
+
+  /// Writes one record as the operator does.
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    ++revision_;
+    StoreRecord& record = records_[aKey];
+    record = { aKey, aValue, revision_, revision_, 0 };
+    Tell({ { false, record } });
+  }
+
+  void Remove(const std::string& aKey)
+  {
+    ++revision_;
+    std::vector<StoreEvent> events;
+    Erase(aKey, events);
+    Tell(events);
+  }
+
+  /// A lease ends, and its keys with it.
+  void Lapse(StoreLeaseId aLease)
+  {
+    leases_.erase(aLease);
+    std::vector<std::string> keys;
+    for (const auto& [key, record] : records_) {
+      if (record.lease_ == aLease) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      Remove(key);
+    }
+  }
+
+  void LapseAll()
+  {
+    const auto leases = leases_;
+    for (const auto& [lease, ttl] : leases) {
+      Lapse(lease);
+    }
+  }
+
+  /// Tells all watches under a prefix something that is no change.
+  void TellBatch(const std::string& aPrefix, const StoreWatchBatch& aBatch)
+  {
+    const auto watches = watches_;
+    for (const auto& [id, watch] : watches) {
+      if (watch.first == aPrefix) {
+        watch.second(aBatch);
+      }
+    }
+  }
+
+  [[nodiscard]] std::size_t CountWatches(const std::string& aPrefix) const
+  {
+    std::size_t count = 0;
+    for (const auto& [id, watch] : watches_) {
+      count += watch.first == aPrefix ? 1 : 0;
+    }
+    return count;
+  }
+
+  [[nodiscard]] std::uint64_t Revision() const noexcept { return revision_; }
+
+private:
+  template<typename T>
+  void Answer(Result<T> aResult, StoreDone<T> aDone)
+  {
+    if (fault_ == StoreFault::Refuses) {
+      aResult = Error{ ErrorKind::Unavailable, "refused" };
+    } else if (fault_ != StoreFault::None) {
+      aResult = Error{ ErrorKind::Timeout, "no answer" };
+    }
+    timers_.After(
+      std::chrono::milliseconds(4),
+      [result = std::move(aResult), done = std::move(aDone)] { done(result); });
+  }
+
+  void Erase(const std::string& aKey, std::vector<StoreEvent>& aEvents)
+  {
+    auto node = records_.extract(aKey);
+    if (!node.empty()) {
+      node.mapped().modRevision_ = revision_;
+      aEvents.push_back({ true, node.mapped() });
+    }
+  }
+
+  void Tell(const std::vector<StoreEvent>& aEvents)
+  {
+    if (deaf_) {
+      return;
+    }
+    const auto watches = watches_;
+    for (const auto& [id, watch] : watches) {
+      StoreWatchBatch batch;
+      batch.revision_ = revision_;
+      for (const StoreEvent& event : aEvents) {
+        if (event.record_.key_.starts_with(watch.first)) {
+          batch.events_.push_back(event);
+        }
+      }
+      if (!batch.events_.empty()) {
+        watch.second(batch);
+      }
+    }
+  }
+
+  LoopTimers& timers_;
+  std::uint64_t revision_ = 1;
+  StoreLeaseId lastLease_ = 0;
+  std::map<StoreLeaseId, Duration> leases_;
+  StoreWatchId lastWatch_ = 0;
+  std::map<StoreWatchId,
+           std::pair<std::string, std::function<void(const StoreWatchBatch&)>>>
+    watches_;
+};
+
+} // namespace marjoramtally::test
--- /dev/null
+++ b/tests/test_relays.cpp
@@ -0,0 +1,387 @@
+/// Watches through other processes: the plan, the history, the store that
+/// does it; followers and leased keys.
+
+#include "daemon/leased_key.hpp"
+#include "daemon/prefix_follower.hpp"
+#include "daemon/relayed_store.hpp"
+#include "fake_store.hpp"
+#include "marjoramtally/process.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+StoreEvent
+MakeEvent(const std::string& aKey, std::uint64_t aRevision)
+{
+  return { false, { aKey, "v", aRevision, aRevision, 0 } };
+}
+
+RelayPlan
+MakePlan(const std::string& aSelf, int aPeers)
+{
+  RelayPlan plan(aSelf);
+  for (int i = 0; i < aPeers; ++i) {
+    const std::string name = "p" + std::to_string(i) + "~1";
+    plan.OnAlive(name, { ZoneId{ "z" + std::to_string(i % 3) }, name });
+  }
+  return plan;
+}
+
+/// Two processes on one store; the second asks the first.
+struct TwoProcesses
+{
+  ManualClock clock_;
+  ManualTimers timers_{ clock_ };
+  FakeStore store_{ timers_ };
+  std::vector<std::string> none_;
+  std::vector<std::string> relays_{ "first" };
+  bool cut_ = false;
+  RelayedStore first_{ store_,
+                       timers_,
+                       clock_,
+                       [](const auto&, const auto&, const auto&) {},
+                       [this]() -> const std::vector<std::string>& {
+                         return none_;
+                       } };
+  RelayedStore second_{
+    store_,
+    timers_,
+    clock_,
+    [this](const std::string&,
+           const WatchAsk& aAsk,
+           StoreDone<StoreWatchBatch> aDone) { Ask(aAsk, std::move(aDone)); },
+    [this]() -> const std::vector<std::string>& { return relays_; }
+  };
+  std::vector<std::string> seen_;
+
+  void Ask(const WatchAsk& aAsk, StoreDone<StoreWatchBatch> aDone)
+  {
+    if (cut_) {
+      timers_.After(1300ms, [aDone] {
+        aDone(Error{ ErrorKind::Timeout, "no answer" });
+      });
+      return;
+    }
+    timers_.After(1ms, [this, aAsk, aDone] { first_.Serve(aAsk, aDone); });
+  }
+
+  void Start()
+  {
+    first_.Watch("k/", store_.Revision() + 1, [](const auto&) {});
+    second_.Watch(
+      "k/", store_.Revision() + 1, [this](const StoreWatchBatch& aBatch) {
+        for (const StoreEvent& event : aBatch.events_) {
+          seen_.push_back(event.record_.key_);
+        }
+      });
+  }
+
+  /// What the adapter tells after each renewal of a watch.
+  void Renew()
+  {
+    store_.TellBatch("k/", { false, false, store_.Revision(), {} });
+  }
+};
+
+} // namespace
+
+TEST_CASE("few processes watch the store themselves")
+{
+  REQUIRE(MakePlan("p0~1", 4).Relays().empty());
+}
+
+TEST_CASE("all agree on a few relays in different zones")
+{
+  std::map<std::string, int> asked;
+  int relays = 0;
+  for (int i = 0; i < 60; ++i) {
+    const RelayPlan plan = MakePlan("p" + std::to_string(i) + "~1", 60);
+    relays += plan.Relays().empty() ? 1 : 0;
+    for (const std::string& relay : plan.Relays()) {
+      ++asked[relay];
+    }
+  }
+  REQUIRE(relays == 3);
+  REQUIRE(asked.size() == 3);
+  for (const auto& [relay, count] : asked) {
+    REQUIRE(count == 57);
+    REQUIRE(MakePlan(relay, 60).Relays().empty());
+  }
+}
+
+TEST_CASE("a relay that is gone is replaced")
+{
+  RelayPlan plan = MakePlan("p0~1", 60);
+  const std::vector<std::string> before = plan.Relays();
+  plan.OnGone(before.front());
+  REQUIRE(plan.Relays().size() == before.size());
+  REQUIRE(std::find(plan.Relays().begin(),
+                    plan.Relays().end(),
+                    before.front()) == plan.Relays().end());
+}
+
+TEST_CASE("signs of life come back as they were written")
+{
+  const auto record =
+    ReadLifeRecord(WriteLifeRecord({ ZoneId{ "z" }, "10.0.0.1:7" }));
+  REQUIRE(record.value().zone_ == ZoneId{ "z" });
+  REQUIRE(record.value().address_ == "10.0.0.1:7");
+  REQUIRE(ReadLifeRecord("front-1").error().kind_ == ErrorKind::BadInput);
+}
+
+TEST_CASE("questions and changes come back as they were encoded")
+{
+  const auto ask = DecodeWatchAsk(EncodeWatchAsk({ "k/", 7, 900ms }));
+  REQUIRE(ask.value().prefix_ == "k/");
+  REQUIRE(ask.value().after_ == 7);
+  REQUIRE(ask.value().wait_ == 900ms);
+  StoreWatchBatch batch;
+  batch.revision_ = 9;
+  batch.events_ = { MakeEvent("k/a", 8), { true, { "k/b", "", 0, 9, 0 } } };
+  batch.events_.front().record_.value_ = std::string("a\0b", 3);
+  const auto copy = DecodeWatchBatch(EncodeWatchBatch(batch));
+  REQUIRE(copy.value().revision_ == 9);
+  REQUIRE(copy.value().events_.at(0).record_.value_ == std::string("a\0b", 3));
+  REQUIRE(copy.value().events_.at(1).deleted_);
+  REQUIRE_FALSE(DecodeWatchAsk("short"));
+}
+
+TEST_CASE("a history vouches for nothing that the store has not confirmed")
+{
+  const TimePoint start{ 10s };
+  WatchHistory history;
+  REQUIRE_FALSE(history.Confirmed(start));
+  history.Start(5, start);
+  REQUIRE(history.Confirmed(start));
+  REQUIRE_FALSE(history.Confirmed(start + 2s));
+  history.Append({ false, false, 8, { MakeEvent("k", 7) } }, start + 2s);
+  REQUIRE(history.Confirmed(start + 2s));
+  REQUIRE_FALSE(history.Covers(4));
+  REQUIRE(history.After(5).events_.size() == 1);
+  REQUIRE(history.After(7).events_.empty());
+  REQUIRE(history.After(7).revision_ == 8);
+  history.Lose();
+  REQUIRE_FALSE(history.Confirmed(start + 2s));
+  REQUIRE_FALSE(history.Covers(8));
+}
+
+TEST_CASE("a bounded history no longer covers what it dropped")
+{
+  WatchHistory history;
+  history.Start(0, {});
+  for (std::uint64_t i = 1; i <= WatchHistory::kMost + 10; ++i) {
+    history.Append({ false, false, i, { MakeEvent("k", i) } }, {});
+  }
+  REQUIRE_FALSE(history.Covers(9));
+  REQUIRE(history.Covers(10));
+}
+
+TEST_CASE("changes reach a process through its relay, each once")
+{
+  TwoProcesses two;
+  two.Start();
+  REQUIRE(two.store_.CountWatches("k/") == 1);
+  two.timers_.Advance(100ms);
+  two.store_.Put("k/a", "1");
+  two.timers_.Advance(100ms);
+  two.store_.Put("k/b", "1");
+  two.store_.Put("other", "1");
+  two.timers_.Advance(100ms);
+  REQUIRE(two.seen_ == std::vector<std::string>{ "k/a", "k/b" });
+}
+
+TEST_CASE("a process whose relay falls silent watches the store in time")
+{
+  TwoProcesses two;
+  two.Start();
+  two.timers_.Advance(100ms);
+  two.cut_ = true;
+  two.timers_.Advance(1000ms);
+  // The answer in progress ends; the next question gets none.
+  two.Renew();
+  two.timers_.Advance(1400ms);
+  REQUIRE(two.store_.CountWatches("k/") == 2);
+  two.store_.Put("k/a", "1");
+  REQUIRE(two.seen_ == std::vector<std::string>{ "k/a" });
+}
+
+TEST_CASE("a relay that the store does not answer turns its peers away")
+{
+  TwoProcesses two;
+  two.Start();
+  two.timers_.Advance(100ms);
+  two.store_.TellBatch("k/", { false, true, 0, {} });
+  two.timers_.Advance(10ms);
+  REQUIRE(two.store_.CountWatches("k/") == 2);
+}
+
+TEST_CASE("a process returns to its relay once that is confirmed again")
+{
+  TwoProcesses two;
+  two.Start();
+  two.timers_.Advance(100ms);
+  two.store_.TellBatch("k/", { false, true, 0, {} });
+  two.timers_.Advance(10ms);
+  for (int i = 0; i < 5; ++i) {
+    two.Renew();
+    two.timers_.Advance(1400ms);
+  }
+  REQUIRE(two.store_.CountWatches("k/") == 1);
+  two.Renew();
+  two.store_.Put("k/a", "1");
+  two.timers_.Advance(100ms);
+  REQUIRE(two.seen_ == std::vector<std::string>{ "k/a" });
+}
+
+TEST_CASE("a follower that is destroyed by its own callback tells no more")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  auto follower = std::make_unique<PrefixFollower>(store, timers, "k/");
+  int settled = 0;
+  int changes = 0;
+  follower->onChange_ = [&](const StoreEvent&) {
+    ++changes;
+    follower.reset();
+  };
+  follower->onSettled_ = [&] { ++settled; };
+  follower->Start();
+  timers.Advance(10ms);
+  REQUIRE(settled == 1);
+  store.Put("k/a", "1");
+  store.Put("k/b", "1");
+  REQUIRE(changes == 1);
+  REQUIRE(settled == 1);
+  REQUIRE(store.CountWatches("k/") == 0);
+}
+
+TEST_CASE("a follower reads all again when its watch lost its place")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  PrefixFollower follower(store, timers, "k/");
+  std::size_t last = 0;
+  follower.onAll_ = [&](const StoreRange& aRange) {
+    last = aRange.records_.size();
+  };
+  follower.Start();
+  timers.Advance(10ms);
+  store.deaf_ = true;
+  store.Put("k/a", "1");
+  store.TellBatch("k/", { true, false, 0, {} });
+  timers.Advance(10ms);
+  REQUIRE(last == 1);
+}
+
+TEST_CASE("a follower keeps reading while the store is away")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  PrefixFollower follower(store, timers, "k/");
+  int all = 0;
+  int failures = 0;
+  follower.onAll_ = [&](const StoreRange&) { ++all; };
+  follower.onFailure_ = [&](const Error&) { ++failures; };
+  store.fault_ = StoreFault::Refuses;
+  follower.Start();
+  timers.Advance(5s);
+  REQUIRE(all == 0);
+  REQUIRE(failures > 3);
+  store.fault_ = StoreFault::None;
+  timers.Advance(1s);
+  REQUIRE(all == 1);
+}
+
+TEST_CASE("one process holds an exclusive key at a time")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey first(store, timers, clock, { "duty", "one", 1500ms, true });
+  LeasedKey second(store, timers, clock, { "duty", "two", 1500ms, true });
+  first.Start();
+  timers.Advance(10ms);
+  second.Start();
+  timers.Advance(5s);
+  REQUIRE(first.Held());
+  REQUIRE_FALSE(second.Held());
+  const FencingNumber fence = first.Fence();
+  first.Release();
+  timers.Advance(10ms);
+  second.Retry();
+  timers.Advance(20ms);
+  REQUIRE(second.Held());
+  REQUIRE(second.Fence() > fence);
+}
+
+TEST_CASE("a holder that cannot renew stops before its lease ends")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  int lost = 0;
+  key.onLost_ = [&] { ++lost; };
+  key.Start();
+  timers.Advance(10ms);
+  REQUIRE(key.Held());
+  store.fault_ = StoreFault::Silent;
+  timers.Advance(1490ms);
+  REQUIRE_FALSE(key.Held());
+  timers.Advance(3s);
+  REQUIRE(lost == 1);
+}
+
+TEST_CASE("a holder that was suspended knows that it may not act")
+{
+  ManualClock clock;
+  ManualClock boot;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, boot, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(10ms);
+  REQUIRE(key.Held());
+  // Only the clock that counts suspension moves on.
+  boot.Advance(4s);
+  REQUIRE_FALSE(key.Held());
+}
+
+TEST_CASE("a write whose answer was lost is settled by reading back")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(5ms);
+  store.fault_ = StoreFault::LosesAnswers;
+  timers.Advance(4ms);
+  store.fault_ = StoreFault::None;
+  timers.Advance(1s);
+  REQUIRE(key.Held());
+  REQUIRE(store.commits_ == 1);
+}
+
+TEST_CASE("a sign of life that lapsed while the store was away comes back")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 1500ms, false });
+  key.Start();
+  timers.Advance(10ms);
+  store.LapseAll();
+  REQUIRE_FALSE(store.records_.contains("life"));
+  timers.Advance(1s);
+  REQUIRE(store.records_.contains("life"));
+  REQUIRE(key.Held());
+}
