--- /dev/null
+++ b/tests/gateway_fixture.hpp
@@ -0,0 +1,141 @@
+/// A gateway's parts on fakes: paused time, a store in memory, upstreams that
+/// a test answers for.
+#pragma once
+
+#include "daemon/gateway_context.hpp"
+#include "fake_store.hpp"
+#include "platform.hpp"
+#include "programs/gatewayd/forwarder.hpp"
+
+#include <deque>
+
+namespace marjoramtally::test {
+
+/// One call that is waiting for its answer.
+struct SentCall
+{
+  HttpCallId id_ = 0;
+  HttpCall call_;
+  HttpDone done_;
+};
+
+/// Records calls; the test ends them.
+class FakeClient final : public HttpClient
+{
+public:
+  HttpCallId Send(HttpCall aCall, HttpDone aDone) override
+  {
+    open_.push_back({ ++last_, std::move(aCall), std::move(aDone) });
+    ++sent_;
+    return last_;
+  }
+
+  void Cancel(HttpCallId aId) override
+  {
+    const auto removed = std::erase_if(
+      open_, [aId](const SentCall& aCall) { return aCall.id_ == aId; });
+    cancelled_ += removed;
+  }
+
+  void Resume(HttpCallId) override {}
+
+  [[nodiscard]] SentCall& Oldest() { return open_.front(); }
+
+  /// Ends a call with a whole response.
+  void Answer(SentCall aCall, HttpResponse aResponse)
+  {
+    Cancel(aCall.id_);
+    --cancelled_;
+    if (aCall.call_.onHead_) {
+      aCall.call_.onHead_(aResponse.status_, aResponse.headers_);
+    }
+    if (aCall.call_.onData_) {
+      if (!aCall.call_.onData_(aResponse.body_)) {
+        aCall.done_({ HttpEnd::Cancelled, {}, "given up" });
+        return;
+      }
+      aResponse.body_.clear();
+    }
+    aCall.done_({ HttpEnd::Whole, std::move(aResponse), {} });
+  }
+
+  void Fail(SentCall aCall, HttpEnd aEnd)
+  {
+    Cancel(aCall.id_);
+    --cancelled_;
+    aCall.done_({ aEnd, {}, "failed" });
+  }
+
+  std::deque<SentCall> open_;
+  std::size_t sent_ = 0;
+  std::size_t cancelled_ = 0;
+
+private:
+  HttpCallId last_ = 0;
+};
+
+/// The context and what it refers to.
+struct GatewayFakes
+{
+  GatewaySettings settings_;
+  std::unique_ptr<Platform> platform_ = MakePlatform();
+  ManualClock clock_;
+  ManualTimers timers_{ clock_ };
+  FakeClient client_;
+  FakeStore store_{ timers_ };
+  Metrics metrics_;
+  RelayPlan relays_{ "self~1" };
+  GatewayContext context_{ { &settings_,
+                             platform_.get(),
+                             &client_,
+                             &timers_,
+                             &store_,
+                             &clock_,
+                             &clock_,
+                             &metrics_,
+                             &relays_,
+                             "self~1" } };
+  UpstreamBoard board_{ ZoneId{ "z1" } };
+
+  void AddUpstream(const std::string& aId,
+                   const std::string& aService,
+                   std::uint64_t aVersion = 1)
+  {
+    UpstreamEntry entry;
+    entry.id_ = UpstreamId{ aId };
+    entry.service_ = ServiceId{ aService };
+    entry.address_ = aId + ":1";
+    entry.zone_ = ZoneId{ "z1" };
+    entry.slots_ = 4;
+    entry.models_ = { { "m", WeightVersion{ aVersion } } };
+    board_.OnEntry(std::move(entry));
+  }
+
+  /// An answer as an upstream gives it to a call.
+  [[nodiscard]] HttpResponse Answer(const SentCall& aCall,
+                                    int aStatus,
+                                    std::string aBody) const
+  {
+    const WireNames& names = platform_->Names();
+    HttpResponse response;
+    response.status_ = aStatus;
+    response.headers_ = {
+      { names.attempt_,
+        std::string(
+          FindHeader(aCall.call_.headers_, names.attempt_).value_or("")) },
+      { names.signature_, "sig-" + aCall.call_.url_ }
+    };
+    response.body_ = std::move(aBody);
+    return response;
+  }
+
+  [[nodiscard]] HttpResponse NotRun(int aStatus) const
+  {
+    HttpResponse response;
+    response.status_ = aStatus;
+    response.headers_ = { { platform_->Names().notRun_, "1" } };
+    return response;
+  }
+};
+
+} // namespace marjoramtally::test
--- /dev/null
+++ b/tests/test_forwarder.cpp
@@ -0,0 +1,238 @@
+/// Requests to upstreams: what may be sent again, what counts as an answer,
+/// what the caller is told.
+
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture : GatewayFakes
+{
+  Forwarder forwarder_{ context_, board_ };
+  std::optional<ForwardOutcome> outcome_;
+
+  Fixture()
+  {
+    AddUpstream("a", "svc");
+    AddUpstream("b", "svc");
+  }
+
+  ForwardId Start(RouteKind aKind = RouteKind::Idempotent,
+                  std::uint32_t aMaxAttempts = 2)
+  {
+    ForwardRequest request;
+    request.attempt_ = "id1";
+    request.method_ = "POST";
+    request.target_ = "/p/1?q=2";
+    request.headers_ = { { platform_->Names().attempt_, "id1" } };
+    request.body_ = "body";
+    request.service_ = ServiceId{ "svc" };
+    request.kind_ = aKind;
+    request.maxAttempts_ = aMaxAttempts;
+    request.limit_ = 2s;
+    request.objective_ = 1s;
+    return forwarder_.Start(
+      std::move(request),
+      [this](ForwardOutcome aOutcome) { outcome_ = std::move(aOutcome); });
+  }
+
+  SentCall Take() { return client_.open_.front(); }
+
+  std::string Header(const SentCall& aCall, const std::string& aName)
+  {
+    return std::string(FindHeader(aCall.call_.headers_, aName).value_or(""));
+  }
+};
+
+} // namespace
+
+TEST_CASE("a request is sent on unchanged, with what is left of its time")
+{
+  Fixture fix;
+  fix.Start();
+  const SentCall call = fix.Take();
+  const WireNames& names = fix.platform_->Names();
+  REQUIRE(call.call_.url_ == "http://a:1/p/1?q=2");
+  REQUIRE(call.call_.method_ == "POST");
+  REQUIRE(call.call_.body_ == "body");
+  REQUIRE(fix.Header(call, names.attempt_) == "id1");
+  REQUIRE(fix.Header(call, names.deadline_) == "2000");
+  REQUIRE(fix.Header(call, names.expectUpstream_) == "a");
+  fix.client_.Answer(call, fix.Answer(call, 200, "ok"));
+  REQUIRE(fix.outcome_->answered_);
+  REQUIRE(fix.outcome_->response_.body_ == "ok");
+}
+
+TEST_CASE("a second attempt hands on only the time that is left")
+{
+  Fixture fix;
+  fix.Start();
+  fix.timers_.Advance(300ms);
+  fix.client_.Fail(fix.Take(), HttpEnd::Broken);
+  REQUIRE(fix.Header(fix.Take(), fix.platform_->Names().deadline_) == "1700");
+}
+
+TEST_CASE("an answer that belongs to another request is not passed on")
+{
+  Fixture fix;
+  fix.Start();
+  const SentCall call = fix.Take();
+  HttpResponse other = fix.Answer(call, 200, "other");
+  other.headers_.front().value_ = "id0";
+  fix.client_.Answer(call, other);
+  REQUIRE_FALSE(fix.outcome_);
+  const SentCall second = fix.Take();
+  REQUIRE(second.call_.url_.starts_with("http://b:1"));
+  fix.client_.Answer(second, fix.Answer(second, 200, "mine"));
+  REQUIRE(fix.outcome_->response_.body_ == "mine");
+}
+
+TEST_CASE("a success that is not signed is not passed on")
+{
+  Fixture fix;
+  fix.Start(RouteKind::Idempotent, 1);
+  const SentCall call = fix.Take();
+  HttpResponse unsignedAnswer = fix.Answer(call, 200, "x");
+  unsignedAnswer.headers_.pop_back();
+  fix.client_.Answer(call, unsignedAnswer);
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->answered_);
+}
+
+TEST_CASE("an upstream that did not run the request costs no attempt")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce, 1);
+  fix.client_.Answer(fix.Take(), fix.NotRun(503));
+  const SentCall second = fix.Take();
+  fix.client_.Answer(second, fix.Answer(second, 200, "ok"));
+  REQUIRE(fix.outcome_->response_.status_ == 200);
+}
+
+TEST_CASE("where no upstream ran it, the refusal says when to come back")
+{
+  Fixture fix;
+  fix.Start();
+  fix.client_.Answer(fix.Take(), fix.NotRun(503));
+  fix.client_.Answer(fix.Take(), fix.NotRun(429));
+  REQUIRE(fix.outcome_->response_.status_ == 503);
+  REQUIRE(fix.outcome_->notRun_);
+  REQUIRE(FindHeader(fix.outcome_->response_.headers_, "Retry-After"));
+  REQUIRE(fix.clock_.Now() == TimePoint{});
+}
+
+TEST_CASE("what may have run once is never sent again nor called not run")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce, 3);
+  REQUIRE(fix.Take().call_.atMostOnce_);
+  fix.client_.Fail(fix.Take(), HttpEnd::Broken);
+  REQUIRE(fix.client_.sent_ == 1);
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->notRun_);
+}
+
+TEST_CASE("a request of which no byte was sent may go elsewhere")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce, 1);
+  fix.client_.Fail(fix.Take(), HttpEnd::NotSent);
+  REQUIRE(fix.client_.sent_ == 2);
+  fix.client_.Fail(fix.Take(), HttpEnd::NotSent);
+  REQUIRE(fix.outcome_->response_.status_ == 503);
+}
+
+TEST_CASE("attempts that ran are bounded by the route")
+{
+  Fixture fix;
+  fix.AddUpstream("c", "svc");
+  fix.Start(RouteKind::Idempotent, 2);
+  fix.client_.Fail(fix.Take(), HttpEnd::Broken);
+  fix.client_.Fail(fix.Take(), HttpEnd::Broken);
+  REQUIRE(fix.client_.sent_ == 2);
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+}
+
+TEST_CASE("an upstream's own failure is tried elsewhere, then passed on")
+{
+  Fixture fix;
+  fix.Start();
+  const SentCall first = fix.Take();
+  fix.client_.Answer(first, fix.Answer(first, 500, "e1"));
+  REQUIRE_FALSE(fix.outcome_);
+  const SentCall second = fix.Take();
+  fix.client_.Answer(second, fix.Answer(second, 500, "e2"));
+  REQUIRE(fix.outcome_->answered_);
+  REQUIRE(fix.outcome_->response_.status_ == 500);
+  REQUIRE(fix.outcome_->response_.body_ == "e2");
+  REQUIRE(fix.outcome_->failures_ == 2);
+}
+
+TEST_CASE("an idempotent request that takes long goes to another upstream")
+{
+  Fixture fix;
+  fix.Start();
+  fix.timers_.Advance(699ms);
+  REQUIRE(fix.client_.sent_ == 1);
+  fix.timers_.Advance(2ms);
+  REQUIRE(fix.client_.sent_ == 2);
+  REQUIRE(fix.client_.cancelled_ == 1);
+  // The last attempt is waited for.
+  fix.timers_.Advance(1200ms);
+  REQUIRE(fix.client_.sent_ == 2);
+}
+
+TEST_CASE("at its time limit a request gets its final answer")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce);
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.outcome_->response_.status_ == 504);
+  REQUIRE(fix.client_.open_.empty());
+}
+
+TEST_CASE("a caller that left stops the work")
+{
+  Fixture fix;
+  const ForwardId id = fix.Start();
+  fix.forwarder_.Cancel(id);
+  REQUIRE(fix.client_.open_.empty());
+  REQUIRE(fix.timers_.size() == 0);
+  fix.timers_.Advance(10s);
+  REQUIRE_FALSE(fix.outcome_);
+  REQUIRE(fix.board_.Find(UpstreamId{ "a" })->inFlight_ == 0);
+}
+
+TEST_CASE("an address that another incarnation took is left alone")
+{
+  Fixture fix;
+  fix.Start();
+  HttpResponse moved;
+  moved.status_ = 421;
+  fix.client_.Answer(fix.Take(), moved);
+  fix.outcome_.reset();
+  const SentCall second = fix.Take();
+  REQUIRE(second.call_.url_.starts_with("http://b:1"));
+  REQUIRE(fix.board_.Pick(ServiceId{ "svc" }, {}, fix.clock_.Now())
+            ->entry_.id_ == UpstreamId{ "b" });
+}
+
+TEST_CASE("headers of one connection and those set here are not passed on")
+{
+  const WireNames names = MakePlatform()->Names();
+  const HttpHeaders passed = PassedHeaders({ { "Connection", "close" },
+                                             { "KEEP-ALIVE", "5" },
+                                             { "Transfer-Encoding", "chunked" },
+                                             { "Content-Length", "3" },
+                                             { names.deadline_, "9" },
+                                             { names.expectUpstream_, "x" },
+                                             { "X-Own", "1" } },
+                                           names);
+  REQUIRE(passed.size() == 1);
+  REQUIRE(passed.front().name_ == "X-Own");
+}
