Logs to standard output never wait; slow upstreams are left by all runs at once

Change: 200 lines a second after a burst of 1,000, 256 KB held for a slow reader, what is left out is counted in a line. All runs that find room leave; gaps over 0.5 s are no pace.

--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -61,6 +61,8 @@
   Duration fullPause_ = std::chrono::milliseconds(100);
   /// Weight of the newest observation in the smoothed pace.
   double paceWeight_ = 0.2;
+  /// Longer gaps are no pace: a change of weights holds a stream up for 0.9 s.
+  Duration longestGap_ = std::chrono::milliseconds(500);
   /// A pace this many times the median of its service is slow.
   double slowFactor_ = 1.8;
 };
--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -8,6 +8,7 @@
 #include "marjoramtally/runtime/http_types.hpp"
 #include "marjoramtally/runtime/io_pool.hpp"
 #include "marjoramtally/runtime/log.hpp"
+#include "marjoramtally/runtime/log_limit.hpp"
 #include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/open_store.hpp"
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -122,7 +122,7 @@
 UpstreamBoard::OnPace(const UpstreamId& aId, Duration aGap)
 {
   const auto it = upstreams_.find(aId);
-  if (it == upstreams_.end()) {
+  if (it == upstreams_.end() || aGap > policy_.longestGap_) {
     return;
   }
   Duration& pace = it->second.pace_;
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -643,9 +643,12 @@
     jobs_.at(run.job_).avoided_[run.item_] = run.upstream_;
     StopRun(id, CallVerdict::Failed);
   }
-  // One at a time: each move changes what is free.
-  if (!slow.empty()) {
-    const Run& run = runs_.at(slow.front());
+  // One after the other: each move changes what is free.
+  for (const RunId id : slow) {
+    const Run& run = runs_.at(id);
+    if (!ShouldMove(run)) {
+      continue;
+    }
     LogEvent(
       LogLevel::Info,
       "run_moved",
@@ -654,7 +657,8 @@
         { "upstream", run.upstream_.Get() },
         { "events", std::to_string(run.events_) } });
     jobs_.at(run.job_).avoided_[run.item_] = run.upstream_;
-    StopRun(slow.front(), CallVerdict::Abandoned);
+    StopRun(id, CallVerdict::Abandoned);
+    Dispatch();
   }
   Dispatch();
   if (!runs_.empty()) {
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -1,10 +1,82 @@
 #include "marjoramtally/runtime/log.hpp"
 
+#include "marjoramtally/runtime/log_limit.hpp"
+
 #include <array>
+#include <fcntl.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
+
+// The library's macros for its class tables stand in its own namespace.
+namespace log4cxx {
+
+/// Writes lines to standard output without ever waiting for its reader.
+class OutputAppender final : public AppenderSkeleton
+{
+public:
+  DECLARE_LOG4CXX_OBJECT(OutputAppender)
+  BEGIN_LOG4CXX_CAST_MAP()
+  LOG4CXX_CAST_ENTRY(OutputAppender)
+  LOG4CXX_CAST_ENTRY_CHAIN(AppenderSkeleton)
+  END_LOG4CXX_CAST_MAP()
+
+  OutputAppender() = default;
+
+  OutputAppender(const LayoutPtr& aLayout, std::string aPrefix)
+    : prefix_(std::move(aPrefix))
+  {
+    setLayout(aLayout);
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+
+  void append(const spi::LoggingEventPtr& aEvent, helpers::Pool& aPool) override
+  {
+    const auto now = marjoramtally::SystemClock().Now();
+    const std::uint64_t left = limit_.TakeLeftOut(now);
+    if (left > 0) {
+      static_cast<void>(pending_.Put(
+        prefix_ + "event=log_lines_left_out count=" + std::to_string(left) +
+        "\n"));
+    }
+    if (limit_.Admit(now)) {
+      LogString line;
+      getLayout()->format(line, aEvent, aPool);
+      if (!pending_.Put(line)) {
+        limit_.LeaveOut();
+      }
+    }
+    Flush();
+  }
+
+  void close() override { Flush(); }
+  [[nodiscard]] bool requiresLayout() const override { return true; }
+
+private:
+  void Flush()
+  {
+    while (!pending_.empty()) {
+      const std::string_view bytes = pending_.Front();
+      const ssize_t written = write(STDOUT_FILENO, bytes.data(), bytes.size());
+      if (written <= 0) {
+        return;
+      }
+      pending_.Drop(static_cast<std::size_t>(written));
+    }
+  }
+
+  std::string prefix_;
+  marjoramtally::LogLimit limit_;
+  marjoramtally::LogBuffer pending_;
+};
+
+IMPLEMENT_LOG4CXX_OBJECT(OutputAppender)
+
+} // namespace log4cxx
 
 namespace marjoramtally {
 
@@ -89,10 +161,14 @@
   gPrefix = "program=" + aProgram + " instance=" + aInstance + " ";
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
     LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n")));
-  const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-    layout,
-    aTarget == LogTarget::Output ? log4cxx::ConsoleAppender::getSystemOut()
-                                 : log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::AppenderPtr appender;
+  if (aTarget == LogTarget::Output) {
+    appender =
+      log4cxx::AppenderPtr(new log4cxx::OutputAppender(layout, gPrefix));
+  } else {
+    appender = log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(
+      layout, log4cxx::ConsoleAppender::getSystemErr()));
+  }
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   log4cxx::Logger::getRootLogger()->setLevel(NativeLevel(aLevel));
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -218,8 +218,9 @@
   fix.outcome_.reset();
   const SentCall second = fix.Take();
   REQUIRE(second.call_.url_.starts_with("http://b:1"));
-  REQUIRE(fix.board_.Pick(ServiceId{ "svc" }, {}, fix.clock_.Now())
-            ->entry_.id_ == UpstreamId{ "b" });
+  REQUIRE(
+    fix.board_.Pick(ServiceId{ "svc" }, {}, fix.clock_.Now())->entry_.id_ ==
+    UpstreamId{ "b" });
 }
 
 TEST_CASE("headers of one connection and those set here are not passed on")
--- /dev/null
+++ b/tests/test_log_limit.cpp
@@ -0,0 +1,40 @@
+/// Bounds on logging.
+
+#include "marjoramtally/runtime/log_limit.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+TEST_CASE("lines beyond the rate are left out and counted")
+{
+  LogLimit limit;
+  const TimePoint start{ 1s };
+  int admitted = 0;
+  for (int i = 0; i < 3000; ++i) {
+    admitted += limit.Admit(start) ? 1 : 0;
+  }
+  REQUIRE(admitted == static_cast<int>(LogLimit::kBurst));
+  REQUIRE(limit.TakeLeftOut(start) == 0);
+  REQUIRE(limit.TakeLeftOut(start + 1s) == 2000);
+  REQUIRE(limit.TakeLeftOut(start + 1s) == 0);
+  REQUIRE(limit.Admit(start + 1s));
+}
+
+TEST_CASE("a reader that takes nothing costs a bounded buffer")
+{
+  LogBuffer buffer;
+  const std::string line(1000, 'x');
+  std::size_t held = 0;
+  while (buffer.Put(line)) {
+    held += line.size();
+  }
+  REQUIRE(held <= LogBuffer::kMostBytes);
+  REQUIRE(buffer.Front().size() == held);
+  buffer.Drop(1500);
+  REQUIRE(buffer.Front().size() == held - 1500);
+  REQUIRE(buffer.Put(line));
+  buffer.Drop(held);
+  REQUIRE(buffer.empty());
+}
--- a/tests/test_upstream_board.cpp
+++ b/tests/test_upstream_board.cpp
@@ -361,3 +361,14 @@
   }
   REQUIRE(models.size() == 2);
 }
+
+TEST_CASE("a stream held up by a change of weights does not look slow")
+{
+  UpstreamBoard board =
+    MakeBoard({ MakeEntry("a"), MakeEntry("b"), MakeEntry("c") });
+  for (const char* id : { "a", "b", "c" }) {
+    board.OnPace(UpstreamId{ id }, 30ms);
+  }
+  board.OnPace(UpstreamId{ "a" }, 900ms);
+  REQUIRE_FALSE(board.Slow(UpstreamId{ "a" }));
+}
