Owners of jobs keep to the upstreams of their model

Change: where versions tell that an upstream is kept for another model, or while they tell nothing by the order of ids, it is left alone; a stream that has not begun is given 3 s.

--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -46,6 +46,10 @@
   Abandoned,
 };
 
+/// Versions of other models that are so far ahead tell that an upstream is
+/// kept for them: where a model is at home it is at most one behind.
+inline constexpr std::uint64_t kForeignLead = 2;
+
 /// Times that govern the choice.
 struct BoardPolicy
 {
@@ -141,6 +145,11 @@
   [[nodiscard]] bool Fits(const BoardUpstream& aUpstream,
                           const ItemNeeds& aNeeds,
                           TimePoint aNow) const;
+  /// @returns whether an upstream with a free slot is to be left to the items
+  /// of other models
+  [[nodiscard]] static bool Foreign(const BoardUpstream& aUpstream,
+                                    const std::string& aModel,
+                                    std::size_t aIndex);
 
   ZoneId zone_;
   BoardPolicy policy_;
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -13,6 +13,9 @@
 /// A stream that makes nothing for this long is resumed elsewhere. Longer
 /// than a change of weights takes (0.9 s), during which runs stand still.
 constexpr auto kSilence = std::chrono::milliseconds(1500);
+/// A stream that has not begun may wait for a slot at its upstream, where
+/// others sent items too; moving it would put it at the end of another queue.
+constexpr auto kFirstSilence = std::chrono::milliseconds(3000);
 /// How often runs are looked at while there are any.
 constexpr auto kCheckPause = std::chrono::milliseconds(400);
 /// Items that found no upstream are tried again after this time.
@@ -625,7 +628,9 @@
   std::vector<RunId> silent;
   std::vector<RunId> slow;
   for (const auto& [id, run] : runs_) {
-    if (now - run.lastProgress_ > kSilence) {
+    const Duration allowed =
+      run.events_ == 0 ? Duration{ kFirstSilence } : Duration{ kSilence };
+    if (now - run.lastProgress_ > allowed) {
       silent.push_back(id);
     } else if (ShouldMove(run)) {
       slow.push_back(id);
