The longest items start first; streams that stall move at once

Cause: a step's slowest text takes 7 s of 7.5 s, so a wait for a slot or a change of weights (0.9 s) makes it late. Change: items start by the caller's estimate of their length; a stream that makes nothing for six times its upstream's pace (200 ms at least) goes on at another with room; runs are looked at every 120 ms.

--- a/include/marjoramtally/version/job.hpp
+++ b/include/marjoramtally/version/job.hpp
@@ -36,6 +36,9 @@
   std::string body_;
   /// Prompt tokens and the most output tokens.
   std::uint64_t tokens_ = 0;
+  /// The caller's estimate of the output tokens; right at the median, often
+  /// far off.
+  std::uint64_t lengthHint_ = 0;
   std::optional<ScoreCall> score_;
 };
 
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -10,14 +10,19 @@
 namespace {
 
 constexpr auto kConnectTimeout = std::chrono::milliseconds(250);
-/// A stream that makes nothing for this long is resumed elsewhere. Longer
-/// than a change of weights takes (0.9 s), during which runs stand still.
+/// A stream that makes nothing for so many times its upstream's pace moves to
+/// another with room: a change of weights holds runs up for 0.9 s, and going
+/// on elsewhere reads the prompt again in some milliseconds.
+constexpr std::int64_t kStallPaces = 6;
+constexpr auto kLeastStall = std::chrono::milliseconds(200);
+/// A stream that makes nothing for this long is resumed elsewhere in any
+/// case.
 constexpr auto kSilence = std::chrono::milliseconds(1500);
 /// A stream that has not begun may wait for a slot at its upstream, where
 /// others sent items too; moving it would put it at the end of another queue.
 constexpr auto kFirstSilence = std::chrono::milliseconds(3000);
 /// How often runs are looked at while there are any.
-constexpr auto kCheckPause = std::chrono::milliseconds(400);
+constexpr auto kCheckPause = std::chrono::milliseconds(120);
 /// Items that found no upstream are tried again after this time.
 constexpr auto kRetryPause = std::chrono::milliseconds(100);
 /// Results that finish within this time are written together: each write is
@@ -599,10 +604,22 @@
   }
 }
 
+bool
+JobRunner::Stalled(const Run& aRun) const
+{
+  const BoardUpstream* upstream = board_.Find(aRun.upstream_);
+  if (upstream == nullptr || aRun.events_ == 0) {
+    return false;
+  }
+  const Duration stall =
+    std::max<Duration>(kLeastStall, upstream->pace_ * kStallPaces);
+  return host_.Now() - aRun.lastProgress_ > stall;
+}
+
 bool
 JobRunner::ShouldMove(const Run& aRun) const
 {
-  if (!board_.Slow(aRun.upstream_)) {
+  if (!board_.Slow(aRun.upstream_) && !Stalled(aRun)) {
     return false;
   }
   const OwnedJob& job = jobs_.at(aRun.job_);
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -134,6 +134,8 @@
   void StopRuns(OwnedJob& aJob);
   void WatchRuns();
   void CheckRuns();
+  /// @returns whether a run stands still that had begun
+  [[nodiscard]] bool Stalled(const Run& aRun) const;
   [[nodiscard]] bool ShouldMove(const Run& aRun) const;
 
   void Score(const JobId& aId, OwnedJob& aJob);
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -73,6 +73,12 @@
       waiting.push_back(i);
     }
   }
+  // The longest first: a text of 195 events takes 7 s of the 7.5 s in which
+  // a step is due.
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [this](auto aLeft, auto aRight) {
+      return spec_.items_[aLeft].lengthHint_ > spec_.items_[aRight].lengthHint_;
+    });
   return waiting;
 }
 
--- a/tests/test_job_ledger.cpp
+++ b/tests/test_job_ledger.cpp
@@ -277,3 +277,12 @@
   REQUIRE_FALSE(ReadResultsRecord("[{}]"));
   REQUIRE_FALSE(ReadPartialRecords("[1]"));
 }
+
+TEST_CASE("the items that should take longest start first")
+{
+  JobSpec spec = MakeSpec();
+  spec.items_[2].lengthHint_ = 900;
+  spec.items_[3].lengthHint_ = 100;
+  const JobLedger ledger(spec, {}, kStart);
+  REQUIRE(ledger.Waiting() == std::vector<ItemIndex>{ 2, 3, 0, 1 });
+}
--- a/tests/test_upstream_board.cpp
+++ b/tests/test_upstream_board.cpp
@@ -378,7 +378,8 @@
   UpstreamBoard board(ZoneId{ "z1" });
   for (const char* id : { "a", "b", "c", "d" }) {
     UpstreamEntry entry = MakeEntry(id);
-    entry.models_ = { { "m", WeightVersion{ 1 } }, { "n", WeightVersion{ 1 } } };
+    entry.models_ = { { "m", WeightVersion{ 1 } },
+                      { "n", WeightVersion{ 1 } } };
     board.OnEntry(entry);
   }
   // Dealt out: m has a and c, with two slots each.
@@ -391,14 +392,12 @@
   // Their versions tell: d is kept for the other model, b is ours.
   board.OnVersion(UpstreamId{ "d" }, "n", WeightVersion{ 5 });
   board.OnVersion(UpstreamId{ "b" }, "m", WeightVersion{ 5 });
-  REQUIRE(board.PickForItem(Needs(1), kStart)->entry_.id_ ==
-          UpstreamId{ "b" });
+  REQUIRE(board.PickForItem(Needs(1), kStart)->entry_.id_ == UpstreamId{ "b" });
   // When all of ours are gone, another model's will do.
   for (const char* id : { "a", "b", "c" }) {
     UpstreamEntry leaving = MakeEntry(id);
     leaving.draining_ = true;
     board.OnEntry(leaving);
   }
-  REQUIRE(board.PickForItem(Needs(1), kStart)->entry_.id_ ==
-          UpstreamId{ "d" });
+  REQUIRE(board.PickForItem(Needs(1), kStart)->entry_.id_ == UpstreamId{ "d" });
 }
