--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -40,6 +40,8 @@
   Answered,
   /// It said that it is full.
   Full,
+  /// It took no item though we know of a free slot: its weights change.
+  Loading,
   /// No whole answer: refused, broken, garbled or silent.
   Failed,
   /// Given up by us or by the caller.
@@ -63,6 +65,8 @@
   Duration avoidLongest_ = std::chrono::seconds(3);
   /// An upstream that said it is full is avoided this long.
   Duration fullPause_ = std::chrono::milliseconds(100);
+  /// A change of weights takes 0.9 s.
+  Duration loadPause_ = std::chrono::milliseconds(600);
   /// Weight of the newest observation in the smoothed pace.
   double paceWeight_ = 0.2;
   /// Longer gaps are no pace: a change of weights holds a stream up for 0.9 s.
--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -127,6 +127,9 @@
   {
     return listed_.size() == items_.size();
   }
+  /// @returns whether under a tenth of the items is unfinished: trainers wait
+  /// for nine tenths of the groups
+  [[nodiscard]] bool FewLeft() const noexcept;
   /// @returns when `Listable` or `GiveUpLate` may next have something to do
   [[nodiscard]] TimePoint NextDue() const noexcept;
 
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -98,6 +98,9 @@
   } else if (aVerdict == CallVerdict::Full) {
     upstream.avoidUntil_ =
       std::max(upstream.avoidUntil_, aNow + policy_.fullPause_);
+  } else if (aVerdict == CallVerdict::Loading) {
+    upstream.avoidUntil_ =
+      std::max(upstream.avoidUntil_, aNow + policy_.loadPause_);
   } else if (aVerdict == CallVerdict::Failed) {
     const std::uint32_t doublings = std::min(upstream.failures_, 10U);
     const Duration pause =
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -28,6 +28,8 @@
 /// Results that finish within this time are written together: each write is
 /// a priced call, and a step has seconds.
 constexpr auto kFlushPause = std::chrono::milliseconds(200);
+/// The last results of a job are what its trainer waits for.
+constexpr auto kLastFlushPause = std::chrono::milliseconds(20);
 /// A write that failed is tried again after this time.
 constexpr auto kFlushAgain = std::chrono::milliseconds(250);
 /// Most jobs of one write: each takes four of the store's 32 entries.
@@ -547,6 +549,12 @@
       aRun.events_ > 0) {
     board_.OnEnd(aRun.upstream_, CallVerdict::Answered, now);
     aJob.ledger_.OnWhole(aRun.item_, now);
+    LogEvent(LogLevel::Debug,
+             "item_whole",
+             { { "item", aJob.ledger_.Spec().items_[aRun.item_].id_.Get() },
+               { "job", aRun.job_.Get() },
+               { "upstream", aRun.upstream_.Get() },
+               { "events", std::to_string(aRun.events_) } });
     return;
   }
   LogEvent(LogLevel::Info,
@@ -563,7 +571,7 @@
     if (aRun.status_ == 421) {
       board_.OnReplaced(aRun.upstream_, now);
     }
-    board_.OnEnd(aRun.upstream_, CallVerdict::Full, now);
+    board_.OnEnd(aRun.upstream_, CallVerdict::Loading, now);
     aJob.ledger_.OnInterrupted(aRun.item_);
   } else if (whole && aRun.status_ == 500) {
     board_.OnEnd(aRun.upstream_, CallVerdict::Answered, now);
@@ -744,6 +752,10 @@
   if (aOutcome.answered_ && response.status_ >= 200 && response.status_ < 300 &&
       signature) {
     job.ledger_.OnScored(aItem, std::string(*signature), host_.Now());
+    LogEvent(LogLevel::Debug,
+             "item_scored",
+             { { "item", job.ledger_.Spec().items_[aItem].id_.Get() },
+               { "job", aId.Get() } });
     Advance(aId, job);
     return;
   }
@@ -776,7 +788,9 @@
       continue;
     }
     const bool ready = !job.ledger_.Listable(now).empty();
-    due = std::min(due, ready ? now + kFlushPause : job.ledger_.NextDue());
+    const Duration pause = job.ledger_.FewLeft() ? Duration{ kLastFlushPause }
+                                                 : Duration{ kFlushPause };
+    due = std::min(due, ready ? now + pause : job.ledger_.NextDue());
     if (!job.runs_.empty()) {
       due = std::min(
         due, std::max(job.lastPartials_, job.accepted_) + kPartialsPause);
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -277,6 +277,17 @@
   }
 }
 
+bool
+JobLedger::FewLeft() const noexcept
+{
+  std::size_t open = 0;
+  for (const auto& [group, items] : open_) {
+    open += items;
+  }
+  constexpr std::size_t kTenths = 10;
+  return open * kTenths < items_.size();
+}
+
 TimePoint
 JobLedger::NextDue() const noexcept
 {
