Each new version is loaded at half of its model's upstreams

Cause: a load holds the runs of an upstream up for 0.9 s; the longest text of a step takes 7 s of 7.5 s (150 events of 65 tokens), so every load near one makes a step late. Steps allow the version before. Change: a load is ordered where an upstream is two versions behind, or until half of its model's hold the newest. Ways weighed: waiting for runs to end (block) takes an upstream out for up to 7 s; loading none with a long run needs the owners' knowledge at the holder of the orders. Staleness: half of the samples are one version older than they could be, within the bound that each step names.

--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -42,6 +42,11 @@
   /// In a larger service, one load at once for so many upstreams: the weight
   /// stores of all sites that we know bear a fifth of their samplers.
   std::uint32_t upstreamsOfLoad_ = 5;
+  /// Share of a model's upstreams that are to hold its newest version. The
+  /// others may be one behind, as steps allow, and load every second version:
+  /// a load holds runs up for 0.9 s, and the longest text of a step takes
+  /// 7 s of 7.5 s.
+  double newestShare_ = 0.5;
 };
 
 /// The plan. Remembers homes, so that they change as little as may be.
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// An upstream so many versions behind serves no step.
+constexpr std::uint64_t kMostBehind = 2;
+
 /// Models that the upstreams hold, in the order of their names.
 std::vector<std::string>
 ModelsOf(const std::vector<const PlanUpstream*>& aUpstreams)
@@ -158,12 +161,14 @@
     AssignHomes(upstreams);
     std::uint32_t busy = 0;
     std::map<std::string, std::uint32_t> busyOfModel;
+    std::map<std::string, double> newest;
     std::vector<std::tuple<std::uint64_t, const PlanUpstream*, std::string>>
       wanted;
     for (const PlanUpstream* upstream : upstreams) {
       busy += upstream->busy_ ? 1 : 0;
       for (const std::string& model : homes_[upstream->id_]) {
         const std::uint64_t gap = Gap(*upstream, model);
+        newest[model] += upstream->busy_ || gap == 0 ? 1 : 0;
         if (upstream->busy_) {
           ++busyOfModel[model];
         } else if (gap > 0) {
@@ -186,11 +191,17 @@
       if (busy >= atOnce) {
         break;
       }
+      const bool enough =
+        newest[model] >= policy_.newestShare_ * static_cast<double>(home);
+      if (gap < kMostBehind && enough) {
+        continue;
+      }
       if (busyOfModel[model] >= most || !chosen.insert(upstream->id_).second) {
         continue;
       }
       ++busy;
       ++busyOfModel[model];
+      newest[model] += 1;
       loads.push_back({ upstream->id_, model, named_[model] });
     }
   }
--- a/tests/test_upstream_board.cpp
+++ b/tests/test_upstream_board.cpp
@@ -66,6 +66,16 @@
   return route;
 }
 
+/// Every upstream of a model is to hold its newest version.
+WeightPlanPolicy
+LoadAll(std::uint32_t aAtOnce)
+{
+  WeightPlanPolicy policy;
+  policy.atOnce_ = aAtOnce;
+  policy.newestShare_ = 1.0;
+  return policy;
+}
+
 PlanUpstream
 MakePlanUpstream(int aNumber, std::uint64_t aA, std::uint64_t aB)
 {
@@ -261,7 +271,7 @@
 
 TEST_CASE("a new version is loaded only where its model is at home")
 {
-  WeightPlan plan({ 8 });
+  WeightPlan plan(LoadAll(8));
   std::vector<PlanUpstream> fleet;
   for (int i = 0; i < 4; ++i) {
     fleet.push_back(MakePlanUpstream(i, 1, 1));
@@ -287,7 +297,7 @@
 
 TEST_CASE("half of a model's upstreams go on serving while others load")
 {
-  WeightPlan plan({ 8 });
+  WeightPlan plan(LoadAll(8));
   std::vector<PlanUpstream> fleet;
   for (int i = 0; i < 8; ++i) {
     fleet.push_back(MakePlanUpstream(i, 1, 1));
@@ -304,7 +314,7 @@
 
 TEST_CASE("loads at once are bounded over all models")
 {
-  WeightPlan plan({ 2 });
+  WeightPlan plan(LoadAll(2));
   std::vector<PlanUpstream> fleet;
   for (int i = 0; i < 12; ++i) {
     fleet.push_back(MakePlanUpstream(i, 1, 1));
@@ -316,7 +326,7 @@
 
 TEST_CASE("a next holder keeps homes by the versions it finds")
 {
-  WeightPlan plan({ 8 });
+  WeightPlan plan(LoadAll(8));
   plan.OnNamed("a", WeightVersion{ 9 });
   plan.OnNamed("b", WeightVersion{ 9 });
   std::vector<PlanUpstream> fleet;
@@ -331,7 +341,7 @@
 
 TEST_CASE("when upstreams go, a model without any gets one of the others")
 {
-  WeightPlan plan({ 8 });
+  WeightPlan plan(LoadAll(8));
   std::vector<PlanUpstream> fleet;
   for (int i = 0; i < 4; ++i) {
     fleet.push_back(i < 2 ? MakePlanUpstream(i, 9, 2)
@@ -348,7 +358,7 @@
 
 TEST_CASE("one upstream for two models is at home for both")
 {
-  WeightPlan plan({ 8 });
+  WeightPlan plan(LoadAll(8));
   plan.OnNamed("a", WeightVersion{ 2 });
   plan.OnNamed("b", WeightVersion{ 2 });
   std::vector<PlanUpstream> fleet{ MakePlanUpstream(0, 1, 1) };
@@ -401,3 +411,35 @@
   }
   REQUIRE(board.PickForItem(Needs(1), kStart)->entry_.id_ == UpstreamId{ "d" });
 }
+
+TEST_CASE("half of a model's upstreams load each version, in turn")
+{
+  WeightPlan plan;
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.push_back(MakePlanUpstream(i, 1, 1));
+    fleet.back().versions_.erase("b");
+  }
+  std::map<UpstreamId, std::vector<std::uint64_t>> loaded;
+  for (std::uint64_t version = 2; version <= 5; ++version) {
+    plan.OnNamed("a", WeightVersion{ version });
+    for (int round = 0; round < 6; ++round) {
+      for (const PlannedLoad& load : plan.Next(fleet)) {
+        loaded[load.upstream_].push_back(load.version_.Get());
+        for (PlanUpstream& upstream : fleet) {
+          if (upstream.id_ == load.upstream_) {
+            upstream.versions_["a"] = load.version_;
+          }
+        }
+      }
+    }
+    for (const PlanUpstream& upstream : fleet) {
+      // None is further behind than a step allows.
+      REQUIRE(upstream.versions_.at("a").Get() + 1 >= version);
+    }
+  }
+  REQUIRE(loaded.size() == 4);
+  for (const auto& [id, versions] : loaded) {
+    REQUIRE(versions.size() == 2);
+  }
+}
