--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -27,6 +27,8 @@
   Claim = 5,
   /// Any to a relay: changes of the store's records.
   Watch = 6,
+  /// Any to a job's owner: its results.
+  Job = 7,
 };
 
 /// One call; its body is an encoded message of the topic's schema.
--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -8,10 +8,23 @@
 #include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/platform.hpp"
+#include "marjoramtally/runtime/rpc.hpp"
 #include "marjoramtally/runtime/store.hpp"
 
 namespace marjoramtally {
 
+/// Calls between gateways. Answers come on the loop.
+class PeerCalls
+{
+public:
+  virtual ~PeerCalls() = default;
+  virtual void Call(const std::string& aAddress,
+                    RpcCall aCall,
+                    RpcDone aDone) = 0;
+  /// Answers calls of a topic from now on.
+  virtual void Serve(RpcTopic aTopic, RpcHandler aHandler) = 0;
+};
+
 /// References to the process's settings, clocks and doors to the outside.
 class GatewayContext
 {
@@ -28,6 +41,7 @@
     const Clock* leaseClock_ = nullptr;
     Metrics* metrics_ = nullptr;
     RelayPlan* relays_ = nullptr;
+    PeerCalls* peers_ = nullptr;
     std::string incarnation_;
   };
 
@@ -56,6 +70,7 @@
   [[nodiscard]] Metrics& Measures() const noexcept { return *parts_.metrics_; }
   /// Which processes watch the store for the others.
   [[nodiscard]] RelayPlan& Relays() const noexcept { return *parts_.relays_; }
+  [[nodiscard]] PeerCalls& Peers() const noexcept { return *parts_.peers_; }
   /// Names this run of the process.
   [[nodiscard]] const std::string& Incarnation() const noexcept
   {
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <future>
+#include <map>
 #include <thread>
 #include <unistd.h>
 
@@ -22,6 +23,64 @@
 /// The metrics' reader sends no body.
 constexpr std::uint64_t kMetricsBodyBytes = 1024;
 
+/// Calls of a node whose answers are brought to the loop.
+class LoopPeers final : public PeerCalls
+{
+public:
+  explicit LoopPeers(IoPool& aPool)
+    : pool_(aPool)
+  {
+  }
+
+  Result<bool> Open(const std::string& aAddress, std::uint16_t aPort)
+  {
+    auto node = RpcNode::Start(
+      aAddress, aPort, [this](const RpcCall& aCall, const RpcDone& aDone) {
+        pool_.Post(0, [this, aCall, aDone] { Take(aCall, aDone); });
+      });
+    if (!node) {
+      return node.error();
+    }
+    node_ = std::move(node).value();
+    return true;
+  }
+
+  void Call(const std::string& aAddress, RpcCall aCall, RpcDone aDone) override
+  {
+    if (!node_) {
+      pool_.Post(0, [done = std::move(aDone)] {
+        done(Error{ ErrorKind::Unavailable, "no calls between processes" });
+      });
+      return;
+    }
+    node_->Call(aAddress,
+                std::move(aCall),
+                [this, done = std::move(aDone)](const RpcReply& aReply) {
+                  pool_.Post(0, [done, aReply] { done(aReply); });
+                });
+  }
+
+  void Serve(RpcTopic aTopic, RpcHandler aHandler) override
+  {
+    handlers_[aTopic] = std::move(aHandler);
+  }
+
+private:
+  void Take(const RpcCall& aCall, const RpcDone& aDone)
+  {
+    const auto it = handlers_.find(aCall.topic_);
+    if (it == handlers_.end()) {
+      aDone(Error{ ErrorKind::NotFound, "this process does not serve that" });
+    } else {
+      it->second(aCall, aDone);
+    }
+  }
+
+  IoPool& pool_;
+  std::unique_ptr<RpcNode> node_;
+  std::map<RpcTopic, RpcHandler> handlers_;
+};
+
 std::string
 MakeIncarnation(const std::string& aInstance)
 {
@@ -62,6 +121,7 @@
   store_ = aStore(*client_, *timers_, settings_.store_);
   const std::string incarnation = MakeIncarnation(settings_.instance_);
   relayPlan_ = std::make_unique<RelayPlan>(incarnation);
+  OpenPeers();
   if (aRelayed && settings_.rpcPort_ != 0) {
     StartRelaying();
   }
@@ -79,6 +139,7 @@
                                                             &bootClock_,
                                                             &metrics_,
                                                             relayPlan_.get(),
+                                                            peers_.get(),
                                                             incarnation });
 }
 
@@ -88,23 +149,24 @@
 }
 
 void
-GatewayHost::StartRelaying()
+GatewayHost::OpenPeers()
 {
-  auto node =
-    RpcNode::Start(settings_.address_,
-                   static_cast<std::uint16_t>(settings_.rpcPort_),
-                   [this](const RpcCall& aCall, RpcDone aDone) {
-                     pool_->Post(0, [this, aCall, done = std::move(aDone)] {
-                       ServeRelay(aCall, done);
-                     });
-                   });
-  if (!node) {
-    LogEvent(LogLevel::Warn,
-             "relay_unavailable",
-             { { "error", node.error().message_ } });
-    return;
+  auto peers = std::make_unique<LoopPeers>(*pool_);
+  if (settings_.rpcPort_ != 0) {
+    const auto opened = peers->Open(
+      settings_.address_, static_cast<std::uint16_t>(settings_.rpcPort_));
+    if (!opened) {
+      LogEvent(LogLevel::Warn,
+               "peers_unavailable",
+               { { "error", opened.error().message_ } });
+    }
   }
-  rpc_ = std::move(node).value();
+  peers_ = std::move(peers);
+}
+
+void
+GatewayHost::StartRelaying()
+{
   relayed_ = std::make_unique<RelayedStore>(
     *store_,
     *timers_,
@@ -117,14 +179,17 @@
     [this]() -> const std::vector<std::string>& {
       return relayPlan_->Relays();
     });
+  peers_->Serve(RpcTopic::Watch, [this](const RpcCall& aCall, RpcDone aDone) {
+    ServeRelay(aCall, std::move(aDone));
+  });
 }
 
 void
 GatewayHost::ServeRelay(const RpcCall& aCall, RpcDone aDone)
 {
   const auto ask = DecodeWatchAsk(aCall.body_);
-  if (aCall.topic_ != RpcTopic::Watch || !ask) {
-    aDone(Error{ ErrorKind::BadInput, "not a question for changes" });
+  if (!ask) {
+    aDone(ask.error());
     return;
   }
   relayed_->Serve(ask.value(), [done = std::move(aDone)](const auto& aBatch) {
@@ -145,17 +210,15 @@
   call.topic_ = RpcTopic::Watch;
   call.timeout_ = aAsk.wait_ + kRelaySlack;
   call.body_ = EncodeWatchAsk(aAsk);
-  rpc_->Call(aAddress,
-             std::move(call),
-             [this, done = std::move(aDone)](const RpcReply& aReply) {
-               pool_->Post(0, [done, aReply] {
+  peers_->Call(aAddress,
+               std::move(call),
+               [done = std::move(aDone)](const RpcReply& aReply) {
                  if (aReply) {
                    done(DecodeWatchBatch(aReply.value()));
                  } else {
                    done(aReply.error());
                  }
                });
-             });
 }
 
 Result<std::unique_ptr<HttpServer>>
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -55,6 +55,7 @@
                 const WatchAsk& aAsk,
                 StoreDone<StoreWatchBatch> aDone);
   void ServeRelay(const RpcCall& aCall, RpcDone aDone);
+  void OpenPeers();
 
   GatewaySettings settings_;
   SystemClock clock_;
@@ -67,7 +68,7 @@
   std::unique_ptr<Store> store_;
   std::unique_ptr<RelayPlan> relayPlan_;
   std::unique_ptr<RelayedStore> relayed_;
-  std::unique_ptr<RpcNode> rpc_;
+  std::unique_ptr<PeerCalls> peers_;
   std::unique_ptr<GatewayContext> context_;
   std::unique_ptr<HttpServer> metricsServer_;
 };
--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -63,9 +63,22 @@
 void
 LeasedKey::Retry()
 {
-  if (!held_ && lease_ != 0 && !released_) {
+  if (waiting_ && !released_) {
     waiting_ = false;
-    Later(Duration{ 0 }, &LeasedKey::Write);
+    Later(Duration{ 0 }, &LeasedKey::Grant);
+  }
+}
+
+void
+LeasedKey::SetTtl(Duration aTtl)
+{
+  if (aTtl == options_.ttl_ || released_) {
+    return;
+  }
+  options_.ttl_ = aTtl;
+  if (held_) {
+    replaced_ = lease_;
+    Later(Duration{ 0 }, &LeasedKey::Grant);
   }
 }
 
@@ -125,6 +138,11 @@
     pauses_.Reset();
     held_ = true;
     waiting_ = false;
+    if (replaced_ != 0) {
+      // The key hangs on the new lease now.
+      store_.RevokeLease(replaced_, [](const Result<bool>&) {});
+      replaced_ = 0;
+    }
     fence_ = FencingNumber{ aCommit.value().revision_ };
     Later(options_.ttl_ / kRenewals, &LeasedKey::Renew);
     if (onHeld_) {
@@ -171,9 +189,10 @@
       OnWritten(StoreCommit{ true, record.modRevision_ });
       return;
     }
-    // Held by another: keep the lease alive and wait for a change.
+    // Held by another: wait for a change, without a lease.
     waiting_ = true;
-    Later(options_.ttl_ / kRenewals, &LeasedKey::Renew);
+    store_.RevokeLease(lease_, [](const Result<bool>&) {});
+    lease_ = 0;
     return;
   }
   Write();
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -39,6 +39,8 @@
   std::function<void()> onLost_;
 
   void Start();
+  /// Keeps the key on a lease of another length from now on.
+  void SetTtl(Duration aTtl);
   /// Another process's key was seen to be gone.
   void Retry();
   /// Ends the lease, so that others need not wait for it to lapse.
@@ -70,6 +72,8 @@
   LeasedKeyOptions options_;
   StoreLeaseId lease_ = 0;
   FencingNumber fence_;
+  /// A lease that is ended once the key hangs on the next one.
+  StoreLeaseId replaced_ = 0;
   bool held_ = false;
   /// Another process holds the key.
   bool waiting_ = false;
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// A process that owns no job is missed by none but its peers, who notice
+/// themselves; renewals are priced calls.
+constexpr auto kIdleTtl = std::chrono::seconds(6);
 /// Largest body taken while no configuration says otherwise, in bytes.
 constexpr std::uint64_t kMaxBodyBytes = 32ULL << 20U;
 constexpr std::uint64_t kReadyBodyBytes = 1024;
@@ -22,7 +25,7 @@
            WriteLifeRecord({ ZoneId{ aHost.Settings().zone_ },
                              aHost.Settings().address_ + ":" +
                                std::to_string(aHost.Settings().rpcPort_) }),
-           aHost.Settings().leaseTtl_,
+           kIdleTtl,
            false };
 }
 
@@ -94,6 +97,9 @@
 {
   FollowConfig();
   FollowUpstreams();
+  runner_.onOwning_ = [this](bool aOwning) {
+    life_.SetTtl(aOwning ? host_.Settings().leaseTtl_ : kIdleTtl);
+  };
   life_.Start();
   directory_.Start();
 }
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -1,5 +1,6 @@
 #include "programs/gatewayd/job_api.hpp"
 
+#include "marjoramtally/connection/job_messages.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
@@ -61,11 +62,40 @@
   directory_.onOwner_ = [this](const JobId& aJob, const KnownJob& aKnown) {
     TakeOwner(aJob, aKnown);
   };
+  host_.Peers().Serve(RpcTopic::Job,
+                      [this](const RpcCall& aCall, const RpcDone& aDone) {
+                        ServePeer(aCall, aDone);
+                      });
   directory_.onEnd_ = [this](const JobId& aJob) { runner_.End(aJob); };
   runner_.onListed_ = [this](const JobId& aJob) { Wake(aJob); };
   runner_.onDropped_ = [this](const JobId& aJob) { Wake(aJob); };
 }
 
+std::string
+JobApi::OwnerAddress(const JobId& aJob) const
+{
+  const KnownJob* known = directory_.Find(aJob);
+  return known == nullptr ? std::string()
+                          : directory_.AddressOf(known->record_.owner_);
+}
+
+void
+JobApi::ServePeer(const RpcCall& aCall, const RpcDone& aDone)
+{
+  const auto ask = DecodeJobAsk(aCall.body_);
+  const JobLedger* ledger =
+    ask ? runner_.Find(JobId{ ask.value().job_ }) : nullptr;
+  if (ledger == nullptr) {
+    aDone(Error{ ErrorKind::NotFound, "this process does not own the job" });
+    return;
+  }
+  std::vector<JobResult> results;
+  for (std::uint64_t i = ask.value().after_; i < ledger->Listed().size(); ++i) {
+    results.push_back(ledger->ResultOf(ledger->Listed()[i]));
+  }
+  aDone(EncodeJobAnswer(WriteResultsRecord(results)));
+}
+
 void
 JobApi::StopAccepting()
 {
@@ -339,17 +369,19 @@
                    Duration aWait,
                    HttpReplyPtr aReply)
 {
-  remote_.Refresh(aJob, [this, aJob, aAfter, aWait, aReply](bool aRead) {
-    if (!aRead) {
-      aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
-    } else if (remote_.Of(aJob).size() > aAfter || aWait.count() == 0) {
-      SendPage(aJob, aAfter, aReply);
-    } else {
-      host_.Timers().After(
-        std::min<Duration>(aWait, kRemoteWait),
-        [this, aJob, aAfter, aReply] { ReadRemote(aJob, aAfter, {}, aReply); });
-    }
-  });
+  remote_.Refresh(
+    aJob, OwnerAddress(aJob), [this, aJob, aAfter, aWait, aReply](bool aRead) {
+      if (!aRead) {
+        aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
+      } else if (remote_.Of(aJob).size() > aAfter || aWait.count() == 0) {
+        SendPage(aJob, aAfter, aReply);
+      } else {
+        host_.Timers().After(std::min<Duration>(aWait, kRemoteWait),
+                             [this, aJob, aAfter, aReply] {
+                               ReadRemote(aJob, aAfter, {}, aReply);
+                             });
+      }
+    });
 }
 
 void
@@ -419,15 +451,16 @@
     return;
   }
   IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, answer, aReply] {
-    store_.Load(job, [this, answer, aReply](const Result<StoredJob>& aStored) {
-      if (!aStored) {
-        aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
-        return;
-      }
-      const auto spec =
-        host_.Formats().ReadSubmission(aStored.value().submission_.body_);
-      answer(spec ? spec.value() : JobSpec{});
-    });
+    const auto take =
+      [this, answer, aReply](const Result<JobSubmissionRecord>& aStored) {
+        if (!aStored) {
+          aReply->Send(RefusedResponse("the store cannot be asked", kComeBack));
+          return;
+        }
+        const auto spec = host_.Formats().ReadSubmission(aStored.value().body_);
+        answer(spec ? spec.value() : JobSpec{});
+      };
+    store_.LoadSubmission(job, take);
   });
 }
 
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -42,6 +42,10 @@
                 const AcceptResult& aResult,
                 const HttpReplyPtr& aReply);
 
+  /// @returns where a job's owner is called; empty if that is not known
+  [[nodiscard]] std::string OwnerAddress(const JobId& aJob) const;
+  /// Answers another process about a job of ours.
+  void ServePeer(const RpcCall& aCall, const RpcDone& aDone);
   void Read(const JobQuery& aQuery, Duration aWait, HttpReplyPtr aReply);
   /// Reads from the ledger of a job of ours.
   void ReadOwned(const JobId& aJob,
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -30,6 +30,13 @@
   follower_.Start();
 }
 
+std::string
+JobDirectory::AddressOf(const std::string& aIncarnation) const
+{
+  const auto it = addresses_.find(aIncarnation);
+  return it == addresses_.end() ? std::string() : it->second;
+}
+
 const KnownJob*
 JobDirectory::Find(const JobId& aJob) const
 {
@@ -87,6 +94,7 @@
   takeover_.OnAlive(aIncarnation, host_.Now());
   auto life = ReadLifeRecord(aRecord.value_);
   if (life) {
+    addresses_[aIncarnation] = life.value().address_;
     host_.Relays().OnAlive(aIncarnation, std::move(life).value());
   } else {
     LogEvent(LogLevel::Error,
@@ -106,6 +114,7 @@
     const std::string incarnation(key.substr(lives.size()));
     takeover_.OnGone(incarnation, host_.Now());
     host_.Relays().OnGone(incarnation);
+    addresses_.erase(incarnation);
   } else if (key.starts_with(owners)) {
     const JobId job{ std::string(key.substr(owners.size())) };
     takeover_.OnEnded(job);
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -30,6 +30,8 @@
   void Start();
   /// Claims nothing more: the process is about to end.
   void StopClaiming() { claiming_ = false; }
+  /// @returns where a process is called; empty if it gave no sign of life
+  [[nodiscard]] std::string AddressOf(const std::string& aIncarnation) const;
   [[nodiscard]] const KnownJob* Find(const JobId& aJob) const;
   [[nodiscard]] const std::map<JobId, KnownJob>& Jobs() const noexcept
   {
@@ -54,6 +56,7 @@
   /// Keys of signs of life, to see which are missing from a whole reading.
   std::set<std::string> lives_;
   std::set<JobId> endsEarly_;
+  std::map<std::string, std::string> addresses_;
   bool claiming_ = true;
   LoopTimerId claimTimer_ = 0;
 };
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -143,6 +143,9 @@
                                                   accepted,
                                                   accepted + policy.maxQueue_,
                                                   ++lastSequence_));
+  if (jobs_.size() == 1 && onOwning_) {
+    onOwning_(true);
+  }
   if (added) {
     Advance(aJob, it->second);
   }
@@ -171,6 +174,9 @@
   LogEvent(LogLevel::Info, "job_dropped", { { "job", aJob.Get() } });
   StopRuns(it->second);
   jobs_.erase(it);
+  if (jobs_.empty() && onOwning_) {
+    onOwning_(false);
+  }
   if (onDropped_) {
     onDropped_(aJob);
   }
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -22,6 +22,8 @@
 
   /// Called after results of a job were written.
   std::function<void(const JobId&)> onListed_;
+  /// Called when this process comes to own jobs or owns none any more.
+  std::function<void(bool)> onOwning_;
   /// Called when this process stops owning a job.
   std::function<void(const JobId&)> onDropped_;
 
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -193,38 +193,48 @@
               });
 }
 
+void
+JobStore::LoadSubmission(const JobId& aJob,
+                         StoreDone<JobSubmissionRecord> aDone)
+{
+  store_.Read(job_keys::Submission(aJob),
+              [done = std::move(aDone)](const Result<StoreRange>& aParts) {
+                if (aParts) {
+                  done(JoinSubmission(aParts.value().records_));
+                } else {
+                  done(aParts.error());
+                }
+              });
+}
+
 void
 JobStore::Load(const JobId& aJob, StoreDone<StoredJob> aDone)
 {
-  store_.Read(
-    job_keys::Submission(aJob),
-    [this, aJob, done = std::move(aDone)](const Result<StoreRange>& aParts) {
-      if (!aParts) {
-        done(aParts.error());
-        return;
-      }
-      auto submission = JoinSubmission(aParts.value().records_);
-      if (!submission) {
-        done(submission.error());
+  LoadSubmission(
+    aJob,
+    [this, aJob, done = std::move(aDone)](
+      const Result<JobSubmissionRecord>& aSubmission) {
+      if (!aSubmission) {
+        done(aSubmission.error());
         return;
       }
-      store_.Read(
-        job_keys::Results(aJob),
-        [this, aJob, done, submission = std::move(submission).value()](
-          const Result<StoreRange>& aRecords) {
-          if (!aRecords) {
-            done(aRecords.error());
-            return;
-          }
-          auto results = JoinResults(aRecords.value().records_);
-          if (!results) {
-            done(results.error());
-            return;
-          }
-          LoadPartials(aJob,
-                       StoredJob{ submission, std::move(results).value(), {} },
-                       done);
-        });
+      store_.Read(job_keys::Results(aJob),
+                  [this, aJob, done, submission = aSubmission.value()](
+                    const Result<StoreRange>& aRecords) {
+                    if (!aRecords) {
+                      done(aRecords.error());
+                      return;
+                    }
+                    auto results = JoinResults(aRecords.value().records_);
+                    if (!results) {
+                      done(results.error());
+                      return;
+                    }
+                    LoadPartials(
+                      aJob,
+                      StoredJob{ submission, std::move(results).value(), {} },
+                      done);
+                  });
     });
 }
 
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -105,6 +105,7 @@
               std::uint64_t aTotal,
               std::function<void(AcceptResult)> aDone);
   void Load(const JobId& aJob, StoreDone<StoredJob> aDone);
+  void LoadSubmission(const JobId& aJob, StoreDone<JobSubmissionRecord> aDone);
   /// Reads the owner record; nothing if there is no such job.
   void ReadOwner(const JobId& aJob,
                  StoreDone<std::optional<StoreRecord>> aDone);
--- a/src/programs/gatewayd/main.cpp
+++ b/src/programs/gatewayd/main.cpp
@@ -23,8 +23,13 @@
   if (!settings) {
     return code;
   }
-  GatewayHost host(
-    std::move(*settings), MakePlatform(), MakePlatformStoreAt, true);
+  const auto makeStore =
+    [](HttpClient& aClient, LoopTimers& aTimers, const std::string& aAddress) {
+      PlatformStoreOptions options;
+      options.address_ = aAddress;
+      return MakePlatformStore(aClient, aTimers, std::move(options));
+    };
+  GatewayHost host(std::move(*settings), MakePlatform(), makeStore, true);
   Gateway gateway(host.Context(), host);
   const auto opened = gateway.Open();
   if (!opened) {
--- a/src/programs/gatewayd/remote_results.cpp
+++ b/src/programs/gatewayd/remote_results.cpp
@@ -1,5 +1,6 @@
 #include "programs/gatewayd/remote_results.hpp"
 
+#include "marjoramtally/connection/job_messages.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 /// What nobody has asked for here for this long is forgotten; readers come
 /// about twice a second.
 constexpr auto kForgetAfter = std::chrono::seconds(6);
+/// An owner that does not answer in this time is passed over.
+constexpr auto kOwnerTimeout = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -28,27 +31,87 @@
 }
 
 void
-RemoteResults::Refresh(const JobId& aJob, std::function<void(bool)> aDone)
+RemoteResults::Refresh(const JobId& aJob,
+                       const std::string& aOwner,
+                       std::function<void(bool)> aDone)
 {
-  Known& known = known_[aJob];
-  known.lastRead_ = host_.Now();
+  known_[aJob].lastRead_ = host_.Now();
   if (forgetTimer_ == 0) {
     forgetTimer_ = host_.Timers().After(kForgetAfter, [this] { ForgetOld(); });
   }
+  if (aOwner.empty()) {
+    AskStore(aJob, std::move(aDone));
+  } else {
+    AskOwner(aJob, aOwner, std::move(aDone));
+  }
+}
+
+void
+RemoteResults::AskOwner(const JobId& aJob,
+                        const std::string& aOwner,
+                        std::function<void(bool)> aDone)
+{
+  const std::uint64_t after = known_[aJob].results_.size();
+  RpcCall call;
+  call.topic_ = RpcTopic::Job;
+  call.timeout_ = kOwnerTimeout;
+  call.body_ = EncodeJobAsk({ aJob.Get(), after });
+  host_.Peers().Call(
+    aOwner,
+    std::move(call),
+    [this, aJob, after, done = std::move(aDone)](const RpcReply& aReply) {
+      const auto answer =
+        aReply ? DecodeJobAnswer(aReply.value()) : Result<std::string>(aReply);
+      auto results = answer ? ReadResultsRecord(answer.value())
+                            : Result<std::vector<JobResult>>(answer.error());
+      const auto it = known_.find(aJob);
+      if (!results || it == known_.end()) {
+        AskStore(aJob, done);
+        return;
+      }
+      Append(it->second, after, std::move(results).value());
+      done(true);
+    });
+}
+
+void
+RemoteResults::AskStore(const JobId& aJob, std::function<void(bool)> aDone)
+{
+  // Records begin where the ones before them end.
+  const std::size_t held = known_[aJob].results_.size();
+  const std::string lastKey =
+    held == 0 ? std::string() : job_keys::ResultsAt(aJob, held - 1);
   host_.PlatformStore().ReadAfter(
     job_keys::Results(aJob),
-    known.lastKey_,
+    lastKey,
     [this, aJob, done = std::move(aDone)](const Result<StoreRange>& aRange) {
       const auto it = known_.find(aJob);
       if (aRange && it != known_.end()) {
-        Take(it->second, aRange.value().records_);
+        TakeRecords(aJob, it->second, aRange.value().records_);
       }
       done(aRange.has_value());
     });
 }
 
 void
-RemoteResults::Take(Known& aKnown, std::vector<StoreRecord> aRecords)
+RemoteResults::Append(Known& aKnown,
+                      std::uint64_t aPosition,
+                      std::vector<JobResult> aResults)
+{
+  // Another reading may have been faster.
+  const std::size_t held = aKnown.results_.size();
+  if (aPosition > held || aPosition + aResults.size() <= held) {
+    return;
+  }
+  std::move(aResults.begin() + static_cast<std::ptrdiff_t>(held - aPosition),
+            aResults.end(),
+            std::back_inserter(aKnown.results_));
+}
+
+void
+RemoteResults::TakeRecords(const JobId& aJob,
+                           Known& aKnown,
+                           std::vector<StoreRecord> aRecords)
 {
   std::sort(aRecords.begin(),
             aRecords.end(),
@@ -56,8 +119,9 @@
               return aLeft.key_ < aRight.key_;
             });
   for (const StoreRecord& record : aRecords) {
-    if (record.key_ <= aKnown.lastKey_) {
-      continue; // Another reading was faster.
+    const std::size_t held = aKnown.results_.size();
+    if (record.key_ != job_keys::ResultsAt(aJob, held)) {
+      continue;
     }
     auto results = ReadResultsRecord(record.value_);
     if (!results) {
@@ -67,10 +131,7 @@
         { { "key", record.key_ }, { "error", results.error().message_ } });
       return;
     }
-    aKnown.lastKey_ = record.key_;
-    std::move(results.value().begin(),
-              results.value().end(),
-              std::back_inserter(aKnown.results_));
+    Append(aKnown, held, std::move(results).value());
   }
 }
 
--- a/src/programs/gatewayd/remote_results.hpp
+++ b/src/programs/gatewayd/remote_results.hpp
@@ -13,21 +13,34 @@
 public:
   explicit RemoteResults(GatewayContext& aHost);
 
-  /// Reads what was written since the last reading. A watch would miss what
-  /// is written while the store keeps silent, and a position that was read
-  /// elsewhere has to be here at once.
-  void Refresh(const JobId& aJob, std::function<void(bool aRead)> aDone);
+  /// Reads what was written since the last reading, from the job's owner or,
+  /// if it does not answer, from the store. A watch would miss what is written
+  /// while the store keeps silent, and a position that was read elsewhere has
+  /// to be here at once.
+  /// @param aOwner where the owner is called; empty: not known
+  void Refresh(const JobId& aJob,
+               const std::string& aOwner,
+               std::function<void(bool aRead)> aDone);
   [[nodiscard]] const std::vector<JobResult>& Of(const JobId& aJob) const;
 
 private:
   struct Known
   {
-    std::string lastKey_;
     std::vector<JobResult> results_;
     TimePoint lastRead_;
   };
 
-  void Take(Known& aKnown, std::vector<StoreRecord> aRecords);
+  void AskStore(const JobId& aJob, std::function<void(bool aRead)> aDone);
+  void AskOwner(const JobId& aJob,
+                const std::string& aOwner,
+                std::function<void(bool aRead)> aDone);
+  /// Appends results that stand from a position on.
+  static void Append(Known& aKnown,
+                     std::uint64_t aPosition,
+                     std::vector<JobResult> aResults);
+  static void TakeRecords(const JobId& aJob,
+                          Known& aKnown,
+                          std::vector<StoreRecord> aRecords);
   void ForgetOld();
 
   GatewayContext& host_;
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -24,8 +24,16 @@
   if (!settings) {
     return code;
   }
-  GatewayHost host(
-    std::move(*settings), MakePlatform(), MakePlatformStoreAt, false);
+  const auto makeStore =
+    [](HttpClient& aClient, LoopTimers& aTimers, const std::string& aAddress) {
+      PlatformStoreOptions options;
+      options.address_ = aAddress;
+      // A version that is named a few seconds late holds up nobody: steps
+      // allow the one before.
+      options.hold_ = std::chrono::seconds(3);
+      return MakePlatformStore(aClient, aTimers, std::move(options));
+    };
+  GatewayHost host(std::move(*settings), MakePlatform(), makeStore, false);
   OrderDuty duty(host.Context());
   host.Run(
     [&duty] { duty.Start(); }, [&duty] { duty.Stop(); }, [] { return true; });
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -74,6 +74,17 @@
   HttpCallId last_ = 0;
 };
 
+/// Calls between processes that find nobody.
+class FakePeers final : public PeerCalls
+{
+public:
+  void Call(const std::string&, RpcCall, RpcDone aDone) override
+  {
+    aDone(Error{ ErrorKind::Unavailable, "nobody is there" });
+  }
+  void Serve(RpcTopic, RpcHandler) override {}
+};
+
 /// The context and what it refers to.
 struct GatewayFakes
 {
@@ -85,6 +96,7 @@
   FakeStore store_{ timers_ };
   Metrics metrics_;
   RelayPlan relays_{ "self~1" };
+  FakePeers peers_;
   GatewayContext context_{ { &settings_,
                              platform_.get(),
                              &client_,
@@ -94,6 +106,7 @@
                              &clock_,
                              &metrics_,
                              &relays_,
+                             &peers_,
                              "self~1" } };
   UpstreamBoard board_{ ZoneId{ "z1" } };
 
