A randomized soak of the platform's daemons as processes between stand-ins

Found and mended: a stop signal during the start ended the daemons by the system's default; signals are now blocked first thing in main.

--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -104,6 +104,15 @@
 
 } // namespace
 
+void
+BlockDaemonSignals()
+{
+  // Threads inherit the mask, so that only `Run` sees these signals.
+  const sigset_t waited = WaitedSignals();
+  pthread_sigmask(SIG_BLOCK, &waited, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
 GatewayHost::GatewayHost(GatewaySettings aSettings,
                          std::unique_ptr<Platform> aPlatform,
                          const StoreFactory& aStore,
@@ -111,10 +120,6 @@
   : settings_(std::move(aSettings))
   , platform_(std::move(aPlatform))
 {
-  // Threads inherit the mask, so that only `Run` sees these signals.
-  const sigset_t waited = WaitedSignals();
-  pthread_sigmask(SIG_BLOCK, &waited, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
   pool_ = IoPool::Create(1);
   timers_ = LoopTimers::Create(*pool_, 0);
   client_ = HttpClient::Create(pool_);
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -16,6 +16,11 @@
                                        LoopTimers&,
                                        const std::string& aAddress)>;
 
+/// Keeps the stop and reload signals for `GatewayHost::Run`; first thing in a
+/// program.
+void
+BlockDaemonSignals();
+
 /// One process. Everything but construction and `Run` happens on one loop,
 /// so that nothing needs a lock.
 class GatewayHost
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -13,6 +13,8 @@
 main(int aArgc, char** aArgv)
 {
   using namespace marjoramtally;
+  // A stop signal that comes during the start waits for `Run`.
+  BlockDaemonSignals();
   int code = kExitOk;
   auto settings =
     StartGatewayDaemon(aArgc,
--- /dev/null
+++ b/tools/test_soak.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# The soak for a few seconds with a fixed seed. SEED and SECONDS_EACH change
+# it; SEEDS="1 2 3" plays several, one after the other.
+# usage: test_soak.sh BUILD_DIR
+set -euo pipefail
+build=$(cd "${1:?usage: test_soak.sh BUILD_DIR}" && pwd)
+seeds=${SEEDS:-${SEED:-7}}
+failed=0
+for seed in $seeds; do
+  work=$(mktemp -d "${TMPDIR:-/tmp}/marjoram-soak.XXXXXX")
+  if "$build/marjoram-soak" --build "$build" --work "$work" --seed "$seed" \
+    --seconds "${SECONDS_EACH:-8}" >"$work/soak.txt" 2>&1; then
+    tail -n 1 "$work/soak.txt"
+    rm -rf "$work"
+  else
+    grep -E 'VIOLATION|seed=' "$work/soak.txt" || tail "$work/soak.txt"
+    echo "soak: seed $seed failed; logs in $work"
+    failed=1
+  fi
+done
+exit "$failed"
