A process whose relay fails watches the store itself at once

Ruled out: a lost watch of the relay (the log shows calls that took too long, in turn). Change: the first failure opens a watch of the store for 5 s; then the next relay is tried. The new test fails on the code before.

--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -9,8 +9,8 @@
 /// How long a relay may hold an answer back: a silent relay is found within
 /// this and the slack of the call.
 constexpr auto kRelayHold = std::chrono::milliseconds(1000);
-/// A process that watches the store itself since relays failed tries them
-/// again after this time.
+/// A process that watches the store itself since its relay failed tries
+/// another after this time.
 constexpr auto kDirectTime = std::chrono::seconds(5);
 /// A relay that does not yet know a revision gets this long.
 constexpr auto kCatchUp = std::chrono::milliseconds(50);
@@ -115,16 +115,6 @@
     OpenDirect(aId);
     return;
   }
-  if (own.failures_ >= relays.size()) {
-    LogEvent(LogLevel::Info,
-             "relays_failed",
-             { { "prefix", own.prefix_ },
-               { "relays", std::to_string(relays.size()) } });
-    own.failures_ = 0;
-    own.directUntil_ = clock_.Now() + kDirectTime;
-    OpenDirect(aId);
-    return;
-  }
   AskRelay(aId, relays[own.nextRelay_ % relays.size()]);
 }
 
@@ -202,12 +192,13 @@
              { { "prefix", own.prefix_ },
                { "after", std::to_string(own.after_) },
                { "error", aBatch.error().message_ } });
-    ++own.failures_;
+    // The next relay might be silent too, and a second wait would be too long
+    // for a change to be in force in time.
     ++own.nextRelay_;
-    Open(aId);
+    own.directUntil_ = clock_.Now() + kDirectTime;
+    OpenDirect(aId);
     return;
   }
-  own.failures_ = 0;
   Deliver(aId, aBatch.value());
   if (Find(aId) != nullptr) {
     Open(aId);
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -62,7 +62,6 @@
     /// What came over the store's watch, for peers.
     WatchHistory history_;
     std::size_t nextRelay_ = 0;
-    std::size_t failures_ = 0;
     std::uint64_t round_ = 0;
   };
 
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -385,3 +385,18 @@
   REQUIRE(store.records_.contains("life"));
   REQUIRE(key.Held());
 }
+
+TEST_CASE("one silent relay of several is enough to watch the store itself")
+{
+  TwoProcesses two;
+  two.relays_ = { "first", "second", "third" };
+  two.Start();
+  two.timers_.Advance(100ms);
+  two.cut_ = true;
+  two.Renew();
+  two.timers_.Advance(2400ms);
+  // Within the hold of the answer in progress and one call that fails.
+  REQUIRE(two.store_.CountWatches("k/") == 2);
+  two.store_.Put("k/a", "1");
+  REQUIRE(two.seen_ == std::vector<std::string>{ "k/a" });
+}
