--- a/include/marjoramtally/runtime/platform.hpp
+++ b/include/marjoramtally/runtime/platform.hpp
@@ -3,6 +3,7 @@
 /// nothing.
 #pragma once
 
+#include "marjoramtally/base/result.hpp"
 #include "marjoramtally/process/route_table.hpp"
 #include "marjoramtally/process/upstream_board.hpp"
 #include "marjoramtally/runtime/http_client.hpp"
