--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -116,6 +116,11 @@
   [[nodiscard]] std::vector<ItemIndex> Listable(TimePoint aNow) const;
   /// @returns all results that are final and not written
   [[nodiscard]] std::vector<ItemIndex> Finished() const;
+  /// @returns why an item was given up; empty if it was not
+  [[nodiscard]] std::string_view ErrorOf(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].error_;
+  }
   [[nodiscard]] JobResult ResultOf(ItemIndex aItem) const;
   /// The results were written; they stand at the next positions.
   void OnListed(const std::vector<ItemIndex>& aItems);
@@ -139,6 +144,8 @@
     ItemState state_ = ItemState::Waiting;
     PartialText text_;
     bool errored_ = false;
+    /// A constant text.
+    std::string_view error_;
     bool scoreAsked_ = false;
     std::string score_;
     std::uint32_t failures_ = 0;
@@ -146,7 +153,8 @@
     TimePoint finished_;
   };
 
-  void Finish(ItemIndex aItem, bool aErrored, TimePoint aNow);
+  /// @param aError why the item is given up; empty: its text is final
+  void Finish(ItemIndex aItem, std::string_view aError, TimePoint aNow);
   [[nodiscard]] bool GroupFinished(ItemIndex aItem) const;
   [[nodiscard]] bool Fits(const std::vector<WeightVersion>& aVersions) const;
 
--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -1,5 +1,7 @@
 #include "daemon/leased_key.hpp"
 
+#include "marjoramtally/runtime/log.hpp"
+
 namespace marjoramtally {
 
 namespace {
@@ -41,12 +43,23 @@
   return
     [this, alive = alive_, take = std::move(aTake)](const Result<T>& aResult) {
       if (*alive && !released_) {
-        reached_ = aResult || aResult.error().kind_ == ErrorKind::NotFound;
+        OnReached(aResult || aResult.error().kind_ == ErrorKind::NotFound);
         take(aResult);
       }
     };
 }
 
+void
+LeasedKey::OnReached(bool aReached)
+{
+  if (aReached != reached_) {
+    reached_ = aReached;
+    LogEvent(aReached ? LogLevel::Info : LogLevel::Warn,
+             aReached ? "dependency_regained" : "dependency_lost",
+             { { "dependency", "store" }, { "key", options_.key_ } });
+  }
+}
+
 void
 LeasedKey::Later(Duration aPause, void (LeasedKey::*aStep)())
 {
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -54,6 +54,7 @@
   [[nodiscard]] bool Reached() const noexcept { return reached_; }
 
 private:
+  void OnReached(bool aReached);
   void Grant();
   void Write();
   void OnWritten(const Result<StoreCommit>& aCommit);
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -348,6 +348,8 @@
   Flight& flight = node.mapped();
   host_.Timers().Cancel(flight.limitTimer_);
   host_.Timers().Cancel(flight.patienceTimer_);
+  const std::string status = std::to_string(aOutcome.response_.status_);
+  host_.Measures().Count("requests_total{status=\"" + status + "\"}");
   host_.Measures().Observe(
     "request_seconds",
     std::chrono::duration<double>(host_.Now() - flight.started_).count());
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -163,6 +163,9 @@
       { "listed", std::to_string(job.ledger_.Listed().size()) },
       { "of", std::to_string(job.ledger_.Spec().items_.size()) },
       { "age_ms", std::to_string(Millis(host_.Now() - job.accepted_)) } });
+  host_.Measures().Observe(
+    "job_seconds",
+    std::chrono::duration<double>(host_.Now() - job.accepted_).count());
   StopRuns(job);
   Keep(job);
   host_.Timers().After(kEndedStay, [this, aJob] { Drop(aJob); });
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -27,6 +27,19 @@
 /// Scoring is tried again after this time.
 constexpr auto kScoreAgain = std::chrono::milliseconds(150);
 
+void
+LogResults(const ResultsWrite& aWrite, std::size_t aCount)
+{
+  if (aCount > 0) {
+    LogEvent(LogLevel::Info,
+             "results_listed",
+             { { "job", aWrite.job_.Get() },
+               { "from", std::to_string(aWrite.position_) },
+               { "count", std::to_string(aCount) },
+               { "fence", std::to_string(aWrite.fence_.Get()) } });
+  }
+}
+
 } // namespace
 
 void
@@ -104,6 +117,13 @@
     if (bytes > kRecordBytes && !items.empty()) {
       break;
     }
+    if (!result.completed_) {
+      LogEvent(LogLevel::Warn,
+               "item_errored",
+               { { "item", result.id_.Get() },
+                 { "job", aId.Get() },
+                 { "why", std::string(aJob.ledger_.ErrorOf(item)) } });
+    }
     items.push_back(item);
     results.push_back(std::move(result));
   }
@@ -295,6 +315,7 @@
     if (it == jobs_.end()) {
       continue;
     }
+    LogResults(batch.writes_[i], batch.items_[i].size());
     it->second.ledger_.OnListed(batch.items_[i]);
     if (onListed_) {
       onListed_(id);
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -203,6 +203,7 @@
   if (whole && aRun.status_ == 200 && !aRun.parser_.Partial() &&
       aRun.events_ > 0) {
     board_.OnEnd(aRun.upstream_, CallVerdict::Answered, now);
+    host_.Measures().Count("runs_whole_total");
     aJob.ledger_.OnWhole(aRun.item_, now);
     LogEvent(LogLevel::Debug,
              "item_whole",
@@ -212,6 +213,7 @@
                { "events", std::to_string(aRun.events_) } });
     return;
   }
+  host_.Measures().Count("runs_interrupted_total");
   LogEvent(LogLevel::Info,
            "run_interrupted",
            { { "item", aJob.ledger_.Spec().items_[aRun.item_].id_.Get() },
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -4,6 +4,13 @@
 
 namespace marjoramtally {
 
+namespace {
+
+constexpr std::string_view kNoError;
+constexpr std::string_view kRestoredError = "given up by an earlier owner";
+
+} // namespace
+
 JobLedger::JobLedger(JobSpec aSpec, JobPolicy aPolicy, TimePoint aAccepted)
   : spec_(std::move(aSpec))
   , policy_(aPolicy)
@@ -29,7 +36,7 @@
     state.text_.versions_ = result.versions_;
     state.text_.whole_ = result.completed_;
     state.score_ = result.score_;
-    Finish(*item, !result.completed_, accepted_);
+    Finish(*item, result.completed_ ? kNoError : kRestoredError, accepted_);
     OnListed({ *item });
   }
 }
@@ -142,7 +149,7 @@
   if (spec_.items_[aItem].score_) {
     item.state_ = ItemState::Scoring;
   } else {
-    Finish(aItem, false, aNow);
+    Finish(aItem, kNoError, aNow);
   }
 }
 
@@ -151,7 +158,7 @@
 {
   Item& item = items_[aItem];
   if (++item.failures_ >= policy_.maxAttempts_) {
-    Finish(aItem, true, aNow);
+    Finish(aItem, "its runs failed", aNow);
   } else {
     OnInterrupted(aItem);
   }
@@ -160,7 +167,7 @@
 void
 JobLedger::OnImpossible(ItemIndex aItem, TimePoint aNow)
 {
-  Finish(aItem, true, aNow);
+  Finish(aItem, "it can never be done", aNow);
 }
 
 void
@@ -168,7 +175,7 @@
 {
   if (items_[aItem].state_ == ItemState::Scoring) {
     items_[aItem].score_ = std::move(aScore);
-    Finish(aItem, false, aNow);
+    Finish(aItem, kNoError, aNow);
   }
 }
 
@@ -182,7 +189,7 @@
   item.scoreFailures_ += aFailures;
   if (item.state_ == ItemState::Scoring &&
       item.scoreFailures_ >= policy_.maxScoreFailures_) {
-    Finish(aItem, true, aNow);
+    Finish(aItem, "its scorer failed", aNow);
   }
 }
 
@@ -195,14 +202,15 @@
 }
 
 void
-JobLedger::Finish(ItemIndex aItem, bool aErrored, TimePoint aNow)
+JobLedger::Finish(ItemIndex aItem, std::string_view aError, TimePoint aNow)
 {
   Item& item = items_[aItem];
   if (item.state_ == ItemState::Finished || item.state_ == ItemState::Listed) {
     return;
   }
   item.state_ = ItemState::Finished;
-  item.errored_ = aErrored;
+  item.errored_ = !aError.empty();
+  item.error_ = aError;
   item.finished_ = aNow;
   --open_[spec_.items_[aItem].group_];
 }
@@ -214,7 +222,7 @@
     return;
   }
   for (ItemIndex i = 0; i < items_.size(); ++i) {
-    Finish(i, true, aNow);
+    Finish(i, "its time was over", aNow);
   }
 }
 
