--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -11,7 +11,7 @@
 constexpr auto kRelayHold = std::chrono::milliseconds(1000);
 /// A process that watches the store itself since its relay failed tries
 /// another after this time.
-constexpr auto kDirectTime = std::chrono::seconds(5);
+constexpr auto kDirectTime = std::chrono::seconds(3);
 /// A relay that does not yet know a revision gets this long.
 constexpr auto kCatchUp = std::chrono::milliseconds(50);
 
@@ -192,13 +192,21 @@
              { { "prefix", own.prefix_ },
                { "after", std::to_string(own.after_) },
                { "error", aBatch.error().message_ } });
-    // The next relay might be silent too, and a second wait would be too long
-    // for a change to be in force in time.
+    // A relay that answers no costs no time, so the next is asked. One that is
+    // silent has taken 1.3 s; a second might be silent too, and that would be
+    // too long for a change to be in force in time.
     ++own.nextRelay_;
-    own.directUntil_ = clock_.Now() + kDirectTime;
-    OpenDirect(aId);
+    const bool silent = aBatch.error().kind_ == ErrorKind::Timeout;
+    if (silent || ++own.refusals_ >= relays_().size()) {
+      own.refusals_ = 0;
+      own.directUntil_ = clock_.Now() + kDirectTime;
+      OpenDirect(aId);
+    } else {
+      Open(aId);
+    }
     return;
   }
+  own.refusals_ = 0;
   Deliver(aId, aBatch.value());
   if (Find(aId) != nullptr) {
     Open(aId);
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -62,6 +62,8 @@
     /// What came over the store's watch, for peers.
     WatchHistory history_;
     std::size_t nextRelay_ = 0;
+    /// Relays in a row that answered no.
+    std::size_t refusals_ = 0;
     std::uint64_t round_ = 0;
   };
 
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -400,3 +400,15 @@
   two.store_.Put("k/a", "1");
   REQUIRE(two.seen_ == std::vector<std::string>{ "k/a" });
 }
+
+TEST_CASE("a relay that says no is passed over for the next at once")
+{
+  TwoProcesses two;
+  two.relays_ = { "first", "second", "third" };
+  two.first_.Watch("k/", two.store_.Revision() + 1, [](const auto&) {});
+  two.second_.Watch("other/", two.store_.Revision() + 1, [](const auto&) {});
+  two.timers_.Advance(2ms);
+  REQUIRE(two.store_.CountWatches("other/") == 0);
+  two.timers_.Advance(2ms);
+  REQUIRE(two.store_.CountWatches("other/") == 1);
+}
