A link between processes is dropped after a call that took too long

Cause: found by reading, then by a test that fails before: a connection that is silent for good stayed in use for all later calls to that peer. Measured: the second call opens a new connection (1 accepted before, 2 after).

--- a/src/runtime/rpc_links.cpp
+++ b/src/runtime/rpc_links.cpp
@@ -142,7 +142,7 @@
         (*aDone)(ReadReply(aResults, mac_, stamp));
       },
       [this, aPeer, aLink, aDone](kj::Exception&& aFailure) {
-        DropIfLost(aPeer, aLink, aFailure);
+        Drop(aPeer, aLink);
         (*aDone)(Error{ ErrorKind::Timeout,
                         "call to " + aPeer +
                           " failed: " + aFailure.getDescription().cStr() });
@@ -150,14 +150,14 @@
     .attach(std::move(aLink));
 }
 
+/// Calls in progress keep a link; the next call opens another. A connection
+/// may be silent for good without being closed, so a call that took too long
+/// counts as well.
 void
-RpcLinks::DropIfLost(const std::string& aPeer,
-                     const LinkPtr& aLink,
-                     const kj::Exception& aFailure)
+RpcLinks::Drop(const std::string& aPeer, const LinkPtr& aLink)
 {
   const auto it = links_.find(aPeer);
-  const bool lost = aFailure.getType() == kj::Exception::Type::DISCONNECTED;
-  if (lost && it != links_.end() && it->second == aLink) {
+  if (it != links_.end() && it->second == aLink) {
     links_.erase(it);
   }
 }
--- a/src/runtime/rpc_links.hpp
+++ b/src/runtime/rpc_links.hpp
@@ -46,9 +46,7 @@
                                            LinkPtr aLink,
                                            const CallPtr& aCall,
                                            DonePtr aDone);
-  void DropIfLost(const std::string& aPeer,
-                  const LinkPtr& aLink,
-                  const kj::Exception& aFailure);
+  void Drop(const std::string& aPeer, const LinkPtr& aLink);
 
   kj::Network& network_;
   kj::Timer& timer_;
