--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -226,10 +226,12 @@
   board_.OnList(std::move(entries), host_.Now());
 }
 
+/// A process that the store does not answer takes in no jobs; others may.
+/// Where it answers none, the balancer goes on with all.
 bool
 Gateway::Ready() const
 {
-  return !stopping_ && routes_.Known();
+  return !stopping_ && routes_.Known() && life_.Reached();
 }
 
 void
@@ -238,8 +240,11 @@
   if (Ready()) {
     aReply->Send(HttpResponse{ 200, {}, "ready\n" });
   } else {
-    aReply->Send(ErrorResponse(
-      503, "not_ready", stopping_ ? "stopping" : "no configuration yet"));
+    aReply->Send(ErrorResponse(503,
+                               "not_ready",
+                               stopping_         ? "stopping"
+                               : routes_.Known() ? "the store does not answer"
+                                                 : "no configuration yet"));
   }
 }
 
