A reply knows its own connection, also when the caller's port is used again

Sockets were found by the caller's address alone; an old connection, held by its reply, took the place of a new one from the same port, so that a stream to be broken off got its last chunk, and a caller that left was not noticed; from other threads none was found at all. Ruled out: the gateway's own checks (the stand-in's bytes were whole by their framing). Change: connections have numbers; breaking off and watching happen on the connection's loop; without a connection no last chunk is sent. Measured: four new tests, two of which fail before; all pass after.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -31,8 +31,11 @@
   CallerSocket& operator=(const CallerSocket&) = delete;
   ~CallerSocket()
   {
-    if (known_) {
-      Known().erase(caller_);
+    // The caller may have used its port again for a connection of which this
+    // one, held by an old reply, must not take the place.
+    const auto it = Known().find(caller_);
+    if (known_ && it != Known().end() && it->second == this) {
+      Known().erase(it);
     }
   }
 
@@ -46,17 +49,27 @@
       caller_ = remote_endpoint(failure);
       known_ = !failure;
       if (known_) {
+        static thread_local std::uint64_t last = 0;
+        number_ = ++last;
         Known()[caller_] = this;
       }
     }
     return Tcp::socket::async_read_some(std::forward<Args>(aArgs)...);
   }
 
-  /// @returns the open connection of a caller, or nullptr
-  static CallerSocket* Find(const Tcp::endpoint& aCaller)
+  /// @returns the number of the caller's present connection; 0 if it has none
+  static std::uint64_t NumberOf(const Tcp::endpoint& aCaller)
   {
     const auto it = Known().find(aCaller);
-    return it == Known().end() ? nullptr : it->second;
+    return it == Known().end() ? 0 : it->second->number_;
+  }
+
+  /// @returns that connection of a caller if it is open, or nullptr
+  static CallerSocket* Find(const Tcp::endpoint& aCaller, std::uint64_t aNumber)
+  {
+    const auto it = Known().find(aCaller);
+    const bool same = it != Known().end() && it->second->number_ == aNumber;
+    return same ? it->second : nullptr;
   }
 
 private:
@@ -68,6 +81,8 @@
   }
 
   Tcp::endpoint caller_;
+  /// Callers use their ports again; numbers are new.
+  std::uint64_t number_ = 0;
   bool known_ = false;
 };
 
@@ -118,6 +133,8 @@
         std::shared_ptr<ServerState> aState)
     : state_(std::move(aState))
     , request_(std::move(aRequest))
+    , loop_(state_->pool_->Pick())
+    , connection_(CallerSocket::NumberOf(request_->remote_endpoint()))
   {
     ++state_->inFlight_;
   }
@@ -163,30 +180,58 @@
 
   void Abort() override
   {
-    CallerSocket* socket = CallerSocket::Find(request_->remote_endpoint());
-    if (socket != nullptr && !finished_) {
-      asio::error_code ignored;
-      socket->shutdown(Tcp::socket::shutdown_both, ignored);
+    OnLoop([self = shared_from_this()] { self->AbortNow(); });
+  }
+
+  void OnCallerGone(std::function<void()> aGone) override
+  {
+    OnLoop([self = shared_from_this(), gone = std::move(aGone)] {
+      self->WatchCaller(gone);
+    });
+  }
+
+private:
+  /// Sockets are known on their loop's thread alone.
+  void OnLoop(std::function<void()> aTask)
+  {
+    auto& context = state_->pool_->Loop(loop_).Context();
+    if (context.get_executor().running_in_this_thread()) {
+      aTask();
+    } else {
+      asio::post(context, std::move(aTask));
     }
+  }
+
+  void AbortNow()
+  {
+    CallerSocket* socket =
+      CallerSocket::Find(request_->remote_endpoint(), connection_);
+    if (socket == nullptr || finished_) {
+      // The connection is gone; a last chunk would be a whole answer.
+      Finish();
+      return;
+    }
+    asio::error_code ignored;
+    socket->shutdown(Tcp::socket::shutdown_both, ignored);
     // The library notices the closed socket by writing to it.
     if (stream_) {
       End();
-    } else if (!finished_) {
+    } else {
       Send(HttpResponse{ 500, {}, {} });
     }
   }
 
-  void OnCallerGone(std::function<void()> aGone) override
+  void WatchCaller(const std::function<void()>& aGone)
   {
-    CallerSocket* socket = CallerSocket::Find(request_->remote_endpoint());
+    CallerSocket* socket =
+      CallerSocket::Find(request_->remote_endpoint(), connection_);
     if (socket == nullptr) {
       return;
     }
     const int handle = socket->native_handle();
     socket->async_wait(
       Tcp::socket::wait_read,
-      [self = weak_from_this(), handle, gone = std::move(aGone)](
-        const asio::error_code& aError) {
+      [self = weak_from_this(), handle, aGone](const asio::error_code& aError) {
         const auto reply = self.lock();
         if (aError || !reply || reply->finished_) {
           return;
@@ -194,12 +239,11 @@
         char byte = 0;
         const auto got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (got == 0 || (got < 0 && errno != EAGAIN)) {
-          gone();
+          aGone();
         }
       });
   }
 
-private:
   template<typename Builder>
   void AddHeaders(Builder& aBuilder, const HttpHeaders& aHeaders)
   {
@@ -220,6 +264,9 @@
 
   std::shared_ptr<ServerState> state_;
   restinio::request_handle_t request_;
+  /// The loop of the connection.
+  std::size_t loop_;
+  std::uint64_t connection_;
   std::unique_ptr<StreamBuilder> stream_;
   std::atomic<bool> finished_{ false };
 };
--- /dev/null
+++ b/tests/test_http_server.cpp
@@ -0,0 +1,176 @@
+/// The server's view of its callers: who left, and whose connection is whose.
+
+#include "marjoramtally/runtime.hpp"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace marjoramtally;
+
+namespace {
+
+/// Keeps replies until the test uses them.
+class HeldReplies
+{
+public:
+  HttpHandler Handler()
+  {
+    return [this](const HttpRequest&, HttpReplyPtr aReply) {
+      const std::lock_guard lock(mutex_);
+      replies_.push_back(std::move(aReply));
+      changed_.notify_all();
+    };
+  }
+
+  HttpReplyPtr Take()
+  {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return !replies_.empty(); });
+    HttpReplyPtr reply = std::move(replies_.front());
+    replies_.pop_front();
+    return reply;
+  }
+
+private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<HttpReplyPtr> replies_;
+};
+
+/// A connection from a local port of choice.
+/// @param aPort 0 takes one of the kernel
+int
+Connect(std::uint16_t aServer, std::uint16_t aPort)
+{
+  const int handle = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(aPort);
+  REQUIRE(bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof address) ==
+          0);
+  address.sin_port = htons(aServer);
+  REQUIRE(connect(handle,
+                  reinterpret_cast<sockaddr*>(&address),
+                  sizeof address) == 0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  send(handle, request.data(), request.size(), MSG_NOSIGNAL);
+  return handle;
+}
+
+std::uint16_t
+LocalPort(int aHandle)
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(aHandle, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+/// Closes with a reset, so that the port is free at once.
+void
+Reset(int aHandle)
+{
+  const linger atOnce{ 1, 0 };
+  setsockopt(aHandle, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+  close(aHandle);
+}
+
+std::string
+ReadAll(int aHandle)
+{
+  std::string bytes;
+  char byte = 0;
+  while (recv(aHandle, &byte, 1, 0) > 0) {
+    bytes.push_back(byte);
+  }
+  return bytes;
+}
+
+} // namespace
+
+TEST_CASE("a stream that was broken off is seen to be incomplete")
+{
+  HeldReplies held;
+  HttpServerOptions options;
+  options.threads_ = 1;
+  auto server = HttpServer::Start(options, held.Handler());
+  const int caller = Connect(server.value()->Port(), 0);
+  const HttpReplyPtr reply = held.Take();
+  reply->Begin(200, {});
+  reply->Chunk("part", {});
+  reply->Abort();
+  const std::string bytes = ReadAll(caller);
+  REQUIRE(bytes.find("0\r\n\r\n") == std::string::npos);
+  close(caller);
+}
+
+TEST_CASE("a port that is used again does not hide its new connection")
+{
+  HeldReplies held;
+  HttpServerOptions options;
+  options.threads_ = 1;
+  auto server = HttpServer::Start(options, held.Handler());
+  const int first = Connect(server.value()->Port(), 0);
+  const std::uint16_t port = LocalPort(first);
+  HttpReplyPtr old = held.Take();
+  Reset(first);
+  const int second = Connect(server.value()->Port(), port);
+  const HttpReplyPtr reply = held.Take();
+  // The old connection ends only now, since its reply was still held.
+  old->Abort();
+  old.reset();
+  reply->Begin(200, {});
+  reply->Chunk("part", {});
+  // Its end on the server's loop, before the new one is broken off.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  reply->Abort();
+  const std::string bytes = ReadAll(second);
+  REQUIRE(bytes.find("200") != std::string::npos);
+  REQUIRE(bytes.find("0\r\n\r\n") == std::string::npos);
+  close(second);
+}
+
+TEST_CASE("doors can be closed from the server's own loop")
+{
+  std::unique_ptr<HttpServer> server;
+  std::atomic<bool> closed{ false };
+  HttpServerOptions options;
+  options.threads_ = 1;
+  auto started = HttpServer::Start(
+    options, [&](const HttpRequest&, const HttpReplyPtr& aReply) {
+      server->StopAccepting();
+      closed = true;
+      aReply->Send(HttpResponse{ 200, {}, "closed" });
+    });
+  server = std::move(started).value();
+  const int caller = Connect(server->Port(), 0);
+  REQUIRE(ReadAll(caller).find("closed") != std::string::npos);
+  REQUIRE(closed);
+  close(caller);
+}
+
+TEST_CASE("a caller that leaves is noticed while its request is in progress")
+{
+  HeldReplies held;
+  HttpServerOptions options;
+  options.pool_ = IoPool::Create(1);
+  auto server = HttpServer::Start(options, held.Handler());
+  const int caller = Connect(server.value()->Port(), 0);
+  const HttpReplyPtr reply = held.Take();
+  std::promise<void> gone;
+  options.pool_->Post(0, [&] {
+    reply->OnCallerGone([&gone] { gone.set_value(); });
+    close(caller);
+  });
+  gone.get_future().get();
+}
