Old jobs are removed; a refused holder of orders contends anew; one start of daemons

Cause, found by reading: records of jobs were never removed though results need be kept for a while only; a holder that met a higher number left the contest for good; the start of two kinds of daemons stood twice.

--- a/include/marjoramtally/process/job_takeover.hpp
+++ b/include/marjoramtally/process/job_takeover.hpp
@@ -44,6 +44,12 @@
 
   /// @returns jobs that this process should claim now
   [[nodiscard]] std::vector<JobId> Due(TimePoint aNow) const;
+  /// @returns whether of all processes this one is to look after a job that
+  /// needs no owner any more
+  [[nodiscard]] bool IsFirst(const JobId& aJob) const
+  {
+    return Rank(aJob) == 0;
+  }
   /// @returns when `Due` next has to be asked; `kNever` if all have an owner
   [[nodiscard]] TimePoint NextDue() const;
 
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -1,10 +1,10 @@
 #include "daemon/gateway_settings.hpp"
 
+#include "daemon/load_settings.hpp"
+
 #include "marjoramtally/runtime/log.hpp"
-#include "marjoramtally/runtime/program.hpp"
 
 #include <array>
-#include <iostream>
 
 namespace marjoramtally {
 
@@ -103,34 +103,15 @@
                    std::string_view aPurpose,
                    int& aExitCode)
 {
-  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram, aPurpose);
-  if (const int* code = std::get_if<int>(&parsed)) {
-    aExitCode = *code;
-    return std::nullopt;
+  auto settings = LoadDaemonSettings(
+    aArgc, aArgv, aProgram, aPurpose, ReadGatewaySettings, aExitCode);
+  if (settings) {
+    InitLog(aProgram,
+            settings->instance_,
+            *ParseLogLevel(settings->logLevel_),
+            LogTarget::Output);
   }
-  const auto& options = std::get<DaemonOptions>(parsed);
-  const auto document = LoadSettings(options.settingsFile_);
-  if (!document) {
-    std::cerr << document.error().Render();
-    aExitCode = kExitBadInput;
-    return std::nullopt;
-  }
-  auto settings = ReadGatewaySettings(options.settingsFile_, document.value());
-  if (!settings) {
-    std::cerr << settings.error().Render();
-    aExitCode = kExitBadInput;
-    return std::nullopt;
-  }
-  if (options.checkOnly_) {
-    std::cout << options.settingsFile_ << ": ok\n";
-    aExitCode = kExitOk;
-    return std::nullopt;
-  }
-  InitLog(aProgram,
-          settings.value().instance_,
-          *ParseLogLevel(settings.value().logLevel_),
-          LogTarget::Output);
-  return std::move(settings).value();
+  return settings;
 }
 
 } // namespace marjoramtally
--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -95,6 +95,18 @@
   }
 }
 
+void
+LeasedKey::StartOver()
+{
+  if (lease_ != 0) {
+    store_.RevokeLease(lease_, [](const Result<bool>&) {});
+  }
+  lease_ = 0;
+  held_ = false;
+  waiting_ = false;
+  Later(options_.ttl_, &LeasedKey::Grant);
+}
+
 void
 LeasedKey::Release()
 {
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -43,6 +43,8 @@
   void SetTtl(Duration aTtl);
   /// Another process's key was seen to be gone.
   void Retry();
+  /// Gives the key up and contends for it anew after a while.
+  void StartOver();
   /// Ends the lease, so that others need not wait for it to lapse.
   void Release();
 
--- /dev/null
+++ b/src/daemon/load_settings.hpp
@@ -0,0 +1,52 @@
+/// How every daemon comes to its settings: command line, file, findings.
+#pragma once
+
+#include "marjoramtally/base.hpp"
+#include "marjoramtally/runtime/program.hpp"
+
+#include <iostream>
+#include <optional>
+
+namespace marjoramtally {
+
+/// Parses the command line, reads the settings and reports all findings to
+/// standard error.
+/// @param aRead makes settings of a file's name and document, or findings
+/// @returns nothing if the program is done; then `aExitCode` is set
+template<typename Settings>
+std::optional<Settings>
+LoadDaemonSettings(int aArgc,
+                   char** aArgv,
+                   const std::string& aProgram,
+                   std::string_view aPurpose,
+                   Checked<Settings> (*aRead)(const std::string&,
+                                              const IniDocument&),
+                   int& aExitCode)
+{
+  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram, aPurpose);
+  if (const int* code = std::get_if<int>(&parsed)) {
+    aExitCode = *code;
+    return std::nullopt;
+  }
+  const auto& options = std::get<DaemonOptions>(parsed);
+  const auto document = LoadSettings(options.settingsFile_);
+  if (!document) {
+    std::cerr << document.error().Render();
+    aExitCode = kExitBadInput;
+    return std::nullopt;
+  }
+  auto settings = aRead(options.settingsFile_, document.value());
+  if (!settings) {
+    std::cerr << settings.error().Render();
+    aExitCode = kExitBadInput;
+    return std::nullopt;
+  }
+  if (options.checkOnly_) {
+    std::cout << options.settingsFile_ << ": ok\n";
+    aExitCode = kExitOk;
+    return std::nullopt;
+  }
+  return std::move(settings).value();
+}
+
+} // namespace marjoramtally
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,9 +1,8 @@
 #include "daemon/settings.hpp"
 
-#include "marjoramtally/runtime/program.hpp"
+#include "daemon/load_settings.hpp"
 
 #include <array>
-#include <iostream>
 
 namespace marjoramtally {
 
@@ -82,33 +81,12 @@
             std::string_view aPurpose,
             int& aExitCode)
 {
-  const auto parsed = ParseDaemonOptions(aArgc, aArgv, aProgram, aPurpose);
-  if (const int* code = std::get_if<int>(&parsed)) {
-    aExitCode = *code;
-    return std::nullopt;
+  auto settings = LoadDaemonSettings(
+    aArgc, aArgv, aProgram, aPurpose, ReadDaemonSettings, aExitCode);
+  if (settings) {
+    InitLog(aProgram, settings->instance_, *ParseLogLevel(settings->logLevel_));
   }
-  const auto& options = std::get<DaemonOptions>(parsed);
-  const auto document = LoadSettings(options.settingsFile_);
-  if (!document) {
-    std::cerr << document.error().Render();
-    aExitCode = kExitBadInput;
-    return std::nullopt;
-  }
-  auto settings = ReadDaemonSettings(options.settingsFile_, document.value());
-  if (!settings) {
-    std::cerr << settings.error().Render();
-    aExitCode = kExitBadInput;
-    return std::nullopt;
-  }
-  if (options.checkOnly_) {
-    std::cout << options.settingsFile_ << ": ok\n";
-    aExitCode = kExitOk;
-    return std::nullopt;
-  }
-  InitLog(aProgram,
-          settings.value().instance_,
-          *ParseLogLevel(settings.value().logLevel_));
-  return std::move(settings).value();
+  return settings;
 }
 
 } // namespace marjoramtally
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -107,6 +107,7 @@
 JobApi::TakeOwner(const JobId& aJob, const KnownJob& aKnown)
 {
   const bool mine = aKnown.record_.owner_ == host_.Incarnation();
+  totals_.erase(aJob);
   if (runner_.Owns(aJob)) {
     if (!mine || runner_.FenceOf(aJob) != aKnown.fence_) {
       runner_.Drop(aJob);
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -8,6 +8,11 @@
 
 /// A claim that got no answer is tried again after this time.
 constexpr auto kClaimAgain = std::chrono::milliseconds(500);
+/// How often old jobs are looked for.
+constexpr auto kRemovePause = std::chrono::seconds(30);
+/// Beyond the time for which results are to be kept: clocks differ, and jobs
+/// are read a while after they were submitted.
+constexpr auto kRemoveSlack = std::chrono::seconds(60);
 
 } // namespace
 
@@ -28,6 +33,7 @@
 JobDirectory::Start()
 {
   follower_.Start();
+  host_.Timers().After(kRemovePause, [this] { RemoveOld(); });
 }
 
 std::string
@@ -164,6 +170,21 @@
   }
 }
 
+void
+JobDirectory::RemoveOld()
+{
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  for (const auto& [job, known] : jobs_) {
+    const std::chrono::milliseconds accepted(known.record_.acceptedMillis_);
+    if (known.ended_ && takeover_.IsFirst(job) &&
+        wall - accepted > host_.Settings().statusTime_ + kRemoveSlack) {
+      LogEvent(LogLevel::Info, "job_removed", { { "job", job.Get() } });
+      store_.Remove(job, known.record_.total_);
+    }
+  }
+  host_.Timers().After(kRemovePause, [this] { RemoveOld(); });
+}
+
 void
 JobDirectory::ClaimDue()
 {
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -47,6 +47,8 @@
   void TakeOwner(const JobId& aJob, const StoreRecord& aRecord);
   void TakeEnd(const JobId& aJob);
   void ClaimDue();
+  /// Removes jobs whose results need not be kept any more.
+  void RemoveOld();
 
   GatewayContext& host_;
   JobStore& store_;
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -374,8 +374,8 @@
       Plan();
       return;
     case 412:
-      // Another process has the duty under a higher number.
-      duty_.Release();
+      // Another process has given orders under a higher number.
+      duty_.StartOver();
       OnLost();
       return;
     case 421:
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -442,3 +442,36 @@
   fakes.store_.Put(job_keys::End(kJob), "");
   REQUIRE(ends == std::vector<std::string>{ kJob.Get() });
 }
+
+TEST_CASE("ended jobs are removed once their results need not be kept")
+{
+  GatewayFakes fakes;
+  JobStore jobs(fakes.context_);
+  JobDirectory directory(fakes.context_, jobs);
+  const JobId fresh{ "fresh" };
+  const JobId open{ "open" };
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count();
+  fakes.store_.Put(job_keys::Life("self~1"),
+                   WriteLifeRecord({ ZoneId{ "z" }, "a:1" }));
+  for (const auto& [job, accepted] : { std::pair{ kJob, std::int64_t{ 0 } },
+                                       std::pair{ fresh, now },
+                                       std::pair{ open, std::int64_t{ 0 } } }) {
+    fakes.store_.Put(job_keys::Owner(job),
+                     WriteOwnerRecord({ "self~1", 2, accepted }));
+    fakes.store_.Put(job_keys::ResultsAt(job, 0), "[]");
+    fakes.store_.Put(job_keys::Submission(job) + "0000", "x");
+  }
+  directory.Start();
+  fakes.timers_.Advance(10ms);
+  fakes.store_.Put(job_keys::End(kJob), "");
+  fakes.store_.Put(job_keys::End(fresh), "");
+  fakes.timers_.Advance(31s);
+  REQUIRE(directory.Find(kJob) == nullptr);
+  REQUIRE_FALSE(fakes.store_.records_.contains(job_keys::ResultsAt(kJob, 0)));
+  REQUIRE_FALSE(
+    fakes.store_.records_.contains(job_keys::Submission(kJob) + "0000"));
+  REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(fresh, 0)));
+  REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(open, 0)));
+}
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -412,3 +412,19 @@
   two.timers_.Advance(2ms);
   REQUIRE(two.store_.CountWatches("other/") == 1);
 }
+
+TEST_CASE("a holder that was refused contends anew, under a higher number")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(10ms);
+  const FencingNumber before = key.Fence();
+  key.StartOver();
+  REQUIRE_FALSE(key.Held());
+  timers.Advance(2s);
+  REQUIRE(key.Held());
+  REQUIRE(key.Fence() > before);
+}
