A text whose stream broke after its last event is whole

All events had come, the stream broke before its end, and the resumed stream, whole and without an event, was taken for a broken one, for ever. Ruled out: the stand-in (a sampler asked to go on after its last event has nothing to send). Change: two such answers prove that the text was whole; an empty stream from the start is a failure.

--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -98,6 +98,10 @@
   void OnInterrupted(ItemIndex aItem);
   /// The upstream ended the stream as whole.
   void OnWhole(ItemIndex aItem, TimePoint aNow);
+  /// A run that went on after the last event held ended as whole without an
+  /// event: the text may have been whole before. Two such answers prove it,
+  /// since one may be spoilt.
+  void OnNothingLeft(ItemIndex aItem, TimePoint aNow);
   /// The upstream answered that the run failed.
   void OnRunFailed(ItemIndex aItem, TimePoint aNow);
   /// The upstream answered that the item can never be done.
@@ -149,6 +153,8 @@
     bool scoreAsked_ = false;
     std::string score_;
     std::uint32_t failures_ = 0;
+    /// Answers that had nothing after the last event.
+    std::uint32_t nothingLeft_ = 0;
     std::uint32_t scoreFailures_ = 0;
     TimePoint finished_;
   };
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -213,6 +213,14 @@
                { "events", std::to_string(aRun.events_) } });
     return;
   }
+  if (whole && aRun.status_ == 200 && !aRun.parser_.Partial()) {
+    const bool none = aJob.ledger_.Text(aRun.item_).lastEvent_ == 0;
+    board_.OnEnd(
+      aRun.upstream_, none ? CallVerdict::Failed : CallVerdict::Answered, now);
+    aJob.ledger_.OnNothingLeft(aRun.item_, now);
+    aJob.avoided_[aRun.item_] = aRun.upstream_;
+    return;
+  }
   host_.Measures().Count("runs_interrupted_total");
   LogEvent(LogLevel::Info,
            "run_interrupted",
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kNoError;
+/// Empty answers that prove a text to be whole.
+constexpr std::uint32_t kProofs = 2;
 constexpr std::string_view kRestoredError = "given up by an earlier owner";
 
 } // namespace
@@ -128,6 +130,7 @@
   if (text.lastEvent_ > 0) {
     text.text_ += '\n';
   }
+  items_[aItem].nothingLeft_ = 0;
   text.text_ += aEvent.data_;
   text.lastEvent_ = *aEvent.id_;
   return true;
@@ -153,6 +156,17 @@
   }
 }
 
+void
+JobLedger::OnNothingLeft(ItemIndex aItem, TimePoint aNow)
+{
+  Item& item = items_[aItem];
+  if (item.text_.lastEvent_ > 0 && ++item.nothingLeft_ >= kProofs) {
+    OnWhole(aItem, aNow);
+  } else {
+    OnInterrupted(aItem);
+  }
+}
+
 void
 JobLedger::OnRunFailed(ItemIndex aItem, TimePoint aNow)
 {
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -475,3 +475,33 @@
   REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(fresh, 0)));
   REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(open, 0)));
 }
+
+TEST_CASE("a stream that broke after its last event is whole all the same")
+{
+  Fixture fix;
+  fix.Accept(1);
+  fix.Begin(fix.Call(), Event(1, "a") + Event(2, "b"));
+  fix.client_.Fail(fix.Call(), HttpEnd::Broken);
+  // Nothing comes after event 2: one empty answer might be a spoilt one.
+  for (int i = 0; i < 2; ++i) {
+    REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Running);
+    const SentCall call = fix.Call();
+    fix.client_.Answer(call, fix.Stream(call, ""));
+    fix.timers_.Advance(1s);
+  }
+  fix.CompleteScore();
+  fix.timers_.Advance(300ms);
+  REQUIRE(fix.Stored().front().text_ == "a\nb");
+}
+
+TEST_CASE("an empty stream from the start is no text")
+{
+  Fixture fix;
+  fix.Accept(1);
+  for (int i = 0; i < 3; ++i) {
+    const SentCall call = fix.Call();
+    fix.client_.Answer(call, fix.Stream(call, ""));
+    fix.timers_.Advance(4s);
+  }
+  REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Running);
+}
