--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -149,6 +149,10 @@
   [[nodiscard]] bool Fits(const BoardUpstream& aUpstream,
                           const ItemNeeds& aNeeds,
                           TimePoint aNow) const;
+  /// @returns 0 if no pace is known
+  [[nodiscard]] Duration MedianPace(const ServiceId& aService) const;
+  [[nodiscard]] bool SlowerThan(const BoardUpstream& aUpstream,
+                                Duration aMedian) const noexcept;
   /// @returns whether an upstream with a free slot is to be left to the items
   /// of other models
   [[nodiscard]] static bool Foreign(const BoardUpstream& aUpstream,
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -234,6 +234,7 @@
   std::tuple<bool, bool, double> bestRank;
   bool home = false;
   std::size_t index = 0;
+  const Duration median = MedianPace(aNeeds.service_);
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.entry_.service_ != aNeeds.service_) {
       continue;
@@ -247,11 +248,12 @@
     if (!Fits(upstream, aNeeds, aNow) || (foreign && home)) {
       continue;
     }
-    if (id == aNeeds.preferred_ && !Slow(id)) {
+    const bool slow = SlowerThan(upstream, median);
+    if (id == aNeeds.preferred_ && !slow) {
       return &upstream;
     }
     const std::tuple rank{ upstream.vanished_ != kNever,
-                           Slow(id),
+                           slow,
                            LoadOf(upstream) };
     if (best == nullptr || rank < bestRank) {
       best = &upstream;
@@ -261,25 +263,38 @@
   return best;
 }
 
-bool
-UpstreamBoard::Slow(const UpstreamId& aId) const
+Duration
+UpstreamBoard::MedianPace(const ServiceId& aService) const
 {
-  const BoardUpstream* upstream = Find(aId);
-  if (upstream == nullptr || upstream->pace_.count() == 0) {
-    return false;
-  }
   std::vector<Duration> paces;
-  for (const auto& [id, other] : upstreams_) {
-    if (other.entry_.service_ == upstream->entry_.service_ &&
-        other.pace_.count() > 0) {
-      paces.push_back(other.pace_);
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ == aService && upstream.pace_.count() > 0) {
+      paces.push_back(upstream.pace_);
     }
   }
+  if (paces.empty()) {
+    return Duration{ 0 };
+  }
   const auto middle =
     paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
   std::nth_element(paces.begin(), middle, paces.end());
-  return static_cast<double>(upstream->pace_.count()) >
-         policy_.slowFactor_ * static_cast<double>(middle->count());
+  return *middle;
+}
+
+bool
+UpstreamBoard::SlowerThan(const BoardUpstream& aUpstream,
+                          Duration aMedian) const noexcept
+{
+  return static_cast<double>(aUpstream.pace_.count()) >
+         policy_.slowFactor_ * static_cast<double>(aMedian.count());
+}
+
+bool
+UpstreamBoard::Slow(const UpstreamId& aId) const
+{
+  const BoardUpstream* upstream = Find(aId);
+  return upstream != nullptr && upstream->pace_.count() > 0 &&
+         SlowerThan(*upstream, MedianPace(upstream->entry_.service_));
 }
 
 const BoardUpstream*
