--- a/include/marjoramtally/fwd.hpp
+++ b/include/marjoramtally/fwd.hpp
@@ -17,10 +17,13 @@
 struct Sample;
 
 // version
+class JobLedger;
 class LeadPolicy;
 class TakeClient;
 class TrainerLedger;
 class VersionHistory;
+struct JobResult;
+struct JobSpec;
 struct Rules;
 struct StepSpec;
 struct TakeResult;
@@ -29,11 +32,16 @@
 // process
 class Admission;
 class ClaimTable;
+class JobTakeover;
 class LeaseKeeper;
 class Membership;
 class Quarantine;
+class RelayPlan;
 class RetryBudget;
+class RouteTable;
 class Router;
+class UpstreamBoard;
+class WeightPlan;
 struct QueuedRequest;
 struct UpstreamReport;
 struct UpstreamView;
@@ -42,6 +50,8 @@
 class HttpClient;
 class HttpServer;
 class IoPool;
+class LoopTimers;
+class Platform;
 class Store;
 
 } // namespace marjoramtally
