--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -9,7 +9,6 @@
 #include <future>
 #include <mutex>
 #include <sys/socket.h>
-#include <thread>
 #include <unistd.h>
 
 using namespace marjoramtally;
@@ -118,7 +117,7 @@
 {
   HeldReplies held;
   HttpServerOptions options;
-  options.threads_ = 1;
+  options.pool_ = IoPool::Create(1);
   auto server = HttpServer::Start(options, held.Handler());
   const int first = Connect(server.value()->Port(), 0);
   const std::uint16_t port = LocalPort(first);
@@ -131,8 +130,10 @@
   old.reset();
   reply->Begin(200, {});
   reply->Chunk("part", {});
-  // Its end on the server's loop, before the new one is broken off.
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  // The loop has ended the old one before the new one is broken off.
+  std::promise<void> ended;
+  options.pool_->Post(0, [&ended] { ended.set_value(); });
+  ended.get_future().get();
   reply->Abort();
   const std::string bytes = ReadAll(second);
   REQUIRE(bytes.find("200") != std::string::npos);
