A holder whose lease came late begins once it is renewed

The process that got the key of the orders had its answers so late that the lease was not certain at the one moment it looked; it renewed the key ever after and never began, so nobody gave orders. Ruled out: the store and the key itself (held and renewed throughout), the plan (never asked). The duty looks again until the key is certain or lost.

--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -82,11 +82,23 @@
   // have to be over.
   const Duration wait =
     host_.Settings().fencing_ ? Duration{ 0 } : host_.Settings().orderTurn_;
-  host_.Timers().After(wait, [this, aFence] {
-    if (duty_.Held() && duty_.Fence() == aFence) {
-      Follow();
-    }
-  });
+  awaited_ = aFence;
+  host_.Timers().After(wait, [this, aFence] { FollowOnceHeld(aFence); });
+}
+
+/// The answers that made the key ours may have come so late that the lease is
+/// nearly over; the next renewal makes it certain.
+void
+OrderDuty::FollowOnceHeld(FencingNumber aFence)
+{
+  if (awaited_ != aFence || active_) {
+    return;
+  }
+  if (duty_.Held()) {
+    Follow();
+  } else {
+    host_.Timers().After(kRestTime, [this, aFence] { FollowOnceHeld(aFence); });
+  }
 }
 
 void
@@ -96,6 +108,7 @@
     LogEvent(LogLevel::Info, "duty_lost", { { "duty", "orders" } });
   }
   active_ = false;
+  awaited_ = {};
   upstreams_.reset();
   versions_.reset();
   retirements_.reset();
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -49,6 +49,7 @@
   /// Gives the duty back while the process lives on.
   void Withdraw();
   void OnHeld(FencingNumber aFence);
+  void FollowOnceHeld(FencingNumber aFence);
   void OnLost();
   void Follow();
   void TakeUpstream(const StoreRecord& aRecord);
@@ -79,6 +80,8 @@
   std::unique_ptr<PrefixFollower> retirements_;
   WeightPlan plan_;
   std::map<UpstreamId, Target> targets_;
+  /// The number under which the duty is to begin; none: it is not ours.
+  FencingNumber awaited_;
   bool active_ = false;
   TimePoint lastOrder_;
   std::set<std::string> retired_;
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -33,6 +33,8 @@
   /// Watches hear nothing while this holds.
   bool deaf_ = false;
   std::size_t commits_ = 0;
+  /// How long each answer takes.
+  Duration delay_ = std::chrono::milliseconds(4);
   std::map<std::string, StoreRecord> records_;
 
   void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override
@@ -187,7 +189,7 @@
       aResult = Error{ ErrorKind::Timeout, "no answer" };
     }
     timers_.After(
-      std::chrono::milliseconds(4),
+      delay_,
       [result = std::move(aResult), done = std::move(aDone)] { done(result); });
   }
 
