Events before a broken one reach the caller of a completion

Cause: when one read held good events and then one that could not be understood, the good ones were dropped although the stream counted them as held. The next attempt resumed behind them, so the caller's answer had a hole and still ended as whole. Ruled out: the parser, whose events before an error are not counted by anyone. Change: events before a fault are passed on; the fault is kept and ends the attempt. Measured: the new test failed before (the read gave nothing of 1 event) and passes after.

--- a/include/marjoramtally/request/completion_stream.hpp
+++ b/include/marjoramtally/request/completion_stream.hpp
@@ -19,8 +19,14 @@
   /// Starts an attempt.
   void StartAttempt();
   /// Takes bytes of the attempt's body.
-  /// @returns events to pass to the caller; an error ends the attempt
+  /// @returns events to pass to the caller, also those before a fault; the
+  /// fault if there are none
   [[nodiscard]] Result<std::string> Feed(std::string_view aBytes);
+  /// @returns why the attempt is to be given up, if it is
+  [[nodiscard]] const std::optional<Error>& Fault() const noexcept
+  {
+    return fault_;
+  }
   /// @returns whether the attempt gave the whole answer: a finish reason and
   /// the final event
   [[nodiscard]] bool Whole() const noexcept { return done_; }
@@ -65,6 +71,7 @@
   bool finished_ = false;
   bool done_ = false;
   bool contradicted_ = false;
+  std::optional<Error> fault_;
 };
 
 } // namespace marjoramtally
--- a/src/request/completion_stream.cpp
+++ b/src/request/completion_stream.cpp
@@ -24,6 +24,7 @@
 CompletionStream::StartAttempt()
 {
   parser_ = {};
+  fault_.reset();
   next_ = 0;
   bytes_ = 0;
   started_ = false;
@@ -33,18 +34,27 @@
 Result<std::string>
 CompletionStream::Feed(std::string_view aBytes)
 {
+  if (fault_) {
+    return *fault_;
+  }
   const auto events = parser_.Feed(aBytes);
   if (!events) {
-    return events.error();
+    fault_ = events.error();
+    return *fault_;
   }
   std::string out;
   for (const std::string& event : events.value()) {
     auto passed = TakeEvent(event);
     if (!passed) {
-      return passed;
+      fault_ = passed.error();
+      break;
     }
     out += passed.value();
   }
+  // The caller is owed what came before the fault: it counts as held.
+  if (fault_ && out.empty()) {
+    return *fault_;
+  }
   return out;
 }
 
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -115,3 +115,20 @@
     CHECK(stream.Contradicted());
   }
 }
+
+TEST_CASE("what came before a broken event is passed on, not skipped")
+{
+  CompletionStream stream;
+  stream.StartAttempt();
+  std::string held =
+    stream.Feed(Token(0, "a") + FormatEvent("garbled")).value();
+  CHECK(held == Token(0, "a"));
+  CHECK(stream.Fault());
+  CHECK_FALSE(stream.Feed(Token(1, "b")));
+  stream.StartAttempt();
+  CHECK_FALSE(stream.Fault());
+  held += stream.Feed(Token(stream.Tokens(), "b") + Last(2) + kDone).value();
+  CHECK(held.starts_with(Token(0, "a") + Token(1, "b")));
+  CHECK(held.ends_with(kDone));
+  CHECK(stream.Whole());
+}
