Streams of callers are passed on event by event

Cause: a route of kind stream was answered by the buffered path. Its caller saw nothing until the last event, a broken run could not be resumed, and a run that ended within an event passed as whole. Change: EventRelay passes whole events on unchanged, each once and in order; the forwarder resumes a resumable stream after the last event within the same answer, closes the connection of one that cannot go on, answers 502 or 503 if nothing was passed on yet, and holds an upstream back whose caller does not read. The window for that is one type now, used by the entry as well. Measured: 16 new tests on paused time; none of them can be written against the former interface, which had no place for a head or an event.

--- a/include/marjoramtally/request.hpp
+++ b/include/marjoramtally/request.hpp
@@ -3,6 +3,7 @@
 
 #include "marjoramtally/request/attempts.hpp"
 #include "marjoramtally/request/completion_stream.hpp"
+#include "marjoramtally/request/event_relay.hpp"
 #include "marjoramtally/request/event_stream.hpp"
 #include "marjoramtally/request/fingerprint.hpp"
 #include "marjoramtally/request/outcome.hpp"
--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -16,6 +16,7 @@
 #include "marjoramtally/runtime/program.hpp"
 #include "marjoramtally/runtime/rpc.hpp"
 #include "marjoramtally/runtime/rpc_mac.hpp"
+#include "marjoramtally/runtime/send_window.hpp"
 #include "marjoramtally/runtime/store.hpp"
 #include "marjoramtally/runtime/timers.hpp"
 #include "marjoramtally/runtime/trace.hpp"
--- a/src/programs/entryd/stream_relay.cpp
+++ b/src/programs/entryd/stream_relay.cpp
@@ -10,10 +10,6 @@
 
 using Json = nlohmann::json;
 
-/// With so many bytes not yet taken by the caller, no more are received.
-constexpr std::size_t kMostWaiting = 256U * 1024U;
-/// Receiving goes on below this.
-constexpr std::size_t kResumeBelow = kMostWaiting / 2;
 constexpr std::size_t kMostErrorBytes = 64U * 1024U;
 constexpr int kOk = 200;
 
@@ -51,7 +47,7 @@
   aCall.mayReceive_ = [self] { return self->MayReceive(); };
   const std::lock_guard lock(mutex_);
   call_ = 0;
-  paused_ = false;
+  window_.ForgetPause();
 }
 
 void
@@ -63,8 +59,7 @@
     const std::lock_guard lock(mutex_);
     call_ = aCall;
     lost = callerLost_;
-    resume = paused_ && waiting_ < kResumeBelow;
-    paused_ = paused_ && !resume;
+    resume = window_.TakeResume();
   }
   if (lost) {
     client_.Cancel(aCall);
@@ -77,8 +72,7 @@
 StreamRelay::MayReceive()
 {
   const std::lock_guard lock(mutex_);
-  paused_ = waiting_ >= kMostWaiting && !callerLost_;
-  return !paused_;
+  return callerLost_ || window_.MayReceive();
 }
 
 bool
@@ -90,15 +84,15 @@
     return true;
   }
   auto events = stream_.Feed(aBytes);
-  if (!events) {
+  if (events && !events.value().empty()) {
+    Write(std::move(events).value());
+  }
+  if (stream_.Fault()) {
     LogEvent(LogLevel::Warn,
              "stream_broken",
-             { { "error", events.error().message_ } });
+             { { "error", stream_.Fault()->message_ } });
     return false;
   }
-  if (!events.value().empty()) {
-    Write(std::move(events).value());
-  }
   const std::lock_guard lock(mutex_);
   return !callerLost_;
 }
@@ -113,7 +107,7 @@
   const std::size_t bytes = aEvents.size();
   {
     const std::lock_guard lock(mutex_);
-    waiting_ += bytes;
+    window_.OnSent(bytes);
   }
   reply_->Chunk(std::move(aEvents),
                 [self = shared_from_this(), bytes](bool aOk) {
@@ -128,11 +122,10 @@
   HttpCallId cancelled = 0;
   {
     const std::lock_guard lock(mutex_);
-    waiting_ -= aBytes;
+    window_.OnTaken(aBytes);
     callerLost_ = callerLost_ || !aOk;
     cancelled = callerLost_ ? call_ : 0;
-    if (!callerLost_ && paused_ && waiting_ < kResumeBelow && call_ != 0) {
-      paused_ = false;
+    if (!callerLost_ && call_ != 0 && window_.TakeResume()) {
       resumed = call_;
     }
   }
--- a/src/programs/entryd/stream_relay.hpp
+++ b/src/programs/entryd/stream_relay.hpp
@@ -39,9 +39,7 @@
   std::string errorBody_;
   bool begun_ = false;
   mutable std::mutex mutex_;
-  /// Bytes passed on that the caller has not taken.
-  std::size_t waiting_ = 0;
-  bool paused_ = false;
+  SendWindow window_;
   bool callerLost_ = false;
   HttpCallId call_ = 0;
 };
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -96,6 +96,9 @@
   flight.request_ = std::move(aRequest);
   flight.done_ = std::move(aDone);
   flight.started_ = host_.Now();
+  if (flight.request_.reply_) {
+    flight.stream_ = MakeStream(flight.request_);
+  }
   flight.limitTimer_ =
     host_.Timers().After(flight.request_.limit_, [this, id] { OnLimit(id); });
   SendNext(id);
@@ -124,15 +127,31 @@
   return aFlight.started_ + aFlight.request_.limit_ - host_.Now();
 }
 
+bool
+Forwarder::Repeatable(const Flight& aFlight) noexcept
+{
+  const ForwardRequest& request = aFlight.request_;
+  return request.kind_ == RouteKind::Idempotent ||
+         (aFlight.stream_ && request.resumable_ &&
+          aFlight.stream_->relay_.CanResume());
+}
+
 bool
 Forwarder::MayRetry(const Flight& aFlight) const
 {
-  const bool repeatable =
-    aFlight.ran_ == 0 || aFlight.request_.kind_ == RouteKind::Idempotent;
-  return repeatable && aFlight.ran_ < aFlight.request_.maxAttempts_ &&
+  return (aFlight.ran_ == 0 || Repeatable(aFlight)) &&
+         aFlight.ran_ < aFlight.request_.maxAttempts_ &&
          Left(aFlight) > kLeastAttempt;
 }
 
+Forwarder::Flight*
+Forwarder::Present(ForwardId aId, std::uint32_t aAttempt)
+{
+  const auto it = flights_.find(aId);
+  const bool present = it != flights_.end() && it->second.attempt_ == aAttempt;
+  return present ? &it->second : nullptr;
+}
+
 void
 Forwarder::SendNext(ForwardId aId)
 {
@@ -140,7 +159,7 @@
   const BoardUpstream* upstream =
     board_.Pick(flight.request_.service_, flight.tried_, host_.Now());
   if (upstream == nullptr || !MayRetry(flight)) {
-    if (flight.failure_) {
+    if (flight.failure_ && !Begun(flight)) {
       Finish(aId, { std::move(*flight.failure_), true });
     } else if (flight.ran_ == 0) {
       GiveUp(aId, 503, upstream == nullptr ? "no upstream" : "no time left");
@@ -167,7 +186,7 @@
   call.body_ = request.body_;
   call.timeout_ = Left(aFlight);
   call.connectTimeout_ = std::min<Duration>(kConnectTimeout, call.timeout_);
-  call.atMostOnce_ = request.kind_ != RouteKind::Idempotent;
+  call.atMostOnce_ = !Repeatable(aFlight);
   return call;
 }
 
@@ -184,11 +203,14 @@
            { { "id", aFlight.request_.attempt_ },
              { "upstream", aFlight.upstream_.Get() },
              { "left_ms", std::to_string(Millis(Left(aFlight))) } });
-  aFlight.call_ =
-    host_.Client().Send(MakeCall(aFlight, aUpstream.entry_),
-                        [this, aId, attempt](HttpResult aResult) {
-                          OnResult(aId, attempt, std::move(aResult));
-                        });
+  HttpCall call = MakeCall(aFlight, aUpstream.entry_);
+  if (aFlight.stream_) {
+    PrepareStream(aId, aFlight, call);
+  }
+  aFlight.call_ = host_.Client().Send(
+    std::move(call), [this, aId, attempt](HttpResult aResult) {
+      OnResult(aId, attempt, std::move(aResult));
+    });
   const auto patience = std::max<Duration>(
     kLeastPatience,
     Duration{ static_cast<std::int64_t>(
@@ -225,39 +247,58 @@
 void
 Forwarder::OnResult(ForwardId aId, std::uint32_t aAttempt, HttpResult aResult)
 {
-  const auto it = flights_.find(aId);
-  if (it == flights_.end() || it->second.attempt_ != aAttempt) {
+  Flight* flight = Present(aId, aAttempt);
+  if (flight == nullptr) {
     return;
   }
-  Flight& flight = it->second;
-  if (aResult.end_ == HttpEnd::Whole) {
-    OnAnswer(aId, flight, std::move(aResult.response_));
-    return;
+  if (flight->stream_) {
+    OnStreamEnd(aId, *flight, std::move(aResult));
+  } else if (aResult.end_ == HttpEnd::Whole) {
+    OnAnswer(aId, *flight, std::move(aResult.response_));
+  } else {
+    OnAttemptFailed(aId, *flight, aResult.end_, aResult.message_);
   }
+}
+
+void
+Forwarder::OnAttemptFailed(ForwardId aId,
+                           Flight& aFlight,
+                           HttpEnd aEnd,
+                           const std::string& aWhy)
+{
   LogEvent(LogLevel::Info,
            "attempt_failed",
-           { { "id", flight.request_.attempt_ },
-             { "upstream", flight.upstream_.Get() },
-             { "sent", aResult.end_ == HttpEnd::NotSent ? "no" : "yes" },
-             { "error", aResult.message_ } });
-  if (aResult.end_ != HttpEnd::NotSent) {
-    ++flight.ran_;
+           { { "id", aFlight.request_.attempt_ },
+             { "upstream", aFlight.upstream_.Get() },
+             { "sent", aEnd == HttpEnd::NotSent ? "no" : "yes" },
+             { "error", aWhy } });
+  if (aEnd != HttpEnd::NotSent) {
+    ++aFlight.ran_;
   }
-  EndAttempt(flight, CallVerdict::Failed);
+  EndAttempt(aFlight, CallVerdict::Failed);
   SendNext(aId);
 }
 
+std::string_view
+Forwarder::Doubt(const Flight& aFlight, const HttpResponse& aHead) const
+{
+  const WireNames& names = host_.Formats().Names();
+  const auto echo = FindHeader(aHead.headers_, names.attempt_);
+  if (echo && *echo != aFlight.request_.attempt_) {
+    return "belongs to another request";
+  }
+  const bool success = aHead.status_ >= 200 && aHead.status_ < 300;
+  const bool proven = FindHeader(aHead.headers_, names.signature_).has_value();
+  return success && !proven ? "not signed" : "";
+}
+
 void
 Forwarder::OnAnswer(ForwardId aId, Flight& aFlight, HttpResponse aResponse)
 {
   const WireNames& names = host_.Formats().Names();
-  const auto echo = FindHeader(aResponse.headers_, names.attempt_);
-  const bool ours = !echo || *echo == aFlight.request_.attempt_;
-  const bool success = aResponse.status_ >= 200 && aResponse.status_ < 300;
-  const bool signedAnswer =
-    FindHeader(aResponse.headers_, names.signature_).has_value();
-  if (ours && (FindHeader(aResponse.headers_, names.notRun_) ||
-               aResponse.status_ == 421)) {
+  const std::string_view doubt = Doubt(aFlight, aResponse);
+  if (doubt.empty() && (FindHeader(aResponse.headers_, names.notRun_) ||
+                        aResponse.status_ == 421)) {
     if (aResponse.status_ == 421) {
       board_.OnReplaced(aFlight.upstream_, host_.Now());
     }
@@ -266,19 +307,20 @@
     return;
   }
   ++aFlight.ran_;
-  if (!ours || (success && !signedAnswer)) {
+  if (!doubt.empty()) {
     LogEvent(LogLevel::Warn,
              "answer_rejected",
              { { "id", aFlight.request_.attempt_ },
                { "upstream", aFlight.upstream_.Get() },
-               { "why", ours ? "not signed" : "belongs to another request" } });
+               { "why", std::string(doubt) } });
     EndAttempt(aFlight, CallVerdict::Failed);
     SendNext(aId);
     return;
   }
   EndAttempt(aFlight, CallVerdict::Answered);
   aFlight.failures_ += aResponse.status_ == 500 ? 1 : 0;
-  if (aResponse.status_ >= 500 && MayRetry(aFlight)) {
+  // A stream that had begun cannot end with another answer.
+  if ((aResponse.status_ >= 500 && MayRetry(aFlight)) || Begun(aFlight)) {
     aFlight.failure_ = std::move(aResponse);
     SendNext(aId);
     return;
@@ -332,6 +374,7 @@
              { "status", std::to_string(aStatus) },
              { "attempts", std::to_string(flight.tried_.size()) },
              { "last_upstream", flight.upstream_.Get() },
+             { "begun", Begun(flight) ? "yes" : "no" },
              { "why", std::string(aWhy) } });
   ForwardOutcome outcome;
   outcome.notRun_ = aStatus == 503;
@@ -348,7 +391,10 @@
   Flight& flight = node.mapped();
   host_.Timers().Cancel(flight.limitTimer_);
   host_.Timers().Cancel(flight.patienceTimer_);
-  const std::string status = std::to_string(aOutcome.response_.status_);
+  aOutcome.begun_ = Begun(flight);
+  const std::string status = aOutcome.begun_ && !aOutcome.answered_
+                               ? "broken"
+                               : std::to_string(aOutcome.response_.status_);
   host_.Measures().Count("requests_total{status=\"" + status + "\"}");
   host_.Measures().Observe(
     "request_seconds",
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -1,8 +1,11 @@
 /// Sends one request to upstreams until one has answered it: attempts,
-/// retries, time limits.
+/// retries, time limits, streams passed on as they come.
 #pragma once
 
 #include "daemon/gateway_context.hpp"
+#include "marjoramtally/request/event_relay.hpp"
+#include "marjoramtally/runtime/http_server.hpp"
+#include "marjoramtally/runtime/send_window.hpp"
 
 #include <set>
 #include <unordered_map>
@@ -24,6 +27,11 @@
   std::string body_;
   ServiceId service_;
   RouteKind kind_ = RouteKind::Idempotent;
+  /// Of a stream: another upstream may go on after the last event held.
+  bool resumable_ = false;
+  /// Of a stream: takes its head and events as they come. The response of
+  /// the outcome is for it as well, if nothing of the stream was passed on.
+  HttpReplyPtr reply_;
   std::uint32_t maxAttempts_ = 1;
   /// Longest time that the answer is waited for.
   Duration limit_ = std::chrono::seconds(10);
@@ -35,8 +43,10 @@
 struct ForwardOutcome
 {
   HttpResponse response_;
-  /// The response is an upstream's own.
+  /// The response is an upstream's own, and whole.
   bool answered_ = false;
+  /// The head of a stream was passed on: there is no response any more.
+  bool begun_ = false;
   /// No upstream ran it and none will.
   bool notRun_ = false;
   /// Answers in which an upstream reported its own failure.
@@ -58,6 +68,27 @@
   void Cancel(ForwardId aId);
 
 private:
+  /// What a stream has beside other requests.
+  struct Stream
+  {
+    explicit Stream(EventRelay aRelay)
+      : relay_(std::move(aRelay))
+    {
+    }
+
+    EventRelay relay_;
+    SendWindow window_;
+    /// Head of the present attempt; the body too unless it is a stream.
+    HttpResponse head_;
+    /// The present attempt answers with events.
+    bool events_ = false;
+    /// Why the present attempt is not to be believed; empty while it is.
+    std::string_view doubt_;
+    /// The head was passed on to the caller.
+    bool begun_ = false;
+    TimePoint lastProgress_;
+  };
+
   struct Flight
   {
     ForwardRequest request_;
@@ -76,6 +107,8 @@
     /// The last answer of an upstream that reported its own failure.
     std::optional<HttpResponse> failure_;
     std::uint32_t failures_ = 0;
+    /// Of a stream only.
+    std::unique_ptr<Stream> stream_;
   };
 
   void SendNext(ForwardId aId);
@@ -83,7 +116,16 @@
   [[nodiscard]] HttpCall MakeCall(const Flight& aFlight,
                                   const UpstreamEntry& aUpstream) const;
   void OnResult(ForwardId aId, std::uint32_t aAttempt, HttpResult aResult);
+  /// An attempt gave no whole answer.
+  void OnAttemptFailed(ForwardId aId,
+                       Flight& aFlight,
+                       HttpEnd aEnd,
+                       const std::string& aWhy);
   void OnAnswer(ForwardId aId, Flight& aFlight, HttpResponse aResponse);
+  /// @returns why an answer is not an upstream's own to this request; empty
+  /// if it is
+  [[nodiscard]] std::string_view Doubt(const Flight& aFlight,
+                                       const HttpResponse& aHead) const;
   void OnPatienceOver(ForwardId aId);
   void OnLimit(ForwardId aId);
   [[nodiscard]] bool MayRetry(const Flight& aFlight) const;
@@ -94,6 +136,29 @@
   void Finish(ForwardId aId, ForwardOutcome aOutcome);
   void GiveUp(ForwardId aId, int aStatus, std::string_view aWhy);
   [[nodiscard]] Duration Left(const Flight& aFlight) const;
+  /// @returns whether another run of the request does no harm
+  [[nodiscard]] static bool Repeatable(const Flight& aFlight) noexcept;
+  [[nodiscard]] static bool Begun(const Flight& aFlight) noexcept
+  {
+    return aFlight.stream_ && aFlight.stream_->begun_;
+  }
+  /// @returns the flight if that attempt is still its present one
+  [[nodiscard]] Flight* Present(ForwardId aId, std::uint32_t aAttempt);
+
+  // Streams.
+  [[nodiscard]] std::unique_ptr<Stream> MakeStream(
+    const ForwardRequest& aRequest) const;
+  void PrepareStream(ForwardId aId, Flight& aFlight, HttpCall& aCall);
+  void OnHead(Flight& aFlight, int aStatus, const HttpHeaders& aHeaders);
+  [[nodiscard]] bool OnData(ForwardId aId,
+                            Flight& aFlight,
+                            std::string_view aBytes);
+  void PassOn(ForwardId aId, Flight& aFlight, std::string aEvents);
+  void OnTaken(ForwardId aId, std::size_t aBytes, bool aOk);
+  void BeginReply(Flight& aFlight);
+  void OnStreamEnd(ForwardId aId, Flight& aFlight, HttpResult aResult);
+  void WatchProgress(ForwardId aId);
+  void OnProgressDue(ForwardId aId);
 
   GatewayContext& host_;
   UpstreamBoard& board_;
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -38,6 +38,21 @@
   return std::string(host.substr(0, host.find(':')));
 }
 
+/// Ends a caller's response; a stream that is not whole is seen to be so.
+void
+EndReply(HttpReply& aReply, ForwardOutcome aOutcome)
+{
+  if (!aOutcome.begun_) {
+    HttpResponse response = std::move(aOutcome.response_);
+    response.headers_ = PassedHeaders(response.headers_, {});
+    aReply.Send(std::move(response));
+  } else if (aOutcome.answered_) {
+    aReply.End();
+  } else {
+    aReply.Abort();
+  }
+}
+
 } // namespace
 
 Gateway::Gateway(GatewayContext& aHost, GatewayHost& aServers)
@@ -295,6 +310,10 @@
   request.body_ = std::move(aRequest.body_);
   request.service_ = DrawService(aRoute, random_.Next());
   request.kind_ = aRoute.kind_;
+  request.resumable_ = aRoute.resumable_;
+  if (aRoute.kind_ == RouteKind::Stream) {
+    request.reply_ = aReply;
+  }
   request.maxAttempts_ = aRoute.maxAttempts_;
   const auto deadline = ParseNumber(
     FindHeader(aRequest.headers_, names.deadline_).value_or(""), 0, UINT32_MAX);
@@ -305,9 +324,7 @@
   request.objective_ = aRoute.objective_;
   const ForwardId id =
     forwarder_.Start(std::move(request), [aReply](ForwardOutcome aOutcome) {
-      HttpResponse response = std::move(aOutcome.response_);
-      response.headers_ = PassedHeaders(response.headers_, {});
-      aReply->Send(std::move(response));
+      EndReply(*aReply, std::move(aOutcome));
     });
   aReply->OnCallerGone([this, id] { forwarder_.Cancel(id); });
 }
--- /dev/null
+++ b/src/request/event_relay.cpp
@@ -0,0 +1,67 @@
+#include "marjoramtally/request/event_relay.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+void
+EventRelay::StartAttempt() noexcept
+{
+  fault_.clear();
+  event_.clear();
+  line_ = 0;
+}
+
+std::string
+EventRelay::Feed(std::string_view aBytes)
+{
+  std::string passed;
+  while (!aBytes.empty() && fault_.empty()) {
+    const std::size_t end = aBytes.find('\n');
+    const std::size_t bytes = std::min(end, aBytes.size() - 1) + 1;
+    event_ += aBytes.substr(0, bytes);
+    aBytes.remove_prefix(bytes);
+    if (event_.size() > EventStreamParser::kMaxEventBytes) {
+      fault_ = "an event of the stream is too long";
+    } else if (end != std::string_view::npos && EventEnds()) {
+      TakeEvent();
+      if (fault_.empty()) {
+        passed += event_;
+        event_.clear();
+        line_ = 0;
+      }
+    }
+  }
+  return passed;
+}
+
+/// An empty line ends an event.
+bool
+EventRelay::EventEnds() noexcept
+{
+  const std::string_view line = std::string_view(event_).substr(line_);
+  line_ = event_.size();
+  return line == "\n" || line == "\r\n";
+}
+
+void
+EventRelay::TakeEvent()
+{
+  EventStreamParser parser;
+  const auto events = parser.FeedEvents(event_);
+  // Comments keep a connection alive and are no events.
+  if (!events || events.value().empty()) {
+    return;
+  }
+  const auto number = events.value().front().id_;
+  if (!number) {
+    numbered_ = false;
+  } else if (last_ && *number != *last_ + 1) {
+    fault_ = "event " + std::to_string(*number) + " came after event " +
+             std::to_string(*last_);
+  } else {
+    last_ = number;
+  }
+}
+
+} // namespace marjoramtally
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -37,7 +37,7 @@
     cancelled_ += removed;
   }
 
-  void Resume(HttpCallId) override {}
+  void Resume(HttpCallId) override { ++resumed_; }
 
   [[nodiscard]] SentCall& Oldest() { return open_.front(); }
 
@@ -69,11 +69,64 @@
   std::deque<SentCall> open_;
   std::size_t sent_ = 0;
   std::size_t cancelled_ = 0;
+  std::size_t resumed_ = 0;
 
 private:
   HttpCallId last_ = 0;
 };
 
+/// Records a caller's response; the test says when its bytes were taken.
+class FakeReply final : public HttpReply
+{
+public:
+  void Send(HttpResponse aResponse) override
+  {
+    status_ = aResponse.status_;
+    headers_ = std::move(aResponse.headers_);
+    body_ = std::move(aResponse.body_);
+    ended_ = true;
+  }
+  void Begin(int aStatus, HttpHeaders aHeaders) override
+  {
+    ++begins_;
+    status_ = aStatus;
+    headers_ = std::move(aHeaders);
+  }
+  void Chunk(std::string aData, std::function<void(bool)> aWritten) override
+  {
+    body_ += aData;
+    waiting_.push_back(std::move(aWritten));
+  }
+  void End() override { ended_ = true; }
+  void Abort() override { aborted_ = true; }
+  void OnCallerGone(std::function<void()> aGone) override
+  {
+    gone_ = std::move(aGone);
+  }
+
+  /// All chunks so far were taken, or the connection was lost.
+  void Written(bool aOk)
+  {
+    for (const auto& written : std::exchange(waiting_, {})) {
+      if (written) {
+        written(aOk);
+      }
+    }
+  }
+
+  /// 0 before the head.
+  int status_ = 0;
+  HttpHeaders headers_;
+  std::string body_;
+  int begins_ = 0;
+  bool ended_ = false;
+  bool aborted_ = false;
+  std::function<void()> gone_;
+
+private:
+  std::vector<std::function<void(bool)>> waiting_;
+};
+
 /// Calls between processes that find nobody.
 class FakePeers final : public PeerCalls
 {
--- /dev/null
+++ b/tests/test_forward_streams.cpp
@@ -0,0 +1,322 @@
+/// Streams of callers: passed on as they come, resumed within one answer,
+/// seen to be incomplete when broken off.
+
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string
+Event(int aNumber, const std::string& aData = "x")
+{
+  return "id: " + std::to_string(aNumber) + "\ndata: " + aData + "\n\n";
+}
+
+struct Fixture : GatewayFakes
+{
+  Forwarder forwarder_{ context_, board_ };
+  std::shared_ptr<FakeReply> reply_ = std::make_shared<FakeReply>();
+  std::optional<ForwardOutcome> outcome_;
+  HttpHeaders extra_;
+
+  Fixture()
+  {
+    AddUpstream("a", "svc");
+    AddUpstream("b", "svc");
+  }
+
+  ForwardId Start(bool aResumable, std::uint32_t aMaxAttempts = 3)
+  {
+    ForwardRequest request;
+    request.attempt_ = "id1";
+    request.method_ = "POST";
+    request.target_ = "/p";
+    request.headers_ = { { platform_->Names().attempt_, "id1" } };
+    request.headers_.insert(
+      request.headers_.end(), extra_.begin(), extra_.end());
+    request.service_ = ServiceId{ "svc" };
+    request.kind_ = RouteKind::Stream;
+    request.resumable_ = aResumable;
+    request.reply_ = reply_;
+    request.maxAttempts_ = aMaxAttempts;
+    request.limit_ = 10s;
+    return forwarder_.Start(
+      std::move(request),
+      [this](ForwardOutcome aOutcome) { outcome_ = std::move(aOutcome); });
+  }
+
+  HttpCall& Call() { return client_.open_.front().call_; }
+
+  /// The head of a stream as an upstream sends it.
+  void Head(const std::string& aSigned = "s1")
+  {
+    const WireNames& names = platform_->Names();
+    Call().onHead_(200,
+                   { { "Content-Type", "text/event-stream; charset=utf-8" },
+                     { names.attempt_, "id1" },
+                     { names.signature_, aSigned } });
+  }
+
+  bool Data(const std::string& aBytes) { return Call().onData_(aBytes); }
+
+  void End(HttpEnd aEnd)
+  {
+    SentCall call = client_.open_.front();
+    if (aEnd == HttpEnd::Whole) {
+      client_.open_.pop_front();
+      call.done_({ HttpEnd::Whole, { 200, {}, {} }, {} });
+    } else {
+      client_.Fail(std::move(call), aEnd);
+    }
+  }
+
+  std::string LastEvent()
+  {
+    return std::string(
+      FindHeader(Call().headers_, platform_->Names().lastEvent_)
+        .value_or("none"));
+  }
+};
+
+} // namespace
+
+TEST_CASE("each event of a stream is passed on as it comes")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.Head();
+  CHECK(fix.reply_->status_ == 0);
+  REQUIRE(fix.Data(Event(1) + "id: 2\nda"));
+  CHECK(fix.reply_->status_ == 200);
+  CHECK(fix.reply_->body_ == Event(1));
+  CHECK(FindHeader(fix.reply_->headers_, fix.platform_->Names().signature_) ==
+        "s1");
+  REQUIRE(fix.Data("ta: x\n\n"));
+  CHECK(fix.reply_->body_ == Event(1) + Event(2));
+  CHECK_FALSE(fix.outcome_);
+  fix.End(HttpEnd::Whole);
+  REQUIRE(fix.outcome_);
+  CHECK(fix.outcome_->begun_);
+  CHECK(fix.outcome_->answered_);
+}
+
+TEST_CASE("a broken stream that may be resumed goes on in the same answer")
+{
+  Fixture fix;
+  fix.Start(true);
+  CHECK(fix.LastEvent() == "none");
+  fix.Head();
+  REQUIRE(fix.Data(Event(1) + Event(2) + "id: 3\ndata: hal"));
+  fix.End(HttpEnd::Broken);
+  REQUIRE(fix.client_.open_.size() == 1);
+  CHECK(fix.Call().url_.starts_with("http://b:1"));
+  CHECK(fix.LastEvent() == "2");
+  fix.Head("s2");
+  REQUIRE(fix.Data(Event(3, "half")));
+  fix.End(HttpEnd::Whole);
+  CHECK(fix.reply_->body_ == Event(1) + Event(2) + Event(3, "half"));
+  CHECK(fix.reply_->begins_ == 1);
+  CHECK(FindHeader(fix.reply_->headers_, fix.platform_->Names().signature_) ==
+        "s1");
+  CHECK(fix.outcome_->answered_);
+}
+
+TEST_CASE("a broken stream that may not run again ends visibly incomplete")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.Head();
+  REQUIRE(fix.Data(Event(1)));
+  fix.End(HttpEnd::Broken);
+  REQUIRE(fix.outcome_);
+  CHECK(fix.client_.sent_ == 1);
+  CHECK(fix.outcome_->begun_);
+  CHECK_FALSE(fix.outcome_->answered_);
+  CHECK_FALSE(fix.outcome_->notRun_);
+}
+
+TEST_CASE("a stream that broke before its first event is answered as failed")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.Head();
+  REQUIRE(fix.Data("id: 1\ndata: x\n"));
+  fix.End(HttpEnd::Broken);
+  REQUIRE(fix.outcome_);
+  CHECK(fix.reply_->status_ == 0);
+  CHECK_FALSE(fix.outcome_->begun_);
+  CHECK(fix.outcome_->response_.status_ == 502);
+}
+
+TEST_CASE("a stream whose end comes within an event is not whole")
+{
+  Fixture fix;
+  fix.Start(true, 2);
+  fix.Head();
+  REQUIRE(fix.Data(Event(1) + "id: 2\n"));
+  fix.End(HttpEnd::Whole);
+  REQUIRE_FALSE(fix.outcome_);
+  CHECK(fix.LastEvent() == "1");
+  fix.Head();
+  REQUIRE(fix.Data("id: 2\n"));
+  fix.End(HttpEnd::Whole);
+  REQUIRE(fix.outcome_);
+  CHECK_FALSE(fix.outcome_->answered_);
+  CHECK(fix.reply_->body_ == Event(1));
+}
+
+TEST_CASE(
+  "an event that is not the next one ends the attempt, not those before")
+{
+  Fixture fix;
+  fix.Start(true);
+  fix.Head();
+  CHECK_FALSE(fix.Data(Event(1) + Event(3)));
+  fix.End(HttpEnd::Cancelled);
+  CHECK(fix.reply_->body_ == Event(1));
+  CHECK(fix.LastEvent() == "1");
+  fix.Head();
+  // An upstream that begins anew would double the first event.
+  CHECK_FALSE(fix.Data(Event(1)));
+  CHECK(fix.reply_->body_ == Event(1));
+}
+
+TEST_CASE("a stream without numbers is not resumed")
+{
+  Fixture fix;
+  fix.Start(true);
+  fix.Head();
+  REQUIRE(fix.Data("data: x\n\n"));
+  fix.End(HttpEnd::Broken);
+  REQUIRE(fix.outcome_);
+  CHECK(fix.client_.sent_ == 1);
+  CHECK_FALSE(fix.outcome_->answered_);
+}
+
+TEST_CASE("a caller that resumes gets only what follows its last event")
+{
+  Fixture fix;
+  fix.extra_ = { { fix.platform_->Names().lastEvent_, "4" } };
+  fix.Start(false);
+  CHECK(fix.LastEvent() == "4");
+  CHECK(fix.Call().headers_.size() == 4);
+  fix.Head();
+  REQUIRE(fix.Data(Event(5)));
+  CHECK_FALSE(fix.Data(Event(5)));
+  CHECK(fix.reply_->body_ == Event(5));
+}
+
+TEST_CASE("a stream refused by one upstream runs at another")
+{
+  Fixture fix;
+  fix.Start(false, 1);
+  const HttpResponse refusal = fix.NotRun(503);
+  fix.client_.Answer(fix.client_.Oldest(), refusal);
+  CHECK(fix.Call().url_.starts_with("http://b:1"));
+  fix.Head();
+  REQUIRE(fix.Data(Event(1)));
+  fix.End(HttpEnd::Whole);
+  CHECK(fix.outcome_->answered_);
+}
+
+TEST_CASE("a stream refused everywhere is refused with a time to come back")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.client_.Answer(fix.client_.Oldest(), fix.NotRun(503));
+  fix.client_.Answer(fix.client_.Oldest(), fix.NotRun(503));
+  REQUIRE(fix.outcome_);
+  CHECK(fix.outcome_->notRun_);
+  CHECK(fix.outcome_->response_.status_ == 503);
+  CHECK(FindHeader(fix.outcome_->response_.headers_, "Retry-After"));
+}
+
+TEST_CASE("an upstream's error on a stream's route is passed on whole")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.client_.Answer(fix.client_.Oldest(),
+                     fix.Answer(fix.client_.Oldest(), 400, "no such prompt"));
+  REQUIRE(fix.outcome_);
+  CHECK_FALSE(fix.outcome_->begun_);
+  CHECK(fix.outcome_->response_.status_ == 400);
+  CHECK(fix.outcome_->response_.body_ == "no such prompt");
+}
+
+TEST_CASE("a stream that is not signed is given up at its first bytes")
+{
+  Fixture fix;
+  fix.Start(true);
+  fix.Call().onHead_(200, { { "Content-Type", "text/event-stream" } });
+  CHECK_FALSE(fix.Data(Event(1)));
+  CHECK(fix.reply_->status_ == 0);
+  fix.End(HttpEnd::Cancelled);
+  fix.Head();
+  REQUIRE(fix.Data(Event(1)));
+  fix.End(HttpEnd::Whole);
+  CHECK(fix.outcome_->answered_);
+}
+
+TEST_CASE(
+  "a silent stream is resumed elsewhere, one that may not is waited for")
+{
+  Fixture fix;
+  const bool resumable = GENERATE(true, false);
+  fix.Start(resumable);
+  fix.Head();
+  REQUIRE(fix.Data(Event(1)));
+  fix.timers_.Advance(1400ms);
+  REQUIRE(fix.Data(Event(2)));
+  fix.timers_.Advance(1400ms);
+  CHECK(fix.client_.sent_ == 1);
+  fix.timers_.Advance(200ms);
+  CHECK(fix.client_.sent_ == (resumable ? 2 : 1));
+  CHECK(fix.client_.open_.size() == 1);
+  CHECK(fix.LastEvent() == (resumable ? "2" : "none"));
+}
+
+TEST_CASE("a stream ends at its time limit, seen to be incomplete")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.Head();
+  REQUIRE(fix.Data(Event(1)));
+  fix.timers_.Advance(10s);
+  REQUIRE(fix.outcome_);
+  CHECK(fix.outcome_->begun_);
+  CHECK_FALSE(fix.outcome_->answered_);
+  CHECK(fix.client_.cancelled_ == 1);
+}
+
+TEST_CASE("a caller that leaves its stream stops the work")
+{
+  Fixture fix;
+  fix.Start(true);
+  fix.Head();
+  REQUIRE(fix.Data(Event(1)));
+  fix.reply_->Written(false);
+  CHECK(fix.client_.cancelled_ == 1);
+  CHECK_FALSE(fix.outcome_);
+}
+
+TEST_CASE("a caller that takes nothing holds its upstream back")
+{
+  Fixture fix;
+  fix.Start(false);
+  fix.Head();
+  int number = 0;
+  while (fix.Call().mayReceive_()) {
+    REQUIRE(fix.Data(Event(++number, std::string(1000, 'x'))));
+    REQUIRE(number < 1000);
+  }
+  CHECK(number > 200);
+  CHECK(fix.client_.resumed_ == 0);
+  fix.reply_->Written(true);
+  CHECK(fix.client_.resumed_ == 1);
+  CHECK(fix.Call().mayReceive_());
+}
