Decoders of the store's client, of relayed watches and of streams are fuzzed

Cause: three decoders had no fuzz target. The first runs on seeds of valid bodies found that a store whose pages do not go on is read for ever; written beside it: a lease or limit of impossible length overflowed (1e300 ms became -9.2e18 us). Change: three targets and seeds for them and for the platform's bodies; a page must go on after the one before, else an error names both keys; times of bodies are cut to 0 to 24 h.

--- /dev/null
+++ b/fuzz/fuzz_relay_messages.cpp
@@ -0,0 +1,26 @@
+/// Any bytes given to a decoder of relayed watches yield a value or an error;
+/// a value that is encoded again is understood again.
+
+#include "marjoramtally/runtime/watch_messages.hpp"
+
+#include <cstdlib>
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  using namespace marjoramtally;
+  const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
+  const auto ask = DecodeWatchAsk(bytes);
+  if (ask && !DecodeWatchAsk(EncodeWatchAsk(ask.value()))) {
+    std::abort();
+  }
+  const auto batch = DecodeWatchBatch(bytes);
+  if (batch) {
+    const auto again = DecodeWatchBatch(EncodeWatchBatch(batch.value()));
+    if (!again ||
+        again.value().events_.size() != batch.value().events_.size()) {
+      std::abort();
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/test_platform_store.cpp
@@ -0,0 +1,140 @@
+/// The client of the users' platform's store: what its answers prove, and
+/// what becomes of answers that cannot be right.
+
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+  ManualClock clock_;
+  ManualTimers timers_{ clock_ };
+  FakeClient client_;
+  std::unique_ptr<Store> store_ =
+    MakePlatformStore(client_, timers_, { "store:1" });
+
+  void Answer(int aStatus, std::string aBody)
+  {
+    client_.Answer(client_.Oldest(), { aStatus, {}, std::move(aBody) });
+  }
+
+  Result<StoreRange> Read(const std::vector<std::string>& aPages)
+  {
+    std::optional<Result<StoreRange>> range;
+    store_->Read(
+      "p/", [&range](Result<StoreRange> aRange) { range = std::move(aRange); });
+    for (const std::string& page : aPages) {
+      Answer(200, page);
+    }
+    REQUIRE(client_.open_.empty());
+    REQUIRE(range);
+    return *range;
+  }
+};
+
+std::string
+Page(const std::string& aKey, bool aMore, int aRevision)
+{
+  return R"({"items":[{"key":")" + aKey +
+         R"(","value":"YQ==","revision":3,"created_at":2}],"has_more":)" +
+         (aMore ? "true" : "false") + R"(,"as_of":)" +
+         std::to_string(aRevision) + "}";
+}
+
+} // namespace
+
+TEST_CASE("a range is read page by page, as of its first page")
+{
+  Fixture fix;
+  const auto range = fix.Read({ Page("p/a", true, 9), Page("p/b", false, 11) });
+  REQUIRE(range);
+  CHECK(range.value().revision_ == 9);
+  REQUIRE(range.value().records_.size() == 2);
+  CHECK(range.value().records_[1].key_ == "p/b");
+  CHECK(range.value().records_[1].value_ == "a");
+}
+
+TEST_CASE("pages that do not go on are an error that names the key")
+{
+  Fixture fix;
+  const auto range = fix.Read({ Page("p/a", true, 9), Page("p/a", true, 9) });
+  REQUIRE_FALSE(range);
+  CHECK(range.error().message_.find("p/a") != std::string::npos);
+}
+
+TEST_CASE("a lease of impossible length is cut to one that can be counted")
+{
+  Fixture fix;
+  std::optional<Result<StoreLease>> lease;
+  fix.store_->GrantLease(
+    2s, [&lease](Result<StoreLease> aLease) { lease = std::move(aLease); });
+  fix.Answer(200, R"({"lease":7,"ttl_ms":1e300})");
+  REQUIRE(lease);
+  REQUIRE(*lease);
+  CHECK(lease->value().ttl_ == 24h);
+}
+
+TEST_CASE("only 429 and 503 of the store prove that nothing was done")
+{
+  struct Case
+  {
+    int status_;
+    ErrorKind kind_;
+  };
+  for (const Case& test : { Case{ 429, ErrorKind::Unavailable },
+                            Case{ 503, ErrorKind::Unavailable },
+                            Case{ 500, ErrorKind::Internal },
+                            Case{ 404, ErrorKind::NotFound } }) {
+    Fixture fix;
+    std::optional<Result<StoreCommit>> commit;
+    fix.store_->Commit(
+      {}, [&](Result<StoreCommit> aCommit) { commit = std::move(aCommit); });
+    fix.Answer(test.status_, "");
+    REQUIRE(commit);
+    REQUIRE_FALSE(*commit);
+    CHECK(commit->error().kind_ == test.kind_);
+  }
+}
+
+TEST_CASE("an answer of the store that cannot be read is an error")
+{
+  for (const char* body : { "",
+                            "[]",
+                            "{",
+                            R"({"items":[{}],"as_of":1})",
+                            R"({"items":[{"key":"p/a","revision":1,)"
+                            R"("value":"%"}],"as_of":1})" }) {
+    Fixture fix;
+    CHECK_FALSE(fix.Read({ body }));
+  }
+}
+
+TEST_CASE("a watch goes on from the revision that it saw")
+{
+  Fixture fix;
+  std::vector<StoreWatchBatch> batches;
+  fix.store_->Watch(
+    "p/", 5, [&](const StoreWatchBatch& aBatch) { batches.push_back(aBatch); });
+  CHECK(fix.client_.Oldest().call_.url_.find("after=4") != std::string::npos);
+  fix.Answer(200,
+             R"({"events":[{"key":"p/b","revision":6,"removed":true}],)"
+             R"("as_of":8})");
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].events_.at(0).deleted_);
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.client_.open_.size() == 1);
+  CHECK(fix.client_.Oldest().call_.url_.find("after=8") != std::string::npos);
+  fix.Answer(503, "");
+  CHECK(batches.size() == 2);
+  CHECK_FALSE(batches[1].ended_);
+  fix.timers_.Advance(1s);
+  fix.Answer(410, "");
+  CHECK(batches.at(2).ended_);
+  CHECK(fix.client_.open_.empty());
+}
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -2,6 +2,7 @@
 # Builds the fuzz targets in a folder of their own and runs each for a fixed
 # number of runs with a fixed seed. RUNS and a target's name narrow it down:
 # RUNS=1000000 tools/fuzz.sh fuzz_units
+# A target starts from the files of fuzz/seeds/TARGET, if there are any.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${FUZZ_BUILD:-build-fuzz}
@@ -16,8 +17,11 @@
 failed=0
 for source in fuzz/"$only"*.cpp; do
   target=$(basename "$source" .cpp)
-  if timeout "$seconds" "$build/$target" -runs="$runs" -seed=1 -max_len=4096 \
-    -timeout=10 -rss_limit_mb=1024 -artifact_prefix="$work/" \
+  corpus="$work/$target"
+  mkdir "$corpus"
+  [ ! -d "fuzz/seeds/$target" ] || cp "fuzz/seeds/$target"/* "$corpus"
+  if timeout "$seconds" "$build/$target" "$corpus" -runs="$runs" -seed=1 \
+    -max_len=4096 -timeout=10 -rss_limit_mb=1024 -artifact_prefix="$work/" \
     >"$work/$target.log" 2>&1; then
     echo "fuzz: $target runs=$runs ok"
   else
