marjoramctl explain ID tells from the logs how a request ended, and why

Cause: the way from a failed request's id to its cause was a page of greps; beside it, an attempt that used up the request's time was told as 502, "no upstream gave a whole answer", so the logs led to an upstream that had done nothing wrong. Change: the runtime library reads log lines and tells an id's own lines, those around it of the same processes, upstreams and job, and what follows from them; the command prints it.

--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -9,6 +9,7 @@
 #include "marjoramtally/runtime/io_pool.hpp"
 #include "marjoramtally/runtime/log.hpp"
 #include "marjoramtally/runtime/log_limit.hpp"
+#include "marjoramtally/runtime/log_story.hpp"
 #include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/open_store.hpp"
--- a/src/programs/ctl/commands.hpp
+++ b/src/programs/ctl/commands.hpp
@@ -52,5 +52,7 @@
 RunTrainers(const CommandInput& aInput);
 int
 RunTrace(const CommandInput& aInput);
+int
+RunExplain(const CommandInput& aInput);
 
 } // namespace marjoramtally
--- /dev/null
+++ b/src/programs/ctl/explain_command.cpp
@@ -0,0 +1,65 @@
+#include "programs/ctl/commands.hpp"
+
+#include "marjoramtally/runtime/log_story.hpp"
+#include "marjoramtally/runtime/program.hpp"
+
+#include <iostream>
+#include <map>
+
+namespace marjoramtally {
+
+namespace {
+
+/// So many lines of one event of one process are printed; a process that lost
+/// the store tells so several times a second.
+constexpr std::size_t kMostAlike = 2;
+
+void
+PrintLines(const char* aTitle, const std::vector<LogLine>& aLines)
+{
+  if (!aLines.empty()) {
+    std::cout << aTitle << '\n';
+  }
+  std::map<std::pair<std::string, std::string>, std::size_t> alike;
+  for (const LogLine& line : aLines) {
+    const std::pair key{ std::string(line.Field("instance")),
+                         std::string(line.Event()) };
+    if (++alike[key] <= kMostAlike) {
+      std::cout << "  " << line.text_ << '\n';
+    }
+  }
+  for (const auto& [key, count] : alike) {
+    if (count > kMostAlike) {
+      std::cout << "  and " << count - kMostAlike
+                << " more of event=" << key.second << " at " << key.first
+                << '\n';
+    }
+  }
+}
+
+} // namespace
+
+int
+RunExplain(const CommandInput& aInput)
+{
+  if (aInput.words_.size() != 1) {
+    std::cerr << "marjoramctl: give one id, and the logs on standard input\n";
+    return kExitBadInput;
+  }
+  std::vector<std::string> lines;
+  std::string line;
+  while (std::getline(std::cin, line)) {
+    lines.push_back(std::move(line));
+  }
+  const LogStory story = TellStory(lines, aInput.words_.front());
+  PrintLines("Its own lines:", story.own_);
+  PrintLines("Lines around them that bear on it:", story.around_);
+  std::cout << "Findings (" << story.lines_ << " lines read, " << story.unread_
+            << " of them no event):\n";
+  for (const std::string& finding : story.findings_) {
+    std::cout << "  " << finding << '\n';
+  }
+  return story.own_.empty() ? kExitFailed : kExitOk;
+}
+
+} // namespace marjoramtally
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -22,7 +22,7 @@
   int (*run_)(const CommandInput&);
 };
 
-constexpr std::array<Command, 13> kCommands{ {
+constexpr std::array<Command, 14> kCommands{ {
   { "check",
     "DIR [--explain KEY]",
     "report every finding in a rules folder",
@@ -51,6 +51,10 @@
   { "upstreams", "", "list upstreams as accepted", RunUpstreams },
   { "trainers", "", "list trainers as accepted", RunTrainers },
   { "trace", "ID [--dir DIR]", "print the hops of one trace", RunTrace },
+  { "explain",
+    "ID < LOGS",
+    "tell from the logs how a request, job or item ended, and why",
+    RunExplain },
 } };
 
 constexpr std::string_view kHelpEnd =
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -20,6 +20,7 @@
 constexpr auto kComeBack = std::chrono::milliseconds(200);
 /// Less time than this is not worth an attempt.
 constexpr auto kLeastAttempt = std::chrono::milliseconds(15);
+constexpr std::string_view kTimeIsOver = "the time limit passed";
 
 constexpr std::array<std::string_view, 10> kConnectionFields{
   "connection",          "keep-alive",     "te",
@@ -163,6 +164,8 @@
       Finish(aId, { std::move(*flight.failure_), true });
     } else if (flight.ran_ == 0) {
       GiveUp(aId, 503, upstream == nullptr ? "no upstream" : "no time left");
+    } else if (Left(flight) <= kLeastAttempt) {
+      GiveUp(aId, 504, kTimeIsOver);
     } else {
       GiveUp(aId, 502, "no upstream gave a whole answer");
     }
@@ -360,7 +363,7 @@
   }
   it->second.ran_ += it->second.inFlight_ ? 1 : 0;
   Abandon(it->second);
-  GiveUp(aId, it->second.ran_ == 0 ? 503 : 504, "the time limit passed");
+  GiveUp(aId, it->second.ran_ == 0 ? 503 : 504, kTimeIsOver);
 }
 
 void
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -15,6 +15,11 @@
 /// Names a request in progress.
 using ForwardId = std::uint64_t;
 
+/// A stream that can be resumed and makes nothing for this long is resumed
+/// elsewhere: callers leave after a gap of two seconds or more, and a change
+/// of weights holds a stream up for 0.9 s.
+inline constexpr auto kStreamSilence = std::chrono::milliseconds(1500);
+
 /// What is to be sent on.
 struct ForwardRequest
 {
--- a/src/programs/gatewayd/forwarder_streams.cpp
+++ b/src/programs/gatewayd/forwarder_streams.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// A stream that can be resumed and makes nothing for this long is resumed
-/// elsewhere: callers leave after a gap of two seconds or more, and a change
-/// of weights holds a stream up for 0.9 s.
-constexpr auto kSilence = std::chrono::milliseconds(1500);
 constexpr std::string_view kEventStream = "text/event-stream";
 
 } // namespace
@@ -176,7 +172,7 @@
 Forwarder::WatchProgress(ForwardId aId)
 {
   Flight& flight = flights_.at(aId);
-  const TimePoint due = flight.stream_->lastProgress_ + kSilence;
+  const TimePoint due = flight.stream_->lastProgress_ + kStreamSilence;
   host_.Timers().Cancel(flight.patienceTimer_);
   flight.patienceTimer_ = host_.Timers().After(
     due - host_.Now(), [this, aId] { OnProgressDue(aId); });
@@ -191,7 +187,8 @@
   }
   Flight& flight = it->second;
   const std::uint32_t attempt = flight.attempt_;
-  if (host_.Now() - flight.stream_->lastProgress_ >= Duration{ kSilence }) {
+  if (host_.Now() - flight.stream_->lastProgress_ >=
+      Duration{ kStreamSilence }) {
     flight.stream_->lastProgress_ = host_.Now();
     if (Repeatable(flight) && flight.ran_ + 1 < flight.request_.maxAttempts_) {
       OnPatienceOver(aId);
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -14,9 +14,6 @@
 /// on elsewhere reads the prompt again in some milliseconds.
 constexpr std::int64_t kStallPaces = 6;
 constexpr auto kLeastStall = std::chrono::milliseconds(200);
-/// A stream that makes nothing for this long is resumed elsewhere in any
-/// case.
-constexpr auto kSilence = std::chrono::milliseconds(1500);
 /// A stream that has not begun may wait for a slot at its upstream, where
 /// others sent items too; moving it would put it at the end of another queue.
 constexpr auto kFirstSilence = std::chrono::milliseconds(3000);
@@ -319,7 +316,7 @@
   std::vector<RunId> slow;
   for (const auto& [id, run] : runs_) {
     const Duration allowed =
-      run.events_ == 0 ? Duration{ kFirstSilence } : Duration{ kSilence };
+      run.events_ == 0 ? Duration{ kFirstSilence } : Duration{ kStreamSilence };
     if (now - run.lastProgress_ > allowed) {
       silent.push_back(id);
     } else if (ShouldMove(run)) {
--- /dev/null
+++ b/src/runtime/log_story.cpp
@@ -0,0 +1,383 @@
+#include "marjoramtally/runtime/log_story.hpp"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <fmt/format.h>
+#include <iomanip>
+#include <sstream>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Lines of other ids bear on a request for so long before its first line:
+/// longer than a sign of life lasts and a lost watch goes unnoticed.
+constexpr auto kBefore = std::chrono::seconds(6);
+constexpr auto kAfter = std::chrono::milliseconds(500);
+
+/// Fields that name what a line is about.
+constexpr std::array<std::string_view, 4> kIdFields{ "id",
+                                                     "item",
+                                                     "job",
+                                                     "call" };
+
+/// Events that tell what a process knew.
+constexpr std::array<std::string_view, 11> kBeliefs{
+  "config_read",     "upstreams_read",      "watch_interrupted", "relay_failed",
+  "dependency_lost", "dependency_regained", "started",           "stopping",
+  "duty_held",       "log_lines_left_out",  "duty_lost",
+};
+
+/// Events that tell of an upstream.
+constexpr std::array<std::string_view, 8> kUpstreamEvents{
+  "upstream_vanished", "upstream_registered", "attempt_failed",
+  "answer_rejected",   "attempt_outwaited",   "run_interrupted",
+  "run_silent",        "order_sent",
+};
+
+template<std::size_t N>
+bool
+Among(const std::array<std::string_view, N>& aNames, std::string_view aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+/// @returns the value, without quotes, and removes it from the text
+std::string
+TakeValue(std::string_view& aText)
+{
+  std::string value;
+  if (!aText.starts_with('"')) {
+    const std::size_t end = std::min(aText.find(' '), aText.size());
+    value = aText.substr(0, end);
+    aText.remove_prefix(end);
+    return value;
+  }
+  std::size_t i = 1;
+  for (; i < aText.size() && aText[i] != '"'; ++i) {
+    i += aText[i] == '\\' && i + 1 < aText.size() ? 1 : 0;
+    value += aText[i];
+  }
+  aText.remove_prefix(std::min(i + 1, aText.size()));
+  return value;
+}
+
+std::optional<Duration>
+ParseTime(const std::string& aText)
+{
+  std::tm parts{};
+  std::istringstream in(aText);
+  in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+  if (in.fail()) {
+    return std::nullopt;
+  }
+  double fraction = 0;
+  if (in.peek() == '.') {
+    in >> fraction;
+  }
+  constexpr double kMicros = 1e6;
+  return std::chrono::seconds(timegm(&parts)) +
+         Duration{ static_cast<std::int64_t>(fraction * kMicros) };
+}
+
+bool
+Names(const LogLine& aLine, std::string_view aId)
+{
+  return std::any_of(
+    kIdFields.begin(), kIdFields.end(), [&](std::string_view aField) {
+      return aLine.Field(aField) == aId;
+    });
+}
+
+/// Who took part in a story, and when.
+struct Cast
+{
+  std::set<std::string, std::less<>> instances_;
+  std::set<std::string, std::less<>> upstreams_;
+  std::set<std::string, std::less<>> jobs_;
+  Duration from_{ 0 };
+  Duration to_{ 0 };
+};
+
+Cast
+CastOf(const std::vector<LogLine>& aOwn)
+{
+  Cast cast;
+  for (const LogLine& line : aOwn) {
+    for (const auto& [field, into] :
+         { std::pair{ "instance", &cast.instances_ },
+           std::pair{ "upstream", &cast.upstreams_ },
+           std::pair{ "last_upstream", &cast.upstreams_ },
+           std::pair{ "job", &cast.jobs_ } }) {
+      if (!line.Field(field).empty()) {
+        into->emplace(line.Field(field));
+      }
+    }
+  }
+  if (!aOwn.empty()) {
+    cast.from_ = aOwn.front().time_ - kBefore;
+    cast.to_ = aOwn.back().time_ + kAfter;
+  }
+  return cast;
+}
+
+bool
+BearsOn(const LogLine& aLine, const Cast& aCast)
+{
+  if (aLine.time_ < aCast.from_ || aLine.time_ > aCast.to_) {
+    return false;
+  }
+  const std::string_view event = aLine.Event();
+  if (Among(kBeliefs, event)) {
+    return aCast.instances_.contains(aLine.Field("instance"));
+  }
+  // Upstreams are named `id` where they are what the line is about.
+  if (Among(kUpstreamEvents, event)) {
+    return aCast.upstreams_.contains(aLine.Field("upstream")) ||
+           aCast.upstreams_.contains(aLine.Field("id"));
+  }
+  return event.starts_with("job_") && aCast.jobs_.contains(aLine.Field("job"));
+}
+
+std::size_t
+CountEvents(const std::vector<LogLine>& aLines, std::string_view aEvent)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aLines.begin(), aLines.end(), [&](const LogLine& aLine) {
+      return aLine.Event() == aEvent;
+    }));
+}
+
+/// How an event ends a request, for people.
+struct Ending
+{
+  std::string_view event_;
+  /// Field whose value chooses the sentence; empty: any.
+  std::string_view field_;
+  std::string_view value_;
+  std::string_view sentence_;
+};
+
+constexpr auto kEndings = std::to_array<Ending>({
+  { "request_given_up",
+    "status",
+    "503",
+    "refused; no upstream ran it and none will" },
+  { "request_given_up",
+    "status",
+    "502",
+    "answered 502: attempts failed, and it may not or could not run again" },
+  { "request_given_up",
+    "status",
+    "504",
+    "answered 504: the time of the caller or of the route was over" },
+  { "request_abandoned", "", "", "the caller left before there was an answer" },
+  { "no_route",
+    "",
+    "",
+    "answered 404: no route of the revision in force takes its path" },
+  { "job_submitted",
+    "outcome",
+    "refused",
+    "the job was refused: the store took nothing" },
+  { "job_submitted",
+    "outcome",
+    "unknown",
+    "the store did not say whether it took the job; sending it again is safe" },
+  { "job_rejected", "", "", "the job was rejected: its body cannot be read" },
+  { "item_errored", "", "", "the item was given up" },
+  { "item_given_up", "", "", "the item was given up" },
+  { "item_scored", "", "", "the item's text was made and scored" },
+  { "item_whole", "", "", "the item's text was made" },
+  { "job_ended", "", "", "the job was ended" },
+  { "run_interrupted", "", "", "the last run seen was interrupted" },
+  { "run_silent", "", "", "the last run seen had gone silent" },
+  { "score_failed", "", "", "the last score call seen failed" },
+});
+
+const Ending*
+FindEnding(const LogLine& aLine)
+{
+  for (const Ending& ending : kEndings) {
+    const bool value =
+      ending.field_.empty() || aLine.Field(ending.field_) == ending.value_;
+    if (ending.event_ == aLine.Event() && value) {
+      return &ending;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+Describe(const LogLine& aLine, const Ending& aEnding)
+{
+  std::string text = std::string(aEnding.sentence_);
+  if (!aLine.Field("why").empty()) {
+    text += fmt::format(" (why: {})", aLine.Field("why"));
+  }
+  return text + fmt::format(", at {}", aLine.Field("instance"));
+}
+
+void
+AddUpstreamFindings(LogStory& aStory, const Cast& aCast)
+{
+  for (const std::string& upstream : aCast.upstreams_) {
+    std::size_t failures = 0;
+    std::size_t orders = 0;
+    bool vanished = false;
+    for (const LogLine& line : aStory.around_) {
+      const bool about = line.Field("upstream") == upstream;
+      orders += about && line.Event() == "order_sent" ? 1 : 0;
+      failures += about && line.Event() != "order_sent" ? 1 : 0;
+      vanished = vanished || (line.Event() == "upstream_vanished" &&
+                              line.Field("id") == upstream);
+    }
+    if (failures > 0) {
+      aStory.findings_.push_back(fmt::format(
+        "upstream {} failed {} other calls around that time: look there",
+        upstream,
+        failures));
+    }
+    if (orders > 0) {
+      aStory.findings_.push_back(
+        fmt::format("upstream {} was ordered to change its weights", upstream));
+    }
+    if (vanished) {
+      aStory.findings_.push_back(
+        fmt::format("the registration of upstream {} vanished", upstream));
+    }
+  }
+}
+
+/// A process whose last word on a dependency was its loss.
+void
+AddDependencyFindings(LogStory& aStory)
+{
+  std::map<std::string, std::string> lost;
+  for (const LogLine& line : aStory.around_) {
+    const std::string instance(line.Field("instance"));
+    if (line.Event() == "dependency_lost") {
+      lost[instance] = line.Field("dependency");
+    } else if (line.Event() == "dependency_regained") {
+      lost.erase(instance);
+    }
+  }
+  for (const auto& [instance, dependency] : lost) {
+    aStory.findings_.push_back(
+      fmt::format("{} had lost its connection to {}",
+                  instance,
+                  dependency.empty() ? "the store" : dependency));
+  }
+}
+
+void
+AddFindings(LogStory& aStory, const Cast& aCast)
+{
+  if (aStory.own_.empty()) {
+    aStory.findings_.emplace_back(
+      "no line names this id: it reached none of these processes, or an "
+      "upstream answered it");
+    return;
+  }
+  const auto last = std::find_if(
+    aStory.own_.rbegin(), aStory.own_.rend(), [](const LogLine& aLine) {
+      return FindEnding(aLine) != nullptr;
+    });
+  aStory.findings_.push_back(
+    last == aStory.own_.rend()
+      ? std::string("no line tells its end: it was answered, or goes on")
+      : Describe(*last, *FindEnding(*last)));
+  const std::size_t failed = CountEvents(aStory.own_, "attempt_failed") +
+                             CountEvents(aStory.own_, "answer_rejected") +
+                             CountEvents(aStory.own_, "run_interrupted");
+  if (failed > 0) {
+    aStory.findings_.push_back(
+      fmt::format("{} of its attempts gave no whole answer", failed));
+  }
+  const std::size_t moved = CountEvents(aStory.own_, "attempt_outwaited") +
+                            CountEvents(aStory.own_, "run_silent") +
+                            CountEvents(aStory.own_, "run_moved");
+  if (moved > 0) {
+    aStory.findings_.push_back(fmt::format(
+      "{} of its attempts were given up for slowness or silence", moved));
+  }
+  AddUpstreamFindings(aStory, aCast);
+  AddDependencyFindings(aStory);
+  if (CountEvents(aStory.around_, "job_claimed") > 0) {
+    aStory.findings_.emplace_back(
+      "another process took its job over: runs began again from the texts "
+      "that had been saved");
+  }
+  if (CountEvents(aStory.around_, "log_lines_left_out") > 0) {
+    aStory.findings_.emplace_back(
+      "lines were left out of these logs; the story may have gaps");
+  }
+}
+
+} // namespace
+
+std::string_view
+LogLine::Field(std::string_view aName) const
+{
+  const auto it = fields_.find(aName);
+  return it == fields_.end() ? std::string_view() : it->second;
+}
+
+std::optional<LogLine>
+ParseLogLine(std::string_view aText)
+{
+  LogLine line;
+  line.text_ = aText;
+  while (!aText.empty()) {
+    const std::size_t end = aText.find_first_of(" =");
+    if (end == std::string_view::npos) {
+      break;
+    }
+    const std::string name(aText.substr(0, end));
+    const bool pair = aText[end] == '=' && !name.empty();
+    aText.remove_prefix(end + 1);
+    if (pair) {
+      line.fields_.emplace(name, TakeValue(aText));
+    }
+  }
+  if (line.Event().empty()) {
+    return std::nullopt;
+  }
+  return line;
+}
+
+LogStory
+TellStory(const std::vector<std::string>& aLines, std::string_view aId)
+{
+  LogStory story;
+  std::vector<LogLine> lines;
+  Duration last{ 0 };
+  for (const std::string& text : aLines) {
+    ++story.lines_;
+    auto line = ParseLogLine(text);
+    if (!line) {
+      ++story.unread_;
+      continue;
+    }
+    last = ParseTime(std::string(line->Field("time"))).value_or(last);
+    line->time_ = last;
+    lines.push_back(std::move(*line));
+  }
+  std::stable_sort(
+    lines.begin(), lines.end(), [](const LogLine& aOne, const LogLine& aOther) {
+      return aOne.time_ < aOther.time_;
+    });
+  const auto own = [&](const LogLine& aLine) { return Names(aLine, aId); };
+  std::copy_if(lines.begin(), lines.end(), std::back_inserter(story.own_), own);
+  const Cast cast = CastOf(story.own_);
+  for (LogLine& line : lines) {
+    if (!own(line) && BearsOn(line, cast)) {
+      story.around_.push_back(std::move(line));
+    }
+  }
+  AddFindings(story, cast);
+  return story;
+}
+
+} // namespace marjoramtally
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -196,6 +196,17 @@
   REQUIRE(fix.client_.open_.empty());
 }
 
+TEST_CASE("an attempt that used up the time is told as that, not as a failure")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce);
+  fix.timers_.Advance(1990ms);
+  fix.client_.Fail(fix.Take(), HttpEnd::TimedOut);
+  REQUIRE(fix.outcome_);
+  REQUIRE(fix.outcome_->response_.status_ == 504);
+  REQUIRE_FALSE(fix.outcome_->notRun_);
+}
+
 TEST_CASE("a caller that left stops the work")
 {
   Fixture fix;
--- /dev/null
+++ b/tests/test_log_story.cpp
@@ -0,0 +1,135 @@
+/// From an id to the cause of its end, by the logs alone.
+
+#include "marjoramtally/runtime/log_story.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+
+namespace {
+
+std::string
+Line(const std::string& aSecond,
+     const std::string& aInstance,
+     const std::string& aRest)
+{
+  return "time=2026-01-06T05:34:" + aSecond +
+         " level=INFO instance=" + aInstance + " " + aRest;
+}
+
+bool
+Tells(const LogStory& aStory, std::string_view aPart)
+{
+  return std::any_of(aStory.findings_.begin(),
+                     aStory.findings_.end(),
+                     [&](const std::string& aFinding) {
+                       return aFinding.find(aPart) != std::string::npos;
+                     });
+}
+
+} // namespace
+
+TEST_CASE("a log line is read with quoted values and what collectors add")
+{
+  const auto line = ParseLogLine(
+    R"(  1.16 front-2 time=2026-01-06T05:34:54.615 event=x why="a \"b\" = c" n=)");
+  REQUIRE(line);
+  CHECK(line->Event() == "x");
+  CHECK(line->Field("why") == "a \"b\" = c");
+  CHECK(line->Field("n").empty());
+  CHECK(line->Field("front-2").empty());
+  CHECK_FALSE(ParseLogLine("no pairs here"));
+  CHECK_FALSE(ParseLogLine("a=b"));
+  CHECK_FALSE(ParseLogLine(R"(event="unfinished)")->Event().empty());
+  CHECK_FALSE(ParseLogLine(""));
+}
+
+TEST_CASE("a request that failed leads to the upstream that failed others")
+{
+  const LogStory story = TellStory(
+    { Line("10.000", "g1", "event=attempt_failed id=r1 upstream=u1 sent=yes"),
+      Line("10.001",
+           "g1",
+           "event=request_given_up id=r1 status=502 last_upstream=u1 "
+           "why=\"no upstream gave a whole answer\""),
+      Line("09.000", "g2", "event=attempt_failed id=r2 upstream=u1 sent=yes"),
+      Line("08.000", "g2", "event=attempt_failed id=r3 upstream=u2 sent=yes"),
+      Line("09.500", "g3", "event=upstream_vanished id=u1"),
+      Line("09.600", "g1", "event=job_claimed job=j7 last_owner=g9"),
+      Line("01.000", "g2", "event=attempt_failed id=r4 upstream=u1 sent=yes") },
+    "r1");
+  CHECK(story.own_.size() == 2);
+  CHECK(story.around_.size() == 2);
+  CHECK(Tells(story, "answered 502"));
+  CHECK(Tells(story, "no upstream gave a whole answer"));
+  CHECK(Tells(story, "upstream u1 failed 1 other calls"));
+  CHECK(Tells(story, "registration of upstream u1 vanished"));
+  CHECK_FALSE(Tells(story, "took its job over"));
+}
+
+TEST_CASE("a refusal is told apart, with what its process had lost")
+{
+  const std::vector<std::string> lines{
+    Line("07.000", "g1", "event=dependency_lost dependency=store"),
+    Line("07.500", "g2", "event=dependency_lost dependency=store"),
+    Line("10.000",
+         "g1",
+         "event=request_given_up id=r1 status=503 why=\"no upstream\""),
+  };
+  const LogStory story = TellStory(lines, "r1");
+  CHECK(Tells(story, "refused; no upstream ran it"));
+  CHECK(Tells(story, "g1 had lost its connection to store"));
+  CHECK_FALSE(Tells(story, "g2"));
+
+  auto regained = lines;
+  regained.push_back(
+    Line("08.000", "g1", "event=dependency_regained dependency=store"));
+  CHECK_FALSE(Tells(TellStory(regained, "r1"), "had lost"));
+}
+
+TEST_CASE("an errored item leads over the owners of its job")
+{
+  const LogStory story = TellStory(
+    { Line("12.000", "g2", "event=job_claimed job=j1 last_owner=g1~1"),
+      Line("10.000", "g1", "event=score_failed item=i1 job=j1 status=500"),
+      Line("16.000", "g2", "event=score_failed item=i1 job=j1 status=500"),
+      Line("16.200",
+           "g2",
+           "event=item_errored item=i1 job=j1 why=\"its scorer failed\"") },
+    "i1");
+  CHECK(story.own_.size() == 3);
+  CHECK(Tells(story, "the item was given up (why: its scorer failed), at g2"));
+  CHECK(Tells(story, "took its job over"));
+}
+
+TEST_CASE("an item whose run was held up by a change of weights")
+{
+  const LogStory story = TellStory(
+    { Line("10.000", "o1", "event=order_sent upstream=u1 model=m version=4"),
+      Line("11.600", "g1", "event=run_silent item=i1 upstream=u1 events=3") },
+    "i1");
+  CHECK(Tells(story, "the last run seen had gone silent"));
+  CHECK(Tells(story, "upstream u1 was ordered to change its weights"));
+  CHECK(Tells(story, "1 of its attempts were given up for slowness"));
+}
+
+TEST_CASE("an id that no line names, and lines that are none")
+{
+  const LogStory story =
+    TellStory({ "garbage", Line("10.000", "g1", "event=started") }, "r9");
+  CHECK(story.own_.empty());
+  CHECK(story.lines_ == 2);
+  CHECK(story.unread_ == 1);
+  CHECK(Tells(story, "no line names this id"));
+}
+
+TEST_CASE("lines that were left out are told as a gap")
+{
+  const LogStory story =
+    TellStory({ Line("10.000", "g1", "event=attempt_failed id=r1 upstream=u1"),
+                "level=WARN instance=g1 event=log_lines_left_out count=7" },
+              "r1");
+  CHECK(Tells(story, "lines were left out"));
+  CHECK(Tells(story, "no line tells its end"));
+}
--- /dev/null
+++ b/tests/vary_site.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# Writes a deployment that differs from a site file in one thing, and prints
+# its name. The variants are of the kinds that deployments not seen here may
+# have.
+# usage: vary_site.sh SITE VARIANT OUT_DIR
+set -euo pipefail
+site=${1:?usage: vary_site.sh SITE VARIANT OUT_DIR}
+variant=${2:?usage: vary_site.sh SITE VARIANT OUT_DIR}
+out=${3:?usage: vary_site.sh SITE VARIANT OUT_DIR}
+mkdir -p "$out"
+cp "$(dirname "$site")/wire.json" "$out/"
+made=$out/$(basename "$site" .toml)-$variant.toml
+
+# Adds two classes of streamed requests, one that may be resumed and one that
+# may not, modelled on the first class of generations, to all callers.
+add_streams() {
+  awk '
+    /^  \{ name = .*kind = "rollout"/ && !added {
+      added = 1
+      print
+      line = $0
+      sub(/, lot = \{[^}]*\}/, "", line)
+      sub(/kind = "rollout"/, "kind = \"stream\"", line)
+      sub(/, keep_s = [0-9.]+/, "", line)
+      sub(/only = \[[0-9, ]*\], /, "", line)
+      sub(/,? *$/, ",", line)
+      sub(/name = "[^"]*"/, "name = \"live-resumed\"", line)
+      print line
+      sub(/live-resumed/, "live-once", line)
+      sub(/resume = true/, "resume = false", line)
+      print line
+      next
+    }
+    { sub(/mix = \{ [a-z-]+ = [0-9.]+/, "&, live-resumed = 2.0, live-once = 2.0") }
+    { print }' "$site"
+}
+
+case "$variant" in
+  streams) add_streams ;;
+  no-spare) sed 's/spare = [0-9]*/spare = 0/' "$site" ;;
+  slow-store)
+    # A third of the rates, of either kind of call.
+    awk '/^(writes|reads)_per_s = / { $3 = sprintf("%.1f", $3 / 3) } { print }' \
+      "$site" ;;
+  unfenced) sed 's/^fenced = true/fenced = false/' "$site" ;;
+  no-load) sed 's/load_header = true/load_header = false/' "$site" ;;
+  at-most-once)
+    # The callers' own class; the one that scores texts stays repeatable.
+    awk '/^  \{ name = .*work_ms/ && !done && !/inner = true/ {
+           done = 1
+           sub(/method = "POST"/, "&, kind = \"non_idempotent\"")
+         }
+         { print }' "$site" ;;
+  single-version) sed 's/pure = false/pure = true/' "$site" ;;
+  few-samplers) sed -E '/model = "llm"/ s/count = [0-9]+/count = 1/g' "$site" ;;
+  many-samplers) sed -E '/model = "llm"/ s/count = [0-9]+/count = 6/g' "$site" ;;
+  small-memory) sed -E 's/kv_tokens = [0-9]+/kv_tokens = 20000/' "$site" ;;
+  *)
+    echo "vary_site.sh: no variant $variant" >&2
+    exit 2 ;;
+esac >"$made"
+echo "$made"
