A claim of a job takes effect with its answer

Change: the answer itself makes the owner; a claim is not repeated while its answer is awaited. Tests of the directory stand in a file of their own. Both new tests fail without the change.

--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -185,6 +185,34 @@
   host_.Timers().After(kRemovePause, [this] { RemoveOld(); });
 }
 
+void
+JobDirectory::Claim(const JobId& aJob)
+{
+  const KnownJob& known = jobs_.at(aJob);
+  LogEvent(LogLevel::Info,
+           "job_claimed",
+           { { "job", aJob.Get() },
+             { "last_owner", known.record_.owner_ },
+             { "fence", std::to_string(known.fence_.Get()) } });
+  JobOwnerRecord record = known.record_;
+  record.owner_ = host_.Incarnation();
+  store_.ChangeOwner(aJob,
+                     record,
+                     known.fence_,
+                     [this, aJob, value = WriteOwnerRecord(record)](
+                       const Result<std::optional<FencingNumber>>& aFence) {
+                       claims_.erase(aJob);
+                       // If this answer is lost, the watch tells of the new
+                       // owner later.
+                       if (aFence && aFence.value()) {
+                         StoreRecord written;
+                         written.value_ = value;
+                         written.modRevision_ = aFence.value()->Get();
+                         TakeOwner(aJob, written);
+                       }
+                     });
+}
+
 void
 JobDirectory::ClaimDue()
 {
@@ -195,16 +223,9 @@
   const TimePoint now = host_.Now();
   const std::vector<JobId> due = takeover_.Due(now);
   for (const JobId& job : due) {
-    const KnownJob& known = jobs_.at(job);
-    LogEvent(LogLevel::Info,
-             "job_claimed",
-             { { "job", job.Get() },
-               { "last_owner", known.record_.owner_ },
-               { "fence", std::to_string(known.fence_.Get()) } });
-    JobOwnerRecord record = known.record_;
-    record.owner_ = host_.Incarnation();
-    // The watch tells of the new owner, also if this answer is lost.
-    store_.ChangeOwner(job, record, known.fence_, [](const auto&) {});
+    if (claims_.insert(job).second) {
+      Claim(job);
+    }
   }
   const TimePoint next = takeover_.NextDue();
   if (next == kNever) {
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -47,6 +47,7 @@
   void TakeOwner(const JobId& aJob, const StoreRecord& aRecord);
   void TakeEnd(const JobId& aJob);
   void ClaimDue();
+  void Claim(const JobId& aJob);
   /// Removes jobs whose results need not be kept any more.
   void RemoveOld();
 
@@ -60,6 +61,8 @@
   std::set<JobId> endsEarly_;
   std::map<std::string, std::string> addresses_;
   bool claiming_ = true;
+  /// Claims whose answer is awaited; each is a call to the store.
+  std::set<JobId> claims_;
   LoopTimerId claimTimer_ = 0;
 };
 
--- /dev/null
+++ b/tests/test_job_directory.cpp
@@ -0,0 +1,153 @@
+/// Jobs in the store as every process sees them: submissions, owners, claims,
+/// removal.
+
+#include "gateway_fixture.hpp"
+#include "programs/gatewayd/job_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const JobId kJob{ "job" };
+
+struct Fixture : GatewayFakes
+{
+  JobStore jobs_{ context_ };
+};
+
+/// A job of another process, whose sign of life stands.
+struct DirectoryFixture : Fixture
+{
+  JobDirectory directory_{ context_, jobs_ };
+  std::vector<std::string> owners_;
+  std::vector<std::string> ends_;
+
+  DirectoryFixture()
+  {
+    directory_.onOwner_ = [&](const JobId&, const KnownJob& aKnown) {
+      owners_.push_back(aKnown.record_.owner_);
+    };
+    directory_.onEnd_ = [&](const JobId& aJob) { ends_.push_back(aJob.Get()); };
+    const std::string life = WriteLifeRecord({ ZoneId{ "z" }, "a:1" });
+    store_.Put(job_keys::Life("self~1"), life);
+    store_.Put(job_keys::Life("other~1"), life);
+    store_.Put(job_keys::Owner(kJob), WriteOwnerRecord({ "other~1", 3, 0 }));
+    directory_.Start();
+    timers_.Advance(10ms);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a submission is accepted once, also if its answer is lost")
+{
+  Fixture fix;
+  fix.store_.fault_ = StoreFault::LosesAnswers;
+  std::optional<AcceptResult> first;
+  fix.jobs_.Accept(kJob, { "h", "/i/job", "b" }, 1, [&](AcceptResult aResult) {
+    first = aResult;
+  });
+  fix.timers_.Advance(5ms);
+  fix.store_.fault_ = StoreFault::None;
+  fix.timers_.Advance(50ms);
+  // The read that settles it met the fault too: not known, and not refused.
+  REQUIRE(first.has_value());
+  REQUIRE(first->end_ != AcceptEnd::Refused);
+  std::optional<AcceptResult> second;
+  fix.jobs_.Accept(kJob, { "h", "/i/job", "b" }, 1, [&](AcceptResult aResult) {
+    second = aResult;
+  });
+  fix.timers_.Advance(50ms);
+  REQUIRE(second->end_ != AcceptEnd::Refused);
+  REQUIRE(second->end_ != AcceptEnd::Unknown);
+}
+
+TEST_CASE("a submission of several parts comes back whole")
+{
+  Fixture fix;
+  const std::string body(2'000'000, 'x');
+  fix.jobs_.Accept(
+    kJob, { "h", "/i/job", body }, 1, [](const AcceptResult&) {});
+  std::optional<JobSubmissionRecord> back;
+  fix.timers_.Advance(10ms);
+  fix.jobs_.LoadSubmission(kJob, [&](const Result<JobSubmissionRecord>& aBack) {
+    back = aBack.value();
+  });
+  fix.timers_.Advance(10ms);
+  REQUIRE(back->body_ == body);
+}
+
+TEST_CASE("the directory tells of owners and ends, and claims orphans")
+{
+  DirectoryFixture fix;
+  REQUIRE(fix.owners_ == std::vector<std::string>{ "other~1" });
+  REQUIRE(fix.directory_.AddressOf("other~1") == "a:1");
+  fix.store_.Remove(job_keys::Life("other~1"));
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.owners_.size() == 1);
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.owners_.back() == "self~1");
+  fix.store_.Put(job_keys::End(kJob), "");
+  REQUIRE(fix.ends_ == std::vector<std::string>{ kJob.Get() });
+}
+
+TEST_CASE("a claim takes effect with its answer, before a watch tells of it")
+{
+  DirectoryFixture fix;
+  fix.store_.Remove(job_keys::Life("other~1"));
+  fix.store_.deaf_ = true;
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.owners_.size() == 2);
+  REQUIRE(fix.owners_.back() == "self~1");
+}
+
+TEST_CASE("a claim is not repeated while its answer is awaited")
+{
+  DirectoryFixture fix;
+  fix.store_.Remove(job_keys::Life("other~1"));
+  fix.store_.fault_ = StoreFault::Silent;
+  fix.store_.delay_ = 2s;
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.store_.commits_ == 1);
+  fix.store_.fault_ = StoreFault::None;
+  fix.store_.delay_ = 4ms;
+  fix.timers_.Advance(5s);
+  REQUIRE(fix.owners_.back() == "self~1");
+}
+
+TEST_CASE("ended jobs are removed once their results need not be kept")
+{
+  GatewayFakes fakes;
+  JobStore jobs(fakes.context_);
+  JobDirectory directory(fakes.context_, jobs);
+  const JobId fresh{ "fresh" };
+  const JobId open{ "open" };
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count();
+  fakes.store_.Put(job_keys::Life("self~1"),
+                   WriteLifeRecord({ ZoneId{ "z" }, "a:1" }));
+  for (const auto& [job, accepted] : { std::pair{ kJob, std::int64_t{ 0 } },
+                                       std::pair{ fresh, now },
+                                       std::pair{ open, std::int64_t{ 0 } } }) {
+    fakes.store_.Put(job_keys::Owner(job),
+                     WriteOwnerRecord({ "self~1", 2, accepted }));
+    fakes.store_.Put(job_keys::ResultsAt(job, 0), "[]");
+    fakes.store_.Put(job_keys::Submission(job) + "0000", "x");
+  }
+  directory.Start();
+  fakes.timers_.Advance(10ms);
+  fakes.store_.Put(job_keys::End(kJob), "");
+  fakes.store_.Put(job_keys::End(fresh), "");
+  fakes.timers_.Advance(31s);
+  REQUIRE(directory.Find(kJob) == nullptr);
+  REQUIRE_FALSE(fakes.store_.records_.contains(job_keys::ResultsAt(kJob, 0)));
+  REQUIRE_FALSE(
+    fakes.store_.records_.contains(job_keys::Submission(kJob) + "0000"));
+  REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(fresh, 0)));
+  REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(open, 0)));
+}
