Upstreams that let nothing be heard are chosen last and left sooner

Cause: in a zone that is cut off all upstreams fall silent at once. Ruled out: readiness of the zone's processes (its trainer was served elsewhere by then). The new test of the runner needs 0.9 s where 3 s passed before.

--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -40,7 +40,8 @@
   Answered,
   /// It said that it is full.
   Full,
-  /// It took no item though we know of a free slot: its weights change.
+  /// It took no item though we know of a free slot, or stands still: its
+  /// weights change, or it cannot be reached.
   Loading,
   /// No whole answer: refused, broken, garbled or silent.
   Failed,
@@ -73,6 +74,11 @@
   Duration longestGap_ = std::chrono::milliseconds(500);
   /// A pace this many times the median of its service is slow.
   double slowFactor_ = 1.8;
+  /// An upstream with calls in progress that lets nothing be heard for this
+  /// long, and for so many times its pace, is quiet: cut off, frozen, loading
+  /// or full. Streams make an event each 35 ms, plain calls take 25 to 200 ms.
+  Duration quietTime_ = std::chrono::milliseconds(300);
+  std::int64_t quietPaces_ = 6;
 };
 
 /// One upstream and what this process knows of it.
@@ -86,6 +92,8 @@
   TimePoint avoidUntil_;
   /// When the entry vanished; `kNever` while it is registered.
   TimePoint vanished_ = kNever;
+  /// When it last let anything be heard, or its first call in progress began.
+  TimePoint heard_;
   /// Smoothed time between two events of a stream; 0 is unknown.
   Duration pace_{ 0 };
   std::map<std::string, WeightVersion> versions_;
@@ -116,10 +124,12 @@
   /// The whole list was read: what is not in it has vanished.
   void OnList(std::vector<UpstreamEntry> aEntries, TimePoint aNow);
 
-  void OnStart(const UpstreamId& aId);
+  void OnStart(const UpstreamId& aId, TimePoint aNow);
   void OnEnd(const UpstreamId& aId, CallVerdict aVerdict, TimePoint aNow);
   /// The upstream answered for another incarnation: this one is gone.
   void OnReplaced(const UpstreamId& aId, TimePoint aNow);
+  /// Part of an answer came.
+  void OnHeard(const UpstreamId& aId, TimePoint aNow);
   /// An event of a stream came so long after the one before.
   void OnPace(const UpstreamId& aId, Duration aGap);
   /// The upstream showed its version of a model.
@@ -138,6 +148,10 @@
                                                  TimePoint aNow) const;
   /// @returns whether an upstream is much slower than its peers
   [[nodiscard]] bool Slow(const UpstreamId& aId) const;
+  /// @returns whether calls of this process are in progress at an upstream
+  /// and nothing of any of them was heard for a while
+  [[nodiscard]] bool Quiet(const BoardUpstream& aUpstream,
+                           TimePoint aNow) const noexcept;
   [[nodiscard]] const BoardUpstream* Find(const UpstreamId& aId) const;
   [[nodiscard]] std::vector<const BoardUpstream*> OfService(
     const ServiceId& aService) const;
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -72,14 +72,32 @@
 }
 
 void
-UpstreamBoard::OnStart(const UpstreamId& aId)
+UpstreamBoard::OnStart(const UpstreamId& aId, TimePoint aNow)
+{
+  const auto it = upstreams_.find(aId);
+  if (it != upstreams_.end() && it->second.inFlight_++ == 0) {
+    it->second.heard_ = aNow;
+  }
+}
+
+void
+UpstreamBoard::OnHeard(const UpstreamId& aId, TimePoint aNow)
 {
   const auto it = upstreams_.find(aId);
   if (it != upstreams_.end()) {
-    ++it->second.inFlight_;
+    it->second.heard_ = aNow;
   }
 }
 
+bool
+UpstreamBoard::Quiet(const BoardUpstream& aUpstream,
+                     TimePoint aNow) const noexcept
+{
+  const Duration longest =
+    std::max(policy_.quietTime_, aUpstream.pace_ * policy_.quietPaces_);
+  return aUpstream.inFlight_ > 0 && aNow - aUpstream.heard_ > longest;
+}
+
 void
 UpstreamBoard::OnEnd(const UpstreamId& aId,
                      CallVerdict aVerdict,
@@ -93,6 +111,9 @@
   if (upstream.inFlight_ > 0) {
     --upstream.inFlight_;
   }
+  if (aVerdict == CallVerdict::Answered || aVerdict == CallVerdict::Full) {
+    upstream.heard_ = aNow;
+  }
   if (aVerdict == CallVerdict::Answered) {
     upstream.failures_ = 0;
   } else if (aVerdict == CallVerdict::Full) {
@@ -164,7 +185,7 @@
                     TimePoint aNow) const
 {
   const BoardUpstream* best = nullptr;
-  std::tuple<bool, bool, double, bool> bestRank;
+  std::tuple<bool, bool, bool, double, bool> bestRank;
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.entry_.service_ != aService || aTried.contains(id) ||
         !Usable(upstream, aNow)) {
@@ -173,7 +194,9 @@
     const bool avoided = upstream.avoidUntil_ > aNow;
     const bool vanished = upstream.vanished_ != kNever;
     const bool far = upstream.entry_.zone_ != zone_;
-    const std::tuple rank{ vanished, avoided, LoadOf(upstream), far };
+    const std::tuple rank{
+      vanished, avoided, Quiet(upstream, aNow), LoadOf(upstream), far
+    };
     if (best == nullptr || rank < bestRank) {
       best = &upstream;
       bestRank = rank;
@@ -231,7 +254,7 @@
 UpstreamBoard::PickForItem(const ItemNeeds& aNeeds, TimePoint aNow) const
 {
   const BoardUpstream* best = nullptr;
-  std::tuple<bool, bool, double> bestRank;
+  std::tuple<bool, bool, bool, double> bestRank;
   bool home = false;
   std::size_t index = 0;
   const Duration median = MedianPace(aNeeds.service_);
@@ -249,12 +272,13 @@
       continue;
     }
     const bool slow = SlowerThan(upstream, median);
-    if (id == aNeeds.preferred_ && !slow) {
+    const bool quiet = Quiet(upstream, aNow);
+    if (id == aNeeds.preferred_ && !slow && !quiet) {
       return &upstream;
     }
-    const std::tuple rank{ upstream.vanished_ != kNever,
-                           slow,
-                           LoadOf(upstream) };
+    const std::tuple rank{
+      upstream.vanished_ != kNever, quiet, slow, LoadOf(upstream)
+    };
     if (best == nullptr || rank < bestRank) {
       best = &upstream;
       bestRank = rank;
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -200,7 +200,7 @@
   aFlight.tried_.insert(aFlight.upstream_);
   aFlight.inFlight_ = true;
   const std::uint32_t attempt = ++aFlight.attempt_;
-  board_.OnStart(aFlight.upstream_);
+  board_.OnStart(aFlight.upstream_, host_.Now());
   LogEvent(LogLevel::Debug,
            "attempt_sent",
            { { "id", aFlight.request_.attempt_ },
--- a/src/programs/gatewayd/forwarder_streams.cpp
+++ b/src/programs/gatewayd/forwarder_streams.cpp
@@ -64,6 +64,7 @@
 void
 Forwarder::OnHead(Flight& aFlight, int aStatus, const HttpHeaders& aHeaders)
 {
+  board_.OnHeard(aFlight.upstream_, host_.Now());
   Stream& stream = *aFlight.stream_;
   stream.head_.status_ = aStatus;
   stream.head_.headers_ = aHeaders;
@@ -109,6 +110,7 @@
 {
   Stream& stream = *aFlight.stream_;
   stream.lastProgress_ = host_.Now();
+  board_.OnHeard(aFlight.upstream_, host_.Now());
   if (!stream.begun_) {
     host_.Measures().Observe(
       "stream_first_event_seconds",
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -138,6 +138,8 @@
   void CheckRuns();
   /// @returns whether a run stands still that had begun
   [[nodiscard]] bool Stalled(const Run& aRun) const;
+  /// @returns whether a run waits in vain at an upstream that is quiet
+  [[nodiscard]] bool Ignored(const Run& aRun) const;
   [[nodiscard]] bool ShouldMove(const Run& aRun) const;
 
   void Score(const JobId& aId, OwnedJob& aJob);
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -17,6 +17,10 @@
 /// A stream that has not begun may wait for a slot at its upstream, where
 /// others sent items too; moving it would put it at the end of another queue.
 constexpr auto kFirstSilence = std::chrono::milliseconds(3000);
+/// A stream that has not begun moves after this time already if its upstream
+/// lets nothing be heard at all and another has room: a zone that is cut off
+/// is full of such upstreams.
+constexpr auto kQuietSilence = std::chrono::milliseconds(600);
 /// How often runs are looked at while there are any.
 constexpr auto kCheckPause = std::chrono::milliseconds(120);
 
@@ -100,7 +104,7 @@
     return OnData(id, aData);
   };
   aJob.ledger_.OnStarted(aItem);
-  board_.OnStart(run.upstream_);
+  board_.OnStart(run.upstream_, host_.Now());
   run.call_ =
     host_.Client().Send(std::move(call), [this, id](const HttpResult& aResult) {
       OnRunEnd(id, aResult);
@@ -116,6 +120,7 @@
     return;
   }
   Run& run = it->second;
+  board_.OnHeard(run.upstream_, host_.Now());
   const WireNames& names = host_.Formats().Names();
   const JobItem& item = jobs_.at(run.job_).ledger_.Spec().items_[run.item_];
   const auto echo = FindHeader(aHeaders, names.attempt_);
@@ -168,6 +173,7 @@
     return false;
   }
   const TimePoint now = host_.Now();
+  board_.OnHeard(aRun.upstream_, now);
   if (aRun.events_++ > 0) {
     board_.OnPace(aRun.upstream_, now - aRun.lastProgress_);
   } else {
@@ -286,10 +292,19 @@
   return host_.Now() - aRun.lastProgress_ > stall;
 }
 
+bool
+JobRunner::Ignored(const Run& aRun) const
+{
+  const BoardUpstream* upstream = board_.Find(aRun.upstream_);
+  return upstream != nullptr && aRun.events_ == 0 &&
+         host_.Now() - aRun.lastProgress_ > Duration{ kQuietSilence } &&
+         board_.Quiet(*upstream, host_.Now());
+}
+
 bool
 JobRunner::ShouldMove(const Run& aRun) const
 {
-  if (!board_.Slow(aRun.upstream_) && !Stalled(aRun)) {
+  if (!board_.Slow(aRun.upstream_) && !Stalled(aRun) && !Ignored(aRun)) {
     return false;
   }
   const OwnedJob& job = jobs_.at(aRun.job_);
@@ -305,7 +320,13 @@
                                                     {},
                                                     aRun.upstream_ },
                                                   host_.Now());
-  return other != nullptr && !board_.Slow(other->entry_.id_);
+  if (other == nullptr || board_.Slow(other->entry_.id_) ||
+      board_.Quiet(*other, host_.Now())) {
+    return false;
+  }
+  // A run that was ignored needs proof that the other is better: it was heard
+  // while this one waited.
+  return !Ignored(aRun) || other->heard_ > aRun.lastProgress_;
 }
 
 void
@@ -349,7 +370,9 @@
         { "upstream", run.upstream_.Get() },
         { "events", std::to_string(run.events_) } });
     jobs_.at(run.job_).avoided_[run.item_] = run.upstream_;
-    StopRun(id, CallVerdict::Abandoned);
+    // One that stands still gets no other item for a while.
+    const bool still = Stalled(run) || Ignored(run);
+    StopRun(id, still ? CallVerdict::Loading : CallVerdict::Abandoned);
     Dispatch();
   }
   Dispatch();
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -247,6 +247,28 @@
   REQUIRE(fix.client_.cancelled_ == 1);
 }
 
+TEST_CASE(
+  "an item does not wait long at an upstream that lets nothing be heard")
+{
+  Fixture fix;
+  // Four fill the first upstream; the fifth shows that the second lives.
+  fix.Accept(5);
+  const SentCall other = fix.client_.open_.back();
+  REQUIRE(other.call_.url_ == "http://e1:1/i/4");
+  for (int i = 1; i <= 5; ++i) {
+    fix.Begin(other, Event(i, "x"));
+    fix.timers_.Advance(100ms);
+  }
+  REQUIRE(fix.client_.sent_ == 5);
+  for (int i = 6; i <= 9; ++i) {
+    fix.Begin(other, Event(i, "x"));
+    fix.timers_.Advance(100ms);
+  }
+  // As many move as there is room for.
+  REQUIRE(fix.client_.sent_ == 8);
+  REQUIRE(fix.client_.open_.back().call_.url_.starts_with("http://e1:1/i/"));
+}
+
 TEST_CASE("an upstream that takes no item is not asked again at once")
 {
   Fixture fix(1);
--- a/tests/test_upstream_board.cpp
+++ b/tests/test_upstream_board.cpp
@@ -133,7 +133,7 @@
   UpstreamBoard board =
     MakeBoard({ MakeEntry("far", "z2"), MakeEntry("near") });
   REQUIRE(PickId(board) == "near");
-  board.OnStart(UpstreamId{ "near" });
+  board.OnStart(UpstreamId{ "near" }, kStart);
   REQUIRE(PickId(board) == "far");
   REQUIRE(PickId(board, kStart, { UpstreamId{ "far" } }) == "near");
 }
@@ -174,7 +174,7 @@
 TEST_CASE("an upstream that fails is avoided while there is another")
 {
   UpstreamBoard board = MakeBoard({ MakeEntry("a"), MakeEntry("b", "z2") });
-  board.OnStart(UpstreamId{ "a" });
+  board.OnStart(UpstreamId{ "a" }, kStart);
   board.OnEnd(UpstreamId{ "a" }, CallVerdict::Failed, kStart);
   REQUIRE(PickId(board) == "b");
   REQUIRE(PickId(board, kStart, { UpstreamId{ "b" } }) == "a");
@@ -188,7 +188,7 @@
   for (int i = 0; i < 2; ++i) {
     const BoardUpstream* picked = board.PickForItem(Needs(5), kStart);
     REQUIRE(picked->entry_.id_ == UpstreamId{ "new" });
-    board.OnStart(picked->entry_.id_);
+    board.OnStart(picked->entry_.id_, kStart);
   }
   REQUIRE(board.PickForItem(Needs(5), kStart) == nullptr);
   board.OnVersion(UpstreamId{ "old" }, "m", WeightVersion{ 5 });
@@ -200,7 +200,7 @@
 {
   UpstreamBoard board =
     MakeBoard({ MakeEntry("a"), MakeEntry("b"), MakeEntry("c") });
-  board.OnStart(UpstreamId{ "a" });
+  board.OnStart(UpstreamId{ "a" }, kStart);
   REQUIRE(board.PickForItem(Needs(1, "a"), kStart)->entry_.id_ ==
           UpstreamId{ "a" });
   for (int i = 0; i < 20; ++i) {
@@ -396,7 +396,7 @@
   std::set<UpstreamId> used;
   while (const BoardUpstream* picked = board.PickForItem(Needs(1), kStart)) {
     used.insert(picked->entry_.id_);
-    board.OnStart(picked->entry_.id_);
+    board.OnStart(picked->entry_.id_, kStart);
   }
   REQUIRE(used == std::set{ UpstreamId{ "a" }, UpstreamId{ "c" } });
   // Their versions tell: d is kept for the other model, b is ours.
@@ -443,3 +443,49 @@
     REQUIRE(versions.size() == 2);
   }
 }
+
+TEST_CASE("an upstream that lets nothing be heard is chosen last")
+{
+  UpstreamBoard board(ZoneId{ "z" });
+  for (const char* name : { "a", "b" }) {
+    UpstreamEntry entry;
+    entry.id_ = UpstreamId{ name };
+    entry.service_ = ServiceId{ "s" };
+    entry.slots_ = 4;
+    board.OnEntry(entry);
+  }
+  const auto pick = [&](Duration aAfter) {
+    return board.Pick(ServiceId{ "s" }, {}, kStart + aAfter)->entry_.id_.Get();
+  };
+  const auto pickForItem = [&](Duration aAfter) {
+    const ItemNeeds needs{ ServiceId{ "s" }, "", {}, UpstreamId{ "a" }, {} };
+    return board.PickForItem(needs, kStart + aAfter)->entry_.id_.Get();
+  };
+  board.OnStart(UpstreamId{ "a" }, kStart);
+  board.OnStart(UpstreamId{ "b" }, kStart);
+  board.OnStart(UpstreamId{ "b" }, kStart);
+  board.OnHeard(UpstreamId{ "b" }, kStart + 250ms);
+  REQUIRE(pick(250ms) == "a");
+  REQUIRE(pickForItem(250ms) == "a");
+  REQUIRE(pick(350ms) == "b");
+  REQUIRE(pickForItem(350ms) == "b");
+  board.OnHeard(UpstreamId{ "a" }, kStart + 350ms);
+  REQUIRE(pick(360ms) == "a");
+  // One with nothing in progress owes nothing.
+  board.OnEnd(UpstreamId{ "a" }, CallVerdict::Abandoned, kStart + 400ms);
+  REQUIRE(pick(10s) == "a");
+}
+
+TEST_CASE("a slow pace is not taken for silence")
+{
+  UpstreamBoard board(ZoneId{ "z" });
+  UpstreamEntry entry;
+  entry.id_ = UpstreamId{ "a" };
+  entry.service_ = ServiceId{ "s" };
+  board.OnEntry(entry);
+  board.OnStart(UpstreamId{ "a" }, kStart);
+  board.OnPace(UpstreamId{ "a" }, 200ms);
+  const BoardUpstream& upstream = *board.Find(UpstreamId{ "a" });
+  REQUIRE_FALSE(board.Quiet(upstream, kStart + 1100ms));
+  REQUIRE(board.Quiet(upstream, kStart + 1300ms));
+}
