A gateway that is stopped finishes its jobs as far as time allows

Cause: at the stop signal all jobs were given back at once, their runs cut and taken up elsewhere some tenths of a second later, or seconds later where the store was silent just then; yet the process lived on for 2.6 s or more, and most jobs end within 3 to 7 s. Change: no job is taken in and readiness ends as before; jobs in progress go on; what is left is given back 3.2 s before the forced end, or at once where the grace is shorter. The first new test fails without the change.

--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -125,7 +125,7 @@
   stopping_ = true;
   stopped_ = host_.Now();
   directory_.StopClaiming();
-  jobs_.StopAccepting();
+  jobs_.Stop(host_.Settings().grace_);
 }
 
 bool
@@ -135,7 +135,7 @@
     return false;
   }
   front_->StopAccepting();
-  if (front_->InFlight() != 0 || !runner_.Idle()) {
+  if (!jobs_.Idle() || front_->InFlight() != 0) {
     return false;
   }
   life_.Release();
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -17,6 +17,10 @@
 /// A read of another process's job that finds nothing is answered after one
 /// more reading so much later.
 constexpr auto kRemoteWait = std::chrono::milliseconds(600);
+/// Jobs are given back this long before the forced end: the process ends by
+/// itself 0.7 s before it, and the store may answer only at a second attempt,
+/// of 1.2 s each.
+constexpr auto kHandOverTime = std::chrono::milliseconds(3200);
 /// A job's owner record that could not be loaded is tried again.
 constexpr auto kLoadAgain = std::chrono::milliseconds(300);
 constexpr std::size_t kLongestId = 100;
@@ -97,10 +101,21 @@
 }
 
 void
-JobApi::StopAccepting()
+JobApi::Stop(Duration aGrace)
 {
   accepting_ = false;
-  runner_.GiveBack();
+  host_.Timers().After(
+    std::max<Duration>(aGrace - kHandOverTime, Duration{ 0 }),
+    [this] { runner_.GiveBack(); });
+}
+
+bool
+JobApi::Idle()
+{
+  if (!runner_.HasOpen()) {
+    runner_.GiveBack();
+  }
+  return runner_.Idle();
 }
 
 void
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -22,8 +22,13 @@
   void Query(const JobQuery& aQuery,
              const HttpRequest& aRequest,
              HttpReplyPtr aReply);
-  /// No more jobs are taken in.
-  void StopAccepting();
+  /// No more jobs are taken in; those in progress go on, as most end in time,
+  /// and the rest is given back before the forced end.
+  /// @param aGrace from now to the forced end
+  void Stop(Duration aGrace);
+  /// To be asked after `Stop`.
+  /// @returns whether no job is left here
+  [[nodiscard]] bool Idle();
 
 private:
   /// A read of a job of ours that waits for a result.
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -172,9 +172,20 @@
   Dispatch();
 }
 
+bool
+JobRunner::HasOpen() const noexcept
+{
+  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& aEntry) {
+    return !aEntry.second.ended_ && !aEntry.second.ledger_.Done();
+  });
+}
+
 void
 JobRunner::GiveBack()
 {
+  if (givingBack_) {
+    return;
+  }
   givingBack_ = true;
   for (auto& [id, job] : jobs_) {
     StopRuns(job);
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -45,6 +45,8 @@
   /// Gives all jobs back; `Idle` holds once that is done.
   void GiveBack();
   [[nodiscard]] bool Idle() const noexcept { return jobs_.empty(); }
+  /// @returns whether a job here still has something to run or to write
+  [[nodiscard]] bool HasOpen() const noexcept;
 
   [[nodiscard]] bool Owns(const JobId& aJob) const
   {
