Runs of models whose texts need one version finish before a change

Cause: orders let runs go on under the new version, which suits trainers that allow the version before. Change: the holder of the orders reads from the configuration which models such routes use, each 10 s, and orders these to let runs finish first. The gateways' check of each text is unchanged. The new tests fail without the change.

--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -6,6 +6,7 @@
 #include "marjoramtally/base/ids.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -99,6 +100,11 @@
   RoutingConfig config_;
 };
 
+/// @returns the models whose texts must come from one version: those of the
+/// services of routes that say so
+[[nodiscard]] std::set<std::string>
+SingleVersionModels(const RoutingConfig& aConfig);
+
 /// Draws a service of a route's split.
 /// @param aDraw any number; the same number draws the same service
 [[nodiscard]] const ServiceId&
--- a/include/marjoramtally/runtime/platform.hpp
+++ b/include/marjoramtally/runtime/platform.hpp
@@ -85,6 +85,9 @@
   FencingNumber fence_;
   /// Orders that the upstream has accepted so far; a later one is refused.
   std::optional<std::uint64_t> expectedOrders_;
+  /// Runs in progress finish before the change; else they go on under the new
+  /// version.
+  bool runsFinish_ = false;
 };
 
 /// What an upstream says of its orders and versions.
--- a/src/process/route_table.cpp
+++ b/src/process/route_table.cpp
@@ -27,6 +27,25 @@
   return best;
 }
 
+std::set<std::string>
+SingleVersionModels(const RoutingConfig& aConfig)
+{
+  std::set<std::string> models;
+  for (const Route& route : aConfig.routes_) {
+    if (!route.singleVersion_) {
+      continue;
+    }
+    for (const ServiceWeight& part : route.services_) {
+      const auto service = aConfig.services_.find(part.service_);
+      if (service != aConfig.services_.end()) {
+        models.insert(service->second.models_.begin(),
+                      service->second.models_.end());
+      }
+    }
+  }
+  return models;
+}
+
 const ServiceId&
 DrawService(const Route& aRoute, std::uint64_t aDraw) noexcept
 {
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -18,6 +18,9 @@
 constexpr auto kNextLook = std::chrono::milliseconds(250);
 /// A load that is not seen to end is ordered anew after this time.
 constexpr auto kLongestLoad = std::chrono::seconds(5);
+/// The configuration only tells which kind of order is better, not which is
+/// allowed; a watch would cost seven times the calls.
+constexpr auto kConfigPause = std::chrono::seconds(10);
 /// Pause after a failure; longer than reports lag.
 constexpr auto kRestTime = std::chrono::milliseconds(500);
 
@@ -119,6 +122,7 @@
 OrderDuty::Follow()
 {
   active_ = true;
+  ReadConfig(++term_);
   const StorePlaces& places = host_.Formats().Places();
   const auto follow = [this](const std::string& aPrefix,
                              void (OrderDuty::*aTake)(const StoreRecord&)) {
@@ -145,6 +149,37 @@
   retirements_ = follow(places.retirements_, &OrderDuty::TakeRetirement);
 }
 
+void
+OrderDuty::ReadConfig(std::uint64_t aTerm)
+{
+  const std::string& key = host_.Formats().Places().config_;
+  host_.PlatformStore().Read(
+    key, [this, aTerm, key](const Result<StoreRange>& aRange) {
+      if (!active_ || term_ != aTerm) {
+        return;
+      }
+      if (aRange) {
+        for (const StoreRecord& record : aRange.value().records_) {
+          const auto config = host_.Formats().ReadConfig(record.value_);
+          if (record.key_ == key && config) {
+            singleVersion_ = SingleVersionModels(config.value());
+          } else if (!config) {
+            LogEvent(LogLevel::Error,
+                     "config_unreadable",
+                     { { "error", config.error().message_ } });
+          }
+        }
+      }
+      const auto pause =
+        aRange ? Duration{ kConfigPause } : Duration{ kRestTime };
+      host_.Timers().After(pause, [this, aTerm] {
+        if (active_ && term_ == aTerm) {
+          ReadConfig(aTerm);
+        }
+      });
+    });
+}
+
 void
 OrderDuty::TakeUpstream(const StoreRecord& aRecord)
 {
@@ -342,11 +377,11 @@
     return;
   }
   aTarget.phase_ = Phase::Sending;
-  const VersionOrder order{ aTarget.load_.model_,
-                            aTarget.load_.version_,
-                            host_.Incarnation(),
-                            duty_.Fence(),
-                            aTarget.orders_ };
+  const VersionOrder order{
+    aTarget.load_.model_, aTarget.load_.version_,
+    host_.Incarnation(),  duty_.Fence(),
+    aTarget.orders_,      singleVersion_.contains(aTarget.load_.model_)
+  };
   LogEvent(
     LogLevel::Info,
     "order_sent",
@@ -354,6 +389,7 @@
       { "model", order.model_ },
       { "version", std::to_string(order.version_.Get()) },
       { "fence", std::to_string(order.fence_.Get()) },
+      { "runs", order.runsFinish_ ? "finish first" : "go on" },
       { "expected", std::to_string(order.expectedOrders_.value_or(0)) } });
   HttpCall call = host_.Formats().MakeOrder(aTarget.entry_, order);
   call.timeout_ = kOrderTimeout;
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -52,6 +52,8 @@
   void FollowOnceHeld(FencingNumber aFence);
   void OnLost();
   void Follow();
+  /// Reads which models' texts must come from one version, now and again.
+  void ReadConfig(std::uint64_t aTerm);
   void TakeUpstream(const StoreRecord& aRecord);
   void TakeVersion(const StoreRecord& aRecord);
   void TakeRetirement(const StoreRecord& aRecord);
@@ -79,6 +81,10 @@
   std::unique_ptr<PrefixFollower> versions_;
   std::unique_ptr<PrefixFollower> retirements_;
   WeightPlan plan_;
+  /// Models whose runs finish before a change of their version.
+  std::set<std::string> singleVersion_;
+  /// Counts the times that the duty began.
+  std::uint64_t term_ = 0;
   std::map<UpstreamId, Target> targets_;
   /// The number under which the duty is to begin; none: it is not ours.
   FencingNumber awaited_;
--- a/tests/test_platform_formats.cpp
+++ b/tests/test_platform_formats.cpp
@@ -133,4 +133,9 @@
   REQUIRE(call.body_ == R"({"expected":2,"fence":41,"holder":"me",)"
                         R"("mode":"continue","model":"m","op":"version",)"
                         R"("version":3})");
+  VersionOrder whole{ "m", WeightVersion{ 3 }, "me", FencingNumber{ 41 }, 2 };
+  whole.runsFinish_ = true;
+  REQUIRE(
+    kPlatform->MakeOrder(upstream, whole).body_.find(R"("mode":"block")") !=
+    std::string::npos);
 }
