--- a/include/marjoramtally/base/clock.hpp
+++ b/include/marjoramtally/base/clock.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 namespace marjoramtally {
 
@@ -62,6 +63,13 @@
   [[nodiscard]] TimePoint Now() const noexcept override;
 };
 
+/// @returns a duration in whole milliseconds, rounded down
+[[nodiscard]] inline std::int64_t
+WholeMillis(Duration aDuration) noexcept
+{
+  return std::chrono::floor<std::chrono::milliseconds>(aDuration).count();
+}
+
 /// A paused clock that moves only when told to.
 /// @example `ManualClock clock; clock.Advance(std::chrono::seconds(1));`
 class ManualClock final : public Clock
--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -13,6 +13,10 @@
 
 namespace marjoramtally {
 
+/// A connection to an upstream takes a few milliseconds within the platform;
+/// one that takes longer goes to a dead upstream.
+inline constexpr auto kUpstreamConnectTimeout = std::chrono::milliseconds(250);
+
 /// Calls between gateways. Answers come on the loop.
 class PeerCalls
 {
--- a/src/programs/entryd/flight.cpp
+++ b/src/programs/entryd/flight.cpp
@@ -18,12 +18,6 @@
   return std::max<Duration>(left, kShortestAttempt);
 }
 
-Duration
-WholeMillis(Duration aDuration)
-{
-  return std::chrono::floor<std::chrono::milliseconds>(aDuration);
-}
-
 } // namespace
 
 AttemptEnd
@@ -100,8 +94,9 @@
   call.body_ = aFlight.message_.body_;
   call.atMostOnce_ = !aFlight.spec_.idempotent_;
   call.timeout_ = TimeLeft(aFlight.spec_, aNow);
-  call.headers_.push_back({ std::string(kDeadlineHeader),
-                            FormatDuration(WholeMillis(call.timeout_)) });
+  call.headers_.push_back(
+    { std::string(kDeadlineHeader),
+      FormatDuration(std::chrono::milliseconds(WholeMillis(call.timeout_))) });
   return call;
 }
 
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// A connection within the platform takes a few milliseconds; one that takes
-/// longer goes to a dead upstream.
-constexpr auto kConnectTimeout = std::chrono::milliseconds(250);
 /// Share of the objective after which an idempotent request is sent to
 /// another upstream.
 constexpr double kPatienceShare = 0.7;
@@ -51,12 +48,6 @@
     [&](std::string_view aField) { return SameName(aName, aField); });
 }
 
-std::int64_t
-Millis(Duration aDuration)
-{
-  return std::chrono::floor<std::chrono::milliseconds>(aDuration).count();
-}
-
 } // namespace
 
 HttpHeaders
@@ -184,11 +175,12 @@
   call.url_ = "http://" + aUpstream.address_ + request.target_;
   call.headers_ = request.headers_;
   call.headers_.push_back(
-    { names.deadline_, std::to_string(Millis(Left(aFlight))) });
+    { names.deadline_, std::to_string(WholeMillis(Left(aFlight))) });
   call.headers_.push_back({ names.expectUpstream_, aUpstream.id_.Get() });
   call.body_ = request.body_;
   call.timeout_ = Left(aFlight);
-  call.connectTimeout_ = std::min<Duration>(kConnectTimeout, call.timeout_);
+  call.connectTimeout_ =
+    std::min<Duration>(kUpstreamConnectTimeout, call.timeout_);
   call.atMostOnce_ = !Repeatable(aFlight);
   return call;
 }
@@ -205,7 +197,7 @@
            "attempt_sent",
            { { "id", aFlight.request_.attempt_ },
              { "upstream", aFlight.upstream_.Get() },
-             { "left_ms", std::to_string(Millis(Left(aFlight))) } });
+             { "left_ms", std::to_string(WholeMillis(Left(aFlight))) } });
   HttpCall call = MakeCall(aFlight, aUpstream.entry_);
   if (aFlight.stream_) {
     PrepareStream(aId, aFlight, call);
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -16,12 +16,6 @@
 /// Results of a job that ended are read from memory for this long.
 constexpr auto kEndedStay = std::chrono::seconds(10);
 
-std::int64_t
-Millis(Duration aDuration)
-{
-  return std::chrono::floor<std::chrono::milliseconds>(aDuration).count();
-}
-
 } // namespace
 
 JobRunner::JobRunner(GatewayContext& aHost,
@@ -101,7 +95,7 @@
              { "items", std::to_string(ledger.Spec().items_.size()) },
              { "listed", std::to_string(aListed.size()) },
              { "partial", std::to_string(aPartials.size()) },
-             { "age_ms", std::to_string(Millis(aAge)) },
+             { "age_ms", std::to_string(WholeMillis(aAge)) },
              { "fence", std::to_string(aFence.Get()) } });
   const auto [it, added] = jobs_.emplace(aJob,
                                          OwnedJob(aSubmission.host_,
@@ -162,7 +156,7 @@
     { { "job", aJob.Get() },
       { "listed", std::to_string(job.ledger_.Listed().size()) },
       { "of", std::to_string(job.ledger_.Spec().items_.size()) },
-      { "age_ms", std::to_string(Millis(host_.Now() - job.accepted_)) } });
+      { "age_ms", std::to_string(WholeMillis(host_.Now() - job.accepted_)) } });
   host_.Measures().Observe(
     "job_seconds",
     std::chrono::duration<double>(host_.Now() - job.accepted_).count());
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr auto kConnectTimeout = std::chrono::milliseconds(250);
 /// A stream that makes nothing for so many times its upstream's pace moves to
 /// another with room: a change of weights holds runs up for 0.9 s, and going
 /// on elsewhere reads the prompt again in some milliseconds.
@@ -24,12 +23,6 @@
 /// How often runs are looked at while there are any.
 constexpr auto kCheckPause = std::chrono::milliseconds(120);
 
-std::int64_t
-Millis(Duration aDuration)
-{
-  return std::chrono::floor<std::chrono::milliseconds>(aDuration).count();
-}
-
 } // namespace
 
 void
@@ -61,7 +54,8 @@
   }
   call.headers_.push_back({ "Host", aJob.host_ });
   call.headers_.push_back({ names.attempt_, item.id_.Get() });
-  call.headers_.push_back({ names.deadline_, std::to_string(Millis(left)) });
+  call.headers_.push_back(
+    { names.deadline_, std::to_string(WholeMillis(left)) });
   call.headers_.push_back({ names.expectUpstream_, aUpstream.id_.Get() });
   const std::uint64_t lastEvent = aJob.ledger_.Text(aItem).lastEvent_;
   if (lastEvent > 0) {
@@ -69,7 +63,7 @@
   }
   call.body_ = item.body_;
   call.timeout_ = left;
-  call.connectTimeout_ = kConnectTimeout;
+  call.connectTimeout_ = kUpstreamConnectTimeout;
   return call;
 }
 
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -12,7 +12,6 @@
 /// An upstream answers an order in some milliseconds; one that does not may
 /// still carry it out.
 constexpr auto kOrderTimeout = std::chrono::milliseconds(500);
-constexpr auto kConnectTimeout = std::chrono::milliseconds(250);
 /// A load takes about 0.9 s; reports lag by some hundred milliseconds.
 constexpr auto kFirstLook = std::chrono::milliseconds(1000);
 constexpr auto kNextLook = std::chrono::milliseconds(250);
@@ -317,7 +316,7 @@
   }
   HttpCall call = host_.Formats().MakeReportCall(aTarget.entry_);
   call.timeout_ = kOrderTimeout;
-  call.connectTimeout_ = kConnectTimeout;
+  call.connectTimeout_ = kUpstreamConnectTimeout;
   host_.Client().Send(std::move(call), Answer(aTarget, &OrderDuty::OnState));
 }
 
@@ -393,7 +392,7 @@
       { "expected", std::to_string(order.expectedOrders_.value_or(0)) } });
   HttpCall call = host_.Formats().MakeOrder(aTarget.entry_, order);
   call.timeout_ = kOrderTimeout;
-  call.connectTimeout_ = kConnectTimeout;
+  call.connectTimeout_ = kUpstreamConnectTimeout;
   lastOrder_ = host_.Now();
   host_.Client().Send(std::move(call),
                       Answer(aTarget, &OrderDuty::OnOrderAnswer));
