--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -8,6 +8,9 @@
 
 namespace marjoramtally {
 
+/// Whoever could not be answered about a job comes back after this time.
+inline constexpr auto kJobComeBack = std::chrono::milliseconds(300);
+
 /// Answers calls about jobs. Used on one loop.
 class JobApi
 {
