Upstreams that start again under their id, and entries of another writer

Cause: nothing knew when an upstream had started. A draining mark, the highest version seen, pace and failures stuck to the id for ever; orders went on with the count and the steps of the incarnation before; an entry that came late could bring those back. Entries of another writer were taken with defaults (no state was 'ready', a negative number of slots became four billion) and logged at each reading; on the watch an unreadable one left the old in force.

Change: the start is decoded once and makes, with the id, an incarnation. Board and order duty start over with a newer one and ignore an older; calls of which nothing was heard for 500 ms are settled as lost: idempotent requests and items go elsewhere, what runs at most once ends as unknown. An entry must hold its fields in their types, a known state, and for orders a service that the configuration names; else it names no upstream and is logged once with its place.

Ruled out: the wall clock to tell which calls are older than a restart (clocks differ by seconds).

Two entries in the tests of the order duty lacked the zone that each entry has; they have it now, what they check is unchanged.

--- a/include/marjoramtally/base/ids.hpp
+++ b/include/marjoramtally/base/ids.hpp
@@ -13,6 +13,9 @@
 using ServiceId = Strong<std::string, struct ServiceTag>;
 /// One process that answers requests of a service.
 using UpstreamId = Strong<std::string, struct UpstreamTag>;
+/// When an upstream started, in Unix milliseconds by its own clock. Together
+/// with its id it names one incarnation; 0: it does not say.
+using UpstreamStart = Strong<std::uint64_t, struct UpstreamStartTag>;
 /// A trainer, as named in the rules.
 using TrainerId = Strong<std::string, struct TrainerTag>;
 /// One request as its caller knows it, stable over resends.
--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -105,6 +105,10 @@
 [[nodiscard]] std::set<std::string>
 SingleVersionModels(const RoutingConfig& aConfig);
 
+/// @returns the services that a configuration names
+[[nodiscard]] std::set<ServiceId>
+ServicesOf(const RoutingConfig& aConfig);
+
 /// Draws a service of a route's split.
 /// @param aDraw any number; the same number draws the same service
 [[nodiscard]] const ServiceId&
--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -20,10 +20,11 @@
   WeightVersion version_;
 };
 
-/// One upstream as it registered itself. The id names one incarnation.
+/// One upstream as it registered itself. Id and start name one incarnation.
 struct UpstreamEntry
 {
   UpstreamId id_;
+  UpstreamStart start_;
   ServiceId service_;
   /// IP number and port.
   std::string address_;
@@ -33,6 +34,17 @@
   std::vector<ModelVersion> models_;
 };
 
+/// What an entry told of its upstream.
+enum class EntryEffect
+{
+  /// The incarnation is new or known and goes on.
+  Current,
+  /// The upstream has started again under its id: nothing of before holds.
+  Restarted,
+  /// It speaks of an earlier incarnation and was ignored.
+  Outdated,
+};
+
 /// How a call to an upstream ended, as far as its health goes.
 enum class CallVerdict
 {
@@ -53,6 +65,11 @@
 /// kept for them: where a model is at home it is at most one behind.
 inline constexpr std::uint64_t kForeignLead = 2;
 
+/// A call of which nothing was heard for so long when a restart of its upstream
+/// becomes known had gone to the incarnation before. A restart is registered
+/// within a second; calls that are heard of go on.
+inline constexpr auto kRestartSilence = std::chrono::milliseconds(500);
+
 /// Times that govern the choice.
 struct BoardPolicy
 {
@@ -117,12 +134,15 @@
 public:
   explicit UpstreamBoard(ZoneId aZone, BoardPolicy aPolicy = {});
 
-  /// An upstream registered or changed.
-  void OnEntry(UpstreamEntry aEntry);
+  /// An upstream registered or changed. A restart clears all that is known of
+  /// it but the calls in progress, which their drivers settle.
+  EntryEffect OnEntry(UpstreamEntry aEntry);
   /// An upstream's registration is gone.
   void OnVanished(const UpstreamId& aId, TimePoint aNow);
   /// The whole list was read: what is not in it has vanished.
-  void OnList(std::vector<UpstreamEntry> aEntries, TimePoint aNow);
+  /// @returns upstreams that have started again
+  std::vector<UpstreamId> OnList(std::vector<UpstreamEntry> aEntries,
+                                 TimePoint aNow);
 
   void OnStart(const UpstreamId& aId, TimePoint aNow);
   void OnEnd(const UpstreamId& aId, CallVerdict aVerdict, TimePoint aNow);
@@ -176,6 +196,10 @@
   ZoneId zone_;
   BoardPolicy policy_;
   std::map<UpstreamId, BoardUpstream> upstreams_;
+  /// The newest start seen of each id that says when it started; outlives the
+  /// entry, so that an old one which comes late brings nothing back. Such ids
+  /// are those of the fleet's places and so stay few.
+  std::map<UpstreamId, UpstreamStart> starts_;
 };
 
 } // namespace marjoramtally
--- a/include/marjoramtally/runtime/platform.hpp
+++ b/include/marjoramtally/runtime/platform.hpp
@@ -93,6 +93,7 @@
 /// What an upstream says of its orders and versions.
 struct OrderState
 {
+  UpstreamStart start_;
   bool busy_ = false;
   std::uint64_t orders_ = 0;
   std::vector<ModelVersion> models_;
--- a/src/process/route_table.cpp
+++ b/src/process/route_table.cpp
@@ -27,6 +27,21 @@
   return best;
 }
 
+std::set<ServiceId>
+ServicesOf(const RoutingConfig& aConfig)
+{
+  std::set<ServiceId> services;
+  for (const auto& [service, spec] : aConfig.services_) {
+    services.insert(service);
+  }
+  for (const Route& route : aConfig.routes_) {
+    for (const ServiceWeight& share : route.services_) {
+      services.insert(share.service_);
+    }
+  }
+  return services;
+}
+
 std::set<std::string>
 SingleVersionModels(const RoutingConfig& aConfig)
 {
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -22,19 +22,35 @@
 {
 }
 
-void
+EntryEffect
 UpstreamBoard::OnEntry(UpstreamEntry aEntry)
 {
+  const auto known = starts_.find(aEntry.id_);
+  if (known != starts_.end() && aEntry.start_ < known->second) {
+    return EntryEffect::Outdated;
+  }
+  if (aEntry.start_ != UpstreamStart{}) {
+    starts_[aEntry.id_] = aEntry.start_;
+  }
+  const bool present = upstreams_.contains(aEntry.id_);
   BoardUpstream& upstream = upstreams_[aEntry.id_];
+  const bool restarted = present && upstream.entry_.start_ < aEntry.start_;
+  if (restarted) {
+    BoardUpstream fresh;
+    fresh.inFlight_ = upstream.inFlight_;
+    fresh.heard_ = upstream.heard_;
+    upstream = std::move(fresh);
+  }
   upstream.vanished_ = kNever;
   for (const ModelVersion& model : aEntry.models_) {
-    WeightVersion& known = upstream.versions_[model.model_];
-    known = std::max(known, model.version_);
+    WeightVersion& newest = upstream.versions_[model.model_];
+    newest = std::max(newest, model.version_);
   }
   // A leaving mark holds for the incarnation, also against an older entry.
   const bool draining = upstream.entry_.draining_ || aEntry.draining_;
   upstream.entry_ = std::move(aEntry);
   upstream.entry_.draining_ = draining;
+  return restarted ? EntryEffect::Restarted : EntryEffect::Current;
 }
 
 void
@@ -52,13 +68,17 @@
   });
 }
 
-void
+std::vector<UpstreamId>
 UpstreamBoard::OnList(std::vector<UpstreamEntry> aEntries, TimePoint aNow)
 {
   std::set<UpstreamId> listed;
+  std::vector<UpstreamId> restarted;
   for (UpstreamEntry& entry : aEntries) {
-    listed.insert(entry.id_);
-    OnEntry(std::move(entry));
+    const UpstreamId id = entry.id_;
+    listed.insert(id);
+    if (OnEntry(std::move(entry)) == EntryEffect::Restarted) {
+      restarted.push_back(id);
+    }
   }
   std::vector<UpstreamId> missing;
   for (const auto& [id, upstream] : upstreams_) {
@@ -69,6 +89,7 @@
   for (const UpstreamId& id : missing) {
     OnVanished(id, aNow);
   }
+  return restarted;
 }
 
 void
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -113,6 +113,29 @@
   flights_.erase(it);
 }
 
+void
+Forwarder::OnUpstreamRestarted(const UpstreamId& aUpstream)
+{
+  std::vector<ForwardId> lost;
+  for (const auto& [id, flight] : flights_) {
+    if (flight.inFlight_ && flight.upstream_ == aUpstream &&
+        host_.Now() - LastHeard(flight) >= Duration{ kRestartSilence }) {
+      lost.push_back(id);
+    }
+  }
+  for (const ForwardId id : lost) {
+    Flight& flight = flights_.at(id);
+    LogEvent(LogLevel::Info,
+             "attempt_lost",
+             { { "id", flight.request_.attempt_ },
+               { "upstream", aUpstream.Get() },
+               { "why", "the upstream has started again" } });
+    ++flight.ran_;
+    Abandon(flight);
+    SendNext(id);
+  }
+}
+
 Duration
 Forwarder::Left(const Flight& aFlight) const
 {
@@ -189,6 +212,7 @@
 Forwarder::Send(ForwardId aId, Flight& aFlight, const BoardUpstream& aUpstream)
 {
   aFlight.upstream_ = aUpstream.entry_.id_;
+  aFlight.sent_ = host_.Now();
   aFlight.tried_.insert(aFlight.upstream_);
   aFlight.inFlight_ = true;
   const std::uint32_t attempt = ++aFlight.attempt_;
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -71,6 +71,8 @@
   ForwardId Start(ForwardRequest aRequest, ForwardDone aDone);
   /// Ends a request whose caller left.
   void Cancel(ForwardId aId);
+  /// Attempts at the upstream's incarnation before are lost.
+  void OnUpstreamRestarted(const UpstreamId& aUpstream);
 
 private:
   /// What a stream has beside other requests.
@@ -103,6 +105,8 @@
     /// Attempts that may have run.
     std::uint32_t ran_ = 0;
     UpstreamId upstream_;
+    /// When the present attempt was sent.
+    TimePoint sent_;
     HttpCallId call_ = 0;
     /// Number of the present attempt; answers of others are ignored.
     std::uint32_t attempt_ = 0;
@@ -134,6 +138,11 @@
   void OnPatienceOver(ForwardId aId);
   void OnLimit(ForwardId aId);
   [[nodiscard]] bool MayRetry(const Flight& aFlight) const;
+  /// @returns when the present attempt was sent or last heard of
+  [[nodiscard]] static TimePoint LastHeard(const Flight& aFlight) noexcept
+  {
+    return aFlight.stream_ ? aFlight.stream_->lastProgress_ : aFlight.sent_;
+  }
   /// The present attempt has ended.
   void EndAttempt(Flight& aFlight, CallVerdict aVerdict);
   /// Breaks off the present attempt.
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -58,6 +58,7 @@
 Gateway::Gateway(GatewayContext& aHost, GatewayHost& aServers)
   : host_(aHost)
   , servers_(aServers)
+  , reader_(aHost.Formats())
   , board_(ZoneId{ aHost.Settings().zone_ })
   , forwarder_(aHost, board_)
   , store_(aHost)
@@ -202,43 +203,53 @@
 void
 Gateway::TakeUpstream(const StoreRecord& aRecord)
 {
-  auto entry = host_.Formats().ReadUpstream(aRecord.key_, aRecord.value_);
+  auto entry = reader_.Read(aRecord);
   if (!entry) {
-    LogEvent(LogLevel::Error,
-             "upstream_unreadable",
-             { { "key", aRecord.key_ }, { "error", entry.error().message_ } });
+    board_.OnVanished(host_.Formats().UpstreamOf(aRecord.key_), host_.Now());
     return;
   }
-  const BoardUpstream* known = board_.Find(entry.value().id_);
-  if (known == nullptr || known->entry_.draining_ != entry.value().draining_) {
+  const UpstreamId id = entry->id_;
+  const BoardUpstream* known = board_.Find(id);
+  if (known == nullptr || known->entry_.draining_ != entry->draining_) {
     LogEvent(LogLevel::Info,
              "upstream_registered",
-             { { "id", entry.value().id_.Get() },
-               { "service", entry.value().service_.Get() },
-               { "draining", entry.value().draining_ ? "yes" : "no" } });
+             { { "id", id.Get() },
+               { "start", std::to_string(entry->start_.Get()) },
+               { "service", entry->service_.Get() },
+               { "draining", entry->draining_ ? "yes" : "no" } });
+  }
+  const UpstreamStart start = entry->start_;
+  const EntryEffect effect = board_.OnEntry(std::move(*entry));
+  if (effect == EntryEffect::Restarted) {
+    OnRestarted(id);
+  } else if (effect == EntryEffect::Outdated) {
+    LogEvent(LogLevel::Info,
+             "upstream_entry_outdated",
+             { { "id", id.Get() }, { "start", std::to_string(start.Get()) } });
   }
-  board_.OnEntry(std::move(entry).value());
 }
 
 void
 Gateway::TakeUpstreams(const StoreRange& aRange)
 {
-  std::vector<UpstreamEntry> entries;
-  for (const StoreRecord& record : aRange.records_) {
-    auto entry = host_.Formats().ReadUpstream(record.key_, record.value_);
-    if (entry) {
-      entries.push_back(std::move(entry).value());
-    } else {
-      LogEvent(LogLevel::Error,
-               "upstream_unreadable",
-               { { "key", record.key_ }, { "error", entry.error().message_ } });
-    }
-  }
+  std::vector<UpstreamEntry> entries = reader_.ReadAll(aRange);
   LogEvent(LogLevel::Info,
            "upstreams_read",
            { { "count", std::to_string(entries.size()) },
              { "revision", std::to_string(aRange.revision_) } });
-  board_.OnList(std::move(entries), host_.Now());
+  for (const UpstreamId& id : board_.OnList(std::move(entries), host_.Now())) {
+    OnRestarted(id);
+  }
+}
+
+/// What was in progress at the incarnation before is lost, whether or not its
+/// connections have told so.
+void
+Gateway::OnRestarted(const UpstreamId& aId)
+{
+  LogEvent(LogLevel::Info, "upstream_restarted", { { "id", aId.Get() } });
+  forwarder_.OnUpstreamRestarted(aId);
+  runner_.OnUpstreamRestarted(aId);
 }
 
 /// A process that the store does not answer takes in no jobs; others may.
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "daemon/gateway_host.hpp"
 #include "daemon/leased_key.hpp"
+#include "daemon/upstream_reader.hpp"
 #include "programs/gatewayd/job_api.hpp"
 
 namespace marjoramtally {
@@ -31,6 +32,7 @@
   void TakeConfig(const StoreRecord& aRecord);
   void TakeUpstream(const StoreRecord& aRecord);
   void TakeUpstreams(const StoreRange& aRange);
+  void OnRestarted(const UpstreamId& aId);
   void Handle(HttpRequest aRequest, HttpReplyPtr aReply);
   void HandleReady(const HttpReplyPtr& aReply);
   void Forward(const Route& aRoute,
@@ -41,6 +43,7 @@
   GatewayContext& host_;
   GatewayHost& servers_;
   RouteTable routes_;
+  UpstreamReader reader_;
   UpstreamBoard board_;
   Forwarder forwarder_;
   JobStore store_;
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -42,6 +42,8 @@
   void End(const JobId& aJob);
   /// Upstreams, versions or routes changed.
   void OnBoardChanged() { Dispatch(); }
+  /// Runs at the upstream's incarnation before are lost; they go on elsewhere.
+  void OnUpstreamRestarted(const UpstreamId& aUpstream);
   /// Gives all jobs back; `Idle` holds once that is done.
   void GiveBack();
   [[nodiscard]] bool Idle() const noexcept { return jobs_.empty(); }
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -263,6 +263,31 @@
   host_.Client().Cancel(run.call_);
 }
 
+void
+JobRunner::OnUpstreamRestarted(const UpstreamId& aUpstream)
+{
+  std::vector<RunId> lost;
+  for (const auto& [id, run] : runs_) {
+    if (run.upstream_ == aUpstream &&
+        host_.Now() - run.lastProgress_ >= Duration{ kRestartSilence }) {
+      lost.push_back(id);
+    }
+  }
+  for (const RunId id : lost) {
+    const Run& run = runs_.at(id);
+    LogEvent(
+      LogLevel::Info,
+      "run_lost",
+      { { "item",
+          jobs_.at(run.job_).ledger_.Spec().items_[run.item_].id_.Get() },
+        { "upstream", aUpstream.Get() },
+        { "events", std::to_string(run.events_) },
+        { "why", "the upstream has started again" } });
+    StopRun(id, CallVerdict::Abandoned);
+  }
+  Dispatch();
+}
+
 void
 JobRunner::WatchRuns()
 {
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -27,6 +27,7 @@
 
 OrderDuty::OrderDuty(GatewayContext& aHost)
   : host_(aHost)
+  , reader_(aHost.Formats())
   , duty_(aHost.PlatformStore(),
           aHost.Timers(),
           aHost.LeaseClock(),
@@ -162,6 +163,8 @@
           const auto config = host_.Formats().ReadConfig(record.value_);
           if (record.key_ == key && config) {
             singleVersion_ = SingleVersionModels(config.value());
+            services_ = ServicesOf(config.value());
+            Plan();
           } else if (!config) {
             LogEvent(LogLevel::Error,
                      "config_unreadable",
@@ -182,23 +185,52 @@
 void
 OrderDuty::TakeUpstream(const StoreRecord& aRecord)
 {
-  auto entry = host_.Formats().ReadUpstream(aRecord.key_, aRecord.value_);
-  if (!entry) {
-    LogEvent(LogLevel::Error,
-             "upstream_unreadable",
-             { { "key", aRecord.key_ }, { "error", entry.error().message_ } });
+  auto entry = reader_.Read(aRecord);
+  const UpstreamId id = host_.Formats().UpstreamOf(aRecord.key_);
+  const auto known = targets_.find(id);
+  if (known != targets_.end() && entry &&
+      entry->start_ < known->second.entry_.start_) {
     return;
   }
-  if (entry.value().draining_) {
-    targets_.erase(entry.value().id_);
+  if (!entry || entry->draining_) {
+    targets_.erase(id);
     return;
   }
-  Target& target = targets_[entry.value().id_];
-  for (const ModelVersion& model : entry.value().models_) {
-    WeightVersion& known = target.versions_[model.model_];
+  if (known != targets_.end()) {
+    StartOver(known->second, entry->start_);
+  }
+  Target& target = targets_[id];
+  TakeModels(target, entry->models_);
+  target.entry_ = std::move(*entry);
+}
+
+bool
+OrderDuty::StartOver(Target& aTarget, UpstreamStart aStart)
+{
+  if (aStart <= aTarget.entry_.start_) {
+    return false;
+  }
+  LogEvent(LogLevel::Info,
+           "upstream_restarted",
+           { { "id", aTarget.entry_.id_.Get() },
+             { "start", std::to_string(aStart.Get()) } });
+  UpstreamEntry entry = std::move(aTarget.entry_);
+  entry.start_ = aStart;
+  // Answers to steps of before are ignored.
+  const std::uint64_t step = aTarget.step_ + 1;
+  aTarget = Target{};
+  aTarget.entry_ = std::move(entry);
+  aTarget.step_ = step;
+  return true;
+}
+
+void
+OrderDuty::TakeModels(Target& aTarget, const std::vector<ModelVersion>& aModels)
+{
+  for (const ModelVersion& model : aModels) {
+    WeightVersion& known = aTarget.versions_[model.model_];
     known = std::max(known, model.version_);
   }
-  target.entry_ = std::move(entry).value();
 }
 
 void
@@ -245,15 +277,31 @@
     });
 }
 
+/// A service that the configuration does not name may have been added since it
+/// was read; so it is read once more for each such name.
+void
+OrderDuty::LookUpServices()
+{
+  bool read = false;
+  for (const auto& [id, target] : targets_) {
+    const ServiceId& service = target.entry_.service_;
+    read = (!Named(service) && unnamed_.insert(service).second) || read;
+  }
+  if (read) {
+    ReadConfig(++term_);
+  }
+}
+
 void
 OrderDuty::Plan()
 {
   if (!active_ || !duty_.Held()) {
     return;
   }
+  LookUpServices();
   std::vector<PlanUpstream> upstreams;
   for (const auto& [id, target] : targets_) {
-    if (!target.versions_.empty()) {
+    if (!target.versions_.empty() && Named(target.entry_.service_)) {
       upstreams.push_back({ id,
                             target.entry_.service_,
                             target.versions_,
@@ -333,9 +381,12 @@
     Rest(target, report.error().message_);
     return;
   }
-  for (const ModelVersion& model : report.value().models_) {
-    WeightVersion& known = target.versions_[model.model_];
-    known = std::max(known, model.version_);
+  const bool startKnown = target.entry_.start_ != UpstreamStart{};
+  const bool restarted = startKnown && StartOver(target, report.value().start_);
+  TakeModels(target, report.value().models_);
+  if (restarted) {
+    Plan();
+    return;
   }
   const bool reached =
     target.versions_[target.load_.model_] >= target.load_.version_;
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -6,6 +6,7 @@
 #include "daemon/gateway_context.hpp"
 #include "daemon/leased_key.hpp"
 #include "daemon/prefix_follower.hpp"
+#include "daemon/upstream_reader.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
 
 namespace marjoramtally {
@@ -46,17 +47,30 @@
     std::uint64_t step_ = 0;
   };
 
+  /// Takes up an upstream's incarnation if it is newer than the one known:
+  /// the versions, orders and steps of that one are over.
+  /// @returns whether it is newer
+  static bool StartOver(Target& aTarget, UpstreamStart aStart);
+  static void TakeModels(Target& aTarget,
+                         const std::vector<ModelVersion>& aModels);
   /// Gives the duty back while the process lives on.
   void Withdraw();
   void OnHeld(FencingNumber aFence);
   void FollowOnceHeld(FencingNumber aFence);
   void OnLost();
   void Follow();
-  /// Reads which models' texts must come from one version, now and again.
+  /// Reads which services there are and which models' texts must come from one
+  /// version, now and again.
   void ReadConfig(std::uint64_t aTerm);
+  /// @returns whether the configuration names the service, as far as known
+  [[nodiscard]] bool Named(const ServiceId& aService) const
+  {
+    return !services_ || services_->contains(aService);
+  }
   void TakeUpstream(const StoreRecord& aRecord);
   void TakeVersion(const StoreRecord& aRecord);
   void TakeRetirement(const StoreRecord& aRecord);
+  void LookUpServices();
   void Plan();
   void Begin(const PlannedLoad& aLoad);
   void ReadState(Target& aTarget);
@@ -75,6 +89,7 @@
                                            const HttpResult&));
 
   GatewayContext& host_;
+  UpstreamReader reader_;
   LeasedKey duty_;
   PrefixFollower holders_;
   std::unique_ptr<PrefixFollower> upstreams_;
@@ -83,6 +98,10 @@
   WeightPlan plan_;
   /// Models whose runs finish before a change of their version.
   std::set<std::string> singleVersion_;
+  /// Services of the configuration; none before it was read.
+  std::optional<std::set<ServiceId>> services_;
+  /// Services of upstreams for which it was read once more.
+  std::set<ServiceId> unnamed_;
   /// Counts the times that the duty began.
   std::uint64_t term_ = 0;
   std::map<UpstreamId, Target> targets_;
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -248,3 +248,36 @@
   REQUIRE(passed.size() == 1);
   REQUIRE(passed.front().name_ == "X-Own");
 }
+
+TEST_CASE("a request at an upstream that has started again goes elsewhere")
+{
+  Fixture fix;
+  fix.Start();
+  fix.timers_.Advance(600ms);
+  fix.forwarder_.OnUpstreamRestarted(UpstreamId{ "a" });
+  REQUIRE(fix.client_.cancelled_ == 1);
+  REQUIRE(fix.Take().call_.url_ == "http://b:1/p/1?q=2");
+  fix.client_.Answer(fix.Take(), fix.Answer(fix.Take(), 200, "ok"));
+  REQUIRE(fix.outcome_->answered_);
+}
+
+TEST_CASE("what ran at most once at the incarnation before has no known end")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce);
+  fix.timers_.Advance(600ms);
+  fix.forwarder_.OnUpstreamRestarted(UpstreamId{ "a" });
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->notRun_);
+  REQUIRE(fix.client_.sent_ == 1);
+}
+
+TEST_CASE("a request sent just before a restart became known goes on")
+{
+  Fixture fix;
+  fix.Start();
+  fix.timers_.Advance(100ms);
+  fix.forwarder_.OnUpstreamRestarted(UpstreamId{ "a" });
+  fix.forwarder_.OnUpstreamRestarted(UpstreamId{ "b" });
+  REQUIRE(fix.client_.cancelled_ == 0);
+}
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -427,3 +427,25 @@
   }
   REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Running);
 }
+
+TEST_CASE("runs at an upstream that has started again go on after their events")
+{
+  Fixture fix(1);
+  fix.Accept(1);
+  fix.Begin(fix.Call(), Event(1, "a") + Event(2, "b"));
+  fix.timers_.Advance(700ms);
+  fix.runner_.OnUpstreamRestarted(UpstreamId{ "e0" });
+  REQUIRE(fix.client_.sent_ == 2);
+  REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_) == "2");
+}
+
+TEST_CASE("runs that were heard of since a restart are left alone")
+{
+  Fixture fix(1);
+  fix.Accept(1);
+  fix.timers_.Advance(300ms);
+  fix.Begin(fix.Call(), Event(1, "a"));
+  fix.timers_.Advance(100ms);
+  fix.runner_.OnUpstreamRestarted(UpstreamId{ "e0" });
+  REQUIRE(fix.client_.sent_ == 1);
+}
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -13,8 +13,9 @@
 {
   GatewayFakes fakes;
   fakes.settings_.fencing_ = true;
-  fakes.store_.Put("servers/i-1",
-                   R"({"service":"lm","address":"e:1","slots":1,"state":"ready",
+  fakes.store_.Put(
+    "servers/i-1",
+    R"({"service":"lm","address":"e:1","zone":"z","slots":1,"state":"ready",
                    "models":[{"name":"m","version":1}]})");
   fakes.store_.Put("op/version/m", R"({"model":"m","version":2})");
   OrderDuty duty(fakes.context_);
@@ -33,8 +34,9 @@
   const bool single = GENERATE(true, false);
   GatewayFakes fakes;
   fakes.settings_.fencing_ = true;
-  fakes.store_.Put("servers/i-1",
-                   R"({"service":"lm","address":"e:1","slots":1,"state":"ready",
+  fakes.store_.Put(
+    "servers/i-1",
+    R"({"service":"lm","address":"e:1","zone":"z","slots":1,"state":"ready",
                    "models":[{"name":"m","version":1}]})");
   fakes.store_.Put(
     "op/config",
@@ -56,3 +58,112 @@
   REQUIRE(body.find(single ? R"("mode":"block")" : R"("mode":"continue")") !=
           std::string::npos);
 }
+
+namespace {
+
+/// A holder of the duty with one upstream and a version that it lacks.
+struct DutyFixture : GatewayFakes
+{
+  OrderDuty duty_{ context_ };
+
+  DutyFixture()
+  {
+    settings_.fencing_ = true;
+    Register(1000);
+    store_.Put("op/version/m", R"({"model":"m","version":2})");
+    duty_.Start();
+    timers_.Advance(100ms);
+  }
+
+  void Register(std::uint64_t aStart,
+                const std::string& aState = "ready",
+                const std::string& aService = "lm")
+  {
+    store_.Put("servers/i-1",
+               R"({"service":")" + aService +
+                 R"(","address":"e:1","zone":"z","slots":1,"state":")" +
+                 aState + R"(","born":)" + std::to_string(aStart) +
+                 R"(,"models":[{"name":"m","version":1}]})");
+    timers_.Advance(20ms);
+  }
+
+  [[nodiscard]] std::string OldestPath()
+  {
+    return client_.open_.empty() ? "" : client_.Oldest().call_.url_;
+  }
+
+  void Report(std::uint64_t aStart, int aOrders, bool aBusy = false)
+  {
+    REQUIRE(OldestPath() == "http://e:1/report");
+    client_.Answer(client_.Oldest(),
+                   JsonResponse(200,
+                                R"({"busy":)" +
+                                  std::string(aBusy ? "true" : "false") +
+                                  R"(,"seq":)" + std::to_string(aOrders) +
+                                  R"(,"born":)" + std::to_string(aStart) +
+                                  R"(,"models":[{"name":"m","version":1}]})"));
+    timers_.Advance(20ms);
+  }
+
+  void AcceptOrder(const std::string& aExpected)
+  {
+    REQUIRE(OldestPath() == "http://e:1/order");
+    const std::string& body = client_.Oldest().call_.body_;
+    REQUIRE(body.find(R"("expected":)" + aExpected) != std::string::npos);
+    client_.Answer(client_.Oldest(), HttpResponse{ 202, {}, {} });
+  }
+};
+
+} // namespace
+
+TEST_CASE("an upstream that starts again is ordered anew by its own count")
+{
+  DutyFixture fix;
+  fix.Report(1000, 4);
+  fix.AcceptOrder("4");
+  // It starts again while the order is under way; its entry tells so.
+  fix.Register(2000);
+  fix.Report(2000, 0);
+  fix.AcceptOrder("0");
+}
+
+TEST_CASE("a report tells of a restart before the entry does")
+{
+  DutyFixture fix;
+  fix.Report(1000, 4);
+  fix.AcceptOrder("4");
+  fix.timers_.Advance(1100ms);
+  fix.Report(2000, 0);
+  fix.Report(2000, 0);
+  fix.AcceptOrder("0");
+  // The entry of the incarnation before comes late and changes nothing.
+  fix.Register(1000, "draining");
+  fix.timers_.Advance(1100ms);
+  REQUIRE(fix.OldestPath() == "http://e:1/report");
+}
+
+TEST_CASE("orders go to no upstream that another writer registered")
+{
+  GatewayFakes fakes;
+  fakes.settings_.fencing_ = true;
+  fakes.store_.Put("op/config",
+                   R"({"version":1,"routes":[{"host":"h","prefix":"/j/",)"
+                   R"("kind":"rollout","service":"lm"}],)"
+                   R"("services":[{"name":"lm"}]})");
+  fakes.store_.Put("servers/i-1",
+                   R"({"service":"other","address":"e:1","zone":"z",)"
+                   R"("slots":1,"state":"ready",)"
+                   R"("models":[{"name":"m","version":1}]})");
+  fakes.store_.Put("servers/i-2", "no entry at all");
+  fakes.store_.Put("op/version/m", R"({"model":"m","version":2})");
+  OrderDuty duty(fakes.context_);
+  duty.Start();
+  fakes.timers_.Advance(3s);
+  REQUIRE(fakes.client_.sent_ == 0);
+  // A service that a later configuration names is served.
+  fakes.store_.Put("op/config",
+                   R"({"version":2,"routes":[],"services":[{"name":"lm"},)"
+                   R"({"name":"other"}]})");
+  fakes.timers_.Advance(11s);
+  REQUIRE(fakes.client_.sent_ > 0);
+}
--- a/tests/test_platform_formats.cpp
+++ b/tests/test_platform_formats.cpp
@@ -66,6 +66,73 @@
   REQUIRE_FALSE(kPlatform->ReadUpstream("servers/x", R"({"zone":"z"})"));
 }
 
+TEST_CASE("a registered server says when it started")
+{
+  const auto read = [](const std::string& aBorn) {
+    return kPlatform->ReadUpstream(
+      "servers/i-7f",
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,)"
+      R"("state":"ready")" +
+        aBorn + "}");
+  };
+  REQUIRE(read(R"(,"born":1772719869123)").value().start_ ==
+          UpstreamStart{ 1772719869123 });
+  REQUIRE(read("").value().start_ == UpstreamStart{});
+  REQUIRE_FALSE(read(R"(,"born":"1772719869123")"));
+  REQUIRE_FALSE(read(R"(,"born":1772719869.5)"));
+  REQUIRE_FALSE(read(R"(,"born":-5)"));
+  REQUIRE_FALSE(read(R"(,"born":null)"));
+  const auto report = kPlatform->ReadReport(R"({"busy":false,"born":12})");
+  REQUIRE(report.value().start_ == UpstreamStart{ 12 });
+}
+
+TEST_CASE("an entry of another writer names no upstream and says why")
+{
+  const auto [value, place] = GENERATE(table<std::string, std::string>({
+    { "", "parse" },
+    { "\xff\xfe\x00", "parse" },
+    { "[]", "service" },
+    { "7", "service" },
+    { R"({"service":7,"address":"1.1.1.1:1","zone":"z","slots":1,)"
+      R"("state":"ready"})",
+      "service" },
+    { R"({"service":"","address":"1.1.1.1:1","zone":"z","slots":1,)"
+      R"("state":"ready"})",
+      "service" },
+    { R"({"service":"s","zone":"z","slots":1,"state":"ready"})", "address" },
+    { R"({"service":"s","address":"somewhere","zone":"z","slots":1,)"
+      R"("state":"ready"})",
+      "address" },
+    { R"({"service":"s","address":"1.1.1.1:0","zone":"z","slots":1,)"
+      R"("state":"ready"})",
+      "address" },
+    { R"({"service":"s","address":"1.1.1.1:1","slots":1,"state":"ready"})",
+      "zone" },
+    { R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":-1,)"
+      R"("state":"ready"})",
+      "slots" },
+    { R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4294967297,)"
+      R"("state":"ready"})",
+      "slots" },
+    { R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":"8",)"
+      R"("state":"ready"})",
+      "slots" },
+    { R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1})",
+      "state" },
+    { R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,)"
+      R"("state":"resting"})",
+      "state" },
+    { R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,)"
+      R"("state":"ready","models":[{"name":"m","version":"new"}]})",
+      "version" },
+  }));
+  const auto entry = kPlatform->ReadUpstream("servers/x", value);
+  REQUIRE_FALSE(entry);
+  INFO(entry.error().message_);
+  REQUIRE(entry.error().kind_ == ErrorKind::BadInput);
+  REQUIRE(entry.error().message_.find(place) != std::string::npos);
+}
+
 TEST_CASE("a submission becomes items with their score calls")
 {
   const auto spec = kPlatform->ReadSubmission(R"({"step":7,"model":"m",
--- a/tests/test_upstream_board.cpp
+++ b/tests/test_upstream_board.cpp
@@ -149,6 +149,76 @@
   REQUIRE(PickId(board).empty());
 }
 
+TEST_CASE("a restart under the same id clears what was known before")
+{
+  UpstreamEntry entry = MakeEntry("a", "z1", 7);
+  entry.start_ = UpstreamStart{ 1000 };
+  entry.draining_ = true;
+  UpstreamBoard board = MakeBoard({ entry });
+  for (int i = 0; i < 3; ++i) {
+    board.OnStart(entry.id_, kStart);
+    board.OnEnd(entry.id_, CallVerdict::Failed, kStart);
+  }
+  board.OnPace(entry.id_, 40ms);
+  board.OnStart(entry.id_, kStart);
+
+  UpstreamEntry again = MakeEntry("a", "z1", 6);
+  again.start_ = UpstreamStart{ 2000 };
+  REQUIRE(board.OnEntry(again) == EntryEffect::Restarted);
+  REQUIRE(PickId(board) == "a");
+  const BoardUpstream* upstream = board.Find(entry.id_);
+  REQUIRE(upstream->versions_.at("m") == WeightVersion{ 6 });
+  REQUIRE(upstream->failures_ == 0);
+  REQUIRE(upstream->avoidUntil_ <= kStart);
+  REQUIRE(upstream->pace_ == 0ms);
+  // The call in progress is its driver's to settle.
+  REQUIRE(upstream->inFlight_ == 1);
+  REQUIRE(board.PickForItem(Needs(7), kStart) == nullptr);
+  REQUIRE(board.PickForItem(Needs(6), kStart) != nullptr);
+}
+
+TEST_CASE("an entry of an earlier incarnation never replaces a newer one")
+{
+  UpstreamEntry old = MakeEntry("a", "z1", 9);
+  old.start_ = UpstreamStart{ 1000 };
+  old.address_ = "127.0.0.1:9";
+  UpstreamEntry current = MakeEntry("a", "z1", 3);
+  current.start_ = UpstreamStart{ 2000 };
+  UpstreamBoard board = MakeBoard({ old, current });
+  REQUIRE(board.OnEntry(old) == EntryEffect::Outdated);
+  REQUIRE(board.Find(old.id_)->versions_.at("m") == WeightVersion{ 3 });
+  REQUIRE(board.Find(old.id_)->entry_.address_ == "127.0.0.1:1");
+  // Nor after the newer one has vanished and been forgotten.
+  board.OnVanished(old.id_, kStart);
+  board.OnVanished(UpstreamId{ "other" }, kStart + 5s);
+  REQUIRE(board.Find(old.id_) == nullptr);
+  REQUIRE(board.OnEntry(old) == EntryEffect::Outdated);
+  REQUIRE(PickId(board, kStart + 5s).empty());
+}
+
+TEST_CASE("an incarnation that comes back keeps what was known of it")
+{
+  UpstreamEntry entry = MakeEntry("a", "z1", 3);
+  entry.start_ = UpstreamStart{ 1000 };
+  UpstreamBoard board = MakeBoard({ entry });
+  board.OnVersion(entry.id_, "m", WeightVersion{ 4 });
+  board.OnVanished(entry.id_, kStart);
+  REQUIRE(board.OnEntry(entry) == EntryEffect::Current);
+  REQUIRE(board.Find(entry.id_)->versions_.at("m") == WeightVersion{ 4 });
+}
+
+TEST_CASE("a whole list tells which upstreams have started again")
+{
+  UpstreamEntry a = MakeEntry("a");
+  a.start_ = UpstreamStart{ 1000 };
+  UpstreamEntry b = MakeEntry("b");
+  b.start_ = UpstreamStart{ 1000 };
+  UpstreamBoard board = MakeBoard({ a, b });
+  b.start_ = UpstreamStart{ 1001 };
+  REQUIRE(board.OnList({ a, b }, kStart) ==
+          std::vector<UpstreamId>{ UpstreamId{ "b" } });
+}
+
 TEST_CASE("an entry that vanished gets no work once its grace is over")
 {
   UpstreamBoard board = MakeBoard({ MakeEntry("a"), MakeEntry("b", "z2") });
