Jobs of a minority that vanishes are taken over without a grace

The grace is needed where all leases lapse while the store is away; then most vanish together.

Change: those that vanish within 1.5 s of each other while more others stay are gone, and the first candidate claims at once.

Ruled out: a shorter lease (tried before, more calls and no gain).

--- a/include/marjoramtally/process/job_takeover.hpp
+++ b/include/marjoramtally/process/job_takeover.hpp
@@ -25,6 +25,11 @@
   /// A sign of life that vanished may come back this long: all vanish at once
   /// when leases lapse while the store is away, and their processes live.
   Duration returnGrace_ = std::chrono::milliseconds(1200);
+  /// Where most other signs of life stay, the store was not away, and those
+  /// that vanished within this time of each other are gone: a zone that was
+  /// cut off, or processes that died. Their jobs are taken over at once.
+  Duration together_ = std::chrono::milliseconds(1500);
+  Duration lossGrace_{ 0 };
   /// Each further candidate waits this much longer than the one before.
   Duration rankStep_ = std::chrono::milliseconds(700);
 };
@@ -65,6 +70,8 @@
   [[nodiscard]] TimePoint ClaimAt(const JobId& aJob,
                                   const Orphan& aOrphan) const;
   [[nodiscard]] std::size_t Rank(const JobId& aJob) const;
+  /// @returns how long a sign of life that vanished then may come back
+  [[nodiscard]] Duration GraceOf(TimePoint aGone) const;
 
   std::string self_;
   TakeoverPolicy policy_;
--- a/src/process/job_takeover.cpp
+++ b/src/process/job_takeover.cpp
@@ -68,6 +68,17 @@
     }));
 }
 
+Duration
+JobTakeover::GraceOf(TimePoint aGone) const
+{
+  const auto vanished = static_cast<std::size_t>(
+    std::count_if(gone_.begin(), gone_.end(), [&](const auto& aEntry) {
+      return aEntry.second <= aGone + policy_.together_ &&
+             aGone <= aEntry.second + policy_.together_;
+    }));
+  return vanished < alive_.size() ? policy_.lossGrace_ : policy_.returnGrace_;
+}
+
 TimePoint
 JobTakeover::ClaimAt(const JobId& aJob, const Orphan& aOrphan) const
 {
@@ -90,7 +101,9 @@
   const TimePoint since = gone == gone_.end()
                             ? aOrphan.since_
                             : std::max(gone->second, aOrphan.since_);
-  return since + policy_.returnGrace_ + turn;
+  const Duration grace =
+    gone == gone_.end() ? policy_.returnGrace_ : GraceOf(gone->second);
+  return since + grace + turn;
 }
 
 std::vector<JobId>
