A process that no relay vouches to turns to the store after 600 ms

One that is silent costs 1.3 s and then the store is watched; but one may hold the question for 1 s and then refuse it, and as long as relays refuse, the next is asked, without a bound on the sum.

Change: refusals are passed over only within 600 ms of the first question; then the store is watched.

The test (four relays that hold and refuse) fails without the change.

--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -12,6 +12,11 @@
 /// A process that watches the store itself since its relay failed tries
 /// another after this time.
 constexpr auto kDirectTime = std::chrono::seconds(3);
+/// A process that no relay has vouched to for this long turns to the store: a
+/// relay that is asked next may be silent for 1.3 s, and a change is to be in
+/// force after 2 s. Relays that refuse one after the other, each after holding
+/// the question for a second, would else add up to more than 3 s.
+constexpr auto kUnconfirmedTime = std::chrono::milliseconds(600);
 /// A relay that does not yet know a revision gets this long.
 constexpr auto kCatchUp = std::chrono::milliseconds(50);
 
@@ -167,6 +172,9 @@
 {
   Own& own = watches_.at(aId);
   const std::uint64_t round = ++own.round_;
+  if (own.refusals_ == 0) {
+    own.unconfirmed_ = clock_.Now();
+  }
   const WatchAsk ask{ own.prefix_, own.after_, kRelayHold };
   askPeer_(
     aAddress,
@@ -197,7 +205,9 @@
     // too long for a change to be in force in time.
     ++own.nextRelay_;
     const bool silent = aBatch.error().kind_ == ErrorKind::Timeout;
-    if (silent || ++own.refusals_ >= relays_().size()) {
+    const bool late =
+      clock_.Now() - own.unconfirmed_ > Duration{ kUnconfirmedTime };
+    if (silent || late || ++own.refusals_ >= relays_().size()) {
       own.refusals_ = 0;
       own.directUntil_ = clock_.Now() + kDirectTime;
       OpenDirect(aId);
@@ -207,6 +217,7 @@
     return;
   }
   own.refusals_ = 0;
+  own.unconfirmed_ = clock_.Now();
   Deliver(aId, aBatch.value());
   if (Find(aId) != nullptr) {
     Open(aId);
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -64,6 +64,8 @@
     std::size_t nextRelay_ = 0;
     /// Relays in a row that answered no.
     std::size_t refusals_ = 0;
+    /// Since when no relay has vouched for what is known here.
+    TimePoint unconfirmed_;
     std::uint64_t round_ = 0;
   };
 
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -432,6 +432,27 @@
   REQUIRE(two.seen_ == std::vector<std::string>{ "k/a" });
 }
 
+TEST_CASE("relays that hold a question and refuse it do not add up")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  const std::vector<std::string> relays{ "first", "second", "third", "fourth" };
+  RelayedStore process(
+    store,
+    timers,
+    clock,
+    [&](const std::string&, const WatchAsk&, StoreDone<StoreWatchBatch> aDone) {
+      timers.After(1000ms, [aDone] {
+        aDone(Error{ ErrorKind::Unavailable, "the store does not answer" });
+      });
+    },
+    [&]() -> const std::vector<std::string>& { return relays; });
+  process.Watch("k/", store.Revision() + 1, [](const auto&) {});
+  timers.Advance(1100ms);
+  REQUIRE(store.CountWatches("k/") == 1);
+}
+
 TEST_CASE("a relay that says no is passed over for the next at once")
 {
   TwoProcesses two;
