A model has as many homes as loads can keep up with

Versions came after the step that needed them, and its items waited.

Change: the plan smooths the time between versions of each model and gives it homes for three quarters of what loads at once can do, between an equal share and 1.5 times that. Ends of loads are looked for from 1.05 s on each 100 ms (1.0 s and 250 ms before), as each look late keeps a place for a load taken.

--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -6,6 +6,7 @@
 /// zones, so that a cut leaves it some.
 #pragma once
 
+#include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/ids.hpp"
 
 #include <map>
@@ -48,14 +49,23 @@
   /// a load holds runs up for 0.9 s, and the longest text of a step takes
   /// 7 s of 7.5 s.
   double newestShare_ = 0.5;
-  /// Models at home at an upstream, in the mean. Steps of several trainers
-  /// begin together and each is a burst, so a model that has only its share of
-  /// the upstreams lets half of its items wait for a place while others idle.
-  /// With half of a model's homes loading each version, up to 2 cost no more
-  /// loads than one load a version and upstream of an equal share. Three
-  /// models on eight upstreams: awaited groups whole after 3.4 s, not 4.1 s
-  /// (mean of 360 played steps).
-  double homesOfUpstream_ = 1.5;
+  /// Most models at home at an upstream, in the mean. Steps of several
+  /// trainers begin together and each is a burst, so a model that has only its
+  /// share of the upstreams lets half of its items wait for a place while
+  /// others idle. With half of a model's homes loading each version, up to 2
+  /// cost no more loads than one load a version and upstream of an equal
+  /// share. Three models on eight upstreams: awaited groups whole after 3.4 s,
+  /// not 4.1 s (mean of 360 played steps).
+  double mostHomes_ = 1.5;
+  /// A load takes 0.9 s, and the report that tells of its end lags by 0.2 s.
+  Duration loadTime_ = std::chrono::milliseconds(1100);
+  /// Share of the time in which as many loads as may be are under way: with
+  /// more, versions reach their upstreams after the step that needs them.
+  double loadShare_ = 0.75;
+  /// Time between two versions of a model before two were seen, and the weight
+  /// of the newest observation in the smoothed time.
+  Duration firstPeriod_ = std::chrono::seconds(4);
+  double periodWeight_ = 0.1;
 };
 
 /// The plan. Remembers homes, so that they change as little as may be.
@@ -65,7 +75,9 @@
   explicit WeightPlan(WeightPlanPolicy aPolicy = {});
 
   /// A trainer named a version; older ones are ignored.
-  void OnNamed(const std::string& aModel, WeightVersion aVersion);
+  void OnNamed(const std::string& aModel,
+               WeightVersion aVersion,
+               TimePoint aNow);
   /// @returns loads to order now
   [[nodiscard]] std::vector<PlannedLoad> Next(
     const std::vector<PlanUpstream>& aUpstreams);
@@ -76,9 +88,12 @@
   using Upstreams = std::vector<const PlanUpstream*>;
 
   void AssignHomes(const Upstreams& aService);
-  /// @returns how many upstreams are to be a model's home
-  [[nodiscard]] std::size_t ShareOf(std::size_t aUpstreams,
-                                    std::size_t aModels) const;
+  /// @returns how many upstreams are to be a model's home: as many as can be
+  /// kept up with the versions that are named
+  [[nodiscard]] std::size_t ShareOf(
+    std::size_t aUpstreams,
+    const std::vector<std::string>& aModels) const;
+  [[nodiscard]] std::uint32_t AtOnce(std::size_t aUpstreams) const noexcept;
   void AddHomes(const std::string& aModel,
                 std::size_t aShare,
                 const Upstreams& aService);
@@ -90,8 +105,16 @@
   [[nodiscard]] std::uint64_t Gap(const PlanUpstream& aUpstream,
                                   const std::string& aModel) const;
 
+  /// The newest version of a model, and how often one is named.
+  struct Naming
+  {
+    WeightVersion version_;
+    TimePoint at_;
+    Duration period_{ 0 };
+  };
+
   WeightPlanPolicy policy_;
-  std::map<std::string, WeightVersion> named_;
+  std::map<std::string, Naming> named_;
   /// Models at home at an upstream.
   std::map<UpstreamId, std::set<std::string>> homes_;
 };
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -32,10 +32,23 @@
 }
 
 void
-WeightPlan::OnNamed(const std::string& aModel, WeightVersion aVersion)
+WeightPlan::OnNamed(const std::string& aModel,
+                    WeightVersion aVersion,
+                    TimePoint aNow)
 {
-  WeightVersion& named = named_[aModel];
-  named = std::max(named, aVersion);
+  const auto [it, first] =
+    named_.try_emplace(aModel, Naming{ aVersion, aNow, policy_.firstPeriod_ });
+  Naming& naming = it->second;
+  if (first || aVersion <= naming.version_) {
+    return;
+  }
+  const auto steps =
+    static_cast<std::int64_t>(aVersion.Get() - naming.version_.Get());
+  const Duration change = (aNow - naming.at_) / steps - naming.period_;
+  naming.period_ += Duration{ static_cast<std::int64_t>(
+    static_cast<double>(change.count()) * policy_.periodWeight_) };
+  naming.version_ = aVersion;
+  naming.at_ = aNow;
 }
 
 std::string
@@ -52,10 +65,10 @@
   const auto named = named_.find(aModel);
   const auto held = aUpstream.versions_.find(aModel);
   if (named == named_.end() || held == aUpstream.versions_.end() ||
-      held->second >= named->second) {
+      held->second >= named->second.version_) {
     return 0;
   }
-  return named->second.Get() - held->second.Get();
+  return named->second.version_.Get() - held->second.Get();
 }
 
 std::size_t
@@ -69,14 +82,38 @@
     }));
 }
 
+std::uint32_t
+WeightPlan::AtOnce(std::size_t aUpstreams) const noexcept
+{
+  const auto share =
+    static_cast<std::uint32_t>(aUpstreams) / policy_.upstreamsOfLoad_;
+  return std::max(policy_.atOnce_, share);
+}
+
 std::size_t
-WeightPlan::ShareOf(std::size_t aUpstreams, std::size_t aModels) const
+WeightPlan::ShareOf(std::size_t aUpstreams,
+                    const std::vector<std::string>& aModels) const
 {
-  const double share = policy_.homesOfUpstream_ *
-                       static_cast<double>(aUpstreams) /
-                       static_cast<double>(aModels);
-  const auto whole = static_cast<std::size_t>(std::lround(share));
-  return std::clamp<std::size_t>(whole, 1, aUpstreams);
+  using Seconds = std::chrono::duration<double>;
+  // Versions named a second, each of which half of its homes load.
+  double versions = 0;
+  for (const std::string& model : aModels) {
+    const auto naming = named_.find(model);
+    const Duration period =
+      naming == named_.end() ? policy_.firstPeriod_ : naming->second.period_;
+    versions += 1.0 / std::max(Seconds(period).count(),
+                               Seconds(policy_.loadTime_).count());
+  }
+  const double loads = policy_.loadShare_ * AtOnce(aUpstreams) /
+                       Seconds(policy_.loadTime_).count();
+  const auto upstreams = static_cast<double>(aUpstreams);
+  const auto models = static_cast<double>(aModels.size());
+  const double bearable = loads / (versions * policy_.newestShare_);
+  const double wanted = policy_.mostHomes_ * upstreams / models;
+  const double least = upstreams / models;
+  const double share = std::clamp(bearable, least, std::max(wanted, least));
+  return std::clamp<std::size_t>(
+    static_cast<std::size_t>(std::lround(share)), 1, aUpstreams);
 }
 
 /// Where versions differ, the models that are least behind were at home there
@@ -142,7 +179,7 @@
   if (models.empty()) {
     return;
   }
-  const std::size_t share = ShareOf(aService.size(), models.size());
+  const std::size_t share = ShareOf(aService.size(), models);
   for (const std::string& model : models) {
     RemoveHomes(model, share, aService);
   }
@@ -186,9 +223,7 @@
       wanted.begin(), wanted.end(), [](const auto& aLeft, const auto& aRight) {
         return std::get<0>(aLeft) > std::get<0>(aRight);
       });
-    const auto share =
-      static_cast<std::uint32_t>(upstreams.size()) / policy_.upstreamsOfLoad_;
-    const std::uint32_t atOnce = std::max(policy_.atOnce_, share);
+    const std::uint32_t atOnce = AtOnce(upstreams.size());
     std::set<UpstreamId> chosen;
     for (const auto& [gap, upstream, model] : wanted) {
       // The larger half of a model's upstreams goes on serving.
@@ -208,7 +243,7 @@
       ++busy;
       ++busyOfModel[model];
       newest[model] += 1;
-      loads.push_back({ upstream->id_, model, named_[model] });
+      loads.push_back({ upstream->id_, model, named_[model].version_ });
     }
   }
   return loads;
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -18,8 +18,8 @@
 /// still carry it out.
 constexpr auto kOrderTimeout = std::chrono::milliseconds(500);
 /// A load takes about 0.9 s; reports lag by some hundred milliseconds.
-constexpr auto kFirstLook = std::chrono::milliseconds(1000);
-constexpr auto kNextLook = std::chrono::milliseconds(250);
+constexpr auto kFirstLook = std::chrono::milliseconds(1050);
+constexpr auto kNextLook = std::chrono::milliseconds(100);
 /// A load that is not seen to end is ordered anew after this time.
 constexpr auto kLongestLoad = std::chrono::seconds(5);
 /// The configuration only tells which kind of order is better, not which is
@@ -331,7 +331,7 @@
            "version_named",
            { { "model", named.value().model_ },
              { "version", std::to_string(named.value().version_.Get()) } });
-  plan_.OnNamed(named.value().model_, named.value().version_);
+  plan_.OnNamed(named.value().model_, named.value().version_, host_.Now());
 }
 
 void
--- a/tests/rollout_play.cpp
+++ b/tests/rollout_play.cpp
@@ -208,7 +208,7 @@
 {
   for (const Trainer& trainer : trainers_) {
     if (trainer.open_ && trainer.open_->asked_ == now_) {
-      plan_.OnNamed(trainer.model_, WeightVersion{ trainer.step_ + 1 });
+      plan_.OnNamed(trainer.model_, WeightVersion{ trainer.step_ + 1 }, now_);
     }
   }
   std::vector<PlanUpstream> upstreams;
--- a/tests/test_rollout_play.cpp
+++ b/tests/test_rollout_play.cpp
@@ -40,7 +40,7 @@
 {
   PlaySetup setup;
   const PlayOutcome shared = PlaySeeds(setup);
-  setup.plan_.homesOfUpstream_ = 1.0;
+  setup.plan_.mostHomes_ = 1.0;
   const PlayOutcome apart = PlaySeeds(setup);
   WARN("mean step " << Seconds(apart.meanStep_) << " s with one home, "
                     << Seconds(shared.meanStep_) << " s with 1.5; loads "
--- a/tests/test_weight_plan.cpp
+++ b/tests/test_weight_plan.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr TimePoint kStart{ std::chrono::seconds(100) };
 const ServiceId kService{ "svc" };
 
 /// Every upstream is home to one model and is to hold its newest version.
@@ -18,7 +19,7 @@
   WeightPlanPolicy policy;
   policy.atOnce_ = aAtOnce;
   policy.newestShare_ = 1.0;
-  policy.homesOfUpstream_ = 1.0;
+  policy.mostHomes_ = 1.0;
   return policy;
 }
 
@@ -61,7 +62,7 @@
   for (int i = 0; i < 4; ++i) {
     fleet.push_back(MakePlanUpstream(i, 1, 1));
   }
-  plan.OnNamed("a", WeightVersion{ 2 });
+  plan.OnNamed("a", WeightVersion{ 2 }, kStart);
   std::set<UpstreamId> loaded;
   for (int round = 0; round < 4; ++round) {
     for (const PlannedLoad& load : plan.Next(fleet)) {
@@ -87,7 +88,7 @@
   for (int i = 0; i < 8; ++i) {
     fleet.push_back(MakePlanUpstream(i, 1, 1));
   }
-  plan.OnNamed("a", WeightVersion{ 2 });
+  plan.OnNamed("a", WeightVersion{ 2 }, kStart);
   const auto loads = plan.Next(fleet);
   REQUIRE(loads.size() == 2);
   for (PlanUpstream& upstream : fleet) {
@@ -104,16 +105,16 @@
   for (int i = 0; i < 12; ++i) {
     fleet.push_back(MakePlanUpstream(i, 1, 1));
   }
-  plan.OnNamed("a", WeightVersion{ 2 });
-  plan.OnNamed("b", WeightVersion{ 2 });
+  plan.OnNamed("a", WeightVersion{ 2 }, kStart);
+  plan.OnNamed("b", WeightVersion{ 2 }, kStart);
   REQUIRE(plan.Next(fleet).size() == 2);
 }
 
 TEST_CASE("a next holder keeps homes by the versions it finds")
 {
   WeightPlan plan(LoadAll(8));
-  plan.OnNamed("a", WeightVersion{ 9 });
-  plan.OnNamed("b", WeightVersion{ 9 });
+  plan.OnNamed("a", WeightVersion{ 9 }, kStart);
+  plan.OnNamed("b", WeightVersion{ 9 }, kStart);
   std::vector<PlanUpstream> fleet;
   for (int i = 0; i < 4; ++i) {
     fleet.push_back(i % 2 == 0 ? MakePlanUpstream(i, 9, 2)
@@ -132,8 +133,8 @@
     fleet.push_back(i < 2 ? MakePlanUpstream(i, 9, 2)
                           : MakePlanUpstream(i, 2, 9));
   }
-  plan.OnNamed("a", WeightVersion{ 9 });
-  plan.OnNamed("b", WeightVersion{ 9 });
+  plan.OnNamed("a", WeightVersion{ 9 }, kStart);
+  plan.OnNamed("b", WeightVersion{ 9 }, kStart);
   REQUIRE(plan.Next(fleet).empty());
   fleet.resize(2);
   const auto loads = plan.Next(fleet);
@@ -144,8 +145,8 @@
 TEST_CASE("one upstream for two models is at home for both")
 {
   WeightPlan plan(LoadAll(8));
-  plan.OnNamed("a", WeightVersion{ 2 });
-  plan.OnNamed("b", WeightVersion{ 2 });
+  plan.OnNamed("a", WeightVersion{ 2 }, kStart);
+  plan.OnNamed("b", WeightVersion{ 2 }, kStart);
   std::vector<PlanUpstream> fleet{ MakePlanUpstream(0, 1, 1) };
   std::set<std::string> models;
   for (int round = 0; round < 2; ++round) {
@@ -167,7 +168,7 @@
   }
   std::map<UpstreamId, std::vector<std::uint64_t>> loaded;
   for (std::uint64_t version = 2; version <= 5; ++version) {
-    plan.OnNamed("a", WeightVersion{ version });
+    plan.OnNamed("a", WeightVersion{ version }, kStart);
     for (int round = 0; round < 6; ++round) {
       for (const PlannedLoad& load : plan.Next(fleet)) {
         loaded[load.upstream_].push_back(load.version_.Get());
@@ -200,7 +201,9 @@
   }
   for (std::uint64_t version = 2; version <= 9; ++version) {
     for (const char* model : { "a", "b", "c" }) {
-      plan.OnNamed(model, WeightVersion{ version });
+      plan.OnNamed(model,
+                   WeightVersion{ version },
+                   kStart + std::chrono::seconds(4 * version));
     }
     const std::size_t loads = LoadAllPlanned(plan, fleet);
     // The upstreams over the models, for each of the three versions.
@@ -233,10 +236,47 @@
     fleet.push_back(MakePlanUpstream(i, 1, 1));
     fleet.back().versions_.erase("b");
   }
-  plan.OnNamed("a", WeightVersion{ 2 });
-  plan.OnNamed("a", WeightVersion{ 3 });
+  plan.OnNamed("a", WeightVersion{ 2 }, kStart);
+  plan.OnNamed("a", WeightVersion{ 3 }, kStart);
   LoadAllPlanned(plan, fleet);
   for (const PlanUpstream& upstream : fleet) {
     REQUIRE(upstream.versions_.at("a") == WeightVersion{ 3 });
   }
 }
+
+TEST_CASE("a model has as many homes as loads can keep up with")
+{
+  const auto [upstreams, period, homes] =
+    GENERATE(table<int, int, std::size_t>({
+      // Loads at once are 2 and 7; a version comes each so many seconds.
+      { 8, 4, 4 },
+      { 8, 2, 3 },
+      { 35, 4, 10 },
+      { 35, 3, 9 },
+      { 35, 2, 9 },
+      { 35, 60, 13 },
+    }));
+  WeightPlan plan;
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < upstreams; ++i) {
+    fleet.push_back(MakePlanUpstream(i, 1, 1));
+    fleet.back().versions_["c"] = WeightVersion{ 1 };
+    if (upstreams > 8) {
+      fleet.back().versions_["d"] = WeightVersion{ 1 };
+    }
+  }
+  constexpr std::uint64_t kVersions = 60;
+  for (std::uint64_t version = 2; version <= kVersions; ++version) {
+    for (const auto& [model, held] : fleet.front().versions_) {
+      const auto second = static_cast<std::int64_t>(version) * period;
+      plan.OnNamed(
+        model, WeightVersion{ version }, kStart + std::chrono::seconds(second));
+    }
+    LoadAllPlanned(plan, fleet);
+  }
+  const auto usable = std::count_if(
+    fleet.begin(), fleet.end(), [](const PlanUpstream& aUpstream) {
+      return aUpstream.versions_.at("a").Get() + 1 >= kVersions;
+    });
+  REQUIRE(static_cast<std::size_t>(usable) == homes);
+}
