Short of places, groups are finished one after the other

Cause: items go the longest first, over all groups of a step.

Change: items that still wait 2.5 s after their job was accepted tell that places are short; then the groups that need least go first, by the estimates of what their items still need, and within a group the longest first. Where upstreams suffice all items have begun by then and nothing changes.

Ruled out: the shortest first throughout; the longest text takes 5 to 7 s of 7.5 s and must begin at once where that can be met.

--- a/fuzz/fuzz_platform.cpp
+++ b/fuzz/fuzz_platform.cpp
@@ -25,7 +25,7 @@
   auto spec = platform->ReadSubmission(bytes);
   if (spec) {
     JobLedger ledger(std::move(spec).value(), {}, {});
-    static_cast<void>(ledger.Waiting());
+    static_cast<void>(ledger.Waiting({}));
   }
   HttpRequest request;
   request.method_ = "GET";
--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -44,6 +44,11 @@
   /// until then the trainer goes on waiting, and each write is a call to the
   /// store.
   Duration groupWait_ = std::chrono::milliseconds(2000);
+  /// Items that still wait this long after acceptance tell that there are too
+  /// few places for the longest first: then groups are finished one after the
+  /// other, those that need least first. Items of a step begin within 2 s
+  /// where the upstreams suffice.
+  Duration shortOfPlaces_ = std::chrono::milliseconds(2500);
   /// This long before the deadline nothing waits any more.
   Duration lastCall_ = std::chrono::milliseconds(900);
 };
@@ -82,7 +87,7 @@
   }
   [[nodiscard]] std::optional<ItemIndex> Find(const ItemId& aId) const;
   /// @returns items to run, in the order in which they should start
-  [[nodiscard]] std::vector<ItemIndex> Waiting() const;
+  [[nodiscard]] std::vector<ItemIndex> Waiting(TimePoint aNow) const;
   /// @returns items whose score is to be asked for and is not yet
   [[nodiscard]] std::vector<ItemIndex> Unscored() const;
 
@@ -166,6 +171,8 @@
   /// @param aError why the item is given up; empty: its text is final
   void Finish(ItemIndex aItem, std::string_view aError, TimePoint aNow);
   [[nodiscard]] bool GroupFinished(ItemIndex aItem) const;
+  /// @returns for each group what its items still need, by their estimates
+  [[nodiscard]] std::map<GroupId, std::uint64_t> WorkOfGroups() const;
   [[nodiscard]] bool Fits(const std::vector<WeightVersion>& aVersions) const;
 
   JobSpec spec_;
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -80,7 +80,7 @@
       ledger.Reuse(*item, partial.text_);
     }
   }
-  for (const ItemIndex item : ledger.Waiting()) {
+  for (const ItemIndex item : ledger.Waiting(host_.Now())) {
     auto text = partials_.Take(ledger.Spec().items_[item].id_);
     if (text) {
       ledger.Reuse(item, std::move(*text));
@@ -232,7 +232,7 @@
                        std::set<ServiceId>& aFull)
 {
   const JobSpec& spec = aJob.ledger_.Spec();
-  for (const ItemIndex index : aJob.ledger_.Waiting()) {
+  for (const ItemIndex index : aJob.ledger_.Waiting(host_.Now())) {
     const JobItem& item = spec.items_[index];
     const Route* route = routes_.Match(aJob.host_, item.path_);
     if (route == nullptr) {
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -73,8 +73,22 @@
   return it == byId_.end() ? std::nullopt : std::optional(it->second);
 }
 
+std::map<GroupId, std::uint64_t>
+JobLedger::WorkOfGroups() const
+{
+  std::map<GroupId, std::uint64_t> work;
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    const ItemState state = items_[i].state_;
+    if (state == ItemState::Waiting || state == ItemState::Running) {
+      work[spec_.items_[i].group_] +=
+        std::max<std::uint64_t>(1, spec_.items_[i].lengthHint_);
+    }
+  }
+  return work;
+}
+
 std::vector<ItemIndex>
-JobLedger::Waiting() const
+JobLedger::Waiting(TimePoint aNow) const
 {
   std::vector<ItemIndex> waiting;
   for (ItemIndex i = 0; i < items_.size(); ++i) {
@@ -88,6 +102,14 @@
     waiting.begin(), waiting.end(), [this](auto aLeft, auto aRight) {
       return spec_.items_[aLeft].lengthHint_ > spec_.items_[aRight].lengthHint_;
     });
+  if (aNow - accepted_ > policy_.shortOfPlaces_) {
+    const auto work = WorkOfGroups();
+    std::stable_sort(
+      waiting.begin(), waiting.end(), [&](auto aLeft, auto aRight) {
+        return work.at(spec_.items_[aLeft].group_) <
+               work.at(spec_.items_[aRight].group_);
+      });
+  }
   return waiting;
 }
 
--- a/tests/rollout_play.cpp
+++ b/tests/rollout_play.cpp
@@ -77,39 +77,49 @@
     static_cast<std::size_t>(std::stoul(aTrainer.model_.substr(1)));
   const StepSize size = setup_.trainers_[index];
   const double awaited = kAwaited * static_cast<double>(size.groups_);
-  aTrainer.open_ =
-    Step{ now_,
-          std::vector<std::size_t>(size.groups_, size.groupItems_),
-          static_cast<std::size_t>(std::ceil(awaited)) };
+  JobSpec spec;
+  spec.model_ = aTrainer.model_;
   std::vector<Item*> items;
   for (std::size_t i = 0; i < size.groups_ * size.groupItems_; ++i) {
+    const std::size_t group = i / size.groupItems_;
     const std::uint32_t length = DrawLength();
+    JobItem item;
+    item.id_ = ItemId{ std::to_string(i) };
+    item.group_ = GroupId{ std::to_string(group) };
+    item.lengthHint_ = length;
+    spec.items_.push_back(std::move(item));
     items_.push_back({ static_cast<std::uint32_t>(index),
                        aTrainer.step_,
-                       i / size.groupItems_,
-                       length,
+                       group,
+                       i,
                        static_cast<double>(length),
                        kNowhere });
     items.push_back(&items_.back());
   }
-  std::stable_sort(items.begin(), items.end(), [](auto* aLeft, auto* aRight) {
-    return aLeft->length_ > aRight->length_;
-  });
-  aTrainer.waiting_.insert(aTrainer.waiting_.end(), items.begin(), items.end());
+  aTrainer.open_.emplace(
+    Step{ now_,
+          JobLedger(std::move(spec), setup_.job_, now_),
+          std::move(items),
+          std::vector<std::size_t>(size.groups_, size.groupItems_),
+          static_cast<std::size_t>(std::ceil(awaited)) });
 }
 
 void
 RolloutPlay::Place(Trainer& aTrainer)
 {
   const WeightVersion least{ std::max<std::uint64_t>(aTrainer.step_, 1) };
-  while (!aTrainer.waiting_.empty()) {
+  if (!aTrainer.open_) {
+    return;
+  }
+  Step& step = *aTrainer.open_;
+  for (const ItemIndex index : step.ledger_.Waiting(now_)) {
     const BoardUpstream* picked = aTrainer.board_.PickForItem(
       { kService, aTrainer.model_, least, {}, {} }, now_);
     if (picked == nullptr) {
       return;
     }
-    Item* item = aTrainer.waiting_.front();
-    aTrainer.waiting_.pop_front();
+    Item* item = step.items_[index];
+    step.ledger_.OnStarted(index);
     item->upstream_ =
       static_cast<std::size_t>(std::stoul(picked->entry_.id_.Get().substr(1)));
     aTrainer.board_.OnStart(picked->entry_.id_, now_);
@@ -161,8 +171,13 @@
   Trainer& trainer = trainers_[aItem.trainer_];
   if (trainer.open_ && trainer.step_ == aItem.step_) {
     Step& step = *trainer.open_;
+    const ServerEvent only{ 1, "text", std::nullopt };
+    static_cast<void>(
+      step.ledger_.OnEvent(aItem.index_, only, WeightVersion{ 1 }));
+    step.ledger_.OnWhole(aItem.index_, now_);
     if (--step.open_[aItem.group_] == 0 && step.awaited_ > 0) {
       --step.awaited_;
+      outcome_.groupsOnTime_ += now_ - step.asked_ <= Duration{ kDue } ? 1 : 0;
     }
   }
 }
@@ -181,7 +196,6 @@
   outcome_.onTime_ += taken <= Duration{ kDue } ? 1 : 0;
   outcome_.meanStep_ += taken;
   outcome_.longestStep_ = std::max(outcome_.longestStep_, taken);
-  aTrainer.waiting_.clear();
   // The trainer ends the step: what still runs is broken off.
   for (Upstream& upstream : upstreams_) {
     const auto ended = [&](const Item* aItem) {
--- a/tests/rollout_play.hpp
+++ b/tests/rollout_play.hpp
@@ -1,9 +1,11 @@
-/// Plays training steps on a fleet in simulated time: the real plan of weights
-/// and one real board for each trainer's owner, on model upstreams that share
-/// their slots, slow down as they fill and stand still while weights change.
+/// Plays training steps on a fleet in simulated time: the real plan of weights,
+/// a real ledger for each step and a real board for its owner, on upstreams
+/// that share their slots, slow down as they fill and stand still while weights
+/// change.
 #pragma once
 
 #include "marjoramtally/process.hpp"
+#include "marjoramtally/version/job_ledger.hpp"
 
 #include <deque>
 #include <functional>
@@ -29,6 +31,7 @@
   Duration stepTime_ = std::chrono::seconds(4);
   Duration trainTime_ = std::chrono::seconds(1);
   WeightPlanPolicy plan_;
+  JobPolicy job_;
   std::uint64_t seed_ = 1;
 };
 
@@ -41,6 +44,8 @@
   /// Mean time until the awaited groups of a step were whole.
   Duration meanStep_{ 0 };
   Duration longestStep_{ 0 };
+  /// Groups that were whole within 7.5 s of their step.
+  std::size_t groupsOnTime_ = 0;
   std::size_t loads_ = 0;
 };
 
@@ -57,7 +62,7 @@
     std::uint32_t trainer_ = 0;
     std::uint64_t step_ = 0;
     std::size_t group_ = 0;
-    std::uint32_t length_ = 0;
+    ItemIndex index_ = 0;
     /// Events still to make.
     double left_ = 0;
     std::size_t upstream_ = kNowhere;
@@ -65,6 +70,8 @@
   struct Step
   {
     TimePoint asked_;
+    JobLedger ledger_;
+    std::vector<Item*> items_;
     /// Items of each group that are not whole.
     std::vector<std::size_t> open_;
     /// Groups that the trainer still waits for.
@@ -76,7 +83,6 @@
     std::uint64_t step_ = 0;
     TimePoint next_{ kTick };
     std::optional<Step> open_;
-    std::deque<Item*> waiting_;
     UpstreamBoard board_{ ZoneId{ "z0" } };
   };
   struct Upstream
--- a/tests/test_job_ledger.cpp
+++ b/tests/test_job_ledger.cpp
@@ -98,7 +98,7 @@
   ledger.OnInterrupted(0);
   // What was taken stands; the next run goes on after it.
   REQUIRE(ledger.Text(0).lastEvent_ == 1);
-  REQUIRE(ledger.Waiting().front() == 0);
+  REQUIRE(ledger.Waiting(kStart).front() == 0);
   ledger.OnStarted(0);
   REQUIRE(Take(ledger, 0, 2));
 }
@@ -211,7 +211,7 @@
   ledger.OnListed({ 2 });
   ledger.OnInterrupted(2);
   REQUIRE(ledger.Listed() == std::vector<ItemIndex>{ 2 });
-  REQUIRE(ledger.Waiting() == std::vector<ItemIndex>{ 0, 1, 3 });
+  REQUIRE(ledger.Waiting(kStart) == std::vector<ItemIndex>{ 0, 1, 3 });
   ledger.GiveUpLate(kStart + 1h);
   REQUIRE(ledger.ResultOf(2).completed_);
 }
@@ -222,9 +222,9 @@
   policy.maxQueue_ = 40s;
   JobLedger ledger = MakeLedger(policy);
   ledger.GiveUpLate(kStart + 39s);
-  REQUIRE(ledger.Waiting().size() == 4);
+  REQUIRE(ledger.Waiting(kStart).size() == 4);
   ledger.GiveUpLate(kStart + 40s);
-  REQUIRE(ledger.Waiting().empty());
+  REQUIRE(ledger.Waiting(kStart).empty());
   REQUIRE(ledger.Listable(kStart + 40s).size() == 4);
 }
 
@@ -306,5 +306,25 @@
   spec.items_[2].lengthHint_ = 900;
   spec.items_[3].lengthHint_ = 100;
   const JobLedger ledger(spec, {}, kStart);
-  REQUIRE(ledger.Waiting() == std::vector<ItemIndex>{ 2, 3, 0, 1 });
+  REQUIRE(ledger.Waiting(kStart) == std::vector<ItemIndex>{ 2, 3, 0, 1 });
+}
+
+TEST_CASE("short of places, the groups that need least go first")
+{
+  JobSpec spec = MakeSpec();
+  const std::vector<std::uint32_t> lengths{ 900, 100, 300, 400 };
+  for (ItemIndex i = 0; i < lengths.size(); ++i) {
+    spec.items_[i].lengthHint_ = lengths[i];
+  }
+  const JobPolicy policy;
+  JobLedger ledger(spec, policy, kStart);
+  REQUIRE(ledger.Waiting(kStart + policy.shortOfPlaces_) ==
+          std::vector<ItemIndex>{ 0, 3, 2, 1 });
+  REQUIRE(ledger.Waiting(kStart + policy.shortOfPlaces_ + 1ms) ==
+          std::vector<ItemIndex>{ 3, 2, 0, 1 });
+  // What is whole already makes a group need less.
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1));
+  ledger.OnWhole(0, kStart + 3s);
+  REQUIRE(ledger.Waiting(kStart + 3s) == std::vector<ItemIndex>{ 1, 3, 2 });
 }
--- a/tests/test_rollout_play.cpp
+++ b/tests/test_rollout_play.cpp
@@ -23,6 +23,7 @@
     sum.onTime_ += outcome.onTime_;
     sum.meanStep_ += outcome.meanStep_ / kSeeds;
     sum.longestStep_ = std::max(sum.longestStep_, outcome.longestStep_);
+    sum.groupsOnTime_ += outcome.groupsOnTime_;
     sum.loads_ += outcome.loads_;
   }
   return sum;
@@ -48,3 +49,20 @@
   REQUIRE(shared.meanStep_ < apart.meanStep_ * 9 / 10);
   REQUIRE(shared.onTime_ == shared.steps_);
 }
+
+TEST_CASE(
+  "short of upstreams, finishing groups in turn makes more of them whole")
+{
+  PlaySetup setup;
+  setup.upstreams_ = 3;
+  setup.trainers_ = { { 15, 8 }, { 30, 4 }, { 18, 4 } };
+  const PlayOutcome inTurn = PlaySeeds(setup);
+  setup.job_.shortOfPlaces_ = std::chrono::hours(1);
+  const PlayOutcome longestFirst = PlaySeeds(setup);
+  WARN("groups on time: " << longestFirst.groupsOnTime_
+                          << " with the longest items first, "
+                          << inTurn.groupsOnTime_ << " in turn; steps "
+                          << longestFirst.onTime_ << " and " << inTurn.onTime_
+                          << " of " << inTurn.steps_);
+  REQUIRE(inTurn.groupsOnTime_ > longestFirst.groupsOnTime_ * 11 / 10);
+}
