--- a/include/marjoramtally/base/strong.hpp
+++ b/include/marjoramtally/base/strong.hpp
@@ -13,7 +13,7 @@
 ///
 /// @tparam T the representation
 /// @tparam Tag an incomplete type naming the meaning
-/// @example `TrainerId trainer{ "skrivemodell-a" };`
+/// @example `TrainerId trainer{ "letters" };`
 template<typename T, typename Tag>
 class Strong
 {
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -11,6 +11,9 @@
 
 namespace marjoramtally {
 
+/// Pause after a failure; longer than reports lag.
+inline constexpr auto kRestTime = std::chrono::milliseconds(500);
+
 /// Holds the duty or waits for it. Used on one loop.
 class OrderDuty
 {
@@ -78,6 +81,7 @@
   void TakeUpstream(const StoreRecord& aRecord);
   void TakeVersion(const StoreRecord& aRecord);
   void TakeRetirement(const StoreRecord& aRecord);
+  // The steps of an order: state read, order sent, its end looked for.
   void LookUpServices();
   void Plan();
   void Begin(const PlannedLoad& aLoad);
--- /dev/null
+++ b/src/programs/orderd/order_steps.cpp
@@ -0,0 +1,256 @@
+#include "programs/orderd/order_duty.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+/// An upstream answers an order in some milliseconds; one that does not may
+/// still carry it out.
+constexpr auto kOrderTimeout = std::chrono::milliseconds(500);
+/// A load takes about 0.9 s; reports lag by some hundred milliseconds.
+constexpr auto kFirstLook = std::chrono::milliseconds(1050);
+constexpr auto kNextLook = std::chrono::milliseconds(100);
+/// A load that is not seen to end is ordered anew after this time.
+constexpr auto kLongestLoad = std::chrono::seconds(5);
+
+} // namespace
+
+/// A service that the configuration does not name may have been added since it
+/// was read; so it is read once more for each such name.
+void
+OrderDuty::LookUpServices()
+{
+  bool read = false;
+  for (const auto& [id, target] : targets_) {
+    const ServiceId& service = target.entry_.service_;
+    read = (!Named(service) && unnamed_.insert(service).second) || read;
+  }
+  if (read) {
+    ReadConfig(++term_);
+  }
+}
+
+void
+OrderDuty::Plan()
+{
+  if (!active_ || !duty_.Held()) {
+    return;
+  }
+  LookUpServices();
+  std::vector<PlanUpstream> upstreams;
+  for (const auto& [id, target] : targets_) {
+    if (!target.versions_.empty() && Named(target.entry_.service_)) {
+      upstreams.push_back({ id,
+                            target.entry_.service_,
+                            target.entry_.zone_,
+                            target.versions_,
+                            target.phase_ != Phase::Idle });
+    }
+  }
+  for (const PlannedLoad& load : plan_.Next(upstreams)) {
+    Begin(load);
+  }
+}
+
+void
+OrderDuty::Begin(const PlannedLoad& aLoad)
+{
+  Target& target = targets_.at(aLoad.upstream_);
+  target.load_ = aLoad;
+  target.since_ = host_.Now();
+  if (target.orders_) {
+    SendOrder(target);
+  } else {
+    ReadState(target);
+  }
+}
+
+HttpDone
+OrderDuty::Answer(Target& aTarget,
+                  void (OrderDuty::*aTake)(const UpstreamId&,
+                                           const HttpResult&))
+{
+  const UpstreamId id = aTarget.entry_.id_;
+  const std::uint64_t step = ++aTarget.step_;
+  return [this, id, step, aTake](const HttpResult& aResult) {
+    const auto it = targets_.find(id);
+    if (active_ && it != targets_.end() && it->second.step_ == step) {
+      (this->*aTake)(id, aResult);
+    }
+  };
+}
+
+void
+OrderDuty::Later(Target& aTarget,
+                 Duration aPause,
+                 void (OrderDuty::*aStep)(Target&))
+{
+  const UpstreamId id = aTarget.entry_.id_;
+  const std::uint64_t step = ++aTarget.step_;
+  host_.Timers().After(aPause, [this, id, step, aStep] {
+    const auto it = targets_.find(id);
+    if (active_ && it != targets_.end() && it->second.step_ == step) {
+      (this->*aStep)(it->second);
+    }
+  });
+}
+
+void
+OrderDuty::ReadState(Target& aTarget)
+{
+  if (aTarget.phase_ != Phase::Loading) {
+    aTarget.phase_ = Phase::Reading;
+  }
+  HttpCall call = host_.Formats().MakeReportCall(aTarget.entry_);
+  call.timeout_ = kOrderTimeout;
+  call.connectTimeout_ = kUpstreamConnectTimeout;
+  host_.Client().Send(std::move(call), Answer(aTarget, &OrderDuty::OnState));
+}
+
+void
+OrderDuty::OnState(const UpstreamId& aId, const HttpResult& aResult)
+{
+  Target& target = targets_.at(aId);
+  if (aResult.end_ != HttpEnd::Whole || aResult.response_.status_ != 200) {
+    Rest(target, "no report");
+    return;
+  }
+  const auto report = host_.Formats().ReadReport(aResult.response_.body_);
+  if (!report) {
+    Rest(target, report.error().message_);
+    return;
+  }
+  const bool startKnown = target.entry_.start_ != UpstreamStart{};
+  const bool restarted = startKnown && StartOver(target, report.value().start_);
+  TakeModels(target, report.value().models_);
+  if (restarted) {
+    Plan();
+    return;
+  }
+  const bool reached =
+    target.versions_[target.load_.model_] >= target.load_.version_;
+  if (target.phase_ == Phase::Loading) {
+    if (reached || host_.Now() - target.since_ > kLongestLoad) {
+      LogEvent(LogLevel::Info,
+               "load_ended",
+               { { "upstream", aId.Get() },
+                 { "model", target.load_.model_ },
+                 { "version", std::to_string(target.load_.version_.Get()) },
+                 { "outcome", reached ? "loaded" : "not seen to end" } });
+      target.phase_ = Phase::Idle;
+      if (!reached) {
+        target.orders_.reset();
+      }
+      Plan();
+    } else {
+      LookAgain(target, kNextLook);
+    }
+    return;
+  }
+  target.orders_ = report.value().orders_;
+  if (reached) {
+    target.phase_ = Phase::Idle;
+    Plan();
+  } else if (report.value().busy_) {
+    Rest(target, "another order is under way");
+  } else {
+    SendOrder(target);
+  }
+}
+
+void
+OrderDuty::SendOrder(Target& aTarget)
+{
+  if (!duty_.Held()) {
+    aTarget.phase_ = Phase::Idle;
+    return;
+  }
+  aTarget.phase_ = Phase::Sending;
+  const VersionOrder order{
+    aTarget.load_.model_, aTarget.load_.version_,
+    host_.Incarnation(),  duty_.Fence(),
+    aTarget.orders_,      singleVersion_.contains(aTarget.load_.model_)
+  };
+  LogEvent(
+    LogLevel::Info,
+    "order_sent",
+    { { "upstream", aTarget.entry_.id_.Get() },
+      { "model", order.model_ },
+      { "version", std::to_string(order.version_.Get()) },
+      { "fence", std::to_string(order.fence_.Get()) },
+      { "runs", order.runsFinish_ ? "finish first" : "go on" },
+      { "expected", std::to_string(order.expectedOrders_.value_or(0)) } });
+  HttpCall call = host_.Formats().MakeOrder(aTarget.entry_, order);
+  call.timeout_ = kOrderTimeout;
+  call.connectTimeout_ = kUpstreamConnectTimeout;
+  lastOrder_ = host_.Now();
+  host_.Client().Send(std::move(call),
+                      Answer(aTarget, &OrderDuty::OnOrderAnswer));
+}
+
+void
+OrderDuty::OnOrderAnswer(const UpstreamId& aId, const HttpResult& aResult)
+{
+  Target& target = targets_.at(aId);
+  const int status =
+    aResult.end_ == HttpEnd::Whole ? aResult.response_.status_ : 0;
+  LogEvent(LogLevel::Info,
+           "order_answered",
+           { { "upstream", aId.Get() },
+             { "status", std::to_string(status) },
+             { "error", aResult.message_ } });
+  switch (status) {
+    case 202:
+      ++*target.orders_;
+      target.phase_ = Phase::Loading;
+      LookAgain(target, kFirstLook);
+      return;
+    case 200:
+      target.versions_[target.load_.model_] = target.load_.version_;
+      target.phase_ = Phase::Idle;
+      target.orders_.reset();
+      Plan();
+      return;
+    case 412:
+      // Another process has given orders under a higher number.
+      duty_.StartOver();
+      OnLost();
+      return;
+    case 421:
+      targets_.erase(aId);
+      Plan();
+      return;
+    default:
+      Rest(target, status == 0 ? "no answer" : "refused");
+      return;
+  }
+}
+
+void
+OrderDuty::LookAgain(Target& aTarget, Duration aPause)
+{
+  Later(aTarget, aPause, &OrderDuty::ReadState);
+}
+
+void
+OrderDuty::Rest(Target& aTarget, std::string_view aWhy)
+{
+  LogEvent(
+    LogLevel::Info,
+    "order_put_off",
+    { { "upstream", aTarget.entry_.id_.Get() }, { "why", std::string(aWhy) } });
+  aTarget.phase_ = Phase::Resting;
+  aTarget.orders_.reset();
+  Later(aTarget, kRestTime, &OrderDuty::WakeUp);
+}
+
+void
+OrderDuty::WakeUp(Target& aTarget)
+{
+  aTarget.phase_ = Phase::Idle;
+  Plan();
+}
+
+} // namespace marjoramtally
