A write of results counts only for the ownership that made it

The trace showed an item at position 24 of a job of 24 at its owner.

Cause: a write of results waits for its answer while the store loses answers. Meanwhile the job is lost and claimed again by the same process, whose new ledger reads what stands in the store. When the old write is settled, its items were listed once more in the new ledger, and all later positions were wrong. Takeovers without a grace make that sequence likelier; the fault is older.

Change: the end of a write is taken only by the job under the same fencing number. Beside it: where a batch was refused for one job, the writes of the others are sent again unchanged, as an earlier copy may still land; before, a new batch could meet it at the same position and the job was dropped for good.

Ruled out: the reader's copy (the answer came from the owner's own ledger), and results read before the claim (they are read after it).

Measured: the new test listed 4 of 2 before and 2 after; all tests pass.

--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -120,6 +120,13 @@
     std::vector<std::vector<ItemIndex>> items_;
   };
 
+  /// A refused batch whose jobs are looked at one by one.
+  struct Settling
+  {
+    Batch batch_;
+    std::size_t left_ = 0;
+  };
+
   void Dispatch();
   void DispatchJob(const JobId& aId,
                    OwnedJob& aJob,
@@ -171,6 +178,15 @@
   void FinishBatch();
   /// Finds out what became of a batch that a comparison refused.
   void SettleBatch();
+  void SettleWrite(const std::shared_ptr<Settling>& aSettling,
+                   std::size_t aIndex,
+                   const Result<StoreRange>& aRange);
+  /// @param aAgain whether the write is to be sent again
+  void EndSettling(const std::shared_ptr<Settling>& aSettling,
+                   std::size_t aIndex,
+                   bool aAgain);
+  /// @returns the job under the number that a write was made with, or nullptr
+  [[nodiscard]] OwnedJob* WriterOf(const ResultsWrite& aWrite);
   void Keep(OwnedJob& aJob);
 
   GatewayContext& host_;
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -316,12 +316,12 @@
   }
   for (std::size_t i = 0; i < batch.writes_.size(); ++i) {
     const JobId& id = batch.writes_[i].job_;
-    const auto it = jobs_.find(id);
-    if (it == jobs_.end()) {
+    OwnedJob* job = WriterOf(batch.writes_[i]);
+    if (job == nullptr) {
       continue;
     }
     LogResults(batch.writes_[i], batch.items_[i].size());
-    it->second.ledger_.OnListed(batch.items_[i]);
+    job->ledger_.OnListed(batch.items_[i]);
     if (onListed_) {
       onListed_(id);
     }
@@ -329,55 +329,100 @@
   PlanFlush();
 }
 
+/// A job that was lost and claimed again since has a ledger that was read from
+/// the store under its new number; what an old write of ours did is in it.
+JobRunner::OwnedJob*
+JobRunner::WriterOf(const ResultsWrite& aWrite)
+{
+  const auto it = jobs_.find(aWrite.job_);
+  const bool same = it != jobs_.end() && it->second.fence_ == aWrite.fence_;
+  return same ? &it->second : nullptr;
+}
+
+/// Each job is looked at alone: its record at this position either is ours or
+/// another owner stands behind the comparison that failed. Else another job's
+/// comparison failed; an earlier copy of the write may still land, so it is
+/// sent again unchanged.
 void
 JobRunner::SettleBatch()
 {
-  // Each job is looked at alone: its record at this position either is ours
-  // or another owner stands behind the comparison that failed.
-  auto batch = std::make_shared<Batch>(std::move(*batch_));
+  const auto settling = std::make_shared<Settling>();
+  settling->batch_ = std::move(*batch_);
+  settling->left_ = settling->batch_.writes_.size();
   batch_ = Batch{};
-  auto left = std::make_shared<std::size_t>(batch->writes_.size());
-  const auto finish = [this, left] {
-    if (--*left == 0) {
-      batch_.reset();
-      PlanFlush();
-      if (givingBack_) {
-        GiveBackJobs();
-      }
-    }
-  };
-  for (std::size_t i = 0; i < batch->writes_.size(); ++i) {
-    const ResultsWrite& write = batch->writes_[i];
-    const std::string key = job_keys::ResultsAt(write.job_, write.position_);
+  for (std::size_t i = 0; i < settling->batch_.writes_.size(); ++i) {
+    const ResultsWrite& write = settling->batch_.writes_[i];
     host_.PlatformStore().Read(
-      key, [this, batch, i, finish](const Result<StoreRange>& aRange) {
-        const ResultsWrite& mine = batch->writes_[i];
-        const auto it = jobs_.find(mine.job_);
-        const bool found =
-          !mine.record_.empty() && aRange && !aRange.value().records_.empty();
-        if (it != jobs_.end() && found) {
-          if (aRange.value().records_.front().value_ == mine.record_) {
-            it->second.ledger_.OnListed(batch->items_[i]);
-            if (onListed_) {
-              onListed_(mine.job_);
-            }
-          } else {
-            Drop(mine.job_);
-          }
-        } else if (it != jobs_.end() && aRange) {
-          store_.ReadOwner(
-            mine.job_,
-            [this, batch, i](const Result<std::optional<StoreRecord>>& aOwner) {
-              const ResultsWrite& lost = batch->writes_[i];
-              if (aOwner && (!aOwner.value() || aOwner.value()->modRevision_ !=
-                                                  lost.fence_.Get())) {
-                Drop(lost.job_);
-              }
-            });
-        }
-        finish();
+      job_keys::ResultsAt(write.job_, write.position_),
+      [this, settling, i](const Result<StoreRange>& aRange) {
+        SettleWrite(settling, i, aRange);
       });
   }
 }
 
+void
+JobRunner::SettleWrite(const std::shared_ptr<Settling>& aSettling,
+                       std::size_t aIndex,
+                       const Result<StoreRange>& aRange)
+{
+  const ResultsWrite& write = aSettling->batch_.writes_[aIndex];
+  OwnedJob* job = WriterOf(write);
+  if (job == nullptr) {
+    EndSettling(aSettling, aIndex, false);
+    return;
+  }
+  const bool found =
+    !write.record_.empty() && aRange && !aRange.value().records_.empty();
+  if (found) {
+    if (aRange.value().records_.front().value_ == write.record_) {
+      LogResults(write, aSettling->batch_.items_[aIndex].size());
+      job->ledger_.OnListed(aSettling->batch_.items_[aIndex]);
+      if (onListed_) {
+        onListed_(write.job_);
+      }
+    } else {
+      Drop(write.job_);
+    }
+    EndSettling(aSettling, aIndex, false);
+    return;
+  }
+  store_.ReadOwner(
+    write.job_,
+    [this, aSettling, aIndex](
+      const Result<std::optional<StoreRecord>>& aOwner) {
+      const ResultsWrite& lost = aSettling->batch_.writes_[aIndex];
+      const bool replaced =
+        aOwner &&
+        (!aOwner.value() || aOwner.value()->modRevision_ != lost.fence_.Get());
+      if (replaced && WriterOf(lost) != nullptr) {
+        Drop(lost.job_);
+      }
+      EndSettling(aSettling, aIndex, !replaced);
+    });
+}
+
+void
+JobRunner::EndSettling(const std::shared_ptr<Settling>& aSettling,
+                       std::size_t aIndex,
+                       bool aAgain)
+{
+  const ResultsWrite& write = aSettling->batch_.writes_[aIndex];
+  if (aAgain && !write.record_.empty()) {
+    batch_->writes_.push_back(write);
+    batch_->items_.push_back(aSettling->batch_.items_[aIndex]);
+  }
+  if (--aSettling->left_ > 0) {
+    return;
+  }
+  if (!batch_->writes_.empty()) {
+    host_.Timers().After(kFlushAgain, [this] { SendBatch(); });
+    return;
+  }
+  batch_.reset();
+  PlanFlush();
+  if (givingBack_) {
+    GiveBackJobs();
+  }
+}
+
 } // namespace marjoramtally
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -449,3 +449,35 @@
   fix.runner_.OnUpstreamRestarted(UpstreamId{ "e0" });
   REQUIRE(fix.client_.sent_ == 1);
 }
+
+TEST_CASE(
+  "a write of an earlier ownership lists nothing in the job's new ledger")
+{
+  Fixture fix;
+  fix.Accept(2);
+  fix.CompleteItem();
+  fix.CompleteScore();
+  fix.CompleteItem();
+  fix.CompleteScore();
+  // The results are written, and the answer is lost.
+  fix.store_.fault_ = StoreFault::LosesAnswers;
+  fix.timers_.Advance(300ms);
+  REQUIRE(fix.Stored().size() == 2);
+  // Meanwhile the job was lost and claimed again, with what stands there.
+  fix.store_.Put(job_keys::Owner(kJob), "another, then this process again");
+  const FencingNumber fence{
+    fix.store_.records_.at(job_keys::Owner(kJob)).modRevision_
+  };
+  fix.runner_.Drop(kJob);
+  fix.runner_.Add(kJob,
+                  fence,
+                  { "h", "/i/job", "body" },
+                  Fixture::MakeSpec(2),
+                  fix.Stored(),
+                  {},
+                  {});
+  fix.store_.fault_ = StoreFault::None;
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.runner_.Find(kJob)->Listed().size() == 2);
+  REQUIRE(fix.Stored().size() == 2);
+}
