--- a/tests/play_seeds.sh
+++ b/tests/play_seeds.sh
@@ -1,20 +1,29 @@
 #!/usr/bin/env bash
 # Plays the days of seeds.txt again where the users' bench is at hand.
-# usage: play_seeds.sh BENCH SITES_DIR [GROWN_DIR]
+# A day may be a file of the repository and be followed by options.
+# usage: play_seeds.sh BENCH SITES_DIR...
 set -euo pipefail
-bench=${1:?usage: play_seeds.sh BENCH SITES_DIR [GROWN_DIR]}
-sites=${2:?usage: play_seeds.sh BENCH SITES_DIR [GROWN_DIR]}
-grown=${3:-$sites}
+bench=${1:?usage: play_seeds.sh BENCH SITES_DIR...}
+folders=("${@:2}")
+[ "${#folders[@]}" -gt 0 ] || { echo "usage: play_seeds.sh BENCH SITES_DIR..." >&2; exit 2; }
 cd "$(dirname "$0")/.."
 failed=0
 while IFS='|' read -r site day seed _; do
   case "$site" in '#'*|'') continue ;; esac
   site=$(echo $site) day=$(echo $day) seed=$(echo $seed)
-  file=$sites/$site.toml
-  [ -f "$file" ] || file=$grown/$site.toml
+  file=""
+  for folder in "${folders[@]}"; do
+    [ ! -f "$folder/$site.toml" ] || file=$folder/$site.toml
+  done
+  if [ -z "$file" ]; then
+    echo "$site $day $seed: not played, no folder has $site.toml"
+    failed=1
+    continue
+  fi
+  read -ra words <<<"$day"
   options=()
   [ "$seed" = - ] || options=(--seed "$seed")
-  out=$("$bench" run "$file" "$day" "${options[@]}" --why "seeds of old faults" 2>&1 || true)
+  out=$("$bench" run "$file" "${words[@]}" "${options[@]}" --why "seeds of old faults" 2>&1 || true)
   if grep -qE '^rules broken|ended by itself' <<<"$out"; then
     echo "$site $day $seed: $(grep -m1 -E '^rules broken|ended by itself' <<<"$out")"
     failed=1
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -481,3 +481,31 @@
   REQUIRE(fix.runner_.Find(kJob)->Listed().size() == 2);
   REQUIRE(fix.Stored().size() == 2);
 }
+
+TEST_CASE("where a batch is refused for one job, another's results are written")
+{
+  Fixture fix;
+  const JobId other{ "job2" };
+  fix.store_.Put(job_keys::Owner(other), "this process");
+  const FencingNumber otherFence{
+    fix.store_.records_.at(job_keys::Owner(other)).modRevision_
+  };
+  fix.Accept(1);
+  fix.runner_.Add(other,
+                  otherFence,
+                  { "h", "/i/job", "body" },
+                  Fixture::MakeSpec(1),
+                  {},
+                  {},
+                  {});
+  for (int i = 0; i < 2; ++i) {
+    fix.CompleteItem();
+    fix.CompleteScore();
+  }
+  // The other job has a new owner when the batch of both is sent.
+  fix.store_.Put(job_keys::Owner(other), "another process");
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE(fix.runner_.Find(kJob)->Listed().size() == 1);
+  REQUIRE_FALSE(fix.runner_.Owns(other));
+}
