Logs tell why and under which configuration an item was given up

Cause: 'it can never be done' stood both for an upstream's 422 and for an item without a route, and no line named the configuration that decided. The line that did tell them apart, item_given_up, was lost to the log's limit when 96 items were given up at once. Change: one line an item, item_errored, with its own reason for a removed route, the configuration's revision and the job's age; job_started names the revision and the route, config_read the number of routes; a counter by reason. No decision changes. 53 tests on jobs, items and stories pass.

--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -112,6 +112,8 @@
   void OnRunFailed(ItemIndex aItem, TimePoint aNow);
   /// The upstream answered that the item can never be done.
   void OnImpossible(ItemIndex aItem, TimePoint aNow);
+  /// The configuration has no route for the item any more.
+  void OnRouteRemoved(ItemIndex aItem, TimePoint aNow);
 
   void OnScoreAsked(ItemIndex aItem) { items_[aItem].scoreAsked_ = true; }
   void OnScored(ItemIndex aItem, std::string aScore, TimePoint aNow);
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -174,10 +174,12 @@
     return;
   }
   const std::uint64_t revision = config.value().revision_.Get();
+  const std::size_t routes = config.value().routes_.size();
   const bool applied = routes_.Apply(std::move(config).value());
   LogEvent(LogLevel::Info,
            "config_read",
            { { "revision", std::to_string(revision) },
+             { "routes", std::to_string(routes) },
              { "outcome", applied ? "applied" : "older than the present" } });
 }
 
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -96,7 +96,9 @@
              { "listed", std::to_string(aListed.size()) },
              { "partial", std::to_string(aPartials.size()) },
              { "age_ms", std::to_string(WholeMillis(aAge)) },
-             { "fence", std::to_string(aFence.Get()) } });
+             { "fence", std::to_string(aFence.Get()) },
+             { "config", std::to_string(routes_.Config().revision_.Get()) },
+             { "route", route == nullptr ? "none" : route->name_ } });
   const auto [it, added] = jobs_.emplace(aJob,
                                          OwnedJob(aSubmission.host_,
                                                   aFence,
@@ -236,12 +238,7 @@
     const JobItem& item = spec.items_[index];
     const Route* route = routes_.Match(aJob.host_, item.path_);
     if (route == nullptr) {
-      LogEvent(LogLevel::Warn,
-               "item_given_up",
-               { { "item", item.id_.Get() },
-                 { "job", aId.Get() },
-                 { "why", "no route" } });
-      aJob.ledger_.OnImpossible(index, host_.Now());
+      aJob.ledger_.OnRouteRemoved(index, host_.Now());
       PlanFlush();
       continue;
     }
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -118,11 +118,17 @@
       break;
     }
     if (!result.completed_) {
-      LogEvent(LogLevel::Warn,
-               "item_errored",
-               { { "item", result.id_.Get() },
-                 { "job", aId.Get() },
-                 { "why", std::string(aJob.ledger_.ErrorOf(item)) } });
+      const std::string why(aJob.ledger_.ErrorOf(item));
+      LogEvent(
+        LogLevel::Warn,
+        "item_errored",
+        { { "item", result.id_.Get() },
+          { "job", aId.Get() },
+          { "why", why },
+          { "config", std::to_string(routes_.Config().revision_.Get()) },
+          { "age_ms",
+            std::to_string(WholeMillis(host_.Now() - aJob.accepted_)) } });
+      host_.Measures().Count("items_errored_total{why=\"" + why + "\"}");
     }
     items.push_back(item);
     results.push_back(std::move(result));
--- a/src/runtime/log_story.cpp
+++ b/src/runtime/log_story.cpp
@@ -187,7 +187,6 @@
     "the store did not say whether it took the job; sending it again is safe" },
   { "job_rejected", "", "", "the job was rejected: its body cannot be read" },
   { "item_errored", "", "", "the item was given up" },
-  { "item_given_up", "", "", "the item was given up" },
   { "item_scored", "", "", "the item's text was made and scored" },
   { "item_whole", "", "", "the item's text was made" },
   { "job_ended", "", "", "the job was ended" },
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -203,7 +203,13 @@
 void
 JobLedger::OnImpossible(ItemIndex aItem, TimePoint aNow)
 {
-  Finish(aItem, "it can never be done", aNow);
+  Finish(aItem, "its upstream says that it can never be done", aNow);
+}
+
+void
+JobLedger::OnRouteRemoved(ItemIndex aItem, TimePoint aNow)
+{
+  Finish(aItem, "its route was removed", aNow);
 }
 
 void
