Only a configuration that can know a job decides on its items

Cause: an owner gave up all items of a job for want of a route while it knew no configuration at all; its limits were defaults for the same reason, and stayed as they were when it started. Class: what is not known yet was taken for a fact. Change: a job keeps the revision that it was accepted under; its owner sends, scores and gives up nothing before it knows one at least as new, and takes the limits of each newer one. Texts of an earlier owner wait until it is known which fit. A host with a port has the routes of the host.

--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -90,8 +90,15 @@
   {
     return config_.revision_.Get() != 0;
   }
+  /// @returns whether the configuration in force is at least as new; an older
+  /// one, or none at all, cannot tell that a route was removed
+  [[nodiscard]] bool Covers(ConfigRevision aRevision) const noexcept
+  {
+    return Known() && config_.revision_ >= aRevision;
+  }
   /// @returns the route with the longest prefix of the path among those of
   /// the host, or nullptr
+  /// @param aHost may name a port, which is ignored
   [[nodiscard]] const Route* Match(std::string_view aHost,
                                    std::string_view aPath) const noexcept;
   [[nodiscard]] const RoutingConfig& Config() const noexcept { return config_; }
--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -70,6 +70,9 @@
   /// @param aAccepted when the job was accepted, by our clock
   JobLedger(JobSpec aSpec, JobPolicy aPolicy, TimePoint aAccepted);
 
+  /// The limits have changed; what was decided under the old ones stands.
+  void SetPolicy(JobPolicy aPolicy) noexcept { policy_ = aPolicy; }
+
   /// Results that stand already, read from the store in their order.
   void Restore(const std::vector<JobResult>& aListed);
   /// Text of an item that an earlier job made; ignored if its versions do not
--- a/include/marjoramtally/version/job_record.hpp
+++ b/include/marjoramtally/version/job_record.hpp
@@ -26,6 +26,9 @@
   std::string host_;
   std::string path_;
   std::string body_;
+  /// The configuration whose routes it was accepted by. An owner that knows
+  /// only an older one cannot tell what is to be done with it.
+  ConfigRevision acceptedUnder_{ 0 };
 };
 
 /// The text of an item that is not listed yet.
--- a/src/process/route_table.cpp
+++ b/src/process/route_table.cpp
@@ -15,9 +15,10 @@
 const Route*
 RouteTable::Match(std::string_view aHost, std::string_view aPath) const noexcept
 {
+  const std::string_view host = aHost.substr(0, aHost.find(':'));
   const Route* best = nullptr;
   for (const Route& route : config_.routes_) {
-    const bool fits = route.host_ == aHost && aPath.starts_with(route.prefix_);
+    const bool fits = route.host_ == host && aPath.starts_with(route.prefix_);
     const bool longer =
       best == nullptr || route.prefix_.size() > best->prefix_.size();
     if (fits && longer) {
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -300,7 +300,8 @@
     return;
   }
   if (route->kind_ == RouteKind::Rollout && aRequest.method_ == "POST") {
-    jobs_.Submit(std::move(aRequest), std::move(aReply));
+    jobs_.Submit(
+      std::move(aRequest), routes_.Config().revision_, std::move(aReply));
     return;
   }
   Forward(*route, std::move(aRequest), aReply);
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -170,7 +170,9 @@
 }
 
 void
-JobApi::Submit(HttpRequest aRequest, HttpReplyPtr aReply)
+JobApi::Submit(HttpRequest aRequest,
+               ConfigRevision aRevision,
+               HttpReplyPtr aReply)
 {
   const auto id =
     FindHeader(aRequest.headers_, host_.Formats().Names().attempt_);
@@ -199,7 +201,8 @@
   const JobSubmissionRecord submission{
     std::string(FindHeader(aRequest.headers_, "Host").value_or("")),
     std::move(aRequest.path_),
-    std::move(aRequest.body_)
+    std::move(aRequest.body_),
+    aRevision
   };
   const std::uint64_t total = spec.value().items_.size();
   store_.Accept(job,
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -21,7 +21,10 @@
          JobDirectory& aDirectory,
          JobRunner& aRunner);
 
-  void Submit(HttpRequest aRequest, HttpReplyPtr aReply);
+  /// @param aRevision the configuration whose routes took the request
+  void Submit(HttpRequest aRequest,
+              ConfigRevision aRevision,
+              HttpReplyPtr aReply);
   void Query(const JobQuery& aQuery,
              const HttpRequest& aRequest,
              HttpReplyPtr aReply);
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -54,57 +54,29 @@
                const std::vector<PartialRecord>& aPartials,
                Duration aAge)
 {
-  const Route* route = routes_.Match(aSubmission.host_, aSubmission.path_);
-  JobPolicy policy;
-  if (route != nullptr) {
-    policy.maxAttempts_ = route->maxAttempts_;
-    policy.maxQueue_ = route->maxQueue_ + kGiveUpSlack;
-    policy.runDeadline_ = route->runDeadline_;
-    policy.singleVersion_ = route->singleVersion_;
-  }
-  for (const JobItem& item : aSpec.items_) {
-    const Route* score =
-      item.score_ ? routes_.Match(item.score_->host_, item.score_->path_)
-                  : nullptr;
-    if (score != nullptr) {
-      policy.maxScoreFailures_ = score->maxAttempts_;
-      break;
-    }
-  }
   const TimePoint accepted = host_.Now() - aAge;
-  JobLedger ledger(std::move(aSpec), policy, accepted);
+  JobLedger ledger(std::move(aSpec), {}, accepted);
   ledger.Restore(aListed);
-  for (const PartialRecord& partial : aPartials) {
-    const auto item = ledger.Find(partial.item_);
-    if (item) {
-      ledger.Reuse(*item, partial.text_);
-    }
-  }
-  for (const ItemIndex item : ledger.Waiting(host_.Now())) {
-    auto text = partials_.Take(ledger.Spec().items_[item].id_);
-    if (text) {
-      ledger.Reuse(item, std::move(*text));
-    }
-  }
-  LogEvent(LogLevel::Info,
-           "job_started",
-           { { "job", aJob.Get() },
-             { "model", ledger.Spec().model_ },
-             { "step", std::to_string(ledger.Spec().step_) },
-             { "min_version", std::to_string(ledger.Spec().minVersion_.Get()) },
-             { "items", std::to_string(ledger.Spec().items_.size()) },
-             { "listed", std::to_string(aListed.size()) },
-             { "partial", std::to_string(aPartials.size()) },
-             { "age_ms", std::to_string(WholeMillis(aAge)) },
-             { "fence", std::to_string(aFence.Get()) },
-             { "config", std::to_string(routes_.Config().revision_.Get()) },
-             { "route", route == nullptr ? "none" : route->name_ } });
+  LogEvent(
+    LogLevel::Info,
+    "job_started",
+    { { "job", aJob.Get() },
+      { "model", ledger.Spec().model_ },
+      { "step", std::to_string(ledger.Spec().step_) },
+      { "min_version", std::to_string(ledger.Spec().minVersion_.Get()) },
+      { "items", std::to_string(ledger.Spec().items_.size()) },
+      { "listed", std::to_string(aListed.size()) },
+      { "partial", std::to_string(aPartials.size()) },
+      { "age_ms", std::to_string(WholeMillis(aAge)) },
+      { "fence", std::to_string(aFence.Get()) },
+      { "accepted_under", std::to_string(aSubmission.acceptedUnder_.Get()) },
+      { "config", std::to_string(routes_.Config().revision_.Get()) } });
   const auto [it, added] = jobs_.emplace(aJob,
-                                         OwnedJob(aSubmission.host_,
+                                         OwnedJob(aSubmission,
                                                   aFence,
                                                   std::move(ledger),
+                                                  aPartials,
                                                   accepted,
-                                                  accepted + policy.maxQueue_,
                                                   ++lastSequence_));
   if (jobs_.size() == 1 && onOwning_) {
     onOwning_(true);
@@ -202,6 +174,84 @@
   PlanFlush();
 }
 
+JobPolicy
+JobRunner::PolicyOf(const OwnedJob& aJob) const
+{
+  JobPolicy policy;
+  const Route* route = routes_.Match(aJob.host_, aJob.path_);
+  if (route != nullptr) {
+    policy.maxAttempts_ = route->maxAttempts_;
+    policy.maxQueue_ = route->maxQueue_;
+    policy.runDeadline_ = route->runDeadline_;
+    policy.singleVersion_ = route->singleVersion_;
+  }
+  policy.maxQueue_ += kGiveUpSlack;
+  const std::vector<JobItem>& items = aJob.ledger_.Spec().items_;
+  const auto scored =
+    std::find_if(items.begin(), items.end(), [](const JobItem& aItem) {
+      return aItem.score_.has_value();
+    });
+  const Route* score =
+    scored == items.end()
+      ? nullptr
+      : routes_.Match(scored->score_->host_, scored->score_->path_);
+  if (score != nullptr) {
+    policy.maxScoreFailures_ = score->maxAttempts_;
+  }
+  return policy;
+}
+
+/// No decision on a job is made by a configuration that cannot know it: right
+/// after a start a process knows none, and one whose watch lags may know only
+/// an older one. Taken for the removal of the route, that listed all 96 items
+/// of a job as errored, 0.3 s before the owner had read a configuration of
+/// 1,400 routes.
+bool
+JobRunner::Govern(const JobId& aId, OwnedJob& aJob)
+{
+  const ConfigRevision revision = routes_.Config().revision_;
+  if (!routes_.Covers(aJob.acceptedUnder_)) {
+    return false;
+  }
+  if (aJob.limitsOf_ == revision) {
+    return true;
+  }
+  const JobPolicy policy = PolicyOf(aJob);
+  aJob.limitsOf_ = revision;
+  aJob.ledger_.SetPolicy(policy);
+  aJob.deadline_ = aJob.accepted_ + policy.maxQueue_;
+  LogEvent(LogLevel::Info,
+           "job_limits",
+           { { "job", aId.Get() },
+             { "config", std::to_string(revision.Get()) },
+             { "attempts", std::to_string(policy.maxAttempts_) },
+             { "score_attempts", std::to_string(policy.maxScoreFailures_) },
+             { "queue_ms", std::to_string(WholeMillis(policy.maxQueue_)) } });
+  TakeTexts(aJob);
+  aJob.ledger_.GiveUpLate(host_.Now());
+  Score(aId, aJob);
+  PlanFlush();
+  return true;
+}
+
+/// Which texts fit depends on whether the route wants one version for each.
+void
+JobRunner::TakeTexts(OwnedJob& aJob)
+{
+  for (const PartialRecord& partial : std::exchange(aJob.texts_, {})) {
+    const auto item = aJob.ledger_.Find(partial.item_);
+    if (item) {
+      aJob.ledger_.Reuse(*item, partial.text_);
+    }
+  }
+  for (const ItemIndex item : aJob.ledger_.Waiting(host_.Now())) {
+    auto text = partials_.Take(aJob.ledger_.Spec().items_[item].id_);
+    if (text) {
+      aJob.ledger_.Reuse(item, std::move(*text));
+    }
+  }
+}
+
 void
 JobRunner::Dispatch()
 {
@@ -217,8 +267,12 @@
   std::sort(order.begin(), order.end());
   bool waiting = false;
   for (const auto& entry : order) {
+    OwnedJob& job = jobs_.at(entry.second);
+    if (!Govern(entry.second, job)) {
+      continue;
+    }
     std::set<ServiceId> full;
-    DispatchJob(entry.second, jobs_.at(entry.second), full);
+    DispatchJob(entry.second, job, full);
     waiting = waiting || !full.empty();
   }
   host_.Timers().Cancel(retryTimer_);
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -63,26 +63,36 @@
 
   struct OwnedJob
   {
-    OwnedJob(std::string aHost,
+    OwnedJob(const JobSubmissionRecord& aSubmission,
              FencingNumber aFence,
              JobLedger aLedger,
+             std::vector<PartialRecord> aTexts,
              TimePoint aAccepted,
-             TimePoint aDeadline,
              std::uint64_t aSequence)
-      : host_(std::move(aHost))
+      : host_(aSubmission.host_)
+      , path_(aSubmission.path_)
+      , acceptedUnder_(aSubmission.acceptedUnder_)
       , fence_(aFence)
       , ledger_(std::move(aLedger))
+      , texts_(std::move(aTexts))
       , accepted_(aAccepted)
-      , deadline_(aDeadline)
       , sequence_(aSequence)
     {
     }
 
     std::string host_;
+    std::string path_;
+    /// Older configurations cannot tell what is to be done with the job.
+    ConfigRevision acceptedUnder_;
+    /// The configuration that its limits are of; none before one is known that
+    /// can tell. Until then nothing is sent or given up.
+    ConfigRevision limitsOf_{ 0 };
     FencingNumber fence_;
     JobLedger ledger_;
+    /// Texts of an earlier owner, until limits say which of them fit.
+    std::vector<PartialRecord> texts_;
     TimePoint accepted_;
-    TimePoint deadline_;
+    TimePoint deadline_ = kNever;
     std::uint64_t sequence_ = 0;
     bool ended_ = false;
     std::map<ItemIndex, RunId> runs_;
@@ -127,6 +137,11 @@
     std::size_t left_ = 0;
   };
 
+  /// Gives a job the limits of the configuration in force.
+  /// @returns whether that configuration can tell what is to be done with it
+  [[nodiscard]] bool Govern(const JobId& aId, OwnedJob& aJob);
+  [[nodiscard]] JobPolicy PolicyOf(const OwnedJob& aJob) const;
+  void TakeTexts(OwnedJob& aJob);
   void Dispatch();
   void DispatchJob(const JobId& aId,
                    OwnedJob& aJob,
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -233,7 +233,7 @@
   const TimePoint now = host_.Now();
   TimePoint due = kNever;
   for (const auto& [id, job] : jobs_) {
-    if (job.ended_ || job.ledger_.Done()) {
+    if (job.ended_ || job.ledger_.Done() || job.limitsOf_ == ConfigRevision{}) {
       continue;
     }
     const bool ready = !job.ledger_.Listable(now).empty();
@@ -262,7 +262,8 @@
   const TimePoint now = host_.Now();
   Batch batch;
   for (auto& [id, job] : jobs_) {
-    if (job.ended_ || batch.writes_.size() == kJobsAtOnce) {
+    if (job.ended_ || job.limitsOf_ == ConfigRevision{} ||
+        batch.writes_.size() == kJobsAtOnce) {
       continue;
     }
     job.ledger_.GiveUpLate(now);
--- a/src/version/job_record.cpp
+++ b/src/version/job_record.cpp
@@ -127,8 +127,10 @@
 WriteSubmissionRecord(const JobSubmissionRecord& aRecord)
 {
   // The body follows the first line as it was received.
-  return Dump({ { "host", aRecord.host_ }, { "path", aRecord.path_ } }) + '\n' +
-         aRecord.body_;
+  return Dump({ { "host", aRecord.host_ },
+                { "path", aRecord.path_ },
+                { "config", aRecord.acceptedUnder_.Get() } }) +
+         '\n' + aRecord.body_;
 }
 
 Result<JobSubmissionRecord>
@@ -140,7 +142,9 @@
     const std::size_t body = std::min(end + 1, aText.size());
     return JobSubmissionRecord{ head.at("host").get<std::string>(),
                                 head.at("path").get<std::string>(),
-                                std::string(aText.substr(body)) };
+                                std::string(aText.substr(body)),
+                                ConfigRevision{
+                                  head.value("config", std::uint64_t{ 0 }) } };
   });
 }
 
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -53,7 +53,7 @@
                          { platform_->Names().attempt_, aJob.Get() } };
     request.body_ = R"({"model":"m","items":[{"id":"a1","path":"/i/a1",)"
                     R"("headers":{"Model":"m"},"body":"","tokens":1}]})";
-    jobs_.Submit(std::move(request), reply);
+    jobs_.Submit(std::move(request), ConfigRevision{ 1 }, reply);
     timers_.Advance(20ms);
     return reply->status_;
   }
--- a/tests/test_job_routes.cpp
+++ b/tests/test_job_routes.cpp
@@ -72,6 +72,82 @@
   REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Running);
 }
 
+TEST_CASE(
+  "an owner whose configuration is older than its job's gives up nothing")
+{
+  JobFixture fix;
+  fix.submission_.acceptedUnder_ = ConfigRevision{ 3 };
+  RoutingConfig older = JobFixture::Config(2);
+  older.routes_.clear();
+  fix.routes_.Apply(older);
+  fix.Accept(1);
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.Stored().empty());
+  REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Waiting);
+
+  fix.routes_.Apply(JobFixture::Config(3));
+  fix.runner_.OnBoardChanged();
+  REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Running);
+}
+
+TEST_CASE("a job without known limits is not given up when its time is over")
+{
+  JobFixture fix(2, false);
+  fix.Accept(1);
+  fix.timers_.Advance(120s);
+  REQUIRE(fix.Stored().empty());
+  fix.routes_.Apply(JobFixture::Config(1));
+  fix.runner_.OnBoardChanged();
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.Stored().size() == 1);
+}
+
+TEST_CASE("texts of an earlier owner wait for the limits that say what fits")
+{
+  JobFixture fix(2, false);
+  PartialText mixed;
+  mixed.text_ = "a";
+  mixed.lastEvent_ = 1;
+  mixed.versions_ = { WeightVersion{ 5 }, WeightVersion{ 6 } };
+  mixed.whole_ = true;
+  fix.runner_.Add(kJob,
+                  FencingNumber{ 9 },
+                  fix.submission_,
+                  JobFixture::MakeSpec(1),
+                  {},
+                  { { ItemId{ "item0" }, mixed } },
+                  {});
+  REQUIRE(fix.client_.sent_ == 0);
+  RoutingConfig single = JobFixture::Config(1);
+  single.routes_.front().singleVersion_ = true;
+  fix.routes_.Apply(single);
+  fix.runner_.OnBoardChanged();
+  REQUIRE(fix.Call().call_.url_ == "http://e0:1/i/0");
+  REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_).empty());
+}
+
+TEST_CASE("a job whose host names a port runs by the routes of the host")
+{
+  JobFixture fix;
+  fix.submission_.host_ = "h:80";
+  fix.Accept(1);
+  REQUIRE(fix.Call().call_.url_ == "http://e0:1/i/0");
+}
+
+TEST_CASE("the configuration that a job was accepted under is kept with it")
+{
+  const JobSubmissionRecord record{
+    "h", "/i/job", "{}\n\n", ConfigRevision{ 24 }
+  };
+  const auto read = ReadSubmissionRecord(WriteSubmissionRecord(record));
+  REQUIRE(read.value().acceptedUnder_ == ConfigRevision{ 24 });
+  REQUIRE(read.value().body_ == record.body_);
+  // A record of an earlier form names none: any known configuration will do.
+  const auto earlier =
+    ReadSubmissionRecord("{\"host\":\"h\",\"path\":\"/p\"}\n{}");
+  REQUIRE(earlier.value().acceptedUnder_ == ConfigRevision{ 0 });
+}
+
 TEST_CASE("items whose route was removed are given up")
 {
   JobFixture fix;
