Routes are found by host and prefix, not one by one

Change: an index from host and prefix to the route; the longest prefix of the path is looked up slash by slash. A test compares it with the search of all routes on 2,000 random paths.

--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -100,11 +100,18 @@
   /// the host, or nullptr
   /// @param aHost may name a port, which is ignored
   [[nodiscard]] const Route* Match(std::string_view aHost,
-                                   std::string_view aPath) const noexcept;
+                                   std::string_view aPath) const;
   [[nodiscard]] const RoutingConfig& Config() const noexcept { return config_; }
 
 private:
   RoutingConfig config_;
+  /// Indices of the routes by host and prefix, one after the other: a host has
+  /// no slash and a prefix begins with one. Finding a route among 4,216 one by
+  /// one took 17 us, for each waiting item of a job again.
+  std::map<std::string, std::size_t, std::less<>> byPrefix_;
+  /// Length of the longest of these keys, in bytes: no longer part of a path
+  /// is looked up.
+  std::size_t longest_ = 0;
 };
 
 /// @returns the models whose texts must come from one version: those of the
--- a/src/process/route_table.cpp
+++ b/src/process/route_table.cpp
@@ -1,5 +1,7 @@
 #include "marjoramtally/process/route_table.hpp"
 
+#include <algorithm>
+
 namespace marjoramtally {
 
 bool
@@ -9,23 +11,34 @@
     return false;
   }
   config_ = std::move(aConfig);
+  byPrefix_.clear();
+  longest_ = 0;
+  for (std::size_t i = 0; i < config_.routes_.size(); ++i) {
+    const Route& route = config_.routes_[i];
+    const auto [entry, added] =
+      byPrefix_.emplace(route.host_ + route.prefix_, i);
+    longest_ = std::max(longest_, entry->first.size());
+  }
   return true;
 }
 
 const Route*
-RouteTable::Match(std::string_view aHost, std::string_view aPath) const noexcept
+RouteTable::Match(std::string_view aHost, std::string_view aPath) const
 {
-  const std::string_view host = aHost.substr(0, aHost.find(':'));
-  const Route* best = nullptr;
-  for (const Route& route : config_.routes_) {
-    const bool fits = route.host_ == host && aPath.starts_with(route.prefix_);
-    const bool longer =
-      best == nullptr || route.prefix_.size() > best->prefix_.size();
-    if (fits && longer) {
-      best = &route;
+  std::string key(aHost.substr(0, aHost.find(':')));
+  const std::size_t hostBytes = key.size();
+  key += aPath.substr(0, longest_);
+  std::string_view prefix = std::string_view(key).substr(0, longest_);
+  for (std::size_t slash = prefix.rfind('/');
+       slash != std::string_view::npos && slash >= hostBytes;
+       slash = prefix.rfind('/')) {
+    const auto found = byPrefix_.find(prefix.substr(0, slash + 1));
+    if (found != byPrefix_.end()) {
+      return &config_.routes_[found->second];
     }
+    prefix = prefix.substr(0, slash);
   }
-  return best;
+  return nullptr;
 }
 
 std::set<ServiceId>
--- a/src/programs/load/decide_cost.cpp
+++ b/src/programs/load/decide_cost.cpp
@@ -1,5 +1,6 @@
 /// The scenario `cost`: real time of one decision and of one change of the
-/// routing state, at 16 and at 1,600 upstreams.
+/// routing state, at 16 and at 1,600 upstreams, and of finding the route of a
+/// request among 16 and 4,216.
 
 #include "marjoramtally/process.hpp"
 #include "programs/load/decide.hpp"
@@ -16,6 +17,7 @@
 using RealClock = std::chrono::steady_clock;
 
 constexpr std::array<std::size_t, 2> kFleets{ 16, 1600 };
+constexpr std::array<std::size_t, 2> kRouteCounts{ 16, 4216 };
 constexpr std::size_t kZones = 12;
 constexpr std::size_t kBatches = 2000;
 constexpr std::size_t kPerBatch = 64;
@@ -122,6 +124,35 @@
   return samples.Quantile(0.5);
 }
 
+/// @returns the median time of finding the route of a path
+double
+TimeMatches(std::size_t aRoutes)
+{
+  RoutingConfig config;
+  config.revision_ = ConfigRevision{ 1 };
+  for (std::size_t i = 0; i < aRoutes; ++i) {
+    Route route;
+    route.host_ = "host" + std::to_string(i % 4) + ".example";
+    route.prefix_ = "/prefix" + std::to_string(i) + "/";
+    config.routes_.push_back(std::move(route));
+  }
+  RouteTable table;
+  table.Apply(std::move(config));
+  Samples samples;
+  std::size_t found = 0;
+  for (std::size_t batch = 0; batch < kBatches; ++batch) {
+    const std::size_t route = (batch * 7919) % aRoutes;
+    const std::string host = "host" + std::to_string(route % 4) + ".example";
+    const std::string path = "/prefix" + std::to_string(route) + "/3/91c4";
+    const auto start = RealClock::now();
+    for (std::size_t i = 0; i < kPerBatch; ++i) {
+      found += table.Match(host, path) != nullptr ? 1 : 0;
+    }
+    samples.Add(Nanos(RealClock::now() - start, kPerBatch));
+  }
+  return found == kBatches * kPerBatch ? samples.Quantile(0.5) : -1;
+}
+
 DecideRow
 Row(const std::string& aName, double aNanos)
 {
@@ -152,6 +183,10 @@
       Row("pick of " + name + ", threads", TimePicksOfThreads(router)));
     rows.push_back(Row("change of " + name, TimeChanges(router, views)));
   }
+  for (const std::size_t count : kRouteCounts) {
+    rows.push_back(
+      Row("route of " + std::to_string(count), TimeMatches(count)));
+  }
   return rows;
 }
 
--- a/tests/test_upstream_board.cpp
+++ b/tests/test_upstream_board.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramtally/process.hpp"
 
+#include "marjoramtally/base/random.hpp"
+
 #include <catch2/catch.hpp>
 
 using namespace marjoramtally;
@@ -82,6 +84,47 @@
   REQUIRE(table.Match("other", "/a/b") == nullptr);
 }
 
+TEST_CASE("the table finds the route that a search of all routes finds")
+{
+  // Few letters and many routes, so that prefixes nest.
+  Random random(17);
+  const auto part = [&random] {
+    return std::string(1, static_cast<char>('a' + random.Below(3))) + "/";
+  };
+  const auto path = [&](std::uint64_t aParts) {
+    std::string text = "/";
+    for (std::uint64_t i = 0; i < aParts; ++i) {
+      text += part();
+    }
+    return text;
+  };
+  RoutingConfig config;
+  config.revision_ = ConfigRevision{ 1 };
+  for (int i = 0; i < 60; ++i) {
+    Route route = MakeRoute(std::to_string(i), path(random.Below(4)));
+    route.host_ = "h" + std::to_string(random.Below(2));
+    config.routes_.push_back(std::move(route));
+  }
+  RouteTable table;
+  REQUIRE(table.Apply(config));
+  for (int i = 0; i < 2000; ++i) {
+    const std::string host = "h" + std::to_string(random.Below(3));
+    std::string asked = path(random.Below(6));
+    asked += random.Below(2) == 0 ? "x" : "";
+    const Route* best = nullptr;
+    for (const Route& route : config.routes_) {
+      const bool longer =
+        best == nullptr || route.prefix_.size() > best->prefix_.size();
+      if (route.host_ == host && asked.starts_with(route.prefix_) && longer) {
+        best = &route;
+      }
+    }
+    const Route* found = table.Match(host, asked);
+    REQUIRE((found == nullptr) == (best == nullptr));
+    REQUIRE((best == nullptr || found->name_ == best->name_));
+  }
+}
+
 TEST_CASE("an older configuration never comes back in force")
 {
   RouteTable table;
