Tests: jobs of which something cannot be read

Three tests fail: the body of an item is denied with 404 where the submission could not be read or not whole; a page says a total of 0 where the owner record could not be read, whether it was found in the store or by the watch; and a page says that there are no results where their record could not be read or one before them is missing.

--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -128,3 +128,151 @@
   REQUIRE(fix.Owner(kJob).empty());
   REQUIRE(fix.jobs_.Idle());
 }
+
+namespace {
+
+const JobId kForeign{ "f0" };
+const std::string kHead = "{\"host\":\"h\",\"path\":\"/i/f0\"}\n";
+
+/// @returns items of a submission as they stand in its list
+std::string
+Items(const std::vector<std::string>& aIds)
+{
+  std::string items;
+  for (const std::string& id : aIds) {
+    items += (items.empty() ? "" : ",");
+    items += R"({"id":")" + id + R"(","path":"/i/a1","headers":{"Model":"m"},)";
+    items += R"("body":"aGk=","tokens":1})";
+  }
+  return items;
+}
+
+/// A job of two items that another process owns.
+struct ForeignFixture : Fixture
+{
+  ForeignFixture()
+  {
+    Put(job_keys::Life("other~1"), WriteLifeRecord({ ZoneId{ "z" }, "a:2" }));
+    Put(job_keys::Owner(kForeign), WriteOwnerRecord({ "other~1", 2, 0 }));
+    PutPart(0, kHead + R"({"model":"m","items":[)" + Items({ "a1", "a2" }));
+    PutPart(1, "]}");
+  }
+
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    GatewayFakes::store_.Put(aKey, aValue);
+    timers_.Advance(10ms);
+  }
+
+  void PutPart(int aNumber, const std::string& aText)
+  {
+    Put(job_keys::Submission(kForeign) + "000" + std::to_string(aNumber),
+        aText);
+  }
+
+  void RemovePart(int aNumber)
+  {
+    GatewayFakes::store_.Remove(job_keys::Submission(kForeign) + "000" +
+                                std::to_string(aNumber));
+  }
+
+  std::shared_ptr<FakeReply> Ask(JobQuery::Verb aVerb,
+                                 const std::string& aItem = "")
+  {
+    JobQuery query;
+    query.job_ = kForeign;
+    query.verb_ = aVerb;
+    query.item_ = ItemId{ aItem };
+    const auto reply = std::make_shared<FakeReply>();
+    jobs_.Query(query, HttpRequest{}, reply);
+    timers_.Advance(50ms);
+    return reply;
+  }
+};
+
+} // namespace
+
+// A trainer asked for the body of an item and read 404, "no such item", of an
+// item that its job has; it does not come again after 404. The order: the
+// process that was asked did not own the job; it read the submission from the
+// store, could not read all of it, and searched the item in an empty job.
+// Cause: a submission that could not be read stood for one without items.
+TEST_CASE("an item of a submission that cannot be read is not denied")
+{
+  ForeignFixture fix;
+  REQUIRE(fix.Ask(JobQuery::Verb::Body, "a2")->body_ == "hi");
+  REQUIRE(fix.Ask(JobQuery::Verb::Body, "a3")->status_ == 404);
+  SECTION("its last part is missing")
+  {
+    fix.RemovePart(1);
+  }
+  SECTION("its first part is missing")
+  {
+    fix.RemovePart(0);
+  }
+  SECTION("all parts are missing")
+  {
+    fix.RemovePart(0);
+    fix.RemovePart(1);
+  }
+  SECTION("what is there can be read but is not all")
+  {
+    fix.PutPart(0, kHead + R"({"model":"m","items":[)" + Items({ "a1" }));
+  }
+  SECTION("it is not a submission")
+  {
+    fix.PutPart(0, "none at all");
+  }
+  const auto reply = fix.Ask(JobQuery::Verb::Body, "a2");
+  REQUIRE(reply->status_ == 503);
+  REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
+}
+
+// A trainer read a page that said its job has 0 items, took the step for
+// empty and trained on nothing. The order: the process that was asked found
+// the job's owner record, in the store or by its watch, and could not read
+// it. Cause: an owner record that could not be read counted as one of a job
+// of 0 items.
+TEST_CASE("a job whose owner record cannot be read has no total")
+{
+  ForeignFixture fix;
+  REQUIRE(fix.Ask(JobQuery::Verb::Read)->status_ == 200);
+  const bool watched = GENERATE(false, true);
+  fix.GatewayFakes::store_.Remove(job_keys::Owner(kForeign));
+  fix.timers_.Advance(10ms);
+  fix.GatewayFakes::store_.deaf_ = !watched;
+  fix.Put(job_keys::Owner(kForeign), "no record");
+  const auto reply = fix.Ask(JobQuery::Verb::Read);
+  REQUIRE(reply->status_ == 503);
+  REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
+  // It exists, so it can be ended.
+  REQUIRE(fix.Ask(JobQuery::Verb::End)->status_ == 200);
+  REQUIRE(fix.GatewayFakes::store_.records_.contains(job_keys::End(kForeign)));
+}
+
+// A trainer that had read a result at one gateway read at another that there
+// was none at this position. The order: the other gateway did not own the
+// job, its owner did not answer, and the record of these results in the store
+// could not be read, or the one before it was not among those read. Cause: a
+// reading that came to nothing counted as one that found nothing.
+TEST_CASE("results that cannot be read are not taken for none")
+{
+  ForeignFixture fix;
+  JobResult result;
+  result.id_ = ItemId{ "a1" };
+  result.completed_ = true;
+  const std::string record = WriteResultsRecord({ result });
+  SECTION("a record is unreadable")
+  {
+    fix.Put(job_keys::ResultsAt(kForeign, 0), "no results");
+  }
+  SECTION("a record is missing before another")
+  {
+    fix.Put(job_keys::ResultsAt(kForeign, 1), record);
+  }
+  REQUIRE(fix.Ask(JobQuery::Verb::Read)->status_ == 503);
+  fix.Put(job_keys::ResultsAt(kForeign, 0), record);
+  const auto reply = fix.Ask(JobQuery::Verb::Read);
+  REQUIRE(reply->status_ == 200);
+  REQUIRE(reply->body_.find("a1") != std::string::npos);
+}
