Results that could not be read are not answered as none

Cause: a reading of a foreign job's results from the store counted as made once the store had answered, also if a record of the answer could not be read or the next one was missing before another. The page then said that nothing stands at a position at which another gateway may have shown a result.

Change: such a reading counts as failed and the caller is told to come back (503); the missing record is logged. Records that another reading has taken meanwhile are still passed over.

Ruled out: that the number of results held here ends within a record. The owner lists whole records only, so what it answers ends where a record does.

--- a/src/programs/gatewayd/remote_results.cpp
+++ b/src/programs/gatewayd/remote_results.cpp
@@ -86,10 +86,8 @@
     lastKey,
     [this, aJob, done = std::move(aDone)](const Result<StoreRange>& aRange) {
       const auto it = known_.find(aJob);
-      if (aRange && it != known_.end()) {
-        TakeRecords(aJob, it->second, aRange.value().records_);
-      }
-      done(aRange.has_value());
+      done(aRange && it != known_.end() &&
+           TakeRecords(aJob, it->second, aRange.value().records_));
     });
 }
 
@@ -108,7 +106,9 @@
             std::back_inserter(aKnown.results_));
 }
 
-void
+/// What cannot be read is not taken for what is not there: a reader may have
+/// seen it elsewhere.
+bool
 RemoteResults::TakeRecords(const JobId& aJob,
                            Known& aKnown,
                            std::vector<StoreRecord> aRecords)
@@ -120,19 +120,28 @@
             });
   for (const StoreRecord& record : aRecords) {
     const std::size_t held = aKnown.results_.size();
-    if (record.key_ != job_keys::ResultsAt(aJob, held)) {
+    const std::string next = job_keys::ResultsAt(aJob, held);
+    if (record.key_ < next) {
+      // Another reading was faster.
       continue;
     }
+    if (record.key_ > next) {
+      LogEvent(LogLevel::Error,
+               "record_missing",
+               { { "key", next }, { "found", record.key_ } });
+      return false;
+    }
     auto results = ReadResultsRecord(record.value_);
     if (!results) {
       LogEvent(
         LogLevel::Error,
         "record_unreadable",
         { { "key", record.key_ }, { "error", results.error().message_ } });
-      return;
+      return false;
     }
     Append(aKnown, held, std::move(results).value());
   }
+  return true;
 }
 
 void
--- a/src/programs/gatewayd/remote_results.hpp
+++ b/src/programs/gatewayd/remote_results.hpp
@@ -38,7 +38,8 @@
   static void Append(Known& aKnown,
                      std::uint64_t aPosition,
                      std::vector<JobResult> aResults);
-  static void TakeRecords(const JobId& aJob,
+  /// @returns whether all records were read, none missing before another
+  static bool TakeRecords(const JobId& aJob,
                           Known& aKnown,
                           std::vector<StoreRecord> aRecords);
   void ForgetOld();
