Test: an ended job whose owner record cannot be read

It fails: 30 s after the end the job's records are gone, since the directory lists the job with an empty record, which says that it was accepted at time 0.

--- a/tests/test_job_directory.cpp
+++ b/tests/test_job_directory.cpp
@@ -151,3 +151,25 @@
   REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(fresh, 0)));
   REQUIRE(fakes.store_.records_.contains(job_keys::ResultsAt(open, 0)));
 }
+
+// A trainer ended its job and read its results for the last time half a minute
+// later: 404, though results are kept for longer. The order: the job's owner
+// record was written in a form that a gateway could not read, the job was
+// ended, and that gateway looked for old jobs. Cause: it listed the job with an
+// empty record, by which the job was accepted in 1970.
+TEST_CASE("an ended job whose owner record cannot be read is not removed")
+{
+  DirectoryFixture fix;
+  const JobId job{ "unreadable" };
+  fix.store_.Put(job_keys::Owner(job), R"({"owner":"other~1"})");
+  fix.store_.Put(job_keys::Submission(job) + "0000", "x");
+  fix.store_.Put(job_keys::End(job), "");
+  fix.store_.Remove(job_keys::Life("other~1"));
+  fix.timers_.Advance(31s);
+  REQUIRE(fix.store_.records_.contains(job_keys::Owner(job)));
+  REQUIRE(fix.store_.records_.contains(job_keys::Submission(job) + "0000"));
+  // It is listed once it can be read.
+  REQUIRE(fix.directory_.Find(job) == nullptr);
+  fix.store_.Put(job_keys::Owner(job), WriteOwnerRecord({ "other~1", 3, 0 }));
+  REQUIRE(fix.directory_.Find(job)->ended_);
+}
