An owner record that cannot be read says nothing of its job but that it exists

Cause: where an owner record could not be read, the directory listed its job with an empty record, and a read that asked the store noted a total of 0. So a page said that the job has 0 items, and the job counted as accepted at time 0: once ended it was removed within 30 s instead of after the time for which results are kept.

Change: a job is listed only with what its record says; until then each call asks the store. A total that is not known is no total: the page is refused (503) with a line in the log. The end of such a job and its items go on as before, since they need no total or notice that it is missing.

Ruled out: refusing every call about such a job in the look-up itself. It would also refuse the end of a job that does exist.

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -297,14 +297,28 @@
                      } else if (!aOwner.value()) {
                        aReply->Send(NoSuchJob());
                      } else {
-                       const auto record =
-                         ReadOwnerRecord(aOwner.value()->value_);
-                       totals_[aJob] = record ? record.value().total_ : 0;
+                       NoteTotal(aJob, *aOwner.value());
                        known();
                      }
                    });
 }
 
+/// A record that cannot be read still says that the job exists; its total is
+/// unknown then, which is not a total of 0.
+void
+JobApi::NoteTotal(const JobId& aJob, const StoreRecord& aOwner)
+{
+  const auto record = ReadOwnerRecord(aOwner.value_);
+  if (record) {
+    totals_[aJob] = record.value().total_;
+    return;
+  }
+  totals_.erase(aJob);
+  LogEvent(LogLevel::Error,
+           "record_unreadable",
+           { { "key", aOwner.key_ }, { "error", record.error().message_ } });
+}
+
 void
 JobApi::Body(const JobQuery& aQuery, HttpReplyPtr aReply)
 {
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -68,7 +68,9 @@
   void SendPage(const JobId& aJob,
                 std::uint64_t aAfter,
                 const HttpReplyPtr& aReply);
-  [[nodiscard]] std::uint64_t TotalOf(const JobId& aJob) const;
+  /// @returns the number of a job's items; nothing if that is not known
+  [[nodiscard]] std::optional<std::uint64_t> TotalOf(const JobId& aJob) const;
+  void NoteTotal(const JobId& aJob, const StoreRecord& aOwner);
   void EndWait(const JobId& aJob, const HttpReplyPtr& aReply);
   void Wake(const JobId& aJob);
   void Body(const JobQuery& aQuery, HttpReplyPtr aReply);
--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -1,5 +1,7 @@
 #include "programs/gatewayd/job_api.hpp"
 
+#include "marjoramtally/runtime/log.hpp"
+
 #include <algorithm>
 
 namespace marjoramtally {
@@ -27,7 +29,7 @@
   });
 }
 
-std::uint64_t
+std::optional<std::uint64_t>
 JobApi::TotalOf(const JobId& aJob) const
 {
   if (const JobLedger* ledger = runner_.Find(aJob)) {
@@ -37,7 +39,7 @@
     return known->record_.total_;
   }
   const auto total = totals_.find(aJob);
-  return total == totals_.end() ? 0 : total->second;
+  return total == totals_.end() ? std::nullopt : std::optional(total->second);
 }
 
 void
@@ -45,12 +47,20 @@
                  std::uint64_t aAfter,
                  const HttpReplyPtr& aReply)
 {
+  const auto total = TotalOf(aJob);
+  if (!total) {
+    // A caller would take a page with a wrong total for the truth.
+    LogEvent(LogLevel::Warn, "job_total_unknown", { { "job", aJob.Get() } });
+    aReply->Send(
+      RefusedResponse("the job's record cannot be read", kJobComeBack));
+    return;
+  }
   const JobLedger* ledger = runner_.Find(aJob);
   const std::vector<JobResult>& remote = remote_.Of(aJob);
   const std::size_t count =
     ledger != nullptr ? ledger->Listed().size() : remote.size();
   ResultPage page;
-  page.total_ = TotalOf(aJob);
+  page.total_ = *total;
   page.next_ = aAfter;
   std::size_t bytes = 0;
   for (; page.next_ < count; ++page.next_) {
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -133,10 +133,12 @@
 JobDirectory::TakeOwner(const JobId& aJob, const StoreRecord& aRecord)
 {
   const FencingNumber fence{ aRecord.modRevision_ };
-  KnownJob& known = jobs_[aJob];
-  if (fence <= known.fence_) {
+  const auto present = jobs_.find(aJob);
+  if (present != jobs_.end() && fence <= present->second.fence_) {
     return;
   }
+  // A job enters the list only with what its record says: an empty entry would
+  // count as a job of no items, accepted so long ago that it can be removed.
   auto record = ReadOwnerRecord(aRecord.value_);
   if (!record) {
     LogEvent(LogLevel::Error,
@@ -144,6 +146,7 @@
              { { "key", aRecord.key_ }, { "error", record.error().message_ } });
     return;
   }
+  KnownJob& known = jobs_[aJob];
   known.record_ = std::move(record).value();
   known.fence_ = fence;
   known.ended_ = known.ended_ || endsEarly_.contains(aJob);
