An item is denied only by a submission that was read whole

Cause: the body of an item of a foreign job was looked for in an empty job if the submission could not be read, or in a part of the job if a part of the submission was missing and the rest made sense by itself. The caller then read 404 of an item that the job has, and does not come again after 404.

Change: a submission counts as read if it holds as many items as the job's record says; else the caller is told to come back (503), with a line in the log that names the job and what was wrong. The load of a job of ours uses the same check.

Ruled out: a count of the parts instead of the items. It would need a further field in records that are written already; the total is there.

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -149,12 +149,8 @@
                            [this, aJob, aFence] { LoadOwned(aJob, aFence); });
       return;
     }
-    auto spec =
-      host_.Formats().ReadSubmission(aStored.value().submission_.body_);
+    auto spec = ReadSpec(aJob, aStored.value().submission_);
     if (!spec) {
-      LogEvent(LogLevel::Error,
-               "job_unreadable",
-               { { "job", aJob.Get() }, { "error", spec.error().message_ } });
       return;
     }
     const auto age = std::chrono::milliseconds(
@@ -319,6 +315,26 @@
            { { "key", aOwner.key_ }, { "error", record.error().message_ } });
 }
 
+/// The items are counted against the job's record: parts that are missing may
+/// leave text that can be read.
+Result<JobSpec>
+JobApi::ReadSpec(const JobId& aJob, const JobSubmissionRecord& aStored) const
+{
+  auto spec = host_.Formats().ReadSubmission(aStored.body_);
+  if (spec && spec.value().items_.size() != TotalOf(aJob)) {
+    spec = Error{ ErrorKind::BadInput,
+                  "the submission holds " +
+                    std::to_string(spec.value().items_.size()) +
+                    " items, which is not the number in the job's record" };
+  }
+  if (!spec) {
+    LogEvent(LogLevel::Error,
+             "job_unreadable",
+             { { "job", aJob.Get() }, { "error", spec.error().message_ } });
+  }
+  return spec;
+}
+
 void
 JobApi::Body(const JobQuery& aQuery, HttpReplyPtr aReply)
 {
@@ -342,14 +358,19 @@
   }
   IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, answer, aReply] {
     const auto take =
-      [this, answer, aReply](const Result<JobSubmissionRecord>& aStored) {
-        if (!aStored) {
-          aReply->Send(
-            RefusedResponse("the store cannot be asked", kJobComeBack));
+      [this, job, answer, aReply](const Result<JobSubmissionRecord>& aStored) {
+        // An item is denied only by a submission that was read whole.
+        const auto spec = aStored ? ReadSpec(job, aStored.value())
+                                  : Result<JobSpec>(aStored.error());
+        if (spec) {
+          answer(spec.value());
           return;
         }
-        const auto spec = host_.Formats().ReadSubmission(aStored.value().body_);
-        answer(spec ? spec.value() : JobSpec{});
+        LogEvent(LogLevel::Warn,
+                 "item_not_read",
+                 { { "job", job.Get() }, { "error", spec.error().message_ } });
+        aReply->Send(
+          RefusedResponse("the submission cannot be read", kJobComeBack));
       };
     store_.LoadSubmission(job, take);
   });
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -73,6 +73,11 @@
   void NoteTotal(const JobId& aJob, const StoreRecord& aOwner);
   void EndWait(const JobId& aJob, const HttpReplyPtr& aReply);
   void Wake(const JobId& aJob);
+  /// @returns the items of a stored submission; an error, which is logged, if
+  /// it cannot be read or is not whole
+  [[nodiscard]] Result<JobSpec> ReadSpec(
+    const JobId& aJob,
+    const JobSubmissionRecord& aStored) const;
   void Body(const JobQuery& aQuery, HttpReplyPtr aReply);
   void End(const JobQuery& aQuery, HttpReplyPtr aReply);
   /// Looks a job up that the directory does not know; calls `aKnown` if it
