Tests: a job's submission and the orders' configuration not read yet

Three tests fail: an owner that could not read the submission of its job, or only a part of it, never reads it again; an order goes out, with runs going on, 3 s before any configuration could be read; and a holder of the orders that begins a new turn gives an order by the configuration of its last turn.

--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -276,3 +276,29 @@
   REQUIRE(reply->status_ == 200);
   REQUIRE(reply->body_.find("a1") != std::string::npos);
 }
+
+// The results of a job stayed away for ever. The order: its owner started
+// again, claimed it and read a submission that it could not make sense of or
+// that was not whole; the owner lived on, so that nobody else claimed the job.
+// Cause: an owner looked at the submission of its job once, and one reading
+// that came to nothing was final.
+TEST_CASE("a job of ours that could not be read is read again")
+{
+  ForeignFixture fix;
+  SECTION("its last part was missing")
+  {
+    fix.RemovePart(1);
+  }
+  SECTION("what was there could be read but was not all")
+  {
+    fix.PutPart(0, kHead + R"({"model":"m","items":[)" + Items({ "a1" }));
+  }
+  fix.Put(job_keys::Owner(kForeign), WriteOwnerRecord({ "self~0", 2, 0 }));
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.Owner(kForeign) == "self~1");
+  REQUIRE_FALSE(fix.runner_.Owns(kForeign));
+  fix.PutPart(0, kHead + R"({"model":"m","items":[)" + Items({ "a1", "a2" }));
+  fix.PutPart(1, "]}");
+  fix.timers_.Advance(6s);
+  REQUIRE(fix.runner_.Owns(kForeign));
+}
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -228,3 +228,90 @@
   fix.timers_.Advance(300ms);
   REQUIRE(fix.client_.sent_ == 1);
 }
+
+namespace {
+
+/// A holder that has an order to give; the test says what it reads of the
+/// configuration.
+struct UnreadConfigFixture : GatewayFakes
+{
+  OrderDuty duty_{ context_ };
+
+  UnreadConfigFixture()
+  {
+    settings_.fencing_ = true;
+    store_.Put("servers/i-1",
+               R"({"service":"lm","address":"e:1","zone":"z","slots":1,)"
+               R"("state":"ready","models":[{"name":"m","version":1}]})");
+    store_.Put("op/version/m", R"({"model":"m","version":2})");
+  }
+
+  void PutConfig(bool aSingle)
+  {
+    store_.Put(
+      "op/config",
+      std::string(R"({"version":1,"routes":[{"host":"h","prefix":"/j/",)"
+                  R"("kind":"rollout","service":"lm","single_version":)") +
+        (aSingle ? "true" : "false") +
+        R"(}],"services":[{"name":"lm","engine":{"models":[{"name":"m"}]}}]})");
+  }
+
+  /// Answers a report, then @returns the order.
+  std::string Order()
+  {
+    REQUIRE(client_.open_.size() == 1);
+    client_.Answer(client_.Oldest(),
+                   JsonResponse(200, R"({"busy":false,"seq":0,"models":[]})"));
+    timers_.Advance(20ms);
+    REQUIRE(client_.open_.size() == 1);
+    return client_.Oldest().call_.body_;
+  }
+};
+
+} // namespace
+
+// A trainer that asked for texts of one version each read texts of two. The
+// order: a process began to give orders, read upstreams and named versions at
+// once, and the configuration only later, since the store gave it late or not
+// in a form that could be read; it ordered a new version with the runs going
+// on. Cause: a process that had read no configuration took all models for ones
+// whose texts may change their version.
+TEST_CASE("no order goes out before the configuration was read")
+{
+  UnreadConfigFixture fix;
+  SECTION("it is not there yet") {}
+  SECTION("it cannot be read")
+  {
+    fix.store_.Put("op/config", "no config");
+  }
+  fix.duty_.Start();
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.client_.sent_ == 0);
+  fix.PutConfig(true);
+  // It is looked for often as long as orders wait for it.
+  fix.timers_.Advance(600ms);
+  REQUIRE(fix.Order().find(R"("mode":"block")") != std::string::npos);
+}
+
+// The same, of a process that gave orders before: it lost the duty for a
+// while, in which a route came to want one version for each text, and went on
+// by the configuration that it had read in its last turn. Cause: what was read
+// under an earlier turn counted as the present.
+TEST_CASE("a holder that begins anew reads the configuration anew")
+{
+  UnreadConfigFixture fix;
+  fix.PutConfig(false);
+  fix.duty_.Start();
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.Order().find(R"("mode":"continue")") != std::string::npos);
+  // Another process has the duty meanwhile.
+  fix.client_.Answer(fix.client_.Oldest(), HttpResponse{ 412, {}, {} });
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.client_.open_.empty());
+  fix.store_.Put("op/config", "no config");
+  fix.timers_.Advance(5s);
+  REQUIRE(fix.client_.open_.empty());
+  fix.PutConfig(true);
+  fix.timers_.Advance(600ms);
+  REQUIRE(fix.Order().find(R"("mode":"block")") != std::string::npos);
+}
