Tests of orders run with a configuration in the store

Their stores held none, which no deployment does: the first configuration is written before traffic starts. Orders are about to wait for it. What the tests ask for is unchanged, and they pass before that change as after it.

--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -9,10 +9,20 @@
 using namespace marjoramtally::test;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A configuration whose only service is that of the upstreams here.
+constexpr const char* kConfig =
+  R"({"version":1,"routes":[{"host":"h","prefix":"/j/","kind":"rollout",)"
+  R"("service":"lm"}],"services":[{"name":"lm"}]})";
+
+} // namespace
+
 TEST_CASE("a holder whose lease came late orders once it is renewed")
 {
   GatewayFakes fakes;
   fakes.settings_.fencing_ = true;
+  fakes.store_.Put("op/config", kConfig);
   fakes.store_.Put(
     "servers/i-1",
     R"({"service":"lm","address":"e:1","zone":"z","slots":1,"state":"ready",
@@ -69,6 +79,7 @@
   DutyFixture()
   {
     settings_.fencing_ = true;
+    store_.Put("op/config", kConfig);
     Register(1000);
     store_.Put("op/version/m", R"({"model":"m","version":2})");
     duty_.Start();
@@ -177,6 +188,7 @@
   {
     settings_.fencing_ = false;
     settings_.orderTurn_ = 3s;
+    store_.Put("op/config", kConfig);
     store_.Put("servers/i-1",
                R"({"service":"lm","address":"e:1","zone":"z","slots":1,)"
                R"("state":"ready","models":[{"name":"m","version":1}]})");
