An owner that could not make sense of its job's submission looks again

Cause: one reading of a submission that was not whole, or could not be read, was final for its owner. Nobody else claims a job whose owner lives, so that its results stayed away until that process ended.

Change: it is read again, every 3 s; a reading without an answer still every 300 ms. What is stored seldom changes, so the pause is ten times as long.

Ruled out: giving the job back. Each next owner would read the same and give it back too, each time at the price of a write.

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -15,6 +15,9 @@
 constexpr auto kHandOverTime = std::chrono::milliseconds(3200);
 /// A job's owner record that could not be loaded is tried again.
 constexpr auto kLoadAgain = std::chrono::milliseconds(300);
+/// So is a submission that could not be made sense of, a tenth as often: what
+/// was accepted seldom changes, and each look is some priced calls.
+constexpr auto kReadAgain = std::chrono::seconds(3);
 constexpr std::size_t kLongestId = 100;
 
 std::int64_t
@@ -145,12 +148,13 @@
         LogLevel::Warn,
         "job_load_failed",
         { { "job", aJob.Get() }, { "error", aStored.error().message_ } });
-      host_.Timers().After(kLoadAgain,
-                           [this, aJob, aFence] { LoadOwned(aJob, aFence); });
-      return;
     }
-    auto spec = ReadSpec(aJob, aStored.value().submission_);
+    auto spec = aStored ? ReadSpec(aJob, aStored.value().submission_)
+                        : Result<JobSpec>(aStored.error());
     if (!spec) {
+      // We are its owner, so that nobody else would look at it.
+      host_.Timers().After(aStored ? Duration{ kReadAgain } : kLoadAgain,
+                           [this, aJob, aFence] { LoadOwned(aJob, aFence); });
       return;
     }
     const auto age = std::chrono::milliseconds(
