Orders wait for the configuration of the present turn

Cause: the set of models whose texts need one version each is empty before the configuration is read, and an empty set stood for 'runs go on'. Upstreams and versions are read at the same time as the configuration, so an order could go out before it; where it was missing or could not be read, for 10 s and more. A holder that lost the duty and got it back went on by what it had read in its last turn. The services were unknown in the same way, and all passed as named.

Change: no order goes out until the configuration was read in this turn. It is asked for first and, as long as none is known, every 0.5 s instead of every 10 s. Once one is known, a later one that cannot be read is logged and leaves it in force. A reading that failed is logged.

What it costs: the wait for one answer of the store that was asked for before the others. Reading a large configuration takes a small instance up to 0.7 s, but it holds the process's only loop, so nothing was sent meanwhile before either.

Ruled out: orders of the kind that lets runs finish while nothing is known.

--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -197,6 +197,9 @@
 OrderDuty::Follow()
 {
   active_ = true;
+  // What was read in an earlier turn may have changed since.
+  services_.reset();
+  singleVersion_.clear();
   ReadConfig(++term_);
   const StorePlaces& places = host_.Formats().Places();
   const auto follow = [this](const std::string& aPrefix,
@@ -227,28 +230,26 @@
 void
 OrderDuty::ReadConfig(std::uint64_t aTerm)
 {
-  const std::string& key = host_.Formats().Places().config_;
   host_.PlatformStore().Read(
-    key, [this, aTerm, key](const Result<StoreRange>& aRange) {
+    host_.Formats().Places().config_,
+    [this, aTerm](const Result<StoreRange>& aRange) {
       if (!active_ || term_ != aTerm) {
         return;
       }
       if (aRange) {
-        for (const StoreRecord& record : aRange.value().records_) {
-          const auto config = host_.Formats().ReadConfig(record.value_);
-          if (record.key_ == key && config) {
-            singleVersion_ = SingleVersionModels(config.value());
-            services_ = ServicesOf(config.value());
-            Plan();
-          } else if (!config) {
-            LogEvent(LogLevel::Error,
-                     "config_unreadable",
-                     { { "error", config.error().message_ } });
-          }
-        }
+        TakeConfig(aRange.value());
+      } else {
+        LogEvent(LogLevel::Warn,
+                 "config_not_read",
+                 { { "error", aRange.error().message_ } });
+      }
+      if (term_ != aTerm) {
+        return;
       }
+      // As long as none is known, orders wait for it.
+      const bool known = aRange && services_;
       const auto pause =
-        aRange ? Duration{ kConfigPause } : Duration{ kRestTime };
+        known ? Duration{ kConfigPause } : Duration{ kRestTime };
       host_.Timers().After(pause, [this, aTerm] {
         if (active_ && term_ == aTerm) {
           ReadConfig(aTerm);
@@ -257,6 +258,27 @@
     });
 }
 
+void
+OrderDuty::TakeConfig(const StoreRange& aRange)
+{
+  for (const StoreRecord& record : aRange.records_) {
+    if (record.key_ != host_.Formats().Places().config_) {
+      continue;
+    }
+    const auto config = host_.Formats().ReadConfig(record.value_);
+    if (!config) {
+      LogEvent(LogLevel::Error,
+               "config_unreadable",
+               { { "error", config.error().message_ },
+                 { "orders", services_ ? "go on by the last" : "wait" } });
+      continue;
+    }
+    singleVersion_ = SingleVersionModels(config.value());
+    services_ = ServicesOf(config.value());
+    Plan();
+  }
+}
+
 void
 OrderDuty::TakeUpstream(const StoreRecord& aRecord)
 {
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -73,10 +73,11 @@
   /// Reads which services there are and which models' texts must come from one
   /// version, now and again.
   void ReadConfig(std::uint64_t aTerm);
-  /// @returns whether the configuration names the service, as far as known
+  void TakeConfig(const StoreRange& aRange);
+  /// @returns whether the configuration is known and names the service
   [[nodiscard]] bool Named(const ServiceId& aService) const
   {
-    return !services_ || services_->contains(aService);
+    return services_ && services_->contains(aService);
   }
   void TakeUpstream(const StoreRecord& aRecord);
   void TakeVersion(const StoreRecord& aRecord);
@@ -110,7 +111,7 @@
   WeightPlan plan_;
   /// Models whose runs finish before a change of their version.
   std::set<std::string> singleVersion_;
-  /// Services of the configuration; none before it was read.
+  /// Services of the configuration; none before it was read in this turn.
   std::optional<std::set<ServiceId>> services_;
   /// Services of upstreams for which it was read once more.
   std::set<ServiceId> unnamed_;
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -35,7 +35,9 @@
 void
 OrderDuty::Plan()
 {
-  if (!active_ || !duty_.Held()) {
+  // Without a configuration it is not known whether runs have to finish before
+  // a change, nor which upstreams are the system's: orders wait for it.
+  if (!active_ || !duty_.Held() || !services_) {
     return;
   }
   LookUpServices();
