Nothing is denied by rules that were not read yet

Cause: before a process has read any rules its view holds rules without content. An entry answered 404 by them, and a control process said that there is no such trainer, which an entry passes on as 404. Both open their doors at once and are not ready until rules are known, but callers that hold an address and entries that ask a control process do not wait for that.

Change: until rules are known an entry refuses (503, not run, come back) and logs it, and a control process answers that it cannot say, upon which the entry asks another.

Looked at and left: a generation that an entry refuses as of an unknown service is tried again whatever the reason; a control process without rules claims no upstream and allocates nothing.

--- a/include/marjoramtally/version/rules.hpp
+++ b/include/marjoramtally/version/rules.hpp
@@ -145,6 +145,14 @@
   OrdersRule orders_;
 };
 
+/// @returns whether any rules were read; before that they do not say what there
+/// is, so that nothing may be denied by them
+[[nodiscard]] inline bool
+Known(const Rules& aRules) noexcept
+{
+  return aRules.revision_ != ConfigRevision{ 0 };
+}
+
 /// One file of the rules folder.
 struct RulesFile
 {
--- a/src/programs/controld/trainer_operations.cpp
+++ b/src/programs/controld/trainer_operations.cpp
@@ -71,6 +71,11 @@
 {
   const auto rules = host_.Members().View()->rules_;
   const auto rule = rules->trainers_.find(aRequest.trainer_);
+  if (!Known(*rules)) {
+    // An entry asks another process then; `NotFound` it would pass on.
+    aDone(Error{ ErrorKind::Unavailable, "no rules are known here yet" });
+    return;
+  }
   if (rule == rules->trainers_.end()) {
     aDone(Error{ ErrorKind::NotFound,
                  "unknown trainer '" + aRequest.trainer_.Get() + "'" });
--- a/src/programs/entryd/entry.cpp
+++ b/src/programs/entryd/entry.cpp
@@ -11,6 +11,18 @@
 constexpr std::string_view kServicePath = "/v1/services/";
 constexpr std::string_view kTrainerPath = "/v1/trainers/";
 constexpr std::string_view kCompletionPath = "/v1/completions";
+/// A caller that came before any rules were read comes back; the store is read
+/// every second by default (`DaemonSettings::refresh_`).
+constexpr const char* kComeBackSeconds = "1";
+
+HttpResponse
+RefuseUntilKnown()
+{
+  HttpResponse response =
+    RefuseInput(503, "no_rules", "no rules are known here yet");
+  response.headers_.push_back({ "Retry-After", kComeBackSeconds });
+  return response;
+}
 
 } // namespace
 
@@ -44,7 +56,13 @@
 void
 Entry::OnHttp(HttpRequest aRequest, const HttpReplyPtr& aReply)
 {
-  if (aRequest.path_.starts_with(kServicePath)) {
+  if (!Known(*host_.Members().View()->rules_)) {
+    // Callers take 404 for final.
+    LogEvent(LogLevel::Info,
+             "refused",
+             { { "path", aRequest.path_ }, { "why", "no rules yet" } });
+    aReply->Send(RefuseUntilKnown());
+  } else if (aRequest.path_.starts_with(kServicePath)) {
     ServeCall(aRequest, aReply);
   } else if (aRequest.path_ == kCompletionPath) {
     ServeCompletion(aRequest, aReply);
