--- a/src/programs/controld/allocation_service.hpp
+++ b/src/programs/controld/allocation_service.hpp
@@ -14,6 +14,8 @@
 public:
   AllocationService(Host& aHost, Owners& aOwners);
   void Start();
+  /// One round of all services; comes by itself once started.
+  void Tick();
 
 private:
   struct Pool
@@ -27,7 +29,6 @@
     std::string published_;
   };
 
-  void Tick();
   void Run(const ClusterView& aView,
            const ServiceRule& aRule,
            FencingNumber aTerm);
