A new owner of an allocation reads what was published before it

Cause: a process that became the owner took over the roles that stood in its view. The view is read apart from the ownership: it is empty after a start until the first reading succeeded, and may be older than the last owner's last change. Engines whose role it lacked counted as nobody's and were given out anew, each move an order of role.

Change: the roles are read from the store once the ownership is known, and nothing is shared out before that reading succeeded; the next round, a second later, tries again. A record that cannot be read is logged and taken for none, since nobody else would ever mend it. The reading is asked for without the lock, as a store whose budget is spent answers within the call.

Ruled out: waiting until the view was read once. It may be older still.

--- a/src/programs/controld/allocation_service.cpp
+++ b/src/programs/controld/allocation_service.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace marjoramtally {
 
@@ -71,10 +72,10 @@
     owners_.Acquire(
       "allocation/" + id.Get(),
       [this, view, service = rule](const Result<Ownership>& aOwned) {
-        const std::lock_guard lock(mutex_);
         if (aOwned && aOwned.value().mine_) {
-          Run(*view, service, aOwned.value().term_);
+          Run(view, service, aOwned.value().term_);
         } else {
+          const std::lock_guard lock(mutex_);
           pools_.erase(service.id_);
         }
       });
@@ -82,19 +83,69 @@
 }
 
 void
-AllocationService::Run(const ClusterView& aView,
+AllocationService::Run(const ClusterViewPtr& aView,
                        const ServiceRule& aRule,
                        FencingNumber aTerm)
 {
-  Pool& pool = pools_[aRule.id_];
-  pool.allocation_.SetUsers(UsersOf(aView, aRule));
-  pool.allocation_.SetEngines(EnginesOf(aView, aRule));
-  if (pool.term_ != aTerm) {
-    pool.term_ = aTerm;
-    Adopt(aView, aRule, pool);
+  {
+    const std::lock_guard lock(mutex_);
+    Pool& pool = pools_[aRule.id_];
+    pool.allocation_.SetUsers(UsersOf(*aView, aRule));
+    pool.allocation_.SetEngines(EnginesOf(*aView, aRule));
+    if (pool.term_ != aTerm) {
+      pool.term_ = aTerm;
+      pool.adopted_ = false;
+      pool.reading_ = false;
+    }
+    if (pool.adopted_) {
+      Round(*aView, aRule, pool);
+      return;
+    }
+    if (std::exchange(pool.reading_, true)) {
+      return;
+    }
   }
-  TakeDemand(pool);
-  for (const EngineMove& move : pool.allocation_.Decide(host_.Now())) {
+  ReadRoles(aView, aRule, aTerm);
+}
+
+/// The view may be older than our ownership, or not have been read at all: by
+/// it, engines that were shared out would count as nobody's.
+void
+AllocationService::ReadRoles(const ClusterViewPtr& aView,
+                             const ServiceRule& aRule,
+                             FencingNumber aTerm)
+{
+  const std::string key = std::string(kRolePrefix) + aRule.id_.Get();
+  host_.PlatformStore().Read(
+    key, [this, aView, aRule, aTerm, key](const Result<StoreRange>& aRoles) {
+      const std::lock_guard lock(mutex_);
+      const auto it = pools_.find(aRule.id_);
+      if (it == pools_.end() || it->second.term_ != aTerm) {
+        return;
+      }
+      Pool& pool = it->second;
+      pool.reading_ = false;
+      if (!aRoles) {
+        // The next round reads again.
+        LogEvent(LogLevel::Warn,
+                 "roles_not_read",
+                 { { "service", aRule.id_.Get() },
+                   { "error", aRoles.error().message_ } });
+        return;
+      }
+      Adopt(aRoles.value(), key, pool);
+      pool.adopted_ = true;
+      Round(*aView, aRule, pool);
+    });
+}
+
+void
+AllocationService::Round(const ClusterView& aView,
+                         const ServiceRule& aRule,
+                         Pool& aPool)
+{
+  TakeDemand(aPool);
+  for (const EngineMove& move : aPool.allocation_.Decide(host_.Now())) {
     LogEvent(LogLevel::Info,
              "engine_moved",
              { { "upstream", move.engine_.Get() },
@@ -104,19 +155,30 @@
     host_.Measures().Count("engine_moves{urgent=\"" +
                            std::string(move.urgent_ ? "yes" : "no") + "\"}");
   }
-  Publish(aRule.id_, pool);
+  Publish(aRule.id_, aPool);
   Sample(aView, aRule);
 }
 
 void
-AllocationService::Adopt(const ClusterView& aView,
-                         const ServiceRule& aRule,
+AllocationService::Adopt(const StoreRange& aRoles,
+                         const std::string& aKey,
                          Pool& aPool)
 {
-  for (const UpstreamId& engine : EnginesOf(aView, aRule)) {
-    const auto role = aView.roles_.find(engine);
-    if (role != aView.roles_.end()) {
-      aPool.allocation_.Adopt(engine, EngineUserId{ role->second });
+  for (const StoreRecord& record : aRoles.records_) {
+    if (record.key_ != aKey) {
+      continue;
+    }
+    const auto roles = nlohmann::json::parse(record.value_, nullptr, false);
+    if (!roles.is_object()) {
+      // Only owners write it, so that waiting would not make it readable.
+      LogEvent(LogLevel::Error, "store_record_unreadable", { { "key", aKey } });
+      continue;
+    }
+    for (const auto& [engine, user] : roles.items()) {
+      if (user.is_string()) {
+        aPool.allocation_.Adopt(UpstreamId{ engine },
+                                EngineUserId{ user.get<std::string>() });
+      }
     }
   }
 }
--- a/src/programs/controld/allocation_service.hpp
+++ b/src/programs/controld/allocation_service.hpp
@@ -22,6 +22,9 @@
   {
     Allocation allocation_{ AllocationPolicy{} };
     FencingNumber term_;
+    /// What was published before this term was taken over.
+    bool adopted_ = false;
+    bool reading_ = false;
     /// Sum and number of the loads sampled in this round, by user.
     std::map<EngineUserId, std::pair<double, std::uint64_t>> sampled_;
     bool writing_ = false;
@@ -29,11 +32,19 @@
     std::string published_;
   };
 
-  void Run(const ClusterView& aView,
+  void Run(const ClusterViewPtr& aView,
            const ServiceRule& aRule,
            FencingNumber aTerm);
+  /// One round of an allocation that is known.
+  void Round(const ClusterView& aView, const ServiceRule& aRule, Pool& aPool);
+  /// Reads what was published last, then goes on with the round.
+  void ReadRoles(const ClusterViewPtr& aView,
+                 const ServiceRule& aRule,
+                 FencingNumber aTerm);
   /// Takes over what the last owner published.
-  void Adopt(const ClusterView& aView, const ServiceRule& aRule, Pool& aPool);
+  static void Adopt(const StoreRange& aRoles,
+                    const std::string& aKey,
+                    Pool& aPool);
   void TakeDemand(Pool& aPool);
   void Sample(const ClusterView& aView, const ServiceRule& aRule);
   void Publish(const ServiceId& aService, Pool& aPool);
