--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -327,3 +327,25 @@
   fix.timers_.Advance(600ms);
   REQUIRE(fix.Order().find(R"("mode":"block")") != std::string::npos);
 }
+
+// New weights reached fewer upstreams than there were, for the rest of the day.
+// The order: the store dropped its history, and before the watch of upstreams
+// was opened anew one of them had left; the new reading did not hold it, yet it
+// was still a home of its model and was asked for its state over and over.
+// Cause: of a whole reading only what it holds was taken, not what it lacks.
+TEST_CASE("an upstream that is missing from a whole reading gets no orders")
+{
+  DutyFixture fix;
+  REQUIRE(fix.OldestPath() == "http://e:1/report");
+  fix.store_.deaf_ = true;
+  fix.store_.Remove("servers/i-1");
+  fix.store_.TellBatch("servers/", StoreWatchBatch{ true, false, 0, {} });
+  fix.timers_.Advance(100ms);
+  const std::size_t sent = fix.client_.sent_;
+  fix.client_.Fail(fix.client_.Oldest(), HttpEnd::NotSent);
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.client_.sent_ == sent);
+  fix.store_.deaf_ = false;
+  fix.Register(2000);
+  REQUIRE(fix.OldestPath() == "http://e:1/report");
+}
