An upstream that a whole reading lacks gets no orders

Cause: the holder of the orders took of a whole reading of upstreams what it holds, not what it lacks. Where the store dropped its history, an upstream that left before the new reading stayed a home of its models and was asked for its state every half second for as long as the turn lasted.

Change: what a whole reading lacks is forgotten, as gateways do and as a removal that the watch tells of. One that registers again is taken up anew.

Ruled out: forgetting at the first call that finds nobody. An upstream that cannot be reached for a moment keeps its place.

--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -219,12 +219,17 @@
       }
     };
     follower->onSettled_ = [this] { Plan(); };
-    follower->Start();
     return follower;
   };
   upstreams_ = follow(places.upstreams_, &OrderDuty::TakeUpstream);
+  upstreams_->onAll_ = [this](const StoreRange& aRange) {
+    TakeUpstreams(aRange);
+  };
   versions_ = follow(places.versions_, &OrderDuty::TakeVersion);
   retirements_ = follow(places.retirements_, &OrderDuty::TakeRetirement);
+  upstreams_->Start();
+  versions_->Start();
+  retirements_->Start();
 }
 
 void
@@ -279,6 +284,21 @@
   }
 }
 
+/// What left while no watch was open is told of only by being missing here; it
+/// would stay a home of its models that no order reaches.
+void
+OrderDuty::TakeUpstreams(const StoreRange& aRange)
+{
+  std::set<UpstreamId> listed;
+  for (const StoreRecord& record : aRange.records_) {
+    listed.insert(host_.Formats().UpstreamOf(record.key_));
+    TakeUpstream(record);
+  }
+  std::erase_if(targets_, [&](const auto& aTarget) {
+    return !listed.contains(aTarget.first);
+  });
+}
+
 void
 OrderDuty::TakeUpstream(const StoreRecord& aRecord)
 {
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -79,6 +79,8 @@
   {
     return services_ && services_->contains(aService);
   }
+  /// Takes a whole reading.
+  void TakeUpstreams(const StoreRange& aRange);
   void TakeUpstream(const StoreRecord& aRecord);
   void TakeVersion(const StoreRecord& aRecord);
   void TakeRetirement(const StoreRecord& aRecord);
