--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -183,7 +183,7 @@
     query.job_ = kForeign;
     query.verb_ = aVerb;
     query.item_ = ItemId{ aItem };
-    const auto reply = std::make_shared<FakeReply>();
+    auto reply = std::make_shared<FakeReply>();
     jobs_.Query(query, HttpRequest{}, reply);
     timers_.Advance(50ms);
     return reply;
--- a/tests/test_unknown_rules.cpp
+++ b/tests/test_unknown_rules.cpp
@@ -41,7 +41,7 @@
   request.method_ = "POST";
   request.path_ = aPath;
   request.body_ = aBody;
-  const auto reply = std::make_shared<FakeReply>();
+  auto reply = std::make_shared<FakeReply>();
   aHost.onHttp_(std::move(request), reply);
   return reply;
 }
