--- a/src/programs/controld/allocation_service.hpp
+++ b/src/programs/controld/allocation_service.hpp
@@ -14,12 +14,17 @@
 public:
   AllocationService(Host& aHost, Owners& aOwners);
   void Start();
+  /// One round of all services; comes by itself once started.
+  void Tick();
 
 private:
   struct Pool
   {
     Allocation allocation_{ AllocationPolicy{} };
     FencingNumber term_;
+    /// What was published before this term was taken over.
+    bool adopted_ = false;
+    bool reading_ = false;
     /// Sum and number of the loads sampled in this round, by user.
     std::map<EngineUserId, std::pair<double, std::uint64_t>> sampled_;
     bool writing_ = false;
@@ -27,12 +32,19 @@
     std::string published_;
   };
 
-  void Tick();
-  void Run(const ClusterView& aView,
+  void Run(const ClusterViewPtr& aView,
            const ServiceRule& aRule,
            FencingNumber aTerm);
+  /// One round of an allocation that is known.
+  void Round(const ClusterView& aView, const ServiceRule& aRule, Pool& aPool);
+  /// Reads what was published last, then goes on with the round.
+  void ReadRoles(const ClusterViewPtr& aView,
+                 const ServiceRule& aRule,
+                 FencingNumber aTerm);
   /// Takes over what the last owner published.
-  void Adopt(const ClusterView& aView, const ServiceRule& aRule, Pool& aPool);
+  static void Adopt(const StoreRange& aRoles,
+                    const std::string& aKey,
+                    Pool& aPool);
   void TakeDemand(Pool& aPool);
   void Sample(const ClusterView& aView, const ServiceRule& aRule);
   void Publish(const ServiceId& aService, Pool& aPool);
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -15,6 +15,9 @@
 constexpr auto kHandOverTime = std::chrono::milliseconds(3200);
 /// A job's owner record that could not be loaded is tried again.
 constexpr auto kLoadAgain = std::chrono::milliseconds(300);
+/// So is a submission that could not be made sense of, a tenth as often: what
+/// was accepted seldom changes, and each look is some priced calls.
+constexpr auto kReadAgain = std::chrono::seconds(3);
 constexpr std::size_t kLongestId = 100;
 
 std::int64_t
@@ -145,16 +148,13 @@
         LogLevel::Warn,
         "job_load_failed",
         { { "job", aJob.Get() }, { "error", aStored.error().message_ } });
-      host_.Timers().After(kLoadAgain,
-                           [this, aJob, aFence] { LoadOwned(aJob, aFence); });
-      return;
     }
-    auto spec =
-      host_.Formats().ReadSubmission(aStored.value().submission_.body_);
+    auto spec = aStored ? ReadSpec(aJob, aStored.value().submission_)
+                        : Result<JobSpec>(aStored.error());
     if (!spec) {
-      LogEvent(LogLevel::Error,
-               "job_unreadable",
-               { { "job", aJob.Get() }, { "error", spec.error().message_ } });
+      // We are its owner, so that nobody else would look at it.
+      host_.Timers().After(aStored ? Duration{ kReadAgain } : kLoadAgain,
+                           [this, aJob, aFence] { LoadOwned(aJob, aFence); });
       return;
     }
     const auto age = std::chrono::milliseconds(
@@ -300,14 +300,48 @@
                      } else if (!aOwner.value()) {
                        aReply->Send(NoSuchJob());
                      } else {
-                       const auto record =
-                         ReadOwnerRecord(aOwner.value()->value_);
-                       totals_[aJob] = record ? record.value().total_ : 0;
+                       NoteTotal(aJob, *aOwner.value());
                        known();
                      }
                    });
 }
 
+/// A record that cannot be read still says that the job exists; its total is
+/// unknown then, which is not a total of 0.
+void
+JobApi::NoteTotal(const JobId& aJob, const StoreRecord& aOwner)
+{
+  const auto record = ReadOwnerRecord(aOwner.value_);
+  if (record) {
+    totals_[aJob] = record.value().total_;
+    return;
+  }
+  totals_.erase(aJob);
+  LogEvent(LogLevel::Error,
+           "record_unreadable",
+           { { "key", aOwner.key_ }, { "error", record.error().message_ } });
+}
+
+/// The items are counted against the job's record: parts that are missing may
+/// leave text that can be read.
+Result<JobSpec>
+JobApi::ReadSpec(const JobId& aJob, const JobSubmissionRecord& aStored) const
+{
+  auto spec = host_.Formats().ReadSubmission(aStored.body_);
+  if (spec && spec.value().items_.size() != TotalOf(aJob)) {
+    spec = Error{ ErrorKind::BadInput,
+                  "the submission holds " +
+                    std::to_string(spec.value().items_.size()) +
+                    " items, which is not the number in the job's record" };
+  }
+  if (!spec) {
+    LogEvent(LogLevel::Error,
+             "job_unreadable",
+             { { "job", aJob.Get() }, { "error", spec.error().message_ } });
+  }
+  return spec;
+}
+
 void
 JobApi::Body(const JobQuery& aQuery, HttpReplyPtr aReply)
 {
@@ -331,14 +365,19 @@
   }
   IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, answer, aReply] {
     const auto take =
-      [this, answer, aReply](const Result<JobSubmissionRecord>& aStored) {
-        if (!aStored) {
-          aReply->Send(
-            RefusedResponse("the store cannot be asked", kJobComeBack));
+      [this, job, answer, aReply](const Result<JobSubmissionRecord>& aStored) {
+        // An item is denied only by a submission that was read whole.
+        const auto spec = aStored ? ReadSpec(job, aStored.value())
+                                  : Result<JobSpec>(aStored.error());
+        if (spec) {
+          answer(spec.value());
           return;
         }
-        const auto spec = host_.Formats().ReadSubmission(aStored.value().body_);
-        answer(spec ? spec.value() : JobSpec{});
+        LogEvent(LogLevel::Warn,
+                 "item_not_read",
+                 { { "job", job.Get() }, { "error", spec.error().message_ } });
+        aReply->Send(
+          RefusedResponse("the submission cannot be read", kJobComeBack));
       };
     store_.LoadSubmission(job, take);
   });
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -71,9 +71,16 @@
   void SendPage(const JobId& aJob,
                 std::uint64_t aAfter,
                 const HttpReplyPtr& aReply);
-  [[nodiscard]] std::uint64_t TotalOf(const JobId& aJob) const;
+  /// @returns the number of a job's items; nothing if that is not known
+  [[nodiscard]] std::optional<std::uint64_t> TotalOf(const JobId& aJob) const;
+  void NoteTotal(const JobId& aJob, const StoreRecord& aOwner);
   void EndWait(const JobId& aJob, const HttpReplyPtr& aReply);
   void Wake(const JobId& aJob);
+  /// @returns the items of a stored submission; an error, which is logged, if
+  /// it cannot be read or is not whole
+  [[nodiscard]] Result<JobSpec> ReadSpec(
+    const JobId& aJob,
+    const JobSubmissionRecord& aStored) const;
   void Body(const JobQuery& aQuery, HttpReplyPtr aReply);
   void End(const JobQuery& aQuery, HttpReplyPtr aReply);
   /// Looks a job up that the directory does not know; calls `aKnown` if it
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -9,10 +9,20 @@
 using namespace marjoramtally::test;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A configuration whose only service is that of the upstreams here.
+constexpr const char* kConfig =
+  R"({"version":1,"routes":[{"host":"h","prefix":"/j/","kind":"rollout",)"
+  R"("service":"lm"}],"services":[{"name":"lm"}]})";
+
+} // namespace
+
 TEST_CASE("a holder whose lease came late orders once it is renewed")
 {
   GatewayFakes fakes;
   fakes.settings_.fencing_ = true;
+  fakes.store_.Put("op/config", kConfig);
   fakes.store_.Put(
     "servers/i-1",
     R"({"service":"lm","address":"e:1","zone":"z","slots":1,"state":"ready",
@@ -69,6 +79,7 @@
   DutyFixture()
   {
     settings_.fencing_ = true;
+    store_.Put("op/config", kConfig);
     Register(1000);
     store_.Put("op/version/m", R"({"model":"m","version":2})");
     duty_.Start();
@@ -177,6 +188,7 @@
   {
     settings_.fencing_ = false;
     settings_.orderTurn_ = 3s;
+    store_.Put("op/config", kConfig);
     store_.Put("servers/i-1",
                R"({"service":"lm","address":"e:1","zone":"z","slots":1,)"
                R"("state":"ready","models":[{"name":"m","version":1}]})");
@@ -228,3 +240,112 @@
   fix.timers_.Advance(300ms);
   REQUIRE(fix.client_.sent_ == 1);
 }
+
+namespace {
+
+/// A holder that has an order to give; the test says what it reads of the
+/// configuration.
+struct UnreadConfigFixture : GatewayFakes
+{
+  OrderDuty duty_{ context_ };
+
+  UnreadConfigFixture()
+  {
+    settings_.fencing_ = true;
+    store_.Put("servers/i-1",
+               R"({"service":"lm","address":"e:1","zone":"z","slots":1,)"
+               R"("state":"ready","models":[{"name":"m","version":1}]})");
+    store_.Put("op/version/m", R"({"model":"m","version":2})");
+  }
+
+  void PutConfig(bool aSingle)
+  {
+    store_.Put(
+      "op/config",
+      std::string(R"({"version":1,"routes":[{"host":"h","prefix":"/j/",)"
+                  R"("kind":"rollout","service":"lm","single_version":)") +
+        (aSingle ? "true" : "false") +
+        R"(}],"services":[{"name":"lm","engine":{"models":[{"name":"m"}]}}]})");
+  }
+
+  /// Answers a report, then @returns the order.
+  std::string Order()
+  {
+    REQUIRE(client_.open_.size() == 1);
+    client_.Answer(client_.Oldest(),
+                   JsonResponse(200, R"({"busy":false,"seq":0,"models":[]})"));
+    timers_.Advance(20ms);
+    REQUIRE(client_.open_.size() == 1);
+    return client_.Oldest().call_.body_;
+  }
+};
+
+} // namespace
+
+// A trainer that asked for texts of one version each read texts of two. The
+// order: a process began to give orders, read upstreams and named versions at
+// once, and the configuration only later, since the store gave it late or not
+// in a form that could be read; it ordered a new version with the runs going
+// on. Cause: a process that had read no configuration took all models for ones
+// whose texts may change their version.
+TEST_CASE("no order goes out before the configuration was read")
+{
+  UnreadConfigFixture fix;
+  SECTION("it is not there yet") {}
+  SECTION("it cannot be read")
+  {
+    fix.store_.Put("op/config", "no config");
+  }
+  fix.duty_.Start();
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.client_.sent_ == 0);
+  fix.PutConfig(true);
+  // It is looked for often as long as orders wait for it.
+  fix.timers_.Advance(600ms);
+  REQUIRE(fix.Order().find(R"("mode":"block")") != std::string::npos);
+}
+
+// The same, of a process that gave orders before: it lost the duty for a
+// while, in which a route came to want one version for each text, and went on
+// by the configuration that it had read in its last turn. Cause: what was read
+// under an earlier turn counted as the present.
+TEST_CASE("a holder that begins anew reads the configuration anew")
+{
+  UnreadConfigFixture fix;
+  fix.PutConfig(false);
+  fix.duty_.Start();
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.Order().find(R"("mode":"continue")") != std::string::npos);
+  // Another process has the duty meanwhile.
+  fix.client_.Answer(fix.client_.Oldest(), HttpResponse{ 412, {}, {} });
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.client_.open_.empty());
+  fix.store_.Put("op/config", "no config");
+  fix.timers_.Advance(5s);
+  REQUIRE(fix.client_.open_.empty());
+  fix.PutConfig(true);
+  fix.timers_.Advance(600ms);
+  REQUIRE(fix.Order().find(R"("mode":"block")") != std::string::npos);
+}
+
+// New weights reached fewer upstreams than there were, for the rest of the day.
+// The order: the store dropped its history, and before the watch of upstreams
+// was opened anew one of them had left; the new reading did not hold it, yet it
+// was still a home of its model and was asked for its state over and over.
+// Cause: of a whole reading only what it holds was taken, not what it lacks.
+TEST_CASE("an upstream that is missing from a whole reading gets no orders")
+{
+  DutyFixture fix;
+  REQUIRE(fix.OldestPath() == "http://e:1/report");
+  fix.store_.deaf_ = true;
+  fix.store_.Remove("servers/i-1");
+  fix.store_.TellBatch("servers/", StoreWatchBatch{ true, false, 0, {} });
+  fix.timers_.Advance(100ms);
+  const std::size_t sent = fix.client_.sent_;
+  fix.client_.Fail(fix.client_.Oldest(), HttpEnd::NotSent);
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.client_.sent_ == sent);
+  fix.store_.deaf_ = false;
+  fix.Register(2000);
+  REQUIRE(fix.OldestPath() == "http://e:1/report");
+}
