Log which request an answer names, and over which connection it came

The trace of answers in the wrong place needed both: `attempt_ended` (debug, one line an attempt) tells status, the id that the answer names, this end's port and whether the call was the first on its connection; `item_whole` and `run_interrupted` tell the latter two of items. `HttpResult` carries them.

--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -52,6 +52,11 @@
   HttpResponse response_;
   /// The library's message unless `end_` is `Whole`.
   std::string message_;
+  /// Port of this end of the connection, which tells connections to one
+  /// address apart; 0 if there was none.
+  std::uint16_t localPort_ = 0;
+  /// The call was the first on its connection.
+  bool opened_ = false;
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -283,6 +283,25 @@
   EndAttempt(aFlight, CallVerdict::Abandoned);
 }
 
+/// Which request an answer names and which connection brought it: where answers
+/// come in the wrong place, this tells whose they are.
+void
+Forwarder::LogEnd(const Flight& aFlight, const HttpResult& aResult) const
+{
+  const HttpResponse& head =
+    aFlight.stream_ ? aFlight.stream_->head_ : aResult.response_;
+  const auto echo = FindHeader(head.headers_, host_.Formats().Names().attempt_);
+  LogEvent(LogLevel::Debug,
+           "attempt_ended",
+           { { "id", aFlight.request_.attempt_ },
+             { "upstream", aFlight.upstream_.Get() },
+             { "whole", aResult.end_ == HttpEnd::Whole ? "yes" : "no" },
+             { "status", std::to_string(head.status_) },
+             { "names", std::string(echo.value_or("nothing")) },
+             { "port", std::to_string(aResult.localPort_) },
+             { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
+}
+
 void
 Forwarder::OnResult(ForwardId aId, std::uint32_t aAttempt, HttpResult aResult)
 {
@@ -290,6 +309,7 @@
   if (flight == nullptr) {
     return;
   }
+  LogEnd(*flight, aResult);
   if (flight->stream_) {
     OnStreamEnd(aId, *flight, std::move(aResult));
   } else if (aResult.end_ == HttpEnd::Whole) {
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -127,6 +127,7 @@
   [[nodiscard]] HttpCall MakeCall(const Flight& aFlight,
                                   const UpstreamEntry& aUpstream) const;
   void OnResult(ForwardId aId, std::uint32_t aAttempt, HttpResult aResult);
+  void LogEnd(const Flight& aFlight, const HttpResult& aResult) const;
   /// An attempt gave no whole answer.
   void OnAttemptFailed(ForwardId aId,
                        Flight& aFlight,
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -207,7 +207,9 @@
              { { "item", aJob.ledger_.Spec().items_[aRun.item_].id_.Get() },
                { "job", aRun.job_.Get() },
                { "upstream", aRun.upstream_.Get() },
-               { "events", std::to_string(aRun.events_) } });
+               { "events", std::to_string(aRun.events_) },
+               { "port", std::to_string(aResult.localPort_) },
+               { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
     return;
   }
   if (whole && aRun.status_ == 200 && !aRun.parser_.Partial()) {
@@ -228,7 +230,9 @@
              { "not_run", aRun.notRun_ ? "yes" : "no" },
              { "events", std::to_string(aRun.events_) },
              { "fault", aRun.fault_ },
-             { "error", aResult.message_ } });
+             { "error", aResult.message_ },
+             { "port", std::to_string(aResult.localPort_) },
+             { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
   if (whole && (aRun.notRun_ || aRun.status_ == 421)) {
     if (aRun.status_ == 421) {
       board_.OnReplaced(aRun.upstream_, now);
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -198,6 +198,12 @@
   } else {
     result.message_ = curl_easy_strerror(aCode);
   }
+  long port = 0;
+  long opened = 0;
+  curl_easy_getinfo(easy_, CURLINFO_LOCAL_PORT, &port);
+  curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &opened);
+  result.localPort_ = static_cast<std::uint16_t>(port);
+  result.opened_ = opened > 0;
   result.response_ = std::move(response_);
   return result;
 }
