Only an answer that names its request counts; a doubted connection is closed

- `Forwarder::Doubt` and `JobRunner::OnHead` want the id back in every answer, refusals and failures too: a late 503 must not promise that a request has not run, nor a late 200 without an event prove an item's text whole.
- Whether an answer is believed is asked with its head, while the call is in progress (`HttpCall::onHead_` returns it, for plain calls as well), and a refused one closes its connection.
- A score call or an item whose run failed, and a request without an id, go out over a new connection: there a late second answer cannot be told from the present call's by its id.

--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -35,14 +35,18 @@
   Duration connectTimeout_ = std::chrono::seconds(2);
   /// Use a connection of its own, so that the library never sends twice.
   bool atMostOnce_ = false;
+  /// Use a connection that no call was sent on before.
+  bool newConnection_ = false;
   /// Called on a client thread for each piece of a body, if set; the result
   /// then carries no body. Return false to cancel.
   std::function<bool(std::string_view)> onData_;
   /// Asked before each piece, if set; on false no more is received, and the
   /// sender is held back, until `HttpClient::Resume`.
   std::function<bool()> mayReceive_;
-  /// Called once with the status before the first piece, if set.
-  std::function<void(int, const HttpHeaders&)> onHead_;
+  /// Called once with the head of an answer, before any piece, if set. Return
+  /// false if the answer is not believed: the call then ends as cancelled, and
+  /// its connection, on which the call's own answer may still come, is closed.
+  std::function<bool(int, const HttpHeaders&)> onHead_;
 };
 
 /// What came of a call.
--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -110,6 +110,11 @@
   void OnNothingLeft(ItemIndex aItem, TimePoint aNow);
   /// The upstream answered that the run failed.
   void OnRunFailed(ItemIndex aItem, TimePoint aNow);
+  /// @returns whether an upstream has answered so
+  [[nodiscard]] bool RunFailed(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].failures_ > 0;
+  }
   /// The upstream answered that the item can never be done.
   void OnImpossible(ItemIndex aItem, TimePoint aNow);
 
@@ -119,6 +124,11 @@
   void OnScoreFailed(ItemIndex aItem, std::uint32_t aFailures, TimePoint aNow);
   /// @returns how often the scorer may still report a failure
   [[nodiscard]] std::uint32_t ScoreAttemptsLeft(ItemIndex aItem) const noexcept;
+  /// @returns whether the scorer has reported a failure
+  [[nodiscard]] bool ScoreFailed(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].scoreFailures_ > 0;
+  }
 
   /// Gives up items that waited too long.
   void GiveUpLate(TimePoint aNow);
--- a/src/programs/entryd/stream_relay.cpp
+++ b/src/programs/entryd/stream_relay.cpp
@@ -40,6 +40,7 @@
   const auto self = shared_from_this();
   aCall.onHead_ = [self](int aStatus, const HttpHeaders&) {
     self->status_ = aStatus;
+    return true;
   };
   aCall.onData_ = [self](std::string_view aBytes) {
     return self->OnData(aBytes);
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -215,6 +215,10 @@
   call.connectTimeout_ =
     std::min<Duration>(kUpstreamConnectTimeout, call.timeout_);
   call.atMostOnce_ = !Repeatable(aFlight);
+  // What tells a late second answer apart is the id. Where there is none, or
+  // where it went out before and its failure may come twice, the connection
+  // must be one that brought nothing yet.
+  call.newConnection_ = request.failedBefore_ || request.attempt_.empty();
   return call;
 }
 
@@ -225,6 +229,7 @@
   aFlight.sent_ = host_.Now();
   aFlight.tried_.insert(aFlight.upstream_);
   aFlight.inFlight_ = true;
+  aFlight.doubt_ = {};
   const std::uint32_t attempt = ++aFlight.attempt_;
   board_.OnStart(aFlight.upstream_, host_.Now());
   LogEvent(LogLevel::Debug,
@@ -233,6 +238,11 @@
              { "upstream", aFlight.upstream_.Get() },
              { "left_ms", std::to_string(WholeMillis(Left(aFlight))) } });
   HttpCall call = MakeCall(aFlight, aUpstream.entry_);
+  call.onHead_ = [this, aId, attempt](int aStatus,
+                                      const HttpHeaders& aHeaders) {
+    Flight* flight = Present(aId, attempt);
+    return flight != nullptr && OnHead(*flight, aStatus, aHeaders);
+  };
   if (aFlight.stream_) {
     PrepareStream(aId, aFlight, call);
   }
@@ -310,7 +320,9 @@
     return;
   }
   LogEnd(*flight, aResult);
-  if (flight->stream_) {
+  if (!flight->doubt_.empty()) {
+    OnDoubted(aId, *flight, aResult);
+  } else if (flight->stream_) {
     OnStreamEnd(aId, *flight, std::move(aResult));
   } else if (aResult.end_ == HttpEnd::Whole) {
     OnAnswer(aId, *flight, std::move(aResult.response_));
@@ -343,21 +355,49 @@
 {
   const WireNames& names = host_.Formats().Names();
   const auto echo = FindHeader(aHead.headers_, names.attempt_);
-  if (echo && *echo != aFlight.request_.attempt_) {
-    return "belongs to another request";
+  // Upstreams name the request in every answer of theirs. A second answer to
+  // an earlier call of the connection may come late and without an id; taken
+  // for this request's it gave callers and trainers another run's signature.
+  if (echo.value_or("") != aFlight.request_.attempt_) {
+    return echo ? "belongs to another request" : "does not name the request";
   }
   const bool success = aHead.status_ >= 200 && aHead.status_ < 300;
   const bool proven = FindHeader(aHead.headers_, names.signature_).has_value();
   return success && !proven ? "not signed" : "";
 }
 
+bool
+Forwarder::OnHead(Flight& aFlight, int aStatus, const HttpHeaders& aHeaders)
+{
+  HttpResponse head{ aStatus, aHeaders, {} };
+  aFlight.doubt_ = Doubt(aFlight, head);
+  if (aFlight.stream_) {
+    TakeHead(aFlight, std::move(head));
+  }
+  return aFlight.doubt_.empty();
+}
+
+void
+Forwarder::OnDoubted(ForwardId aId, Flight& aFlight, const HttpResult& aResult)
+{
+  LogEvent(LogLevel::Warn,
+           "answer_rejected",
+           { { "id", aFlight.request_.attempt_ },
+             { "upstream", aFlight.upstream_.Get() },
+             { "why", std::string(aFlight.doubt_) },
+             { "port", std::to_string(aResult.localPort_) },
+             { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
+  ++aFlight.ran_;
+  EndAttempt(aFlight, CallVerdict::Failed);
+  SendNext(aId);
+}
+
 void
 Forwarder::OnAnswer(ForwardId aId, Flight& aFlight, HttpResponse aResponse)
 {
   const WireNames& names = host_.Formats().Names();
-  const std::string_view doubt = Doubt(aFlight, aResponse);
-  if (doubt.empty() && (FindHeader(aResponse.headers_, names.notRun_) ||
-                        aResponse.status_ == 421)) {
+  if (FindHeader(aResponse.headers_, names.notRun_) ||
+      aResponse.status_ == 421) {
     if (aResponse.status_ == 421) {
       board_.OnReplaced(aFlight.upstream_, host_.Now());
     }
@@ -366,16 +406,6 @@
     return;
   }
   ++aFlight.ran_;
-  if (!doubt.empty()) {
-    LogEvent(LogLevel::Warn,
-             "answer_rejected",
-             { { "id", aFlight.request_.attempt_ },
-               { "upstream", aFlight.upstream_.Get() },
-               { "why", std::string(doubt) } });
-    EndAttempt(aFlight, CallVerdict::Failed);
-    SendNext(aId);
-    return;
-  }
   EndAttempt(aFlight, CallVerdict::Answered);
   aFlight.failures_ += aResponse.status_ == 500 ? 1 : 0;
   // A stream that had begun cannot end with another answer.
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -42,6 +42,8 @@
   Duration limit_ = std::chrono::seconds(10);
   /// Time within which an answer is worth most.
   Duration objective_ = std::chrono::seconds(1);
+  /// The id was sent before and its run failed.
+  bool failedBefore_ = false;
 };
 
 /// How a request ended.
@@ -89,8 +91,6 @@
     HttpResponse head_;
     /// The present attempt answers with events.
     bool events_ = false;
-    /// Why the present attempt is not to be believed; empty while it is.
-    std::string_view doubt_;
     /// The head was passed on to the caller.
     bool begun_ = false;
     TimePoint lastProgress_;
@@ -113,6 +113,8 @@
     /// Number of the present attempt; answers of others are ignored.
     std::uint32_t attempt_ = 0;
     bool inFlight_ = false;
+    /// Why its answer is not to be believed; empty while it is.
+    std::string_view doubt_;
     LoopTimerId limitTimer_ = 0;
     LoopTimerId patienceTimer_ = 0;
     /// The last answer of an upstream that reported its own failure.
@@ -134,6 +136,13 @@
                        HttpEnd aEnd,
                        const std::string& aWhy);
   void OnAnswer(ForwardId aId, Flight& aFlight, HttpResponse aResponse);
+  /// The head of an answer came.
+  /// @returns whether it is believed
+  [[nodiscard]] bool OnHead(Flight& aFlight,
+                            int aStatus,
+                            const HttpHeaders& aHeaders);
+  /// The answer to the present attempt was not believed.
+  void OnDoubted(ForwardId aId, Flight& aFlight, const HttpResult& aResult);
   /// @returns why an answer is not an upstream's own to this request; empty
   /// if it is
   [[nodiscard]] std::string_view Doubt(const Flight& aFlight,
@@ -168,7 +177,7 @@
   [[nodiscard]] std::unique_ptr<Stream> MakeStream(
     const ForwardRequest& aRequest) const;
   void PrepareStream(ForwardId aId, Flight& aFlight, HttpCall& aCall);
-  void OnHead(Flight& aFlight, int aStatus, const HttpHeaders& aHeaders);
+  void TakeHead(Flight& aFlight, HttpResponse aHead);
   [[nodiscard]] bool OnData(ForwardId aId,
                             Flight& aFlight,
                             std::string_view aBytes);
--- a/src/programs/gatewayd/forwarder_streams.cpp
+++ b/src/programs/gatewayd/forwarder_streams.cpp
@@ -32,7 +32,6 @@
   stream.window_.ForgetPause();
   stream.head_ = {};
   stream.events_ = false;
-  stream.doubt_ = {};
   stream.lastProgress_ = host_.Now();
   if (const auto last = stream.relay_.Last()) {
     const std::string& name = host_.Formats().Names().lastEvent_;
@@ -42,12 +41,6 @@
     aCall.headers_.push_back({ name, std::to_string(*last) });
   }
   const std::uint32_t attempt = aFlight.attempt_;
-  aCall.onHead_ = [this, aId, attempt](int aStatus,
-                                       const HttpHeaders& aHeaders) {
-    if (Flight* flight = Present(aId, attempt)) {
-      OnHead(*flight, aStatus, aHeaders);
-    }
-  };
   aCall.onData_ = [this, aId, attempt](std::string_view aBytes) {
     Flight* flight = Present(aId, attempt);
     return flight != nullptr && OnData(aId, *flight, aBytes);
@@ -62,16 +55,16 @@
 }
 
 void
-Forwarder::OnHead(Flight& aFlight, int aStatus, const HttpHeaders& aHeaders)
+Forwarder::TakeHead(Flight& aFlight, HttpResponse aHead)
 {
   board_.OnHeard(aFlight.upstream_, host_.Now());
   Stream& stream = *aFlight.stream_;
-  stream.head_.status_ = aStatus;
-  stream.head_.headers_ = aHeaders;
-  stream.doubt_ = Doubt(aFlight, stream.head_);
-  const bool success = aStatus >= 200 && aStatus < 300;
-  const auto type = FindHeader(aHeaders, "Content-Type").value_or("");
-  stream.events_ = success && stream.doubt_.empty() &&
+  stream.head_ = std::move(aHead);
+  const int status = stream.head_.status_;
+  const bool success = status >= 200 && status < 300;
+  const auto type =
+    FindHeader(stream.head_.headers_, "Content-Type").value_or("");
+  stream.events_ = success && aFlight.doubt_.empty() &&
                    type.substr(0, kEventStream.size()) == kEventStream;
 }
 
@@ -79,7 +72,7 @@
 Forwarder::OnData(ForwardId aId, Flight& aFlight, std::string_view aBytes)
 {
   Stream& stream = *aFlight.stream_;
-  if (!stream.doubt_.empty()) {
+  if (!aFlight.doubt_.empty()) {
     return false;
   }
   if (!stream.events_) {
@@ -162,9 +155,7 @@
   }
   std::string why =
     whole ? "the stream ends within an event" : std::move(aResult.message_);
-  if (!stream.doubt_.empty()) {
-    why = stream.doubt_;
-  } else if (!stream.relay_.Fault().empty()) {
+  if (!stream.relay_.Fault().empty()) {
     why = stream.relay_.Fault();
   }
   OnAttemptFailed(aId, aFlight, aResult.end_, why);
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -138,7 +138,10 @@
   [[nodiscard]] HttpCall MakeCall(const OwnedJob& aJob,
                                   ItemIndex aItem,
                                   const UpstreamEntry& aUpstream) const;
-  void OnHead(RunId aId, int aStatus, const HttpHeaders& aHeaders);
+  /// @returns whether the answer is believed
+  [[nodiscard]] bool OnHead(RunId aId,
+                            int aStatus,
+                            const HttpHeaders& aHeaders);
   [[nodiscard]] bool OnData(RunId aId, std::string_view aData);
   [[nodiscard]] bool OnEvent(Run& aRun, const ServerEvent& aEvent);
   void OnRunEnd(RunId aId, const HttpResult& aResult);
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -174,6 +174,7 @@
   request.maxAttempts_ = std::max(1U, aJob.ledger_.ScoreAttemptsLeft(aItem));
   request.limit_ = route->timeout_;
   request.objective_ = route->objective_;
+  request.failedBefore_ = aJob.ledger_.ScoreFailed(aItem);
   aJob.scores_[aItem] = forwarder_.Start(
     std::move(request), [this, aId, aItem](ForwardOutcome aOutcome) {
       OnScore(aId, aItem, std::move(aOutcome));
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -64,6 +64,8 @@
   call.body_ = item.body_;
   call.timeout_ = left;
   call.connectTimeout_ = kUpstreamConnectTimeout;
+  // A failure that comes twice must not count for the next run of the item.
+  call.newConnection_ = aJob.ledger_.RunFailed(aItem);
   return call;
 }
 
@@ -92,7 +94,7 @@
       { "after_event", std::to_string(aJob.ledger_.Text(aItem).lastEvent_) } });
   HttpCall call = MakeCall(aJob, aItem, aUpstream.entry_);
   call.onHead_ = [this, id](int aStatus, const HttpHeaders& aHeaders) {
-    OnHead(id, aStatus, aHeaders);
+    return OnHead(id, aStatus, aHeaders);
   };
   call.onData_ = [this, id](std::string_view aData) {
     return OnData(id, aData);
@@ -106,12 +108,12 @@
   WatchRuns();
 }
 
-void
+bool
 JobRunner::OnHead(RunId aId, int aStatus, const HttpHeaders& aHeaders)
 {
   const auto it = runs_.find(aId);
   if (it == runs_.end()) {
-    return;
+    return false;
   }
   Run& run = it->second;
   board_.OnHeard(run.upstream_, host_.Now());
@@ -120,14 +122,18 @@
   const auto echo = FindHeader(aHeaders, names.attempt_);
   run.status_ = aStatus;
   run.notRun_ = FindHeader(aHeaders, names.notRun_).has_value();
-  if (echo && *echo != item.id_.Get()) {
-    run.fault_ = "the answer belongs to another request";
+  // As for requests (`Forwarder::Doubt`); a second answer without an id might
+  // even prove a text whole that is not.
+  if (echo.value_or("") != item.id_.Get()) {
+    run.fault_ = echo ? "the answer belongs to another request"
+                      : "the answer does not name the item";
   } else if (aStatus == 200 && !FindHeader(aHeaders, names.signature_)) {
     run.fault_ = "the answer is not signed";
   }
   const auto version = ParseNumber(
     FindHeader(aHeaders, names.versions_).value_or(""), 0, UINT64_MAX);
   run.version_ = WeightVersion{ version.value_or(0) };
+  return run.fault_.empty();
 }
 
 bool
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -9,6 +9,8 @@
 /// Read buffer of a call. Below the C library's limit for large blocks, so
 /// that taking and returning one is cheap.
 constexpr long kReadBufferBytes = 8L * 1024L;
+/// Statuses below are interim ones (RFC 9110, 15.2): the answer is to come.
+constexpr long kFirstFinalStatus = 200;
 
 std::string_view
 TrimValue(std::string_view aText) noexcept
@@ -46,12 +48,18 @@
                        std::size_t aCount,
                        void* aUser)
 {
-  auto& headers = static_cast<CurlTransfer*>(aUser)->response_.headers_;
+  auto& transfer = *static_cast<CurlTransfer*>(aUser);
+  auto& headers = transfer.response_.headers_;
   const std::string_view line(aData, aSize * aCount);
   if (line.starts_with("HTTP/")) {
     headers.clear();
     return line.size();
   }
+  // A head ends with an empty line. Refused here and not when the call has
+  // ended: by then the library keeps the connection for the next call.
+  if (TrimValue(line).empty() && !transfer.ReportHead()) {
+    return 0;
+  }
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     headers.push_back({ std::string(line.substr(0, colon)),
@@ -71,7 +79,6 @@
   if (transfer.call_.mayReceive_ && !transfer.call_.mayReceive_()) {
     return CURL_WRITEFUNC_PAUSE;
   }
-  transfer.ReportHead();
   if (!transfer.call_.onData_) {
     transfer.response_.body_.append(aData, bytes);
     return bytes;
@@ -98,7 +105,8 @@
 CurlTransfer::Attach(CURL* aEasy)
 {
   easy_ = aEasy;
-  const long fresh = call_.atMostOnce_ ? 1L : 0L;
+  const long fresh = call_.atMostOnce_ || call_.newConnection_ ? 1L : 0L;
+  const long single = call_.atMostOnce_ ? 1L : 0L;
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
@@ -107,7 +115,7 @@
   curl_easy_setopt(
     easy_, CURLOPT_CONNECTTIMEOUT_MS, Millis(call_.connectTimeout_));
   curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, fresh);
-  curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, fresh);
+  curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, single);
   SetMethod();
   SetHeaders();
 }
@@ -154,20 +162,22 @@
   curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, nodes_.data());
 }
 
-/// Reports the head once, before the first piece of the body.
-void
+/// Reports the head once: neither an interim one nor a trailer.
+bool
 CurlTransfer::ReportHead()
 {
-  if (headSeen_) {
-    return;
-  }
-  headSeen_ = true;
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+  if (headSeen_ || status < kFirstFinalStatus) {
+    return true;
+  }
+  headSeen_ = true;
   response_.status_ = static_cast<int>(status);
-  if (call_.onHead_) {
-    call_.onHead_(response_.status_, response_.headers_);
+  if (call_.onHead_ && !call_.onHead_(response_.status_, response_.headers_)) {
+    cancelled_ = true;
+    return false;
   }
+  return true;
 }
 
 HttpEnd
@@ -193,9 +203,7 @@
 {
   HttpResult result;
   result.end_ = Classify(aCode);
-  if (result.end_ == HttpEnd::Whole) {
-    ReportHead();
-  } else {
+  if (result.end_ != HttpEnd::Whole) {
     result.message_ = curl_easy_strerror(aCode);
   }
   long port = 0;
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -37,7 +37,8 @@
                             void* aUser);
   void SetMethod();
   void SetHeaders();
-  void ReportHead();
+  /// @returns whether the answer is believed
+  [[nodiscard]] bool ReportHead();
   [[nodiscard]] HttpEnd Classify(CURLcode aCode) const;
 
   HttpCallId id_;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -46,8 +46,10 @@
   {
     Cancel(aCall.id_);
     --cancelled_;
-    if (aCall.call_.onHead_) {
-      aCall.call_.onHead_(aResponse.status_, aResponse.headers_);
+    if (aCall.call_.onHead_ &&
+        !aCall.call_.onHead_(aResponse.status_, aResponse.headers_)) {
+      aCall.done_({ HttpEnd::Cancelled, {}, "given up" });
+      return;
     }
     if (aCall.call_.onData_) {
       if (!aCall.call_.onData_(aResponse.body_)) {
@@ -195,11 +197,10 @@
     return response;
   }
 
-  [[nodiscard]] HttpResponse NotRun(int aStatus) const
+  [[nodiscard]] HttpResponse NotRun(const SentCall& aCall, int aStatus) const
   {
-    HttpResponse response;
-    response.status_ = aStatus;
-    response.headers_ = { { platform_->Names().notRun_, "1" } };
+    HttpResponse response = Answer(aCall, aStatus, "");
+    response.headers_.back() = { platform_->Names().notRun_, "1" };
     return response;
   }
 };
--- a/tests/test_forward_streams.cpp
+++ b/tests/test_forward_streams.cpp
@@ -215,7 +215,7 @@
 {
   Fixture fix;
   fix.Start(false, 1);
-  const HttpResponse refusal = fix.NotRun(503);
+  const HttpResponse refusal = fix.NotRun(fix.client_.Oldest(), 503);
   fix.client_.Answer(fix.client_.Oldest(), refusal);
   CHECK(fix.Call().url_.starts_with("http://b:1"));
   fix.Head();
@@ -228,8 +228,10 @@
 {
   Fixture fix;
   fix.Start(false);
-  fix.client_.Answer(fix.client_.Oldest(), fix.NotRun(503));
-  fix.client_.Answer(fix.client_.Oldest(), fix.NotRun(503));
+  fix.client_.Answer(fix.client_.Oldest(),
+                     fix.NotRun(fix.client_.Oldest(), 503));
+  fix.client_.Answer(fix.client_.Oldest(),
+                     fix.NotRun(fix.client_.Oldest(), 503));
   REQUIRE(fix.outcome_);
   CHECK(fix.outcome_->notRun_);
   CHECK(fix.outcome_->response_.status_ == 503);
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -116,6 +116,37 @@
   REQUIRE(fix.outcome_->response_.body_ == "mine");
 }
 
+TEST_CASE("a refusal that does not name its request promises nothing")
+{
+  Fixture fix;
+  fix.Start(RouteKind::AtMostOnce, 3);
+  const SentCall call = fix.Take();
+  HttpResponse refusal = fix.NotRun(call, 503);
+  refusal.headers_.erase(refusal.headers_.begin());
+  fix.client_.Answer(call, refusal);
+  REQUIRE(fix.client_.sent_ == 1);
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->notRun_);
+}
+
+TEST_CASE("a request without an id goes out over a connection of its own")
+{
+  Fixture fix;
+  ForwardRequest request;
+  request.method_ = "GET";
+  request.target_ = "/p";
+  request.service_ = ServiceId{ "svc" };
+  fix.forwarder_.Start(std::move(request), [&fix](ForwardOutcome aOutcome) {
+    fix.outcome_ = std::move(aOutcome);
+  });
+  const SentCall call = fix.Take();
+  REQUIRE(call.call_.newConnection_);
+  HttpResponse answer = fix.Answer(call, 200, "ok");
+  answer.headers_.erase(answer.headers_.begin());
+  fix.client_.Answer(call, answer);
+  REQUIRE(fix.outcome_->answered_);
+}
+
 TEST_CASE("a success that is not signed is not passed on")
 {
   Fixture fix;
@@ -132,7 +163,7 @@
 {
   Fixture fix;
   fix.Start(RouteKind::AtMostOnce, 1);
-  fix.client_.Answer(fix.Take(), fix.NotRun(503));
+  fix.client_.Answer(fix.Take(), fix.NotRun(fix.Take(), 503));
   const SentCall second = fix.Take();
   fix.client_.Answer(second, fix.Answer(second, 200, "ok"));
   REQUIRE(fix.outcome_->response_.status_ == 200);
@@ -142,8 +173,8 @@
 {
   Fixture fix;
   fix.Start();
-  fix.client_.Answer(fix.Take(), fix.NotRun(503));
-  fix.client_.Answer(fix.Take(), fix.NotRun(429));
+  fix.client_.Answer(fix.Take(), fix.NotRun(fix.Take(), 503));
+  fix.client_.Answer(fix.Take(), fix.NotRun(fix.Take(), 429));
   REQUIRE(fix.outcome_->response_.status_ == 503);
   REQUIRE(fix.outcome_->notRun_);
   REQUIRE(FindHeader(fix.outcome_->response_.headers_, "Retry-After"));
@@ -247,9 +278,7 @@
 {
   Fixture fix;
   fix.Start();
-  HttpResponse moved;
-  moved.status_ = 421;
-  fix.client_.Answer(fix.Take(), moved);
+  fix.client_.Answer(fix.Take(), fix.Answer(fix.Take(), 421, ""));
   fix.outcome_.reset();
   const SentCall second = fix.Take();
   REQUIRE(second.call_.url_.starts_with("http://b:1"));
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -268,3 +268,39 @@
   REQUIRE(SendAndWait(*client, Post(server)).end_ == HttpEnd::Whole);
   REQUIRE_FALSE(usedAgain);
 }
+
+TEST_CASE("an interim head is not that of the answer")
+{
+  const auto client = HttpClient::Create(1);
+  RawServer server(
+    AnswerOnce("HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" + kWhole));
+  std::vector<int> heads;
+  HttpCall call = Post(server);
+  call.onHead_ = [&heads](int aStatus, const HttpHeaders& aHeaders) {
+    heads.push_back(aStatus);
+    return !FindHeader(aHeaders, "A");
+  };
+  CHECK(SendAndWait(*client, std::move(call)).end_ == HttpEnd::Whole);
+  CHECK(heads == std::vector<int>{ 200 });
+}
+
+TEST_CASE("a call that asks for a new connection gets one")
+{
+  const bool wanted = GENERATE(false, true);
+  const auto client = HttpClient::Create(1);
+  RawServer server([wanted](RawServer& aServer) {
+    const int first = AnswerThenClose(aServer);
+    const int second = wanted ? aServer.Accept() : first;
+    aServer.Read(second);
+    RawServer::Write(second, kWhole);
+    aServer.Read(second);
+    close(second);
+  });
+  CHECK(SendAndWait(*client, Post(server)).opened_);
+  HttpCall call = Post(server);
+  call.newConnection_ = wanted;
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == HttpEnd::Whole);
+  CHECK(result.opened_ == wanted);
+  CHECK(result.localPort_ != 0);
+}
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -289,7 +289,7 @@
 {
   Fixture fix(1);
   fix.Accept(1);
-  fix.client_.Answer(fix.Call(), fix.NotRun(503));
+  fix.client_.Answer(fix.Call(), fix.NotRun(fix.Call(), 503));
   REQUIRE(fix.client_.open_.empty());
   fix.timers_.Advance(500ms);
   REQUIRE(fix.client_.sent_ == 1);
@@ -312,6 +312,26 @@
   REQUIRE_FALSE(fix.Stored().front().completed_);
 }
 
+// The id cannot tell a second answer to the failed sending from the first to
+// the next one; the failure would count twice.
+TEST_CASE("what failed before goes out over a connection that brought nothing")
+{
+  Fixture fix;
+  fix.Accept(1);
+  const SentCall first = fix.Call();
+  REQUIRE_FALSE(first.call_.newConnection_);
+  fix.client_.Answer(first, fix.Answer(first, 500, ""));
+  REQUIRE(fix.Call().call_.newConnection_);
+  fix.CompleteItem();
+  REQUIRE_FALSE(fix.Call().call_.newConnection_);
+  const SentCall score = fix.Call();
+  fix.client_.Answer(score, fix.Answer(score, 500, ""));
+  fix.client_.Fail(fix.Call(), HttpEnd::Broken);
+  fix.timers_.Advance(200ms);
+  REQUIRE(fix.Call().call_.url_.find("/s/1") != std::string::npos);
+  REQUIRE(fix.Call().call_.newConnection_);
+}
+
 TEST_CASE("a write whose answer is lost lists its results once")
 {
   Fixture fix;
