--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -142,6 +142,20 @@
   REQUIRE(fix.OldestPath() == "http://e:1/report");
 }
 
+// An order bears no id that its answer could name, and a second answer to the
+// report before it would come on the same connection: a 200 that is not the
+// order's own would leave the upstream on its old version for good.
+TEST_CASE("an order that is said to hold is believed once a report says so")
+{
+  DutyFixture fix;
+  fix.Report(1000, 4);
+  REQUIRE(fix.OldestPath() == "http://e:1/order");
+  fix.client_.Answer(fix.client_.Oldest(), HttpResponse{ 200, {}, "ok" });
+  fix.timers_.Advance(600ms);
+  fix.Report(1000, 4);
+  fix.AcceptOrder("4");
+}
+
 TEST_CASE("orders go to no upstream that another writer registered")
 {
   GatewayFakes fakes;
