--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -208,10 +208,10 @@
       LookAgain(target, kFirstLook);
       return;
     case 200:
-      target.versions_[target.load_.model_] = target.load_.version_;
-      target.phase_ = Phase::Idle;
-      target.orders_.reset();
-      Plan();
+      // No id tells whether this is the order's own answer or a late second
+      // one to the report before; believed, it would end all orders of this
+      // version to an upstream that lacks it. The next report tells.
+      Rest(target, "the order is said to hold already");
       return;
     case 412:
       // Another process has given orders under a higher number.
