A test waits for no connection that its client keeps open

The stand-in of "a call that asks for a new connection gets one" read on after its last answer, while the client that would close the connection lives longer than it: the test hung, in each run of it (the whole suite: 333 of 334 passed, this one was ended after 3 minutes). It now closes what it accepted; five runs passed, and without `newConnection_` it fails.

--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -295,8 +295,10 @@
     const int second = wanted ? aServer.Accept() : first;
     aServer.Read(second);
     RawServer::Write(second, kWhole);
-    aServer.Read(second);
     close(second);
+    if (wanted) {
+      close(first);
+    }
   });
   CHECK(SendAndWait(*client, Post(server)).opened_);
   HttpCall call = Post(server);
