--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -240,3 +240,71 @@
   server.Join();
   REQUIRE(error == ECONNRESET);
 }
+
+// The story: a second answer to an earlier call was taken for a later call's
+// (test_forwarder.cpp). Its receiver refused the next ones for their id, but
+// each came whole, so the connection stayed in use, one answer behind.
+TEST_CASE("a connection whose answer was not believed is not used again")
+{
+  std::atomic<bool> usedAgain{ false };
+  RawServer server([&usedAgain](RawServer& aServer) {
+    const int first = aServer.Accept();
+    aServer.Read(first);
+    RawServer::Write(first, kWhole);
+    // Ends with the connection or with a second request on it.
+    aServer.Read(first);
+    usedAgain = aServer.requests_ == 2;
+    const int second = usedAgain ? first : aServer.Accept();
+    if (!usedAgain) {
+      aServer.Read(second);
+    }
+    RawServer::Write(second, kWhole);
+    close(second);
+  });
+  const auto client = HttpClient::Create(1);
+  HttpCall call = Post(server);
+  call.onHead_ = [](int, const HttpHeaders&) { return false; };
+  const HttpResult doubted = SendAndWait(*client, std::move(call));
+  CHECK(doubted.end_ == HttpEnd::Cancelled);
+  REQUIRE(SendAndWait(*client, Post(server)).end_ == HttpEnd::Whole);
+  REQUIRE_FALSE(usedAgain);
+}
+
+TEST_CASE("an interim head is not that of the answer")
+{
+  const auto client = HttpClient::Create(1);
+  RawServer server(
+    AnswerOnce("HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" + kWhole));
+  std::vector<int> heads;
+  HttpCall call = Post(server);
+  call.onHead_ = [&heads](int aStatus, const HttpHeaders& aHeaders) {
+    heads.push_back(aStatus);
+    return !FindHeader(aHeaders, "A");
+  };
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == HttpEnd::Whole);
+  CHECK(heads == std::vector<int>{ 200 });
+}
+
+TEST_CASE("a call that asks for a new connection gets one")
+{
+  const bool wanted = GENERATE(false, true);
+  const auto client = HttpClient::Create(1);
+  RawServer server([wanted](RawServer& aServer) {
+    const int first = AnswerThenClose(aServer);
+    const int second = wanted ? aServer.Accept() : first;
+    aServer.Read(second);
+    RawServer::Write(second, kWhole);
+    close(second);
+    if (wanted) {
+      close(first);
+    }
+  });
+  CHECK(SendAndWait(*client, Post(server)).opened_);
+  HttpCall call = Post(server);
+  call.newConnection_ = wanted;
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == HttpEnd::Whole);
+  CHECK(result.opened_ == wanted);
+  CHECK(result.localPort_ != 0);
+}
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -76,6 +76,22 @@
   REQUIRE(fix.Call().call_.url_ == "http://e1:1/i/0");
 }
 
+// The story is that of requests (test_forwarder.cpp): a second answer to an
+// earlier call of the connection came without an id and passed for the item's
+// own. A short one after the last event held would even prove the text whole.
+TEST_CASE("a stream that does not name its item is given up")
+{
+  Fixture fix;
+  fix.Accept(1);
+  const SentCall call = fix.Call();
+  HttpResponse second = fix.Stream(call, Event(1, "a"));
+  second.headers_.erase(second.headers_.begin());
+  fix.client_.Answer(call, second);
+  REQUIRE(fix.runner_.Find(kJob)->Text(0).lastEvent_ == 0);
+  REQUIRE(fix.Call().call_.url_ == "http://e1:1/i/0");
+  REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_).empty());
+}
+
 TEST_CASE("a text under too old weights is made anew")
 {
   JobFixture fix;
@@ -136,7 +152,7 @@
 {
   JobFixture fix(1);
   fix.Accept(1);
-  fix.client_.Answer(fix.Call(), fix.NotRun(503));
+  fix.client_.Answer(fix.Call(), fix.NotRun(fix.Call(), 503));
   REQUIRE(fix.client_.open_.empty());
   fix.timers_.Advance(500ms);
   REQUIRE(fix.client_.sent_ == 1);
@@ -159,6 +175,26 @@
   REQUIRE_FALSE(fix.Stored().front().completed_);
 }
 
+// The id cannot tell a second answer to the failed sending from the first to
+// the next one; the failure would count twice.
+TEST_CASE("what failed before goes out over a connection that brought nothing")
+{
+  Fixture fix;
+  fix.Accept(1);
+  const SentCall first = fix.Call();
+  REQUIRE_FALSE(first.call_.newConnection_);
+  fix.client_.Answer(first, fix.Answer(first, 500, ""));
+  REQUIRE(fix.Call().call_.newConnection_);
+  fix.CompleteItem();
+  REQUIRE_FALSE(fix.Call().call_.newConnection_);
+  const SentCall score = fix.Call();
+  fix.client_.Answer(score, fix.Answer(score, 500, ""));
+  fix.client_.Fail(fix.Call(), HttpEnd::Broken);
+  fix.timers_.Advance(200ms);
+  REQUIRE(fix.Call().call_.url_.find("/s/1") != std::string::npos);
+  REQUIRE(fix.Call().call_.newConnection_);
+}
+
 TEST_CASE("a write whose answer is lost lists its results once")
 {
   JobFixture fix;
