--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -81,7 +81,7 @@
 // own. A short one after the last event held would even prove the text whole.
 TEST_CASE("a stream that does not name its item is given up")
 {
-  Fixture fix;
+  JobFixture fix;
   fix.Accept(1);
   const SentCall call = fix.Call();
   HttpResponse second = fix.Stream(call, Event(1, "a"));
@@ -179,7 +179,7 @@
 // the next one; the failure would count twice.
 TEST_CASE("what failed before goes out over a connection that brought nothing")
 {
-  Fixture fix;
+  JobFixture fix;
   fix.Accept(1);
   const SentCall first = fix.Call();
   REQUIRE_FALSE(first.call_.newConnection_);
