Tests of requests that crash upstreams, which the gateway does not stop

Cause: the product has a quarantine, the gateway does not use it. A request that kills each upstream that runs it is sent on for as long as it comes.

The tests stand upstreams in that die of one request: a call is to be stopped after two crashes and its caller told that it was not run, an item is to wait while the others of its job go on, and gateways are to count together, with calls between them only on a crash. The class that they reach decides nothing yet.

--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -6,6 +6,7 @@
 #include "marjoramtally/request/event_relay.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/send_window.hpp"
+#include "programs/gatewayd/request_quarantine.hpp"
 
 #include <set>
 #include <unordered_map>
@@ -73,6 +74,8 @@
   void Cancel(ForwardId aId);
   /// Attempts at the upstream's incarnation before are lost.
   void OnUpstreamRestarted(const UpstreamId& aUpstream);
+  /// What is held against requests; items of jobs ask and tell it as well.
+  [[nodiscard]] RequestQuarantine& Crashes() noexcept { return crashes_; }
 
 private:
   /// What a stream has beside other requests.
@@ -180,6 +183,7 @@
 
   GatewayContext& host_;
   UpstreamBoard& board_;
+  RequestQuarantine crashes_;
   ForwardId last_ = 0;
   std::unordered_map<ForwardId, Flight> flights_;
 };
--- /dev/null
+++ b/tests/test_request_quarantine.cpp
@@ -0,0 +1,300 @@
+/// Gateways before upstreams of which one request kills each that runs it:
+/// when it is stopped, what its caller is told, that nobody else suffers.
+
+#include "gateway_fixture.hpp"
+#include "programs/gatewayd/job_runner.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kDeadly = "deadly";
+/// From a crash to the end of the registration: three heartbeats of 1.2 s.
+constexpr auto kSilence = 3600ms;
+/// Calls between gateways and the settling of reports.
+constexpr auto kSettled = 500ms;
+
+/// Calls between the gateways of a test; they count.
+class LinkedPeers final : public PeerCalls
+{
+public:
+  void Call(const std::string& aAddress, RpcCall aCall, RpcDone aDone) override
+  {
+    ++calls_;
+    const auto it = others_.find(aAddress);
+    if (it == others_.end() || cut_) {
+      aDone(Error{ ErrorKind::Unavailable, "cut off" });
+    } else {
+      it->second->handlers_.at(aCall.topic_)(aCall, std::move(aDone));
+    }
+  }
+  void Serve(RpcTopic aTopic, RpcHandler aHandler) override
+  {
+    handlers_[aTopic] = std::move(aHandler);
+  }
+
+  std::map<std::string, LinkedPeers*> others_;
+  std::map<RpcTopic, RpcHandler> handlers_;
+  std::size_t calls_ = 0;
+  bool cut_ = false;
+};
+
+/// One gateway, and upstreams that die of the deadly request.
+struct Site : GatewayFakes
+{
+  LinkedPeers linked_;
+  GatewayContext host_{ { &settings_,
+                          platform_.get(),
+                          &client_,
+                          &timers_,
+                          &store_,
+                          &clock_,
+                          &clock_,
+                          &metrics_,
+                          &relays_,
+                          &linked_,
+                          "self~1" } };
+  Forwarder forwarder_{ host_, board_ };
+  std::vector<ForwardOutcome> outcomes_;
+  int crashes_ = 0;
+
+  explicit Site(int aUpstreams = 8)
+  {
+    timers_.Advance(1h);
+    for (int i = 0; i < aUpstreams; ++i) {
+      Boot("u" + std::to_string(i), "svc");
+    }
+  }
+
+  void Boot(const std::string& aId, const std::string& aService)
+  {
+    AddUpstream(aId, aService, 5);
+    forwarder_.Crashes().OnEntry(board_.Find(UpstreamId{ aId })->entry_);
+  }
+
+  void Vanish(const std::string& aId)
+  {
+    board_.OnVanished(UpstreamId{ aId }, host_.Now());
+    forwarder_.Crashes().OnVanished(UpstreamId{ aId });
+  }
+
+  void Start(const std::string& aBody,
+             RouteKind aKind = RouteKind::AtMostOnce,
+             std::uint32_t aMaxAttempts = 1)
+  {
+    ForwardRequest request;
+    request.attempt_ = "id" + std::to_string(client_.sent_);
+    request.method_ = "POST";
+    request.target_ = "/p/1";
+    request.headers_ = { { "Host", "h" },
+                         { platform_->Names().attempt_, request.attempt_ } };
+    request.body_ = aBody;
+    request.service_ = ServiceId{ "svc" };
+    request.kind_ = aKind;
+    request.maxAttempts_ = aMaxAttempts;
+    forwarder_.Start(std::move(request), [this](ForwardOutcome aOutcome) {
+      outcomes_.push_back(std::move(aOutcome));
+    });
+  }
+
+  static std::string PlaceOf(const SentCall& aCall)
+  {
+    const std::string& url = aCall.call_.url_;
+    return url.substr(7, url.find(':', 7) - 7);
+  }
+
+  /// An upstream dies: its connections break, its registration ends later.
+  void Die(const std::string& aId)
+  {
+    ++crashes_;
+    std::vector<SentCall> lost;
+    for (const SentCall& call : client_.open_) {
+      if (PlaceOf(call) == aId) {
+        lost.push_back(call);
+      }
+    }
+    for (const SentCall& call : lost) {
+      client_.Fail(call, HttpEnd::Broken);
+    }
+    timers_.After(kSilence, [this, aId] { Vanish(aId); });
+  }
+
+  /// The upstreams run what they have, the deadly request first.
+  void Serve()
+  {
+    while (!client_.open_.empty()) {
+      const auto deadly = std::find_if(
+        client_.open_.begin(), client_.open_.end(), [](const SentCall& aCall) {
+          return aCall.call_.body_ == kDeadly;
+        });
+      timers_.Advance(10ms);
+      if (deadly != client_.open_.end()) {
+        Die(PlaceOf(*deadly));
+        continue;
+      }
+      const SentCall call = client_.Oldest();
+      client_.Answer(call, Answer(call, 200, "ok"));
+    }
+  }
+};
+
+/// Jobs of two items, of which one kills its upstream.
+struct JobSite : Site
+{
+  RouteTable routes_;
+  JobStore jobs_{ host_ };
+  JobRunner runner_{ host_, routes_, board_, forwarder_, jobs_ };
+
+  explicit JobSite(int aUpstreams)
+    : Site(0)
+  {
+    RoutingConfig config;
+    config.revision_ = ConfigRevision{ 1 };
+    Route route;
+    route.host_ = "h";
+    route.prefix_ = "/i/";
+    route.kind_ = RouteKind::Rollout;
+    route.maxAttempts_ = 2;
+    route.runDeadline_ = 30s;
+    route.maxQueue_ = 40s;
+    route.services_ = { { ServiceId{ "lm" }, 1 } };
+    config.routes_ = { route };
+    routes_.Apply(config);
+    for (int i = 0; i < aUpstreams; ++i) {
+      Boot("e" + std::to_string(i), "lm");
+    }
+  }
+
+  void Accept(const JobId& aJob, const std::vector<std::string>& aBodies)
+  {
+    JobSpec spec;
+    spec.model_ = "m";
+    spec.minVersion_ = WeightVersion{ 5 };
+    for (const std::string& body : aBodies) {
+      JobItem item;
+      item.id_ = ItemId{ aJob.Get() + body };
+      item.group_ = GroupId{ body };
+      item.path_ = "/i/" + body;
+      item.body_ = body;
+      spec.items_.push_back(std::move(item));
+    }
+    FencingNumber fence;
+    jobs_.Accept(aJob,
+                 { "h", "/i/job", "body" },
+                 spec.items_.size(),
+                 [&](const AcceptResult& aResult) { fence = aResult.fence_; });
+    timers_.Advance(10ms);
+    runner_.Add(
+      aJob, fence, { "h", "/i/job", "body" }, std::move(spec), {}, {}, {});
+  }
+
+  void ServeItems()
+  {
+    while (!client_.open_.empty()) {
+      const SentCall call = client_.Oldest();
+      timers_.Advance(10ms);
+      if (call.call_.body_ == kDeadly) {
+        Die(PlaceOf(call));
+      } else {
+        HttpResponse response = Answer(call, 200, "id: 1\ndata: a\n\n");
+        response.headers_.push_back({ platform_->Names().versions_, "5" });
+        client_.Answer(call, response);
+      }
+    }
+  }
+
+  /// Lets registrations end and items be sent for a while.
+  void Pass(Duration aTime)
+  {
+    for (Duration passed{}; passed < aTime; passed += 100ms) {
+      timers_.Advance(100ms);
+      runner_.OnBoardChanged();
+      ServeItems();
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a request that crashes upstreams is stopped after two")
+{
+  Site site;
+  for (int round = 0; round < 2; ++round) {
+    site.Start(kDeadly);
+    site.Serve();
+    REQUIRE(site.outcomes_.back().response_.status_ == 502);
+    site.timers_.Advance(kSilence + kSettled);
+  }
+  REQUIRE(site.crashes_ == 2);
+  for (int round = 0; round < 5; ++round) {
+    const std::size_t sent = site.client_.sent_;
+    site.Start(kDeadly);
+    REQUIRE(site.client_.sent_ == sent);
+    const ForwardOutcome& told = site.outcomes_.back();
+    REQUIRE(told.response_.status_ == 503);
+    REQUIRE(told.notRun_);
+    REQUIRE(told.response_.body_.find("quarantined") != std::string::npos);
+    REQUIRE(FindHeader(told.response_.headers_, "Retry-After"));
+  }
+  site.Start("mild");
+  site.Serve();
+  REQUIRE(site.outcomes_.back().response_.status_ == 200);
+}
+
+TEST_CASE("an item that crashes upstreams waits, others of its job go on")
+{
+  JobSite site(6);
+  site.Accept(JobId{ "j1" }, { kDeadly, "mild1", "mild2" });
+  site.ServeItems();
+  site.Pass(15s);
+  // One call after the other until the end of the registrations tells.
+  REQUIRE(site.crashes_ >= 2);
+  const int crashes = site.crashes_;
+  site.Boot("f0", "lm");
+  site.Boot("f1", "lm");
+  site.Pass(5s);
+  REQUIRE(site.crashes_ == crashes);
+  const JobLedger& ledger = *site.runner_.Find(JobId{ "j1" });
+  REQUIRE(ledger.Listed().size() == 2);
+  // In a later job as well.
+  site.Accept(JobId{ "j2" }, { kDeadly, "mild3" });
+  site.Pass(2s);
+  REQUIRE(site.crashes_ == crashes);
+  REQUIRE(site.runner_.Find(JobId{ "j2" })->Listed().size() == 1);
+}
+
+TEST_CASE("gateways tell each other of crashes, and of nothing else")
+{
+  Site one;
+  Site other;
+  one.linked_.others_["other:1"] = &other.linked_;
+  other.linked_.others_["one:1"] = &one.linked_;
+  one.relays_.OnAlive("other~1", { ZoneId{ "z1" }, "other:1" });
+  other.relays_.OnAlive("one~1", { ZoneId{ "z1" }, "one:1" });
+  for (int i = 0; i < 50; ++i) {
+    one.Start("mild" + std::to_string(i));
+    one.client_.Fail(one.client_.Oldest(), HttpEnd::Broken);
+    one.Start("mild");
+    one.Serve();
+    one.timers_.Advance(100ms);
+  }
+  REQUIRE(one.linked_.calls_ == 0);
+  one.Start(kDeadly);
+  one.Serve();
+  one.timers_.Advance(kSilence + kSettled);
+  REQUIRE(one.linked_.calls_ == 1);
+  // The other one's first crash is the second.
+  other.Start(kDeadly);
+  other.Serve();
+  other.timers_.Advance(kSilence + kSettled);
+  other.Start(kDeadly);
+  REQUIRE(other.outcomes_.back().response_.status_ == 503);
+  one.timers_.Advance(kSettled);
+  one.Start(kDeadly);
+  REQUIRE(one.outcomes_.back().response_.status_ == 503);
+  REQUIRE(one.crashes_ + other.crashes_ == 2);
+}
