--- a/include/marjoramtally/process/quarantine.hpp
+++ b/include/marjoramtally/process/quarantine.hpp
@@ -20,6 +20,13 @@
 {
   /// Independent crashes after which a request is refused.
   std::size_t crashes_ = 2;
+  /// The same where another request was at each of these crashes as well. If
+  /// it is more than `crashes_`, a request is not refused while another one was
+  /// at all of its crashes and at further ones: that one explains them.
+  std::size_t crashesInCompany_ = 2;
+  /// A crash counts from this time after its report on, so that the reports
+  /// against others that were there have come.
+  Duration settle_{ 0 };
   /// For so long after a crash a suspect runs only at upstreams that are
   /// this instance's for suspects.
   Duration patience_ = std::chrono::seconds(1);
@@ -87,6 +94,17 @@
     TimePoint aNow);
   /// Takes what another instance found.
   void OnUpdate(const SuspicionUpdate& aUpdate, TimePoint aNow);
+  /// The incarnation of an upstream goes on: it has not crashed.
+  void OnAlive(const UpstreamId& aUpstream, TimePoint aNow);
+  /// @returns whether a request is suspected or refused
+  [[nodiscard]] bool Suspects(Fingerprint aFingerprint) const
+  {
+    return suspicions_.contains(aFingerprint);
+  }
+  /// @returns what to tell an instance that asks for a request; empty if
+  /// nothing is known against it
+  [[nodiscard]] std::vector<SuspicionUpdate> Known(Fingerprint aFingerprint,
+                                                   TimePoint aNow) const;
   /// @returns fingerprints suspected or refused
   [[nodiscard]] std::size_t Known() const noexcept
   {
@@ -102,6 +120,8 @@
     /// When the request had started there.
     TimePoint from_;
     TimePoint at_;
+    /// When it became known here.
+    TimePoint reported_;
   };
   using Running = std::multimap<Fingerprint, TimePoint>;
   struct Suspicion
@@ -112,8 +132,24 @@
     std::uint32_t times_ = 0;
   };
 
+  [[nodiscard]] static bool SameCrash(const Crash& aOne,
+                                      const Crash& aOther) noexcept;
   static void AddCrash(Suspicion& aSuspicion, Crash aCrash);
+  [[nodiscard]] static bool WasAt(const Suspicion& aSuspicion,
+                                  const Crash& aCrash);
+  /// @returns the settled crashes without those at which a refused request
+  /// was that has more of them
+  [[nodiscard]] std::vector<Crash> Unexplained(const Suspicion& aSuspicion,
+                                               TimePoint aNow) const;
+  /// @returns the most crashes of another request that was at all of these
+  [[nodiscard]] std::size_t MostInCompany(
+    const Suspicion& aSuspicion,
+    const std::vector<Crash>& aCrashes) const;
+  [[nodiscard]] bool IsDue(const Suspicion& aSuspicion, TimePoint aNow) const;
   void QuarantineIfDue(Suspicion& aSuspicion, TimePoint aNow) const;
+  [[nodiscard]] static SuspicionUpdate Describe(Fingerprint aFingerprint,
+                                                const Suspicion& aSuspicion,
+                                                TimePoint aNow);
   void Forget(Suspicion& aSuspicion, TimePoint aNow) const;
   void BoundSize(Fingerprint aKeep);
   [[nodiscard]] static std::string DescribeRefusal(
--- a/include/marjoramtally/process/relay_plan.hpp
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -55,6 +55,8 @@
   {
     return relays_;
   }
+  /// @returns addresses of all other processes that can be called
+  [[nodiscard]] std::vector<std::string> Peers() const;
 
 private:
   void Update();
--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -29,6 +29,8 @@
   Watch = 6,
   /// Any to a job's owner: its results.
   Job = 7,
+  /// Gateway to gateway: requests that crash upstreams.
+  Suspicion = 8,
 };
 
 /// One call; its body is an encoded message of the topic's schema.
--- /dev/null
+++ b/src/process/crash_watch.cpp
@@ -0,0 +1,235 @@
+#include "marjoramtally/process/crash_watch.hpp"
+
+#include <algorithm>
+
+namespace marjoramtally {
+
+bool
+CrashWatch::MayBeCulprit(Fingerprint aFingerprint) const
+{
+  return quarantine_.Suspects(aFingerprint) ||
+         std::any_of(breaks_.begin(), breaks_.end(), [&](const Break& aBreak) {
+           return aBreak.fingerprint_ == aFingerprint;
+         });
+}
+
+std::vector<UpstreamId>
+CrashWatch::Avoid(Fingerprint aFingerprint) const
+{
+  std::vector<UpstreamId> avoid;
+  if (!MayBeCulprit(aFingerprint)) {
+    return avoid;
+  }
+  for (const auto& [upstream, running] : running_) {
+    const bool taken =
+      std::any_of(running.begin(), running.end(), [&](const auto& aCall) {
+        return aCall.first != aFingerprint && MayBeCulprit(aCall.first);
+      });
+    if (taken) {
+      avoid.push_back(upstream);
+    }
+  }
+  return avoid;
+}
+
+void
+CrashWatch::OnSent(const UpstreamId& aUpstream,
+                   Fingerprint aFingerprint,
+                   TimePoint aNow)
+{
+  DropOldBreaks(aNow);
+  running_[aUpstream].emplace(aFingerprint, aNow);
+}
+
+std::optional<TimePoint>
+CrashWatch::Stop(const UpstreamId& aUpstream, Fingerprint aFingerprint)
+{
+  const auto it = running_.find(aUpstream);
+  if (it == running_.end()) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> from;
+  const auto call = it->second.find(aFingerprint);
+  if (call != it->second.end()) {
+    from = call->second;
+    it->second.erase(call);
+  }
+  if (it->second.empty()) {
+    running_.erase(it);
+  }
+  return from;
+}
+
+void
+CrashWatch::OnEnded(const UpstreamId& aUpstream, Fingerprint aFingerprint)
+{
+  static_cast<void>(Stop(aUpstream, aFingerprint));
+}
+
+CrashWatch::Updates
+CrashWatch::OnWhole(const UpstreamId& aUpstream, Fingerprint aFingerprint)
+{
+  const auto from = Stop(aUpstream, aFingerprint);
+  std::erase_if(breaks_, [&](const Break& aBreak) {
+    return aBreak.fingerprint_ == aFingerprint;
+  });
+  if (from) {
+    // What was sent after a break and answered proves that the upstream lives.
+    ForgetBreaks(aUpstream, *from);
+  }
+  return quarantine_.OnWhole(aUpstream, aFingerprint);
+}
+
+void
+CrashWatch::OnBroken(const UpstreamId& aUpstream,
+                     Fingerprint aFingerprint,
+                     TimePoint aNow)
+{
+  const auto from = Stop(aUpstream, aFingerprint);
+  const auto registration = registered_.find(aUpstream);
+  // Those that leave break connections as they go, some without notice after
+  // the end of their registration.
+  if (!from || aNow - *from > options_.begun_ ||
+      registration == registered_.end() || registration->second.leaving_) {
+    return;
+  }
+  DropOldBreaks(aNow);
+  if (breaks_.size() >= options_.most_) {
+    breaks_.pop_front();
+  }
+  breaks_.push_back({ aUpstream, aFingerprint, *from, aNow });
+}
+
+void
+CrashWatch::DropOldBreaks(TimePoint aNow)
+{
+  while (!breaks_.empty() && aNow - breaks_.front().at_ > options_.window_) {
+    breaks_.pop_front();
+  }
+}
+
+void
+CrashWatch::ForgetBreaks(const UpstreamId& aUpstream, TimePoint aBefore)
+{
+  std::erase_if(breaks_, [&](const Break& aBreak) {
+    return aBreak.upstream_ == aUpstream && aBreak.at_ < aBefore;
+  });
+}
+
+CrashWatch::Updates
+CrashWatch::Blame(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  TimePoint last{};
+  for (const Break& broken : breaks_) {
+    if (broken.upstream_ == aUpstream) {
+      last = std::max(last, broken.at_);
+    }
+  }
+  Updates updates;
+  for (const Break& broken : breaks_) {
+    if (broken.upstream_ == aUpstream &&
+        aNow - broken.at_ <= options_.window_ &&
+        last - broken.at_ <= options_.together_) {
+      // Sent again to a dying upstream, or by two instances, a request breaks
+      // twice by one crash.
+      const TimePoint from =
+        std::min(broken.from_, broken.at_ - options_.together_);
+      SuspicionUpdate update;
+      update.fingerprint_ = broken.fingerprint_;
+      update.crashes_ = { { aUpstream, aNow - broken.at_, broken.at_ - from } };
+      quarantine_.OnUpdate(update, aNow);
+      // All that is known goes out, for those who missed an earlier report.
+      Updates known = Known(update.fingerprint_, aNow);
+      std::move(known.begin(), known.end(), std::back_inserter(updates));
+    }
+  }
+  std::erase_if(breaks_, [&](const Break& aBreak) {
+    return aBreak.upstream_ == aUpstream;
+  });
+  return updates;
+}
+
+CrashWatch::Updates
+CrashWatch::Register(const UpstreamEntry& aEntry, TimePoint aNow)
+{
+  const auto ended = ended_.find(aEntry.id_);
+  if (ended != ended_.end()) {
+    if (aEntry.start_ < ended->second.start_) {
+      return {};
+    }
+    if (ended->second.start_ == aEntry.start_) {
+      quarantine_.OnAlive(aEntry.id_, aNow);
+    }
+    ended_.erase(ended);
+  }
+  const auto [it, added] = registered_.try_emplace(
+    aEntry.id_, Registration{ aEntry.start_, aEntry.draining_ });
+  Registration& registration = it->second;
+  if (added || aEntry.start_ < registration.start_) {
+    return {};
+  }
+  const bool restarted = registration.start_ < aEntry.start_;
+  const bool announced = registration.leaving_;
+  registration = { aEntry.start_,
+                   aEntry.draining_ || (announced && !restarted) };
+  if (announced || registration.leaving_) {
+    ForgetBreaks(aEntry.id_, kNever);
+  }
+  return restarted ? Blame(aEntry.id_, aNow) : Updates{};
+}
+
+CrashWatch::Updates
+CrashWatch::OnEntry(const UpstreamEntry& aEntry, TimePoint aNow)
+{
+  Updates updates = Register(aEntry, aNow);
+  ForgetBreaks(aEntry.id_, aNow - options_.renewed_);
+  return updates;
+}
+
+CrashWatch::Updates
+CrashWatch::OnVanished(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  const auto it = registered_.find(aUpstream);
+  if (it == registered_.end()) {
+    return {};
+  }
+  std::erase_if(ended_, [&](const auto& aEnded) {
+    return aNow - aEnded.second.at_ > options_.returns_;
+  });
+  ended_[aUpstream] = { it->second.start_, aNow };
+  registered_.erase(it);
+  return Blame(aUpstream, aNow);
+}
+
+CrashWatch::Updates
+CrashWatch::OnList(const std::vector<UpstreamEntry>& aEntries, TimePoint aNow)
+{
+  Updates updates;
+  const auto add = [&](Updates aFound) {
+    std::move(aFound.begin(), aFound.end(), std::back_inserter(updates));
+  };
+  std::set<UpstreamId> listed;
+  for (const UpstreamEntry& entry : aEntries) {
+    listed.insert(entry.id_);
+    add(Register(entry, aNow));
+  }
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, registration] : registered_) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : missing) {
+    add(OnVanished(id, aNow));
+  }
+  return updates;
+}
+
+CrashWatch::Updates
+CrashWatch::OnUpdate(const SuspicionUpdate& aUpdate, TimePoint aNow)
+{
+  quarantine_.OnUpdate(aUpdate, aNow);
+  return Known(aUpdate.fingerprint_, aNow);
+}
+
+} // namespace marjoramtally
--- a/src/process/quarantine.cpp
+++ b/src/process/quarantine.cpp
@@ -47,6 +47,7 @@
   }
   Suspicion& suspicion = it->second;
   Forget(suspicion, aNow);
+  QuarantineIfDue(suspicion, aNow);
   if (aNow < suspicion.until_) {
     verdict.refused_ = true;
     verdict.retryAfter_ = suspicion.until_ - aNow;
@@ -164,42 +165,135 @@
   const TimePoint from = Stop(aUpstream, aFingerprint, aNow);
   Suspicion& suspicion = suspicions_[aFingerprint];
   Forget(suspicion, aNow);
-  AddCrash(suspicion, { aUpstream, from, aNow });
+  AddCrash(suspicion, { aUpstream, from, aNow, aNow });
   QuarantineIfDue(suspicion, aNow);
+  SuspicionUpdate update = Describe(aFingerprint, suspicion, aNow);
+  BoundSize(aFingerprint);
+  return { std::move(update) };
+}
+
+SuspicionUpdate
+Quarantine::Describe(Fingerprint aFingerprint,
+                     const Suspicion& aSuspicion,
+                     TimePoint aNow)
+{
   SuspicionUpdate update;
   update.fingerprint_ = aFingerprint;
-  for (const Crash& crash : suspicion.crashes_) {
+  for (const Crash& crash : aSuspicion.crashes_) {
     update.crashes_.push_back(
       { crash.upstream_, aNow - crash.at_, crash.at_ - crash.from_ });
   }
-  update.refusedFor_ = std::max(suspicion.until_ - aNow, Duration::zero());
-  BoundSize(aFingerprint);
-  return { std::move(update) };
+  update.refusedFor_ = std::max(aSuspicion.until_ - aNow, Duration::zero());
+  return update;
+}
+
+std::vector<SuspicionUpdate>
+Quarantine::Known(Fingerprint aFingerprint, TimePoint aNow) const
+{
+  const auto it = suspicions_.find(aFingerprint);
+  if (it == suspicions_.end()) {
+    return {};
+  }
+  return { Describe(aFingerprint, it->second, aNow) };
+}
+
+/// Attempts that ran at one upstream at the same time broke by one crash.
+bool
+Quarantine::SameCrash(const Crash& aOne, const Crash& aOther) noexcept
+{
+  return aOther.upstream_ == aOne.upstream_ && aOther.from_ <= aOne.at_ &&
+         aOne.from_ <= aOther.at_;
 }
 
 void
 Quarantine::AddCrash(Suspicion& aSuspicion, Crash aCrash)
 {
-  // Attempts that ran at one upstream at the same time broke by one crash.
-  const bool known =
-    std::any_of(aSuspicion.crashes_.begin(),
-                aSuspicion.crashes_.end(),
-                [&](const Crash& aOther) {
-                  return aOther.upstream_ == aCrash.upstream_ &&
-                         aOther.from_ <= aCrash.at_ &&
-                         aCrash.from_ <= aOther.at_;
-                });
-  if (!known) {
+  if (!WasAt(aSuspicion, aCrash)) {
     aSuspicion.crashes_.push_back(std::move(aCrash));
   }
 }
 
+bool
+Quarantine::WasAt(const Suspicion& aSuspicion, const Crash& aCrash)
+{
+  return std::any_of(
+    aSuspicion.crashes_.begin(),
+    aSuspicion.crashes_.end(),
+    [&](const Crash& aOther) { return SameCrash(aOther, aCrash); });
+}
+
+std::vector<Quarantine::Crash>
+Quarantine::Unexplained(const Suspicion& aSuspicion, TimePoint aNow) const
+{
+  std::vector<Crash> crashes;
+  std::copy_if(aSuspicion.crashes_.begin(),
+               aSuspicion.crashes_.end(),
+               std::back_inserter(crashes),
+               [&](const Crash& aCrash) {
+                 return aNow - aCrash.reported_ >= options_.settle_;
+               });
+  if (options_.crashesInCompany_ <= options_.crashes_ ||
+      crashes.size() < options_.crashes_) {
+    return crashes;
+  }
+  for (const auto& [fingerprint, other] : suspicions_) {
+    if (aNow < other.until_ &&
+        other.crashes_.size() > aSuspicion.crashes_.size()) {
+      std::erase_if(crashes, [&other = other](const Crash& aCrash) {
+        return WasAt(other, aCrash);
+      });
+    }
+  }
+  return crashes;
+}
+
+std::size_t
+Quarantine::MostInCompany(const Suspicion& aSuspicion,
+                          const std::vector<Crash>& aCrashes) const
+{
+  std::size_t most = 0;
+  for (const auto& [fingerprint, other] : suspicions_) {
+    const bool atAll = &other != &aSuspicion &&
+                       std::all_of(aCrashes.begin(),
+                                   aCrashes.end(),
+                                   [&other = other](const Crash& aCrash) {
+                                     return WasAt(other, aCrash);
+                                   });
+    if (atAll) {
+      most = std::max(most, other.crashes_.size());
+    }
+  }
+  return most;
+}
+
+bool
+Quarantine::IsDue(const Suspicion& aSuspicion, TimePoint aNow) const
+{
+  if (aNow < aSuspicion.until_ || aSuspicion.crashes_.empty()) {
+    return false;
+  }
+  const std::vector<Crash> crashes = Unexplained(aSuspicion, aNow);
+  // After a quarantine one more crash is enough.
+  if (aSuspicion.times_ > 0) {
+    return std::any_of(
+      crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
+        return aCrash.reported_ >= aSuspicion.until_;
+      });
+  }
+  if (crashes.size() < options_.crashes_ ||
+      options_.crashesInCompany_ <= options_.crashes_) {
+    return crashes.size() >= options_.crashes_;
+  }
+  const std::size_t others = MostInCompany(aSuspicion, crashes);
+  const std::size_t own = aSuspicion.crashes_.size();
+  return others < own ||
+         (others == own && crashes.size() >= options_.crashesInCompany_);
+}
+
 void
 Quarantine::QuarantineIfDue(Suspicion& aSuspicion, TimePoint aNow) const
 {
-  // After a quarantine one more crash is enough.
-  const std::size_t due = aSuspicion.times_ > 0 ? 1 : options_.crashes_;
-  if (aSuspicion.crashes_.size() < due || aNow < aSuspicion.until_) {
+  if (!IsDue(aSuspicion, aNow)) {
     return;
   }
   constexpr std::uint32_t kMostDoublings = 16;
@@ -220,7 +314,7 @@
   Forget(suspicion, aNow);
   for (const CrashReport& crash : aUpdate.crashes_) {
     const TimePoint at = aNow - crash.age_;
-    AddCrash(suspicion, { crash.upstream_, at - crash.ran_, at });
+    AddCrash(suspicion, { crash.upstream_, at - crash.ran_, at, aNow });
   }
   const TimePoint until =
     aNow + std::min(aUpdate.refusedFor_, options_.longest_);
@@ -232,6 +326,24 @@
   BoundSize(aUpdate.fingerprint_);
 }
 
+void
+Quarantine::OnAlive(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  for (auto it = suspicions_.begin(); it != suspicions_.end();) {
+    Suspicion& suspicion = it->second;
+    const auto withdrawn =
+      std::erase_if(suspicion.crashes_, [&](const Crash& aCrash) {
+        return aCrash.upstream_ == aUpstream;
+      });
+    if (withdrawn > 0 && suspicion.crashes_.size() < options_.crashes_) {
+      suspicion.until_ = std::min(suspicion.until_, aNow);
+      suspicion.times_ = 0;
+    }
+    const bool clear = suspicion.crashes_.empty() && suspicion.times_ == 0;
+    it = clear ? suspicions_.erase(it) : std::next(it);
+  }
+}
+
 void
 Quarantine::BoundSize(Fingerprint aKeep)
 {
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -54,6 +54,18 @@
   Update();
 }
 
+std::vector<std::string>
+RelayPlan::Peers() const
+{
+  std::vector<std::string> peers;
+  for (const auto& [incarnation, record] : alive_) {
+    if (incarnation != self_ && !record.address_.empty()) {
+      peers.push_back(record.address_);
+    }
+  }
+  return peers;
+}
+
 /// Relays are the first by a hash, spread over zones; who joins or leaves
 /// changes few of them.
 void
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -18,11 +18,11 @@
 /// With equal patience a scoring call of 0.6 s and more was cut at each of 20
 /// attempts over 25 s, and its trainer's step lost.
 constexpr std::int64_t kPatienceGrowth = 3;
-/// A refused caller comes back after this time.
-constexpr auto kComeBack = std::chrono::milliseconds(200);
 /// Less time than this is not worth an attempt.
 constexpr auto kLeastAttempt = std::chrono::milliseconds(15);
 constexpr std::string_view kTimeIsOver = "the time limit passed";
+constexpr std::string_view kCrashesUpstreams =
+  "quarantined: upstreams crashed each time while they ran this request";
 
 constexpr std::array<std::string_view, 10> kConnectionFields{
   "connection",          "keep-alive",     "te",
@@ -82,6 +82,7 @@
 Forwarder::Forwarder(GatewayContext& aHost, UpstreamBoard& aBoard)
   : host_(aHost)
   , board_(aBoard)
+  , crashes_(aHost)
 {
 }
 
@@ -93,6 +94,11 @@
   flight.request_ = std::move(aRequest);
   flight.done_ = std::move(aDone);
   flight.started_ = host_.Now();
+  flight.fingerprint_ =
+    FingerprintOf(flight.request_.method_,
+                  FindHeader(flight.request_.headers_, "Host").value_or(""),
+                  flight.request_.target_,
+                  flight.request_.body_);
   if (flight.request_.reply_) {
     flight.stream_ = MakeStream(flight.request_);
   }
@@ -141,7 +147,7 @@
                { "upstream", aUpstream.Get() },
                { "why", "the upstream has started again" } });
     ++flight.ran_;
-    Abandon(flight);
+    Abandon(flight, CallEnd::Broken);
     SendNext(id);
   }
 }
@@ -177,12 +183,37 @@
   return present ? &it->second : nullptr;
 }
 
+const BoardUpstream*
+Forwarder::PickFor(const Flight& aFlight) const
+{
+  const ServiceId& service = aFlight.request_.service_;
+  const auto avoid = crashes_.Avoid(aFlight.fingerprint_);
+  if (!avoid.empty()) {
+    std::set<UpstreamId> excluded = aFlight.tried_;
+    excluded.insert(avoid.begin(), avoid.end());
+    const BoardUpstream* apart = board_.Pick(service, excluded, host_.Now());
+    if (apart != nullptr && apart->vanished_ == kNever &&
+        apart->avoidUntil_ <= host_.Now()) {
+      return apart;
+    }
+  }
+  return board_.Pick(service, aFlight.tried_, host_.Now());
+}
+
 void
 Forwarder::SendNext(ForwardId aId)
 {
   Flight& flight = flights_.at(aId);
-  const BoardUpstream* upstream =
-    board_.Pick(flight.request_.service_, flight.tried_, host_.Now());
+  const QuarantineVerdict verdict = crashes_.Judge(flight.fingerprint_);
+  if (verdict.refused_ && flight.ran_ == 0) {
+    GiveUp(aId, 503, verdict.reason_, verdict.retryAfter_);
+    return;
+  }
+  if (verdict.refused_) {
+    GiveUp(aId, 502, kCrashesUpstreams);
+    return;
+  }
+  const BoardUpstream* upstream = PickFor(flight);
   if (upstream == nullptr || !MayRetry(flight)) {
     if (flight.failure_ && !Begun(flight)) {
       Finish(aId, { std::move(*flight.failure_), true });
@@ -227,6 +258,7 @@
   aFlight.inFlight_ = true;
   const std::uint32_t attempt = ++aFlight.attempt_;
   board_.OnStart(aFlight.upstream_, host_.Now());
+  crashes_.OnSent(aFlight.fingerprint_, aFlight.upstream_);
   LogEvent(LogLevel::Debug,
            "attempt_sent",
            { { "id", aFlight.request_.attempt_ },
@@ -263,7 +295,7 @@
 }
 
 void
-Forwarder::EndAttempt(Flight& aFlight, CallVerdict aVerdict)
+Forwarder::EndAttempt(Flight& aFlight, CallVerdict aVerdict, CallEnd aEnd)
 {
   host_.Timers().Cancel(aFlight.patienceTimer_);
   if (!aFlight.inFlight_) {
@@ -272,15 +304,19 @@
   aFlight.inFlight_ = false;
   ++aFlight.attempt_;
   board_.OnEnd(aFlight.upstream_, aVerdict, host_.Now());
+  const bool answered = aVerdict == CallVerdict::Answered;
+  crashes_.OnEnd(aFlight.fingerprint_,
+                 aFlight.upstream_,
+                 answered ? CallEnd::Answered : aEnd);
 }
 
 void
-Forwarder::Abandon(Flight& aFlight)
+Forwarder::Abandon(Flight& aFlight, CallEnd aEnd)
 {
   if (aFlight.inFlight_) {
     host_.Client().Cancel(aFlight.call_);
   }
-  EndAttempt(aFlight, CallVerdict::Abandoned);
+  EndAttempt(aFlight, CallVerdict::Abandoned, aEnd);
 }
 
 void
@@ -314,7 +350,9 @@
   if (aEnd != HttpEnd::NotSent) {
     ++aFlight.ran_;
   }
-  EndAttempt(aFlight, CallVerdict::Failed);
+  EndAttempt(aFlight,
+             CallVerdict::Failed,
+             aEnd == HttpEnd::Broken ? CallEnd::Broken : CallEnd::Other);
   SendNext(aId);
 }
 
@@ -404,7 +442,10 @@
 }
 
 void
-Forwarder::GiveUp(ForwardId aId, int aStatus, std::string_view aWhy)
+Forwarder::GiveUp(ForwardId aId,
+                  int aStatus,
+                  std::string_view aWhy,
+                  Duration aComeBack)
 {
   const Flight& flight = flights_.at(aId);
   LogEvent(LogLevel::Warn,
@@ -419,7 +460,7 @@
   ForwardOutcome outcome;
   outcome.notRun_ = aStatus == 503;
   outcome.response_ = outcome.notRun_
-                        ? RefusedResponse(aWhy, kComeBack)
+                        ? RefusedResponse(aWhy, aComeBack)
                         : ErrorResponse(aStatus, "unknown_outcome", aWhy);
   Finish(aId, std::move(outcome));
 }
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -78,6 +78,9 @@
   [[nodiscard]] RequestQuarantine& Crashes() noexcept { return crashes_; }
 
 private:
+  /// A refused caller comes back after this time.
+  static constexpr auto kComeBack = std::chrono::milliseconds(200);
+
   /// What a stream has beside other requests.
   struct Stream
   {
@@ -104,6 +107,7 @@
     ForwardRequest request_;
     ForwardDone done_;
     TimePoint started_;
+    Fingerprint fingerprint_;
     std::set<UpstreamId> tried_;
     /// Attempts that may have run.
     std::uint32_t ran_ = 0;
@@ -126,6 +130,8 @@
   };
 
   void SendNext(ForwardId aId);
+  /// @returns nullptr if no upstream is left
+  [[nodiscard]] const BoardUpstream* PickFor(const Flight& aFlight) const;
   void Send(ForwardId aId, Flight& aFlight, const BoardUpstream& aUpstream);
   [[nodiscard]] HttpCall MakeCall(const Flight& aFlight,
                                   const UpstreamEntry& aUpstream) const;
@@ -151,11 +157,16 @@
     return aFlight.stream_ ? aFlight.stream_->lastProgress_ : aFlight.sent_;
   }
   /// The present attempt has ended.
-  void EndAttempt(Flight& aFlight, CallVerdict aVerdict);
+  void EndAttempt(Flight& aFlight,
+                  CallVerdict aVerdict,
+                  CallEnd aEnd = CallEnd::Other);
   /// Breaks off the present attempt.
-  void Abandon(Flight& aFlight);
+  void Abandon(Flight& aFlight, CallEnd aEnd = CallEnd::Other);
   void Finish(ForwardId aId, ForwardOutcome aOutcome);
-  void GiveUp(ForwardId aId, int aStatus, std::string_view aWhy);
+  void GiveUp(ForwardId aId,
+              int aStatus,
+              std::string_view aWhy,
+              Duration aComeBack = kComeBack);
   [[nodiscard]] Duration Left(const Flight& aFlight) const;
   /// @returns whether another run of the request does no harm
   [[nodiscard]] static bool Repeatable(const Flight& aFlight) noexcept;
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -192,6 +192,7 @@
       const UpstreamId id = host_.Formats().UpstreamOf(aEvent.record_.key_);
       LogEvent(LogLevel::Info, "upstream_vanished", { { "id", id.Get() } });
       board_.OnVanished(id, host_.Now());
+      forwarder_.Crashes().OnVanished(id);
     } else {
       TakeUpstream(aEvent.record_);
     }
@@ -219,7 +220,7 @@
                { "draining", entry->draining_ ? "yes" : "no" } });
   }
   const UpstreamStart start = entry->start_;
-  const EntryEffect effect = board_.OnEntry(std::move(*entry));
+  const EntryEffect effect = board_.OnEntry(*entry);
   if (effect == EntryEffect::Restarted) {
     OnRestarted(id);
   } else if (effect == EntryEffect::Outdated) {
@@ -227,6 +228,8 @@
              "upstream_entry_outdated",
              { { "id", id.Get() }, { "start", std::to_string(start.Get()) } });
   }
+  // What is lost by a restart has been told by now.
+  forwarder_.Crashes().OnEntry(*entry);
 }
 
 void
@@ -237,9 +240,10 @@
            "upstreams_read",
            { { "count", std::to_string(entries.size()) },
              { "revision", std::to_string(aRange.revision_) } });
-  for (const UpstreamId& id : board_.OnList(std::move(entries), host_.Now())) {
+  for (const UpstreamId& id : board_.OnList(entries, host_.Now())) {
     OnRestarted(id);
   }
+  forwarder_.Crashes().OnList(entries);
 }
 
 /// What was in progress at the incarnation before is lost, whether or not its
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -101,6 +101,7 @@
     JobId job_;
     ItemIndex item_ = 0;
     UpstreamId upstream_;
+    Fingerprint fingerprint_;
     HttpCallId call_ = 0;
     EventStreamParser parser_;
     int status_ = 0;
@@ -131,6 +132,11 @@
   void DispatchJob(const JobId& aId,
                    OwnedJob& aJob,
                    std::set<ServiceId>& aFull);
+  /// @returns another upstream for an item that may have crashed one, if
+  /// another such is in progress at the one picked and not at the other
+  [[nodiscard]] const BoardUpstream& Apart(Fingerprint aFingerprint,
+                                           const OwnedJob& aJob,
+                                           const BoardUpstream& aPicked) const;
   void StartRun(const JobId& aId,
                 OwnedJob& aJob,
                 ItemIndex aItem,
@@ -143,7 +149,7 @@
   [[nodiscard]] bool OnEvent(Run& aRun, const ServerEvent& aEvent);
   void OnRunEnd(RunId aId, const HttpResult& aResult);
   void SettleRun(const Run& aRun, OwnedJob& aJob, const HttpResult& aResult);
-  void StopRun(RunId aId, CallVerdict aVerdict);
+  void StopRun(RunId aId, CallVerdict aVerdict, CallEnd aEnd = CallEnd::Other);
   void StopRuns(OwnedJob& aJob);
   void WatchRuns();
   void CheckRuns();
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -67,6 +67,27 @@
   return call;
 }
 
+const BoardUpstream&
+JobRunner::Apart(Fingerprint aFingerprint,
+                 const OwnedJob& aJob,
+                 const BoardUpstream& aPicked) const
+{
+  const RequestQuarantine& crashes = forwarder_.Crashes();
+  if (crashes.IsApart(aFingerprint, aPicked.entry_.id_)) {
+    return aPicked;
+  }
+  const JobSpec& spec = aJob.ledger_.Spec();
+  const BoardUpstream* other = board_.PickForItem({ aPicked.entry_.service_,
+                                                    spec.model_,
+                                                    spec.minVersion_,
+                                                    {},
+                                                    aPicked.entry_.id_ },
+                                                  host_.Now());
+  const bool better = other != nullptr && other->vanished_ == kNever &&
+                      crashes.IsApart(aFingerprint, other->entry_.id_);
+  return better ? *other : aPicked;
+}
+
 void
 JobRunner::StartRun(const JobId& aId,
                     OwnedJob& aJob,
@@ -74,11 +95,19 @@
                     const BoardUpstream& aUpstream)
 {
   const JobItem& item = aJob.ledger_.Spec().items_[aItem];
+  const Fingerprint fingerprint =
+    FingerprintOf("POST", aJob.host_, item.path_, item.body_);
+  if (forwarder_.Crashes().Judge(fingerprint).refused_) {
+    // It waits; others of its job go on.
+    return;
+  }
+  const BoardUpstream& upstream = Apart(fingerprint, aJob, aUpstream);
   const RunId id = ++lastRun_;
   Run& run = runs_[id];
+  run.fingerprint_ = fingerprint;
   run.job_ = aId;
   run.item_ = aItem;
-  run.upstream_ = aUpstream.entry_.id_;
+  run.upstream_ = upstream.entry_.id_;
   run.parser_ = EventStreamParser(host_.Formats().Names().versionField_);
   run.lastProgress_ = host_.Now();
   aJob.runs_[aItem] = id;
@@ -90,7 +119,7 @@
       { "job", aId.Get() },
       { "upstream", run.upstream_.Get() },
       { "after_event", std::to_string(aJob.ledger_.Text(aItem).lastEvent_) } });
-  HttpCall call = MakeCall(aJob, aItem, aUpstream.entry_);
+  HttpCall call = MakeCall(aJob, aItem, upstream.entry_);
   call.onHead_ = [this, id](int aStatus, const HttpHeaders& aHeaders) {
     OnHead(id, aStatus, aHeaders);
   };
@@ -99,6 +128,7 @@
   };
   aJob.ledger_.OnStarted(aItem);
   board_.OnStart(run.upstream_, host_.Now());
+  forwarder_.Crashes().OnSent(fingerprint, run.upstream_);
   run.call_ =
     host_.Client().Send(std::move(call), [this, id](const HttpResult& aResult) {
       OnRunEnd(id, aResult);
@@ -197,6 +227,13 @@
 {
   const TimePoint now = host_.Now();
   const bool whole = aResult.end_ == HttpEnd::Whole && aRun.fault_.empty();
+  const bool ran = whole && !aRun.notRun_ && aRun.status_ != 421;
+  forwarder_.Crashes().OnEnd(aRun.fingerprint_,
+                             aRun.upstream_,
+                             ran ? CallEnd::Answered
+                             : aResult.end_ == HttpEnd::Broken
+                               ? CallEnd::Broken
+                               : CallEnd::Other);
   if (whole && aRun.status_ == 200 && !aRun.parser_.Partial() &&
       aRun.events_ > 0) {
     board_.OnEnd(aRun.upstream_, CallVerdict::Answered, now);
@@ -249,7 +286,7 @@
 }
 
 void
-JobRunner::StopRun(RunId aId, CallVerdict aVerdict)
+JobRunner::StopRun(RunId aId, CallVerdict aVerdict, CallEnd aEnd)
 {
   auto node = runs_.extract(aId);
   if (node.empty()) {
@@ -260,6 +297,7 @@
   job.runs_.erase(run.item_);
   job.ledger_.OnInterrupted(run.item_);
   board_.OnEnd(run.upstream_, aVerdict, host_.Now());
+  forwarder_.Crashes().OnEnd(run.fingerprint_, run.upstream_, aEnd);
   host_.Client().Cancel(run.call_);
 }
 
@@ -283,7 +321,7 @@
         { "upstream", aUpstream.Get() },
         { "events", std::to_string(run.events_) },
         { "why", "the upstream has started again" } });
-    StopRun(id, CallVerdict::Abandoned);
+    StopRun(id, CallVerdict::Abandoned, CallEnd::Broken);
   }
   Dispatch();
 }
--- /dev/null
+++ b/src/programs/gatewayd/request_quarantine.cpp
@@ -0,0 +1,196 @@
+#include "programs/gatewayd/request_quarantine.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace marjoramtally {
+
+namespace {
+
+/// A call between zones takes some tens of milliseconds.
+constexpr auto kTellTimeout = std::chrono::milliseconds(500);
+/// Whoever does not answer is told again after this time; a process that is
+/// cut off for longer hears of a request when it reports it itself.
+constexpr auto kTellPause = std::chrono::seconds(1);
+constexpr std::uint32_t kTells = 4;
+
+std::string
+Hex(Fingerprint aFingerprint)
+{
+  return fmt::format("{:016x}", aFingerprint.Get());
+}
+
+std::string
+NamesOf(const SuspicionUpdate& aUpdate)
+{
+  std::string names;
+  for (const CrashReport& crash : aUpdate.crashes_) {
+    names += (names.empty() ? "" : ",") + crash.upstream_.Get();
+  }
+  return names;
+}
+
+} // namespace
+
+Fingerprint
+FingerprintOf(std::string_view aMethod,
+              std::string_view aHost,
+              std::string_view aTarget,
+              std::string_view aBody) noexcept
+{
+  return MakeFingerprint(
+    { aMethod, aHost.substr(0, aHost.find(':')), aTarget, aBody });
+}
+
+RequestQuarantine::RequestQuarantine(GatewayContext& aHost)
+  : host_(aHost)
+{
+  host_.Peers().Serve(
+    RpcTopic::Suspicion,
+    [this](const RpcCall& aCall, const RpcDone& aDone) { Take(aCall, aDone); });
+}
+
+QuarantineVerdict
+RequestQuarantine::Judge(Fingerprint aFingerprint)
+{
+  QuarantineVerdict verdict = watch_.Judge(aFingerprint, host_.Now());
+  if (verdict.refused_) {
+    host_.Measures().Count("quarantine_refusals_total");
+    LogRefusal(aFingerprint, verdict);
+  }
+  return verdict;
+}
+
+void
+RequestQuarantine::LogRefusal(Fingerprint aFingerprint,
+                              const QuarantineVerdict& aVerdict)
+{
+  const TimePoint now = host_.Now();
+  std::erase_if(logged_,
+                [&](const auto& aEntry) { return aEntry.second <= now; });
+  if (!logged_.try_emplace(aFingerprint, now + aVerdict.retryAfter_).second) {
+    return;
+  }
+  for (const SuspicionUpdate& known : watch_.Known(aFingerprint, now)) {
+    LogEvent(LogLevel::Warn,
+             "quarantined",
+             { { "fingerprint", Hex(aFingerprint) },
+               { "crashes", std::to_string(known.crashes_.size()) },
+               { "upstreams", NamesOf(known) },
+               { "for_ms", std::to_string(WholeMillis(known.refusedFor_)) } });
+  }
+  host_.Measures().Set("requests_quarantined",
+                       static_cast<double>(watch_.Refused(now)));
+}
+
+bool
+RequestQuarantine::IsApart(Fingerprint aFingerprint,
+                           const UpstreamId& aUpstream) const
+{
+  const auto avoid = watch_.Avoid(aFingerprint);
+  return std::find(avoid.begin(), avoid.end(), aUpstream) == avoid.end();
+}
+
+void
+RequestQuarantine::OnEnd(Fingerprint aFingerprint,
+                         const UpstreamId& aUpstream,
+                         CallEnd aEnd)
+{
+  if (aEnd == CallEnd::Answered) {
+    Publish(watch_.OnWhole(aUpstream, aFingerprint));
+  } else if (aEnd == CallEnd::Broken) {
+    watch_.OnBroken(aUpstream, aFingerprint, host_.Now());
+  } else {
+    watch_.OnEnded(aUpstream, aFingerprint);
+  }
+}
+
+void
+RequestQuarantine::OnEntry(const UpstreamEntry& aEntry)
+{
+  Publish(watch_.OnEntry(aEntry, host_.Now()));
+}
+
+void
+RequestQuarantine::OnVanished(const UpstreamId& aUpstream)
+{
+  Publish(watch_.OnVanished(aUpstream, host_.Now()));
+}
+
+void
+RequestQuarantine::OnList(const std::vector<UpstreamEntry>& aEntries)
+{
+  Publish(watch_.OnList(aEntries, host_.Now()));
+}
+
+void
+RequestQuarantine::Publish(const CrashWatch::Updates& aUpdates)
+{
+  if (aUpdates.empty()) {
+    return;
+  }
+  for (const SuspicionUpdate& update : aUpdates) {
+    LogEvent(LogLevel::Warn,
+             update.cleared_ ? "suspect_cleared" : "suspect",
+             { { "fingerprint", Hex(update.fingerprint_) },
+               { "upstreams", NamesOf(update) } });
+  }
+  const std::string body = Encode(aUpdates);
+  for (const std::string& address : host_.Relays().Peers()) {
+    Tell(address, body, kTells);
+  }
+}
+
+void
+RequestQuarantine::Tell(const std::string& aAddress,
+                        const std::string& aBody,
+                        std::uint32_t aTries)
+{
+  RpcCall call;
+  call.topic_ = RpcTopic::Suspicion;
+  call.timeout_ = kTellTimeout;
+  call.body_ = aBody;
+  host_.Peers().Call(
+    aAddress,
+    std::move(call),
+    [this, aAddress, aBody, aTries](const RpcReply& aReply) {
+      const auto known = aReply ? DecodeSuspicionUpdates(aReply.value())
+                                : Result<CrashWatch::Updates>(aReply.error());
+      if (known) {
+        for (const SuspicionUpdate& update : known.value()) {
+          static_cast<void>(watch_.OnUpdate(update, host_.Now()));
+        }
+        return;
+      }
+      LogEvent(LogLevel::Info,
+               "suspicion_untold",
+               { { "peer", aAddress },
+                 { "tries_left", std::to_string(aTries - 1) },
+                 { "error", known.error().message_ } });
+      if (aTries > 1) {
+        host_.Timers().After(kTellPause, [this, aAddress, aBody, aTries] {
+          Tell(aAddress, aBody, aTries - 1);
+        });
+      }
+    });
+}
+
+void
+RequestQuarantine::Take(const RpcCall& aCall, const RpcDone& aDone)
+{
+  const auto updates = DecodeSuspicionUpdates(aCall.body_);
+  if (!updates) {
+    aDone(updates.error());
+    return;
+  }
+  CrashWatch::Updates known;
+  for (const SuspicionUpdate& update : updates.value()) {
+    CrashWatch::Updates found = watch_.OnUpdate(update, host_.Now());
+    std::move(found.begin(), found.end(), std::back_inserter(known));
+  }
+  aDone(Encode(known));
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/tests/test_crash_watch.cpp
@@ -0,0 +1,440 @@
+/// Which ends of calls are crashes, and what they are held against.
+
+#include "marjoramtally/process.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Fingerprint kCulprit{ 1 };
+const Fingerprint kInnocent{ 2 };
+/// From a crash to the end of the registration.
+constexpr auto kSilence = 3s;
+/// Longer than reports take to settle.
+constexpr auto kSettled = 500ms;
+
+UpstreamId
+Upstream(int aIndex)
+{
+  return UpstreamId{ "u" + std::to_string(aIndex) };
+}
+
+struct Fixture
+{
+  CrashWatch watch_;
+  ManualClock clock_;
+
+  Fixture()
+  {
+    clock_.Advance(1h);
+    for (int i = 0; i < 6; ++i) {
+      Register(i);
+    }
+  }
+
+  CrashWatch::Updates Register(int aUpstream,
+                               std::uint64_t aStart = 0,
+                               bool aLeaving = false)
+  {
+    UpstreamEntry entry;
+    entry.id_ = Upstream(aUpstream);
+    entry.start_ = UpstreamStart{ aStart };
+    entry.draining_ = aLeaving;
+    return watch_.OnEntry(entry, clock_.Now());
+  }
+
+  void Send(int aUpstream, Fingerprint aRequest)
+  {
+    watch_.OnSent(Upstream(aUpstream), aRequest, clock_.Now());
+  }
+
+  void Break(int aUpstream, Fingerprint aRequest)
+  {
+    watch_.OnBroken(Upstream(aUpstream), aRequest, clock_.Now());
+  }
+
+  void Answer(int aUpstream, Fingerprint aRequest)
+  {
+    static_cast<void>(watch_.OnWhole(Upstream(aUpstream), aRequest));
+  }
+
+  CrashWatch::Updates Vanish(int aUpstream)
+  {
+    return watch_.OnVanished(Upstream(aUpstream), clock_.Now());
+  }
+
+  /// Requests are sent, their upstream dies and its registration ends.
+  CrashWatch::Updates Crash(int aUpstream, std::vector<Fingerprint> aRequests)
+  {
+    for (const Fingerprint request : aRequests) {
+      Send(aUpstream, request);
+    }
+    clock_.Advance(10ms);
+    for (const Fingerprint request : aRequests) {
+      Break(aUpstream, request);
+    }
+    clock_.Advance(kSilence);
+    return Vanish(aUpstream);
+  }
+
+  bool Refused(Fingerprint aRequest)
+  {
+    return watch_.Judge(aRequest, clock_.Now()).refused_;
+  }
+
+  bool RefusedSoon(Fingerprint aRequest)
+  {
+    clock_.Advance(kSettled);
+    return Refused(aRequest);
+  }
+};
+
+} // namespace
+
+TEST_CASE("crash watch: a request at two upstreams that died is refused")
+{
+  Fixture fix;
+  REQUIRE(fix.Crash(0, { kCulprit }).size() == 1);
+  REQUIRE_FALSE(fix.RefusedSoon(kCulprit));
+  REQUIRE(fix.Crash(1, { kCulprit }).size() == 1);
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  const auto verdict = fix.watch_.Judge(kCulprit, fix.clock_.Now());
+  REQUIRE(verdict.reason_.find("u0, u1") != std::string::npos);
+  REQUIRE(verdict.retryAfter_ > 0s);
+  REQUIRE_FALSE(fix.Refused(kInnocent));
+}
+
+TEST_CASE("crash watch: crashes one after the other within a call count alike")
+{
+  Fixture fix;
+  for (int i = 0; i < 2; ++i) {
+    fix.Send(i, kCulprit);
+    fix.clock_.Advance(10ms);
+    fix.Break(i, kCulprit);
+  }
+  fix.clock_.Advance(kSilence);
+  static_cast<void>(fix.Vanish(0));
+  static_cast<void>(fix.Vanish(1));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+}
+
+TEST_CASE("crash watch: a start time that rises is a crash")
+{
+  Fixture fix;
+  for (int i = 0; i < 2; ++i) {
+    static_cast<void>(fix.Register(i, 100));
+    fix.Send(i, kCulprit);
+    fix.clock_.Advance(700ms);
+    fix.Break(i, kCulprit);
+    REQUIRE(fix.Register(i, 200).size() == 1);
+  }
+  REQUIRE(fix.RefusedSoon(kCulprit));
+}
+
+TEST_CASE("crash watch: broken connections alone hold nothing against anybody")
+{
+  Fixture fix;
+  for (int round = 0; round < 20; ++round) {
+    for (int i = 0; i < 6; ++i) {
+      fix.Send(i, kInnocent);
+      fix.Break(i, kInnocent);
+    }
+    fix.clock_.Advance(500ms);
+    REQUIRE_FALSE(fix.Refused(kInnocent));
+  }
+}
+
+TEST_CASE("crash watch: an upstream that leaves as it said has not crashed")
+{
+  Fixture fix;
+  for (int i = 0; i < 3; ++i) {
+    static_cast<void>(fix.Register(i, 0, true));
+    REQUIRE(fix.Crash(i, { kInnocent }).empty());
+    // One that gave no notice ends its calls after its registration.
+    fix.Send(i + 3, kInnocent);
+    REQUIRE(fix.Vanish(i + 3).empty());
+    fix.Break(i + 3, kInnocent);
+  }
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+}
+
+TEST_CASE("crash watch: leaving may be announced after the break")
+{
+  Fixture fix;
+  fix.Send(0, kInnocent);
+  fix.Break(0, kInnocent);
+  static_cast<void>(fix.Register(0, 0, true));
+  REQUIRE(fix.Vanish(0).empty());
+}
+
+TEST_CASE("crash watch: a whole answer anywhere clears a request")
+{
+  Fixture fix;
+  static_cast<void>(fix.Crash(0, { kInnocent }));
+  fix.Send(1, kInnocent);
+  const auto updates = fix.watch_.OnWhole(Upstream(1), kInnocent);
+  REQUIRE(updates.size() == 1);
+  REQUIRE(updates.front().cleared_);
+  static_cast<void>(fix.Crash(2, { kInnocent }));
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+  // Also before the crash is known; then there is nothing to tell.
+  fix.Send(3, kInnocent);
+  fix.Break(3, kInnocent);
+  fix.Send(4, kInnocent);
+  fix.Answer(4, kInnocent);
+  fix.clock_.Advance(kSilence);
+  REQUIRE(fix.Vanish(3).empty());
+}
+
+TEST_CASE("crash watch: an upstream that answers after a break has not died")
+{
+  Fixture fix;
+  fix.Send(0, kInnocent);
+  fix.Break(0, kInnocent);
+  fix.clock_.Advance(10ms);
+  fix.Send(0, Fingerprint{ 7 });
+  fix.clock_.Advance(10ms);
+  fix.Answer(0, Fingerprint{ 7 });
+  fix.clock_.Advance(2s);
+  REQUIRE(fix.Vanish(0).empty());
+}
+
+TEST_CASE("crash watch: what was sent before a break proves nothing")
+{
+  Fixture fix;
+  fix.Send(0, kCulprit);
+  fix.Send(0, Fingerprint{ 7 });
+  fix.clock_.Advance(10ms);
+  fix.Break(0, kCulprit);
+  fix.Answer(0, Fingerprint{ 7 });
+  fix.clock_.Advance(kSilence);
+  REQUIRE(fix.Vanish(0).size() == 1);
+}
+
+TEST_CASE("crash watch: an upstream that renews its entry has not died")
+{
+  Fixture fix;
+  fix.Send(0, kInnocent);
+  fix.Break(0, kInnocent);
+  fix.clock_.Advance(2500ms);
+  static_cast<void>(fix.Register(0));
+  REQUIRE(fix.watch_.Breaks() == 0);
+  // A list shows also what is about to lapse.
+  fix.Send(1, kCulprit);
+  fix.Break(1, kCulprit);
+  fix.clock_.Advance(2500ms);
+  UpstreamEntry listed;
+  listed.id_ = Upstream(1);
+  static_cast<void>(fix.watch_.OnList({ listed }, fix.clock_.Now()));
+  REQUIRE(fix.Vanish(1).size() == 1);
+}
+
+TEST_CASE("crash watch: an upstream that comes back had not died")
+{
+  Fixture fix;
+  static_cast<void>(fix.Crash(0, { kInnocent }));
+  static_cast<void>(fix.Crash(1, { kInnocent }));
+  REQUIRE(fix.RefusedSoon(kInnocent));
+  static_cast<void>(fix.Register(0));
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+  // As another incarnation it had.
+  static_cast<void>(fix.Crash(2, { kCulprit }));
+  static_cast<void>(fix.Crash(3, { kCulprit }));
+  static_cast<void>(fix.Register(2, 5));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+}
+
+TEST_CASE("crash watch: upstreams missing from a whole list have ended")
+{
+  Fixture fix;
+  fix.Send(0, kCulprit);
+  fix.Break(0, kCulprit);
+  fix.clock_.Advance(kSilence);
+  REQUIRE(fix.watch_.OnList({}, fix.clock_.Now()).size() == 1);
+}
+
+TEST_CASE("crash watch: what had run for long is not blamed")
+{
+  Fixture fix;
+  fix.Send(0, kInnocent);
+  fix.clock_.Advance(6s);
+  fix.Break(0, kInnocent);
+  REQUIRE(fix.Vanish(0).empty());
+}
+
+TEST_CASE("crash watch: a reset long before the crash is not of it")
+{
+  Fixture fix;
+  fix.Send(0, kInnocent);
+  fix.Break(0, kInnocent);
+  fix.clock_.Advance(1500ms);
+  const auto updates = fix.Crash(0, { kCulprit });
+  REQUIRE(updates.size() == 1);
+  REQUIRE(updates.front().fingerprint_ == kCulprit);
+}
+
+TEST_CASE("crash watch: who was twice with the culprit is not refused with it")
+{
+  Fixture fix;
+  static_cast<void>(fix.Crash(0, { kCulprit, kInnocent }));
+  static_cast<void>(fix.Crash(1, { kCulprit, kInnocent }));
+  REQUIRE_FALSE(fix.RefusedSoon(kCulprit));
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+  // They run apart, and the third crash tells.
+  fix.Send(2, kCulprit);
+  const std::vector<UpstreamId> other{ Upstream(2) };
+  REQUIRE(fix.watch_.Avoid(kInnocent) == other);
+  REQUIRE(fix.watch_.Avoid(kCulprit).empty());
+  REQUIRE(fix.watch_.Avoid(Fingerprint{ 9 }).empty());
+  fix.Break(2, kCulprit);
+  fix.clock_.Advance(kSilence);
+  static_cast<void>(fix.Vanish(2));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+}
+
+TEST_CASE("crash watch: one that was at more crashes explains those of others")
+{
+  Fixture fix;
+  // Few upstreams are left, so an innocent dies with the culprit each time.
+  static_cast<void>(fix.Crash(0, { kCulprit }));
+  for (int i = 1; i < 5; ++i) {
+    static_cast<void>(fix.Crash(i, { kCulprit, kInnocent }));
+    REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+    REQUIRE(fix.Refused(kCulprit));
+  }
+}
+
+TEST_CASE("crash watch: a break past its window sets nobody apart")
+{
+  Fixture fix;
+  for (const Fingerprint request : { kCulprit, kInnocent }) {
+    fix.Send(0, request);
+    fix.Break(0, request);
+  }
+  fix.clock_.Advance(7s);
+  fix.Send(1, kCulprit);
+  REQUIRE(fix.watch_.Avoid(kInnocent).empty());
+}
+
+TEST_CASE("crash watch: requests broken together run apart before it is known")
+{
+  Fixture fix;
+  fix.Send(0, kCulprit);
+  fix.Send(0, kInnocent);
+  fix.Break(0, kCulprit);
+  fix.Break(0, kInnocent);
+  fix.Send(1, kCulprit);
+  const std::vector<UpstreamId> other{ Upstream(1) };
+  REQUIRE(fix.watch_.Avoid(kInnocent) == other);
+}
+
+TEST_CASE("crash watch: reports of other instances count, each crash once")
+{
+  Fixture here;
+  Fixture there;
+  there.clock_.Advance(here.clock_.Now() - there.clock_.Now());
+  const auto tell = [&](const CrashWatch::Updates& aUpdates) {
+    for (const SuspicionUpdate& update : aUpdates) {
+      static_cast<void>(there.watch_.OnUpdate(update, there.clock_.Now()));
+    }
+  };
+  const auto first = here.Crash(0, { kCulprit });
+  tell(first);
+  tell(first);
+  there.clock_.Advance(kSettled);
+  REQUIRE_FALSE(there.Refused(kCulprit));
+  tell(here.Crash(1, { kCulprit }));
+  REQUIRE(there.RefusedSoon(kCulprit));
+  // Whoever has just started learns from the answer to its first report.
+  Fixture fresh;
+  for (const SuspicionUpdate& update : fresh.Crash(3, { kCulprit })) {
+    for (const auto& known :
+         there.watch_.OnUpdate(update, there.clock_.Now())) {
+      static_cast<void>(fresh.watch_.OnUpdate(known, fresh.clock_.Now()));
+    }
+  }
+  REQUIRE(fresh.Refused(kCulprit));
+}
+
+TEST_CASE("crash watch: two breaks at one upstream are one crash")
+{
+  Fixture fix;
+  for (int i = 0; i < 2; ++i) {
+    fix.Send(0, kInnocent);
+    fix.clock_.Advance(10ms);
+    fix.Break(0, kInnocent);
+    fix.clock_.Advance(10ms);
+  }
+  fix.clock_.Advance(kSilence);
+  static_cast<void>(fix.Vanish(0));
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+}
+
+TEST_CASE("crash watch: further crashes do not put a refusal off")
+{
+  Fixture fix;
+  for (int i = 0; i < 6; ++i) {
+    fix.Send(i, kCulprit);
+    fix.Break(i, kCulprit);
+  }
+  fix.clock_.Advance(kSilence);
+  for (int i = 0; i < 6; ++i) {
+    static_cast<void>(fix.Vanish(i));
+    fix.clock_.Advance(100ms);
+  }
+  REQUIRE(fix.Refused(kCulprit));
+}
+
+TEST_CASE("crash watch: a crash that a refused request explains is not counted")
+{
+  Fixture fix;
+  for (int i = 0; i < 3; ++i) {
+    static_cast<void>(fix.Crash(i, { kCulprit }));
+  }
+  static_cast<void>(fix.Crash(3, { kInnocent }));
+  fix.Send(4, kCulprit);
+  fix.Send(4, kInnocent);
+  fix.Break(4, kCulprit);
+  fix.Break(4, kInnocent);
+  fix.clock_.Advance(kSilence);
+  static_cast<void>(fix.Vanish(4));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  REQUIRE_FALSE(fix.Refused(kInnocent));
+}
+
+TEST_CASE("crash watch: after a quarantine one more run, one more crash")
+{
+  Fixture fix;
+  static_cast<void>(fix.Crash(0, { kCulprit }));
+  static_cast<void>(fix.Crash(1, { kCulprit }));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  fix.clock_.Advance(10min);
+  REQUIRE_FALSE(fix.Refused(kCulprit));
+  static_cast<void>(fix.Crash(2, { kCulprit }));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  fix.clock_.Advance(10min);
+  REQUIRE(fix.Refused(kCulprit));
+}
+
+TEST_CASE("crash watch: crashes long past are forgotten")
+{
+  Fixture fix;
+  static_cast<void>(fix.Crash(0, { kInnocent }));
+  fix.clock_.Advance(11min);
+  static_cast<void>(fix.Crash(1, { kInnocent }));
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+}
+
+TEST_CASE("crash watch: memory is bounded")
+{
+  Fixture fix;
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    fix.Send(0, Fingerprint{ i });
+    fix.Break(0, Fingerprint{ i });
+  }
+  REQUIRE(fix.watch_.Breaks() == 512);
+}
--- a/tests/test_request_quarantine.cpp
+++ b/tests/test_request_quarantine.cpp
@@ -298,3 +298,87 @@
   REQUIRE(one.outcomes_.back().response_.status_ == 503);
   REQUIRE(one.crashes_ + other.crashes_ == 2);
 }
+
+TEST_CASE("a gateway that could not be told is told again")
+{
+  Site one;
+  Site other;
+  one.linked_.others_["other:1"] = &other.linked_;
+  one.relays_.OnAlive("other~1", { ZoneId{ "z1" }, "other:1" });
+  one.linked_.cut_ = true;
+  for (int round = 0; round < 2; ++round) {
+    one.Start(kDeadly);
+    one.Serve();
+    one.timers_.Advance(kSilence + kSettled);
+  }
+  one.linked_.cut_ = false;
+  // All reports of the first crash were lost; those of the second name both.
+  one.timers_.Advance(3s);
+  other.timers_.Advance(kSettled);
+  other.Start(kDeadly);
+  REQUIRE(other.outcomes_.size() == 1);
+  REQUIRE(other.outcomes_.back().response_.status_ == 503);
+}
+
+TEST_CASE("calls that die beside the culprit are served and cleared")
+{
+  Site site;
+  for (int round = 0; round < 6; ++round) {
+    if (round < 3) {
+      site.Start(kDeadly);
+    }
+    for (int i = 0; i < 12; ++i) {
+      site.Start("mild" + std::to_string(i), RouteKind::Idempotent, 4);
+    }
+    site.Serve();
+    for (std::size_t i = site.outcomes_.size() - 12; i < site.outcomes_.size();
+         ++i) {
+      REQUIRE(site.outcomes_.at(i).response_.status_ == 200);
+    }
+    site.timers_.Advance(kSilence + kSettled);
+  }
+  REQUIRE(site.crashes_ == 2);
+}
+
+TEST_CASE(
+  "an idempotent request is stopped within its attempts once it is known")
+{
+  Site site;
+  site.Start(kDeadly, RouteKind::Idempotent, 3);
+  site.Serve();
+  // All attempts went out before any registration ended.
+  REQUIRE(site.crashes_ == 3);
+  site.timers_.Advance(kSilence + kSettled);
+  site.Start(kDeadly, RouteKind::Idempotent, 3);
+  REQUIRE(site.outcomes_.back().response_.status_ == 503);
+  REQUIRE(site.crashes_ == 3);
+}
+
+TEST_CASE("items whose connections were reset all start again at once")
+{
+  JobSite site(2);
+  site.Accept(JobId{ "j1" }, { "m1", "m2", "m3", "m4", "m5", "m6" });
+  REQUIRE(site.client_.open_.size() == 6);
+  const std::deque<SentCall> reset = site.client_.open_;
+  for (const SentCall& call : reset) {
+    site.client_.Fail(call, HttpEnd::Broken);
+  }
+  site.timers_.Advance(3500ms);
+  site.runner_.OnBoardChanged();
+  REQUIRE(site.client_.open_.size() == 6);
+}
+
+TEST_CASE("a single upstream still gets all requests that broke there")
+{
+  Site site(1);
+  for (int i = 0; i < 4; ++i) {
+    site.Start("mild" + std::to_string(i));
+  }
+  while (!site.client_.open_.empty()) {
+    site.client_.Fail(site.client_.Oldest(), HttpEnd::Broken);
+  }
+  for (int i = 0; i < 4; ++i) {
+    site.Start("mild" + std::to_string(i));
+  }
+  REQUIRE(site.client_.open_.size() == 4);
+}
