--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -6,6 +6,7 @@
 #include "marjoramtally/request/event_relay.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/send_window.hpp"
+#include "programs/gatewayd/request_quarantine.hpp"
 
 #include <set>
 #include <unordered_map>
@@ -75,8 +76,13 @@
   void Cancel(ForwardId aId);
   /// Attempts at the upstream's incarnation before are lost.
   void OnUpstreamRestarted(const UpstreamId& aUpstream);
+  /// What is held against requests; items of jobs ask and tell it as well.
+  [[nodiscard]] RequestQuarantine& Crashes() noexcept { return crashes_; }
 
 private:
+  /// A refused caller comes back after this time.
+  static constexpr auto kComeBack = std::chrono::milliseconds(200);
+
   /// What a stream has beside other requests.
   struct Stream
   {
@@ -101,6 +107,7 @@
     ForwardRequest request_;
     ForwardDone done_;
     TimePoint started_;
+    Fingerprint fingerprint_;
     std::set<UpstreamId> tried_;
     /// Attempts that may have run.
     std::uint32_t ran_ = 0;
@@ -125,6 +132,8 @@
   };
 
   void SendNext(ForwardId aId);
+  /// @returns nullptr if no upstream is left
+  [[nodiscard]] const BoardUpstream* PickFor(const Flight& aFlight) const;
   void Send(ForwardId aId, Flight& aFlight, const BoardUpstream& aUpstream);
   [[nodiscard]] HttpCall MakeCall(const Flight& aFlight,
                                   const UpstreamEntry& aUpstream) const;
@@ -158,11 +167,16 @@
     return aFlight.stream_ ? aFlight.stream_->lastProgress_ : aFlight.sent_;
   }
   /// The present attempt has ended.
-  void EndAttempt(Flight& aFlight, CallVerdict aVerdict);
+  void EndAttempt(Flight& aFlight,
+                  CallVerdict aVerdict,
+                  CallEnd aEnd = CallEnd::Other);
   /// Breaks off the present attempt.
-  void Abandon(Flight& aFlight);
+  void Abandon(Flight& aFlight, CallEnd aEnd = CallEnd::Other);
   void Finish(ForwardId aId, ForwardOutcome aOutcome);
-  void GiveUp(ForwardId aId, int aStatus, std::string_view aWhy);
+  void GiveUp(ForwardId aId,
+              int aStatus,
+              std::string_view aWhy,
+              Duration aComeBack = kComeBack);
   [[nodiscard]] Duration Left(const Flight& aFlight) const;
   /// @returns whether another run of the request does no harm
   [[nodiscard]] static bool Repeatable(const Flight& aFlight) noexcept;
@@ -190,6 +204,7 @@
 
   GatewayContext& host_;
   UpstreamBoard& board_;
+  RequestQuarantine crashes_;
   ForwardId last_ = 0;
   std::unordered_map<ForwardId, Flight> flights_;
 };
