An item that was at work when its upstream died is no suspect

Cause: any call sent within 5 s before an upstream's death counted; a text takes 7 s, so that an item at two upstreams that die of other causes would have waited ten minutes, and its step with it. What crashes an upstream does so as it begins, so a run with events no longer counts. The new test failed before. Beside it: items that are held back are tried again by time, not only with another event.

--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -271,9 +271,7 @@
     if (!Govern(entry.second, job)) {
       continue;
     }
-    std::set<ServiceId> full;
-    DispatchJob(entry.second, job, full);
-    waiting = waiting || !full.empty();
+    waiting = DispatchJob(entry.second, job) || waiting;
   }
   host_.Timers().Cancel(retryTimer_);
   retryTimer_ = 0;
@@ -282,11 +280,11 @@
   }
 }
 
-void
-JobRunner::DispatchJob(const JobId& aId,
-                       OwnedJob& aJob,
-                       std::set<ServiceId>& aFull)
+bool
+JobRunner::DispatchJob(const JobId& aId, OwnedJob& aJob)
 {
+  std::set<ServiceId> full;
+  bool held = false;
   const JobSpec& spec = aJob.ledger_.Spec();
   for (const ItemIndex index : aJob.ledger_.Waiting(host_.Now())) {
     const JobItem& item = spec.items_[index];
@@ -298,7 +296,7 @@
     }
     const ServiceId& service =
       DrawService(*route, std::hash<std::string>{}(item.id_.Get()));
-    if (aFull.contains(service)) {
+    if (full.contains(service)) {
       continue;
     }
     const auto avoided = aJob.avoided_.find(index);
@@ -310,12 +308,13 @@
                                                           : avoided->second };
     const BoardUpstream* upstream = board_.PickForItem(needs, host_.Now());
     if (upstream == nullptr) {
-      aFull.insert(service);
+      full.insert(service);
       aJob.avoided_.erase(index);
       continue;
     }
-    StartRun(aId, aJob, index, *upstream);
+    held = !StartRun(aId, aJob, index, *upstream) || held;
   }
+  return held || !full.empty();
 }
 
 } // namespace marjoramtally
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -144,18 +144,18 @@
   [[nodiscard]] JobPolicy PolicyOf(const OwnedJob& aJob) const;
   void TakeTexts(OwnedJob& aJob);
   void Dispatch();
-  void DispatchJob(const JobId& aId,
-                   OwnedJob& aJob,
-                   std::set<ServiceId>& aFull);
+  /// @returns whether items wait that may start without another event
+  [[nodiscard]] bool DispatchJob(const JobId& aId, OwnedJob& aJob);
   /// @returns another upstream for an item that may have crashed one, if
   /// another such is in progress at the one picked and not at the other
   [[nodiscard]] const BoardUpstream& Apart(Fingerprint aFingerprint,
                                            const OwnedJob& aJob,
                                            const BoardUpstream& aPicked) const;
-  void StartRun(const JobId& aId,
-                OwnedJob& aJob,
-                ItemIndex aItem,
-                const BoardUpstream& aUpstream);
+  /// @returns whether the item may run
+  [[nodiscard]] bool StartRun(const JobId& aId,
+                              OwnedJob& aJob,
+                              ItemIndex aItem,
+                              const BoardUpstream& aUpstream);
   [[nodiscard]] HttpCall MakeCall(const OwnedJob& aJob,
                                   ItemIndex aItem,
                                   const UpstreamEntry& aUpstream) const;
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -90,7 +90,7 @@
   return better ? *other : aPicked;
 }
 
-void
+bool
 JobRunner::StartRun(const JobId& aId,
                     OwnedJob& aJob,
                     ItemIndex aItem,
@@ -101,7 +101,7 @@
     FingerprintOf("POST", aJob.host_, item.path_, item.body_);
   if (forwarder_.Crashes().Judge(fingerprint).refused_) {
     // It waits; others of its job go on.
-    return;
+    return false;
   }
   const BoardUpstream& upstream = Apart(fingerprint, aJob, aUpstream);
   const RunId id = ++lastRun_;
@@ -136,6 +136,7 @@
       OnRunEnd(id, aResult);
     });
   WatchRuns();
+  return true;
 }
 
 bool
@@ -234,12 +235,14 @@
   const TimePoint now = host_.Now();
   const bool whole = aResult.end_ == HttpEnd::Whole && aRun.fault_.empty();
   const bool ran = whole && !aRun.notRun_ && aRun.status_ != 421;
+  // What crashes an upstream does so as it begins: a run with events did not.
+  // A text takes 7 s, so that two deaths of other causes hit one now and then.
+  const bool broken = aResult.end_ == HttpEnd::Broken && aRun.events_ == 0;
   forwarder_.Crashes().OnEnd(aRun.fingerprint_,
                              aRun.upstream_,
-                             ran ? CallEnd::Answered
-                             : aResult.end_ == HttpEnd::Broken
-                               ? CallEnd::Broken
-                               : CallEnd::Other);
+                             ran      ? CallEnd::Answered
+                             : broken ? CallEnd::Broken
+                                      : CallEnd::Other);
   if (whole && aRun.status_ == 200 && !aRun.parser_.Partial() &&
       aRun.events_ > 0) {
     board_.OnEnd(aRun.upstream_, CallVerdict::Answered, now);
@@ -331,7 +334,9 @@
         { "upstream", aUpstream.Get() },
         { "events", std::to_string(run.events_) },
         { "why", "the upstream has started again" } });
-    StopRun(id, CallVerdict::Abandoned, CallEnd::Broken);
+    StopRun(id,
+            CallVerdict::Abandoned,
+            run.events_ == 0 ? CallEnd::Broken : CallEnd::Other);
   }
   Dispatch();
 }
--- a/tests/test_request_quarantine.cpp
+++ b/tests/test_request_quarantine.cpp
@@ -245,6 +245,33 @@
   REQUIRE(site.outcomes_.back().response_.status_ == 200);
 }
 
+/// A request that crashes its upstream does so as it begins. A trainer's step
+/// would wait for an item that was only unlucky: at work on two upstreams, one
+/// after the other, when they died of something else.
+TEST_CASE("an item that was at work when upstreams died is not suspected")
+{
+  JobSite site(6);
+  site.Accept(JobId{ "j1" }, { "unlucky" });
+  int event = 0;
+  for (int crash = 0; crash < 3; ++crash) {
+    REQUIRE(site.client_.open_.size() == 1);
+    const SentCall call = site.client_.Oldest();
+    HttpResponse head = site.Answer(call, 200, "");
+    head.headers_.push_back({ site.platform_->Names().versions_, "5" });
+    REQUIRE(call.call_.onHead_(head.status_, head.headers_));
+    // The registration of the one that died before ends meanwhile.
+    for (int i = 0; i < 42; ++i) {
+      const std::string id = std::to_string(++event);
+      REQUIRE(call.call_.onData_("id: " + id + "\ndata: a\n\n"));
+      site.timers_.Advance(100ms);
+      site.runner_.OnBoardChanged();
+    }
+    site.Die(JobSite::PlaceOf(call));
+  }
+  site.timers_.Advance(100ms);
+  REQUIRE(site.client_.open_.size() == 1);
+}
+
 TEST_CASE("an item that crashes upstreams waits, others of its job go on")
 {
   JobSite site(6);
