--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -30,6 +30,8 @@
 /// Limits of one job.
 struct JobPolicy
 {
+  /// The configuration that these limits are of; 0: they are defaults.
+  ConfigRevision config_{ 0 };
   /// Answers that report a failed run before an item is given up.
   std::uint32_t maxAttempts_ = 3;
   /// Failed answers of the score call before an item is given up.
@@ -146,6 +148,16 @@
   {
     return items_[aItem].error_;
   }
+  /// @returns the configuration in force when an item's result became final
+  [[nodiscard]] ConfigRevision DecidedUnder(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].decidedUnder_;
+  }
+  /// @returns when an item's result became final
+  [[nodiscard]] TimePoint DecidedAt(ItemIndex aItem) const noexcept
+  {
+    return items_[aItem].finished_;
+  }
   [[nodiscard]] JobResult ResultOf(ItemIndex aItem) const;
   /// The results were written; they stand at the next positions.
   void OnListed(const std::vector<ItemIndex>& aItems);
@@ -181,6 +193,7 @@
     std::uint32_t nothingLeft_ = 0;
     std::uint32_t scoreFailures_ = 0;
     TimePoint finished_;
+    ConfigRevision decidedUnder_{ 0 };
   };
 
   /// @param aError why the item is given up; empty: its text is final
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -2,9 +2,6 @@
 
 #include "marjoramtally/runtime/log.hpp"
 
-#include <array>
-#include <fmt/format.h>
-
 namespace marjoramtally {
 
 namespace {
@@ -24,61 +21,8 @@
 constexpr std::string_view kCrashesUpstreams =
   "quarantined: upstreams crashed each time while they ran this request";
 
-constexpr std::array<std::string_view, 10> kConnectionFields{
-  "connection",          "keep-alive",     "te",
-  "transfer-encoding",   "trailer",        "upgrade",
-  "proxy-connection",    "content-length", "expect",
-  "proxy-authorization",
-};
-
-bool
-SameName(std::string_view aLeft, std::string_view aRight) noexcept
-{
-  return aLeft.size() == aRight.size() &&
-         std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    [](char aOne, char aOther) {
-                      return std::tolower(static_cast<unsigned char>(aOne)) ==
-                             std::tolower(static_cast<unsigned char>(aOther));
-                    });
-}
-
-bool
-ConcernsConnection(std::string_view aName)
-{
-  return std::any_of(
-    kConnectionFields.begin(),
-    kConnectionFields.end(),
-    [&](std::string_view aField) { return SameName(aName, aField); });
-}
-
 } // namespace
 
-HttpHeaders
-PassedHeaders(const HttpHeaders& aHeaders, const WireNames& aNames)
-{
-  HttpHeaders passed;
-  for (const HttpHeader& header : aHeaders) {
-    if (!ConcernsConnection(header.name_) &&
-        !SameName(header.name_, aNames.deadline_) &&
-        !SameName(header.name_, aNames.expectUpstream_)) {
-      passed.push_back(header);
-    }
-  }
-  return passed;
-}
-
-HttpResponse
-RefusedResponse(std::string_view aWhy, Duration aComeBack)
-{
-  HttpResponse response = ErrorResponse(503, "refused_not_run", aWhy);
-  const double seconds = std::chrono::duration<double>(aComeBack).count();
-  response.headers_.push_back(
-    { "Retry-After", fmt::format("{:.3f}", seconds) });
-  return response;
-}
-
 Forwarder::Forwarder(GatewayContext& aHost, UpstreamBoard& aBoard)
   : host_(aHost)
   , board_(aBoard)
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -127,9 +127,37 @@
   }
   if (mine && accepting_) {
     LoadOwned(aJob, aKnown.fence_);
+  } else if (mine && !loading_.contains(aJob)) {
+    HandBack(aJob, aKnown);
   }
 }
 
+/// A job that became ours after the stop began is started by nobody while we
+/// live: its next owner would wait for our end, 7 s at most.
+void
+JobApi::HandBack(const JobId& aJob, const KnownJob& aKnown)
+{
+  LogEvent(LogLevel::Info,
+           "job_handed_back",
+           { { "job", aJob.Get() },
+             { "fence", std::to_string(aKnown.fence_.Get()) } });
+  JobOwnerRecord record = aKnown.record_;
+  record.owner_.clear();
+  store_.ChangeOwner(
+    aJob,
+    record,
+    aKnown.fence_,
+    [aJob](const Result<std::optional<FencingNumber>>& aFence) {
+      if (!aFence) {
+        // Whoever follows the signs of life takes it over at our end.
+        LogEvent(
+          LogLevel::Warn,
+          "job_not_handed_back",
+          { { "job", aJob.Get() }, { "error", aFence.error().message_ } });
+      }
+    });
+}
+
 void
 JobApi::LoadOwned(const JobId& aJob, FencingNumber aFence)
 {
@@ -139,8 +167,17 @@
   store_.Load(aJob, [this, aJob, aFence](const Result<StoredJob>& aStored) {
     loading_.erase(aJob);
     const KnownJob* known = directory_.Find(aJob);
-    if (known == nullptr || known->fence_ != aFence || known->ended_ ||
-        runner_.Owns(aJob) || !accepting_) {
+    if (known == nullptr || known->ended_ || runner_.Owns(aJob) ||
+        known->record_.owner_ != host_.Incarnation()) {
+      return;
+    }
+    if (!accepting_) {
+      HandBack(aJob, *known);
+      return;
+    }
+    if (known->fence_ != aFence) {
+      // Lost and claimed again meanwhile: what was read may be old.
+      LoadOwned(aJob, known->fence_);
       return;
     }
     if (!aStored) {
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -46,6 +46,8 @@
   };
 
   void TakeOwner(const JobId& aJob, const KnownJob& aKnown);
+  /// Makes nobody the owner of a job that this process does not start.
+  void HandBack(const JobId& aJob, const KnownJob& aKnown);
   void LoadOwned(const JobId& aJob, FencingNumber aFence);
   void Accepted(const JobId& aJob,
                 const JobSubmissionRecord& aSubmission,
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -107,6 +107,9 @@
 void
 JobRunner::Keep(OwnedJob& aJob)
 {
+  for (PartialRecord& partial : std::exchange(aJob.texts_, {})) {
+    partials_.Put(partial.item_, std::move(partial.text_));
+  }
   for (ItemIndex i = 0; i < aJob.ledger_.Spec().items_.size(); ++i) {
     const PartialText& text = aJob.ledger_.Text(i);
     if (text.lastEvent_ > 0) {
@@ -144,7 +147,10 @@
 JobRunner::HasOpen() const noexcept
 {
   return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& aEntry) {
-    return !aEntry.second.ended_ && !aEntry.second.ledger_.Done();
+    // Of a job without limits nothing runs here.
+    const OwnedJob& job = aEntry.second;
+    return !job.ended_ && !job.ledger_.Done() &&
+           job.limits_.config_ != ConfigRevision{};
   });
 }
 
@@ -177,35 +183,33 @@
 JobPolicy
 JobRunner::PolicyOf(const OwnedJob& aJob) const
 {
-  JobPolicy policy;
+  // A route that is missing says nothing of limits: the last known ones hold.
+  JobPolicy policy = aJob.limits_;
   const Route* route = routes_.Match(aJob.host_, aJob.path_);
   if (route != nullptr) {
     policy.maxAttempts_ = route->maxAttempts_;
-    policy.maxQueue_ = route->maxQueue_;
+    policy.maxQueue_ = route->maxQueue_ + kGiveUpSlack;
     policy.runDeadline_ = route->runDeadline_;
     policy.singleVersion_ = route->singleVersion_;
   }
-  policy.maxQueue_ += kGiveUpSlack;
-  const std::vector<JobItem>& items = aJob.ledger_.Spec().items_;
-  const auto scored =
-    std::find_if(items.begin(), items.end(), [](const JobItem& aItem) {
-      return aItem.score_.has_value();
-    });
-  const Route* score =
-    scored == items.end()
-      ? nullptr
-      : routes_.Match(scored->score_->host_, scored->score_->path_);
-  if (score != nullptr) {
-    policy.maxScoreFailures_ = score->maxAttempts_;
+  for (const JobItem& item : aJob.ledger_.Spec().items_) {
+    const Route* score =
+      item.score_ ? routes_.Match(item.score_->host_, item.score_->path_)
+                  : nullptr;
+    if (score != nullptr) {
+      policy.maxScoreFailures_ = score->maxAttempts_;
+      break;
+    }
   }
+  policy.config_ = routes_.Config().revision_;
   return policy;
 }
 
-/// No decision on a job is made by a configuration that cannot know it: right
+/// No decision on a job is made by a configuration that cannot know it. Right
 /// after a start a process knows none, and one whose watch lags may know only
-/// an older one. Taken for the removal of the route, that listed all 96 items
-/// of a job as errored, 0.3 s before the owner had read a configuration of
-/// 1,400 routes.
+/// an older one. An owner that took its empty table for the removal of a route
+/// listed all 96 items of a job as errored, while the configuration, of 1,400
+/// routes and more, was still being read.
 bool
 JobRunner::Govern(const JobId& aId, OwnedJob& aJob)
 {
@@ -213,11 +217,12 @@
   if (!routes_.Covers(aJob.acceptedUnder_)) {
     return false;
   }
-  if (aJob.limitsOf_ == revision) {
+  if (aJob.limits_.config_ == revision) {
     return true;
   }
+  const bool first = aJob.limits_.config_ == ConfigRevision{};
   const JobPolicy policy = PolicyOf(aJob);
-  aJob.limitsOf_ = revision;
+  aJob.limits_ = policy;
   aJob.ledger_.SetPolicy(policy);
   aJob.deadline_ = aJob.accepted_ + policy.maxQueue_;
   LogEvent(LogLevel::Info,
@@ -227,7 +232,9 @@
              { "attempts", std::to_string(policy.maxAttempts_) },
              { "score_attempts", std::to_string(policy.maxScoreFailures_) },
              { "queue_ms", std::to_string(WholeMillis(policy.maxQueue_)) } });
-  TakeTexts(aJob);
+  if (first) {
+    TakeTexts(aJob);
+  }
   aJob.ledger_.GiveUpLate(host_.Now());
   Score(aId, aJob);
   PlanFlush();
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -84,9 +84,9 @@
     std::string path_;
     /// Older configurations cannot tell what is to be done with the job.
     ConfigRevision acceptedUnder_;
-    /// The configuration that its limits are of; none before one is known that
-    /// can tell. Until then nothing is sent or given up.
-    ConfigRevision limitsOf_{ 0 };
+    /// Of no configuration before one is known that can tell; until then
+    /// nothing is sent or given up.
+    JobPolicy limits_;
     FencingNumber fence_;
     JobLedger ledger_;
     /// Texts of an earlier owner, until limits say which of them fit.
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -125,9 +125,10 @@
         { { "item", result.id_.Get() },
           { "job", aId.Get() },
           { "why", why },
-          { "config", std::to_string(routes_.Config().revision_.Get()) },
+          { "config", std::to_string(aJob.ledger_.DecidedUnder(item).Get()) },
           { "age_ms",
-            std::to_string(WholeMillis(host_.Now() - aJob.accepted_)) } });
+            std::to_string(
+              WholeMillis(aJob.ledger_.DecidedAt(item) - aJob.accepted_)) } });
       host_.Measures().Count("items_errored_total{why=\"" + why + "\"}");
     }
     items.push_back(item);
@@ -234,7 +235,8 @@
   const TimePoint now = host_.Now();
   TimePoint due = kNever;
   for (const auto& [id, job] : jobs_) {
-    if (job.ended_ || job.ledger_.Done() || job.limitsOf_ == ConfigRevision{}) {
+    if (job.ended_ || job.ledger_.Done() ||
+        job.limits_.config_ == ConfigRevision{}) {
       continue;
     }
     const bool ready = !job.ledger_.Listable(now).empty();
@@ -263,7 +265,7 @@
   const TimePoint now = host_.Now();
   Batch batch;
   for (auto& [id, job] : jobs_) {
-    if (job.ended_ || job.limitsOf_ == ConfigRevision{} ||
+    if (job.ended_ || job.limits_.config_ == ConfigRevision{} ||
         batch.writes_.size() == kJobsAtOnce) {
       continue;
     }
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -254,6 +254,7 @@
   item.errored_ = !aError.empty();
   item.error_ = aError;
   item.finished_ = aNow;
+  item.decidedUnder_ = policy_.config_;
   --open_[spec_.items_[aItem].group_];
 }
 
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -302,3 +302,90 @@
   fix.timers_.Advance(6s);
   REQUIRE(fix.runner_.Owns(kForeign));
 }
+
+TEST_CASE("a submission is kept with the configuration that took it")
+{
+  Fixture fix;
+  REQUIRE(fix.Submit(kJob) == 202);
+  std::optional<JobSubmissionRecord> stored;
+  fix.store_.LoadSubmission(
+    kJob,
+    [&](const Result<JobSubmissionRecord>& aRead) { stored = aRead.value(); });
+  fix.timers_.Advance(20ms);
+  REQUIRE(stored->acceptedUnder_ == ConfigRevision{ 1 });
+}
+
+TEST_CASE("a stopped process hands a job of unknown limits back at once")
+{
+  Fixture fix;
+  fix.store_.Accept(kJob,
+                    { "h", "/i/job", "b", ConfigRevision{ 2 } },
+                    1,
+                    [&](const AcceptResult& aResult) {
+                      JobSpec spec;
+                      spec.items_.resize(1);
+                      spec.items_.front().path_ = "/i/1";
+                      fix.runner_.Add(
+                        kJob,
+                        aResult.fence_,
+                        { "h", "/i/job", "b", ConfigRevision{ 2 } },
+                        spec,
+                        {},
+                        {},
+                        {});
+                    });
+  fix.timers_.Advance(20ms);
+  fix.Stop(30s);
+  static_cast<void>(fix.jobs_.Idle());
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.Owner(kJob).empty());
+}
+
+namespace {
+
+/// Puts a job into the store as it stands there after its acceptance.
+void
+PutJob(Fixture& aFix, const JobId& aJob, const std::string& aOwner)
+{
+  FakeStore& store = aFix.GatewayFakes::store_;
+  store.Put(job_keys::Submission(aJob) + "0000",
+            std::string("{\"host\":\"h\",\"path\":\"/i/job\"}\n") +
+              R"({"model":"m","items":[{"id":"a1","path":"/i/a1",)" +
+              R"("headers":{"Model":"m"},"body":"aGk=","tokens":1}]})");
+  store.Put(job_keys::Owner(aJob), WriteOwnerRecord({ aOwner, 1, 0 }));
+}
+
+} // namespace
+
+/// While a slow store was read, the job went to another process and back: the
+/// reading was for the earlier ownership, a second one was refused as under
+/// way, and the job had an owner that never began.
+TEST_CASE("a job that is lost and claimed again while it is read is started")
+{
+  Fixture fix;
+  fix.GatewayFakes::store_.delay_ = 400ms;
+  PutJob(fix, kJob, "self~1");
+  fix.timers_.Advance(100ms);
+  PutJob(fix, kJob, "other~1");
+  fix.timers_.Advance(100ms);
+  PutJob(fix, kJob, "");
+  fix.timers_.Advance(450ms);
+  fix.GatewayFakes::store_.delay_ = 4ms;
+  fix.timers_.Advance(60s);
+  REQUIRE(fix.Owner(kJob) == "self~1");
+  REQUIRE(fix.runner_.Owns(kJob));
+}
+
+TEST_CASE("a job that is being read when the process is stopped is handed back")
+{
+  Fixture fix;
+  REQUIRE(fix.Submit(JobId{ "open" }) == 202);
+  fix.GatewayFakes::store_.delay_ = 100ms;
+  PutJob(fix, kJob, "self~1");
+  fix.timers_.Advance(150ms);
+  fix.Stop(30s);
+  fix.GatewayFakes::store_.delay_ = 4ms;
+  fix.timers_.Advance(2s);
+  REQUIRE_FALSE(fix.jobs_.Idle());
+  REQUIRE(fix.Owner(kJob).empty());
+}
--- a/tests/test_job_routes.cpp
+++ b/tests/test_job_routes.cpp
@@ -148,6 +148,173 @@
   REQUIRE(earlier.value().acceptedUnder_ == ConfigRevision{ 0 });
 }
 
+namespace {
+
+/// Answers so many score calls with a failure, as they are sent.
+void
+FailScores(JobFixture& aFix, int aCount)
+{
+  for (int failed = 0, looks = 0; failed < aCount; ++looks) {
+    REQUIRE(looks < 1000);
+    const auto score =
+      std::find_if(aFix.client_.open_.begin(),
+                   aFix.client_.open_.end(),
+                   [](const SentCall& aCall) {
+                     return aCall.call_.url_.find("/s/1") != std::string::npos;
+                   });
+    if (score == aFix.client_.open_.end()) {
+      aFix.timers_.Advance(10ms);
+      continue;
+    }
+    const SentCall call = *score;
+    aFix.client_.Answer(call, aFix.Answer(call, 500, ""));
+    ++failed;
+  }
+}
+
+} // namespace
+
+/// A route that is missing says that it was removed, not that its limits are
+/// others: items of other routes would be given up before their time.
+TEST_CASE("the removal of a score's route lowers no limit")
+{
+  JobFixture fix(2, false);
+  RoutingConfig config = JobFixture::Config(1);
+  config.routes_.back().maxAttempts_ = 20;
+  fix.routes_.Apply(config);
+  fix.Accept(1);
+  fix.CompleteItem();
+  FailScores(fix, 5);
+  config.revision_ = ConfigRevision{ 2 };
+  config.routes_.pop_back();
+  fix.routes_.Apply(config);
+  fix.runner_.OnBoardChanged();
+  fix.timers_.Advance(4s);
+  REQUIRE(fix.Stored().empty());
+}
+
+TEST_CASE("the limit of score calls is that of the first route that is there")
+{
+  JobFixture fix;
+  RoutingConfig config = JobFixture::Config(2);
+  config.routes_.back().maxAttempts_ = 6;
+  fix.routes_.Apply(config);
+  JobSpec spec = JobFixture::MakeSpec(2);
+  spec.items_.front().score_->path_ = "/gone/1";
+  fix.runner_.Add(
+    kJob, FencingNumber{ 9 }, fix.submission_, std::move(spec), {}, {}, {});
+  fix.CompleteItem();
+  fix.CompleteItem();
+  FailScores(fix, 5);
+  REQUIRE(fix.runner_.Find(kJob)->State(1) == ItemState::Scoring);
+  FailScores(fix, 1);
+  REQUIRE(fix.runner_.Find(kJob)->State(1) == ItemState::Finished);
+}
+
+TEST_CASE("a new configuration leaves a text as long as it is")
+{
+  JobFixture fix;
+  fix.Accept(1);
+  fix.Begin(fix.Call(0), Event(1, "a"));
+  const JobId later{ "job2" };
+  fix.runner_.Add(later,
+                  FencingNumber{ 99 },
+                  fix.submission_,
+                  JobFixture::MakeSpec(1),
+                  {},
+                  {},
+                  {});
+  fix.Begin(fix.Call(1), Event(1, "a") + Event(2, "b") + Event(3, "c"));
+  // The earlier job ends and leaves its shorter text of the same item.
+  fix.runner_.End(kJob);
+  fix.routes_.Apply(JobFixture::Config(2));
+  fix.client_.Fail(fix.Call(0), HttpEnd::Broken);
+  REQUIRE(fix.runner_.Find(later)->Text(0).lastEvent_ == 3);
+}
+
+TEST_CASE("texts of a job that ends before its limits are known serve a later")
+{
+  JobFixture fix(2, false);
+  PartialText text;
+  text.text_ = "a";
+  text.lastEvent_ = 1;
+  text.versions_ = { WeightVersion{ 5 } };
+  fix.runner_.Add(kJob,
+                  FencingNumber{ 9 },
+                  fix.submission_,
+                  JobFixture::MakeSpec(1),
+                  {},
+                  { { ItemId{ "item0" }, text } },
+                  {});
+  fix.runner_.End(kJob);
+  fix.routes_.Apply(JobFixture::Config(1));
+  fix.runner_.Add(JobId{ "job2" },
+                  FencingNumber{ 10 },
+                  fix.submission_,
+                  JobFixture::MakeSpec(1),
+                  {},
+                  {},
+                  {});
+  REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_) == "1");
+}
+
+TEST_CASE("a whole text of an earlier owner is scored once limits are known")
+{
+  JobFixture fix(2, false);
+  PartialText whole;
+  whole.text_ = "a";
+  whole.lastEvent_ = 1;
+  whole.versions_ = { WeightVersion{ 5 } };
+  whole.whole_ = true;
+  fix.jobs_.Accept(kJob, fix.submission_, 1, [&](AcceptResult aResult) {
+    fix.fence_ = aResult.fence_;
+  });
+  fix.timers_.Advance(10ms);
+  fix.runner_.Add(kJob,
+                  fix.fence_,
+                  fix.submission_,
+                  JobFixture::MakeSpec(1),
+                  {},
+                  { { ItemId{ "item0" }, whole } },
+                  {});
+  REQUIRE(fix.client_.sent_ == 0);
+  fix.routes_.Apply(JobFixture::Config(1));
+  fix.runner_.OnBoardChanged();
+  fix.CompleteScore();
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE(fix.Stored().front().text_ == "a");
+}
+
+TEST_CASE("an item's time limit is that of its job's route")
+{
+  JobFixture fix(2, false);
+  fix.Accept(1);
+  fix.routes_.Apply(JobFixture::Config(1));
+  fix.runner_.OnBoardChanged();
+  // 40 s of the route and 6 s for clocks that differ.
+  REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().deadline_) == "46000");
+  fix.timers_.Advance(45s);
+  REQUIRE(fix.Stored().empty());
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.Stored().size() == 1);
+}
+
+TEST_CASE("an item that was given up says under which configuration")
+{
+  JobFixture fix;
+  fix.Accept(1);
+  RoutingConfig without = JobFixture::Config(2);
+  without.routes_.clear();
+  fix.routes_.Apply(without);
+  fix.client_.Fail(fix.Call(), HttpEnd::Broken);
+  fix.routes_.Apply(JobFixture::Config(3));
+  fix.runner_.OnBoardChanged();
+  const JobLedger& ledger = *fix.runner_.Find(kJob);
+  REQUIRE(ledger.ErrorOf(0) == "its route was removed");
+  REQUIRE(ledger.DecidedUnder(0) == ConfigRevision{ 2 });
+}
+
 TEST_CASE("items whose route was removed are given up")
 {
   JobFixture fix;
