Tests: a job loaded with a record missing, or with another job's texts

Records of results are strung together without a look at the positions in their keys, so that what stands behind a gap moves forward: three results of four are loaded, and no error tells of the fourth. Texts in progress are read by prefix, and those of a job whose name begins with this one's name replace them.

--- a/tests/test_job_directory.cpp
+++ b/tests/test_job_directory.cpp
@@ -173,3 +173,68 @@
   fix.store_.Put(job_keys::Owner(job), WriteOwnerRecord({ "other~1", 3, 0 }));
   REQUIRE(fix.directory_.Find(job)->ended_);
 }
+
+namespace {
+
+JobResult
+ResultOf(const std::string& aItem)
+{
+  JobResult result;
+  result.id_ = ItemId{ aItem };
+  return result;
+}
+
+} // namespace
+
+// A trainer read each result behind a certain one at a position too early, and
+// one result never. The order: a record of results in the middle was missing
+// when another process took the job over. Cause: the records were strung
+// together without a look at the positions in their keys.
+TEST_CASE("a job is not loaded without one of its records of results")
+{
+  Fixture fix;
+  fix.jobs_.Accept(kJob, { "h", "/i/job", "b" }, 4, [](const AcceptResult&) {});
+  fix.store_.Put(job_keys::ResultsAt(kJob, 0),
+                 WriteResultsRecord({ ResultOf("a"), ResultOf("b") }));
+  fix.store_.Put(job_keys::ResultsAt(kJob, 3),
+                 WriteResultsRecord({ ResultOf("d") }));
+  const auto load = [&fix] {
+    std::optional<Result<StoredJob>> loaded;
+    fix.jobs_.Load(kJob,
+                   [&loaded](const Result<StoredJob>& aJob) { loaded = aJob; });
+    fix.timers_.Advance(50ms);
+    REQUIRE(loaded);
+    return *loaded;
+  };
+  const auto gap = load();
+  REQUIRE_FALSE(gap);
+  REQUIRE(gap.error().message_.find(job_keys::ResultsAt(kJob, 2)) !=
+          std::string::npos);
+  fix.store_.Put(job_keys::ResultsAt(kJob, 2),
+                 WriteResultsRecord({ ResultOf("c") }));
+  const auto whole = load();
+  REQUIRE(whole);
+  REQUIRE(whole.value().results_.size() == 4);
+}
+
+// The next owner of a job made texts anew that the store held. The order: a job
+// whose name begins with this job's name had texts in progress too. Cause: the
+// record is read by prefix, and the last record that came was taken.
+TEST_CASE("a job is loaded with its own texts in progress")
+{
+  Fixture fix;
+  const JobId longer{ kJob.Get() + "0" };
+  fix.jobs_.Accept(kJob, { "h", "/i/job", "b" }, 1, [](const AcceptResult&) {});
+  for (const JobId& job : { kJob, longer }) {
+    PartialRecord partial;
+    partial.item_ = ItemId{ "of " + job.Get() };
+    fix.store_.Put(job_keys::Partials(job), WritePartialRecords({ partial }));
+  }
+  std::vector<PartialRecord> texts;
+  fix.jobs_.Load(kJob, [&texts](const Result<StoredJob>& aJob) {
+    texts = aJob.value().partials_;
+  });
+  fix.timers_.Advance(50ms);
+  REQUIRE(texts.size() == 1);
+  REQUIRE(texts.front().item_ == ItemId{ "of " + kJob.Get() });
+}
