A job is loaded whole and with its own texts, or not at all

Cause: a takeover strung the records of results together as they came. With one missing, all behind it moved to positions that are not theirs, and the owner went on writing at a position too early. Texts in progress were read by prefix, so that the last job whose name begins with this one's name gave its texts.

Change: the position in each record's key has to be the number of results in front of it; otherwise the load is an error that names the missing key, as readers in other processes already see it. An unreadable record is named too. The owner looks again, every 3 s as for a submission that makes no sense; an answer of the store that cannot be read is still asked for again after 0.3 s. Texts are taken from the record of the job's own key only.

Not known to have happened: one batch of results is on its way at a time, each under the number of its owner, so that our own writes leave no gap. A store that lost a record would. Texts of another job need job names of which one begins with the other; items that the job does not have were ignored already.

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -15,8 +15,8 @@
 constexpr auto kHandOverTime = std::chrono::milliseconds(3200);
 /// A job's owner record that could not be loaded is tried again.
 constexpr auto kLoadAgain = std::chrono::milliseconds(300);
-/// So is a submission that could not be made sense of, a tenth as often: what
-/// was accepted seldom changes, and each look is some priced calls.
+/// So is a job of which what was read makes no sense, a tenth as often: what is
+/// stored seldom changes, and each look is some priced calls.
 constexpr auto kReadAgain = std::chrono::seconds(3);
 constexpr std::size_t kLongestId = 100;
 
@@ -153,7 +153,8 @@
                         : Result<JobSpec>(aStored.error());
     if (!spec) {
       // We are its owner, so that nobody else would look at it.
-      host_.Timers().After(aStored ? Duration{ kReadAgain } : kLoadAgain,
+      const bool read = spec.error().kind_ == ErrorKind::BadInput;
+      host_.Timers().After(read ? Duration{ kReadAgain } : kLoadAgain,
                            [this, aJob, aFence] { LoadOwned(aJob, aFence); });
       return;
     }
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -45,6 +45,16 @@
   return ReadSubmissionRecord(text);
 }
 
+/// `BadInput` is for what is stored; an answer that makes no sense says nothing
+/// of that, and the next one may.
+Error
+NotRead(const Error& aError)
+{
+  return { aError.kind_ == ErrorKind::BadInput ? ErrorKind::Internal
+                                               : aError.kind_,
+           aError.message_ };
+}
+
 } // namespace
 
 namespace job_keys {
@@ -94,15 +104,23 @@
 } // namespace job_keys
 
 Result<std::vector<JobResult>>
-JoinResults(const std::vector<StoreRecord>& aRecords)
+JoinResults(const JobId& aJob, const std::vector<StoreRecord>& aRecords)
 {
   std::vector<StoreRecord> records = aRecords;
   SortByKey(records);
   std::vector<JobResult> results;
   for (const StoreRecord& record : records) {
+    // Readers know results by their positions, and a missing record would move
+    // all that stand behind it.
+    const std::string next = job_keys::ResultsAt(aJob, results.size());
+    if (record.key_ != next) {
+      return Error{ ErrorKind::BadInput,
+                    "record " + next + " is missing before " + record.key_ };
+    }
     auto part = ReadResultsRecord(record.value_);
     if (!part) {
-      return part.error();
+      return Error{ part.error().kind_,
+                    record.key_ + ": " + part.error().message_ };
     }
     std::move(
       part.value().begin(), part.value().end(), std::back_inserter(results));
@@ -202,7 +220,7 @@
                 if (aParts) {
                   done(JoinSubmission(aParts.value().records_));
                 } else {
-                  done(aParts.error());
+                  done(NotRead(aParts.error()));
                 }
               });
 }
@@ -222,10 +240,10 @@
                   [this, aJob, done, submission = aSubmission.value()](
                     const Result<StoreRange>& aRecords) {
                     if (!aRecords) {
-                      done(aRecords.error());
+                      done(NotRead(aRecords.error()));
                       return;
                     }
-                    auto results = JoinResults(aRecords.value().records_);
+                    auto results = JoinResults(aJob, aRecords.value().records_);
                     if (!results) {
                       done(results.error());
                       return;
@@ -243,14 +261,19 @@
                        StoredJob aSoFar,
                        StoreDone<StoredJob> aDone)
 {
-  store_.Read(job_keys::Partials(aJob),
-              [job = std::move(aSoFar), done = std::move(aDone)](
+  const std::string key = job_keys::Partials(aJob);
+  store_.Read(key,
+              [key, job = std::move(aSoFar), done = std::move(aDone)](
                 const Result<StoreRange>& aRange) mutable {
                 if (!aRange) {
-                  done(aRange.error());
+                  done(NotRead(aRange.error()));
                   return;
                 }
                 for (const StoreRecord& record : aRange.value().records_) {
+                  // Other jobs' names may begin with this one's.
+                  if (record.key_ != key) {
+                    continue;
+                  }
                   auto texts = ReadPartialRecords(record.value_);
                   if (texts) {
                     job.partials_ = std::move(texts).value();
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -104,6 +104,7 @@
               const JobSubmissionRecord& aSubmission,
               std::uint64_t aTotal,
               std::function<void(AcceptResult)> aDone);
+  /// @param aDone told `BadInput` if what is stored makes no sense
   void Load(const JobId& aJob, StoreDone<StoredJob> aDone);
   void LoadSubmission(const JobId& aJob, StoreDone<JobSubmissionRecord> aDone);
   /// Reads the owner record; nothing if there is no such job.
@@ -141,8 +142,9 @@
   Store& store_;
 };
 
-/// @returns the results of a job's records in their order
+/// @returns the results of a job's records in their order, or an error that
+/// names the first record that is missing or cannot be read
 [[nodiscard]] Result<std::vector<JobResult>>
-JoinResults(const std::vector<StoreRecord>& aRecords);
+JoinResults(const JobId& aJob, const std::vector<StoreRecord>& aRecords);
 
 } // namespace marjoramtally
--- a/tests/job_fixture.hpp
+++ b/tests/job_fixture.hpp
@@ -143,7 +143,7 @@
         records.push_back(record);
       }
     }
-    return JoinResults(records).value();
+    return JoinResults(kJob, records).value();
   }
 
   std::string Header(const SentCall& aCall, const std::string& aName)
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -302,3 +302,19 @@
   fix.timers_.Advance(6s);
   REQUIRE(fix.runner_.Owns(kForeign));
 }
+
+TEST_CASE("a job of ours that lacks a record of results waits for it")
+{
+  ForeignFixture fix;
+  JobResult result;
+  result.id_ = ItemId{ "a2" };
+  fix.Put(job_keys::ResultsAt(kForeign, 1), WriteResultsRecord({ result }));
+  fix.Put(job_keys::Owner(kForeign), WriteOwnerRecord({ "self~0", 2, 0 }));
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.Owner(kForeign) == "self~1");
+  REQUIRE_FALSE(fix.runner_.Owns(kForeign));
+  result.id_ = ItemId{ "a1" };
+  fix.Put(job_keys::ResultsAt(kForeign, 0), WriteResultsRecord({ result }));
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.runner_.Owns(kForeign));
+}
