Tests: a job's removal that fails half way or at its first reading

All transactions of a removal are sent at once and nobody looks at their ends: where the first is refused and the last is not, 30 records of results stay for a job that nobody knows. A first reading that failed ends the removal without a log line. The fake store can refuse so many commits, and a test can read what was logged.

--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -33,6 +33,8 @@
   /// Watches hear nothing while this holds.
   bool deaf_ = false;
   std::size_t commits_ = 0;
+  /// So many of the next commits are refused.
+  std::size_t refusals_ = 0;
   /// How long each answer takes.
   Duration delay_ = std::chrono::milliseconds(4);
   std::map<std::string, StoreRecord> records_;
@@ -51,6 +53,13 @@
   void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) override
   {
     ++commits_;
+    if (refusals_ > 0) {
+      --refusals_;
+      timers_.After(delay_, [done = std::move(aDone)] {
+        done(Error{ ErrorKind::Unavailable, "refused" });
+      });
+      return;
+    }
     if (fault_ == StoreFault::Refuses || fault_ == StoreFault::Silent) {
       Answer<StoreCommit>(StoreCommit{}, std::move(aDone));
       return;
--- a/tests/test_job_directory.cpp
+++ b/tests/test_job_directory.cpp
@@ -2,6 +2,7 @@
 /// removal.
 
 #include "gateway_fixture.hpp"
+#include "log_capture.hpp"
 #include "programs/gatewayd/job_directory.hpp"
 
 #include <catch2/catch.hpp>
@@ -238,3 +239,65 @@
   REQUIRE(texts.size() == 1);
   REQUIRE(texts.front().item_ == ItemId{ "of " + kJob.Get() });
 }
+
+namespace {
+
+/// An ended job of this process whose records take two transactions to remove.
+struct RemovalFixture : DirectoryFixture
+{
+  static constexpr std::uint64_t kItems = 40;
+  const JobId job_{ "old" };
+
+  RemovalFixture()
+  {
+    store_.Put(job_keys::Owner(job_), WriteOwnerRecord({ "a~1", kItems, 0 }));
+    for (std::uint64_t i = 0; i < kItems; ++i) {
+      store_.Put(job_keys::ResultsAt(job_, i), "[]");
+    }
+    store_.Put(job_keys::End(job_), "");
+    store_.Remove(job_keys::Life("other~1"));
+  }
+
+  std::size_t CountRecords()
+  {
+    return static_cast<std::size_t>(std::count_if(
+      store_.records_.begin(), store_.records_.end(), [this](auto& aRecord) {
+        return aRecord.first.starts_with(job_keys::Results(job_));
+      }));
+  }
+};
+
+} // namespace
+
+// Results of jobs that nobody knows filled the store, and no log line told of
+// them. The order: the first transaction of a job's removal was refused, the
+// one that removes its owner record was not. Cause: all were sent at once, and
+// nobody looked at their ends.
+TEST_CASE("a removal that failed half way is told, and tried again")
+{
+  RemovalFixture fix;
+  const LogCapture log;
+  // The other job that the fixture lists is claimed long before.
+  fix.timers_.Advance(25s);
+  fix.store_.refusals_ = 1;
+  fix.timers_.Advance(6s);
+  REQUIRE(fix.store_.refusals_ == 0);
+  REQUIRE(fix.store_.records_.contains(job_keys::Owner(fix.job_)));
+  REQUIRE(fix.store_.records_.contains(job_keys::End(fix.job_)));
+  REQUIRE(log.Tells("event=job_removal_failed job=old"));
+  fix.timers_.Advance(30s);
+  REQUIRE(fix.CountRecords() == 0);
+  REQUIRE_FALSE(fix.store_.records_.contains(job_keys::Owner(fix.job_)));
+  REQUIRE_FALSE(fix.store_.records_.contains(job_keys::End(fix.job_)));
+}
+
+TEST_CASE("a removal whose first reading failed is told")
+{
+  RemovalFixture fix;
+  const LogCapture log;
+  fix.timers_.Advance(25s);
+  fix.store_.fault_ = StoreFault::Refuses;
+  fix.timers_.Advance(6s);
+  REQUIRE(log.Tells("event=job_removal_failed job=old"));
+  REQUIRE(fix.CountRecords() == RemovalFixture::kItems);
+}
