A job's removal goes on only over what is known to be gone

Cause: all transactions of a removal were sent at once, and neither their ends nor a first reading that failed were looked at. The last one removes the owner record, by which a job is known: where only an earlier one was refused, its records stayed in the store for ever.

The owner record and the end always go together in the last one, since a job whose end alone is gone would be run again.

Ruled out: trying at once again. Nobody waits for a removal, and a store that refuses is short of calls.

--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -55,6 +55,14 @@
            aError.message_ };
 }
 
+void
+LogRemovalFailed(const JobId& aJob, const std::string& aWhy)
+{
+  LogEvent(LogLevel::Warn,
+           "job_removal_failed",
+           { { "job", aJob.Get() }, { "error", aWhy } });
+}
+
 } // namespace
 
 namespace job_keys {
@@ -378,29 +386,46 @@
 void
 JobStore::Remove(const JobId& aJob, std::uint64_t aRecords)
 {
-  std::vector<std::string> keys{ job_keys::Owner(aJob),
-                                 job_keys::End(aJob),
-                                 job_keys::Partials(aJob) };
-  store_.Read(
-    job_keys::Submission(aJob),
-    [this, aJob, keys, aRecords](const Result<StoreRange>& aParts) mutable {
-      if (!aParts) {
-        return;
-      }
-      for (const StoreRecord& part : aParts.value().records_) {
-        keys.push_back(part.key_);
-      }
-      for (std::uint64_t i = 0; i < aRecords; ++i) {
-        keys.push_back(job_keys::ResultsAt(aJob, i));
-      }
-      // The owner record goes last: as long as it stands, the job is known.
-      std::rotate(keys.begin(), keys.begin() + 2, keys.end());
-      for (std::size_t at = 0; at < keys.size(); at += kRemovalsAtOnce) {
-        const std::size_t end = std::min(at + kRemovalsAtOnce, keys.size());
-        StoreTxn txn;
-        txn.deletes_.assign(keys.begin() + static_cast<std::ptrdiff_t>(at),
-                            keys.begin() + static_cast<std::ptrdiff_t>(end));
-        store_.Commit(std::move(txn), [](const Result<StoreCommit>&) {});
+  store_.Read(job_keys::Submission(aJob),
+              [this, aJob, aRecords](const Result<StoreRange>& aParts) {
+                if (!aParts) {
+                  LogRemovalFailed(aJob, aParts.error().message_);
+                  return;
+                }
+                std::vector<std::string> keys{ job_keys::Partials(aJob) };
+                for (const StoreRecord& part : aParts.value().records_) {
+                  keys.push_back(part.key_);
+                }
+                for (std::uint64_t i = 0; i < aRecords; ++i) {
+                  keys.push_back(job_keys::ResultsAt(aJob, i));
+                }
+                keys.push_back(job_keys::Owner(aJob));
+                keys.push_back(job_keys::End(aJob));
+                RemoveKeys(aJob, std::move(keys));
+              });
+}
+
+/// The owner record goes last, and not before all others are known to be gone:
+/// as long as it stands, the job is known and its removal is tried again. Its
+/// end goes with it, or a job without its end would be run again.
+void
+JobStore::RemoveKeys(const JobId& aJob, std::vector<std::string> aKeys)
+{
+  constexpr std::size_t kLast = 2;
+  const std::size_t count = aKeys.size() <= kRemovalsAtOnce
+                              ? aKeys.size()
+                              : std::min(kRemovalsAtOnce, aKeys.size() - kLast);
+  const auto rest = aKeys.begin() + static_cast<std::ptrdiff_t>(count);
+  StoreTxn txn;
+  txn.deletes_.assign(aKeys.begin(), rest);
+  store_.Commit(
+    std::move(txn),
+    [this, aJob, left = std::vector<std::string>(rest, aKeys.end())](
+      const Result<StoreCommit>& aEnd) {
+      if (!aEnd || !aEnd.value().applied_) {
+        LogRemovalFailed(aJob, aEnd ? "not applied" : aEnd.error().message_);
+      } else if (!left.empty()) {
+        RemoveKeys(aJob, left);
       }
     });
 }
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -124,7 +124,8 @@
                 const JobOwnerRecord& aRecord,
                 std::function<void(WriteEnd)> aDone);
   void End(const JobId& aJob, std::function<void(bool)> aDone);
-  /// Removes all records of a job.
+  /// Removes all records of a job. What failed is logged; as long as the job's
+  /// owner record stands, it can be removed again.
   void Remove(const JobId& aJob, std::uint64_t aRecords);
 
 private:
@@ -137,6 +138,7 @@
                     std::string aRecord,
                     std::function<void(AcceptResult)> aDone,
                     AcceptEnd aIfAbsent);
+  void RemoveKeys(const JobId& aJob, std::vector<std::string> aKeys);
 
   GatewayContext& host_;
   Store& store_;
