Tests: jobs that a whole reading lacks, or that came after it

The first fails: a job that was removed while a gateway had lost its place in the watch stays in that gateway's list. The second guards what has to stay so: a job that was accepted while the reading was on its way is kept.

--- a/tests/test_job_directory.cpp
+++ b/tests/test_job_directory.cpp
@@ -301,3 +301,36 @@
   REQUIRE(log.Tells("event=job_removal_failed job=old"));
   REQUIRE(fix.CountRecords() == RemovalFixture::kItems);
 }
+
+// A trainer read a page for a job that had been removed, where 404 is right,
+// and the removal was repeated every half minute. The order: a gateway lost its
+// place in the watch, and the job was removed before it read all again. Cause:
+// a whole reading told only of what is there.
+TEST_CASE("a job that a whole reading lacks is not listed any more")
+{
+  DirectoryFixture fix;
+  fix.store_.deaf_ = true;
+  fix.store_.Remove(job_keys::Owner(kJob));
+  fix.store_.TellBatch(job_keys::kControl, { true, false, 0, {} });
+  fix.timers_.Advance(10ms);
+  REQUIRE(fix.directory_.Find(kJob) == nullptr);
+  // Nobody claims it either.
+  fix.store_.deaf_ = false;
+  fix.store_.Remove(job_keys::Life("other~1"));
+  fix.timers_.Advance(5s);
+  REQUIRE(fix.store_.commits_ == 0);
+}
+
+TEST_CASE("a job that was accepted after a whole reading stays listed")
+{
+  DirectoryFixture fix;
+  const JobId later{ "later" };
+  fix.store_.TellBatch(job_keys::kControl, { true, false, 0, {} });
+  // The reading has begun, and its answer is on its way.
+  fix.store_.Put(job_keys::Owner(later), WriteOwnerRecord({ "other~1", 3, 0 }));
+  fix.timers_.Advance(1ms);
+  REQUIRE(fix.directory_.Find(later) != nullptr);
+  fix.timers_.Advance(10ms);
+  REQUIRE(fix.directory_.Find(later) != nullptr);
+  REQUIRE(fix.directory_.Find(kJob) != nullptr);
+}
