A whole reading of the jobs tells also which are gone

Cause: a whole reading took out signs of life that it lacks, but no jobs. A job removed while a gateway had lost its place in the watch stayed in its list: pages instead of 404, claims for a record that is not there, and, on the process that looks after old jobs, its removal again every 30 s.

Change: what the reading lacks is taken out as if the watch had told of it, and logged as job_vanished. A job whose record's fencing number is above the reading's revision stays: a claim's answer or the watch told of it while the reading was on its way.

Ruled out: comparing times; the store's revisions order both without a clock.

--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -64,6 +64,29 @@
       TakeRemoval(key);
     }
   }
+  ForgetMissing(seen, aRange.revision_);
+}
+
+/// Jobs whose record was written after the reading's revision are kept: the
+/// reading cannot know them.
+void
+JobDirectory::ForgetMissing(const std::set<std::string>& aSeen,
+                            std::uint64_t aRevision)
+{
+  std::vector<JobId> missing;
+  for (const auto& [job, known] : jobs_) {
+    if (known.fence_.Get() <= aRevision &&
+        !aSeen.contains(job_keys::Owner(job))) {
+      missing.push_back(job);
+    }
+  }
+  for (const JobId& job : missing) {
+    LogEvent(
+      LogLevel::Info,
+      "job_vanished",
+      { { "job", job.Get() }, { "revision", std::to_string(aRevision) } });
+    TakeRemoval(job_keys::Owner(job));
+  }
 }
 
 void
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -40,6 +40,9 @@
 
 private:
   void TakeAll(const StoreRange& aRange);
+  /// Forgets jobs that a whole reading of that revision lacks.
+  void ForgetMissing(const std::set<std::string>& aSeen,
+                     std::uint64_t aRevision);
   void TakeChange(const StoreEvent& aEvent);
   void TakeRecord(const StoreRecord& aRecord);
   void TakeLife(const std::string& aIncarnation, const StoreRecord& aRecord);
