The gateway opens its doors through an interface

Cause: a gateway took the whole host, so that no test could start one without sockets and threads. Change: `Doors` with `Serve` stands among what the parts of a daemon work with; the host is one. No behaviour changes.

--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include "daemon/gateway_settings.hpp"
 #include "marjoramtally/process/relay_plan.hpp"
 #include "marjoramtally/runtime/http_client.hpp"
+#include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/platform.hpp"
@@ -29,6 +30,18 @@
   virtual void Serve(RpcTopic aTopic, RpcHandler aHandler) = 0;
 };
 
+/// Opens doors whose requests are handled on the loop.
+class Doors
+{
+public:
+  virtual ~Doors() = default;
+  /// @returns an error naming the address if it cannot be bound
+  [[nodiscard]] virtual Result<std::unique_ptr<HttpServer>> Serve(
+    const ListenAddress& aAddress,
+    std::uint64_t aMaxBodyBytes,
+    HttpHandler aHandler) = 0;
+};
+
 /// References to the process's settings, clocks and doors to the outside.
 class GatewayContext
 {
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -4,7 +4,6 @@
 
 #include "daemon/gateway_context.hpp"
 #include "daemon/relayed_store.hpp"
-#include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/io_pool.hpp"
 #include "marjoramtally/runtime/rpc.hpp"
 
@@ -23,7 +22,7 @@
 
 /// One process. Everything but construction and `Run` happens on one loop,
 /// so that nothing needs a lock.
-class GatewayHost
+class GatewayHost final : public Doors
 {
 public:
   /// @param aRelayed watches of the store go through relays, and this process
@@ -32,17 +31,16 @@
               std::unique_ptr<Platform> aPlatform,
               const StoreFactory& aStore,
               bool aRelayed);
-  ~GatewayHost();
+  ~GatewayHost() override;
   GatewayHost(const GatewayHost&) = delete;
   GatewayHost& operator=(const GatewayHost&) = delete;
 
   [[nodiscard]] GatewayContext& Context() noexcept { return *context_; }
 
-  /// Serves on the loop.
   [[nodiscard]] Result<std::unique_ptr<HttpServer>> Serve(
     const ListenAddress& aAddress,
     std::uint64_t aMaxBodyBytes,
-    HttpHandler aHandler);
+    HttpHandler aHandler) override;
 
   /// Runs until the process is to end: on the loop, `aStart` at once and
   /// `aStop` when the stop signal came; then waits until `aIdle` holds or the
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -55,9 +55,9 @@
 
 } // namespace
 
-Gateway::Gateway(GatewayContext& aHost, GatewayHost& aServers)
+Gateway::Gateway(GatewayContext& aHost, Doors& aDoors)
   : host_(aHost)
-  , servers_(aServers)
+  , doors_(aDoors)
   , reader_(aHost.Formats())
   , board_(ZoneId{ aHost.Settings().zone_ })
   , forwarder_(aHost, board_)
@@ -88,16 +88,16 @@
     return Error{ ErrorKind::BadInput, "[gateway] lacks front or ready" };
   }
   auto readyServer =
-    servers_.Serve(*ready,
-                   kReadyBodyBytes,
-                   [this](const HttpRequest&, const HttpReplyPtr& aReply) {
-                     HandleReady(aReply);
-                   });
+    doors_.Serve(*ready,
+                 kReadyBodyBytes,
+                 [this](const HttpRequest&, const HttpReplyPtr& aReply) {
+                   HandleReady(aReply);
+                 });
   if (!readyServer) {
     return readyServer.error();
   }
   ready_ = std::move(readyServer).value();
-  auto frontServer = servers_.Serve(
+  auto frontServer = doors_.Serve(
     *front, kMaxBodyBytes, [this](HttpRequest aRequest, HttpReplyPtr aReply) {
       Handle(std::move(aRequest), std::move(aReply));
     });
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -2,7 +2,6 @@
 /// upstreams and runs jobs.
 #pragma once
 
-#include "daemon/gateway_host.hpp"
 #include "daemon/leased_key.hpp"
 #include "daemon/upstream_reader.hpp"
 #include "programs/gatewayd/job_api.hpp"
@@ -15,8 +14,7 @@
 {
 public:
   /// Both outlive this.
-  /// @param aServers opens doors on the loop
-  Gateway(GatewayContext& aHost, GatewayHost& aServers);
+  Gateway(GatewayContext& aHost, Doors& aDoors);
 
   /// Opens the doors; on any thread.
   /// @returns an error naming an address that cannot be bound
@@ -41,7 +39,7 @@
   [[nodiscard]] bool Ready() const;
 
   GatewayContext& host_;
-  GatewayHost& servers_;
+  Doors& doors_;
   RouteTable routes_;
   UpstreamReader reader_;
   UpstreamBoard board_;
--- a/src/programs/gatewayd/main.cpp
+++ b/src/programs/gatewayd/main.cpp
@@ -1,5 +1,6 @@
 /// The gateway daemon on the users' platform.
 
+#include "daemon/gateway_host.hpp"
 #include "programs/gatewayd/gateway.hpp"
 
 #include "marjoramtally/runtime/log.hpp"
