Tests: a gateway's readiness before and after it read the upstreams

The first fails: a gateway whose first reading of the upstreams was refused says that it is ready, and refuses the requests that come. The others guard what has to stay so: upstreams that were read once, also none, keep it ready, and a gateway that is not ready serves what it can. The fake store can refuse the readings of one prefix.

--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -35,12 +35,20 @@
   std::size_t commits_ = 0;
   /// So many of the next commits are refused.
   std::size_t refusals_ = 0;
+  /// Reads of this prefix are refused.
+  std::string unreadable_;
   /// How long each answer takes.
   Duration delay_ = std::chrono::milliseconds(4);
   std::map<std::string, StoreRecord> records_;
 
   void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override
   {
+    if (aPrefix == unreadable_) {
+      timers_.After(delay_, [done = std::move(aDone)] {
+        done(Error{ ErrorKind::Unavailable, "refused" });
+      });
+      return;
+    }
     StoreRange range{ revision_, {} };
     for (const auto& [key, record] : records_) {
       if (key.starts_with(aPrefix)) {
--- /dev/null
+++ b/tests/test_gateway.cpp
@@ -0,0 +1,124 @@
+/// A whole gateway behind doors that a test knocks at.
+
+#include "gateway_fixture.hpp"
+#include "programs/gatewayd/gateway.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kConfig =
+  R"({"version":1,"routes":[{"host":"h","prefix":"/x/","kind":"idempotent",)"
+  R"("service":"s","timeout_ms":3000}],"services":[{"name":"s"}]})";
+constexpr const char* kUpstream =
+  R"({"service":"s","address":"e:1","zone":"z1","slots":1,"state":"ready"})";
+
+class FakeServer final : public HttpServer
+{
+public:
+  [[nodiscard]] std::uint16_t Port() const noexcept override { return 1; }
+  void StopAccepting() override {}
+  [[nodiscard]] std::uint64_t InFlight() const noexcept override { return 0; }
+};
+
+/// Keeps the handlers of doors by their ports.
+class FakeDoors final : public Doors
+{
+public:
+  [[nodiscard]] Result<std::unique_ptr<HttpServer>> Serve(
+    const ListenAddress& aAddress,
+    std::uint64_t,
+    HttpHandler aHandler) override
+  {
+    handlers_[aAddress.port_] = std::move(aHandler);
+    return std::unique_ptr<HttpServer>(std::make_unique<FakeServer>());
+  }
+
+  std::map<std::uint16_t, HttpHandler> handlers_;
+};
+
+struct Fixture : GatewayFakes
+{
+  FakeDoors doors_;
+  std::unique_ptr<Gateway> gateway_;
+
+  Fixture()
+  {
+    settings_.zone_ = "z1";
+    settings_.front_ = "127.0.0.1:1";
+    settings_.ready_ = "127.0.0.1:2";
+    store_.Put(platform_->Places().config_, kConfig);
+    gateway_ = std::make_unique<Gateway>(context_, doors_);
+    REQUIRE(gateway_->Open());
+  }
+
+  std::shared_ptr<FakeReply> Knock(std::uint16_t aPort)
+  {
+    HttpRequest request;
+    request.method_ = "GET";
+    request.path_ = "/x/1";
+    request.headers_ = { { "Host", "h" } };
+    auto reply = std::make_shared<FakeReply>();
+    doors_.handlers_.at(aPort)(std::move(request), reply);
+    return reply;
+  }
+
+  std::shared_ptr<FakeReply> Ready() { return Knock(2); }
+  std::shared_ptr<FakeReply> Call() { return Knock(1); }
+};
+
+} // namespace
+
+// Callers read 503, "no upstream", of a service whose upstreams all ran. The
+// order: a gateway started, read its configuration and told the balancer that
+// it was ready, while its first reading of the upstreams had failed and waited
+// for its next try. Cause: upstreams that were not read yet are no upstreams.
+TEST_CASE("a gateway that has not read the upstreams yet is not ready")
+{
+  Fixture fix;
+  const std::string& place = fix.platform_->Places().upstreams_;
+  fix.store_.Put(place + "e", kUpstream);
+  fix.store_.unreadable_ = place;
+  fix.gateway_->Start();
+  fix.timers_.Advance(50ms);
+  const auto early = fix.Ready();
+  REQUIRE(early->status_ == 503);
+  REQUIRE(early->body_.find("no upstreams read yet") != std::string::npos);
+  fix.store_.unreadable_.clear();
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.Ready()->status_ == 200);
+  const auto reply = fix.Call();
+  REQUIRE(fix.client_.open_.size() == 1);
+  REQUIRE_FALSE(reply->ended_);
+}
+
+TEST_CASE("a gateway whose upstreams were read once stays ready without them")
+{
+  Fixture fix;
+  fix.gateway_->Start();
+  fix.timers_.Advance(50ms);
+  // There are none, and that is known.
+  REQUIRE(fix.Ready()->status_ == 200);
+  fix.store_.unreadable_ = fix.platform_->Places().upstreams_;
+  fix.store_.TellBatch(fix.store_.unreadable_, { true, false, 0, {} });
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.Ready()->status_ == 200);
+}
+
+// Where the store answers nobody, the balancer goes on with all.
+TEST_CASE("a gateway that is not ready serves what it can")
+{
+  Fixture fix;
+  fix.store_.Put(fix.platform_->Places().upstreams_ + "e", kUpstream);
+  fix.gateway_->Start();
+  fix.timers_.Advance(50ms);
+  fix.store_.fault_ = StoreFault::Refuses;
+  fix.timers_.Advance(10s);
+  REQUIRE(fix.Ready()->status_ == 503);
+  fix.Call();
+  REQUIRE(fix.client_.open_.size() == 1);
+}
