A gateway is ready once it has read the upstreams

Cause: readiness asked for a configuration and an answer of the store, but not for the upstreams, which are read at the same time. Where that first reading failed, the next try came 100 to 800 ms later; until then the gateway was ready and refused every request with "no upstream".

Change: it is ready only after a whole reading of the upstreams, also one that holds none; the answer tells which of the conditions is missing. Once read they count as known, also while a later reading fails. Requests are handled as before: where the store answers nobody, the balancer goes on with all, and what can be served is served.

Ruled out: holding the requests back until the reading came. The balancer has other gateways, and a caller's time runs.

--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -234,6 +234,7 @@
 void
 Gateway::TakeUpstreams(const StoreRange& aRange)
 {
+  upstreamsKnown_ = true;
   std::vector<UpstreamEntry> entries = reader_.ReadAll(aRange);
   LogEvent(LogLevel::Info,
            "upstreams_read",
@@ -255,24 +256,31 @@
 }
 
 /// A process that the store does not answer takes in no jobs; others may.
-/// Where it answers none, the balancer goes on with all.
-bool
-Gateway::Ready() const
+/// Where it answers none, the balancer goes on with all. Before the upstreams
+/// were read, all requests would be refused for want of one.
+std::string_view
+Gateway::WhyNotReady() const
 {
-  return !stopping_ && routes_.Known() && life_.Reached();
+  if (stopping_) {
+    return "stopping";
+  }
+  if (!routes_.Known()) {
+    return "no configuration yet";
+  }
+  if (!upstreamsKnown_) {
+    return "no upstreams read yet";
+  }
+  return life_.Reached() ? "" : "the store does not answer";
 }
 
 void
 Gateway::HandleReady(const HttpReplyPtr& aReply)
 {
-  if (Ready()) {
+  const std::string_view why = WhyNotReady();
+  if (why.empty()) {
     aReply->Send(HttpResponse{ 200, {}, "ready\n" });
   } else {
-    aReply->Send(ErrorResponse(503,
-                               "not_ready",
-                               stopping_         ? "stopping"
-                               : routes_.Known() ? "the store does not answer"
-                                                 : "no configuration yet"));
+    aReply->Send(ErrorResponse(503, "not_ready", why));
   }
 }
 
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -36,7 +36,8 @@
   void Forward(const Route& aRoute,
                HttpRequest aRequest,
                const HttpReplyPtr& aReply);
-  [[nodiscard]] bool Ready() const;
+  /// @returns empty if it is ready
+  [[nodiscard]] std::string_view WhyNotReady() const;
 
   GatewayContext& host_;
   Doors& doors_;
@@ -52,6 +53,8 @@
   PrefixFollower config_;
   PrefixFollower upstreams_;
   Random random_;
+  /// Whether a whole reading of the upstreams came, also one of none.
+  bool upstreamsKnown_ = false;
   bool stopping_ = false;
   TimePoint stopped_;
   std::unique_ptr<HttpServer> front_;
