Tests: control processes on a store that refuses or holds what is unreadable

An owner record that cannot be read ends the process that asks for it (json type_error 306 in a callback). An announcement while the budget of calls to the store is spent hangs, and with it the ledgers of all trainers: no answer in 5 s. A roles record that cannot be read leaves all engines of its service with their rules' roles.

--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -140,3 +140,29 @@
   quiet.cluster_.SetRules(older);
   CHECK(quiet.cluster_.View()->rules_->revision_ == ConfigRevision{ 4 });
 }
+
+// An engine was ordered from a trainer's work to live callers and back. The
+// order: the record of its service's roles was written in a form that could not
+// be read. Cause: roles that cannot be read counted as no roles, by which each
+// engine has its rule's role.
+TEST_CASE("roles that cannot be read leave the last known in force")
+{
+  QuietCluster quiet;
+  const UpstreamId engine{ "e" };
+  quiet.store_.Put(kRolePrefix, "lm", R"({"e":"t"})");
+  quiet.cluster_.Refresh();
+  REQUIRE(quiet.cluster_.View()->roles_.at(engine) == "t");
+  quiet.store_.Put(kRolePrefix, "lm", "unreadable");
+  quiet.cluster_.Refresh();
+  quiet.cluster_.Refresh();
+  REQUIRE(quiet.cluster_.View()->roles_.contains(engine));
+  REQUIRE(quiet.cluster_.View()->roles_.at(engine) == "t");
+  quiet.store_.Put(kRolePrefix, "lm", R"({"e":"live"})");
+  quiet.cluster_.Refresh();
+  REQUIRE(quiet.cluster_.View()->roles_.at(engine) == "live");
+  // A record that is gone is known to be gone.
+  quiet.store_.records_.clear();
+  ++quiet.store_.revision_;
+  quiet.cluster_.Refresh();
+  REQUIRE_FALSE(quiet.cluster_.View()->roles_.contains(engine));
+}
--- /dev/null
+++ b/tests/test_control_faults.cpp
@@ -0,0 +1,177 @@
+/// Control processes on stores that refuse or hold what cannot be read.
+
+#include "programs/controld/trainer_service.hpp"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TrainerId kTrainer{ "t" };
+const std::string kDuty = "trainer/t";
+const std::string kVersionKey = std::string(kVersionPrefix) + "m";
+
+/// A control process on an embedded store in a folder of its own.
+struct Process
+{
+  std::string folder_;
+  Host host_;
+  Owners owners_{ host_ };
+  TrainerService trainers_{ host_, owners_ };
+
+  Process()
+    : folder_(MakeFolder())
+    , host_(MakeSettings(folder_), "marjoram-controld", "control")
+  {
+    InstanceRecord self;
+    self.id_ = InstanceId{ "self" };
+    host_.Members().Start(self);
+    REQUIRE(Wait([this] { return host_.Members().Lease() != 0; }));
+    auto rules = std::make_shared<Rules>();
+    rules->revision_ = ConfigRevision{ 1 };
+    TrainerRule& rule = rules->trainers_[kTrainer];
+    rule.id_ = kTrainer;
+    rule.model_ = "m";
+    host_.Members().SetRules(std::move(rules));
+  }
+
+  ~Process()
+  {
+    host_.Clockwork().Stop();
+    std::filesystem::remove_all(folder_);
+  }
+
+  static std::string MakeFolder()
+  {
+    std::string form =
+      (std::filesystem::temp_directory_path() / "mt-control.XXXXXX").string();
+    return mkdtemp(form.data());
+  }
+
+  static DaemonSettings MakeSettings(const std::string& aFolder)
+  {
+    DaemonSettings settings;
+    settings.instance_ = "self";
+    settings.zone_ = "z";
+    settings.store_ = "file:" + aFolder;
+    return settings;
+  }
+
+  /// Calls to the store end on its own thread.
+  template<typename Condition>
+  static bool Wait(const Condition& aCondition)
+  {
+    for (int i = 0; i < 1000; ++i) {
+      if (aCondition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+    return false;
+  }
+
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    StoreTxn txn;
+    txn.puts_.push_back({ aKey, aValue, 0 });
+    std::promise<void> written;
+    host_.PlatformStore().Commit(
+      std::move(txn),
+      [&written](const Result<StoreCommit>&) { written.set_value(); });
+    written.get_future().wait();
+  }
+
+  /// @returns empty if there is no such record, or it could not be read now
+  std::string Value(const std::string& aKey)
+  {
+    std::promise<std::string> text;
+    host_.PlatformStore().Read(aKey, [&](const Result<StoreRange>& aRange) {
+      const bool any = aRange && !aRange.value().records_.empty();
+      text.set_value(any ? aRange.value().records_.front().value_ : "");
+    });
+    return text.get_future().get();
+  }
+
+  RpcReply Ask(TrainerOperation aOperation)
+  {
+    std::promise<RpcReply> answer;
+    trainers_.Serve(
+      { kTrainer, std::move(aOperation) }, "", [&answer](RpcReply aReply) {
+        answer.set_value(std::move(aReply));
+      });
+    return answer.get_future().get();
+  }
+
+  /// Until the next readings are refused within their calls.
+  void SpendBudget()
+  {
+    const auto refused = [this] {
+      const auto now = std::make_shared<std::atomic<bool>>(false);
+      host_.PlatformStore().Read(
+        "none", [now](const Result<StoreRange>& aRead) { *now = !aRead; });
+      return now->load();
+    };
+    while (!refused()) {
+    }
+    // These are never refused; they have to be earned back first.
+    for (StoreLeaseId lease = 1'000'000; lease < 1'000'008; ++lease) {
+      host_.PlatformStore().RevokeLease(lease, [](const Result<bool>&) {});
+    }
+  }
+};
+
+} // namespace
+
+// A control process answered nothing more, not even that it was alive. The
+// order: it had spent its budget of calls to the store when a trainer announced
+// a version. Cause: such a reading is refused within the call, the version was
+// stored under the ledgers' lock, and the refusal takes that lock too.
+TEST_CASE("an announcement while the store's budget is spent is answered")
+{
+  // Not destroyed when it hangs.
+  auto process = std::make_unique<Process>();
+  REQUIRE(process->Ask(AskProgress{}));
+  process->SpendBudget();
+  std::promise<bool> answered;
+  auto answer = answered.get_future();
+  std::thread([held = process.get(), done = std::move(answered)]() mutable {
+    done.set_value(
+      static_cast<bool>(held->Ask(AnnounceVersion{ WeightVersion{ 3 } })));
+  }).detach();
+  const bool came = answer.wait_for(5s) == std::future_status::ready;
+  if (!came) {
+    static_cast<void>(process.release());
+  }
+  REQUIRE(came);
+  REQUIRE(answer.get());
+  // The store is told once the process may call it again.
+  process->trainers_.Start();
+  REQUIRE(Process::Wait([&process] {
+    std::this_thread::sleep_for(300ms);
+    return process->Value(kVersionKey).find("\"version\":3") !=
+           std::string::npos;
+  }));
+}
+
+// All trainers of a control process lost their ledgers. The order: it asked who
+// owned a duty, and that record could not be made sense of. Cause: a field of
+// what is no object was asked for in a callback, which ended the process.
+TEST_CASE("an owner record that cannot be read ends no process")
+{
+  const std::string value = GENERATE("", "no object", "[]", R"({"owner":1})");
+  Process process;
+  process.Put(std::string(kOwnerPrefix) + kDuty, value);
+  std::promise<Result<Ownership>> owned;
+  process.owners_.Acquire(kDuty, [&owned](Result<Ownership> aOwned) {
+    owned.set_value(std::move(aOwned));
+  });
+  const auto owner = owned.get_future().get();
+  REQUIRE_FALSE(owner);
+  REQUIRE(owner.error().kind_ == ErrorKind::Unavailable);
+  REQUIRE(owner.error().message_.find(kDuty) != std::string::npos);
+}
