A record of another form than expected ends no control process

Cause: the record of a duty's owner was asked for its fields whatever it was, in a callback of the store, where an exception ends the process. The view of the cluster checked only that a record is an object, so that an owner, a version or an instance with a field of another kind ended every process that follows them.

Change: the record of a duty's owner is read in one place, which checks its fields; an acquisition is answered `Unavailable` and names the duty. Records in the view are checked field by field; one that cannot be read is logged and left out, as one that is no object was before.

Ruled out: taking such a duty over. The record stands for a lease that may live. Ruled out too: catching the exception around all of a reading, as one record would then keep the rest out of the view.

--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -19,20 +19,6 @@
   }.dump();
 }
 
-void
-TakeOwner(const std::string& aDuty,
-          const Json& aBody,
-          const StoreRecord& aRecord,
-          ClusterView& aView)
-{
-  OwnerRecord record;
-  record.owner_ = InstanceId{ aBody.value("owner", "") };
-  record.rpc_ = aBody.value("rpc", "");
-  record.term_ = FencingNumber{ aRecord.createRevision_ };
-  record.lease_ = aRecord.lease_;
-  aView.owners_.emplace(aDuty, std::move(record));
-}
-
 void
 TakeRoles(const Json& aBody, ClusterView& aView)
 {
@@ -43,36 +29,101 @@
   }
 }
 
+/// @returns the text of a field, empty if it is missing; nothing if it is none
+std::optional<std::string>
+TextOf(const Json& aBody, const char* aField)
+{
+  const auto field = aBody.find(aField);
+  if (field == aBody.end()) {
+    return std::string();
+  }
+  return field->is_string() ? std::optional(field->get<std::string>())
+                            : std::nullopt;
+}
+
+bool
+TakeInstance(const Json& aBody, std::vector<std::string>& aSeeds)
+{
+  auto rpc = TextOf(aBody, "rpc");
+  if (rpc && !rpc->empty()) {
+    aSeeds.push_back(std::move(*rpc));
+  }
+  return rpc.has_value();
+}
+
+bool
+TakeVersion(const std::string& aModel, const Json& aBody, ClusterView& aView)
+{
+  const auto version = aBody.find("version");
+  if (version == aBody.end() || !version->is_number_unsigned()) {
+    return false;
+  }
+  aView.versions_[aModel] = WeightVersion{ version->get<std::uint64_t>() };
+  return true;
+}
+
+bool
+TakeOwner(const StoreRecord& aRecord, ClusterView& aView)
+{
+  auto owner = ReadDutyOwner(aRecord);
+  if (owner) {
+    aView.owners_.emplace(aRecord.key_.substr(kOwnerPrefix.size()),
+                          std::move(*owner));
+  }
+  return owner.has_value();
+}
+
 /// Sorts one record of the store into the view.
-void
+/// @returns whether it could be read
+bool
 TakeRecord(const StoreRecord& aRecord,
            ClusterView& aView,
            std::vector<std::string>& aSeeds)
 {
   const Json body = Json::parse(aRecord.value_, nullptr, false);
   if (!body.is_object()) {
-    LogEvent(
-      LogLevel::Warn, "store_record_unreadable", { { "key", aRecord.key_ } });
-    return;
+    return false;
   }
   const std::string& key = aRecord.key_;
   if (key.starts_with(kInstancePrefix)) {
-    const std::string rpc = body.value("rpc", "");
-    if (!rpc.empty()) {
-      aSeeds.push_back(rpc);
-    }
-  } else if (key.starts_with(kOwnerPrefix)) {
-    TakeOwner(key.substr(kOwnerPrefix.size()), body, aRecord, aView);
-  } else if (key.starts_with(kRolePrefix)) {
+    return TakeInstance(body, aSeeds);
+  }
+  if (key.starts_with(kOwnerPrefix)) {
+    return TakeOwner(aRecord, aView);
+  }
+  if (key.starts_with(kVersionPrefix)) {
+    return TakeVersion(key.substr(kVersionPrefix.size()), body, aView);
+  }
+  if (key.starts_with(kRolePrefix)) {
     TakeRoles(body, aView);
-  } else if (key.starts_with(kVersionPrefix)) {
-    aView.versions_[key.substr(kVersionPrefix.size())] =
-      WeightVersion{ body.value("version", std::uint64_t{ 0 }) };
   }
+  return true;
 }
 
 } // namespace
 
+/// What is read here may have been written by anyone: a field of another kind
+/// would throw into a callback, where nobody catches it.
+std::optional<OwnerRecord>
+ReadDutyOwner(const StoreRecord& aRecord)
+{
+  const Json body = Json::parse(aRecord.value_, nullptr, false);
+  if (!body.is_object()) {
+    return std::nullopt;
+  }
+  auto owner = TextOf(body, "owner");
+  auto rpc = TextOf(body, "rpc");
+  if (!owner || owner->empty() || !rpc) {
+    return std::nullopt;
+  }
+  OwnerRecord record;
+  record.owner_ = InstanceId{ std::move(*owner) };
+  record.rpc_ = std::move(*rpc);
+  record.term_ = FencingNumber{ aRecord.createRevision_ };
+  record.lease_ = aRecord.lease_;
+  return record;
+}
+
 Cluster::Cluster(const DaemonSettings& aSettings,
                  Store& aStore,
                  Timers& aTimers)
@@ -134,7 +185,9 @@
   ClusterView read;
   std::vector<std::string> seeds;
   for (const auto& [key, record] : aRecords) {
-    TakeRecord(record, read, seeds);
+    if (!TakeRecord(record, read, seeds)) {
+      LogEvent(LogLevel::Warn, "store_record_unreadable", { { "key", key } });
+    }
   }
   if (onSeeds_) {
     onSeeds_(std::move(seeds));
--- a/src/daemon/cluster.hpp
+++ b/src/daemon/cluster.hpp
@@ -47,6 +47,10 @@
   StoreLeaseId lease_ = 0;
 };
 
+/// @returns nothing if the record cannot be read
+[[nodiscard]] std::optional<OwnerRecord>
+ReadDutyOwner(const StoreRecord& aRecord);
+
 /// An immutable view of the cluster.
 struct ClusterView
 {
--- a/src/programs/controld/owners.cpp
+++ b/src/programs/controld/owners.cpp
@@ -145,12 +145,19 @@
         if (record.key_ != key) {
           continue;
         }
-        const auto body = nlohmann::json::parse(record.value_, nullptr, false);
+        const auto owner = ReadDutyOwner(record);
+        if (!owner) {
+          LogEvent(
+            LogLevel::Error, "store_record_unreadable", { { "key", key } });
+          done(
+            Error{ ErrorKind::Unavailable,
+                   "the record of the owner of " + aDuty + " cannot be read" });
+          return;
+        }
         Ownership ownership;
-        ownership.mine_ =
-          body.value("owner", "") == host_.Members().Self().id_.Get();
-        ownership.owner_ = body.value("rpc", "");
-        ownership.term_ = FencingNumber{ record.createRevision_ };
+        ownership.mine_ = owner->owner_ == host_.Members().Self().id_;
+        ownership.owner_ = owner->rpc_;
+        ownership.term_ = owner->term_;
         if (ownership.mine_) {
           const std::lock_guard lock(mutex_);
           mine_[aDuty] = ownership.term_;
