An announcement is written to the store without the ledgers' lock

Cause: a reading is refused within the call when the process's budget of calls is spent. A new version was announced to the store with the lock of the ledgers held, and the refusal's callback takes that lock: the thread waited for itself, and after it every trainer's call and the tick of the ledgers.

Change: the write to the store is begun by the timers, which hold no lock, as soon as they are free. An announcement still holds here at once; the store is told again after a pause, as after any failure.

Ruled out: a refusal that comes later from the counted store. It has no timers, and a store may answer within the call for other reasons too.

--- a/src/programs/controld/trainer_service.cpp
+++ b/src/programs/controld/trainer_service.cpp
@@ -96,13 +96,25 @@
     return;
   }
   stored.busy_ = true;
+  // The store may answer within the call, and the answer takes the lock that
+  // is held here.
+  host_.Clockwork().After(
+    Duration::zero(),
+    [this, model = aState.rule_.model_, id = aState.rule_.id_, newest] {
+      TellStore(model, id, newest);
+    });
+}
+
+void
+TrainerService::TellStore(const std::string& aModel,
+                          const TrainerId& aTrainer,
+                          WeightVersion aVersion)
+{
   announcer_.Announce(
-    aState.rule_.model_,
-    newest,
-    [this, trainer = aState.rule_.id_, newest](const Result<bool>& aStored) {
+    aModel, aVersion, [this, aTrainer, aVersion](const Result<bool>& aStored) {
       const std::lock_guard lock(mutex_);
-      if (TrainerState* state = Find(trainer)) {
-        VersionStored(*state, newest, aStored);
+      if (TrainerState* state = Find(aTrainer)) {
+        VersionStored(*state, aVersion, aStored);
       }
     });
 }
--- a/src/programs/controld/trainer_service.hpp
+++ b/src/programs/controld/trainer_service.hpp
@@ -87,7 +87,11 @@
   void Announce(TrainerState& aState,
                 WeightVersion aVersion,
                 const RpcDone& aDone);
+  /// Writes the newest version to the store, without the lock.
   void StoreVersion(TrainerState& aState);
+  void TellStore(const std::string& aModel,
+                 const TrainerId& aTrainer,
+                 WeightVersion aVersion);
   void VersionStored(TrainerState& aState,
                      WeightVersion aVersion,
                      const Result<bool>& aStored);
