Roles that cannot be read leave the last known in force

Cause: a record of roles that could not be read was left out of the view as if there were none, and without an allocated role an engine has its rule's. Orders followed, and back again once the record could be read.

Change: the records of roles are kept as they could last be read, and stand in for one that cannot. A record that is gone is known to be gone.

--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -184,11 +184,14 @@
 {
   ClusterView read;
   std::vector<std::string> seeds;
+  std::set<std::string> unreadable;
   for (const auto& [key, record] : aRecords) {
     if (!TakeRecord(record, read, seeds)) {
       LogEvent(LogLevel::Warn, "store_record_unreadable", { { "key", key } });
+      unreadable.insert(key);
     }
   }
+  KeepRoles(aRecords, unreadable, read);
   if (onSeeds_) {
     onSeeds_(std::move(seeds));
   }
@@ -202,6 +205,31 @@
   });
 }
 
+/// Without roles each engine has its rule's, and would be ordered to it.
+void
+Cluster::KeepRoles(const LiveRecordMap& aRecords,
+                   const std::set<std::string>& aUnreadable,
+                   ClusterView& aView)
+{
+  const std::lock_guard lock(mutex_);
+  LiveRecordMap roles;
+  for (const auto& [key, record] : aRecords) {
+    if (!key.starts_with(kRolePrefix)) {
+      continue;
+    }
+    if (!aUnreadable.contains(key)) {
+      roles.emplace(key, record);
+      continue;
+    }
+    const auto known = roles_.find(key);
+    if (known != roles_.end()) {
+      TakeRoles(Json::parse(known->second.value_), aView);
+      roles.insert(*known);
+    }
+  }
+  roles_ = std::move(roles);
+}
+
 void
 Cluster::SetMembers(const std::vector<Member>& aMembers)
 {
--- a/src/daemon/cluster.hpp
+++ b/src/daemon/cluster.hpp
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <mutex>
+#include <set>
 
 namespace marjoramtally {
 
@@ -103,6 +104,10 @@
 
 private:
   void TakeRecords(const LiveRecordMap& aRecords);
+  /// Takes the last roles that could be read in place of those that cannot.
+  void KeepRoles(const LiveRecordMap& aRecords,
+                 const std::set<std::string>& aUnreadable,
+                 ClusterView& aView);
   void Update(const std::function<void(ClusterView&)>& aChange);
 
   const DaemonSettings& settings_;
@@ -111,6 +116,8 @@
   LiveRecords records_;
   InstanceRecord self_;
   mutable std::mutex mutex_;
+  /// Records of roles as they could last be read.
+  LiveRecordMap roles_;
   ClusterViewPtr view_ = std::make_shared<ClusterView>();
   std::vector<std::function<void(const ClusterViewPtr&)>> listeners_;
 };
