Tests: a version record and a watch's answer that cannot be read

Over a version record that cannot be read the next announcement is written, whatever its version (3, where the record may have said 7); a field of another kind in it ends the process (json type_error 302). A watch whose answer cannot be read ends without a log line.

--- a/tests/test_control_faults.cpp
+++ b/tests/test_control_faults.cpp
@@ -175,3 +175,31 @@
   REQUIRE(owner.error().kind_ == ErrorKind::Unavailable);
   REQUIRE(owner.error().message_.find(kDuty) != std::string::npos);
 }
+
+// An engine was ordered to a version below the one that it served. The order:
+// the record of a model's version could not be read when its trainer announced
+// one. Cause: a record that cannot be read counted as one of no versions, over
+// which every version rises.
+TEST_CASE("a version record that cannot be read is not written over")
+{
+  const std::string value = GENERATE("unreadable",
+                                     R"({"version":"7"})",
+                                     R"({"version":7,"history":"5"})",
+                                     R"({"version":7,"history":["5"]})");
+  Process process;
+  process.Put(kVersionKey, value);
+  VersionAnnouncer announcer(process.host_);
+  std::promise<Result<bool>> announced;
+  announcer.Announce("m", WeightVersion{ 3 }, [&](Result<bool> aEnd) {
+    announced.set_value(std::move(aEnd));
+  });
+  const auto end = announced.get_future().get();
+  REQUIRE_FALSE(end);
+  REQUIRE(end.error().message_.find(kVersionKey) != std::string::npos);
+  REQUIRE(process.Value(kVersionKey) == value);
+  std::promise<bool> loaded;
+  announcer.Load("m", [&](const Result<std::vector<WeightVersion>>& aPast) {
+    loaded.set_value(static_cast<bool>(aPast));
+  });
+  REQUIRE_FALSE(loaded.get_future().get());
+}
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -2,6 +2,7 @@
 /// what becomes of answers that cannot be right.
 
 #include "gateway_fixture.hpp"
+#include "log_capture.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -138,3 +139,19 @@
   CHECK(batches.at(2).ended_);
   CHECK(fix.client_.open_.empty());
 }
+
+// Readings of whole prefixes came again and again, and no log line told why.
+// The order: the store answered a watch with what could not be read. Cause: the
+// watch ended without a word.
+TEST_CASE("a watch whose answer cannot be read says so when it ends")
+{
+  Fixture fix;
+  const LogCapture log;
+  bool ended = false;
+  fix.store_->Watch("p/", 5, [&ended](const StoreWatchBatch& aBatch) {
+    ended = aBatch.ended_;
+  });
+  fix.Answer(200, R"({"events":[{}],"as_of":8})");
+  REQUIRE(ended);
+  REQUIRE(log.Tells("event=watch_unreadable prefix=p/ after=4"));
+}
