A version record that cannot be read is not written over

Cause: such a record counted as one of no versions. The next announcement was written over it with its history, also below the version that it held, and a trainer's owner that started then judged samples by no versions at all. A field of another kind ended the process.

Change: it is an error that names the record, `Unavailable` and logged. The announcement holds at its owner and is tried again after the usual pauses; a new owner takes its trainer over once the record can be read.

What it costs: until somebody mends the record, a trainer whose owner changes is not served. Ruled out: going on with the version in the cluster's view, which a process that has just started does not know.

--- a/src/programs/controld/version_announcer.cpp
+++ b/src/programs/controld/version_announcer.cpp
@@ -17,7 +17,34 @@
   std::vector<WeightVersion> announced_;
 };
 
-VersionRecord
+/// @returns whether the body is one of a version record
+bool
+ReadAnnounced(const Json& aBody, std::vector<WeightVersion>& aAnnounced)
+{
+  if (!aBody.is_object() || !aBody.contains("version") ||
+      !aBody["version"].is_number_unsigned()) {
+    return false;
+  }
+  const Json history = aBody.value("history", Json::array());
+  if (!history.is_array()) {
+    return false;
+  }
+  for (const Json& past : history) {
+    if (!past.is_number_unsigned()) {
+      return false;
+    }
+    aAnnounced.emplace_back(past.get<std::uint64_t>());
+  }
+  const WeightVersion newest{ aBody["version"].get<std::uint64_t>() };
+  if (aAnnounced.empty() || aAnnounced.back() < newest) {
+    aAnnounced.push_back(newest);
+  }
+  return true;
+}
+
+/// A record that cannot be read is not one of no versions: what is announced
+/// next might be lower than what it says.
+Result<VersionRecord>
 ReadRecord(const std::string& aKey, const StoreRange& aRead)
 {
   VersionRecord result;
@@ -26,17 +53,11 @@
       continue;
     }
     result.modRevision_ = record.modRevision_;
-    const Json body = Json::parse(record.value_, nullptr, false);
-    if (!body.is_object()) {
-      continue;
-    }
-    for (const auto past :
-         body.value("history", std::vector<std::uint64_t>{})) {
-      result.announced_.emplace_back(past);
-    }
-    const WeightVersion newest{ body.value("version", std::uint64_t{ 0 }) };
-    if (result.announced_.empty() || result.announced_.back() < newest) {
-      result.announced_.push_back(newest);
+    if (!ReadAnnounced(Json::parse(record.value_, nullptr, false),
+                       result.announced_)) {
+      LogEvent(LogLevel::Error, "store_record_unreadable", { { "key", aKey } });
+      return Error{ ErrorKind::Unavailable,
+                    "the record " + aKey + " cannot be read" };
     }
   }
   return result;
@@ -71,10 +92,15 @@
   const std::string key = std::string(kVersionPrefix) + aModel;
   host_.PlatformStore().Read(
     key, [key, done = std::move(aDone)](const Result<StoreRange>& aRead) {
-      if (aRead) {
-        done(ReadRecord(key, aRead.value()).announced_);
-      } else {
+      if (!aRead) {
         done(aRead.error());
+        return;
+      }
+      auto record = ReadRecord(key, aRead.value());
+      if (record) {
+        done(std::move(record).value().announced_);
+      } else {
+        done(record.error());
       }
     });
 }
@@ -102,13 +128,18 @@
                         const StoreRange& aRead,
                         std::function<void(Result<bool>)> aDone)
 {
-  VersionRecord record = ReadRecord(aKey, aRead);
-  if (!record.announced_.empty() && record.announced_.back() >= aVersion) {
+  auto record = ReadRecord(aKey, aRead);
+  if (!record) {
+    aDone(record.error());
+    return;
+  }
+  const auto& announced = record.value().announced_;
+  if (!announced.empty() && announced.back() >= aVersion) {
     aDone(true);
     return;
   }
   host_.PlatformStore().Commit(
-    MakeRaise(aKey, std::move(record), aVersion),
+    MakeRaise(aKey, std::move(record).value(), aVersion),
     [this, done = std::move(aDone)](const Result<StoreCommit>& aCommit) {
       if (!aCommit || !aCommit.value().applied_) {
         done(Error{ ErrorKind::Unavailable,
--- a/src/programs/controld/version_announcer.hpp
+++ b/src/programs/controld/version_announcer.hpp
@@ -5,7 +5,8 @@
 
 namespace marjoramtally {
 
-/// Reads and raises versions. Thread-safe.
+/// Reads and raises versions; those of a record that cannot be read are an
+/// error, not none. Thread-safe.
 class VersionAnnouncer
 {
 public:
