--- a/tests/test_allocation_service.cpp
+++ b/tests/test_allocation_service.cpp
@@ -1,60 +1,29 @@
 /// The allocation of engines at a process that begins to own it.
 
+#include "control_fixture.hpp"
 #include "programs/controld/allocation_service.hpp"
 
 #include <catch2/catch.hpp>
-#include <filesystem>
-#include <future>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 using namespace marjoramtally;
+using namespace marjoramtally::test;
 using namespace std::chrono_literals;
 
 namespace {
 
 const std::string kRoles = std::string(kRolePrefix) + "lm";
 
-/// A control process on an embedded store in a folder of its own.
-struct Process
+struct Process : ControlProcess
 {
-  std::string folder_;
-  Host host_;
-  Owners owners_{ host_ };
   AllocationService allocation_{ host_, owners_ };
 
   Process()
-    : folder_(MakeFolder())
-    , host_(MakeSettings(folder_), "marjoram-controld", "control")
+    : ControlProcess(MakeRules())
   {
-    InstanceRecord self;
-    self.id_ = InstanceId{ "self" };
-    host_.Members().Start(self);
-    REQUIRE(Wait([this] { return host_.Members().Lease() != 0; }));
-    host_.Members().SetRules(MakeRules());
   }
 
-  ~Process()
-  {
-    host_.Clockwork().Stop();
-    std::filesystem::remove_all(folder_);
-  }
-
-  static std::string MakeFolder()
-  {
-    std::string form =
-      (std::filesystem::temp_directory_path() / "mt-alloc.XXXXXX").string();
-    return mkdtemp(form.data());
-  }
-
-  static DaemonSettings MakeSettings(const std::string& aFolder)
-  {
-    DaemonSettings settings;
-    settings.instance_ = "self";
-    settings.zone_ = "z";
-    settings.store_ = "file:" + aFolder;
-    return settings;
-  }
+  ~Process() { host_.Clockwork().Stop(); }
 
   /// Three engines, one for live callers and two for a trainer.
   static std::shared_ptr<const Rules> MakeRules()
@@ -77,30 +46,6 @@
     return rules;
   }
 
-  /// Calls to the store end on its own thread.
-  template<typename Condition>
-  static bool Wait(const Condition& aCondition)
-  {
-    for (int i = 0; i < 1000; ++i) {
-      if (aCondition()) {
-        return true;
-      }
-      std::this_thread::sleep_for(10ms);
-    }
-    return false;
-  }
-
-  void Put(const std::string& aKey, const std::string& aValue)
-  {
-    StoreTxn txn;
-    txn.puts_.push_back({ aKey, aValue, 0 });
-    std::promise<void> written;
-    host_.PlatformStore().Commit(
-      std::move(txn),
-      [&written](const Result<StoreCommit>&) { written.set_value(); });
-    written.get_future().wait();
-  }
-
   nlohmann::json Roles()
   {
     std::promise<std::string> text;
--- a/tests/test_control_faults.cpp
+++ b/tests/test_control_faults.cpp
@@ -1,13 +1,12 @@
 /// Control processes on stores that refuse or hold what cannot be read.
 
+#include "control_fixture.hpp"
 #include "programs/controld/trainer_service.hpp"
 
 #include <catch2/catch.hpp>
-#include <filesystem>
-#include <future>
-#include <thread>
 
 using namespace marjoramtally;
+using namespace marjoramtally::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -16,74 +15,25 @@
 const std::string kDuty = "trainer/t";
 const std::string kVersionKey = std::string(kVersionPrefix) + "m";
 
-/// A control process on an embedded store in a folder of its own.
-struct Process
+struct Process : ControlProcess
 {
-  std::string folder_;
-  Host host_;
-  Owners owners_{ host_ };
   TrainerService trainers_{ host_, owners_ };
 
   Process()
-    : folder_(MakeFolder())
-    , host_(MakeSettings(folder_), "marjoram-controld", "control")
+    : ControlProcess(MakeRules())
+  {
+  }
+
+  ~Process() { host_.Clockwork().Stop(); }
+
+  static std::shared_ptr<const Rules> MakeRules()
   {
-    InstanceRecord self;
-    self.id_ = InstanceId{ "self" };
-    host_.Members().Start(self);
-    REQUIRE(Wait([this] { return host_.Members().Lease() != 0; }));
     auto rules = std::make_shared<Rules>();
     rules->revision_ = ConfigRevision{ 1 };
     TrainerRule& rule = rules->trainers_[kTrainer];
     rule.id_ = kTrainer;
     rule.model_ = "m";
-    host_.Members().SetRules(std::move(rules));
-  }
-
-  ~Process()
-  {
-    host_.Clockwork().Stop();
-    std::filesystem::remove_all(folder_);
-  }
-
-  static std::string MakeFolder()
-  {
-    std::string form =
-      (std::filesystem::temp_directory_path() / "mt-control.XXXXXX").string();
-    return mkdtemp(form.data());
-  }
-
-  static DaemonSettings MakeSettings(const std::string& aFolder)
-  {
-    DaemonSettings settings;
-    settings.instance_ = "self";
-    settings.zone_ = "z";
-    settings.store_ = "file:" + aFolder;
-    return settings;
-  }
-
-  /// Calls to the store end on its own thread.
-  template<typename Condition>
-  static bool Wait(const Condition& aCondition)
-  {
-    for (int i = 0; i < 1000; ++i) {
-      if (aCondition()) {
-        return true;
-      }
-      std::this_thread::sleep_for(10ms);
-    }
-    return false;
-  }
-
-  void Put(const std::string& aKey, const std::string& aValue)
-  {
-    StoreTxn txn;
-    txn.puts_.push_back({ aKey, aValue, 0 });
-    std::promise<void> written;
-    host_.PlatformStore().Commit(
-      std::move(txn),
-      [&written](const Result<StoreCommit>&) { written.set_value(); });
-    written.get_future().wait();
+    return rules;
   }
 
   /// @returns empty if there is no such record, or it could not be read now
--- a/tests/test_job_routes.cpp
+++ b/tests/test_job_routes.cpp
@@ -8,9 +8,9 @@
 /// removal of the route and wrote 96 errors.
 ///
 /// Evidence: every item that the day's logs call impossible was of this owner,
-/// within 3 ms, 0.28 s before its first `config_read`. Brought about again, such
-/// owners had started their jobs with no configuration, and no run of these items
-/// had ended since, so that no upstream had called them impossible.
+/// within 3 ms, 0.28 s before its first `config_read`. Brought about again,
+/// such owners had started their jobs with no configuration, and no run of
+/// these items had ended since, so that no upstream had called them impossible.
 
 #include "job_fixture.hpp"
 
