--- a/include/marjoramtally/process/relay_plan.hpp
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -34,8 +34,10 @@
   /// Fewer processes than this watch the store themselves: what relays would
   /// save is less than what they cost in failures.
   std::size_t leastPeers_ = 5;
-  /// Processes that one relay serves.
-  std::size_t peersOfRelay_ = 24;
+  /// Processes that one relay serves with one prefix. Each prefix has relays
+  /// of its own: as many questions reach a relay as with 24 processes and
+  /// three prefixes, for a third of the watches.
+  std::size_t peersOfRelay_ = 72;
   /// Relays at the least, for one to fail.
   std::size_t leastRelays_ = 2;
 };
@@ -49,22 +51,22 @@
   void OnAlive(const std::string& aIncarnation, LifeRecord aRecord);
   void OnGone(const std::string& aIncarnation);
 
-  /// @returns addresses of the relays to ask, in the order in which this
+  /// @returns addresses of the relays of a prefix, in the order in which this
   /// process asks them; empty: it watches the store itself
-  [[nodiscard]] const std::vector<std::string>& Relays() const noexcept
-  {
-    return relays_;
-  }
+  [[nodiscard]] const std::vector<std::string>& Relays(
+    const std::string& aPrefix) const;
   /// @returns addresses of all other processes that can be called
   [[nodiscard]] std::vector<std::string> Peers() const;
 
 private:
-  void Update();
+  [[nodiscard]] std::vector<std::string> Choose(
+    const std::string& aPrefix) const;
 
   std::string self_;
   RelayPlanPolicy policy_;
   std::map<std::string, LifeRecord> alive_;
-  std::vector<std::string> relays_;
+  /// Relays of the prefixes asked for since the processes last changed.
+  mutable std::map<std::string, std::vector<std::string>> relays_;
 };
 
 } // namespace marjoramtally
--- a/include/marjoramtally/runtime/store.hpp
+++ b/include/marjoramtally/runtime/store.hpp
@@ -100,6 +100,13 @@
   virtual ~Store() = default;
   /// Reads all records whose key starts with the prefix.
   virtual void Read(std::string aPrefix, StoreDone<StoreRange> aDone) = 0;
+  /// Reads all records under the prefix, as of a revision that may be some
+  /// seconds old; for who then follows the changes from that revision on.
+  /// Cheaper where the store can answer without asking for the newest.
+  virtual void ReadEarlier(std::string aPrefix, StoreDone<StoreRange> aDone)
+  {
+    Read(std::move(aPrefix), std::move(aDone));
+  }
   /// Reads the records under the prefix whose keys come after a key.
   virtual void ReadAfter(std::string aPrefix,
                          std::string aAfter,
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -181,8 +181,8 @@
            StoreDone<StoreWatchBatch> aDone) {
       AskRelay(aAddress, aAsk, std::move(aDone));
     },
-    [this]() -> const std::vector<std::string>& {
-      return relayPlan_->Relays();
+    [this](const std::string& aPrefix) -> const std::vector<std::string>& {
+      return relayPlan_->Relays(aPrefix);
     });
   peers_->Serve(RpcTopic::Watch, [this](const RpcCall& aCall, RpcDone aDone) {
     ServeRelay(aCall, std::move(aDone));
--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -90,7 +90,8 @@
   }
   options_.ttl_ = aTtl;
   if (held_) {
-    replaced_ = lease_;
+    // The key will hang on the new lease; the one of before is left to lapse,
+    // which spares a priced call.
     Later(Duration{ 0 }, &LeasedKey::Grant);
   }
 }
@@ -163,11 +164,6 @@
     pauses_.Reset();
     held_ = true;
     waiting_ = false;
-    if (replaced_ != 0) {
-      // The key hangs on the new lease now.
-      store_.RevokeLease(replaced_, [](const Result<bool>&) {});
-      replaced_ = 0;
-    }
     fence_ = FencingNumber{ aCommit.value().revision_ };
     Later(options_.ttl_ / kRenewals, &LeasedKey::Renew);
     if (onHeld_) {
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -78,8 +78,6 @@
   LeasedKeyOptions options_;
   StoreLeaseId lease_ = 0;
   FencingNumber fence_;
-  /// A lease that is ended once the key hangs on the next one.
-  StoreLeaseId replaced_ = 0;
   bool held_ = false;
   /// Another process holds the key.
   bool waiting_ = false;
--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -2,6 +2,9 @@
 
 #include "marjoramtally/base/backoff.hpp"
 
+#include <optional>
+#include <utility>
+
 namespace marjoramtally {
 
 namespace {
@@ -25,15 +28,22 @@
   {
   }
 
+  /// The first reading may be old, as the watch goes on from its revision. A
+  /// later one must not bring back what the watch has told to be over.
   void Read()
   {
-    store_.Read(prefix_,
-                [self = weak_from_this()](const Result<StoreRange>& aRange) {
-                  const auto state = self.lock();
-                  if (state && !state->stopped_) {
-                    state->Take(aRange);
-                  }
-                });
+    const auto take =
+      [self = weak_from_this()](const Result<StoreRange>& aRange) {
+        const auto state = self.lock();
+        if (state && !state->stopped_) {
+          state->Take(aRange);
+        }
+      };
+    if (known_) {
+      store_.Read(prefix_, take);
+    } else {
+      store_.ReadEarlier(prefix_, take);
+    }
   }
 
   void Take(const Result<StoreRange>& aRange)
@@ -49,14 +59,35 @@
       return;
     }
     pauses_.Reset();
+    known_ = true;
     Tell(&PrefixFollower::onAll_, aRange.value());
     Tell(&PrefixFollower::onSettled_);
+    const std::uint64_t from = aRange.value().revision_ + 1;
     if (stopped_) {
       return;
     }
+    if (watchMayOpen_) {
+      Watch(from);
+      return;
+    }
+    // The first watch waits for its time.
+    firstFrom_ = from;
+  }
+
+  /// The first watch may open from now on.
+  void LetWatch()
+  {
+    watchMayOpen_ = true;
+    if (firstFrom_) {
+      Watch(*std::exchange(firstFrom_, std::nullopt));
+    }
+  }
+
+  void Watch(std::uint64_t aFrom)
+  {
     watch_ =
       store_.Watch(prefix_,
-                   aRange.value().revision_ + 1,
+                   aFrom,
                    [self = weak_from_this()](const StoreWatchBatch& aBatch) {
                      const auto state = self.lock();
                      if (state && !state->stopped_) {
@@ -99,6 +130,11 @@
   std::string prefix_;
   Backoff pauses_{ kFirstPause, kLongestPause, 1 };
   StoreWatchId watch_ = 0;
+  /// A reading came.
+  bool known_ = false;
+  bool watchMayOpen_ = true;
+  /// Where the first watch begins, while it waits for its time.
+  std::optional<std::uint64_t> firstFrom_;
   bool stopped_ = false;
 };
 
@@ -115,8 +151,17 @@
 }
 
 void
-PrefixFollower::Start()
+PrefixFollower::Start(Duration aWatchAfter)
 {
+  if (aWatchAfter > Duration{ 0 }) {
+    state_->watchMayOpen_ = false;
+    state_->timers_.After(aWatchAfter, [self = state_->weak_from_this()] {
+      const auto state = self.lock();
+      if (state && !state->stopped_) {
+        state->LetWatch();
+      }
+    });
+  }
   state_->Read();
 }
 
--- a/src/daemon/prefix_follower.hpp
+++ b/src/daemon/prefix_follower.hpp
@@ -27,7 +27,9 @@
   /// Told why a reading failed.
   std::function<void(const Error&)> onFailure_;
 
-  void Start();
+  /// @param aWatchAfter the first watch opens no sooner than this after the
+  /// start; what changes until then is told by it
+  void Start(Duration aWatchAfter = Duration{ 0 });
   void Stop();
 
 private:
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -27,7 +27,7 @@
   LoopTimers& aTimers,
   const Clock& aClock,
   AskPeer aAskPeer,
-  std::function<const std::vector<std::string>&()> aRelays)
+  RelaysOf aRelays)
   : store_(aStore)
   , timers_(aTimers)
   , clock_(aClock)
@@ -47,6 +47,12 @@
   store_.Read(std::move(aPrefix), std::move(aDone));
 }
 
+void
+RelayedStore::ReadEarlier(std::string aPrefix, StoreDone<StoreRange> aDone)
+{
+  store_.ReadEarlier(std::move(aPrefix), std::move(aDone));
+}
+
 void
 RelayedStore::ReadAfter(std::string aPrefix,
                         std::string aAfter,
@@ -115,7 +121,7 @@
 RelayedStore::Open(StoreWatchId aId)
 {
   Own& own = watches_.at(aId);
-  const std::vector<std::string>& relays = relays_();
+  const std::vector<std::string>& relays = relays_(own.prefix_);
   if (relays.empty() || clock_.Now() < own.directUntil_) {
     OpenDirect(aId);
     return;
@@ -155,7 +161,8 @@
   }
   own->history_.Append(aBatch, clock_.Now());
   WakeAskers(own->prefix_);
-  const bool relayed = !relays_().empty() && clock_.Now() >= own->directUntil_;
+  const bool relayed =
+    !relays_(own->prefix_).empty() && clock_.Now() >= own->directUntil_;
   const StoreWatchId direct = own->direct_;
   Deliver(aId, aBatch);
   own = Find(aId);
@@ -207,7 +214,7 @@
     const bool silent = aBatch.error().kind_ == ErrorKind::Timeout;
     const bool late =
       clock_.Now() - own.unconfirmed_ > Duration{ kUnconfirmedTime };
-    if (silent || late || ++own.refusals_ >= relays_().size()) {
+    if (silent || late || ++own.refusals_ >= relays_(own.prefix_).size()) {
       own.refusals_ = 0;
       own.directUntil_ = clock_.Now() + kDirectTime;
       OpenDirect(aId);
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -18,20 +18,24 @@
                                    const WatchAsk& aAsk,
                                    StoreDone<StoreWatchBatch> aDone)>;
 
+/// @returns addresses of a prefix's relays to ask now, in order
+using RelaysOf =
+  std::function<const std::vector<std::string>&(const std::string& aPrefix)>;
+
 /// Used on one loop.
 class RelayedStore final : public Store
 {
 public:
   /// All arguments outlive this.
-  /// @param aRelays addresses of relays to ask now, in order
   RelayedStore(Store& aStore,
                LoopTimers& aTimers,
                const Clock& aClock,
                AskPeer aAskPeer,
-               std::function<const std::vector<std::string>&()> aRelays);
+               RelaysOf aRelays);
   ~RelayedStore() override;
 
   void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override;
+  void ReadEarlier(std::string aPrefix, StoreDone<StoreRange> aDone) override;
   void ReadAfter(std::string aPrefix,
                  std::string aAfter,
                  StoreDone<StoreRange> aDone) override;
@@ -92,7 +96,7 @@
   LoopTimers& timers_;
   const Clock& clock_;
   AskPeer askPeer_;
-  std::function<const std::vector<std::string>&()> relays_;
+  RelaysOf relays_;
   StoreWatchId last_ = 0;
   std::map<StoreWatchId, Own> watches_;
   std::uint64_t lastAsker_ = 0;
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -44,14 +44,14 @@
 RelayPlan::OnAlive(const std::string& aIncarnation, LifeRecord aRecord)
 {
   alive_[aIncarnation] = std::move(aRecord);
-  Update();
+  relays_.clear();
 }
 
 void
 RelayPlan::OnGone(const std::string& aIncarnation)
 {
   alive_.erase(aIncarnation);
-  Update();
+  relays_.clear();
 }
 
 std::vector<std::string>
@@ -66,21 +66,30 @@
   return peers;
 }
 
-/// Relays are the first by a hash, spread over zones; who joins or leaves
-/// changes few of them.
-void
-RelayPlan::Update()
+const std::vector<std::string>&
+RelayPlan::Relays(const std::string& aPrefix) const
+{
+  const auto [it, added] = relays_.try_emplace(aPrefix);
+  if (added) {
+    it->second = Choose(aPrefix);
+  }
+  return it->second;
+}
+
+/// Relays are the first by a hash of their names and the prefix, spread over
+/// zones; who joins or leaves changes few of them.
+std::vector<std::string>
+RelayPlan::Choose(const std::string& aPrefix) const
 {
-  relays_.clear();
   std::vector<std::pair<std::size_t, const std::string*>> order;
   const std::hash<std::string> hash;
   for (const auto& [incarnation, record] : alive_) {
     if (!record.address_.empty()) {
-      order.emplace_back(hash(incarnation), &incarnation);
+      order.emplace_back(hash(aPrefix + incarnation), &incarnation);
     }
   }
   if (order.size() < policy_.leastPeers_) {
-    return;
+    return {};
   }
   std::sort(order.begin(), order.end());
   const std::size_t wanted = std::max(
@@ -100,16 +109,18 @@
     }
   }
   if (std::find(chosen.begin(), chosen.end(), self_) != chosen.end()) {
-    return;
+    return {};
   }
   // Each process starts with another relay.
   std::rotate(chosen.begin(),
               chosen.begin() +
                 static_cast<std::ptrdiff_t>(hash(self_) % chosen.size()),
               chosen.end());
+  std::vector<std::string> relays;
   for (const std::string& incarnation : chosen) {
-    relays_.push_back(alive_.at(incarnation).address_);
+    relays.push_back(alive_.at(incarnation).address_);
   }
+  return relays;
 }
 
 } // namespace marjoramtally
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -8,7 +8,13 @@
 
 /// A process that owns no job is missed by none but its peers, who notice
 /// themselves; renewals are priced calls.
-constexpr auto kIdleTtl = std::chrono::seconds(6);
+constexpr auto kIdleTtl = std::chrono::seconds(12);
+/// All processes may start together. Which of them relay is known once their
+/// signs of life are written; watches that open before go to the store itself,
+/// of each process all.
+constexpr auto kPlanSettles = std::chrono::milliseconds(500);
+/// Watches of what the plan is not made of open after it is known.
+constexpr auto kPlanKnown = std::chrono::milliseconds(700);
 /// Largest body taken while no configuration says otherwise, in bytes.
 constexpr std::uint64_t kMaxBodyBytes = 32ULL << 20U;
 constexpr std::uint64_t kReadyBodyBytes = 1024;
@@ -117,7 +123,7 @@
     life_.SetTtl(aOwning ? host_.Settings().leaseTtl_ : kIdleTtl);
   };
   life_.Start();
-  directory_.Start();
+  directory_.Start(kPlanSettles);
 }
 
 void
@@ -157,7 +163,7 @@
     }
   };
   config_.onSettled_ = [this] { runner_.OnBoardChanged(); };
-  config_.Start();
+  config_.Start(kPlanKnown);
 }
 
 void
@@ -200,7 +206,7 @@
     }
   };
   upstreams_.onSettled_ = [this] { runner_.OnBoardChanged(); };
-  upstreams_.Start();
+  upstreams_.Start(kPlanKnown);
 }
 
 void
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -30,9 +30,9 @@
 }
 
 void
-JobDirectory::Start()
+JobDirectory::Start(Duration aWatchAfter)
 {
-  follower_.Start();
+  follower_.Start(aWatchAfter);
   host_.Timers().After(kRemovePause, [this] { RemoveOld(); });
 }
 
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -27,7 +27,8 @@
   std::function<void(const JobId&, const KnownJob&)> onOwner_;
   std::function<void(const JobId&)> onEnd_;
 
-  void Start();
+  /// @param aWatchAfter when changes are followed, from now on
+  void Start(Duration aWatchAfter = Duration{ 0 });
   /// Claims nothing more: the process is about to end.
   void StopClaiming() { claiming_ = false; }
   /// @returns where a process is called; empty if it gave no sign of life
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -61,6 +61,23 @@
   CHECK(range.value().records_[1].value_ == "a");
 }
 
+TEST_CASE("a range that may be old is followed from its oldest page")
+{
+  Fixture fix;
+  std::optional<Result<StoreRange>> range;
+  fix.store_->ReadEarlier(
+    "p/", [&range](Result<StoreRange> aRange) { range = std::move(aRange); });
+  // Another replica, further behind, answers for the second page.
+  REQUIRE(fix.client_.Oldest().call_.url_.ends_with("prefix=p%2F&stale_ok=1"));
+  fix.Answer(200, Page("p/a", true, 9));
+  REQUIRE(fix.client_.Oldest().call_.url_.ends_with(
+    "prefix=p%2F&after=p%2Fa&stale_ok=1"));
+  fix.Answer(200, Page("p/b", false, 7));
+  REQUIRE(range);
+  REQUIRE(*range);
+  CHECK(range->value().revision_ == 7);
+}
+
 TEST_CASE("pages that do not go on are an error that names the key")
 {
   Fixture fix;
