One process owns all jobs of a trainer, and tells others of them

Groups that came again in a later step found no text, as their owner was another. Each new owner opened its own connections and changed its lease twice.

Change: the gateway that gets a submission hands it to the process that comes first by a hash of model and instance; that one accepts it. Where it does not answer in 200 ms or stops, the job is accepted here, and if the other may have taken it, no answer promises that it does not run. Owners tell bodies of items, and results for 60 s after the end, from memory. A lease is short only while jobs are open.

--- a/fuzz/fuzz_platform.cpp
+++ b/fuzz/fuzz_platform.cpp
@@ -35,6 +35,10 @@
   static_cast<void>(platform->ReadQuery(request));
   static_cast<void>(DecodeJobAsk(bytes));
   static_cast<void>(DecodeJobAnswer(bytes));
+  static_cast<void>(DecodeJobBodyAsk(bytes));
+  static_cast<void>(DecodeJobBodyAnswer(bytes));
+  static_cast<void>(DecodeJobHandOn(bytes));
+  static_cast<void>(DecodeJobHandOnAnswer(bytes));
   static_cast<void>(ReadSubmissionRecord(bytes));
   const auto results = ReadResultsRecord(bytes);
   if (results) {
--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -31,6 +31,10 @@
   Job = 7,
   /// Gateway to gateway: requests that crash upstreams.
   Suspicion = 8,
+  /// Any to a job's owner: the body of an item.
+  JobBody = 9,
+  /// Gateway to gateway: a submission to accept and own.
+  JobHandOn = 10,
 };
 
 /// One call; its body is an encoded message of the topic's schema.
--- a/src/connection/jobs.capnp
+++ b/src/connection/jobs.capnp
@@ -10,6 +10,29 @@
   after @1 :UInt64;
 }
 
+struct JobBodyAsk {
+  job @0 :Text;
+  item @1 :Text;
+}
+
+struct JobBodyAnswer {
+  # Whether the job has the item.
+  found @0 :Bool;
+  body @1 :Data;
+}
+
+# A submission that the asked process is to accept and own.
+struct JobHandOn {
+  job @0 :Text;
+  # The submission in the form in which the store keeps it.
+  submission @1 :Data;
+}
+
+struct JobHandOnAnswer {
+  # AcceptEnd.
+  end @0 :UInt8;
+}
+
 struct JobAnswer {
   # Results in the form in which the store keeps them.
   results @0 :Data;
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -18,7 +18,6 @@
 /// So is a job of which what was read makes no sense, a tenth as often: what is
 /// stored seldom changes, and each look is some priced calls.
 constexpr auto kReadAgain = std::chrono::seconds(3);
-constexpr std::size_t kLongestId = 100;
 
 std::int64_t
 WallMillis()
@@ -28,18 +27,6 @@
     .count();
 }
 
-/// Ids become parts of keys in the store.
-bool
-GoodId(const JobId& aJob)
-{
-  const std::string& id = aJob.Get();
-  return !id.empty() && id.size() <= kLongestId &&
-         std::all_of(id.begin(), id.end(), [](unsigned char aByte) {
-           return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' ||
-                  aByte == '.';
-         });
-}
-
 HttpResponse
 NoSuchJob()
 {
@@ -56,8 +43,12 @@
   , store_(aStore)
   , directory_(aDirectory)
   , runner_(aRunner)
+  , intake_(aHost, aStore, aDirectory, aRunner)
   , remote_(aHost)
 {
+  intake_.onAccepted_ = [this](const JobId& aJob, std::uint64_t aItems) {
+    totals_[aJob] = aItems;
+  };
   directory_.onOwner_ = [this](const JobId& aJob, const KnownJob& aKnown) {
     TakeOwner(aJob, aKnown);
   };
@@ -65,6 +56,10 @@
                       [this](const RpcCall& aCall, const RpcDone& aDone) {
                         ServePeer(aCall, aDone);
                       });
+  host_.Peers().Serve(RpcTopic::JobBody,
+                      [this](const RpcCall& aCall, const RpcDone& aDone) {
+                        ServeBody(aCall, aDone);
+                      });
   directory_.onEnd_ = [this](const JobId& aJob) { runner_.End(aJob); };
   runner_.onListed_ = [this](const JobId& aJob) { Wake(aJob); };
   runner_.onDropped_ = [this](const JobId& aJob) { Wake(aJob); };
@@ -98,7 +93,7 @@
 void
 JobApi::Stop(Duration aGrace)
 {
-  accepting_ = false;
+  intake_.Stop();
   host_.Timers().After(
     std::max<Duration>(aGrace - kHandOverTime, Duration{ 0 }),
     [this] { runner_.GiveBack(); });
@@ -125,7 +120,7 @@
       return;
     }
   }
-  if (mine && accepting_) {
+  if (mine && intake_.Open()) {
     LoadOwned(aJob, aKnown.fence_);
   } else if (mine && !loading_.contains(aJob)) {
     HandBack(aJob, aKnown);
@@ -171,7 +166,7 @@
         known->record_.owner_ != host_.Incarnation()) {
       return;
     }
-    if (!accepting_) {
+    if (!intake_.Open()) {
       HandBack(aJob, *known);
       return;
     }
@@ -207,95 +202,12 @@
   });
 }
 
-void
-JobApi::Submit(HttpRequest aRequest,
-               ConfigRevision aRevision,
-               HttpReplyPtr aReply)
-{
-  const auto id =
-    FindHeader(aRequest.headers_, host_.Formats().Names().attempt_);
-  const JobId job{ std::string(id.value_or("")) };
-  if (!GoodId(job)) {
-    aReply->Send(ErrorResponse(
-      400, "bad_job", "the job's id is missing or not letters and digits"));
-    return;
-  }
-  if (directory_.Find(job) != nullptr) {
-    aReply->Send(JsonResponse(202, "{}"));
-    return;
-  }
-  if (!accepting_) {
-    aReply->Send(RefusedResponse("shutting down", kJobComeBack));
-    return;
-  }
-  auto spec = host_.Formats().ReadSubmission(aRequest.body_);
-  if (!spec) {
-    LogEvent(LogLevel::Warn,
-             "job_rejected",
-             { { "job", job.Get() }, { "error", spec.error().message_ } });
-    aReply->Send(ErrorResponse(400, "bad_job", spec.error().message_));
-    return;
-  }
-  const JobSubmissionRecord submission{
-    std::string(FindHeader(aRequest.headers_, "Host").value_or("")),
-    std::move(aRequest.path_),
-    std::move(aRequest.body_),
-    aRevision
-  };
-  const std::uint64_t total = spec.value().items_.size();
-  store_.Accept(job,
-                submission,
-                total,
-                [this, job, submission, spec = std::move(spec).value(), aReply](
-                  const AcceptResult& aResult) {
-                  Accepted(job, submission, spec, aResult, aReply);
-                });
-}
-
-void
-JobApi::Accepted(const JobId& aJob,
-                 const JobSubmissionRecord& aSubmission,
-                 JobSpec aSpec,
-                 const AcceptResult& aResult,
-                 const HttpReplyPtr& aReply)
-{
-  constexpr std::array<std::string_view, 4> kNames{
-    "accepted", "known", "refused", "unknown"
-  };
-  LogEvent(
-    LogLevel::Info,
-    "job_submitted",
-    { { "job", aJob.Get() },
-      { "outcome",
-        std::string(kNames.at(static_cast<std::size_t>(aResult.end_))) } });
-  switch (aResult.end_) {
-    case AcceptEnd::Accepted:
-      aReply->Send(JsonResponse(202, "{}"));
-      totals_[aJob] = aSpec.items_.size();
-      if (!runner_.Owns(aJob) && accepting_) {
-        runner_.Add(
-          aJob, aResult.fence_, aSubmission, std::move(aSpec), {}, {}, {});
-      }
-      return;
-    case AcceptEnd::Known:
-      aReply->Send(JsonResponse(202, "{}"));
-      return;
-    case AcceptEnd::Refused:
-      aReply->Send(RefusedResponse("the store took nothing", kJobComeBack));
-      return;
-    case AcceptEnd::Unknown:
-      aReply->Send(ErrorResponse(
-        504, "unknown_outcome", "the store did not say whether it took it"));
-      return;
-  }
-}
-
 void
 JobApi::Query(const JobQuery& aQuery,
               const HttpRequest& aRequest,
               HttpReplyPtr aReply)
 {
-  if (!GoodId(aQuery.job_)) {
+  if (!GoodJobId(aQuery.job_)) {
     aReply->Send(NoSuchJob());
     return;
   }
@@ -380,47 +292,6 @@
   return spec;
 }
 
-void
-JobApi::Body(const JobQuery& aQuery, HttpReplyPtr aReply)
-{
-  const auto answer = [item = aQuery.item_, aReply](const JobSpec& aSpec) {
-    for (const JobItem& candidate : aSpec.items_) {
-      if (candidate.id_ == item) {
-        HttpResponse response;
-        response.headers_.push_back(
-          { "Content-Type", "application/octet-stream" });
-        response.body_ = candidate.body_;
-        aReply->Send(std::move(response));
-        return;
-      }
-    }
-    aReply->Send(
-      ErrorResponse(404, "no_such_item", "the job has no such item"));
-  };
-  if (const JobLedger* ledger = runner_.Find(aQuery.job_)) {
-    answer(ledger->Spec());
-    return;
-  }
-  IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, answer, aReply] {
-    const auto take =
-      [this, job, answer, aReply](const Result<JobSubmissionRecord>& aStored) {
-        // An item is denied only by a submission that was read whole.
-        const auto spec = aStored ? ReadSpec(job, aStored.value())
-                                  : Result<JobSpec>(aStored.error());
-        if (spec) {
-          answer(spec.value());
-          return;
-        }
-        LogEvent(LogLevel::Warn,
-                 "item_not_read",
-                 { { "job", job.Get() }, { "error", spec.error().message_ } });
-        aReply->Send(
-          RefusedResponse("the submission cannot be read", kJobComeBack));
-      };
-    store_.LoadSubmission(job, take);
-  });
-}
-
 void
 JobApi::End(const JobQuery& aQuery, HttpReplyPtr aReply)
 {
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -1,16 +1,11 @@
 /// Jobs over HTTP: submission, reading, bodies, end.
 #pragma once
 
-#include "marjoramtally/runtime/http_server.hpp"
-#include "programs/gatewayd/job_directory.hpp"
-#include "programs/gatewayd/job_runner.hpp"
+#include "programs/gatewayd/job_intake.hpp"
 #include "programs/gatewayd/remote_results.hpp"
 
 namespace marjoramtally {
 
-/// Whoever could not be answered about a job comes back after this time.
-inline constexpr auto kJobComeBack = std::chrono::milliseconds(300);
-
 /// Answers calls about jobs. Used on one loop.
 class JobApi
 {
@@ -24,7 +19,10 @@
   /// @param aRevision the configuration whose routes took the request
   void Submit(HttpRequest aRequest,
               ConfigRevision aRevision,
-              HttpReplyPtr aReply);
+              HttpReplyPtr aReply)
+  {
+    intake_.Submit(std::move(aRequest), aRevision, std::move(aReply));
+  }
   void Query(const JobQuery& aQuery,
              const HttpRequest& aRequest,
              HttpReplyPtr aReply);
@@ -49,12 +47,6 @@
   /// Makes nobody the owner of a job that this process does not start.
   void HandBack(const JobId& aJob, const KnownJob& aKnown);
   void LoadOwned(const JobId& aJob, FencingNumber aFence);
-  void Accepted(const JobId& aJob,
-                const JobSubmissionRecord& aSubmission,
-                JobSpec aSpec,
-                const AcceptResult& aResult,
-                const HttpReplyPtr& aReply);
-
   /// @returns where a job's owner is called; empty if that is not known
   [[nodiscard]] std::string OwnerAddress(const JobId& aJob) const;
   /// Answers another process about a job of ours.
@@ -84,6 +76,12 @@
     const JobId& aJob,
     const JobSubmissionRecord& aStored) const;
   void Body(const JobQuery& aQuery, HttpReplyPtr aReply);
+  void BodyFromOwner(const JobQuery& aQuery,
+                     const std::string& aOwner,
+                     const HttpReplyPtr& aReply);
+  void BodyFromStore(const JobQuery& aQuery, const HttpReplyPtr& aReply);
+  /// Tells another process a body of a job of ours.
+  void ServeBody(const RpcCall& aCall, const RpcDone& aDone);
   void End(const JobQuery& aQuery, HttpReplyPtr aReply);
   /// Looks a job up that the directory does not know; calls `aKnown` if it
   /// exists, else answers.
@@ -95,12 +93,12 @@
   JobStore& store_;
   JobDirectory& directory_;
   JobRunner& runner_;
+  JobIntake intake_;
   RemoteResults remote_;
   std::map<JobId, std::vector<Waiter>> waiters_;
   std::set<JobId> loading_;
   /// Totals of jobs that the directory does not list yet.
   std::map<JobId, std::uint64_t> totals_;
-  bool accepting_ = true;
 };
 
 } // namespace marjoramtally
--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -1,5 +1,6 @@
 #include "programs/gatewayd/job_api.hpp"
 
+#include "marjoramtally/connection/job_messages.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
@@ -14,6 +15,33 @@
 /// A read of another process's job that finds nothing is answered after one
 /// more reading so much later.
 constexpr auto kRemoteWait = std::chrono::milliseconds(600);
+/// An owner that does not tell a body in this time is passed over.
+constexpr auto kBodyTimeout = std::chrono::milliseconds(300);
+
+/// @returns nothing if the job has no such item
+std::optional<std::string>
+FindBody(const JobSpec& aSpec, const ItemId& aItem)
+{
+  const auto it = std::find_if(
+    aSpec.items_.begin(), aSpec.items_.end(), [&](const JobItem& aCandidate) {
+      return aCandidate.id_ == aItem;
+    });
+  return it == aSpec.items_.end() ? std::nullopt : std::optional(it->body_);
+}
+
+void
+SendBody(HttpReply& aReply, std::optional<std::string> aBody)
+{
+  if (!aBody) {
+    aReply.Send(
+      ErrorResponse(404, "no_such_item", "the job has no such item"));
+    return;
+  }
+  HttpResponse response;
+  response.headers_.push_back({ "Content-Type", "application/octet-stream" });
+  response.body_ = std::move(*aBody);
+  aReply.Send(std::move(response));
+}
 
 } // namespace
 
@@ -159,4 +187,80 @@
   }
 }
 
+void
+JobApi::Body(const JobQuery& aQuery, HttpReplyPtr aReply)
+{
+  if (const JobLedger* ledger = runner_.Find(aQuery.job_)) {
+    SendBody(*aReply, FindBody(ledger->Spec(), aQuery.item_));
+    return;
+  }
+  IfExists(aQuery.job_, aReply, [this, aQuery, aReply] {
+    const std::string owner = OwnerAddress(aQuery.job_);
+    if (owner.empty()) {
+      BodyFromStore(aQuery, aReply);
+    } else {
+      BodyFromOwner(aQuery, owner, aReply);
+    }
+  });
+}
+
+/// Spares the store a reading of the whole submission for each body.
+void
+JobApi::BodyFromOwner(const JobQuery& aQuery,
+                      const std::string& aOwner,
+                      const HttpReplyPtr& aReply)
+{
+  RpcCall call;
+  call.topic_ = RpcTopic::JobBody;
+  call.timeout_ = kBodyTimeout;
+  call.body_ = EncodeJobBodyAsk({ aQuery.job_.Get(), aQuery.item_.Get() });
+  host_.Peers().Call(
+    aOwner, std::move(call), [this, aQuery, aReply](const RpcReply& aAnswer) {
+      auto body = aAnswer
+                    ? DecodeJobBodyAnswer(aAnswer.value())
+                    : Result<std::optional<std::string>>(aAnswer.error());
+      if (body) {
+        SendBody(*aReply, std::move(body).value());
+      } else {
+        BodyFromStore(aQuery, aReply);
+      }
+    });
+}
+
+void
+JobApi::BodyFromStore(const JobQuery& aQuery, const HttpReplyPtr& aReply)
+{
+  const auto take =
+    [this, aQuery, aReply](const Result<JobSubmissionRecord>& aStored) {
+      // An item is denied only by a submission that was read whole.
+      const auto spec = aStored ? ReadSpec(aQuery.job_, aStored.value())
+                                : Result<JobSpec>(aStored.error());
+      if (spec) {
+        SendBody(*aReply, FindBody(spec.value(), aQuery.item_));
+        return;
+      }
+      LogEvent(LogLevel::Warn,
+               "item_not_read",
+               { { "job", aQuery.job_.Get() },
+                 { "error", spec.error().message_ } });
+      aReply->Send(
+        RefusedResponse("the submission cannot be read", kJobComeBack));
+    };
+  store_.LoadSubmission(aQuery.job_, take);
+}
+
+void
+JobApi::ServeBody(const RpcCall& aCall, const RpcDone& aDone)
+{
+  const auto ask = DecodeJobBodyAsk(aCall.body_);
+  const JobLedger* ledger =
+    ask ? runner_.Find(JobId{ ask.value().job_ }) : nullptr;
+  if (ledger == nullptr) {
+    aDone(Error{ ErrorKind::NotFound, "this process does not own the job" });
+    return;
+  }
+  aDone(EncodeJobBodyAnswer(
+    FindBody(ledger->Spec(), ItemId{ ask.value().item_ })));
+}
+
 } // namespace marjoramtally
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -21,6 +21,7 @@
   , store_(aJobs)
   , follower_(aHost.PlatformStore(), aHost.Timers(), job_keys::kControl)
   , takeover_(aHost.Incarnation())
+  , owners_(aHost.Incarnation())
 {
   follower_.onAll_ = [this](const StoreRange& aRange) { TakeAll(aRange); };
   follower_.onChange_ = [this](const StoreEvent& aEvent) {
@@ -124,6 +125,7 @@
   auto life = ReadLifeRecord(aRecord.value_);
   if (life) {
     addresses_[aIncarnation] = life.value().address_;
+    owners_.OnAlive(aIncarnation, life.value().address_);
     host_.Relays().OnAlive(aIncarnation, std::move(life).value());
   } else {
     LogEvent(LogLevel::Error,
@@ -143,6 +145,7 @@
     const std::string incarnation(key.substr(lives.size()));
     takeover_.OnGone(incarnation, host_.Now());
     host_.Relays().OnGone(incarnation);
+    owners_.OnGone(incarnation);
     addresses_.erase(incarnation);
   } else if (key.starts_with(owners)) {
     const JobId job{ std::string(key.substr(owners.size())) };
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -4,6 +4,7 @@
 
 #include "daemon/prefix_follower.hpp"
 #include "marjoramtally/process/job_takeover.hpp"
+#include "marjoramtally/process/owner_plan.hpp"
 #include "programs/gatewayd/job_store.hpp"
 
 namespace marjoramtally {
@@ -33,6 +34,12 @@
   void StopClaiming() { claiming_ = false; }
   /// @returns where a process is called; empty if it gave no sign of life
   [[nodiscard]] std::string AddressOf(const std::string& aIncarnation) const;
+  /// @returns where the process is called that is to own the jobs of a
+  /// trainer; empty: this one
+  [[nodiscard]] std::string OwnerFor(std::string_view aTrainer) const
+  {
+    return owners_.OwnerOf(aTrainer);
+  }
   [[nodiscard]] const KnownJob* Find(const JobId& aJob) const;
   [[nodiscard]] const std::map<JobId, KnownJob>& Jobs() const noexcept
   {
@@ -59,6 +66,7 @@
   JobStore& store_;
   PrefixFollower follower_;
   JobTakeover takeover_;
+  OwnerPlan owners_;
   std::map<JobId, KnownJob> jobs_;
   /// Keys of signs of life, to see which are missing from a whole reading.
   std::set<std::string> lives_;
--- /dev/null
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -0,0 +1,234 @@
+#include "programs/gatewayd/job_intake.hpp"
+
+#include "marjoramtally/connection/job_messages.hpp"
+#include "marjoramtally/runtime/log.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::size_t kLongestId = 100;
+/// A process that is to own a job and does not answer in this time is passed
+/// over; an acceptance is one write to the store, of some milliseconds, and a
+/// trainer's submission is late after 400 ms.
+constexpr auto kHandOnTimeout = std::chrono::milliseconds(200);
+
+std::string_view
+NameOf(AcceptEnd aEnd)
+{
+  constexpr std::array<std::string_view, 4> kNames{
+    "accepted", "known", "refused", "unknown"
+  };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+/// @returns `Unknown` unless the answer says otherwise
+AcceptEnd
+ReadHandOnEnd(const RpcReply& aReply)
+{
+  const auto end = aReply ? DecodeJobHandOnAnswer(aReply.value())
+                          : Result<std::uint8_t>(aReply.error());
+  const bool known =
+    end && end.value() <= static_cast<std::uint8_t>(AcceptEnd::Unknown);
+  return known ? static_cast<AcceptEnd>(end.value()) : AcceptEnd::Unknown;
+}
+
+} // namespace
+
+bool
+GoodJobId(const JobId& aJob)
+{
+  const std::string& id = aJob.Get();
+  return !id.empty() && id.size() <= kLongestId &&
+         std::all_of(id.begin(), id.end(), [](unsigned char aByte) {
+           return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' ||
+                  aByte == '.';
+         });
+}
+
+JobIntake::JobIntake(GatewayContext& aHost,
+                     JobStore& aStore,
+                     JobDirectory& aDirectory,
+                     JobRunner& aRunner)
+  : host_(aHost)
+  , store_(aStore)
+  , directory_(aDirectory)
+  , runner_(aRunner)
+{
+  host_.Peers().Serve(RpcTopic::JobHandOn,
+                      [this](const RpcCall& aCall, const RpcDone& aDone) {
+                        ServeHandOn(aCall, aDone);
+                      });
+}
+
+void
+JobIntake::Submit(HttpRequest aRequest,
+                  ConfigRevision aRevision,
+                  HttpReplyPtr aReply)
+{
+  const auto id =
+    FindHeader(aRequest.headers_, host_.Formats().Names().attempt_);
+  const JobId job{ std::string(id.value_or("")) };
+  if (!GoodJobId(job)) {
+    aReply->Send(ErrorResponse(
+      400, "bad_job", "the job's id is missing or not letters and digits"));
+    return;
+  }
+  if (directory_.Find(job) != nullptr) {
+    aReply->Send(JsonResponse(202, "{}"));
+    return;
+  }
+  if (!open_) {
+    aReply->Send(RefusedResponse("shutting down", kJobComeBack));
+    return;
+  }
+  auto spec = host_.Formats().ReadSubmission(aRequest.body_);
+  if (!spec) {
+    LogEvent(LogLevel::Warn,
+             "job_rejected",
+             { { "job", job.Get() }, { "error", spec.error().message_ } });
+    aReply->Send(ErrorResponse(400, "bad_job", spec.error().message_));
+    return;
+  }
+  const auto submission = std::make_shared<const Submission>(Submission{
+    job,
+    { std::string(FindHeader(aRequest.headers_, "Host").value_or("")),
+      std::move(aRequest.path_),
+      std::move(aRequest.body_),
+      aRevision },
+    std::move(spec).value() });
+  const std::string owner = directory_.OwnerFor(submission->spec_.model_);
+  if (!owner.empty()) {
+    HandOn(submission, owner, aReply);
+    return;
+  }
+  AcceptHere(submission, [this, submission, aReply](AcceptEnd aEnd) {
+    Answer(*submission, aEnd, *aReply);
+  });
+}
+
+void
+JobIntake::AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone)
+{
+  store_.Accept(
+    aSubmission->job_,
+    aSubmission->record_,
+    aSubmission->spec_.items_.size(),
+    [this, aSubmission, done = std::move(aDone)](const AcceptResult& aResult) {
+      const JobId& job = aSubmission->job_;
+      LogEvent(LogLevel::Info,
+               "job_submitted",
+               { { "job", job.Get() },
+                 { "outcome", std::string(NameOf(aResult.end_)) } });
+      done(aResult.end_);
+      if (aResult.end_ == AcceptEnd::Accepted && !runner_.Owns(job) && open_) {
+        runner_.Add(job,
+                    aResult.fence_,
+                    aSubmission->record_,
+                    aSubmission->spec_,
+                    {},
+                    {},
+                    {});
+      }
+    });
+}
+
+/// Where the other process may have accepted the job, a refusal here would be
+/// a promise that it does not run.
+void
+JobIntake::HandOn(const SubmissionPtr& aSubmission,
+                  const std::string& aOwner,
+                  const HttpReplyPtr& aReply)
+{
+  RpcCall call;
+  call.topic_ = RpcTopic::JobHandOn;
+  call.timeout_ = kHandOnTimeout;
+  call.body_ = EncodeJobHandOn(
+    { aSubmission->job_.Get(), WriteSubmissionRecord(aSubmission->record_) });
+  host_.Peers().Call(
+    aOwner,
+    std::move(call),
+    [this, aSubmission, aOwner, aReply](const RpcReply& aAnswer) {
+      const AcceptEnd end = ReadHandOnEnd(aAnswer);
+      LogEvent(LogLevel::Info,
+               "job_handed_on",
+               { { "job", aSubmission->job_.Get() },
+                 { "to", aOwner },
+                 { "outcome", std::string(NameOf(end)) },
+                 { "error", aAnswer ? "" : aAnswer.error().message_ } });
+      if (end == AcceptEnd::Accepted || end == AcceptEnd::Known) {
+        Answer(*aSubmission, end, *aReply);
+        return;
+      }
+      AcceptHere(aSubmission,
+                 [this, aSubmission, aReply, end](AcceptEnd aOwnEnd) {
+                   const bool promises = aOwnEnd == AcceptEnd::Refused &&
+                                         end == AcceptEnd::Unknown;
+                   Answer(*aSubmission,
+                          promises ? AcceptEnd::Unknown : aOwnEnd,
+                          *aReply);
+                 });
+    });
+}
+
+void
+JobIntake::ServeHandOn(const RpcCall& aCall, const RpcDone& aDone)
+{
+  const auto answer = [aDone](AcceptEnd aEnd) {
+    aDone(EncodeJobHandOnAnswer(static_cast<std::uint8_t>(aEnd)));
+  };
+  if (!open_) {
+    answer(AcceptEnd::Refused);
+    return;
+  }
+  const auto handOn = DecodeJobHandOn(aCall.body_);
+  auto record = handOn ? ReadSubmissionRecord(handOn.value().submission_)
+                       : Result<JobSubmissionRecord>(handOn.error());
+  auto spec = record ? host_.Formats().ReadSubmission(record.value().body_)
+                     : Result<JobSpec>(record.error());
+  if (!spec || !GoodJobId(JobId{ handOn.value().job_ })) {
+    LogEvent(LogLevel::Warn,
+             "job_hand_on_unreadable",
+             { { "error", spec ? "bad id" : spec.error().message_ } });
+    answer(AcceptEnd::Refused);
+    return;
+  }
+  const JobId job{ handOn.value().job_ };
+  if (directory_.Find(job) != nullptr) {
+    answer(AcceptEnd::Known);
+    return;
+  }
+  AcceptHere(std::make_shared<const Submission>(
+               Submission{ job,
+                           std::move(record).value(),
+                           std::move(spec).value() }),
+             answer);
+}
+
+void
+JobIntake::Answer(const Submission& aSubmission,
+                  AcceptEnd aEnd,
+                  HttpReply& aReply) const
+{
+  switch (aEnd) {
+    case AcceptEnd::Accepted:
+      onAccepted_(aSubmission.job_, aSubmission.spec_.items_.size());
+      aReply.Send(JsonResponse(202, "{}"));
+      return;
+    case AcceptEnd::Known:
+      aReply.Send(JsonResponse(202, "{}"));
+      return;
+    case AcceptEnd::Refused:
+      aReply.Send(RefusedResponse("the store took nothing", kJobComeBack));
+      return;
+    case AcceptEnd::Unknown:
+      aReply.Send(ErrorResponse(
+        504, "unknown_outcome", "the store did not say whether it took it"));
+      return;
+  }
+}
+
+} // namespace marjoramtally
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -13,8 +13,9 @@
 /// Items are given up this much later than they may be: clocks differ by
 /// some seconds.
 constexpr auto kGiveUpSlack = std::chrono::seconds(6);
-/// Results of a job that ended are read from memory for this long.
-constexpr auto kEndedStay = std::chrono::seconds(10);
+/// Results and bodies of a job that ended are told from memory for this long;
+/// later readers ask the store, which is a priced call each.
+constexpr auto kEndedStay = std::chrono::seconds(60);
 
 } // namespace
 
@@ -78,9 +79,7 @@
                                                   aPartials,
                                                   accepted,
                                                   ++lastSequence_));
-  if (jobs_.size() == 1 && onOwning_) {
-    onOwning_(true);
-  }
+  TellOwning();
   if (added) {
     Advance(aJob, it->second);
   }
@@ -96,9 +95,7 @@
   LogEvent(LogLevel::Info, "job_dropped", { { "job", aJob.Get() } });
   StopRuns(it->second);
   jobs_.erase(it);
-  if (jobs_.empty() && onOwning_) {
-    onOwning_(false);
-  }
+  TellOwning();
   if (onDropped_) {
     onDropped_(aJob);
   }
@@ -137,12 +134,26 @@
   host_.Measures().Observe(
     "job_seconds",
     std::chrono::duration<double>(host_.Now() - job.accepted_).count());
+  TellOwning();
   StopRuns(job);
   Keep(job);
   host_.Timers().After(kEndedStay, [this, aJob] { Drop(aJob); });
   Dispatch();
 }
 
+/// What is done lasts in the store: nobody has to take it over soon.
+void
+JobRunner::TellOwning()
+{
+  const bool owning =
+    std::any_of(jobs_.begin(), jobs_.end(), [](const auto& aEntry) {
+      return !aEntry.second.ended_ && !aEntry.second.ledger_.Done();
+    });
+  if (std::exchange(owning_, owning) != owning && onOwning_) {
+    onOwning_(owning);
+  }
+}
+
 bool
 JobRunner::HasOpen() const noexcept
 {
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -22,7 +22,8 @@
 
   /// Called after results of a job were written.
   std::function<void(const JobId&)> onListed_;
-  /// Called when this process comes to own jobs or owns none any more.
+  /// Called when this process comes to own jobs that are not done, or owns
+  /// none such any more.
   std::function<void(bool)> onOwning_;
   /// Called when this process stops owning a job.
   std::function<void(const JobId&)> onDropped_;
@@ -212,6 +213,7 @@
   /// @returns the job under the number that a write was made with, or nullptr
   [[nodiscard]] OwnedJob* WriterOf(const ResultsWrite& aWrite);
   void Keep(OwnedJob& aJob);
+  void TellOwning();
 
   GatewayContext& host_;
   const RouteTable& routes_;
@@ -228,6 +230,7 @@
   LoopTimerId checkTimer_ = 0;
   LoopTimerId retryTimer_ = 0;
   bool givingBack_ = false;
+  bool owning_ = false;
 };
 
 } // namespace marjoramtally
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -336,6 +336,7 @@
       onListed_(id);
     }
   }
+  TellOwning();
   PlanFlush();
 }
 
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -39,6 +39,10 @@
   std::map<std::string, std::uint64_t> watchedFrom_;
   /// So many of the next commits are refused.
   std::size_t refusals_ = 0;
+  /// The commit of this number, from 1 on, is refused; 0: none.
+  std::size_t refuseCommit_ = 0;
+  /// Readings of all kinds.
+  std::size_t reads_ = 0;
   /// Reads of this prefix are refused.
   std::string unreadable_;
   /// How long each answer takes.
@@ -47,6 +51,7 @@
 
   void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override
   {
+    ++reads_;
     if (aPrefix == unreadable_) {
       timers_.After(delay_, [done = std::move(aDone)] {
         done(Error{ ErrorKind::Unavailable, "refused" });
@@ -71,8 +76,8 @@
   void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) override
   {
     ++commits_;
-    if (refusals_ > 0) {
-      --refusals_;
+    if (refusals_ > 0 || commits_ == refuseCommit_) {
+      refusals_ -= refusals_ > 0 ? 1 : 0;
       timers_.After(delay_, [done = std::move(aDone)] {
         done(Error{ ErrorKind::Unavailable, "refused" });
       });
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -140,6 +140,36 @@
   void Serve(RpcTopic, RpcHandler) override {}
 };
 
+/// Calls between the gateways of a test; they count.
+class LinkedPeers final : public PeerCalls
+{
+public:
+  void Call(const std::string& aAddress, RpcCall aCall, RpcDone aDone) override
+  {
+    ++calls_;
+    const auto it = others_.find(aAddress);
+    if (it == others_.end() || cut_) {
+      aDone(Error{ ErrorKind::Unavailable, "cut off" });
+    } else if (losesAnswers_) {
+      it->second->handlers_.at(aCall.topic_)(aCall, [](const RpcReply&) {});
+      aDone(Error{ ErrorKind::Timeout, "no answer" });
+    } else {
+      it->second->handlers_.at(aCall.topic_)(aCall, std::move(aDone));
+    }
+  }
+  void Serve(RpcTopic aTopic, RpcHandler aHandler) override
+  {
+    handlers_[aTopic] = std::move(aHandler);
+  }
+
+  std::map<std::string, LinkedPeers*> others_;
+  std::map<RpcTopic, RpcHandler> handlers_;
+  std::size_t calls_ = 0;
+  bool cut_ = false;
+  /// Calls are carried out, but their answers are lost.
+  bool losesAnswers_ = false;
+};
+
 /// The context and what it refers to.
 struct GatewayFakes
 {
--- /dev/null
+++ b/tests/test_job_intake.cpp
@@ -0,0 +1,300 @@
+/// Jobs taken in at one gateway and owned by another, and what each of them
+/// tells of a job that the other owns.
+
+#include "gateway_fixture.hpp"
+#include "marjoramtally/connection/job_messages.hpp"
+#include "marjoramtally/process.hpp"
+#include "programs/gatewayd/job_api.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One gateway beside others on the same store.
+struct Site
+{
+  LinkedPeers peers_;
+  FakeClient client_;
+  RelayPlan relays_;
+  Metrics metrics_;
+  GatewayContext host_;
+  UpstreamBoard board_{ ZoneId{ "z1" } };
+  RouteTable routes_;
+  Forwarder forwarder_{ host_, board_ };
+  JobStore store_{ host_ };
+  JobDirectory directory_{ host_, store_ };
+  JobRunner runner_{ host_, routes_, board_, forwarder_, store_ };
+  JobApi jobs_{ host_, store_, directory_, runner_ };
+
+  Site(GatewayFakes& aFakes, Store& aStore, const std::string& aIncarnation)
+    : relays_(aIncarnation)
+    , host_({ &aFakes.settings_,
+              aFakes.platform_.get(),
+              &client_,
+              &aFakes.timers_,
+              &aStore,
+              &aFakes.clock_,
+              &aFakes.clock_,
+              &metrics_,
+              &relays_,
+              &peers_,
+              aIncarnation })
+  {
+    RoutingConfig config;
+    config.revision_ = ConfigRevision{ 1 };
+    Route route;
+    route.host_ = "h";
+    route.prefix_ = "/i/";
+    route.kind_ = RouteKind::Rollout;
+    route.maxQueue_ = 40s;
+    route.services_ = { { ServiceId{ "lm" }, 1 } };
+    config.routes_ = { route };
+    routes_.Apply(config);
+    directory_.Start();
+  }
+};
+
+/// Two gateways; a model is chosen whose jobs the second is to own.
+struct Pair : GatewayFakes
+{
+  Site first_{ *this, store_, "one~1" };
+  Site second_{ *this, store_, "two~1" };
+  std::string model_;
+
+  Pair()
+  {
+    first_.peers_.others_["a:2"] = &second_.peers_;
+    second_.peers_.others_["a:1"] = &first_.peers_;
+    timers_.Advance(20ms);
+    store_.Put(job_keys::Life("one~1"),
+               WriteLifeRecord({ ZoneId{ "z" }, "a:1" }));
+    store_.Put(job_keys::Life("two~1"),
+               WriteLifeRecord({ ZoneId{ "z" }, "a:2" }));
+    timers_.Advance(20ms);
+    constexpr int kEnough = 100;
+    for (int i = 0; i < kEnough && model_.empty(); ++i) {
+      const std::string candidate = "m" + std::to_string(i);
+      if (first_.directory_.OwnerFor(candidate) == "a:2") {
+        model_ = candidate;
+      }
+    }
+    REQUIRE_FALSE(model_.empty());
+  }
+
+  std::shared_ptr<FakeReply> Submit(const std::string& aJob)
+  {
+    auto reply = std::make_shared<FakeReply>();
+    HttpRequest request;
+    request.method_ = "POST";
+    request.path_ = "/i/" + aJob;
+    request.headers_ = { { "Host", "h" },
+                         { platform_->Names().attempt_, aJob } };
+    request.body_ = R"({"model":")" + model_ +
+                    R"(","items":[{"id":"a1","path":"/i/a1","headers":{},)"
+                    R"("body":"aGk=","tokens":1}]})";
+    first_.jobs_.Submit(std::move(request), ConfigRevision{ 1 }, reply);
+    timers_.Advance(50ms);
+    return reply;
+  }
+
+  std::string OwnerOf(const std::string& aJob)
+  {
+    const auto& record = store_.records_.at(job_keys::Owner(JobId{ aJob }));
+    return ReadOwnerRecord(record.value_).value().owner_;
+  }
+
+  std::shared_ptr<FakeReply> AskFirst(const std::string& aJob,
+                                      JobQuery::Verb aVerb,
+                                      const std::string& aItem = "")
+  {
+    JobQuery query;
+    query.job_ = JobId{ aJob };
+    query.verb_ = aVerb;
+    query.item_ = ItemId{ aItem };
+    auto reply = std::make_shared<FakeReply>();
+    first_.jobs_.Query(query, HttpRequest{}, reply);
+    timers_.Advance(50ms);
+    return reply;
+  }
+};
+
+OwnerPlan
+MakeOwnerPlan(const std::string& aSelf, int aInstances)
+{
+  OwnerPlan plan(aSelf);
+  for (int i = 0; i < aInstances; ++i) {
+    const std::string name = "p" + std::to_string(i);
+    plan.OnAlive(name + "~1", name + ":1");
+  }
+  return plan;
+}
+
+} // namespace
+
+TEST_CASE("all processes name the same owner for a trainer's jobs")
+{
+  const OwnerPlan plan = MakeOwnerPlan("p0~1", 50);
+  int own = 0;
+  for (int trainer = 0; trainer < 200; ++trainer) {
+    const std::string model = "m" + std::to_string(trainer);
+    const std::string owner = plan.OwnerOf(model);
+    own += owner.empty() ? 1 : 0;
+    for (int other = 1; other < 50; ++other) {
+      const std::string name = "p" + std::to_string(other);
+      const std::string seen = MakeOwnerPlan(name + "~1", 50).OwnerOf(model);
+      const std::string expected = owner.empty() ? "p0:1" : owner;
+      REQUIRE((seen.empty() ? name + ":1" : seen) == expected);
+    }
+  }
+  // Owners are spread: 4 of 200 are a process's share.
+  REQUIRE(own >= 1);
+  REQUIRE(own <= 12);
+}
+
+TEST_CASE("a death moves the jobs of its own trainers only, a restart none")
+{
+  OwnerPlan plan = MakeOwnerPlan("p0~1", 20);
+  std::map<std::string, std::string> before;
+  for (int i = 0; i < 100; ++i) {
+    const std::string model = "m" + std::to_string(i);
+    before[model] = plan.OwnerOf(model);
+  }
+  plan.OnAlive("p3~2", "p3:1");
+  // The lease of the run before lapses later.
+  plan.OnGone("p3~1");
+  for (const auto& [model, owner] : before) {
+    REQUIRE(plan.OwnerOf(model) == owner);
+  }
+  plan.OnGone("p7~1");
+  for (const auto& [model, owner] : before) {
+    if (owner != "p7:1") {
+      REQUIRE(plan.OwnerOf(model) == owner);
+    } else {
+      REQUIRE(plan.OwnerOf(model) != "p7:1");
+    }
+  }
+}
+
+TEST_CASE("a process that cannot be called owns no other's jobs")
+{
+  OwnerPlan plan("self~1");
+  REQUIRE(plan.OwnerOf("m").empty());
+  plan.OnAlive("other~1", "");
+  REQUIRE(plan.OwnerOf("m").empty());
+}
+
+TEST_CASE("a job is owned by the process that owns its trainer's jobs")
+{
+  Pair pair;
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  REQUIRE(pair.OwnerOf("j1") == "two~1");
+  REQUIRE(pair.second_.runner_.Owns(JobId{ "j1" }));
+  REQUIRE_FALSE(pair.first_.runner_.Owns(JobId{ "j1" }));
+  // Once more, as after a lost answer.
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  REQUIRE(pair.OwnerOf("j1") == "two~1");
+}
+
+TEST_CASE("a job whose owner cannot be reached or stops is owned here")
+{
+  Pair pair;
+  SECTION("it cannot be reached")
+  {
+    pair.first_.peers_.cut_ = true;
+  }
+  SECTION("it stops")
+  {
+    pair.second_.jobs_.Stop(8s);
+  }
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  REQUIRE(pair.OwnerOf("j1") == "one~1");
+  REQUIRE(pair.first_.runner_.Owns(JobId{ "j1" }));
+}
+
+TEST_CASE("a job is accepted once although the other's answer is lost")
+{
+  Pair pair;
+  pair.first_.peers_.losesAnswers_ = true;
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  const bool first = pair.first_.runner_.Owns(JobId{ "j1" });
+  const bool second = pair.second_.runner_.Owns(JobId{ "j1" });
+  REQUIRE(first != second);
+}
+
+// A refusal with 503 promises that no part of the job runs. Here the other
+// process took the job in, its answer was lost, and this one's own write was
+// refused: the job runs, so the answer must promise nothing.
+TEST_CASE("a job that another process may have taken is not refused")
+{
+  Pair pair;
+  pair.first_.peers_.losesAnswers_ = true;
+  // The first write is the other's, the second ours.
+  pair.store_.refuseCommit_ = 2;
+  const auto reply = pair.Submit("j1");
+  REQUIRE(pair.second_.runner_.Owns(JobId{ "j1" }));
+  REQUIRE(reply->status_ == 504);
+}
+
+TEST_CASE("a job that no process could write is refused")
+{
+  Pair pair;
+  pair.store_.refusals_ = 2;
+  const auto reply = pair.Submit("j1");
+  REQUIRE(reply->status_ == 503);
+  REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
+  REQUIRE_FALSE(pair.second_.runner_.Owns(JobId{ "j1" }));
+}
+
+TEST_CASE("an item's body comes from the job's owner, else from the store")
+{
+  Pair pair;
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  pair.timers_.Advance(1s);
+  const std::size_t reads = pair.store_.reads_;
+  auto reply = pair.AskFirst("j1", JobQuery::Verb::Body, "a1");
+  REQUIRE(reply->status_ == 200);
+  REQUIRE(reply->body_ == "hi");
+  REQUIRE(pair.AskFirst("j1", JobQuery::Verb::Body, "a9")->status_ == 404);
+  REQUIRE(pair.store_.reads_ == reads);
+  pair.first_.peers_.cut_ = true;
+  reply = pair.AskFirst("j1", JobQuery::Verb::Body, "a1");
+  REQUIRE(reply->body_ == "hi");
+  REQUIRE(pair.store_.reads_ == reads + 1);
+}
+
+TEST_CASE("a submission that is handed on and cannot be read is not taken")
+{
+  Pair pair;
+  std::optional<AcceptEnd> end;
+  const std::string text = GENERATE("", "no submission");
+  RpcCall call;
+  call.topic_ = RpcTopic::JobHandOn;
+  call.body_ = EncodeJobHandOn({ "j1", text });
+  pair.second_.peers_.handlers_.at(RpcTopic::JobHandOn)(
+    call, [&end](const RpcReply& aReply) {
+      end =
+        static_cast<AcceptEnd>(DecodeJobHandOnAnswer(aReply.value()).value());
+    });
+  pair.timers_.Advance(50ms);
+  REQUIRE(end == AcceptEnd::Refused);
+  REQUIRE_FALSE(pair.store_.records_.contains(job_keys::Owner(JobId{ "j1" })));
+}
+
+TEST_CASE("messages about jobs come back as they were encoded")
+{
+  const std::string bytes("a\0b", 3);
+  const auto ask = DecodeJobBodyAsk(EncodeJobBodyAsk({ "j", "i" })).value();
+  REQUIRE(ask.job_ == "j");
+  REQUIRE(ask.item_ == "i");
+  REQUIRE(DecodeJobBodyAnswer(EncodeJobBodyAnswer(bytes)).value() == bytes);
+  REQUIRE_FALSE(DecodeJobBodyAnswer(EncodeJobBodyAnswer({})).value());
+  const auto handOn = DecodeJobHandOn(EncodeJobHandOn({ "j", bytes })).value();
+  REQUIRE(handOn.job_ == "j");
+  REQUIRE(handOn.submission_ == bytes);
+  REQUIRE(DecodeJobHandOnAnswer(EncodeJobHandOnAnswer(3)).value() == 3);
+  REQUIRE_FALSE(DecodeJobHandOn("short"));
+}
--- a/tests/test_request_quarantine.cpp
+++ b/tests/test_request_quarantine.cpp
@@ -18,31 +18,6 @@
 /// Calls between gateways and the settling of reports.
 constexpr auto kSettled = 500ms;
 
-/// Calls between the gateways of a test; they count.
-class LinkedPeers final : public PeerCalls
-{
-public:
-  void Call(const std::string& aAddress, RpcCall aCall, RpcDone aDone) override
-  {
-    ++calls_;
-    const auto it = others_.find(aAddress);
-    if (it == others_.end() || cut_) {
-      aDone(Error{ ErrorKind::Unavailable, "cut off" });
-    } else {
-      it->second->handlers_.at(aCall.topic_)(aCall, std::move(aDone));
-    }
-  }
-  void Serve(RpcTopic aTopic, RpcHandler aHandler) override
-  {
-    handlers_[aTopic] = std::move(aHandler);
-  }
-
-  std::map<std::string, LinkedPeers*> others_;
-  std::map<RpcTopic, RpcHandler> handlers_;
-  std::size_t calls_ = 0;
-  bool cut_ = false;
-};
-
 /// One gateway, and upstreams that die of the deadly request.
 struct Site : GatewayFakes
 {
