--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -32,13 +32,13 @@
   /// later one must not bring back what the watch has told to be over.
   void Read()
   {
-    const auto take =
-      [self = weak_from_this()](const Result<StoreRange>& aRange) {
-        const auto state = self.lock();
-        if (state && !state->stopped_) {
-          state->Take(aRange);
-        }
-      };
+    const auto take = [self =
+                         weak_from_this()](const Result<StoreRange>& aRange) {
+      const auto state = self.lock();
+      if (state && !state->stopped_) {
+        state->Take(aRange);
+      }
+    };
     if (known_) {
       store_.Read(prefix_, take);
     } else {
@@ -85,15 +85,13 @@
 
   void Watch(std::uint64_t aFrom)
   {
-    watch_ =
-      store_.Watch(prefix_,
-                   aFrom,
-                   [self = weak_from_this()](const StoreWatchBatch& aBatch) {
-                     const auto state = self.lock();
-                     if (state && !state->stopped_) {
-                       state->TakeBatch(aBatch);
-                     }
-                   });
+    watch_ = store_.Watch(
+      prefix_, aFrom, [self = weak_from_this()](const StoreWatchBatch& aBatch) {
+        const auto state = self.lock();
+        if (state && !state->stopped_) {
+          state->TakeBatch(aBatch);
+        }
+      });
   }
 
   void TakeBatch(const StoreWatchBatch& aBatch)
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -22,12 +22,11 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(
-  Store& aStore,
-  LoopTimers& aTimers,
-  const Clock& aClock,
-  AskPeer aAskPeer,
-  RelaysOf aRelays)
+RelayedStore::RelayedStore(Store& aStore,
+                           LoopTimers& aTimers,
+                           const Clock& aClock,
+                           AskPeer aAskPeer,
+                           RelaysOf aRelays)
   : store_(aStore)
   , timers_(aTimers)
   , clock_(aClock)
--- a/src/process/owner_plan.cpp
+++ b/src/process/owner_plan.cpp
@@ -37,8 +37,7 @@
   const Process* first = nullptr;
   std::size_t best = 0;
   for (const auto& [instance, process] : processes_) {
-    const std::size_t rank =
-      hash(std::string(aTrainer) + '/' + instance.Get());
+    const std::size_t rank = hash(std::string(aTrainer) + '/' + instance.Get());
     const bool callable =
       process.incarnation_ == self_ || !process.address_.empty();
     if (callable && (first == nullptr || rank > best)) {
--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -33,8 +33,7 @@
 SendBody(HttpReply& aReply, std::optional<std::string> aBody)
 {
   if (!aBody) {
-    aReply.Send(
-      ErrorResponse(404, "no_such_item", "the job has no such item"));
+    aReply.Send(ErrorResponse(404, "no_such_item", "the job has no such item"));
     return;
   }
   HttpResponse response;
@@ -216,9 +215,8 @@
   call.body_ = EncodeJobBodyAsk({ aQuery.job_.Get(), aQuery.item_.Get() });
   host_.Peers().Call(
     aOwner, std::move(call), [this, aQuery, aReply](const RpcReply& aAnswer) {
-      auto body = aAnswer
-                    ? DecodeJobBodyAnswer(aAnswer.value())
-                    : Result<std::optional<std::string>>(aAnswer.error());
+      auto body = aAnswer ? DecodeJobBodyAnswer(aAnswer.value())
+                          : Result<std::optional<std::string>>(aAnswer.error());
       if (body) {
         SendBody(*aReply, std::move(body).value());
       } else {
@@ -239,10 +237,10 @@
         SendBody(*aReply, FindBody(spec.value(), aQuery.item_));
         return;
       }
-      LogEvent(LogLevel::Warn,
-               "item_not_read",
-               { { "job", aQuery.job_.Get() },
-                 { "error", spec.error().message_ } });
+      LogEvent(
+        LogLevel::Warn,
+        "item_not_read",
+        { { "job", aQuery.job_.Get() }, { "error", spec.error().message_ } });
       aReply->Send(
         RefusedResponse("the submission cannot be read", kJobComeBack));
     };
@@ -259,8 +257,8 @@
     aDone(Error{ ErrorKind::NotFound, "this process does not own the job" });
     return;
   }
-  aDone(EncodeJobBodyAnswer(
-    FindBody(ledger->Spec(), ItemId{ ask.value().item_ })));
+  aDone(
+    EncodeJobBodyAnswer(FindBody(ledger->Spec(), ItemId{ ask.value().item_ })));
 }
 
 } // namespace marjoramtally
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -163,14 +163,13 @@
         Answer(*aSubmission, end, *aReply);
         return;
       }
-      AcceptHere(aSubmission,
-                 [this, aSubmission, aReply, end](AcceptEnd aOwnEnd) {
-                   const bool promises = aOwnEnd == AcceptEnd::Refused &&
-                                         end == AcceptEnd::Unknown;
-                   Answer(*aSubmission,
-                          promises ? AcceptEnd::Unknown : aOwnEnd,
-                          *aReply);
-                 });
+      AcceptHere(
+        aSubmission, [this, aSubmission, aReply, end](AcceptEnd aOwnEnd) {
+          const bool promises =
+            aOwnEnd == AcceptEnd::Refused && end == AcceptEnd::Unknown;
+          Answer(
+            *aSubmission, promises ? AcceptEnd::Unknown : aOwnEnd, *aReply);
+        });
     });
 }
 
@@ -201,10 +200,8 @@
     answer(AcceptEnd::Known);
     return;
   }
-  AcceptHere(std::make_shared<const Submission>(
-               Submission{ job,
-                           std::move(record).value(),
-                           std::move(spec).value() }),
+  AcceptHere(std::make_shared<const Submission>(Submission{
+               job, std::move(record).value(), std::move(spec).value() }),
              answer);
 }
 
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -274,11 +274,10 @@
   RpcCall call;
   call.topic_ = RpcTopic::JobHandOn;
   call.body_ = EncodeJobHandOn({ "j1", text });
-  pair.second_.peers_.handlers_.at(RpcTopic::JobHandOn)(
-    call, [&end](const RpcReply& aReply) {
-      end =
-        static_cast<AcceptEnd>(DecodeJobHandOnAnswer(aReply.value()).value());
-    });
+  pair.second_.peers_.handlers_.at(
+    RpcTopic::JobHandOn)(call, [&end](const RpcReply& aReply) {
+    end = static_cast<AcceptEnd>(DecodeJobHandOnAnswer(aReply.value()).value());
+  });
   pair.timers_.Advance(50ms);
   REQUIRE(end == AcceptEnd::Refused);
   REQUIRE_FALSE(pair.store_.records_.contains(job_keys::Owner(JobId{ "j1" })));
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -152,8 +152,7 @@
   plan.OnGone(before.front());
   const std::vector<std::string> after = plan.Relays("k/");
   REQUIRE(after.size() == before.size());
-  REQUIRE(std::find(after.begin(), after.end(), before.front()) ==
-          after.end());
+  REQUIRE(std::find(after.begin(), after.end(), before.front()) == after.end());
 }
 
 TEST_CASE("signs of life come back as they were written")
--- a/tests/test_weight_plan.cpp
+++ b/tests/test_weight_plan.cpp
@@ -352,8 +352,7 @@
     for (PlanUpstream& upstream : fleet) {
       const auto it = loading.find(upstream.id_);
       if (it != loading.end() && it->second.second <= tick) {
-        upstream.versions_[it->second.first.model_] =
-          it->second.first.version_;
+        upstream.versions_[it->second.first.model_] = it->second.first.version_;
         upstream.busy_ = false;
         loading.erase(it);
       }
