Reads wait at a job's owner; calls to the store are counted by purpose

Cause: a process that does not own a job looked for its results at once and once more 0.6 s later, so that a trainer read a step's last result 0.3 s late in the mean; the longest texts, 6.5 to 6.9 s at any upstream, leave a step less than a second of its 7.5 s. And no counter told which process calls the store for what.

Change: the second look waits at the owner, 0.8 s at most, and is answered when a result is listed (a test plays it); metrics count calls to the store by kind and place, connections to upstreams by purpose, and refused items.

--- a/include/marjoramtally/connection/job_messages.hpp
+++ b/include/marjoramtally/connection/job_messages.hpp
@@ -2,6 +2,7 @@
 /// or hand it to.
 #pragma once
 
+#include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/result.hpp"
 
 #include <cstdint>
@@ -16,6 +17,8 @@
 {
   std::string job_;
   std::uint64_t after_ = 0;
+  /// How long the owner may hold the question until there is such a result.
+  Duration wait_{ 0 };
 };
 
 [[nodiscard]] std::string
--- a/src/connection/job_messages.cpp
+++ b/src/connection/job_messages.cpp
@@ -29,6 +29,7 @@
   auto ask = builder.initRoot<wire::JobAsk>();
   ask.setJob(aAsk.job_);
   ask.setAfter(aAsk.after_);
+  ask.setWaitMs(static_cast<std::uint32_t>(WholeMillis(aAsk.wait_)));
   return impl::Flatten(builder);
 }
 
@@ -37,7 +38,9 @@
 {
   return impl::ReadMessage<wire::JobAsk, JobAsk>(
     aBytes, [](wire::JobAsk::Reader aIn) -> Result<JobAsk> {
-      return JobAsk{ aIn.getJob().cStr(), aIn.getAfter() };
+      return JobAsk{ aIn.getJob().cStr(),
+                     aIn.getAfter(),
+                     std::chrono::milliseconds(aIn.getWaitMs()) };
     });
 }
 
--- a/src/connection/jobs.capnp
+++ b/src/connection/jobs.capnp
@@ -8,6 +8,8 @@
   job @0 :Text;
   # Position from which results are wanted.
   after @1 :UInt64;
+  # How long the owner may hold the question until there is such a result.
+  waitMs @2 :UInt32;
 }
 
 struct JobBodyAsk {
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -1,5 +1,7 @@
 #include "daemon/gateway_host.hpp"
 
+#include "daemon/metered_store.hpp"
+
 #include "marjoramtally/process/job_takeover.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
@@ -123,7 +125,8 @@
   pool_ = IoPool::Create(1);
   timers_ = LoopTimers::Create(*pool_, 0);
   client_ = HttpClient::Create(pool_);
-  store_ = aStore(*client_, *timers_, settings_.store_);
+  store_ =
+    MakeMeteredStore(aStore(*client_, *timers_, settings_.store_), metrics_);
   const std::string incarnation = MakeIncarnation(settings_.instance_);
   relayPlan_ = std::make_unique<RelayPlan>(incarnation);
   OpenPeers();
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -300,6 +300,9 @@
     return;
   }
   LogEnd(*flight, aResult);
+  if (aResult.opened_) {
+    host_.Measures().Count("upstream_connections_total{for=\"calls\"}");
+  }
   if (!flight->doubt_.empty()) {
     OnDoubted(aId, *flight, aResult);
   } else if (flight->stream_) {
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -1,6 +1,5 @@
 #include "programs/gatewayd/job_api.hpp"
 
-#include "marjoramtally/connection/job_messages.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
@@ -73,23 +72,6 @@
                           : directory_.AddressOf(known->record_.owner_);
 }
 
-void
-JobApi::ServePeer(const RpcCall& aCall, const RpcDone& aDone)
-{
-  const auto ask = DecodeJobAsk(aCall.body_);
-  const JobLedger* ledger =
-    ask ? runner_.Find(JobId{ ask.value().job_ }) : nullptr;
-  if (ledger == nullptr) {
-    aDone(Error{ ErrorKind::NotFound, "this process does not own the job" });
-    return;
-  }
-  std::vector<JobResult> results;
-  for (std::uint64_t i = ask.value().after_; i < ledger->Listed().size(); ++i) {
-    results.push_back(ledger->ResultOf(ledger->Listed()[i]));
-  }
-  aDone(EncodeJobAnswer(WriteResultsRecord(results)));
-}
-
 void
 JobApi::Stop(Duration aGrace)
 {
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -38,8 +38,9 @@
   /// A read of a job of ours that waits for a result.
   struct Waiter
   {
+    std::uint64_t id_ = 0;
     std::uint64_t after_ = 0;
-    HttpReplyPtr reply_;
+    std::function<void()> answer_;
     LoopTimerId timer_ = 0;
   };
 
@@ -68,7 +69,16 @@
   /// @returns the number of a job's items; nothing if that is not known
   [[nodiscard]] std::optional<std::uint64_t> TotalOf(const JobId& aJob) const;
   void NoteTotal(const JobId& aJob, const StoreRecord& aOwner);
-  void EndWait(const JobId& aJob, const HttpReplyPtr& aReply);
+  /// Answers once the job of ours has a result at the position, or after the
+  /// wait.
+  void WaitFor(const JobId& aJob,
+               std::uint64_t aAfter,
+               Duration aWait,
+               std::function<void()> aAnswer);
+  void EndWait(const JobId& aJob, std::uint64_t aWaiter);
+  void AnswerPeer(const JobId& aJob,
+                  std::uint64_t aAfter,
+                  const RpcDone& aDone) const;
   void Wake(const JobId& aJob);
   /// @returns the items of a stored submission; an error, which is logged, if
   /// it cannot be read or is not whole
@@ -96,6 +106,7 @@
   JobIntake intake_;
   RemoteResults remote_;
   std::map<JobId, std::vector<Waiter>> waiters_;
+  std::uint64_t lastWaiter_ = 0;
   std::set<JobId> loading_;
   /// Totals of jobs that the directory does not list yet.
   std::map<JobId, std::uint64_t> totals_;
--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -13,8 +13,8 @@
 /// limit is 1 MB for the whole body.
 constexpr std::size_t kPageBytes = 800'000;
 /// A read of another process's job that finds nothing is answered after one
-/// more reading so much later.
-constexpr auto kRemoteWait = std::chrono::milliseconds(600);
+/// more reading, which waits so long for a result.
+constexpr auto kRemoteWait = std::chrono::milliseconds(800);
 /// An owner that does not tell a body in this time is passed over.
 constexpr auto kBodyTimeout = std::chrono::milliseconds(300);
 
@@ -109,59 +109,116 @@
                   Duration aWait,
                   HttpReplyPtr aReply)
 {
-  const bool any = runner_.Find(aJob)->Listed().size() > aAfter;
-  if (any || aWait.count() == 0) {
-    SendPage(aJob, aAfter, aReply);
-    return;
-  }
-  const LoopTimerId timer = host_.Timers().After(
-    aWait, [this, aJob, aReply] { EndWait(aJob, aReply); });
-  waiters_[aJob].push_back({ aAfter, aReply, timer });
+  WaitFor(aJob, aAfter, aWait, [this, aJob, aAfter, aReply] {
+    if (runner_.Owns(aJob)) {
+      SendPage(aJob, aAfter, aReply);
+    } else {
+      ReadRemote(aJob, aAfter, {}, aReply);
+    }
+  });
 }
 
+/// The owner holds the second question, so that a result is read when it is
+/// listed: a look each 0.6 s told of a step's last result 0.3 s later in the
+/// mean, and the longest texts leave a step less than a second.
 void
 JobApi::ReadRemote(const JobId& aJob,
                    std::uint64_t aAfter,
                    Duration aWait,
                    HttpReplyPtr aReply)
 {
+  const auto send = [this, aJob, aAfter, aReply](bool aRead) {
+    if (aRead) {
+      SendPage(aJob, aAfter, aReply);
+    } else {
+      aReply->Send(RefusedResponse("the store cannot be asked", kJobComeBack));
+    }
+  };
   remote_.Refresh(
-    aJob, OwnerAddress(aJob), [this, aJob, aAfter, aWait, aReply](bool aRead) {
-      if (!aRead) {
-        aReply->Send(
-          RefusedResponse("the store cannot be asked", kJobComeBack));
-      } else if (remote_.Of(aJob).size() > aAfter || aWait.count() == 0) {
-        SendPage(aJob, aAfter, aReply);
-      } else {
-        host_.Timers().After(std::min<Duration>(aWait, kRemoteWait),
-                             [this, aJob, aAfter, aReply] {
-                               ReadRemote(aJob, aAfter, {}, aReply);
-                             });
+    aJob,
+    OwnerAddress(aJob),
+    {},
+    [this, aJob, aAfter, aWait, send](bool aRead) {
+      if (!aRead || remote_.Of(aJob).size() > aAfter || aWait.count() == 0) {
+        send(aRead);
+        return;
       }
+      const Duration wait = std::min<Duration>(aWait, kRemoteWait);
+      const std::string owner = OwnerAddress(aJob);
+      if (!owner.empty()) {
+        remote_.Refresh(aJob, owner, wait, send);
+        return;
+      }
+      host_.Timers().After(
+        wait, [this, aJob, send] { remote_.Refresh(aJob, "", {}, send); });
     });
 }
 
 void
-JobApi::EndWait(const JobId& aJob, const HttpReplyPtr& aReply)
+JobApi::ServePeer(const RpcCall& aCall, const RpcDone& aDone)
+{
+  const auto ask = DecodeJobAsk(aCall.body_);
+  const JobId job{ ask ? ask.value().job_ : std::string() };
+  if (!ask || !runner_.Owns(job)) {
+    aDone(Error{ ErrorKind::NotFound, "this process does not own the job" });
+    return;
+  }
+  const std::uint64_t after = ask.value().after_;
+  WaitFor(job, after, ask.value().wait_, [this, job, after, aDone] {
+    AnswerPeer(job, after, aDone);
+  });
+}
+
+void
+JobApi::AnswerPeer(const JobId& aJob,
+                   std::uint64_t aAfter,
+                   const RpcDone& aDone) const
+{
+  const JobLedger* ledger = runner_.Find(aJob);
+  if (ledger == nullptr) {
+    aDone(Error{ ErrorKind::NotFound, "this process lost the job" });
+    return;
+  }
+  std::vector<JobResult> results;
+  for (std::uint64_t i = aAfter; i < ledger->Listed().size(); ++i) {
+    results.push_back(ledger->ResultOf(ledger->Listed()[i]));
+  }
+  aDone(EncodeJobAnswer(WriteResultsRecord(results)));
+}
+
+void
+JobApi::WaitFor(const JobId& aJob,
+                std::uint64_t aAfter,
+                Duration aWait,
+                std::function<void()> aAnswer)
+{
+  if (aWait.count() == 0 || runner_.Find(aJob)->Listed().size() > aAfter) {
+    aAnswer();
+    return;
+  }
+  const std::uint64_t id = ++lastWaiter_;
+  const LoopTimerId timer =
+    host_.Timers().After(aWait, [this, aJob, id] { EndWait(aJob, id); });
+  waiters_[aJob].push_back({ id, aAfter, std::move(aAnswer), timer });
+}
+
+void
+JobApi::EndWait(const JobId& aJob, std::uint64_t aWaiter)
 {
   const auto it = waiters_.find(aJob);
   if (it == waiters_.end()) {
     return;
   }
   const auto found = std::find_if(
-    it->second.begin(), it->second.end(), [&](const Waiter& aWaiter) {
-      return aWaiter.reply_ == aReply;
+    it->second.begin(), it->second.end(), [aWaiter](const Waiter& aEntry) {
+      return aEntry.id_ == aWaiter;
     });
   if (found == it->second.end()) {
     return;
   }
-  const std::uint64_t after = found->after_;
+  const auto answer = std::move(found->answer_);
   it->second.erase(found);
-  if (runner_.Owns(aJob)) {
-    SendPage(aJob, after, aReply);
-  } else {
-    ReadRemote(aJob, after, {}, aReply);
-  }
+  answer();
 }
 
 void
@@ -171,18 +228,14 @@
   if (node.empty()) {
     return;
   }
-  for (const Waiter& waiter : node.mapped()) {
+  for (Waiter& waiter : node.mapped()) {
     const JobLedger* ledger = runner_.Find(aJob);
     if (ledger != nullptr && ledger->Listed().size() <= waiter.after_) {
-      waiters_[aJob].push_back(waiter);
+      waiters_[aJob].push_back(std::move(waiter));
       continue;
     }
     host_.Timers().Cancel(waiter.timer_);
-    if (ledger != nullptr) {
-      SendPage(aJob, waiter.after_, waiter.reply_);
-    } else {
-      ReadRemote(aJob, waiter.after_, {}, waiter.reply_);
-    }
+    waiter.answer_();
   }
 }
 
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -234,6 +234,9 @@
 {
   const TimePoint now = host_.Now();
   const bool whole = aResult.end_ == HttpEnd::Whole && aRun.fault_.empty();
+  if (aResult.opened_) {
+    host_.Measures().Count("upstream_connections_total{for=\"items\"}");
+  }
   const bool ran = whole && !aRun.notRun_ && aRun.status_ != 421;
   // What crashes an upstream does so as it begins: a run with events did not.
   // A text takes 7 s, so that two deaths of other causes hit one now and then.
@@ -267,6 +270,9 @@
     return;
   }
   host_.Measures().Count("runs_interrupted_total");
+  if (aRun.notRun_) {
+    host_.Measures().Count("items_refused_total");
+  }
   LogEvent(LogLevel::Info,
            "run_interrupted",
            { { "item", aJob.ledger_.Spec().items_[aRun.item_].id_.Get() },
--- a/src/programs/gatewayd/remote_results.cpp
+++ b/src/programs/gatewayd/remote_results.cpp
@@ -33,6 +33,7 @@
 void
 RemoteResults::Refresh(const JobId& aJob,
                        const std::string& aOwner,
+                       Duration aWait,
                        std::function<void(bool)> aDone)
 {
   known_[aJob].lastRead_ = host_.Now();
@@ -42,20 +43,21 @@
   if (aOwner.empty()) {
     AskStore(aJob, std::move(aDone));
   } else {
-    AskOwner(aJob, aOwner, std::move(aDone));
+    AskOwner(aJob, aOwner, aWait, std::move(aDone));
   }
 }
 
 void
 RemoteResults::AskOwner(const JobId& aJob,
                         const std::string& aOwner,
+                        Duration aWait,
                         std::function<void(bool)> aDone)
 {
   const std::uint64_t after = known_[aJob].results_.size();
   RpcCall call;
   call.topic_ = RpcTopic::Job;
-  call.timeout_ = kOwnerTimeout;
-  call.body_ = EncodeJobAsk({ aJob.Get(), after });
+  call.timeout_ = kOwnerTimeout + aWait;
+  call.body_ = EncodeJobAsk({ aJob.Get(), after, aWait });
   host_.Peers().Call(
     aOwner,
     std::move(call),
--- a/src/programs/gatewayd/remote_results.hpp
+++ b/src/programs/gatewayd/remote_results.hpp
@@ -18,8 +18,10 @@
   /// while the store keeps silent, and a position that was read elsewhere has
   /// to be here at once.
   /// @param aOwner where the owner is called; empty: not known
+  /// @param aWait how long the owner may wait for what is new
   void Refresh(const JobId& aJob,
                const std::string& aOwner,
+               Duration aWait,
                std::function<void(bool aRead)> aDone);
   [[nodiscard]] const std::vector<JobResult>& Of(const JobId& aJob) const;
 
@@ -33,6 +35,7 @@
   void AskStore(const JobId& aJob, std::function<void(bool aRead)> aDone);
   void AskOwner(const JobId& aJob,
                 const std::string& aOwner,
+                Duration aWait,
                 std::function<void(bool aRead)> aDone);
   /// Appends results that stand from a position on.
   static void Append(Known& aKnown,
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -107,6 +107,42 @@
     return ReadOwnerRecord(record.value_).value().owner_;
   }
 
+  /// Gives a board an upstream that holds the model.
+  void AddTo(UpstreamBoard& aBoard) const
+  {
+    UpstreamEntry entry;
+    entry.id_ = UpstreamId{ "e0" };
+    entry.service_ = ServiceId{ "lm" };
+    entry.address_ = "e0:1";
+    entry.zone_ = ZoneId{ "z1" };
+    entry.slots_ = 4;
+    entry.models_ = { { model_, WeightVersion{ 5 } } };
+    aBoard.OnEntry(std::move(entry));
+  }
+
+  /// The second process's only item is whole.
+  void AnswerItem()
+  {
+    const SentCall call = second_.client_.Oldest();
+    HttpResponse response = Answer(call, 200, "id: 1\ndata: x\n\n");
+    response.headers_.push_back({ platform_->Names().versions_, "5" });
+    second_.client_.Answer(call, std::move(response));
+  }
+
+  std::shared_ptr<FakeReply> ReadFirst(const std::string& aJob, int aWaitMillis)
+  {
+    JobQuery query;
+    query.job_ = JobId{ aJob };
+    query.verb_ = JobQuery::Verb::Read;
+    HttpRequest request;
+    request.headers_ = { { platform_->Names().wait_,
+                           std::to_string(aWaitMillis) } };
+    auto reply = std::make_shared<FakeReply>();
+    first_.jobs_.Query(query, request, reply);
+    timers_.Advance(10ms);
+    return reply;
+  }
+
   std::shared_ptr<FakeReply> AskFirst(const std::string& aJob,
                                       JobQuery::Verb aVerb,
                                       const std::string& aItem = "")
@@ -266,6 +302,44 @@
   REQUIRE(pair.store_.reads_ == reads + 1);
 }
 
+TEST_CASE("a read at another process is answered as soon as a result is listed")
+{
+  Pair pair;
+  pair.AddTo(pair.second_.board_);
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  pair.timers_.Advance(1s);
+  const auto reply = pair.ReadFirst("j1", 1000);
+  pair.timers_.Advance(300ms);
+  REQUIRE_FALSE(reply->ended_);
+  pair.AnswerItem();
+  // The write of the result, and nothing but it.
+  pair.timers_.Advance(60ms);
+  REQUIRE(reply->status_ == 200);
+  REQUIRE(reply->body_.find("a1") != std::string::npos);
+}
+
+TEST_CASE("a read that waits at an owner in vain is answered in its time")
+{
+  Pair pair;
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  pair.timers_.Advance(1s);
+  SECTION("the owner lives")
+  {
+    const auto reply = pair.ReadFirst("j1", 1000);
+    pair.timers_.Advance(1s);
+    REQUIRE(reply->status_ == 200);
+    REQUIRE(reply->body_.find("a1") == std::string::npos);
+  }
+  SECTION("the owner loses the job")
+  {
+    const auto reply = pair.ReadFirst("j1", 1000);
+    pair.second_.runner_.Drop(JobId{ "j1" });
+    pair.timers_.Advance(50ms);
+    // The store was asked.
+    REQUIRE(reply->status_ == 200);
+  }
+}
+
 TEST_CASE("a submission that is handed on and cannot be read is not taken")
 {
   Pair pair;
@@ -286,6 +360,9 @@
 TEST_CASE("messages about jobs come back as they were encoded")
 {
   const std::string bytes("a\0b", 3);
+  const auto read = DecodeJobAsk(EncodeJobAsk({ "j", 7, 800ms })).value();
+  REQUIRE(read.after_ == 7);
+  REQUIRE(read.wait_ == 800ms);
   const auto ask = DecodeJobBodyAsk(EncodeJobBodyAsk({ "j", "i" })).value();
   REQUIRE(ask.job_ == "j");
   REQUIRE(ask.item_ == "i");
