--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -237,11 +237,14 @@
 {
   Own& own = watches_.at(aId);
   if (!aBatch) {
-    LogEvent(LogLevel::Info,
-             "relay_failed",
-             { { "prefix", own.prefix_ },
-               { "after", std::to_string(own.after_) },
-               { "error", aBatch.error().message_ } });
+    if (probeAt_ == TimePoint{}) {
+      // While nobody reaches the store, relays refuse four times a second.
+      LogEvent(LogLevel::Info,
+               "relay_failed",
+               { { "prefix", own.prefix_ },
+                 { "after", std::to_string(own.after_) },
+                 { "error", aBatch.error().message_ } });
+    }
     // A relay that answers no costs no time, so the next is asked. One that is
     // silent has taken 1.3 s; a second might be silent too, and that would be
     // too long for a change to be in force in time.
