--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -117,6 +117,7 @@
                 static_cast<std::ptrdiff_t>(hash(self_) % chosen.size()),
               chosen.end());
   std::vector<std::string> relays;
+  relays.reserve(chosen.size());
   for (const std::string& incarnation : chosen) {
     relays.push_back(alive_.at(incarnation).address_);
   }
