--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -408,3 +408,46 @@
   REQUIRE(fix.runner_.Find(kJob)->Listed().size() == 1);
   REQUIRE_FALSE(fix.runner_.Owns(other));
 }
+
+TEST_CASE("a process owns in haste only while a job is not done")
+{
+  // A short lease is three renewals in 1.5 s, and what is done needs no next
+  // owner.
+  JobFixture fix;
+  std::vector<bool> told;
+  fix.runner_.onOwning_ = [&told](bool aOwning) { told.push_back(aOwning); };
+  fix.Accept(1);
+  REQUIRE(told == std::vector<bool>{ true });
+  SECTION("it is done")
+  {
+    fix.CompleteItem();
+    fix.CompleteScore();
+    REQUIRE(told == std::vector<bool>{ true });
+    fix.timers_.Advance(300ms);
+  }
+  SECTION("it is ended")
+  {
+    fix.runner_.End(kJob);
+  }
+  SECTION("it is lost")
+  {
+    fix.runner_.Drop(kJob);
+  }
+  REQUIRE(told == std::vector<bool>{ true, false });
+  fix.timers_.Advance(100s);
+  REQUIRE(told.size() == 2);
+}
+
+TEST_CASE("results of a job that ended are told from memory for a minute")
+{
+  JobFixture fix;
+  fix.Accept(1);
+  fix.CompleteItem();
+  fix.CompleteScore();
+  fix.timers_.Advance(300ms);
+  fix.runner_.End(kJob);
+  fix.timers_.Advance(59s);
+  REQUIRE(fix.runner_.Find(kJob) != nullptr);
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.runner_.Find(kJob) == nullptr);
+}
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -505,6 +505,25 @@
   REQUIRE(key.Held());
 }
 
+TEST_CASE("a key outlives the lease that it hung on before")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 12s, false });
+  key.Start();
+  timers.Advance(10ms);
+  const StoreLeaseId before = store.records_.at("life").lease_;
+  key.SetTtl(1500ms);
+  timers.Advance(20ms);
+  const StoreLeaseId now = store.records_.at("life").lease_;
+  REQUIRE(now != before);
+  store.Lapse(before);
+  REQUIRE(store.records_.contains("life"));
+  store.Lapse(now);
+  REQUIRE_FALSE(store.records_.contains("life"));
+}
+
 TEST_CASE("one silent relay of several is enough to watch the store itself")
 {
   TwoProcesses two;
