--- /dev/null
+++ b/tests/test_leased_key.cpp
@@ -0,0 +1,162 @@
+/// Keys that hang on a lease: exclusive ones, renewals, losses.
+
+#include "daemon/leased_key.hpp"
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("one process holds an exclusive key at a time")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey first(store, timers, clock, { "duty", "one", 1500ms, true });
+  LeasedKey second(store, timers, clock, { "duty", "two", 1500ms, true });
+  first.Start();
+  timers.Advance(10ms);
+  second.Start();
+  timers.Advance(5s);
+  REQUIRE(first.Held());
+  REQUIRE_FALSE(second.Held());
+  const FencingNumber fence = first.Fence();
+  first.Release();
+  timers.Advance(10ms);
+  second.Retry();
+  timers.Advance(20ms);
+  REQUIRE(second.Held());
+  REQUIRE(second.Fence() > fence);
+}
+
+TEST_CASE("a key of an earlier run of this process is taken over at once")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  const auto ours = [](const std::string& aValue) {
+    return aValue.starts_with("one~");
+  };
+  LeasedKey first(
+    store, timers, clock, { "duty", "one~1", 1500ms, true, ours });
+  first.Start();
+  timers.Advance(20ms);
+  REQUIRE(first.Held());
+  LeasedKey other(
+    store,
+    timers,
+    clock,
+    { "duty", "two~1", 1500ms, true, [](const std::string& aValue) {
+       return aValue.starts_with("two~");
+     } });
+  other.Start();
+  LeasedKey again(
+    store, timers, clock, { "duty", "one~2", 1500ms, true, ours });
+  again.Start();
+  timers.Advance(30ms);
+  REQUIRE(again.Held());
+  REQUIRE(again.Fence() > first.Fence());
+  REQUIRE_FALSE(other.Held());
+  REQUIRE(store.records_.at("duty").value_ == "one~2");
+}
+
+TEST_CASE("a holder that cannot renew stops before its lease ends")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  int lost = 0;
+  key.onLost_ = [&] { ++lost; };
+  key.Start();
+  timers.Advance(10ms);
+  REQUIRE(key.Held());
+  store.fault_ = StoreFault::Silent;
+  timers.Advance(1490ms);
+  REQUIRE_FALSE(key.Held());
+  timers.Advance(3s);
+  REQUIRE(lost == 1);
+}
+
+TEST_CASE("a holder that was suspended knows that it may not act")
+{
+  ManualClock clock;
+  ManualClock boot;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, boot, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(10ms);
+  REQUIRE(key.Held());
+  // Only the clock that counts suspension moves on.
+  boot.Advance(4s);
+  REQUIRE_FALSE(key.Held());
+}
+
+TEST_CASE("a write whose answer was lost is settled by reading back")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(5ms);
+  store.fault_ = StoreFault::LosesAnswers;
+  timers.Advance(4ms);
+  store.fault_ = StoreFault::None;
+  timers.Advance(1s);
+  REQUIRE(key.Held());
+  REQUIRE(store.commits_ == 1);
+}
+
+TEST_CASE("a sign of life that lapsed while the store was away comes back")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 1500ms, false });
+  key.Start();
+  timers.Advance(10ms);
+  store.LapseAll();
+  REQUIRE_FALSE(store.records_.contains("life"));
+  timers.Advance(1s);
+  REQUIRE(store.records_.contains("life"));
+  REQUIRE(key.Held());
+}
+
+TEST_CASE("a key outlives the lease that it hung on before")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 12s, false });
+  key.Start();
+  timers.Advance(10ms);
+  const StoreLeaseId before = store.records_.at("life").lease_;
+  key.SetTtl(1500ms);
+  timers.Advance(20ms);
+  const StoreLeaseId now = store.records_.at("life").lease_;
+  REQUIRE(now != before);
+  store.Lapse(before);
+  REQUIRE(store.records_.contains("life"));
+  store.Lapse(now);
+  REQUIRE_FALSE(store.records_.contains("life"));
+}
+
+TEST_CASE("a holder that was refused contends anew, under a higher number")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(10ms);
+  const FencingNumber before = key.Fence();
+  key.StartOver();
+  REQUIRE_FALSE(key.Held());
+  timers.Advance(2s);
+  REQUIRE(key.Held());
+  REQUIRE(key.Fence() > before);
+}
