A watch after one that failed has as much time as any

The short hold after a failure, of the change that spares tries of the store, had cut the call's time as well. Why the store's answers took over 350 ms there was not shown.

--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -172,3 +172,21 @@
   REQUIRE(ended);
   REQUIRE(log.Tells("event=watch_unreadable prefix=p/ after=4"));
 }
+
+// A relay kept a configuration in force for 3.2 s that had been replaced. The
+// order: its zone was cut off and came back; its next watches were held for 50
+// ms and given up after 350 ms, and the store's answers took longer than that
+// five times in a row. Cause: a watch after a failure had less time than
+// others.
+TEST_CASE("a watch after one that failed has as much time as any")
+{
+  Fixture fix;
+  fix.store_->Watch("p/", 1, [](const StoreWatchBatch&) {});
+  const SentCall first = fix.client_.Oldest();
+  fix.client_.Fail(first, HttpEnd::Broken);
+  fix.timers_.Advance(1s);
+  const SentCall second = fix.client_.Oldest();
+  REQUIRE(second.id_ != first.id_);
+  REQUIRE(second.call_.timeout_ == first.call_.timeout_);
+  REQUIRE(second.call_.url_ == first.call_.url_);
+}
