Sight: sockets that cannot be watched, and watches that nobody vouched for

A record of configurations in force late did not tell whether the store withheld an answer, the process did not read it, or relays refused in turn.

--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -25,6 +25,10 @@
 /// of 2.5 s.
 constexpr auto kFirstProbe = std::chrono::milliseconds(700);
 constexpr auto kLongestProbe = std::chrono::seconds(3);
+/// A watch that nobody vouched for so long is told when it goes on: a change
+/// may have been in force late. Above the longest pause of a watch that is
+/// well.
+constexpr auto kSilenceTold = std::chrono::milliseconds(1700);
 /// A relay that does not yet know a revision gets this long.
 constexpr auto kCatchUp = std::chrono::milliseconds(50);
 
@@ -103,6 +107,7 @@
   own.prefix_ = std::move(aPrefix);
   own.after_ = aFromRevision == 0 ? 0 : aFromRevision - 1;
   own.onBatch_ = std::move(aOnBatch);
+  own.heard_ = clock_.Now();
   Open(id);
   return id;
 }
@@ -194,6 +199,7 @@
   }
   probeAt_ = {};
   probes_.Reset();
+  Heard(*own, "store");
   own->history_.Append(aBatch, clock_.Now());
   WakeAskers(own->prefix_);
   const bool relayed =
@@ -263,6 +269,7 @@
   own.refusals_ = 0;
   own.lost_ = false;
   own.unconfirmed_ = clock_.Now();
+  Heard(own, "relay");
   Deliver(aId, aBatch.value());
   if (Find(aId) != nullptr) {
     Open(aId);
@@ -291,6 +298,21 @@
   }
 }
 
+void
+RelayedStore::Heard(Own& aOwn, std::string_view aSource)
+{
+  const Duration silence = clock_.Now() - aOwn.heard_;
+  aOwn.heard_ = clock_.Now();
+  if (silence > Duration{ kSilenceTold }) {
+    LogEvent(LogLevel::Info,
+             "watch_resumed",
+             { { "prefix", aOwn.prefix_ },
+               { "after", std::to_string(aOwn.after_) },
+               { "silent_ms", std::to_string(WholeMillis(silence)) },
+               { "source", std::string(aSource) } });
+  }
+}
+
 void
 RelayedStore::Deliver(StoreWatchId aId, const StoreWatchBatch& aBatch)
 {
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -74,6 +74,8 @@
     std::uint64_t round_ = 0;
     /// In this round of relays one held too little history.
     bool lost_ = false;
+    /// When the store or a relay last vouched for what is known here.
+    TimePoint heard_;
   };
 
   /// A peer that waits for a change.
@@ -93,6 +95,9 @@
   void AskRelay(StoreWatchId aId, const std::string& aAddress);
   void OnRelay(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch);
   void Deliver(StoreWatchId aId, const StoreWatchBatch& aBatch);
+  /// Notes that a source vouched for what is known here, and tells for how
+  /// long none had.
+  void Heard(Own& aOwn, std::string_view aSource);
   [[nodiscard]] Own* Find(StoreWatchId aId);
   [[nodiscard]] Own* FindServed(const std::string& aPrefix);
   /// Tells those that wait under a prefix that they must read anew.
--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -1,9 +1,13 @@
 #include "runtime/curl_loop.hpp"
 
+#include "marjoramtally/runtime/log.hpp"
+
 #include <array>
 #include <asio/post.hpp>
+#include <cerrno>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace marjoramtally {
@@ -304,7 +308,13 @@
   event.events = idle ? EPOLLIN : aWanted;
   event.data.fd = aSocket;
   const int action = interest.watched_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-  epoll_ctl(epoll_, action, aSocket, &event);
+  if (epoll_ctl(epoll_, action, aSocket, &event) != 0) {
+    const std::error_code error(errno, std::generic_category());
+    LogEvent(
+      LogLevel::Error,
+      "socket_not_watched",
+      { { "socket", std::to_string(aSocket) }, { "error", error.message() } });
+  }
   interest.watched_ = event.events;
 }
 
--- a/src/runtime/log_story.cpp
+++ b/src/runtime/log_story.cpp
@@ -23,10 +23,20 @@
                                                      "call" };
 
 /// Events that tell what a process knew.
-constexpr std::array<std::string_view, 11> kBeliefs{
-  "config_read",     "upstreams_read",      "watch_interrupted", "relay_failed",
-  "dependency_lost", "dependency_regained", "started",           "stopping",
-  "duty_held",       "log_lines_left_out",  "duty_lost",
+constexpr std::array<std::string_view, 13> kBeliefs{
+  "config_read",
+  "upstreams_read",
+  "watch_interrupted",
+  "relay_failed",
+  "dependency_lost",
+  "dependency_regained",
+  "started",
+  "stopping",
+  "duty_held",
+  "log_lines_left_out",
+  "duty_lost",
+  "watch_resumed",
+  "socket_not_watched",
 };
 
 /// Events that tell of an upstream.
