A failing test: a connection after one that could not be opened is not heard

What callers saw: 404 for a route that had been added, at a gateway that had been cut off from the store.

--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -1,6 +1,7 @@
 #include "marjoramtally/runtime.hpp"
 
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
@@ -81,6 +82,55 @@
   std::thread thread_;
 };
 
+/// An address that, like one behind a partition, never takes a connection: a
+/// listener whose queue is full, so that the kernel drops further ones.
+class SilentAddress
+{
+public:
+  SilentAddress()
+    : listener_(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    listen(listener_, 0);
+    url_ = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    for (int& waiting : waiting_) {
+      waiting = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(waiting, reinterpret_cast<sockaddr*>(&address), size);
+    }
+  }
+
+  ~SilentAddress()
+  {
+    for (const int waiting : waiting_) {
+      close(waiting);
+    }
+    close(listener_);
+  }
+
+  SilentAddress(const SilentAddress&) = delete;
+  SilentAddress& operator=(const SilentAddress&) = delete;
+
+  /// @returns a call that gives up the connection soon
+  [[nodiscard]] HttpCall Call() const
+  {
+    HttpCall call;
+    call.url_ = url_;
+    call.connectTimeout_ = std::chrono::milliseconds(50);
+    return call;
+  }
+
+private:
+  int listener_;
+  std::string url_;
+  /// More than the queue holds.
+  std::array<int, 3> waiting_{};
+};
+
 HttpCall
 Post(const RawServer& aServer, bool aAtMostOnce = false)
 {
@@ -308,3 +358,29 @@
   CHECK(result.opened_ == wanted);
   CHECK(result.localPort_ != 0);
 }
+
+// The story: callers of a route that had been added got 404 at a gateway 2.2 s
+// after the change had been accepted. The gateway had been cut off from the
+// store; for up to four seconds after the cut its watches of the configuration
+// were silent, one connection after the other, while its other calls to the
+// store were answered.
+TEST_CASE("a connection after one that could not be opened is heard")
+{
+  const SilentAddress silent;
+  RawServer server([](RawServer& aServer) {
+    const int connection = aServer.Accept();
+    for (int i = 0; i < 2; ++i) {
+      aServer.Read(connection);
+      // So that the client has to wait for the answer.
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      RawServer::Write(connection, kWhole);
+    }
+    close(connection);
+  });
+  const auto client = HttpClient::Create(1);
+  REQUIRE(SendAndWait(*client, silent.Call()).end_ == HttpEnd::NotSent);
+  HttpCall call = Post(server);
+  call.connectTimeout_ = 2 * call.timeout_;
+  CHECK(SendAndWait(*client, call).end_ == HttpEnd::Whole);
+  CHECK(SendAndWait(*client, call).end_ == HttpEnd::Whole);
+}
