A connection after one that could not be opened is heard

What callers saw: 404 for a route 2.2 s after the change that added it had been accepted (two seconds are allowed), at a gateway back from a partition.

Cause: libcurl closes a socket that never connected without calling the function that is set for closing, and says only afterwards that it wants no more of it. The loop went on to count the number as watched: the next socket with it was changed in the epoll set instead of added, which failed, and the error was ignored. That connection was heard of only at libcurl's own time limits (0.2 s, the connection's, the call's), and so was every later call on it. After a cut of 2.7 s three or four such numbers are left. Class: a registration by a number that outlives the thing numbered, and a failed system call that nobody sees. All calls of all daemons go through this loop, also those to upstreams that went dark.

Mend: the loop opens the sockets itself, and a new one starts without a registration, whatever its number was watched for before. A registration that fails is logged. Looked for elsewhere: no other epoll set and no other state by descriptor in the sources.

Ruled out: a watch withheld by the store, and relays that refuse in turn (no such lines at the gateway).

--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -143,6 +143,8 @@
   if (idle_.empty()) {
     CURL* easy = curl_easy_init();
     CurlTransfer::PrepareHandle(easy);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, OnOpen);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, OnClose);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     return easy;
@@ -309,13 +311,25 @@
   event.data.fd = aSocket;
   const int action = interest.watched_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
   if (epoll_ctl(epoll_, action, aSocket, &event) != 0) {
-    const std::error_code error(errno, std::generic_category());
+    OnNotWatched(aSocket);
+    return;
+  }
+  interest.watched_ = event.events;
+}
+
+/// libcurl may say only after closing a socket that it wants no more of it.
+void
+CurlLoop::OnNotWatched(curl_socket_t aSocket)
+{
+  const std::error_code error(errno, std::generic_category());
+  Interest& interest = InterestOf(aSocket);
+  interest.watched_ = 0;
+  if (interest.wanted_ != 0) {
     LogEvent(
       LogLevel::Error,
       "socket_not_watched",
       { { "socket", std::to_string(aSocket) }, { "error", error.message() } });
   }
-  interest.watched_ = event.events;
 }
 
 int
@@ -339,6 +353,34 @@
   return 0;
 }
 
+/// A new socket is in no epoll set, whatever its number was watched for:
+/// libcurl closes one that never connected without calling `OnClose`. The next
+/// connection with its number would else never be heard, and its answers lie
+/// unread until a time limit.
+curl_socket_t
+CurlLoop::OnOpen(void* aUser,
+                 curlsocktype /*aPurpose*/,
+                 curl_sockaddr* aAddress)
+{
+  const curl_socket_t opened =
+    socket(aAddress->family, aAddress->socktype, aAddress->protocol);
+  if (opened != CURL_SOCKET_BAD) {
+    static_cast<CurlLoop*>(aUser)->OnOpened(opened);
+  }
+  return opened;
+}
+
+/// libcurl does not repeat a wish that it had for a socket of the same number.
+void
+CurlLoop::OnOpened(curl_socket_t aSocket)
+{
+  Interest& interest = InterestOf(aSocket);
+  interest.watched_ = 0;
+  if (interest.wanted_ != 0) {
+    SetInterest(aSocket, interest.wanted_);
+  }
+}
+
 /// Closing a socket takes it out of the epoll set. It is reset: otherwise the
 /// kernel goes on to deliver a request that was given up, which then reached
 /// an upstream 3.6 s after the end of its job, when a partition was over. For
--- a/src/runtime/curl_loop.hpp
+++ b/src/runtime/curl_loop.hpp
@@ -49,6 +49,9 @@
                       void* aUser,
                       void* aSocketUser);
   static int OnTimer(CURLM* aMulti, long aMillis, void* aUser);
+  static curl_socket_t OnOpen(void* aUser,
+                              curlsocktype aPurpose,
+                              curl_sockaddr* aAddress);
   static int OnClose(void* aUser, curl_socket_t aSocket);
 
   void Schedule();
@@ -64,7 +67,9 @@
   void ArmTimer();
   void Collect();
   void Finish(CurlTransfer& aTransfer, CURLcode aCode);
+  void OnOpened(curl_socket_t aSocket);
   void SetInterest(curl_socket_t aSocket, std::uint32_t aWanted);
+  void OnNotWatched(curl_socket_t aSocket);
   [[nodiscard]] Interest& InterestOf(curl_socket_t aSocket);
   [[nodiscard]] CURL* TakeHandle();
 
