--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -366,10 +366,10 @@
 // store were answered.
 // Cause: a connection that cannot be opened is closed without a word to the
 // loop, which went on to count its socket's number as watched. The registration
-// of the next socket with that number failed, unlogged, so that its answers were
-// read only when a time limit came. Evidence: with the failure logged, each
-// silent watch follows one at the same gateway; the answers came after 0.5 s or
-// 1.3 s, the limits of a connection and of a watch.
+// of the next socket with that number failed, unlogged, so that its answers
+// were read only when a time limit came. Evidence: with the failure logged,
+// each silent watch follows one at the same gateway; the answers came after 0.5
+// s or 1.3 s, the limits of a connection and of a watch.
 TEST_CASE("a connection after one that could not be opened is heard")
 {
   const SilentAddress silent;
