--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/prefix_follower.hpp"
 
 #include "marjoramtally/base/backoff.hpp"
+#include "marjoramtally/runtime/log.hpp"
 
 #include <optional>
 #include <utility>
@@ -51,8 +52,14 @@
   void Take(const Result<StoreRange>& aRange)
   {
     if (!aRange) {
+      const Duration pause = pauses_.Next();
+      LogEvent(LogLevel::Info,
+               "reading_failed",
+               { { "prefix", prefix_ },
+                 { "error", aRange.error().message_ },
+                 { "again_in", FormatDuration(pause) } });
       Tell(&PrefixFollower::onFailure_, aRange.error());
-      timers_.After(pauses_.Next(), [self = weak_from_this()] {
+      timers_.After(pause, [self = weak_from_this()] {
         const auto state = self.lock();
         if (state && !state->stopped_) {
           state->Read();
--- a/src/runtime/log_story.cpp
+++ b/src/runtime/log_story.cpp
@@ -23,7 +23,7 @@
                                                      "call" };
 
 /// Events that tell what a process knew.
-constexpr std::array<std::string_view, 13> kBeliefs{
+constexpr std::array<std::string_view, 14> kBeliefs{
   "config_read",
   "upstreams_read",
   "watch_interrupted",
@@ -37,6 +37,7 @@
   "duty_lost",
   "watch_resumed",
   "socket_not_watched",
+  "reading_failed",
 };
 
 /// Events that tell of an upstream.
