A reading is given up when nothing comes, not when much does

Cause: 250 processes read 1 MB each over the store's one link of 1,000 Mbit/s, which takes 2 s; each gave up after 1.2 s, when part of it had come, and began anew. Class: a time limit for the whole of an answer whose size and link are not known, retried under the load that made it late.

--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -161,6 +161,46 @@
   transfer.Attach(TakeHandle());
   active_.emplace(transfer.Id(), std::move(aTransfer));
   curl_multi_add_handle(multi_, transfer.Handle());
+  WatchSilence(transfer);
+}
+
+void
+CurlLoop::WatchSilence(const CurlTransfer& aTransfer)
+{
+  const std::optional<Instant> until = aTransfer.SilentUntil();
+  if (!until) {
+    return;
+  }
+  const HttpCallId id = aTransfer.Id();
+  SilenceTimer& timer = silences_.try_emplace(id, context_).first->second;
+  timer.expires_at(*until);
+  timer.async_wait([this, id](const asio::error_code& aError) {
+    if (!aError) {
+      EndIfSilent(id);
+    }
+  });
+}
+
+void
+CurlLoop::EndIfSilent(HttpCallId aId)
+{
+  const auto it = active_.find(aId);
+  if (it == active_.end()) {
+    return;
+  }
+  // Bytes that have come count before the time does.
+  TakeReady();
+  Drive();
+  const auto still = active_.find(aId);
+  if (still == active_.end()) {
+    return;
+  }
+  CurlTransfer& transfer = *still->second;
+  if (*transfer.SilentUntil() > std::chrono::steady_clock::now()) {
+    WatchSilence(transfer);
+  } else {
+    Finish(transfer, CURLE_OPERATION_TIMEDOUT);
+  }
 }
 
 void
@@ -271,6 +311,7 @@
   curl_multi_remove_handle(multi_, aTransfer.Handle());
   idle_.push_back(aTransfer.Handle());
   const HttpDone done = aTransfer.TakeDone();
+  silences_.erase(aTransfer.Id());
   active_.erase(aTransfer.Id());
   done(std::move(result));
 }
--- a/src/runtime/curl_loop.hpp
+++ b/src/runtime/curl_loop.hpp
@@ -34,7 +34,8 @@
   void EndAll();
 
 private:
-  using Instant = std::chrono::steady_clock::time_point;
+  using Instant = SteadyTime;
+  using SilenceTimer = asio::steady_timer;
 
   /// What a socket is watched for, and what libcurl wants to know.
   struct Interest
@@ -60,6 +61,9 @@
   void TakePosted();
   void StartTransfer(std::unique_ptr<CurlTransfer> aTransfer);
   void CancelTransfer(HttpCallId aId);
+  /// Looks at a call again when its silence is over, if it has a limit.
+  void WatchSilence(const CurlTransfer& aTransfer);
+  void EndIfSilent(HttpCallId aId);
   void ResumeTransfer(HttpCallId aId);
   void ActIfDue();
   void WatchReady();
@@ -84,6 +88,8 @@
   /// By socket number.
   std::vector<Interest> interests_;
   std::unordered_map<HttpCallId, std::unique_ptr<CurlTransfer>> active_;
+  /// Of calls whose silence is limited.
+  std::unordered_map<HttpCallId, SilenceTimer> silences_;
   std::vector<CURL*> idle_;
 
   std::mutex mutex_;
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -50,6 +50,7 @@
 {
   auto& transfer = *static_cast<CurlTransfer*>(aUser);
   auto& headers = transfer.response_.headers_;
+  transfer.lastByte_ = std::chrono::steady_clock::now();
   const std::string_view line(aData, aSize * aCount);
   if (line.starts_with("HTTP/")) {
     headers.clear();
@@ -76,6 +77,7 @@
 {
   auto& transfer = *static_cast<CurlTransfer*>(aUser);
   const std::size_t bytes = aSize * aCount;
+  transfer.lastByte_ = std::chrono::steady_clock::now();
   if (transfer.call_.mayReceive_ && !transfer.call_.mayReceive_()) {
     return CURL_WRITEFUNC_PAUSE;
   }
@@ -105,6 +107,7 @@
 CurlTransfer::Attach(CURL* aEasy)
 {
   easy_ = aEasy;
+  lastByte_ = std::chrono::steady_clock::now();
   const long fresh = call_.atMostOnce_ || call_.newConnection_ ? 1L : 0L;
   const long single = call_.atMostOnce_ ? 1L : 0L;
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
@@ -120,6 +123,15 @@
   SetHeaders();
 }
 
+std::optional<SteadyTime>
+CurlTransfer::SilentUntil() const noexcept
+{
+  if (call_.silence_ <= Duration{ 0 }) {
+    return std::nullopt;
+  }
+  return lastByte_ + call_.silence_;
+}
+
 void
 CurlTransfer::SetMethod()
 {
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -3,10 +3,14 @@
 
 #include "marjoramtally/runtime/http_client.hpp"
 
+#include <chrono>
 #include <curl/curl.h>
+#include <optional>
 
 namespace marjoramtally {
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
 /// One call in progress; its address is the handle's private pointer, so it
 /// stays where it is until the call has ended.
 class CurlTransfer
@@ -17,6 +21,9 @@
   [[nodiscard]] HttpCallId Id() const noexcept { return id_; }
   [[nodiscard]] CURL* Handle() const noexcept { return easy_; }
   void MarkCancelled() noexcept { cancelled_ = true; }
+  /// @returns when the call ends unless a byte comes first; nothing if its
+  /// silence is not limited
+  [[nodiscard]] std::optional<SteadyTime> SilentUntil() const noexcept;
 
   /// Sets what is the same for every call; once for each handle.
   static void PrepareHandle(CURL* aEasy);
@@ -45,6 +52,8 @@
   HttpCall call_;
   HttpDone done_;
   HttpResponse response_;
+  /// When the call was sent or its last byte came.
+  SteadyTime lastByte_;
   CURL* easy_ = nullptr;
   /// The request's header lines and the list of them that libcurl reads.
   std::vector<std::string> lines_;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -390,3 +390,49 @@
   CHECK(SendAndWait(*client, call).end_ == HttpEnd::Whole);
   CHECK(SendAndWait(*client, call).end_ == HttpEnd::Whole);
 }
+
+TEST_CASE("an answer that keeps coming is not given up, one that stops is")
+{
+  const bool stops = GENERATE(false, true);
+  RawServer server([stops](RawServer& aServer) {
+    const int connection = aServer.Accept();
+    aServer.Read(connection);
+    RawServer::Write(connection,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
+    for (int i = 0; i < (stops ? 3 : 6); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      RawServer::Write(connection, "x");
+    }
+    if (stops) {
+      // Ends with the connection.
+      aServer.Read(connection);
+    }
+    close(connection);
+  });
+  const auto client = HttpClient::Create(1);
+  HttpCall call = Post(server);
+  call.timeout_ = std::chrono::seconds(20);
+  call.silence_ = std::chrono::seconds(1);
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  if (stops) {
+    CHECK(result.end_ == HttpEnd::TimedOut);
+  } else {
+    CHECK(result.end_ == HttpEnd::Whole);
+    CHECK(result.response_.body_ == "xxxxxx");
+  }
+}
+
+TEST_CASE("a call without an answer ends when its silence is over")
+{
+  RawServer server([](RawServer& aServer) {
+    const int connection = aServer.Accept();
+    aServer.Read(connection);
+    aServer.Read(connection);
+    close(connection);
+  });
+  const auto client = HttpClient::Create(1);
+  HttpCall call = Post(server);
+  call.timeout_ = std::chrono::seconds(20);
+  call.silence_ = std::chrono::milliseconds(100);
+  CHECK(SendAndWait(*client, std::move(call)).end_ == HttpEnd::TimedOut);
+}
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -1,6 +1,7 @@
 /// The client of the users' platform's store: what its answers prove, and
 /// what becomes of answers that cannot be right.
 
+#include "daemon/prefix_follower.hpp"
 #include "gateway_fixture.hpp"
 #include "log_capture.hpp"
 
@@ -12,6 +13,79 @@
 
 namespace {
 
+/// The store's one link, which all calls in progress share alike: a call ends
+/// when its bytes are through, or by its own limits.
+class SharedLink final : public HttpClient
+{
+public:
+  SharedLink(ManualTimers& aTimers, std::size_t aBytesAMilli, std::string aBody)
+    : timers_(aTimers)
+    , bytesAMilli_(aBytesAMilli)
+    , body_(std::move(aBody))
+  {
+  }
+
+  HttpCallId Send(HttpCall aCall, HttpDone aDone) override
+  {
+    calls_[++last_] = { std::move(aCall), std::move(aDone), 0, 0ms };
+    ++sent_;
+    return last_;
+  }
+  void Cancel(HttpCallId aId) override { calls_.erase(aId); }
+  void Resume(HttpCallId) override {}
+
+  /// Moves what goes through in some time.
+  void Pass(std::chrono::milliseconds aTime)
+  {
+    timers_.Advance(aTime);
+    if (calls_.empty()) {
+      return;
+    }
+    const std::size_t share =
+      bytesAMilli_ * static_cast<std::size_t>(aTime.count()) / calls_.size();
+    const auto calls = calls_;
+    for (const auto& [id, seen] : calls) {
+      Move(id, share, aTime);
+    }
+  }
+
+  [[nodiscard]] std::size_t Sent() const noexcept { return sent_; }
+
+private:
+  struct Moving
+  {
+    HttpCall call_;
+    HttpDone done_;
+    std::size_t bytes_ = 0;
+    std::chrono::milliseconds age_{ 0 };
+  };
+
+  void Move(HttpCallId aId, std::size_t aShare, std::chrono::milliseconds aTime)
+  {
+    Moving& moving = calls_.at(aId);
+    moving.bytes_ += aShare;
+    moving.age_ += aTime;
+    const bool whole = moving.bytes_ >= body_.size();
+    if (!whole && moving.age_ < moving.call_.timeout_) {
+      return;
+    }
+    const HttpDone done = std::move(moving.done_);
+    calls_.erase(aId);
+    if (whole) {
+      done({ HttpEnd::Whole, { 200, {}, body_ }, {} });
+    } else {
+      done({ HttpEnd::TimedOut, {}, "Timeout was reached" });
+    }
+  }
+
+  ManualTimers& timers_;
+  std::size_t bytesAMilli_;
+  std::string body_;
+  HttpCallId last_ = 0;
+  std::size_t sent_ = 0;
+  std::map<HttpCallId, Moving> calls_;
+};
+
 struct Fixture
 {
   ManualClock clock_;
@@ -190,3 +264,40 @@
   REQUIRE(second.call_.timeout_ == first.call_.timeout_);
   REQUIRE(second.call_.url_ == first.call_.url_);
 }
+
+// What users saw: after most processes of a large fleet had been killed, no
+// gateway took requests any more, for the rest of the day. The order: the
+// configuration had grown to 4,236 routes, 1 MB; all started at once and read
+// it over the store's one link; each gave its reading up after 1.2 s, when half
+// of it had come, and began anew. Cause: a reading had a time limit of its own,
+// however much of it had come.
+TEST_CASE("a large configuration reaches a fleet that starts at once")
+{
+  constexpr int kProcesses = 250;
+  constexpr std::size_t kConfigBytes = 1'000'000;
+  // 1,000 Mbit/s
+  constexpr std::size_t kBytesAMilli = 125'000;
+  ManualClock clock;
+  ManualTimers timers(clock);
+  const std::string page =
+    R"({"items":[{"key":"c","value":")" + std::string(kConfigBytes, 'A') +
+    R"(","revision":3,"created_at":2}],"has_more":false,"as_of":3})";
+  SharedLink link(timers, kBytesAMilli, page);
+  std::vector<std::unique_ptr<Store>> stores;
+  std::vector<std::unique_ptr<PrefixFollower>> followers;
+  int read = 0;
+  for (int i = 0; i < kProcesses; ++i) {
+    stores.push_back(MakePlatformStore(link, timers, { "store:1" }));
+    followers.push_back(
+      std::make_unique<PrefixFollower>(*stores.back(), timers, "c"));
+    followers.back()->onAll_ = [&read](const StoreRange&) { ++read; };
+    // Watches are not part of the play.
+    followers.back()->Start(1min);
+  }
+  for (int i = 0; i < 300; ++i) {
+    link.Pass(10ms);
+  }
+  // All bytes together need two seconds.
+  CHECK(read == kProcesses);
+  CHECK(link.Sent() == kProcesses);
+}
