A change too large to be passed on is read by each process itself

Now a history holds 512 KB at most. A peer that waits for more is told at once that the history is not held, and reads from the store.

Ruled out for the memory: the readings themselves, 1 MB in each process.

--- a/include/marjoramtally/runtime/watch_history.hpp
+++ b/include/marjoramtally/runtime/watch_history.hpp
@@ -16,6 +16,10 @@
 public:
   /// Most changes kept.
   static constexpr std::size_t kMost = 2048;
+  /// Most bytes of keys and values kept. What a relay sends at once to 72 peers
+  /// is then below 38 MB; a larger change is read by each process from the
+  /// store, whose link is the faster one.
+  static constexpr std::size_t kMostBytes = 512UL * 1024UL;
   /// An answer of the store vouches for the changes this long. A watch is
   /// renewed every 1.4 s, and a change has to be known after two seconds.
   static constexpr Duration kConfirmedFor = std::chrono::milliseconds(1700);
@@ -34,7 +38,10 @@
   [[nodiscard]] StoreWatchBatch After(std::uint64_t aAfter) const;
 
 private:
+  [[nodiscard]] static std::size_t BytesOf(const StoreEvent& aEvent) noexcept;
+
   std::deque<StoreEvent> events_;
+  std::size_t bytes_ = 0;
   /// All changes after this revision are held.
   std::uint64_t start_ = 0;
   std::optional<std::uint64_t> known_;
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -338,20 +338,27 @@
   return nullptr;
 }
 
+std::optional<Error>
+RelayedStore::RefusalOf(const Own* aOwn, std::uint64_t aAfter) const
+{
+  if (aOwn == nullptr) {
+    return Error{ ErrorKind::NotFound, "this process does not relay that" };
+  }
+  if (!aOwn->history_.Confirmed(clock_.Now())) {
+    return Error{ ErrorKind::Unavailable, "the store does not answer here" };
+  }
+  if (!aOwn->history_.Covers(aAfter)) {
+    return Error{ ErrorKind::Conflict, "that history is not held here" };
+  }
+  return std::nullopt;
+}
+
 void
 RelayedStore::Serve(const WatchAsk& aAsk, StoreDone<StoreWatchBatch> aDone)
 {
   const Own* own = FindServed(aAsk.prefix_);
-  if (own == nullptr) {
-    aDone(Error{ ErrorKind::NotFound, "this process does not relay that" });
-    return;
-  }
-  if (!own->history_.Confirmed(clock_.Now())) {
-    aDone(Error{ ErrorKind::Unavailable, "the store does not answer here" });
-    return;
-  }
-  if (!own->history_.Covers(aAsk.after_)) {
-    aDone(Error{ ErrorKind::Conflict, "that history is not held here" });
+  if (const auto refusal = RefusalOf(own, aAsk.after_)) {
+    aDone(*refusal);
     return;
   }
   StoreWatchBatch batch = own->history_.After(aAsk.after_);
@@ -377,11 +384,10 @@
     return;
   }
   const Own* own = FindServed(aPrefix);
-  const bool confirmed =
-    own != nullptr && own->history_.Confirmed(clock_.Now());
   std::vector<std::uint64_t> due;
   for (const auto& [number, asker] : it->second) {
-    if (!confirmed || !own->history_.After(asker.after_).events_.empty()) {
+    if (RefusalOf(own, asker.after_) ||
+        !own->history_.After(asker.after_).events_.empty()) {
       due.push_back(number);
     }
   }
@@ -413,9 +419,8 @@
   const Asker& asker = node.mapped();
   timers_.Cancel(asker.timer_);
   const Own* own = FindServed(aPrefix);
-  if (own == nullptr || !own->history_.Confirmed(clock_.Now())) {
-    asker.done_(
-      Error{ ErrorKind::Unavailable, "the store does not answer here" });
+  if (const auto refusal = RefusalOf(own, asker.after_)) {
+    asker.done_(*refusal);
     return;
   }
   asker.done_(own->history_.After(asker.after_));
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -11,6 +11,7 @@
 #include "marjoramtally/runtime/watch_messages.hpp"
 
 #include <map>
+#include <optional>
 
 namespace marjoramtally {
 
@@ -100,6 +101,10 @@
   void Heard(Own& aOwn, std::string_view aSource);
   [[nodiscard]] Own* Find(StoreWatchId aId);
   [[nodiscard]] Own* FindServed(const std::string& aPrefix);
+  /// @returns why a peer that knows all up to a revision gets no changes here;
+  /// nothing if it does
+  [[nodiscard]] std::optional<Error> RefusalOf(const Own* aOwn,
+                                               std::uint64_t aAfter) const;
   /// Tells those that wait under a prefix that they must read anew.
   void EndAskers(const std::string& aPrefix);
   void WakeAskers(const std::string& aPrefix);
--- a/src/runtime/watch_history.cpp
+++ b/src/runtime/watch_history.cpp
@@ -8,6 +8,7 @@
 WatchHistory::Start(std::uint64_t aAfter, TimePoint aNow)
 {
   events_.clear();
+  bytes_ = 0;
   start_ = aAfter;
   known_ = aAfter;
   confirmed_ = aNow;
@@ -24,13 +25,21 @@
   for (const StoreEvent& event : aBatch.events_) {
     known_ = std::max(*known_, event.record_.modRevision_);
     events_.push_back(event);
+    bytes_ += BytesOf(event);
   }
-  while (events_.size() > kMost) {
+  while (events_.size() > kMost || bytes_ > kMostBytes) {
     start_ = events_.front().record_.modRevision_;
+    bytes_ -= BytesOf(events_.front());
     events_.pop_front();
   }
 }
 
+std::size_t
+WatchHistory::BytesOf(const StoreEvent& aEvent) noexcept
+{
+  return aEvent.record_.key_.size() + aEvent.record_.value_.size();
+}
+
 bool
 WatchHistory::Confirmed(TimePoint aNow) const noexcept
 {
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -209,6 +209,26 @@
   REQUIRE(history.Covers(10));
 }
 
+TEST_CASE("a history holds no more bytes than it may")
+{
+  WatchHistory history;
+  history.Start(0, {});
+  const auto append = [&history](std::uint64_t aRevision, std::size_t aBytes) {
+    StoreEvent event = MakeEvent("k", aRevision);
+    event.record_.value_ = std::string(aBytes, 'v');
+    history.Append({ false, false, aRevision, { event } }, {});
+  };
+  append(1, WatchHistory::kMostBytes / 2);
+  append(2, WatchHistory::kMostBytes / 4);
+  REQUIRE(history.Covers(0));
+  append(3, WatchHistory::kMostBytes / 2);
+  REQUIRE_FALSE(history.Covers(0));
+  REQUIRE(history.After(1).events_.size() == 2);
+  append(4, WatchHistory::kMostBytes * 2);
+  REQUIRE_FALSE(history.Covers(3));
+  REQUIRE(history.Covers(4));
+}
+
 TEST_CASE("changes reach a process through its relay, each once")
 {
   TwoProcesses two;
@@ -407,3 +427,29 @@
   two.store_.TellBatch("k/", { true, false, 0, {} });
   REQUIRE(kind == ErrorKind::Conflict);
 }
+
+// What was seen: a process of a large fleet, a relay, was ended for its memory
+// when the configuration of 4,236 routes changed. The order: 62 peers waited
+// for the change; each was sent all of it, 0.8 MB, over a link that passes 1%
+// of that in the time of the call, so that nearly all gave up and asked the
+// next relay. Cause: what a relay holds for its peers was bounded by a number
+// of changes.
+TEST_CASE("a change too large to be passed on is read by each process itself")
+{
+  TwoProcesses two;
+  two.Start();
+  two.timers_.Advance(100ms);
+  std::vector<ErrorKind> kinds;
+  for (int i = 0; i < 3; ++i) {
+    two.first_.Serve({ "k/", two.store_.Revision(), 1000ms },
+                     [&kinds](const Result<StoreWatchBatch>& aBatch) {
+                       REQUIRE_FALSE(aBatch);
+                       kinds.push_back(aBatch.error().kind_);
+                     });
+  }
+  StoreEvent event = MakeEvent("k/large", two.store_.Revision() + 1);
+  event.record_.value_ = std::string(WatchHistory::kMostBytes + 1, 'v');
+  two.store_.TellBatch("k/",
+                       { false, false, event.record_.modRevision_, { event } });
+  REQUIRE(kinds == std::vector<ErrorKind>(3, ErrorKind::Conflict));
+}
