--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -172,7 +172,7 @@
     return;
   }
   const HttpCallId id = aTransfer.Id();
-  SilenceTimer& timer = silences_.try_emplace(id, context_).first->second;
+  asio::steady_timer& timer = silences_.try_emplace(id, context_).first->second;
   timer.expires_at(*until);
   timer.async_wait([this, id](const asio::error_code& aError) {
     if (!aError) {
@@ -184,18 +184,14 @@
 void
 CurlLoop::EndIfSilent(HttpCallId aId)
 {
-  const auto it = active_.find(aId);
-  if (it == active_.end()) {
-    return;
-  }
   // Bytes that have come count before the time does.
   TakeReady();
   Drive();
-  const auto still = active_.find(aId);
-  if (still == active_.end()) {
+  const auto it = active_.find(aId);
+  if (it == active_.end()) {
     return;
   }
-  CurlTransfer& transfer = *still->second;
+  CurlTransfer& transfer = *it->second;
   if (*transfer.SilentUntil() > std::chrono::steady_clock::now()) {
     WatchSilence(transfer);
   } else {
--- a/src/runtime/curl_loop.hpp
+++ b/src/runtime/curl_loop.hpp
@@ -35,7 +35,6 @@
 
 private:
   using Instant = SteadyTime;
-  using SilenceTimer = asio::steady_timer;
 
   /// What a socket is watched for, and what libcurl wants to know.
   struct Interest
@@ -89,7 +88,7 @@
   std::vector<Interest> interests_;
   std::unordered_map<HttpCallId, std::unique_ptr<CurlTransfer>> active_;
   /// Of calls whose silence is limited.
-  std::unordered_map<HttpCallId, SilenceTimer> silences_;
+  std::unordered_map<HttpCallId, asio::steady_timer> silences_;
   std::vector<CURL*> idle_;
 
   std::mutex mutex_;
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -50,7 +50,7 @@
 {
   auto& transfer = *static_cast<CurlTransfer*>(aUser);
   auto& headers = transfer.response_.headers_;
-  transfer.lastByte_ = std::chrono::steady_clock::now();
+  transfer.NoteByte();
   const std::string_view line(aData, aSize * aCount);
   if (line.starts_with("HTTP/")) {
     headers.clear();
@@ -77,7 +77,7 @@
 {
   auto& transfer = *static_cast<CurlTransfer*>(aUser);
   const std::size_t bytes = aSize * aCount;
-  transfer.lastByte_ = std::chrono::steady_clock::now();
+  transfer.NoteByte();
   if (transfer.call_.mayReceive_ && !transfer.call_.mayReceive_()) {
     return CURL_WRITEFUNC_PAUSE;
   }
@@ -107,7 +107,7 @@
 CurlTransfer::Attach(CURL* aEasy)
 {
   easy_ = aEasy;
-  lastByte_ = std::chrono::steady_clock::now();
+  NoteByte();
   const long fresh = call_.atMostOnce_ || call_.newConnection_ ? 1L : 0L;
   const long single = call_.atMostOnce_ ? 1L : 0L;
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
@@ -123,6 +123,15 @@
   SetHeaders();
 }
 
+/// The clock is read for each line of a head, so only where it counts.
+void
+CurlTransfer::NoteByte()
+{
+  if (call_.silence_ > Duration{ 0 }) {
+    lastByte_ = std::chrono::steady_clock::now();
+  }
+}
+
 std::optional<SteadyTime>
 CurlTransfer::SilentUntil() const noexcept
 {
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -42,6 +42,7 @@
                             std::size_t aSize,
                             std::size_t aCount,
                             void* aUser);
+  void NoteByte();
   void SetMethod();
   void SetHeaders();
   /// @returns whether the answer is believed
@@ -52,7 +53,7 @@
   HttpCall call_;
   HttpDone done_;
   HttpResponse response_;
-  /// When the call was sent or its last byte came.
+  /// When the call was sent or its last byte came, if its silence is limited.
   SteadyTime lastByte_;
   CURL* easy_ = nullptr;
   /// The request's header lines and the list of them that libcurl reads.
