--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -1,15 +1,15 @@
+#include "loopback_listener.hpp"
 #include "marjoramtally/runtime.hpp"
 
-#include <arpa/inet.h>
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
 using namespace marjoramtally;
+using namespace marjoramtally::test;
 
 namespace {
 
@@ -22,16 +22,10 @@
   using Script = std::function<void(RawServer&)>;
 
   explicit RawServer(Script aScript)
-    : listener_(socket(AF_INET, SOCK_STREAM, 0))
   {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    listen(listener_, 8);
-    url_ = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    const LoopbackListener listener = ListenOnLoopback(8);
+    listener_ = listener.socket_;
+    url_ = "http://" + listener.Address();
     thread_ = std::thread([this, script = std::move(aScript)] {
       script(*this);
       StopListening();
@@ -78,7 +72,7 @@
   std::atomic<int> requests_{ 0 };
 
 private:
-  int listener_;
+  int listener_ = -1;
   std::thread thread_;
 };
 
@@ -88,19 +82,13 @@
 {
 public:
   SilentAddress()
-    : listener_(socket(AF_INET, SOCK_STREAM, 0))
+    : listener_(ListenOnLoopback(0))
   {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    listen(listener_, 0);
-    url_ = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     for (int& waiting : waiting_) {
       waiting = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(waiting, reinterpret_cast<sockaddr*>(&address), size);
+      connect(waiting,
+              reinterpret_cast<const sockaddr*>(&listener_.address_),
+              sizeof(listener_.address_));
     }
   }
 
@@ -109,7 +97,7 @@
     for (const int waiting : waiting_) {
       close(waiting);
     }
-    close(listener_);
+    close(listener_.socket_);
   }
 
   SilentAddress(const SilentAddress&) = delete;
@@ -119,14 +107,13 @@
   [[nodiscard]] HttpCall Call() const
   {
     HttpCall call;
-    call.url_ = url_;
+    call.url_ = "http://" + listener_.Address();
     call.connectTimeout_ = std::chrono::milliseconds(50);
     return call;
   }
 
 private:
-  int listener_;
-  std::string url_;
+  LoopbackListener listener_;
   /// More than the queue holds.
   std::array<int, 3> waiting_{};
 };
--- a/tests/test_rpc_links.cpp
+++ b/tests/test_rpc_links.cpp
@@ -1,17 +1,17 @@
 /// Calls to peers whose connections fall silent.
 
+#include "loopback_listener.hpp"
 #include "marjoramtally/runtime/rpc.hpp"
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 #include <vector>
 
 using namespace marjoramtally;
+using namespace marjoramtally::test;
 
 namespace {
 
@@ -20,16 +20,10 @@
 {
 public:
   SilentPeer()
-    : listener_(socket(AF_INET, SOCK_STREAM, 0))
   {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    listen(listener_, 8);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    const LoopbackListener listener = ListenOnLoopback(8);
+    listener_ = listener.socket_;
+    address_ = listener.Address();
     thread_ = std::thread([this] {
       for (int connection = accept(listener_, nullptr, nullptr);
            connection >= 0;
@@ -54,7 +48,7 @@
   std::atomic<int> accepted_{ 0 };
 
 private:
-  int listener_;
+  int listener_ = -1;
   std::vector<int> open_;
   std::thread thread_;
 };
