The former owner of an ended job is told of the later one

So the cause below is likely, not proved.

There a job's end comes before its owner, and of an ended job no owner was told: the former owner kept the part that it had listed for 60 s and answered from it. Now it is told and drops the job; reads go to the store or the later owner.

--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -176,10 +176,15 @@
   known.record_ = std::move(record).value();
   known.fence_ = fence;
   known.ended_ = known.ended_ || endsEarly_.contains(aJob);
-  if (known.ended_) {
+  // Nobody runs an ended job, but a former owner may hold an older part of it
+  // and must not answer from that; a whole reading tells of the end first.
+  const bool ours = known.record_.owner_ == host_.Incarnation();
+  if (known.ended_ && ours) {
     return;
   }
-  takeover_.OnOwner(aJob, known.record_.owner_, host_.Now());
+  if (!known.ended_) {
+    takeover_.OnOwner(aJob, known.record_.owner_, host_.Now());
+  }
   if (onOwner_) {
     onOwner_(aJob, known);
   }
--- a/tests/test_job_directory.cpp
+++ b/tests/test_job_directory.cpp
@@ -334,3 +334,33 @@
   REQUIRE(fix.directory_.Find(later) != nullptr);
   REQUIRE(fix.directory_.Find(kJob) != nullptr);
 }
+
+// A trainer that read an ended job again found no result at a position that it
+// had read. The order, as the code allows it: its first owner was cut off,
+// another process took it over and finished it, the trainer ended it, and the
+// first owner came back after the store had forgotten its history, so that it
+// read all records at once. Cause: in a whole reading a job's end comes before
+// its owner, and of a job that had ended no owner was told any more; so the
+// first one went on to answer from the part that it had listed, for a minute.
+TEST_CASE("the former owner of an ended job is told of the later one")
+{
+  DirectoryFixture fix;
+  fix.store_.Put(job_keys::Owner(kJob), WriteOwnerRecord({ "self~1", 3, 0 }));
+  REQUIRE(fix.owners_.back() == "self~1");
+  fix.store_.deaf_ = true;
+  fix.store_.Put(job_keys::Owner(kJob), WriteOwnerRecord({ "other~1", 3, 0 }));
+  fix.store_.Put(job_keys::End(kJob), "");
+  fix.store_.TellBatch(job_keys::kControl, { true, false, 0, {} });
+  fix.timers_.Advance(10ms);
+  REQUIRE(fix.ends_ == std::vector<std::string>{ kJob.Get() });
+  REQUIRE(fix.owners_.back() == "other~1");
+}
+
+TEST_CASE("an ended job is not loaded by the owner that its record names")
+{
+  DirectoryFixture fix;
+  const auto told = fix.owners_;
+  fix.store_.Put(job_keys::End(kJob), "");
+  fix.store_.Put(job_keys::Owner(kJob), WriteOwnerRecord({ "self~1", 3, 0 }));
+  REQUIRE(fix.owners_ == told);
+}
