Sight: lost leases with their reason, plans that take long

Three hypotheses: renewals held up by other work of the process, the store ending leases, orders refused for a newer number. No log told them apart: a lost lease was not logged with its reason, nor how late its renewal was sent, nor what the process did meanwhile.

Now lease_lost tells who ended the lease and how late the last renewal was; plan_slow tells a plan that takes a tenth of the lease, with the number of upstreams and of looks at them; order_plan_seconds holds all plans.

--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -92,6 +92,9 @@
   [[nodiscard]] std::string HomeOf(const UpstreamId& aUpstream) const;
   /// @returns to how many models an upstream is home
   [[nodiscard]] std::size_t CountModelsAt(const UpstreamId& aUpstream) const;
+  /// @returns how often the last plan looked at an upstream to assign a model:
+  /// the work of a plan, during which its process does nothing else
+  [[nodiscard]] std::uint64_t Looks() const noexcept { return looks_; }
 
 private:
   using Upstreams = std::vector<const PlanUpstream*>;
@@ -131,6 +134,7 @@
   std::map<std::string, Naming> named_;
   /// Models at home at an upstream.
   std::map<UpstreamId, std::set<std::string>> homes_;
+  mutable std::uint64_t looks_ = 0;
 };
 
 } // namespace marjoramtally
--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramtally/runtime/log.hpp"
 
+#include <utility>
+
 namespace marjoramtally {
 
 namespace {
@@ -165,7 +167,7 @@
     held_ = true;
     waiting_ = false;
     fence_ = FencingNumber{ aCommit.value().revision_ };
-    Later(options_.ttl_ / kRenewals, &LeasedKey::Renew);
+    RenewLater();
     if (onHeld_) {
       onHeld_(fence_);
     }
@@ -225,10 +227,19 @@
   Write();
 }
 
+void
+LeasedKey::RenewLater()
+{
+  const Duration pause = options_.ttl_ / kRenewals;
+  renewalDue_ = clock_.Now() + pause;
+  Later(pause, &LeasedKey::Renew);
+}
+
 void
 LeasedKey::Renew()
 {
   const TimePoint sent = clock_.Now();
+  renewalDelay_ = sent - renewalDue_;
   store_.KeepAlive(lease_,
                    Guarded<StoreLease>([this, sent](const auto& aLease) {
                      OnRenewed(sent, aLease);
@@ -241,28 +252,38 @@
   if (aLease) {
     pauses_.Reset();
     until_ = aSent + std::min(aLease.value().ttl_, options_.ttl_);
-    const bool unsure = !held_ && !waiting_;
-    Later(unsure ? Duration{ 0 } : options_.ttl_ / kRenewals,
-          unsure ? &LeasedKey::ReadBack : &LeasedKey::Renew);
+    if (!held_ && !waiting_) {
+      Later(Duration{ 0 }, &LeasedKey::ReadBack);
+    } else {
+      RenewLater();
+    }
     return;
   }
   if (aLease.error().kind_ == ErrorKind::NotFound) {
-    Lose();
+    Lose("the store ended it");
     Grant();
     return;
   }
   if (held_ && clock_.Now() >= until_) {
-    Lose();
+    Lose("not renewed in time");
   }
   Later(pauses_.Next(), &LeasedKey::Renew);
 }
 
 void
-LeasedKey::Lose()
+LeasedKey::Lose(std::string_view aWhy)
 {
-  const bool had = held_;
-  held_ = false;
-  if (had && onLost_) {
+  if (!std::exchange(held_, false)) {
+    return;
+  }
+  LogEvent(
+    LogLevel::Warn,
+    "lease_lost",
+    { { "key", options_.key_ },
+      { "why", std::string(aWhy) },
+      { "ttl_ms", std::to_string(WholeMillis(options_.ttl_)) },
+      { "renewal_delay_ms", std::to_string(WholeMillis(renewalDelay_)) } });
+  if (onLost_) {
     onLost_();
   }
 }
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -65,9 +65,11 @@
   void OnWritten(const Result<StoreCommit>& aCommit);
   void ReadBack();
   void OnReadBack(const Result<StoreRange>& aRange);
+  void RenewLater();
   void Renew();
   void OnRenewed(TimePoint aSent, const Result<StoreLease>& aLease);
-  void Lose();
+  /// @param aWhy for the log
+  void Lose(std::string_view aWhy);
   void Later(Duration aPause, void (LeasedKey::*aStep)());
   template<typename T>
   StoreDone<T> Guarded(std::function<void(const Result<T>&)> aTake);
@@ -87,6 +89,10 @@
   std::uint64_t replacing_ = 0;
   TimePoint until_;
   TimePoint granted_;
+  /// When the next renewal is to be sent.
+  TimePoint renewalDue_;
+  /// How much later than due the last renewal was sent.
+  Duration renewalDelay_{ 0 };
   Backoff pauses_;
   LoopTimerId next_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -82,6 +82,7 @@
 WeightPlan::CountHomes(const std::string& aModel,
                        const Upstreams& aService) const
 {
+  looks_ += aService.size();
   return static_cast<std::size_t>(std::count_if(
     aService.begin(), aService.end(), [&](const PlanUpstream* aUpstream) {
       const auto it = homes_.find(aUpstream->id_);
@@ -143,6 +144,7 @@
   for (; count < aShare; ++count) {
     const PlanUpstream* best = nullptr;
     std::tuple<bool, std::uint64_t, std::size_t, std::size_t> bestRank;
+    looks_ += aService.size();
     for (const PlanUpstream* upstream : aService) {
       const std::set<std::string>& home = homes_[upstream->id_];
       if (home.contains(aModel)) {
@@ -186,6 +188,7 @@
 {
   for (std::size_t count = CountHomes(aModel, aService); count > aShare;
        --count) {
+    looks_ += aService.size();
     const PlanUpstream* most = nullptr;
     for (const PlanUpstream* upstream : aService) {
       if (homes_[upstream->id_].contains(aModel) &&
@@ -220,6 +223,7 @@
 std::vector<PlannedLoad>
 WeightPlan::Next(const std::vector<PlanUpstream>& aUpstreams)
 {
+  looks_ = 0;
   std::map<ServiceId, Upstreams> services;
   std::set<UpstreamId> present;
   for (const PlanUpstream& upstream : aUpstreams) {
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -87,6 +87,7 @@
   // The steps of an order: state read, order sent, its end looked for.
   void LookUpServices();
   void Plan();
+  void TellPlanTime(std::size_t aUpstreams, std::size_t aLoads, Duration aTook);
   void Begin(const PlannedLoad& aLoad);
   void ReadState(Target& aTarget);
   void OnState(const UpstreamId& aId, const HttpResult& aResult);
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -14,6 +14,9 @@
 constexpr auto kNextLook = std::chrono::milliseconds(100);
 /// A load that is not seen to end is ordered anew after this time.
 constexpr auto kLongestLoad = std::chrono::seconds(5);
+/// A plan that takes this part of the lease is told of; renewals are due three
+/// times in one lease.
+constexpr int kSlowPlanShare = 10;
 
 } // namespace
 
@@ -51,11 +54,32 @@
                             target.phase_ != Phase::Idle });
     }
   }
-  for (const PlannedLoad& load : plan_.Next(upstreams)) {
+  const TimePoint begun = host_.Now();
+  const std::vector<PlannedLoad> loads = plan_.Next(upstreams);
+  TellPlanTime(upstreams.size(), loads.size(), host_.Now() - begun);
+  for (const PlannedLoad& load : loads) {
     Begin(load);
   }
 }
 
+/// Nothing else runs while a plan is made, no renewal of the lease either.
+void
+OrderDuty::TellPlanTime(std::size_t aUpstreams,
+                        std::size_t aLoads,
+                        Duration aTook)
+{
+  host_.Measures().Observe("order_plan_seconds",
+                           std::chrono::duration<double>(aTook).count());
+  if (aTook > host_.Settings().leaseTtl_ / kSlowPlanShare) {
+    LogEvent(LogLevel::Warn,
+             "plan_slow",
+             { { "upstreams", std::to_string(aUpstreams) },
+               { "loads", std::to_string(aLoads) },
+               { "looks", std::to_string(plan_.Looks()) },
+               { "took_ms", std::to_string(WholeMillis(aTook)) } });
+  }
+}
+
 void
 OrderDuty::Begin(const PlannedLoad& aLoad)
 {
--- a/tests/test_leased_key.cpp
+++ b/tests/test_leased_key.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/leased_key.hpp"
 #include "fake_store.hpp"
+#include "log_capture.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -160,3 +161,28 @@
   REQUIRE(key.Held());
   REQUIRE(key.Fence() > before);
 }
+
+// The duty of orders changed hands and no log told why: a lease that ran out
+// since its process was busy looks like one that the store ended.
+TEST_CASE("a lease that is lost is told with the reason")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  key.Start();
+  timers.Advance(10ms);
+  const LogCapture log;
+  SECTION("the store ended it")
+  {
+    store.LapseAll();
+    timers.Advance(600ms);
+    REQUIRE(log.Tells("event=lease_lost key=duty why=\"the store ended it\""));
+  }
+  SECTION("it was not renewed in time")
+  {
+    store.fault_ = StoreFault::Silent;
+    timers.Advance(3s);
+    REQUIRE(log.Tells("event=lease_lost key=duty why=\"not renewed in time\""));
+  }
+}
