Orders are planned for changes only, at a bounded share of time

Now a plan follows a change of what it is made of (upstreams, what they hold, orders under way, versions named, the configuration), and WorkPace puts the next one off by eight times what the last one took; what becomes due meanwhile is planned together.

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -37,3 +37,4 @@
 #include "marjoramtally/process/upstream_board.hpp"
 #include "marjoramtally/process/upstream_health.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
+#include "marjoramtally/process/work_pace.hpp"
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -4,6 +4,7 @@
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marjoramtally {
 
@@ -187,6 +188,7 @@
   }
   active_ = false;
   awaited_ = {};
+  host_.Timers().Cancel(std::exchange(planTimer_, 0));
   upstreams_.reset();
   versions_.reset();
   retirements_.reset();
@@ -200,6 +202,7 @@
   // What was read in an earlier turn may have changed since.
   services_.reset();
   singleVersion_.clear();
+  planDue_ = true;
   ReadConfig(++term_);
   const StorePlaces& places = host_.Formats().Places();
   const auto follow = [this](const std::string& aPrefix,
@@ -215,7 +218,7 @@
       if (!aEvent.deleted_) {
         (this->*aTake)(aEvent.record_);
       } else {
-        targets_.erase(host_.Formats().UpstreamOf(aEvent.record_.key_));
+        DropUpstream(host_.Formats().UpstreamOf(aEvent.record_.key_));
       }
     };
     follower->onSettled_ = [this] { Plan(); };
@@ -280,7 +283,7 @@
     }
     singleVersion_ = SingleVersionModels(config.value());
     services_ = ServicesOf(config.value());
-    Plan();
+    Replan();
   }
 }
 
@@ -294,9 +297,16 @@
     listed.insert(host_.Formats().UpstreamOf(record.key_));
     TakeUpstream(record);
   }
-  std::erase_if(targets_, [&](const auto& aTarget) {
+  const std::size_t gone = std::erase_if(targets_, [&](const auto& aTarget) {
     return !listed.contains(aTarget.first);
   });
+  planDue_ = planDue_ || gone > 0;
+}
+
+void
+OrderDuty::DropUpstream(const UpstreamId& aId)
+{
+  planDue_ = targets_.erase(aId) > 0 || planDue_;
 }
 
 void
@@ -310,14 +320,16 @@
     return;
   }
   if (!entry || entry->draining_) {
-    targets_.erase(id);
+    DropUpstream(id);
     return;
   }
-  if (known != targets_.end()) {
-    StartOver(known->second, entry->start_);
-  }
+  const bool added = known == targets_.end();
   Target& target = targets_[id];
-  TakeModels(target, entry->models_);
+  const bool restarted = !added && StartOver(target, entry->start_);
+  const bool moved = target.entry_.service_ != entry->service_ ||
+                     target.entry_.zone_ != entry->zone_;
+  const bool newer = TakeModels(target, entry->models_);
+  planDue_ = planDue_ || added || restarted || moved || newer;
   target.entry_ = std::move(*entry);
 }
 
@@ -341,13 +353,17 @@
   return true;
 }
 
-void
+bool
 OrderDuty::TakeModels(Target& aTarget, const std::vector<ModelVersion>& aModels)
 {
+  bool newer = false;
   for (const ModelVersion& model : aModels) {
-    WeightVersion& known = aTarget.versions_[model.model_];
-    known = std::max(known, model.version_);
+    const auto [it, added] =
+      aTarget.versions_.try_emplace(model.model_, model.version_);
+    newer = newer || added || it->second < model.version_;
+    it->second = std::max(it->second, model.version_);
   }
+  return newer;
 }
 
 void
@@ -365,6 +381,7 @@
            { { "model", named.value().model_ },
              { "version", std::to_string(named.value().version_.Get()) } });
   plan_.OnNamed(named.value().model_, named.value().version_, host_.Now());
+  planDue_ = true;
 }
 
 void
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -8,11 +8,15 @@
 #include "daemon/prefix_follower.hpp"
 #include "daemon/upstream_reader.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
+#include "marjoramtally/process/work_pace.hpp"
 
 namespace marjoramtally {
 
 /// Pause after a failure; longer than reports lag.
 inline constexpr auto kRestTime = std::chrono::milliseconds(500);
+/// Most of the process's time that plans may take; the rest is for reports,
+/// orders and the lease.
+inline constexpr double kPlanShare = 0.125;
 
 /// Holds the duty or waits for it. Used on one loop.
 class OrderDuty
@@ -54,7 +58,8 @@
   /// the versions, orders and steps of that one are over.
   /// @returns whether it is newer
   static bool StartOver(Target& aTarget, UpstreamStart aStart);
-  static void TakeModels(Target& aTarget,
+  /// @returns whether a version is newer than the one known
+  static bool TakeModels(Target& aTarget,
                          const std::vector<ModelVersion>& aModels);
   /// Gives the duty back while the process lives on.
   void Withdraw();
@@ -79,6 +84,7 @@
   {
     return services_ && services_->contains(aService);
   }
+  void DropUpstream(const UpstreamId& aId);
   /// Takes a whole reading.
   void TakeUpstreams(const StoreRange& aRange);
   void TakeUpstream(const StoreRecord& aRecord);
@@ -86,7 +92,13 @@
   void TakeRetirement(const StoreRecord& aRecord);
   // The steps of an order: state read, order sent, its end looked for.
   void LookUpServices();
+  /// Plans if anything that a plan is made of has changed since the last one.
+  /// Upstreams beat in their entries once a second each, and few beats change
+  /// what they hold.
   void Plan();
+  /// Something that a plan is made of has changed.
+  void Replan();
+  void PlanLater(Duration aPause);
   void TellPlanTime(std::size_t aUpstreams, std::size_t aLoads, Duration aTook);
   void Begin(const PlannedLoad& aLoad);
   void ReadState(Target& aTarget);
@@ -127,6 +139,10 @@
   bool lastHolder_ = false;
   bool active_ = false;
   bool stopped_ = false;
+  /// What a plan is made of has changed since the last one.
+  bool planDue_ = true;
+  WorkPace planPace_{ kPlanShare };
+  LoopTimerId planTimer_ = 0;
   TimePoint lastOrder_;
   std::set<std::string> retired_;
 };
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramtally/runtime/log.hpp"
 
+#include <utility>
+
 namespace marjoramtally {
 
 namespace {
@@ -14,7 +16,7 @@
 constexpr auto kNextLook = std::chrono::milliseconds(100);
 /// A load that is not seen to end is ordered anew after this time.
 constexpr auto kLongestLoad = std::chrono::seconds(5);
-/// A plan that takes this part of the lease is told of; renewals are due three
+/// A plan that takes this part of the lease is told of: renewals are due three
 /// times in one lease.
 constexpr int kSlowPlanShare = 10;
 
@@ -40,9 +42,15 @@
 {
   // Without a configuration it is not known whether runs have to finish before
   // a change, nor which upstreams are the system's: orders wait for it.
-  if (!active_ || !duty_.Held() || !services_) {
+  if (!active_ || !duty_.Held() || !services_ || !planDue_) {
+    return;
+  }
+  const TimePoint begun = host_.Now();
+  if (begun < planPace_.NextAt()) {
+    PlanLater(planPace_.NextAt() - begun);
     return;
   }
+  planDue_ = false;
   LookUpServices();
   std::vector<PlanUpstream> upstreams;
   for (const auto& [id, target] : targets_) {
@@ -54,9 +62,10 @@
                             target.phase_ != Phase::Idle });
     }
   }
-  const TimePoint begun = host_.Now();
   const std::vector<PlannedLoad> loads = plan_.Next(upstreams);
-  TellPlanTime(upstreams.size(), loads.size(), host_.Now() - begun);
+  const TimePoint ended = host_.Now();
+  planPace_.OnDone(begun, ended);
+  TellPlanTime(upstreams.size(), loads.size(), ended - begun);
   for (const PlannedLoad& load : loads) {
     Begin(load);
   }
@@ -80,6 +89,25 @@
   }
 }
 
+void
+OrderDuty::PlanLater(Duration aPause)
+{
+  if (planTimer_ != 0) {
+    return;
+  }
+  planTimer_ = host_.Timers().After(aPause, [this] {
+    planTimer_ = 0;
+    Plan();
+  });
+}
+
+void
+OrderDuty::Replan()
+{
+  planDue_ = true;
+  Plan();
+}
+
 void
 OrderDuty::Begin(const PlannedLoad& aLoad)
 {
@@ -150,9 +178,9 @@
   }
   const bool startKnown = target.entry_.start_ != UpstreamStart{};
   const bool restarted = startKnown && StartOver(target, report.value().start_);
-  TakeModels(target, report.value().models_);
+  planDue_ = TakeModels(target, report.value().models_) || planDue_;
   if (restarted) {
-    Plan();
+    Replan();
     return;
   }
   const bool reached =
@@ -169,7 +197,7 @@
       if (!reached) {
         target.orders_.reset();
       }
-      Plan();
+      Replan();
     } else {
       LookAgain(target, kNextLook);
     }
@@ -178,7 +206,7 @@
   target.orders_ = report.value().orders_;
   if (reached) {
     target.phase_ = Phase::Idle;
-    Plan();
+    Replan();
   } else if (report.value().busy_) {
     Rest(target, "another order is under way");
   } else {
@@ -191,6 +219,7 @@
 {
   if (!duty_.Held()) {
     aTarget.phase_ = Phase::Idle;
+    planDue_ = true;
     return;
   }
   aTarget.phase_ = Phase::Sending;
@@ -246,7 +275,7 @@
       return;
     case 421:
       targets_.erase(aId);
-      Plan();
+      Replan();
       return;
     default:
       Rest(target, status == 0 ? "no answer" : "refused");
@@ -276,7 +305,7 @@
 OrderDuty::WakeUp(Target& aTarget)
 {
   aTarget.phase_ = Phase::Idle;
-  Plan();
+  Replan();
 }
 
 } // namespace marjoramtally
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -363,3 +363,97 @@
   fix.Register(2000);
   REQUIRE(fix.OldestPath() == "http://e:1/report");
 }
+
+namespace {
+
+/// A holder of the duty with many upstreams that all hold the version named.
+struct FleetFixture : GatewayFakes
+{
+  OrderDuty duty_{ context_ };
+
+  FleetFixture()
+  {
+    settings_.fencing_ = true;
+    store_.Put("op/config", kConfig);
+    for (int i = 0; i < 50; ++i) {
+      Beat(i, 0);
+    }
+    store_.Put("op/version/m", R"({"model":"m","version":2})");
+    duty_.Start();
+    timers_.Advance(100ms);
+  }
+
+  /// What an upstream writes of itself about once a second.
+  void Beat(int aUpstream, int aCount, int aVersion = 2)
+  {
+    store_.Put("servers/i-" + std::to_string(aUpstream),
+               R"({"service":"lm","address":"e:1","zone":"z","slots":1,)"
+               R"("state":"ready","seq":)" +
+                 std::to_string(aCount) +
+                 R"(,"models":[{"name":"m","version":)" +
+                 std::to_string(aVersion) + "}]}");
+  }
+
+  [[nodiscard]] int Plans() const
+  {
+    const std::string name = "order_plan_seconds_count ";
+    const std::string text = metrics_.Render();
+    const std::size_t at = text.find(name);
+    return at == std::string::npos ? 0
+                                   : std::stoi(text.substr(at + name.size()));
+  }
+};
+
+} // namespace
+
+// The same failure: the holder planned anew for each answer of its watch, and
+// as 3,001 upstreams beat there, it did nothing else.
+TEST_CASE("beats that change nothing are not planned for")
+{
+  FleetFixture fix;
+  const int before = fix.Plans();
+  REQUIRE(before > 0);
+  for (int beat = 1; beat <= 4; ++beat) {
+    for (int i = 0; i < 50; ++i) {
+      fix.Beat(i, beat);
+    }
+  }
+  REQUIRE(fix.Plans() == before);
+  SECTION("an upstream falls behind the version named")
+  {
+    fix.store_.Put("op/version/m", R"({"model":"m","version":3})");
+    REQUIRE(fix.Plans() == before + 1);
+    REQUIRE(fix.client_.sent_ > 0);
+  }
+  SECTION("an upstream tells a newer version")
+  {
+    fix.Beat(7, 5, 3);
+    REQUIRE(fix.Plans() == before + 1);
+  }
+  SECTION("an upstream is new")
+  {
+    fix.Beat(50, 0);
+    REQUIRE(fix.Plans() == before + 1);
+  }
+  SECTION("an upstream leaves")
+  {
+    fix.store_.Remove("servers/i-7");
+    REQUIRE(fix.Plans() == before + 1);
+  }
+}
+
+// A change that comes while the duty is not held for certain is planned for
+// once it is.
+TEST_CASE("a change is planned for once the lease is renewed")
+{
+  FleetFixture fix;
+  const int before = fix.Plans();
+  fix.store_.fault_ = StoreFault::Silent;
+  fix.timers_.Advance(1400ms);
+  fix.store_.Put("op/version/m", R"({"model":"m","version":3})");
+  REQUIRE(fix.Plans() == before);
+  fix.store_.fault_ = StoreFault::None;
+  fix.timers_.Advance(800ms);
+  fix.Beat(1, 1);
+  REQUIRE(fix.Plans() > before);
+}
--- /dev/null
+++ b/tests/test_work_pace.cpp
@@ -0,0 +1,20 @@
+/// Work that holds up its loop, at a bounded share of the time.
+
+#include "marjoramtally/process.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+TEST_CASE("work is put off in proportion to the time that it takes")
+{
+  WorkPace pace(0.125);
+  const TimePoint start{ 100s };
+  REQUIRE(pace.NextAt() <= start);
+  pace.OnDone(start, start + 10ms);
+  REQUIRE(pace.NextAt() == start + 80ms);
+  // What takes no time is not put off.
+  pace.OnDone(start + 80ms, start + 80ms);
+  REQUIRE(pace.NextAt() == start + 80ms);
+}
