Answers to a lease that was given up are ignored

Found by reading LeasedKey for the wandering duty: a holder whose order an upstream refuses gives its key up. If a renewal was under way, its answer made the holder read the key back and, as it was gone, write it without a lease; a holder that died then would have kept the duty from everybody else for good.

Answers now count only for the lease that they were asked for. The test, a renewal under way as the key is given up, failed before: the key stood again at once, on no lease.

--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -42,13 +42,16 @@
 StoreDone<T>
 LeasedKey::Guarded(std::function<void(const Result<T>&)> aTake)
 {
-  return
-    [this, alive = alive_, take = std::move(aTake)](const Result<T>& aResult) {
-      if (*alive && !released_) {
-        OnReached(aResult || aResult.error().kind_ == ErrorKind::NotFound);
-        take(aResult);
-      }
-    };
+  return [this, alive = alive_, epoch = epoch_, take = std::move(aTake)](
+           const Result<T>& aResult) {
+    if (!*alive || released_) {
+      return;
+    }
+    OnReached(aResult || aResult.error().kind_ == ErrorKind::NotFound);
+    if (epoch == epoch_) {
+      take(aResult);
+    }
+  };
 }
 
 void
@@ -94,6 +97,7 @@
   if (held_) {
     // The key will hang on the new lease; the one of before is left to lapse,
     // which spares a priced call.
+    ++epoch_;
     Later(Duration{ 0 }, &LeasedKey::Grant);
   }
 }
@@ -104,6 +108,7 @@
   if (lease_ != 0) {
     store_.RevokeLease(lease_, [](const Result<bool>&) {});
   }
+  ++epoch_;
   lease_ = 0;
   held_ = false;
   waiting_ = false;
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -95,6 +95,9 @@
   Duration renewalDelay_{ 0 };
   Backoff pauses_;
   LoopTimerId next_ = 0;
+  /// Counts the leases given up; answers to calls about an earlier one are
+  /// ignored.
+  std::uint64_t epoch_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -219,6 +219,11 @@
   }
 
   [[nodiscard]] std::uint64_t Revision() const noexcept { return revision_; }
+  /// @returns the time for which a lease was granted
+  [[nodiscard]] Duration TtlOf(StoreLeaseId aLease) const
+  {
+    return leases_.at(aLease);
+  }
 
 private:
   template<typename T>
--- a/tests/test_leased_key.cpp
+++ b/tests/test_leased_key.cpp
@@ -186,3 +186,25 @@
     REQUIRE(log.Tells("event=lease_lost key=duty why=\"not renewed in time\""));
   }
 }
+
+// Found beside the wandering duty: a holder that an upstream refused gave its
+// key up while a renewal was under way. The renewal's answer made it read the
+// key back and, as it was gone, write it without a lease. Had it died then,
+// nobody else would ever have got the duty.
+TEST_CASE("an answer to a lease that was given up is ignored")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "duty", "one", 1500ms, true });
+  key.Start();
+  // The first renewal has just been sent.
+  timers.Advance(509ms);
+  REQUIRE(key.Held());
+  key.StartOver();
+  timers.Advance(1s);
+  REQUIRE_FALSE(store.records_.contains("duty"));
+  timers.Advance(1s);
+  REQUIRE(key.Held());
+  REQUIRE(store.records_.at("duty").lease_ != 0);
+}
