The length of a lease that is set while the key is written holds

Once the key is written, the length that it was asked with is compared with the one set now. Both sections of the test failed before (12 s, not 1.5 s).

--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -139,6 +139,7 @@
 LeasedKey::Grant()
 {
   granted_ = clock_.Now();
+  askedTtl_ = options_.ttl_;
   store_.GrantLease(
     options_.ttl_, Guarded<StoreLease>([this](const auto& aLease) {
       if (!aLease) {
@@ -172,7 +173,12 @@
     held_ = true;
     waiting_ = false;
     fence_ = FencingNumber{ aCommit.value().revision_ };
-    RenewLater();
+    if (askedTtl_ == options_.ttl_) {
+      RenewLater();
+    } else {
+      // Another length was set meanwhile.
+      Later(Duration{ 0 }, &LeasedKey::Grant);
+    }
     if (onHeld_) {
       onHeld_(fence_);
     }
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -79,6 +79,8 @@
   const Clock& clock_;
   LeasedKeyOptions options_;
   StoreLeaseId lease_ = 0;
+  /// The length that this lease was asked with.
+  Duration askedTtl_{ 0 };
   FencingNumber fence_;
   bool held_ = false;
   /// Another process holds the key.
--- a/tests/test_leased_key.cpp
+++ b/tests/test_leased_key.cpp
@@ -208,3 +208,25 @@
   REQUIRE(key.Held());
   REQUIRE(store.records_.at("duty").lease_ != 0);
 }
+
+// A gateway that accepted its first job while it still wrote its sign of life
+// kept the long lease of an idle one; its jobs waited 12 s for another owner
+// when it died.
+TEST_CASE("a length that changes while the key is written holds from then on")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 12s, false });
+  key.Start();
+  timers.Advance(2ms);
+  SECTION("the lease is being granted") {}
+  SECTION("the key is being written")
+  {
+    timers.Advance(4ms);
+  }
+  key.SetTtl(1500ms);
+  timers.Advance(30ms);
+  REQUIRE(key.Held());
+  REQUIRE(store.TtlOf(store.records_.at("life").lease_) == 1500ms);
+}
