An acceptance that is learned of late starts nothing

The directory is asked now whether it knows of a later owner or an end. Both sections of the test failed before.

--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -51,6 +51,14 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+bool
+JobDirectory::IsNewest(const JobId& aJob, FencingNumber aFence) const
+{
+  const KnownJob* known = Find(aJob);
+  const bool later = known != nullptr && known->fence_ > aFence;
+  return !later && !endsEarly_.contains(aJob);
+}
+
 void
 JobDirectory::TakeAll(const StoreRange& aRange)
 {
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -41,6 +41,9 @@
     return owners_.OwnerOf(aTrainer);
   }
   [[nodiscard]] const KnownJob* Find(const JobId& aJob) const;
+  /// @returns whether neither a job's end nor a later owner is known than the
+  /// one of that number
+  [[nodiscard]] bool IsNewest(const JobId& aJob, FencingNumber aFence) const;
   [[nodiscard]] const std::map<JobId, KnownJob>& Jobs() const noexcept
   {
     return jobs_;
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -124,18 +124,32 @@
                { { "job", job.Get() },
                  { "outcome", std::string(NameOf(aResult.end_)) } });
       done(aResult.end_);
-      if (aResult.end_ == AcceptEnd::Accepted && !runner_.Owns(job) && open_) {
-        runner_.Add(job,
-                    aResult.fence_,
-                    aSubmission->record_,
-                    aSubmission->spec_,
-                    {},
-                    {},
-                    {});
+      if (aResult.end_ == AcceptEnd::Accepted) {
+        StartAccepted(*aSubmission, aResult.fence_);
       }
     });
 }
 
+/// The answer to the write may come later than word of what happened to the job
+/// since; nobody tells of that again.
+void
+JobIntake::StartAccepted(const Submission& aSubmission, FencingNumber aFence)
+{
+  const JobId& job = aSubmission.job_;
+  if (runner_.Owns(job) || !open_) {
+    return;
+  }
+  if (!directory_.IsNewest(job, aFence)) {
+    LogEvent(LogLevel::Info,
+             "job_not_started",
+             { { "job", job.Get() },
+               { "fence", std::to_string(aFence.Get()) },
+               { "why", "it has ended or has a later owner" } });
+    return;
+  }
+  runner_.Add(job, aFence, aSubmission.record_, aSubmission.spec_, {}, {}, {});
+}
+
 /// Where the other process may have accepted the job, a refusal here would be
 /// a promise that it does not run.
 void
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -48,6 +48,8 @@
 
   /// Accepts a job in the store and owns it then.
   void AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone);
+  /// Starts a job that was accepted here, unless it has moved on since.
+  void StartAccepted(const Submission& aSubmission, FencingNumber aFence);
   void HandOn(const SubmissionPtr& aSubmission,
               const std::string& aOwner,
               const HttpReplyPtr& aReply);
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -405,3 +405,30 @@
   fix.timers_.Advance(3s);
   REQUIRE(fix.runner_.Owns(kForeign));
 }
+
+// A caller read results of a job at one gateway and found nothing at their
+// positions at another, 12 s after the job's end. A way there: a process cut
+// off from the store learns of its acceptance after another has taken the job
+// over or after its end, and no word of either comes again.
+TEST_CASE("an acceptance that is learned of late starts nothing")
+{
+  Fixture fix;
+  FakeStore& store = fix.GatewayFakes::store_;
+  // Watches tell sooner than the write's answer comes.
+  store.delay_ = 500ms;
+  fix.Submit(kJob);
+  REQUIRE(fix.Owner(kJob) == "self~1");
+  SECTION("another process has taken the job over")
+  {
+    store.Put(job_keys::Life("other~1"),
+              WriteLifeRecord({ ZoneId{ "z" }, "a:2" }));
+    store.Put(job_keys::Owner(kJob), WriteOwnerRecord({ "other~1", 1, 0 }));
+  }
+  SECTION("it was ended")
+  {
+    store.Put(job_keys::End(kJob), "");
+  }
+  fix.timers_.Advance(3s);
+  REQUIRE_FALSE(fix.runner_.Owns(kJob));
+  REQUIRE(fix.client_.sent_ == 0);
+}
