--- /dev/null
+++ b/tests/job_play.cpp
@@ -0,0 +1,616 @@
+#include "job_play.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marjoramtally::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kProcesses = 5;
+constexpr auto kStep = 20ms;
+constexpr auto kPlayed = 30s;
+/// A process without a fault for so long has to keep all promises.
+constexpr auto kContact = 3s;
+/// What was read has to be told by all others after this time.
+constexpr auto kSettle = 1s;
+/// A call that nobody answers is given up.
+constexpr auto kCallTimeout = 1200ms;
+/// Longest time for which a relay that is gone leaves others untold.
+constexpr std::uint64_t kLongestLagMillis = 1650;
+constexpr auto kIdleLease = 12s;
+
+std::string
+AddressOf(std::size_t aIndex)
+{
+  return "a:" + std::to_string(aIndex);
+}
+
+} // namespace
+
+template<typename T>
+StoreDone<T>
+ReachedStore::Answered(StoreDone<T> aDone)
+{
+  return [this, done = std::move(aDone)](Result<T> aResult) {
+    if (!cut_) {
+      done(std::move(aResult));
+      return;
+    }
+    timers_.After(kCallTimeout, [done] {
+      done(Error{ ErrorKind::Timeout, "no answer" });
+    });
+  };
+}
+
+void
+ReachedStore::Read(std::string aPrefix, StoreDone<StoreRange> aDone)
+{
+  auto done = Answered(std::move(aDone));
+  if (cut_) {
+    done(Error{ ErrorKind::Timeout, "no answer" });
+  } else {
+    store_.Read(std::move(aPrefix), std::move(done));
+  }
+}
+
+void
+ReachedStore::Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone)
+{
+  auto done = Answered(std::move(aDone));
+  if (cut_) {
+    done(Error{ ErrorKind::Timeout, "no answer" });
+  } else {
+    store_.Commit(std::move(aTxn), std::move(done));
+  }
+}
+
+void
+ReachedStore::GrantLease(Duration aTtl, StoreDone<StoreLease> aDone)
+{
+  auto done = Answered(std::move(aDone));
+  if (cut_) {
+    done(Error{ ErrorKind::Timeout, "no answer" });
+    return;
+  }
+  store_.GrantLease(aTtl, [this, done](const Result<StoreLease>& aLease) {
+    if (aLease) {
+      onLease_(aLease.value().id_, now_() + aLease.value().ttl_);
+    }
+    done(aLease);
+  });
+}
+
+void
+ReachedStore::KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone)
+{
+  auto done = Answered(std::move(aDone));
+  if (cut_) {
+    done(Error{ ErrorKind::Timeout, "no answer" });
+    return;
+  }
+  store_.KeepAlive(aLease, [this, aLease, done](const auto& aKept) {
+    if (aKept) {
+      onLease_(aLease, now_() + aKept.value().ttl_);
+    }
+    done(aKept);
+  });
+}
+
+void
+ReachedStore::RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone)
+{
+  auto done = Answered(std::move(aDone));
+  if (cut_) {
+    done(Error{ ErrorKind::Timeout, "no answer" });
+  } else {
+    store_.RevokeLease(aLease, std::move(done));
+  }
+}
+
+StoreWatchId
+ReachedStore::Watch(std::string aPrefix,
+                    std::uint64_t aFromRevision,
+                    std::function<void(const StoreWatchBatch&)> aOnBatch)
+{
+  const StoreWatchId id = ++last_;
+  OwnWatch& own = watches_[id];
+  own.onBatch_ = std::move(aOnBatch);
+  // The fake tells only of what comes; what came since the reading is told
+  // first.
+  StoreWatchBatch missed;
+  missed.revision_ = store_.Revision();
+  for (const auto& [key, record] : store_.records_) {
+    if (key.starts_with(aPrefix) && record.modRevision_ >= aFromRevision) {
+      missed.events_.push_back({ false, record });
+    }
+  }
+  own.inner_ = store_.Watch(std::move(aPrefix),
+                            aFromRevision,
+                            [this, id](const StoreWatchBatch& aBatch) {
+                              watches_.at(id).waiting_.push_back(aBatch);
+                              timers_.After(lag_ + Duration{ 1000 },
+                                            [this, id] { Deliver(id); });
+                            });
+  if (!missed.events_.empty()) {
+    own.waiting_.push_back(std::move(missed));
+    timers_.After(lag_ + Duration{ 1000 }, [this, id] { Deliver(id); });
+  }
+  return id;
+}
+
+void
+ReachedStore::StopWatch(StoreWatchId aWatch)
+{
+  const auto it = watches_.find(aWatch);
+  if (it != watches_.end()) {
+    store_.StopWatch(it->second.inner_);
+    watches_.erase(it);
+  }
+}
+
+void
+ReachedStore::Deliver(StoreWatchId aId)
+{
+  const auto it = watches_.find(aId);
+  if (cut_ || it == watches_.end() || it->second.waiting_.empty()) {
+    return;
+  }
+  const StoreWatchBatch batch = std::move(it->second.waiting_.front());
+  it->second.waiting_.pop_front();
+  const auto onBatch = it->second.onBatch_;
+  if (batch.ended_) {
+    StopWatch(aId);
+  }
+  onBatch(batch);
+}
+
+void
+ReachedStore::SetCut(bool aCut)
+{
+  cut_ = aCut;
+  if (cut_) {
+    return;
+  }
+  for (const auto& [id, watch] : watches_) {
+    for (std::size_t i = 0; i < watch.waiting_.size(); ++i) {
+      timers_.After(Duration{ 1000 }, [this, id = id] { Deliver(id); });
+    }
+  }
+}
+
+void
+ReachedStore::LoseHistory()
+{
+  for (auto& [id, watch] : watches_) {
+    watch.waiting_.clear();
+    watch.waiting_.push_back({ true, false, 0, {} });
+    timers_.After(lag_ + Duration{ 1000 }, [this, id = id] { Deliver(id); });
+  }
+}
+
+PlayedProcess::PlayedProcess(GatewayFakes& aFakes,
+                             const std::string& aInstance,
+                             const std::string& aAddress,
+                             int aRun)
+  : incarnation_(aInstance + "~" + std::to_string(aRun))
+  , store_(aFakes.store_, aFakes.timers_)
+  , relays_(incarnation_)
+  , host_({ &aFakes.settings_,
+            aFakes.platform_.get(),
+            &client_,
+            &aFakes.timers_,
+            &store_,
+            &aFakes.clock_,
+            &aFakes.clock_,
+            &metrics_,
+            &relays_,
+            &peers_,
+            incarnation_ })
+  , life_(store_,
+          aFakes.timers_,
+          aFakes.clock_,
+          { job_keys::Life(incarnation_),
+            WriteLifeRecord({ ZoneId{ "z1" }, aAddress }),
+            kIdleLease,
+            false })
+{
+  RoutingConfig config;
+  config.revision_ = ConfigRevision{ 1 };
+  Route route;
+  route.host_ = "h";
+  route.prefix_ = "/i/";
+  route.kind_ = RouteKind::Rollout;
+  route.maxQueue_ = 40s;
+  route.services_ = { { ServiceId{ "lm" }, 1 } };
+  config.routes_ = { route };
+  routes_.Apply(config);
+  for (int i = 0; i < 3; ++i) {
+    UpstreamEntry entry;
+    entry.id_ = UpstreamId{ "e" + std::to_string(i) };
+    entry.service_ = ServiceId{ "lm" };
+    entry.address_ = entry.id_.Get() + ":1";
+    entry.zone_ = ZoneId{ "z1" };
+    entry.slots_ = 20;
+    entry.models_ = { { "m0", WeightVersion{ 5 } },
+                      { "m1", WeightVersion{ 5 } },
+                      { "m2", WeightVersion{ 5 } } };
+    board_.OnEntry(std::move(entry));
+  }
+}
+
+JobPlay::JobPlay(std::uint64_t aSeed)
+  : seed_(aSeed)
+  , random_(aSeed)
+  , processes_(kProcesses)
+  , runs_(kProcesses, 0)
+{
+}
+
+void
+JobPlay::Broken(const std::string& aWhat)
+{
+  violations_.push_back("seed " + std::to_string(seed_) + " at " +
+                        std::to_string(WholeMillis(Now() - TimePoint{})) +
+                        " ms: " + aWhat);
+}
+
+bool
+JobPlay::InTouch(std::size_t aProcess) const
+{
+  const auto& process = processes_[aProcess];
+  return process && Now() - process->touched_ >= kContact;
+}
+
+void
+JobPlay::StartProcess(std::size_t aIndex)
+{
+  auto process = std::make_unique<PlayedProcess>(
+    fakes_, "p" + std::to_string(aIndex), AddressOf(aIndex), ++runs_[aIndex]);
+  PlayedProcess& started = *process;
+  started.touched_ = Now();
+  started.store_.now_ = [this] { return Now(); };
+  started.store_.onLease_ = [this](StoreLeaseId aLease, TimePoint aEnd) {
+    leases_[aLease] = aEnd;
+  };
+  started.runner_.onOwning_ = [this, &started](bool aOwning) {
+    started.life_.SetTtl(aOwning ? fakes_.settings_.leaseTtl_
+                                 : Duration{ kIdleLease });
+  };
+  processes_[aIndex] = std::move(process);
+  Link();
+  started.life_.Start();
+  started.directory_.Start();
+}
+
+void
+JobPlay::Kill(std::size_t aIndex)
+{
+  if (!processes_[aIndex]) {
+    return;
+  }
+  processes_[aIndex]->store_.SetCut(true);
+  processes_[aIndex]->peers_.cut_ = true;
+  dead_.push_back(std::move(processes_[aIndex]));
+  Link();
+  fakes_.timers_.After(500ms, [this, aIndex] { StartProcess(aIndex); });
+}
+
+void
+JobPlay::Link()
+{
+  for (auto& process : processes_) {
+    if (!process) {
+      continue;
+    }
+    process->peers_.others_.clear();
+    for (std::size_t i = 0; i < kProcesses; ++i) {
+      if (processes_[i]) {
+        process->peers_.others_[AddressOf(i)] = &processes_[i]->peers_;
+      }
+    }
+  }
+}
+
+void
+JobPlay::AnswerCalls()
+{
+  for (auto& process : processes_) {
+    if (!process || process->client_.open_.empty() || random_.Below(20) != 0) {
+      continue;
+    }
+    auto& open = process->client_.open_;
+    const SentCall call = open[random_.Below(open.size())];
+    HttpResponse response = fakes_.Answer(
+      call, 200, "id: 1\ndata: run" + std::to_string(++answers_) + "\n\n");
+    response.headers_.push_back({ fakes_.platform_->Names().versions_, "5" });
+    process->client_.Answer(call, std::move(response));
+  }
+}
+
+void
+JobPlay::LapseLeases()
+{
+  std::vector<StoreLeaseId> over;
+  for (const auto& [lease, end] : leases_) {
+    if (end <= Now()) {
+      over.push_back(lease);
+    }
+  }
+  for (const StoreLeaseId lease : over) {
+    leases_.erase(lease);
+    fakes_.store_.Lapse(lease);
+  }
+}
+
+void
+JobPlay::Submit()
+{
+  const std::size_t at = random_.Below(kProcesses);
+  if (!processes_[at]) {
+    return;
+  }
+  PlayedJob job;
+  job.id_ = JobId{ "j" + std::to_string(jobs_.size()) };
+  job.items_ = 2 + static_cast<int>(random_.Below(10));
+  job.accepted_ = kNever;
+  std::string items;
+  for (int i = 0; i < job.items_; ++i) {
+    items += (i == 0 ? "" : ",") + std::string(R"({"id":")") + job.id_.Get() +
+             "i" + std::to_string(i) + R"(","path":"/i/a","headers":{},)" +
+             R"("body":"aGk=","tokens":1})";
+  }
+  HttpRequest request;
+  request.method_ = "POST";
+  request.path_ = "/i/" + job.id_.Get();
+  request.headers_ = { { "Host", "h" },
+                       { fakes_.platform_->Names().attempt_, job.id_.Get() } };
+  request.body_ = R"({"model":"m)" + std::to_string(random_.Below(3)) +
+                  R"(","items":[)" + items + "]}";
+  job.reply_ = std::make_shared<FakeReply>();
+  processes_[at]->api_.Submit(
+    std::move(request), ConfigRevision{ 1 }, job.reply_);
+  jobs_.push_back(std::move(job));
+}
+
+void
+JobPlay::NoteAccepted()
+{
+  for (PlayedJob& job : jobs_) {
+    if (job.accepted_ == kNever && job.reply_->status_ == 202) {
+      job.accepted_ = Now();
+    }
+  }
+}
+
+void
+JobPlay::Read(std::size_t aJob, std::size_t aProcess, std::uint64_t aAfter)
+{
+  if (!processes_[aProcess]) {
+    return;
+  }
+  JobQuery query;
+  query.job_ = jobs_[aJob].id_;
+  query.verb_ = JobQuery::Verb::Read;
+  query.after_ = aAfter;
+  const bool touched = !InTouch(aProcess);
+  const std::string incarnation = processes_[aProcess]->incarnation_;
+  const auto reply = std::make_shared<FakeReply>();
+  const TimePoint asked = Now();
+  processes_[aProcess]->api_.Query(query, HttpRequest{}, reply);
+  fakes_.timers_.After(
+    1500ms, [this, aJob, aProcess, aAfter, asked, reply, touched, incarnation] {
+      if (!touched && InTouch(aProcess) &&
+          processes_[aProcess]->incarnation_ == incarnation) {
+        TakeRead(aJob, aProcess, aAfter, asked, *reply);
+      }
+    });
+}
+
+void
+JobPlay::TakeRead(std::size_t aJob,
+                  std::size_t aProcess,
+                  std::uint64_t aAfter,
+                  TimePoint aAsked,
+                  const FakeReply& aReply)
+{
+  PlayedJob& job = jobs_[aJob];
+  const std::string where = job.id_.Get() + " at " +
+                            processes_[aProcess]->incarnation_ + " after " +
+                            std::to_string(aAfter);
+  if (aReply.status_ == 404 && aAsked - kSettle > job.accepted_) {
+    Broken(where + ": denied");
+  }
+  if (aReply.status_ != 200) {
+    return;
+  }
+  const auto page = nlohmann::json::parse(aReply.body_);
+  std::size_t position = aAfter;
+  for (const auto& result : page.at("results")) {
+    const std::string what = result.dump();
+    if (position < job.results_.size()) {
+      if (job.results_[position].first != what) {
+        Broken(where + ": another result at " + std::to_string(position));
+      }
+    } else if (position == job.results_.size()) {
+      job.results_.emplace_back(what, Now());
+      ++read_;
+    }
+    ++position;
+  }
+  for (std::size_t i = position; i < job.results_.size(); ++i) {
+    if (job.results_[i].second + kSettle < aAsked) {
+      Broken(where + ": nothing at " + std::to_string(i) + ", read " +
+             std::to_string(WholeMillis(aAsked - job.results_[i].second)) +
+             " ms before" + (job.endAsked_ ? ", ended" : ""));
+      break;
+    }
+  }
+}
+
+void
+JobPlay::CountTakeovers()
+{
+  for (PlayedJob& job : jobs_) {
+    const auto it = fakes_.store_.records_.find(job_keys::Owner(job.id_));
+    if (it == fakes_.store_.records_.end()) {
+      continue;
+    }
+    const std::string owner = ReadOwnerRecord(it->second.value_).value().owner_;
+    takeovers_ += job.owner_.empty() || owner == job.owner_ ? 0 : 1;
+    job.owner_ = owner;
+  }
+}
+
+void
+JobPlay::ReadSome()
+{
+  if (jobs_.empty()) {
+    return;
+  }
+  const std::size_t job = random_.Below(jobs_.size());
+  const std::size_t process = random_.Below(kProcesses);
+  Read(job, process, random_.Below(2) == 0 ? 0 : jobs_[job].results_.size());
+}
+
+void
+JobPlay::EndSome()
+{
+  const std::size_t index = random_.Below(jobs_.size());
+  const std::size_t process = random_.Below(kProcesses);
+  PlayedJob& job = jobs_[index];
+  if (job.endAsked_ || job.results_.empty() || !processes_[process]) {
+    return;
+  }
+  job.endAsked_ = true;
+  JobQuery query;
+  query.job_ = job.id_;
+  query.verb_ = JobQuery::Verb::End;
+  processes_[process]->api_.Query(
+    query, HttpRequest{}, std::make_shared<FakeReply>());
+}
+
+/// Faults of one process, of all, and of the store, one after the other and
+/// over each other.
+void
+JobPlay::Fault()
+{
+  const std::size_t index = random_.Below(kProcesses);
+  PlayedProcess* process = processes_[index].get();
+  const auto lasts = std::chrono::milliseconds(500 + random_.Below(5000));
+  nextFault_ = Now() + std::chrono::milliseconds(300 + random_.Below(2500));
+  if (process == nullptr) {
+    return;
+  }
+  const auto after = [&](Duration aPause, std::function<void()> aTask) {
+    fakes_.timers_.After(aPause, std::move(aTask));
+  };
+  switch (random_.Below(9)) {
+    case 0:
+    case 8: {
+      // A long cut may outlast the history that the store keeps.
+      const bool loses = random_.Below(2) == 0;
+      process->touched_ = kNever;
+      process->store_.SetCut(true);
+      after(lasts, [this, process, loses] {
+        if (loses) {
+          process->store_.LoseHistory();
+        }
+        process->store_.SetCut(false);
+        process->touched_ = Now();
+      });
+      return;
+    }
+    case 1:
+      Kill(index);
+      return;
+    case 2:
+      process->store_.SetLag(
+        std::chrono::milliseconds(random_.Below(kLongestLagMillis)));
+      after(lasts, [process] { process->store_.SetLag(Duration{ 0 }); });
+      return;
+    case 3:
+      for (auto& other : processes_) {
+        if (other) {
+          other->store_.LoseHistory();
+        }
+      }
+      return;
+    case 4:
+      process->store_.LoseHistory();
+      return;
+    case 5:
+      process->peers_.cut_ = true;
+      process->touched_ = kNever;
+      after(lasts, [this, process] {
+        process->peers_.cut_ = false;
+        process->touched_ = Now();
+      });
+      return;
+    case 6:
+      fakes_.store_.delay_ = 300ms;
+      after(lasts, [this] { fakes_.store_.delay_ = 4ms; });
+      return;
+    default:
+      fakes_.store_.fault_ = StoreFault::LosesAnswers;
+      after(600ms, [this] { fakes_.store_.fault_ = StoreFault::None; });
+      return;
+  }
+}
+
+void
+JobPlay::Step()
+{
+  AnswerCalls();
+  LapseLeases();
+  NoteAccepted();
+  if (faults_ && random_.Below(70) == 0) {
+    Submit();
+  }
+  if (random_.Below(3) == 0) {
+    ReadSome();
+  }
+  if (!jobs_.empty() && random_.Below(60) == 0) {
+    EndSome();
+  }
+  if (faults_ && Now() >= nextFault_) {
+    Fault();
+  }
+  CountTakeovers();
+  fakes_.timers_.Advance(kStep);
+}
+
+void
+JobPlay::ReadAllEverywhere()
+{
+  for (std::size_t job = 0; job < jobs_.size(); ++job) {
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      Read(job, process, 0);
+    }
+  }
+  fakes_.timers_.Advance(2s);
+}
+
+void
+JobPlay::Run()
+{
+  for (std::size_t i = 0; i < kProcesses; ++i) {
+    StartProcess(i);
+  }
+  fakes_.timers_.Advance(100ms);
+  nextFault_ = Now() + 2s;
+  const TimePoint end = Now() + kPlayed;
+  while (Now() < end) {
+    Step();
+  }
+  // All faults are over and processes in touch: nothing read may be missing.
+  faults_ = false;
+  const TimePoint calm = Now() + 12s;
+  while (Now() < calm) {
+    Step();
+  }
+  ReadAllEverywhere();
+}
+
+} // namespace marjoramtally::test
