A second relay is asked beside one that has told nothing for 0.5 s

Cause of the lateness: a peer asks one relay. One that is cut off from the store goes on to vouch for what it holds until its own watch is given up, 1.3 s after the 0.4 s in which it collects changes; one that is silent is given up after 1.3 s. Whatever comes beside that (a stop, a second cut, a slow machine) has 0.3 s left.

Now a second relay is asked beside the first after 0.5 s without news. What it knows is taken up whenever it comes; changes are told by revision, so that two sources tell each once and in order (a test plays 200 changes with both relays cut or late). A relay of a busy prefix, which tells changes every 0.4 s, is asked alone. The test of a relay that is cut off or silent failed before (1.3 s plus the store's part, wanted 1.0 s).

--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramtally/runtime/log.hpp"
 
+#include <utility>
+
 namespace marjoramtally {
 
 namespace {
@@ -9,6 +11,12 @@
 /// How long a relay may hold an answer back: a silent relay is found within
 /// this and the slack of the call.
 constexpr auto kRelayHold = std::chrono::milliseconds(1000);
+/// A relay that has told nothing for this long is doubted, and a second one is
+/// asked beside it: a relay that is cut off from the store vouches for what it
+/// holds for another 1.7 s, and one that is silent is given up after 1.3 s.
+/// Above the time for which the store's adapter collects changes, so that a
+/// relay of a busy prefix is seldom doubted.
+constexpr auto kDoubtAfter = std::chrono::milliseconds(500);
 /// A process that watches the store itself since its relay failed tries
 /// another after this time.
 constexpr auto kDirectTime = std::chrono::seconds(3);
@@ -118,6 +126,7 @@
   const auto it = watches_.find(aWatch);
   if (it != watches_.end()) {
     store_.StopWatch(it->second.direct_);
+    timers_.Cancel(it->second.beside_);
     watches_.erase(it);
   }
 }
@@ -161,6 +170,8 @@
 RelayedStore::OpenDirect(StoreWatchId aId)
 {
   Own& own = watches_.at(aId);
+  ++own.round_;
+  timers_.Cancel(std::exchange(own.beside_, 0));
   own.history_.Start(own.after_, clock_.Now());
   own.direct_ = store_.Watch(
     own.prefix_, own.after_ + 1, [this, aId](const StoreWatchBatch& aBatch) {
@@ -223,6 +234,12 @@
   if (own.refusals_ == 0) {
     own.unconfirmed_ = clock_.Now();
   }
+  timers_.Cancel(own.beside_);
+  own.beside_ = timers_.After(kDoubtAfter, [this, alive = alive_, aId, round] {
+    if (*alive) {
+      AskBeside(aId, round);
+    }
+  });
   const WatchAsk ask{ own.prefix_, own.after_, kRelayHold };
   askPeer_(
     aAddress,
@@ -238,6 +255,45 @@
     });
 }
 
+void
+RelayedStore::AskBeside(StoreWatchId aId, std::uint64_t aRound)
+{
+  const Own* own = Find(aId);
+  if (own == nullptr || own->round_ != aRound) {
+    return;
+  }
+  const std::vector<std::string>& relays = relays_(own->prefix_);
+  if (relays.size() < 2) {
+    return;
+  }
+  const WatchAsk ask{ own->prefix_, own->after_, kRelayHold };
+  askPeer_(relays[(own->nextRelay_ + 1) % relays.size()],
+           ask,
+           [this, alive = alive_, aId](const Result<StoreWatchBatch>& aBatch) {
+             if (*alive && Find(aId) != nullptr) {
+               OnBeside(aId, aBatch);
+             }
+           });
+}
+
+/// What the second relay knows counts whenever it comes; that it knows nothing
+/// says nothing of the first, which stays the one that is asked.
+void
+RelayedStore::OnBeside(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch)
+{
+  const Own& own = watches_.at(aId);
+  if (!aBatch || aBatch.value().events_.empty() ||
+      aBatch.value().revision_ <= own.after_) {
+    return;
+  }
+  LogEvent(LogLevel::Debug,
+           "relay_outrun",
+           { { "prefix", own.prefix_ },
+             { "after", std::to_string(own.after_) },
+             { "revision", std::to_string(aBatch.value().revision_) } });
+  Deliver(aId, aBatch.value());
+}
+
 void
 RelayedStore::OnRelay(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch)
 {
@@ -317,13 +373,18 @@
 RelayedStore::Deliver(StoreWatchId aId, const StoreWatchBatch& aBatch)
 {
   Own& own = watches_.at(aId);
+  StoreWatchBatch news = aBatch;
+  std::erase_if(news.events_, [&own](const StoreEvent& aEvent) {
+    return aEvent.record_.modRevision_ <= own.after_;
+  });
   own.after_ = std::max(own.after_, aBatch.revision_);
   const auto onBatch = own.onBatch_;
   if (aBatch.ended_) {
+    timers_.Cancel(own.beside_);
     watches_.erase(aId);
   }
-  if (aBatch.ended_ || !aBatch.events_.empty()) {
-    onBatch(aBatch);
+  if (news.ended_ || !news.events_.empty()) {
+    onBatch(news);
   }
 }
 
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -73,6 +73,8 @@
     /// Since when no relay has vouched for what is known here.
     TimePoint unconfirmed_;
     std::uint64_t round_ = 0;
+    /// When a second relay is asked beside the first.
+    LoopTimerId beside_ = 0;
     /// In this round of relays one held too little history.
     bool lost_ = false;
     /// When the store or a relay last vouched for what is known here.
@@ -94,7 +96,12 @@
   void OpenDirect(StoreWatchId aId);
   void OnDirect(StoreWatchId aId, const StoreWatchBatch& aBatch);
   void AskRelay(StoreWatchId aId, const std::string& aAddress);
+  /// Asks a second relay for what the first has not told yet.
+  void AskBeside(StoreWatchId aId, std::uint64_t aRound);
+  void OnBeside(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch);
   void OnRelay(StoreWatchId aId, const Result<StoreWatchBatch>& aBatch);
+  /// Tells of changes that are not known here yet: two sources tell of the
+  /// same ones.
   void Deliver(StoreWatchId aId, const StoreWatchBatch& aBatch);
   /// Notes that a source vouched for what is known here, and tells for how
   /// long none had.
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -4,8 +4,10 @@
 #include "daemon/relayed_store.hpp"
 #include "fake_store.hpp"
 #include "marjoramtally/process.hpp"
+#include "reached_store.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace marjoramtally;
 using namespace marjoramtally::test;
@@ -453,3 +455,163 @@
                        { false, false, event.record_.modRevision_, { event } });
   REQUIRE(kinds == std::vector<ErrorKind>(3, ErrorKind::Conflict));
 }
+
+namespace {
+
+/// A process and two relays, each on its own way to the store. Watches of the
+/// relays are renewed as the store's adapter does it.
+struct TwoRelays
+{
+  ManualClock clock_;
+  ManualTimers timers_{ clock_ };
+  FakeStore store_{ timers_ };
+  std::vector<std::string> none_;
+  std::vector<std::string> names_{ "first", "second" };
+  std::map<std::string, std::unique_ptr<ReachedStore>> ways_;
+  std::map<std::string, std::unique_ptr<RelayedStore>> relays_;
+  /// Relays that answer nobody.
+  std::set<std::string> silent_;
+  std::unique_ptr<RelayedStore> process_;
+  std::vector<std::string> seen_;
+  TimePoint lastSeen_;
+
+  TwoRelays()
+  {
+    for (const std::string& name : names_) {
+      ways_[name] = std::make_unique<ReachedStore>(store_, timers_);
+      relays_[name] = std::make_unique<RelayedStore>(
+        *ways_[name],
+        timers_,
+        clock_,
+        [](const auto&, const auto&, const auto&) {},
+        [this](const auto&) -> const std::vector<std::string>& {
+          return none_;
+        });
+      relays_[name]->Watch("k/", store_.Revision() + 1, [](const auto&) {});
+    }
+    ways_["own"] = std::make_unique<ReachedStore>(store_, timers_);
+    process_ = std::make_unique<RelayedStore>(
+      *ways_.at("own"),
+      timers_,
+      clock_,
+      [this](const std::string& aRelay,
+             const WatchAsk& aAsk,
+             StoreDone<StoreWatchBatch> aDone) {
+        Ask(aRelay, aAsk, std::move(aDone));
+      },
+      [this](const auto&) -> const std::vector<std::string>& {
+        return names_;
+      });
+    process_->Watch(
+      "k/", store_.Revision() + 1, [this](const StoreWatchBatch& aBatch) {
+        for (const StoreEvent& event : aBatch.events_) {
+          seen_.push_back(event.record_.key_);
+          lastSeen_ = clock_.Now();
+        }
+      });
+    Renew();
+  }
+
+  void Ask(const std::string& aRelay,
+           const WatchAsk& aAsk,
+           StoreDone<StoreWatchBatch> aDone)
+  {
+    if (silent_.contains(aRelay)) {
+      timers_.After(1300ms, [aDone] {
+        aDone(Error{ ErrorKind::Timeout, "no answer" });
+      });
+      return;
+    }
+    timers_.After(1ms, [this, aRelay, aAsk, aDone] {
+      relays_.at(aRelay)->Serve(aAsk, aDone);
+    });
+  }
+
+  void Renew()
+  {
+    store_.TellBatch("k/", { false, false, store_.Revision(), {} });
+    timers_.After(1s, [this] { Renew(); });
+  }
+};
+
+} // namespace
+
+// A configuration was in force 1.64 s after the store had it, of 2 s allowed,
+// at all peers of a relay that was cut off from the store: for so long it
+// vouched for what it held. A second fault in that time made callers get 404
+// for a route that was there.
+TEST_CASE("a change reaches a process in time though its relay lacks it")
+{
+  TwoRelays fix;
+  fix.timers_.Advance(std::chrono::milliseconds(GENERATE(100, 400, 700, 1000)));
+  std::string relay = GENERATE("first", "second");
+  CAPTURE(relay);
+  SECTION("it is cut off from the store")
+  {
+    fix.ways_.at(relay)->SetCut(true);
+  }
+  SECTION("it is silent")
+  {
+    fix.silent_.insert(relay);
+  }
+  const TimePoint put = fix.clock_.Now();
+  fix.store_.Put("k/a", "1");
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.seen_ == std::vector<std::string>{ "k/a" });
+  // Half of the two seconds that all of the way has.
+  REQUIRE(fix.lastSeen_ - put <= 1s);
+}
+
+TEST_CASE("what two relays tell is taken up once and in order")
+{
+  TwoRelays fix;
+  Random random(11);
+  std::vector<std::string> put;
+  for (int i = 0; i < 200; ++i) {
+    put.push_back("k/" + std::to_string(i));
+    fix.store_.Put(put.back(), "1");
+    const std::string& relay = fix.names_[random.Below(2)];
+    switch (random.Below(6)) {
+      case 0:
+        fix.ways_.at(relay)->SetCut(true);
+        break;
+      case 1:
+        fix.ways_.at(relay)->SetLag(
+          std::chrono::milliseconds(random.Below(800)));
+        break;
+      default:
+        fix.ways_.at(relay)->SetCut(false);
+        fix.ways_.at(relay)->SetLag(Duration{ 0 });
+    }
+    fix.timers_.Advance(std::chrono::milliseconds(random.Below(300)));
+  }
+  for (const std::string& relay : fix.names_) {
+    fix.ways_.at(relay)->SetCut(false);
+    fix.ways_.at(relay)->SetLag(Duration{ 0 });
+  }
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.seen_ == put);
+}
+
+TEST_CASE("a relay that tells changes all the time is asked alone")
+{
+  TwoRelays fix;
+  int asked = 0;
+  fix.process_ = std::make_unique<RelayedStore>(
+    fix.store_,
+    fix.timers_,
+    fix.clock_,
+    [&](const std::string& aRelay,
+        const WatchAsk& aAsk,
+        StoreDone<StoreWatchBatch> aDone) {
+      asked += aRelay == "second" ? 1 : 0;
+      fix.Ask(aRelay, aAsk, std::move(aDone));
+    },
+    [&](const auto&) -> const std::vector<std::string>& { return fix.names_; });
+  fix.process_->Watch("k/", fix.store_.Revision() + 1, [](const auto&) {});
+  for (int i = 0; i < 50; ++i) {
+    fix.store_.Put("k/a", std::to_string(i));
+    fix.timers_.Advance(400ms);
+  }
+  REQUIRE(asked == 0);
+}
