--- a/include/marjoramtally/runtime/watch_history.hpp
+++ b/include/marjoramtally/runtime/watch_history.hpp
@@ -20,6 +20,10 @@
   /// is then below 38 MB; a larger change is read by each process from the
   /// store, whose link is the faster one.
   static constexpr std::size_t kMostBytes = 512UL * 1024UL;
+  /// Largest change kept: 72 peers get it at once, which is 4.7 MB or 0.6 s of
+  /// a link of 60 Mbit/s; a relay that needs more than a second counts as
+  /// silent.
+  static constexpr std::size_t kMostChangeBytes = 64UL * 1024UL;
   /// An answer of the store vouches for the changes this long. A watch is
   /// renewed every 1.4 s, and a change has to be known after two seconds.
   static constexpr Duration kConfirmedFor = std::chrono::milliseconds(1700);
@@ -38,6 +42,8 @@
   [[nodiscard]] StoreWatchBatch After(std::uint64_t aAfter) const;
 
 private:
+  /// Drops all changes up to a revision.
+  void DropUpTo(std::uint64_t aRevision);
   [[nodiscard]] static std::size_t BytesOf(const StoreEvent& aEvent) noexcept;
 
   std::deque<StoreEvent> events_;
--- a/src/runtime/watch_history.cpp
+++ b/src/runtime/watch_history.cpp
@@ -26,9 +26,21 @@
     known_ = std::max(*known_, event.record_.modRevision_);
     events_.push_back(event);
     bytes_ += BytesOf(event);
+    if (BytesOf(event) > kMostChangeBytes) {
+      DropUpTo(event.record_.modRevision_);
+    }
   }
   while (events_.size() > kMost || bytes_ > kMostBytes) {
-    start_ = events_.front().record_.modRevision_;
+    DropUpTo(events_.front().record_.modRevision_);
+  }
+}
+
+void
+WatchHistory::DropUpTo(std::uint64_t aRevision)
+{
+  start_ = aRevision;
+  while (!events_.empty() &&
+         events_.front().record_.modRevision_ <= aRevision) {
     bytes_ -= BytesOf(events_.front());
     events_.pop_front();
   }
