Tests of jobs on several gateways share one set of a gateway's parts

The play of jobs had repeated the context, the parts and the routes of another test; they stand in tests/gateway_site.hpp now. Checks unchanged.

--- a/tests/job_play.cpp
+++ b/tests/job_play.cpp
@@ -33,18 +33,7 @@
                              int aRun)
   : incarnation_(aInstance + "~" + std::to_string(aRun))
   , store_(aFakes.store_, aFakes.timers_)
-  , relays_(incarnation_)
-  , host_({ &aFakes.settings_,
-            aFakes.platform_.get(),
-            &client_,
-            &aFakes.timers_,
-            &store_,
-            &aFakes.clock_,
-            &aFakes.clock_,
-            &metrics_,
-            &relays_,
-            &peers_,
-            incarnation_ })
+  , site_(aFakes, store_, incarnation_)
   , life_(store_,
           aFakes.timers_,
           aFakes.clock_,
@@ -53,16 +42,6 @@
             kIdleLease,
             false })
 {
-  RoutingConfig config;
-  config.revision_ = ConfigRevision{ 1 };
-  Route route;
-  route.host_ = "h";
-  route.prefix_ = "/i/";
-  route.kind_ = RouteKind::Rollout;
-  route.maxQueue_ = 40s;
-  route.services_ = { { ServiceId{ "lm" }, 1 } };
-  config.routes_ = { route };
-  routes_.Apply(config);
   for (int i = 0; i < 3; ++i) {
     UpstreamEntry entry;
     entry.id_ = UpstreamId{ "e" + std::to_string(i) };
@@ -73,7 +52,7 @@
     entry.models_ = { { "m0", WeightVersion{ 5 } },
                       { "m1", WeightVersion{ 5 } },
                       { "m2", WeightVersion{ 5 } } };
-    board_.OnEntry(std::move(entry));
+    site_.board_.OnEntry(std::move(entry));
   }
 }
 
@@ -111,14 +90,14 @@
   started.store_.onLease_ = [this](StoreLeaseId aLease, TimePoint aEnd) {
     leases_[aLease] = aEnd;
   };
-  started.runner_.onOwning_ = [this, &started](bool aOwning) {
+  started.site_.runner_.onOwning_ = [this, &started](bool aOwning) {
     started.life_.SetTtl(aOwning ? fakes_.settings_.leaseTtl_
                                  : Duration{ kIdleLease });
   };
   processes_[aIndex] = std::move(process);
   Link();
   started.life_.Start();
-  started.directory_.Start();
+  started.site_.directory_.Start();
 }
 
 void
@@ -128,7 +107,7 @@
     return;
   }
   processes_[aIndex]->store_.SetCut(true);
-  processes_[aIndex]->peers_.cut_ = true;
+  processes_[aIndex]->site_.peers_.cut_ = true;
   dead_.push_back(std::move(processes_[aIndex]));
   Link();
   fakes_.timers_.After(500ms, [this, aIndex] { StartProcess(aIndex); });
@@ -141,10 +120,11 @@
     if (!process) {
       continue;
     }
-    process->peers_.others_.clear();
+    process->site_.peers_.others_.clear();
     for (std::size_t i = 0; i < kProcesses; ++i) {
       if (processes_[i]) {
-        process->peers_.others_[AddressOf(i)] = &processes_[i]->peers_;
+        process->site_.peers_.others_[AddressOf(i)] =
+          &processes_[i]->site_.peers_;
       }
     }
   }
@@ -154,15 +134,16 @@
 JobPlay::AnswerCalls()
 {
   for (auto& process : processes_) {
-    if (!process || process->client_.open_.empty() || random_.Below(20) != 0) {
+    if (!process || process->site_.client_.open_.empty() ||
+        random_.Below(20) != 0) {
       continue;
     }
-    auto& open = process->client_.open_;
+    auto& open = process->site_.client_.open_;
     const SentCall call = open[random_.Below(open.size())];
     HttpResponse response = fakes_.Answer(
       call, 200, "id: 1\ndata: run" + std::to_string(++answers_) + "\n\n");
     response.headers_.push_back({ fakes_.platform_->Names().versions_, "5" });
-    process->client_.Answer(call, std::move(response));
+    process->site_.client_.Answer(call, std::move(response));
   }
 }
 
@@ -206,7 +187,7 @@
   request.body_ = R"({"model":"m)" + std::to_string(random_.Below(3)) +
                   R"(","items":[)" + items + "]}";
   job.reply_ = std::make_shared<FakeReply>();
-  processes_[at]->api_.Submit(
+  processes_[at]->site_.jobs_.Submit(
     std::move(request), ConfigRevision{ 1 }, job.reply_);
   jobs_.push_back(std::move(job));
 }
@@ -235,7 +216,7 @@
   const std::string incarnation = processes_[aProcess]->incarnation_;
   const auto reply = std::make_shared<FakeReply>();
   const TimePoint asked = Now();
-  processes_[aProcess]->api_.Query(query, HttpRequest{}, reply);
+  processes_[aProcess]->site_.jobs_.Query(query, HttpRequest{}, reply);
   fakes_.timers_.After(
     1500ms, [this, aJob, aProcess, aAfter, asked, reply, touched, incarnation] {
       if (!touched && InTouch(aProcess) &&
@@ -324,7 +305,7 @@
   JobQuery query;
   query.job_ = job.id_;
   query.verb_ = JobQuery::Verb::End;
-  processes_[process]->api_.Query(
+  processes_[process]->site_.jobs_.Query(
     query, HttpRequest{}, std::make_shared<FakeReply>());
 }
 
@@ -378,10 +359,10 @@
       process->store_.LoseHistory();
       return;
     case 5:
-      process->peers_.cut_ = true;
+      process->site_.peers_.cut_ = true;
       process->touched_ = kNever;
       after(lasts, [this, process] {
-        process->peers_.cut_ = false;
+        process->site_.peers_.cut_ = false;
         process->touched_ = Now();
       });
       return;
--- a/tests/job_play.hpp
+++ b/tests/job_play.hpp
@@ -3,9 +3,8 @@
 #pragma once
 
 #include "daemon/leased_key.hpp"
-#include "gateway_fixture.hpp"
+#include "gateway_site.hpp"
 #include "marjoramtally/base/random.hpp"
-#include "programs/gatewayd/job_api.hpp"
 #include "reached_store.hpp"
 
 namespace marjoramtally::test {
@@ -20,18 +19,7 @@
 
   std::string incarnation_;
   ReachedStore store_;
-  LinkedPeers peers_;
-  FakeClient client_;
-  RelayPlan relays_;
-  Metrics metrics_;
-  GatewayContext host_;
-  UpstreamBoard board_{ ZoneId{ "z1" } };
-  RouteTable routes_;
-  Forwarder forwarder_{ host_, board_ };
-  JobStore jobStore_{ host_ };
-  JobDirectory directory_{ host_, jobStore_ };
-  JobRunner runner_{ host_, routes_, board_, forwarder_, jobStore_ };
-  JobApi api_{ host_, jobStore_, directory_, runner_ };
+  Site site_;
   LeasedKey life_;
   /// When a fault last touched it.
   TimePoint touched_;
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -1,8 +1,7 @@
 /// Jobs over HTTP on fakes, and what a process that is stopped does with
 /// them.
 
-#include "gateway_fixture.hpp"
-#include "programs/gatewayd/job_api.hpp"
+#include "gateway_site.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -25,16 +24,7 @@
 
   Fixture()
   {
-    RoutingConfig config;
-    config.revision_ = ConfigRevision{ 1 };
-    Route route;
-    route.host_ = "h";
-    route.prefix_ = "/i/";
-    route.kind_ = RouteKind::Rollout;
-    route.maxQueue_ = 40s;
-    route.services_ = { { ServiceId{ "lm" }, 1 } };
-    config.routes_ = { route };
-    routes_.Apply(config);
+    routes_.Apply(ItemRoutes());
     AddUpstream("e0", "lm", 5);
     GatewayFakes::store_.Put(job_keys::Life("self~1"),
                              WriteLifeRecord({ ZoneId{ "z" }, "a:1" }));
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -1,10 +1,9 @@
 /// Jobs taken in at one gateway and owned by another, and what each of them
 /// tells of a job that the other owns.
 
-#include "gateway_fixture.hpp"
+#include "gateway_site.hpp"
 #include "marjoramtally/connection/job_messages.hpp"
 #include "marjoramtally/process.hpp"
-#include "programs/gatewayd/job_api.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -14,50 +13,6 @@
 
 namespace {
 
-/// One gateway beside others on the same store.
-struct Site
-{
-  LinkedPeers peers_;
-  FakeClient client_;
-  RelayPlan relays_;
-  Metrics metrics_;
-  GatewayContext host_;
-  UpstreamBoard board_{ ZoneId{ "z1" } };
-  RouteTable routes_;
-  Forwarder forwarder_{ host_, board_ };
-  JobStore store_{ host_ };
-  JobDirectory directory_{ host_, store_ };
-  JobRunner runner_{ host_, routes_, board_, forwarder_, store_ };
-  JobApi jobs_{ host_, store_, directory_, runner_ };
-
-  Site(GatewayFakes& aFakes, Store& aStore, const std::string& aIncarnation)
-    : relays_(aIncarnation)
-    , host_({ &aFakes.settings_,
-              aFakes.platform_.get(),
-              &client_,
-              &aFakes.timers_,
-              &aStore,
-              &aFakes.clock_,
-              &aFakes.clock_,
-              &metrics_,
-              &relays_,
-              &peers_,
-              aIncarnation })
-  {
-    RoutingConfig config;
-    config.revision_ = ConfigRevision{ 1 };
-    Route route;
-    route.host_ = "h";
-    route.prefix_ = "/i/";
-    route.kind_ = RouteKind::Rollout;
-    route.maxQueue_ = 40s;
-    route.services_ = { { ServiceId{ "lm" }, 1 } };
-    config.routes_ = { route };
-    routes_.Apply(config);
-    directory_.Start();
-  }
-};
-
 /// Two gateways; a model is chosen whose jobs the second is to own.
 struct Pair : GatewayFakes
 {
@@ -69,6 +24,8 @@
   {
     first_.peers_.others_["a:2"] = &second_.peers_;
     second_.peers_.others_["a:1"] = &first_.peers_;
+    first_.directory_.Start();
+    second_.directory_.Start();
     timers_.Advance(20ms);
     store_.Put(job_keys::Life("one~1"),
                WriteLifeRecord({ ZoneId{ "z" }, "a:1" }));
