--- a/tests/vary_site.sh
+++ b/tests/vary_site.sh
@@ -54,6 +54,23 @@
   single-version) sed 's/pure = false/pure = true/' "$site" ;;
   few-samplers) sed -E '/model = "llm"/ s/count = [0-9]+/count = 1/g' "$site" ;;
   many-samplers) sed -E '/model = "llm"/ s/count = [0-9]+/count = 6/g' "$site" ;;
+  crowd)
+    # 28 times the upstreams, of which as large a part may load at once.
+    awk -v times=28 '
+      /^services = \[/ { inside = 1 }
+      /^\]/ { inside = 0 }
+      inside {
+        line = ""
+        rest = $0
+        while (match(rest, /count = [0-9]+/)) {
+          count = substr(rest, RSTART + 8, RLENGTH - 8)
+          line = line substr(rest, 1, RSTART + 7) count * times
+          rest = substr(rest, RSTART + RLENGTH)
+        }
+        $0 = line rest
+      }
+      /^at_once = / { $3 *= times }
+      { print }' "$site" ;;
   small-memory) sed -E 's/kv_tokens = [0-9]+/kv_tokens = 20000/' "$site" ;;
   *)
     echo "vary_site.sh: no variant $variant" >&2
