A late renewal is told apart from one that gets no answer

The delay in lease_lost counted tries that the store did not answer as well, so that an outage of the store looked like a process that was held up. Each try is measured from when it was due now. The test failed before.

--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -174,7 +174,7 @@
     waiting_ = false;
     fence_ = FencingNumber{ aCommit.value().revision_ };
     if (askedTtl_ == options_.ttl_) {
-      RenewLater();
+      RenewAfter(options_.ttl_ / kRenewals);
     } else {
       // Another length was set meanwhile.
       Later(Duration{ 0 }, &LeasedKey::Grant);
@@ -239,11 +239,10 @@
 }
 
 void
-LeasedKey::RenewLater()
+LeasedKey::RenewAfter(Duration aPause)
 {
-  const Duration pause = options_.ttl_ / kRenewals;
-  renewalDue_ = clock_.Now() + pause;
-  Later(pause, &LeasedKey::Renew);
+  renewalDue_ = clock_.Now() + aPause;
+  Later(aPause, &LeasedKey::Renew);
 }
 
 void
@@ -266,7 +265,7 @@
     if (!held_ && !waiting_) {
       Later(Duration{ 0 }, &LeasedKey::ReadBack);
     } else {
-      RenewLater();
+      RenewAfter(options_.ttl_ / kRenewals);
     }
     return;
   }
@@ -278,7 +277,7 @@
   if (held_ && clock_.Now() >= until_) {
     Lose("not renewed in time");
   }
-  Later(pauses_.Next(), &LeasedKey::Renew);
+  RenewAfter(pauses_.Next());
 }
 
 void
--- a/src/daemon/leased_key.hpp
+++ b/src/daemon/leased_key.hpp
@@ -65,7 +65,7 @@
   void OnWritten(const Result<StoreCommit>& aCommit);
   void ReadBack();
   void OnReadBack(const Result<StoreRange>& aRange);
-  void RenewLater();
+  void RenewAfter(Duration aPause);
   void Renew();
   void OnRenewed(TimePoint aSent, const Result<StoreLease>& aLease);
   /// @param aWhy for the log
@@ -93,7 +93,8 @@
   TimePoint granted_;
   /// When the next renewal is to be sent.
   TimePoint renewalDue_;
-  /// How much later than due the last renewal was sent.
+  /// How much later than due the last renewal was sent, for other work of the
+  /// process.
   Duration renewalDelay_{ 0 };
   Backoff pauses_;
   LoopTimerId next_ = 0;
--- a/tests/test_leased_key.cpp
+++ b/tests/test_leased_key.cpp
@@ -183,6 +183,8 @@
   {
     store.fault_ = StoreFault::Silent;
     timers.Advance(3s);
+    // Renewals that get no answer are not sent late.
+    REQUIRE(log.Tells("renewal_delay_ms=0"));
     REQUIRE(log.Tells("event=lease_lost key=duty why=\"not renewed in time\""));
   }
 }
