A process that was held up does not take that for its peer's silence

Ruled out: bytes that had come were read first already. Change: the limit is a small class of its own; a check that runs 250 ms late or more gives the peer as much time again, within the call's own limit.

--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -165,15 +165,14 @@
 }
 
 void
-CurlLoop::WatchSilence(const CurlTransfer& aTransfer)
+CurlLoop::WatchSilence(CurlTransfer& aTransfer)
 {
-  const std::optional<Instant> until = aTransfer.SilentUntil();
-  if (!until) {
+  if (!aTransfer.Silence().Limited()) {
     return;
   }
   const HttpCallId id = aTransfer.Id();
   asio::steady_timer& timer = silences_.try_emplace(id, context_).first->second;
-  timer.expires_at(*until);
+  timer.expires_at(aTransfer.Silence().DueAt());
   timer.async_wait([this, id](const asio::error_code& aError) {
     if (!aError) {
       EndIfSilent(id);
@@ -192,10 +191,10 @@
     return;
   }
   CurlTransfer& transfer = *it->second;
-  if (*transfer.SilentUntil() > std::chrono::steady_clock::now()) {
-    WatchSilence(transfer);
-  } else {
+  if (transfer.Silence().Check(std::chrono::steady_clock::now())) {
     Finish(transfer, CURLE_OPERATION_TIMEDOUT);
+  } else {
+    WatchSilence(transfer);
   }
 }
 
--- a/src/runtime/curl_loop.hpp
+++ b/src/runtime/curl_loop.hpp
@@ -61,7 +61,7 @@
   void StartTransfer(std::unique_ptr<CurlTransfer> aTransfer);
   void CancelTransfer(HttpCallId aId);
   /// Looks at a call again when its silence is over, if it has a limit.
-  void WatchSilence(const CurlTransfer& aTransfer);
+  void WatchSilence(CurlTransfer& aTransfer);
   void EndIfSilent(HttpCallId aId);
   void ResumeTransfer(HttpCallId aId);
   void ActIfDue();
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -39,6 +39,7 @@
   : id_(aId)
   , call_(std::move(aCall))
   , done_(std::move(aDone))
+  , silence_(call_.silence_)
 {
 }
 
@@ -127,20 +128,11 @@
 void
 CurlTransfer::NoteByte()
 {
-  if (call_.silence_ > Duration{ 0 }) {
-    lastByte_ = std::chrono::steady_clock::now();
+  if (silence_.Limited()) {
+    silence_.OnByte(std::chrono::steady_clock::now());
   }
 }
 
-std::optional<SteadyTime>
-CurlTransfer::SilentUntil() const noexcept
-{
-  if (call_.silence_ <= Duration{ 0 }) {
-    return std::nullopt;
-  }
-  return lastByte_ + call_.silence_;
-}
-
 void
 CurlTransfer::SetMethod()
 {
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -2,15 +2,12 @@
 #pragma once
 
 #include "marjoramtally/runtime/http_client.hpp"
+#include "runtime/silence_limit.hpp"
 
-#include <chrono>
 #include <curl/curl.h>
-#include <optional>
 
 namespace marjoramtally {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 /// One call in progress; its address is the handle's private pointer, so it
 /// stays where it is until the call has ended.
 class CurlTransfer
@@ -21,9 +18,8 @@
   [[nodiscard]] HttpCallId Id() const noexcept { return id_; }
   [[nodiscard]] CURL* Handle() const noexcept { return easy_; }
   void MarkCancelled() noexcept { cancelled_ = true; }
-  /// @returns when the call ends unless a byte comes first; nothing if its
-  /// silence is not limited
-  [[nodiscard]] std::optional<SteadyTime> SilentUntil() const noexcept;
+  /// How long no byte may come.
+  [[nodiscard]] SilenceLimit& Silence() noexcept { return silence_; }
 
   /// Sets what is the same for every call; once for each handle.
   static void PrepareHandle(CURL* aEasy);
@@ -53,8 +49,7 @@
   HttpCall call_;
   HttpDone done_;
   HttpResponse response_;
-  /// When the call was sent or its last byte came, if its silence is limited.
-  SteadyTime lastByte_;
+  SilenceLimit silence_;
   CURL* easy_ = nullptr;
   /// The request's header lines and the list of them that libcurl reads.
   std::vector<std::string> lines_;
