--- a/include/marjoramtally/base/ids.hpp
+++ b/include/marjoramtally/base/ids.hpp
@@ -16,6 +16,8 @@
 /// When an upstream started, in Unix milliseconds by its own clock. Together
 /// with its id it names one incarnation; 0: it does not say.
 using UpstreamStart = Strong<std::uint64_t, struct UpstreamStartTag>;
+/// A customer whose callers and trainers send requests under keys.
+using CustomerId = Strong<std::string, struct CustomerTag>;
 /// A trainer, as named in the rules.
 using TrainerId = Strong<std::string, struct TrainerTag>;
 /// One request as its caller knows it, stable over resends.
--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -9,6 +9,7 @@
 #include "marjoramtally/process/concurrency_limit.hpp"
 #include "marjoramtally/process/config_fanout.hpp"
 #include "marjoramtally/process/crash_watch.hpp"
+#include "marjoramtally/process/customer_table.hpp"
 #include "marjoramtally/process/deadline_queue.hpp"
 #include "marjoramtally/process/early_refusal.hpp"
 #include "marjoramtally/process/fair_queue.hpp"
--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -4,8 +4,10 @@
 
 #include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/ids.hpp"
+#include "marjoramtally/process/customer_table.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,6 +52,8 @@
   /// Most upstreams that one attempt of the caller may be sent to.
   std::uint32_t maxAttempts_ = 1;
   bool resumable_ = false;
+  /// Requests need no key.
+  bool public_ = false;
   /// All results are due this long after a job was submitted.
   Duration runDeadline_ = std::chrono::seconds(10);
   /// An item of a job may be given up this long after the submission.
@@ -59,6 +63,22 @@
   std::vector<ServiceWeight> services_;
 };
 
+/// How many upstreams of a service the platform provides on order, in each
+/// availability zone.
+struct UpstreamSupply
+{
+  std::uint32_t min_ = 0;
+  std::uint32_t max_ = 0;
+  /// From an order until its upstreams serve.
+  Duration bootTime_{ 0 };
+  /// Price of an upstream for each zone in which the service runs, to be
+  /// compared with each other only.
+  std::map<ZoneId, double> zonePrices_;
+  /// Part of that price for an upstream that may be reclaimed; 0: there are
+  /// none.
+  double spotPrice_ = 0;
+};
+
 /// One service.
 struct ServiceSpec
 {
@@ -68,6 +88,8 @@
   std::uint32_t maxConnections_ = 0;
   /// Names of the models that its upstreams hold; empty: a plain service.
   std::vector<std::string> models_;
+  /// None: its upstreams are not ours to order.
+  std::optional<UpstreamSupply> supply_;
 };
 
 /// The operators' configuration as far as requests need it.
@@ -77,6 +99,8 @@
   std::vector<Route> routes_;
   std::map<ServiceId, ServiceSpec> services_;
   std::uint64_t maxBodyBytes_ = 0;
+  /// None: requests need no key.
+  std::optional<std::vector<Customer>> customers_;
 };
 
 /// The configuration in force. Revisions only grow.
@@ -102,9 +126,18 @@
   [[nodiscard]] const Route* Match(std::string_view aHost,
                                    std::string_view aPath) const;
   [[nodiscard]] const RoutingConfig& Config() const noexcept { return config_; }
+  /// @returns whether requests need keys
+  [[nodiscard]] bool Keyed() const noexcept { return keyed_; }
+  [[nodiscard]] const CustomerTable& Customers() const noexcept
+  {
+    return customers_;
+  }
 
 private:
+  /// Without the customers, which the table holds.
   RoutingConfig config_;
+  bool keyed_ = false;
+  CustomerTable customers_;
   /// Indices of the routes by host and prefix, one after the other: a host has
   /// no slash and a prefix begins with one. Finding a route among 4,216 one by
   /// one took 17 us, for each waiting item of a job again.
--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -32,6 +32,8 @@
   std::uint32_t slots_ = 1;
   bool draining_ = false;
   std::vector<ModelVersion> models_;
+  /// It may be reclaimed at short notice.
+  bool spot_ = false;
 };
 
 /// What an entry told of its upstream.
--- /dev/null
+++ b/include/marjoramtally/process/usage_messages.hpp
@@ -0,0 +1,28 @@
+/// Messages between the holder of the duty of reports and gateways.
+#pragma once
+
+#include "marjoramtally/base/result.hpp"
+#include "marjoramtally/process/usage_meter.hpp"
+
+namespace marjoramtally {
+
+/// Asks a gateway for its counts.
+struct UsageAsk
+{
+  TrueTime now_;
+  Duration window_{ 0 };
+  /// Addresses of gateways that the asked one is to ask as well, so that the
+  /// holder makes few calls however many gateways there are.
+  std::vector<std::string> others_;
+};
+
+[[nodiscard]] std::string
+EncodeUsageAsk(const UsageAsk& aAsk);
+[[nodiscard]] Result<UsageAsk>
+DecodeUsageAsk(std::string_view aBytes);
+[[nodiscard]] std::string
+EncodeUsageAnswer(const std::vector<GatewayUsage>& aGateways);
+[[nodiscard]] Result<std::vector<GatewayUsage>>
+DecodeUsageAnswer(std::string_view aBytes);
+
+} // namespace marjoramtally
--- a/include/marjoramtally/runtime/platform.hpp
+++ b/include/marjoramtally/runtime/platform.hpp
@@ -9,6 +9,8 @@
 #include "marjoramtally/runtime/http_client.hpp"
 #include "marjoramtally/version/job.hpp"
 
+#include <map>
+
 namespace marjoramtally {
 
 /// Header fields as callers and upstreams spell them.
@@ -34,6 +36,8 @@
   std::string wait_;
   /// Urgency at the upstream, 0 is first.
   std::string urgency_;
+  /// In a request to an upstream: the customer whose request it is.
+  std::string customer_;
 };
 
 /// Places in the platform's store that the platform writes.
@@ -66,6 +70,8 @@
   /// Position from which results are read.
   std::uint64_t after_ = 0;
   ItemId item_;
+  /// Who asks; empty: requests need no keys.
+  CustomerId customer_;
 };
 
 /// A page of a job's results.
@@ -99,6 +105,31 @@
   std::vector<ModelVersion> models_;
 };
 
+/// Which process calls the platform on behalf of all.
+struct DutyCaller
+{
+  std::string holder_;
+  FencingNumber fence_;
+};
+
+/// What customers used in one window of time: requests that began to run.
+struct UsageReport
+{
+  /// The window's number.
+  std::uint64_t window_ = 0;
+  std::map<CustomerId, std::uint64_t> counts_;
+};
+
+/// An order for the number of upstreams of a service in an availability zone.
+struct SupplyOrder
+{
+  ServiceId service_;
+  ZoneId zone_;
+  std::uint32_t count_ = 0;
+  /// Upstreams that may be reclaimed.
+  bool spot_ = false;
+};
+
 /// The adapter.
 class Platform
 {
@@ -132,6 +163,16 @@
   [[nodiscard]] virtual Result<OrderState> ReadReport(
     std::string_view aBody) const = 0;
 
+  /// Calls of a duty, to the platform's address for such calls.
+  [[nodiscard]] virtual HttpCall MakeUsageCall(
+    const std::string& aAddress,
+    const DutyCaller& aCaller,
+    const UsageReport& aReport) const = 0;
+  [[nodiscard]] virtual HttpCall MakeSupplyCall(
+    const std::string& aAddress,
+    const DutyCaller& aCaller,
+    const SupplyOrder& aOrder) const = 0;
+
   /// @returns the key and value that tell how the emptying of an instance
   /// stands
   [[nodiscard]] virtual std::pair<std::string, std::string> RetireStatus(
--- a/include/marjoramtally/runtime/rpc.hpp
+++ b/include/marjoramtally/runtime/rpc.hpp
@@ -35,6 +35,8 @@
   JobBody = 9,
   /// Gateway to gateway: a submission to accept and own.
   JobHandOn = 10,
+  /// Holder of the duty of reports to a gateway: counts of customers' use.
+  Usage = 11,
 };
 
 /// One call; its body is an encoded message of the topic's schema.
--- a/include/marjoramtally/runtime/store.hpp
+++ b/include/marjoramtally/runtime/store.hpp
@@ -79,6 +79,9 @@
   bool interrupted_ = false;
   std::uint64_t revision_ = 0;
   std::vector<StoreEvent> events_;
+  /// How long ago the store vouched for this; ages add up over relays, so that
+  /// no clocks are compared.
+  Duration age_{ 0 };
 };
 
 /// A lease granted.
--- a/include/marjoramtally/runtime/watch_history.hpp
+++ b/include/marjoramtally/runtime/watch_history.hpp
@@ -36,6 +36,11 @@
 
   /// @returns whether what is held is whole as of a moment ago
   [[nodiscard]] bool Confirmed(TimePoint aNow) const noexcept;
+  /// @returns how long ago the store vouched for what is held
+  [[nodiscard]] Duration Age(TimePoint aNow) const noexcept
+  {
+    return aNow - confirmed_;
+  }
   /// @returns whether all changes after the revision are held
   [[nodiscard]] bool Covers(std::uint64_t aAfter) const noexcept;
   /// @returns the changes after the revision, up to the latest known one
--- a/include/marjoramtally/version/job_record.hpp
+++ b/include/marjoramtally/version/job_record.hpp
@@ -18,6 +18,9 @@
   std::uint64_t total_ = 0;
   /// Acceptance, in milliseconds since the epoch.
   std::int64_t acceptedMillis_ = 0;
+  /// Who alone may read and end the job; empty: it was accepted while requests
+  /// needed no keys.
+  CustomerId customer_{};
 };
 
 /// A submission as it was received, with what it was received for.
@@ -29,6 +32,8 @@
   /// The configuration whose routes it was accepted by. An owner that knows
   /// only an older one cannot tell what is to be done with it.
   ConfigRevision acceptedUnder_{ 0 };
+  /// Whose job it is; its items run as requests of that customer.
+  CustomerId customer_{};
 };
 
 /// The text of an item that is not listed yet.
--- /dev/null
+++ b/src/connection/usage.capnp
@@ -0,0 +1,40 @@
+@0xc6d18e0b7a5f2943;
+# What the holder of the duty of reports asks gateways.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("marjoramtally::wire");
+
+struct UsageAsk {
+  # True time of the question, in microseconds since the Unix epoch.
+  trueMicros @0 :Int64;
+  windowMicros @1 :Int64;
+  # Gateways that the asked one is to ask as well.
+  others @2 :List(Text);
+}
+
+struct UsageAnswer {
+  gateways @0 :List(GatewayUsage);
+}
+
+struct GatewayUsage {
+  incarnation @0 :Text;
+  # How far its time of day is ahead of the true time of the question.
+  aheadMicros @1 :Int64;
+  windows @2 :List(WindowUsage);
+  demand @3 :List(Demand);
+}
+
+struct WindowUsage {
+  window @0 :UInt64;
+  counts @1 :List(CustomerCount);
+}
+
+struct CustomerCount {
+  customer @0 :Text;
+  count @1 :UInt64;
+}
+
+struct Demand {
+  service @0 :Text;
+  places @1 :UInt64;
+}
--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -85,11 +85,16 @@
   {
     return *parts_.leaseClock_;
   }
+  /// @returns the time of day since the Unix epoch
+  [[nodiscard]] Duration WallTime() const noexcept
+  {
+    return parts_.wallClock_->Now() - TimePoint{};
+  }
   /// @returns the time of day in milliseconds since the Unix epoch, as records
   /// in the store hold it
   [[nodiscard]] std::int64_t WallMillis() const noexcept
   {
-    return WholeMillis(parts_.wallClock_->Now() - TimePoint{});
+    return WholeMillis(WallTime());
   }
   [[nodiscard]] Metrics& Measures() const noexcept { return *parts_.metrics_; }
   /// Which processes watch the store for the others.
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -27,6 +27,12 @@
   { "lease-ttl", &Settings::leaseTtl_, false, kSecond, 600 * kSecond },
   { "fencing", &Settings::fencing_ },
   { "order-turn", &Settings::orderTurn_, false, 0, 600 * kSecond },
+  { "config-bound", &Settings::configBound_, false, 0, 600 * kSecond },
+  { "config-stretch", &Settings::configStretch_, false, 0, 600 * kSecond },
+  { "key-limit", &Settings::keyLimit_, false, 0, 600 * kSecond },
+  { "duty-calls", &Settings::dutyCalls_ },
+  { "usage-window", &Settings::usageWindow_, false, 0, 3600 * kSecond },
+  { "usage-late", &Settings::usageLate_, false, kSecond, 3600 * kSecond },
   { "grace", &Settings::grace_, false, 100 * kMillisecond, 600 * kSecond },
   { "status-time", &Settings::statusTime_, false, kSecond, 86'400 * kSecond },
   { "log-level", &Settings::logLevel_ },
@@ -85,6 +91,7 @@
   CheckAddress(section, "front", findings);
   CheckAddress(section, "ready", findings);
   CheckAddress(section, "store", findings);
+  CheckAddress(section, "duty-calls", findings);
   if (!ParseLogLevel(settings.logLevel_)) {
     findings.Add(file,
                  "[gateway] log-level = '" + settings.logLevel_ +
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -32,6 +32,19 @@
   /// A process that gives the orders back waits until so long after its last
   /// one; where upstreams check no numbers, so does the next holder.
   Duration orderTurn_ = std::chrono::seconds(3);
+  /// A change of the configuration is in force everywhere after this.
+  Duration configBound_ = std::chrono::seconds(2);
+  /// By so much longer where a process is cut off from the store alone.
+  Duration configStretch_ = std::chrono::seconds(5);
+  /// Known keys are served on knowledge of at most this age; 0: both of the
+  /// bounds above together.
+  Duration keyLimit_{ 0 };
+  /// Where calls of duties go, as IP:PORT; empty: there are none.
+  std::string dutyCalls_;
+  /// Length of a window of customers' use; 0: none is reported.
+  Duration usageWindow_{ 0 };
+  /// A window's report is due so long after its end.
+  Duration usageLate_ = std::chrono::seconds(10);
   /// From the stop signal to the forced end.
   Duration grace_ = std::chrono::seconds(8);
   /// How long a job's results can be read after its submission.
--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -109,13 +109,16 @@
       Read();
       return;
     }
-    if (aBatch.events_.empty()) {
+    if (aBatch.interrupted_) {
       return;
     }
     for (const StoreEvent& event : aBatch.events_) {
       Tell(&PrefixFollower::onChange_, event);
     }
-    Tell(&PrefixFollower::onSettled_);
+    Tell(&PrefixFollower::onVouched_, aBatch.age_);
+    if (!aBatch.events_.empty()) {
+      Tell(&PrefixFollower::onSettled_);
+    }
   }
 
   /// A callback may stop or destroy the follower: then nothing more is told.
--- a/src/daemon/prefix_follower.hpp
+++ b/src/daemon/prefix_follower.hpp
@@ -24,6 +24,9 @@
   std::function<void(const StoreEvent&)> onChange_;
   /// Told once after all changes of one answer, and after a whole reading.
   std::function<void()> onSettled_;
+  /// Told how old the knowledge is that a source of the watch vouched for just
+  /// now, after the changes it brought.
+  std::function<void(Duration)> onVouched_;
   /// Told why a reading failed.
   std::function<void(const Error&)> onFailure_;
 
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -404,9 +404,7 @@
     timers_.Cancel(own.beside_);
     watches_.erase(aId);
   }
-  if (news.ended_ || !news.events_.empty()) {
-    onBatch(news);
-  }
+  onBatch(news);
 }
 
 RelayedStore::Own*
@@ -435,6 +433,14 @@
   return std::nullopt;
 }
 
+StoreWatchBatch
+RelayedStore::ChangesAfter(const Own& aOwn, std::uint64_t aAfter) const
+{
+  StoreWatchBatch batch = aOwn.history_.After(aAfter);
+  batch.age_ = aOwn.history_.Age(clock_.Now());
+  return batch;
+}
+
 void
 RelayedStore::Serve(const WatchAsk& aAsk, StoreDone<StoreWatchBatch> aDone)
 {
@@ -443,7 +449,7 @@
     aDone(*refusal);
     return;
   }
-  StoreWatchBatch batch = own->history_.After(aAsk.after_);
+  StoreWatchBatch batch = ChangesAfter(*own, aAsk.after_);
   if (!batch.events_.empty()) {
     aDone(std::move(batch));
     return;
@@ -505,7 +511,7 @@
     asker.done_(*refusal);
     return;
   }
-  asker.done_(own->history_.After(asker.after_));
+  asker.done_(ChangesAfter(*own, asker.after_));
 }
 
 } // namespace marjoramtally
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -114,6 +114,9 @@
   /// nothing if it does
   [[nodiscard]] std::optional<Error> RefusalOf(const Own* aOwn,
                                                std::uint64_t aAfter) const;
+  /// @returns the changes that are held, with the age of what is known here
+  [[nodiscard]] StoreWatchBatch ChangesAfter(const Own& aOwn,
+                                             std::uint64_t aAfter) const;
   /// Tells those that wait under a prefix that they must read anew.
   void EndAskers(const std::string& aPrefix);
   void WakeAskers(const std::string& aPrefix);
--- a/src/process/route_table.cpp
+++ b/src/process/route_table.cpp
@@ -11,6 +11,10 @@
     return false;
   }
   config_ = std::move(aConfig);
+  keyed_ = config_.customers_.has_value();
+  customers_ = CustomerTable(
+    std::move(config_.customers_).value_or(std::vector<Customer>{}));
+  config_.customers_.reset();
   byPrefix_.clear();
   longest_ = 0;
   for (std::size_t i = 0; i < config_.routes_.size(); ++i) {
--- /dev/null
+++ b/src/process/usage_messages.cpp
@@ -0,0 +1,117 @@
+#include "marjoramtally/process/usage_messages.hpp"
+
+#include "connection/wire.hpp"
+#include "wire/usage.capnp.h"
+
+namespace marjoramtally {
+
+namespace {
+
+void
+Write(wire::GatewayUsage::Builder aOut, const GatewayUsage& aUsage)
+{
+  aOut.setIncarnation(aUsage.incarnation_);
+  aOut.setAheadMicros(aUsage.ahead_.count());
+  auto windows =
+    aOut.initWindows(static_cast<std::uint32_t>(aUsage.counts_.size()));
+  std::uint32_t at = 0;
+  for (const auto& [number, customers] : aUsage.counts_) {
+    auto window = windows[at++];
+    window.setWindow(number);
+    auto counts =
+      window.initCounts(static_cast<std::uint32_t>(customers.size()));
+    std::uint32_t place = 0;
+    for (const auto& [customer, count] : customers) {
+      counts[place].setCustomer(customer.Get());
+      counts[place++].setCount(count);
+    }
+  }
+  auto demand =
+    aOut.initDemand(static_cast<std::uint32_t>(aUsage.demand_.size()));
+  at = 0;
+  for (const auto& [service, places] : aUsage.demand_) {
+    demand[at].setService(service.Get());
+    demand[at++].setPlaces(places);
+  }
+}
+
+GatewayUsage
+Read(wire::GatewayUsage::Reader aIn)
+{
+  GatewayUsage usage;
+  usage.incarnation_ = aIn.getIncarnation().cStr();
+  usage.ahead_ = Duration{ aIn.getAheadMicros() };
+  for (const auto window : aIn.getWindows()) {
+    CustomerCounts& counts = usage.counts_[window.getWindow()];
+    for (const auto entry : window.getCounts()) {
+      counts[CustomerId{ entry.getCustomer().cStr() }] = entry.getCount();
+    }
+  }
+  for (const auto entry : aIn.getDemand()) {
+    usage.demand_[ServiceId{ entry.getService().cStr() }] = entry.getPlaces();
+  }
+  return usage;
+}
+
+} // namespace
+
+std::string
+EncodeUsageAsk(const UsageAsk& aAsk)
+{
+  capnp::MallocMessageBuilder builder;
+  auto ask = builder.initRoot<wire::UsageAsk>();
+  ask.setTrueMicros(aAsk.now_.sinceEpoch_.count());
+  ask.setWindowMicros(aAsk.window_.count());
+  auto others = ask.initOthers(static_cast<std::uint32_t>(aAsk.others_.size()));
+  for (std::uint32_t i = 0; i < others.size(); ++i) {
+    others.set(i, aAsk.others_[i]);
+  }
+  return impl::Flatten(builder);
+}
+
+Result<UsageAsk>
+DecodeUsageAsk(std::string_view aBytes)
+{
+  return impl::ReadMessage<wire::UsageAsk, UsageAsk>(
+    aBytes, [](wire::UsageAsk::Reader aIn) -> Result<UsageAsk> {
+      UsageAsk ask{ { Duration{ aIn.getTrueMicros() } },
+                    Duration{ aIn.getWindowMicros() },
+                    {} };
+      if (ask.window_ <= Duration{ 0 } ||
+          ask.now_.sinceEpoch_ < Duration{ 0 }) {
+        return Error{ ErrorKind::BadInput, "no window or no time" };
+      }
+      for (const auto other : aIn.getOthers()) {
+        ask.others_.emplace_back(other.cStr());
+      }
+      return ask;
+    });
+}
+
+std::string
+EncodeUsageAnswer(const std::vector<GatewayUsage>& aGateways)
+{
+  capnp::MallocMessageBuilder builder;
+  auto gateways = builder.initRoot<wire::UsageAnswer>().initGateways(
+    static_cast<std::uint32_t>(aGateways.size()));
+  for (std::uint32_t i = 0; i < gateways.size(); ++i) {
+    Write(gateways[i], aGateways[i]);
+  }
+  return impl::Flatten(builder);
+}
+
+Result<std::vector<GatewayUsage>>
+DecodeUsageAnswer(std::string_view aBytes)
+{
+  return impl::ReadMessage<wire::UsageAnswer, std::vector<GatewayUsage>>(
+    aBytes,
+    [](wire::UsageAnswer::Reader aIn) -> Result<std::vector<GatewayUsage>> {
+      std::vector<GatewayUsage> gateways;
+      for (const auto gateway : aIn.getGateways()) {
+        gateways.push_back(Read(gateway));
+      }
+      return gateways;
+    });
+}
+
+} // namespace marjoramtally
--- a/src/programs/gatewayd/forward_headers.cpp
+++ b/src/programs/gatewayd/forward_headers.cpp
@@ -15,6 +15,8 @@
   "proxy-authorization",
 };
 
+constexpr std::string_view kAuthorization = "authorization";
+
 bool
 SameName(std::string_view aLeft, std::string_view aRight) noexcept
 {
@@ -53,6 +55,20 @@
   return passed;
 }
 
+void
+SetCustomer(HttpHeaders& aHeaders,
+            const WireNames& aNames,
+            const CustomerId& aCustomer)
+{
+  std::erase_if(aHeaders, [&](const HttpHeader& aHeader) {
+    return SameName(aHeader.name_, kAuthorization) ||
+           SameName(aHeader.name_, aNames.customer_);
+  });
+  if (!aCustomer.Get().empty()) {
+    aHeaders.push_back({ aNames.customer_, aCustomer.Get() });
+  }
+}
+
 HttpResponse
 RefusedResponse(std::string_view aWhy, Duration aComeBack)
 {
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -59,6 +59,10 @@
   if (it == flights_.end()) {
     return;
   }
+  if (it->second.inFlight_) {
+    NoteBegun(it->second, it->second.sent_);
+  }
+  CountUse(it->second);
   Abandon(it->second);
   host_.Timers().Cancel(it->second.limitTimer_);
   LogEvent(LogLevel::Info,
@@ -91,6 +95,7 @@
                { "upstream", aUpstream.Get() },
                { "why", "the upstream has started again" } });
     ++flight.ran_;
+    NoteBegun(flight, flight.sent_);
     Abandon(flight, CallEnd::Broken);
     SendNext(id);
   }
@@ -328,6 +333,7 @@
              { "error", aWhy } });
   if (aEnd != HttpEnd::NotSent) {
     ++aFlight.ran_;
+    NoteBegun(aFlight, aFlight.sent_);
   }
   EndAttempt(aFlight,
              CallVerdict::Failed,
@@ -373,6 +379,7 @@
              { "port", std::to_string(aResult.localPort_) },
              { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
   ++aFlight.ran_;
+  NoteBegun(aFlight, aFlight.sent_);
   EndAttempt(aFlight, CallVerdict::Failed);
   SendNext(aId);
 }
@@ -391,6 +398,7 @@
     return;
   }
   ++aFlight.ran_;
+  NoteBegun(aFlight, aFlight.sent_);
   EndAttempt(aFlight, CallVerdict::Answered);
   aFlight.failures_ += aResponse.status_ == 500 ? 1 : 0;
   // A stream that had begun cannot end with another answer.
@@ -416,6 +424,7 @@
     return;
   }
   ++flight.ran_;
+  NoteBegun(flight, flight.sent_);
   ++flight.cutShort_;
   Abandon(flight);
   LogEvent(LogLevel::Info,
@@ -433,7 +442,10 @@
   if (it == flights_.end()) {
     return;
   }
-  it->second.ran_ += it->second.inFlight_ ? 1 : 0;
+  if (it->second.inFlight_) {
+    ++it->second.ran_;
+    NoteBegun(it->second, it->second.sent_);
+  }
   Abandon(it->second);
   GiveUp(aId, it->second.ran_ == 0 ? 503 : 504, kTimeIsOver);
 }
@@ -462,11 +474,39 @@
   Finish(aId, std::move(outcome));
 }
 
+void
+Forwarder::NoteBegun(Flight& aFlight, TimePoint aAt)
+{
+  if (!aFlight.begun_) {
+    aFlight.begun_ = aAt;
+  }
+}
+
+void
+Forwarder::CountUse(const Flight& aFlight)
+{
+  const CustomerId& customer = aFlight.request_.customer_;
+  if (aFlight.begun_ && !customer.Get().empty()) {
+    usage_.OnBegun(customer, *aFlight.begun_);
+  }
+}
+
+std::map<ServiceId, std::uint64_t>
+Forwarder::InProgress() const
+{
+  std::map<ServiceId, std::uint64_t> count;
+  for (const auto& [id, flight] : flights_) {
+    ++count[flight.request_.service_];
+  }
+  return count;
+}
+
 void
 Forwarder::Finish(ForwardId aId, ForwardOutcome aOutcome)
 {
   auto node = flights_.extract(aId);
   Flight& flight = node.mapped();
+  CountUse(flight);
   host_.Timers().Cancel(flight.limitTimer_);
   host_.Timers().Cancel(flight.patienceTimer_);
   aOutcome.begun_ = Begun(flight);
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/gateway_context.hpp"
+#include "marjoramtally/process/usage_meter.hpp"
 #include "marjoramtally/request/event_relay.hpp"
 #include "marjoramtally/runtime/http_server.hpp"
 #include "marjoramtally/runtime/send_window.hpp"
@@ -45,6 +46,8 @@
   Duration objective_ = std::chrono::seconds(1);
   /// The id was sent before and its run failed.
   bool failedBefore_ = false;
+  /// Whose use it counts as; empty: nobody's.
+  CustomerId customer_;
 };
 
 /// How a request ended.
@@ -78,6 +81,10 @@
   void OnUpstreamRestarted(const UpstreamId& aUpstream);
   /// What is held against requests; items of jobs ask and tell it as well.
   [[nodiscard]] RequestQuarantine& Crashes() noexcept { return crashes_; }
+  /// What customers used through this process.
+  [[nodiscard]] const UsageMeter& Usage() const noexcept { return usage_; }
+  /// @returns requests in progress by service
+  [[nodiscard]] std::map<ServiceId, std::uint64_t> InProgress() const;
 
 private:
   /// A refused caller comes back after this time.
@@ -129,8 +136,15 @@
     std::uint32_t failures_ = 0;
     /// Of a stream only.
     std::unique_ptr<Stream> stream_;
+    /// When an upstream began to run it, as far as is known.
+    std::optional<TimePoint> begun_;
   };
 
+  /// The present attempt has begun to run at its upstream, or may have.
+  static void NoteBegun(Flight& aFlight, TimePoint aAt);
+  /// Counts a request that began to run, once.
+  void CountUse(const Flight& aFlight);
+
   void SendNext(ForwardId aId);
   /// @returns nullptr if no upstream is left
   [[nodiscard]] const BoardUpstream* PickFor(const Flight& aFlight) const;
@@ -205,6 +219,7 @@
   GatewayContext& host_;
   UpstreamBoard& board_;
   RequestQuarantine crashes_;
+  UsageMeter usage_;
   ForwardId last_ = 0;
   std::unordered_map<ForwardId, Flight> flights_;
 };
@@ -214,6 +229,14 @@
 [[nodiscard]] HttpHeaders
 PassedHeaders(const HttpHeaders& aHeaders, const WireNames& aNames);
 
+/// Makes a request name the customer whose it is, and nobody else: what the
+/// caller sent of that is dropped, and its key too.
+/// @param aCustomer empty: nobody's
+void
+SetCustomer(HttpHeaders& aHeaders,
+            const WireNames& aNames,
+            const CustomerId& aCustomer);
+
 /// @returns a refusal that says when to come back
 [[nodiscard]] HttpResponse
 RefusedResponse(std::string_view aWhy, Duration aComeBack);
--- a/src/programs/gatewayd/forwarder_streams.cpp
+++ b/src/programs/gatewayd/forwarder_streams.cpp
@@ -105,6 +105,7 @@
   stream.lastProgress_ = host_.Now();
   board_.OnHeard(aFlight.upstream_, host_.Now());
   if (!stream.begun_) {
+    NoteBegun(aFlight, host_.Now());
     host_.Measures().Observe(
       "stream_first_event_seconds",
       std::chrono::duration<double>(host_.Now() - aFlight.started_).count());
@@ -146,6 +147,7 @@
   }
   if (whole && stream.relay_.Fault().empty() && !stream.relay_.Partial()) {
     ++aFlight.ran_;
+    NoteBegun(aFlight, aFlight.sent_);
     EndAttempt(aFlight, CallVerdict::Answered);
     BeginReply(aFlight);
     HttpResponse head;
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -73,6 +73,7 @@
   , directory_(aHost, store_)
   , runner_(aHost, routes_, board_, forwarder_, store_)
   , jobs_(aHost, store_, directory_, runner_)
+  , usage_(aHost, forwarder_, runner_)
   , life_(aHost.PlatformStore(),
           aHost.Timers(),
           aHost.LeaseClock(),
@@ -165,6 +166,9 @@
     }
   };
   config_.onSettled_ = [this] { runner_.OnBoardChanged(); };
+  config_.onVouched_ = [this](Duration aAge) {
+    configVouched_ = std::max(configVouched_, host_.Now() - aAge);
+  };
   config_.Start(kPlanKnown);
 }
 
@@ -305,9 +309,12 @@
   }
   const Route* route = routes_.Match(HostName(aRequest), aRequest.path_);
   if (route == nullptr) {
-    const auto query = host_.Formats().ReadQuery(aRequest);
+    auto query = host_.Formats().ReadQuery(aRequest);
     if (query) {
-      jobs_.Query(*query, aRequest, std::move(aReply));
+      if (const auto customer = Admit(aRequest, false, *aReply)) {
+        query->customer_ = *customer;
+        jobs_.Query(*query, aRequest, std::move(aReply));
+      }
       return;
     }
     LogEvent(
@@ -319,17 +326,66 @@
     aReply->Send(ErrorResponse(404, "no_route", "no route takes this path"));
     return;
   }
+  const auto customer = Admit(aRequest, route->public_, *aReply);
+  if (!customer) {
+    return;
+  }
   if (route->kind_ == RouteKind::Rollout && aRequest.method_ == "POST") {
-    jobs_.Submit(
-      std::move(aRequest), routes_.Config().revision_, std::move(aReply));
+    jobs_.Submit(std::move(aRequest),
+                 routes_.Config().revision_,
+                 std::move(aReply),
+                 *customer);
     return;
   }
-  Forward(*route, std::move(aRequest), aReply);
+  Forward(*route, std::move(aRequest), *customer, aReply);
+}
+
+std::optional<CustomerId>
+Gateway::Admit(const HttpRequest& aRequest, bool aPublic, HttpReply& aReply)
+{
+  if (!routes_.Keyed()) {
+    return CustomerId{};
+  }
+  const GatewaySettings& settings = host_.Settings();
+  const Duration known = settings.keyLimit_ > Duration{ 0 }
+                           ? settings.keyLimit_
+                           : settings.configBound_ + settings.configStretch_;
+  const Duration age = ConfigAge();
+  const KeyJudgement judgement =
+    JudgeKey(routes_.Customers(),
+             FindHeader(aRequest.headers_, "Authorization").value_or(""),
+             aPublic,
+             age,
+             { settings.configBound_, known });
+  if (judgement.verdict_ == KeyVerdict::Granted) {
+    return judgement.customer_;
+  }
+  const bool refused = judgement.verdict_ == KeyVerdict::Refused;
+  LogEvent(LogLevel::Info,
+           refused ? "key_refused" : "key_uncertain",
+           { { "id",
+               std::string(
+                 FindHeader(aRequest.headers_, host_.Formats().Names().attempt_)
+                   .value_or("")) },
+             { "customer", judgement.customer_.Get() },
+             { "revision", std::to_string(routes_.Config().revision_.Get()) },
+             { "config_age_ms", std::to_string(WholeMillis(age)) } });
+  host_.Measures().Count(refused ? "keys_refused_total"
+                                 : "keys_uncertain_total");
+  if (refused) {
+    aReply.Send(
+      ErrorResponse(401, "unknown_key", "no customer holds the key sent"));
+  } else {
+    aReply.Send(
+      RefusedResponse("the configuration known here is old", kComeBack));
+  }
+  return std::nullopt;
 }
 
 void
 Gateway::Forward(const Route& aRoute,
                  HttpRequest aRequest,
+                 const CustomerId& aCustomer,
                  const HttpReplyPtr& aReply)
 {
   const WireNames& names = host_.Formats().Names();
@@ -341,6 +397,10 @@
                       ? std::move(aRequest.path_)
                       : aRequest.path_ + "?" + aRequest.query_;
   request.headers_ = PassedHeaders(aRequest.headers_, names);
+  if (routes_.Keyed()) {
+    SetCustomer(request.headers_, names, aCustomer);
+  }
+  request.customer_ = aCustomer;
   request.body_ = std::move(aRequest.body_);
   request.service_ = DrawService(aRoute, random_.Next());
   request.kind_ = aRoute.kind_;
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -5,6 +5,7 @@
 #include "daemon/leased_key.hpp"
 #include "daemon/upstream_reader.hpp"
 #include "programs/gatewayd/job_api.hpp"
+#include "programs/gatewayd/usage_service.hpp"
 
 namespace marjoramtally {
 
@@ -35,7 +36,19 @@
   void HandleReady(const HttpReplyPtr& aReply);
   void Forward(const Route& aRoute,
                HttpRequest aRequest,
+               const CustomerId& aCustomer,
                const HttpReplyPtr& aReply);
+  /// Judges the key of a request and answers it unless it may go on.
+  /// @param aPublic the request needs no key
+  /// @returns the customer of a request that may go on
+  [[nodiscard]] std::optional<CustomerId> Admit(const HttpRequest& aRequest,
+                                                bool aPublic,
+                                                HttpReply& aReply);
+  /// @returns how old the knowledge of the configuration is
+  [[nodiscard]] Duration ConfigAge() const noexcept
+  {
+    return host_.Now() - configVouched_;
+  }
   /// @returns empty if it is ready
   [[nodiscard]] std::string_view WhyNotReady() const;
 
@@ -49,10 +62,13 @@
   JobDirectory directory_;
   JobRunner runner_;
   JobApi jobs_;
+  UsageService usage_;
   LeasedKey life_;
   PrefixFollower config_;
   PrefixFollower upstreams_;
   Random random_;
+  /// The configuration known here was the newest then.
+  TimePoint configVouched_;
   /// Whether a whole reading of the upstreams came, also one of none.
   bool upstreamsKnown_ = false;
   bool stopping_ = false;
--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -18,6 +18,23 @@
 /// stored seldom changes, and each look is some priced calls.
 constexpr auto kReadAgain = std::chrono::seconds(3);
 
+/// @returns whether a customer may ask about a job; one that was accepted while
+/// requests needed no keys is anybody's
+bool
+MayAsk(const CustomerId& aAsker, const CustomerId& aOwner)
+{
+  return aAsker.Get().empty() || aOwner.Get().empty() || aAsker == aOwner;
+}
+
+/// @returns whose job an owner record is of; nobody's if it cannot be read,
+/// which is told where its total is wanted
+CustomerId
+CustomerIn(const StoreRecord& aOwner)
+{
+  const auto record = ReadOwnerRecord(aOwner.value_);
+  return record ? record.value().customer_ : CustomerId{};
+}
+
 HttpResponse
 NoSuchJob()
 {
@@ -207,27 +224,38 @@
 }
 
 void
-JobApi::IfExists(const JobId& aJob,
+JobApi::IfExists(const JobQuery& aQuery,
                  HttpReplyPtr aReply,
                  std::function<void()> aKnown)
 {
-  if (runner_.Owns(aJob) || directory_.Find(aJob) != nullptr) {
-    aKnown();
+  const JobId& job = aQuery.job_;
+  const KnownJob* known = directory_.Find(job);
+  if (known != nullptr || runner_.Owns(job)) {
+    const CustomerId& owner =
+      known != nullptr ? known->record_.customer_ : runner_.CustomerOf(job);
+    if (MayAsk(aQuery.customer_, owner)) {
+      aKnown();
+    } else {
+      aReply->Send(NoSuchJob());
+    }
     return;
   }
-  store_.ReadOwner(aJob,
-                   [this, aJob, aReply, known = std::move(aKnown)](
-                     const Result<std::optional<StoreRecord>>& aOwner) {
-                     if (!aOwner) {
-                       aReply->Send(RefusedResponse("the store cannot be asked",
-                                                    kJobComeBack));
-                     } else if (!aOwner.value()) {
-                       aReply->Send(NoSuchJob());
-                     } else {
-                       NoteTotal(aJob, *aOwner.value());
-                       known();
-                     }
-                   });
+  store_.ReadOwner(
+    job,
+    [this, aQuery, aReply, found = std::move(aKnown)](
+      const Result<std::optional<StoreRecord>>& aOwner) {
+      if (!aOwner) {
+        aReply->Send(
+          RefusedResponse("the store cannot be asked", kJobComeBack));
+      } else if (!aOwner.value()) {
+        aReply->Send(NoSuchJob());
+      } else if (!MayAsk(aQuery.customer_, CustomerIn(*aOwner.value()))) {
+        aReply->Send(NoSuchJob());
+      } else {
+        NoteTotal(aQuery.job_, *aOwner.value());
+        found();
+      }
+    });
 }
 
 /// A record that cannot be read still says that the job exists; its total is
@@ -269,12 +297,12 @@
 void
 JobApi::End(const JobQuery& aQuery, HttpReplyPtr aReply)
 {
-  const KnownJob* known = directory_.Find(aQuery.job_);
-  if (known != nullptr && known->ended_) {
-    aReply->Send(JsonResponse(200, "{}"));
-    return;
-  }
-  IfExists(aQuery.job_, aReply, [this, job = aQuery.job_, aReply] {
+  IfExists(aQuery, aReply, [this, job = aQuery.job_, aReply] {
+    const KnownJob* known = directory_.Find(job);
+    if (known != nullptr && known->ended_) {
+      aReply->Send(JsonResponse(200, "{}"));
+      return;
+    }
     store_.End(job, [this, job, aReply](bool aWritten) {
       LogEvent(LogLevel::Info,
                "job_end_asked",
--- a/src/programs/gatewayd/job_api.hpp
+++ b/src/programs/gatewayd/job_api.hpp
@@ -17,12 +17,16 @@
          JobRunner& aRunner);
 
   /// @param aRevision the configuration whose routes took the request
+  /// @param aCustomer whose job it is; empty: requests need no keys
   void Submit(HttpRequest aRequest,
               ConfigRevision aRevision,
-              HttpReplyPtr aReply)
+              HttpReplyPtr aReply,
+              const CustomerId& aCustomer = {})
   {
-    intake_.Submit(std::move(aRequest), aRevision, std::move(aReply));
+    intake_.Submit(
+      std::move(aRequest), aRevision, std::move(aReply), aCustomer);
   }
+  /// To a customer, a job of another is none that there is.
   void Query(const JobQuery& aQuery,
              const HttpRequest& aRequest,
              HttpReplyPtr aReply);
@@ -94,8 +98,8 @@
   void ServeBody(const RpcCall& aCall, const RpcDone& aDone);
   void End(const JobQuery& aQuery, HttpReplyPtr aReply);
   /// Looks a job up that the directory does not know; calls `aKnown` if it
-  /// exists, else answers.
-  void IfExists(const JobId& aJob,
+  /// exists and its customer asks, else answers.
+  void IfExists(const JobQuery& aQuery,
                 HttpReplyPtr aReply,
                 std::function<void()> aKnown);
 
--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -47,7 +47,7 @@
 void
 JobApi::Read(const JobQuery& aQuery, Duration aWait, HttpReplyPtr aReply)
 {
-  IfExists(aQuery.job_, aReply, [this, aQuery, aWait, aReply] {
+  IfExists(aQuery, aReply, [this, aQuery, aWait, aReply] {
     if (runner_.Owns(aQuery.job_)) {
       ReadOwned(aQuery.job_, aQuery.after_, aWait, aReply);
     } else {
@@ -246,7 +246,7 @@
     SendBody(*aReply, FindBody(ledger->Spec(), aQuery.item_));
     return;
   }
-  IfExists(aQuery.job_, aReply, [this, aQuery, aReply] {
+  IfExists(aQuery, aReply, [this, aQuery, aReply] {
     const std::string owner = OwnerAddress(aQuery.job_);
     if (owner.empty()) {
       BodyFromStore(aQuery, aReply);
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -67,7 +67,8 @@
 void
 JobIntake::Submit(HttpRequest aRequest,
                   ConfigRevision aRevision,
-                  HttpReplyPtr aReply)
+                  HttpReplyPtr aReply,
+                  const CustomerId& aCustomer)
 {
   const auto id =
     FindHeader(aRequest.headers_, host_.Formats().Names().attempt_);
@@ -77,8 +78,8 @@
       400, "bad_job", "the job's id is missing or not letters and digits"));
     return;
   }
-  if (directory_.Find(job) != nullptr) {
-    aReply->Send(JsonResponse(202, "{}"));
+  if (const KnownJob* known = directory_.Find(job)) {
+    AnswerKnown(known->record_.customer_, aCustomer, *aReply);
     return;
   }
   if (!open_) {
@@ -98,7 +99,8 @@
     { std::string(FindHeader(aRequest.headers_, "Host").value_or("")),
       std::move(aRequest.path_),
       std::move(aRequest.body_),
-      aRevision },
+      aRevision,
+      aCustomer },
     std::move(spec).value() });
   const std::string owner = directory_.OwnerFor(submission->spec_.model_);
   if (!owner.empty()) {
@@ -150,6 +152,20 @@
   runner_.Add(job, aFence, aSubmission.record_, aSubmission.spec_, {}, {}, {});
 }
 
+/// The same id twice is the same job, unless two customers drew it.
+void
+JobIntake::AnswerKnown(const CustomerId& aOwner,
+                       const CustomerId& aAsker,
+                       HttpReply& aReply)
+{
+  if (aOwner.Get().empty() || aAsker.Get().empty() || aOwner == aAsker) {
+    aReply.Send(JsonResponse(202, "{}"));
+  } else {
+    aReply.Send(ErrorResponse(
+      409, "id_taken", "another customer's job has this id; take a new one"));
+  }
+}
+
 /// Where the other process may have accepted the job, a refusal here would be
 /// a promise that it does not run.
 void
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -29,9 +29,11 @@
   std::function<void(const JobId&, std::uint64_t aItems)> onAccepted_;
 
   /// @param aRevision the configuration whose routes took the request
+  /// @param aCustomer whose job it is; empty: requests need no keys
   void Submit(HttpRequest aRequest,
               ConfigRevision aRevision,
-              HttpReplyPtr aReply);
+              HttpReplyPtr aReply,
+              const CustomerId& aCustomer);
   /// No more jobs are taken in.
   void Stop() noexcept { open_ = false; }
   [[nodiscard]] bool Open() const noexcept { return open_; }
@@ -55,6 +57,9 @@
               const HttpReplyPtr& aReply);
   /// Accepts a job that another gateway hands on.
   void ServeHandOn(const RpcCall& aCall, const RpcDone& aDone);
+  static void AnswerKnown(const CustomerId& aOwner,
+                          const CustomerId& aAsker,
+                          HttpReply& aReply);
   void Answer(const Submission& aSubmission,
               AcceptEnd aEnd,
               HttpReply& aReply) const;
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -165,6 +165,21 @@
   });
 }
 
+std::map<ServiceId, std::uint64_t>
+JobRunner::PlacesWanted() const
+{
+  std::map<ServiceId, std::uint64_t> places;
+  for (const auto& [id, job] : jobs_) {
+    const Route* route = routes_.Match(job.host_, job.path_);
+    if (job.ended_ || route == nullptr || route->services_.empty()) {
+      continue;
+    }
+    const std::size_t waiting = job.ledger_.Waiting(host_.Now()).size();
+    places[route->services_.front().service_] += waiting + job.runs_.size();
+  }
+  return places;
+}
+
 void
 JobRunner::GiveBack()
 {
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -56,6 +56,13 @@
     return jobs_.contains(aJob);
   }
   [[nodiscard]] FencingNumber FenceOf(const JobId& aJob) const;
+  /// @returns whose an owned job is
+  [[nodiscard]] const CustomerId& CustomerOf(const JobId& aJob) const
+  {
+    return jobs_.at(aJob).customer_;
+  }
+  /// @returns places that items of the jobs here want, by service
+  [[nodiscard]] std::map<ServiceId, std::uint64_t> PlacesWanted() const;
   /// @returns the ledger of an owned job, or nullptr
   [[nodiscard]] const JobLedger* Find(const JobId& aJob) const;
 
@@ -73,6 +80,7 @@
       : host_(aSubmission.host_)
       , path_(aSubmission.path_)
       , acceptedUnder_(aSubmission.acceptedUnder_)
+      , customer_(aSubmission.customer_)
       , fence_(aFence)
       , ledger_(std::move(aLedger))
       , texts_(std::move(aTexts))
@@ -85,6 +93,8 @@
     std::string path_;
     /// Older configurations cannot tell what is to be done with the job.
     ConfigRevision acceptedUnder_;
+    /// Whose job it is; empty: it was accepted while requests needed no keys.
+    CustomerId customer_;
     /// Of no configuration before one is known that can tell; until then
     /// nothing is sent or given up.
     JobPolicy limits_;
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -58,7 +58,8 @@
     const JobOwnerRecord record{ "",
                                  job.ledger_.Spec().items_.size(),
                                  host_.WallMillis() -
-                                   WholeMillis(host_.Now() - job.accepted_) };
+                                   WholeMillis(host_.Now() - job.accepted_),
+                                 job.customer_ };
     Batch last;
     AddToBatch(id, job, job.ledger_.Finished(), true, last);
     LogEvent(LogLevel::Info,
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -52,6 +52,9 @@
   for (const auto& [name, value] : item.headers_) {
     call.headers_.push_back({ name, value });
   }
+  if (routes_.Keyed() || !aJob.customer_.Get().empty()) {
+    SetCustomer(call.headers_, names, aJob.customer_);
+  }
   call.headers_.push_back({ "Host", aJob.host_ });
   call.headers_.push_back({ names.attempt_, item.id_.Get() });
   call.headers_.push_back(
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -141,8 +141,8 @@
                  std::function<void(AcceptResult)> aDone)
 {
   const std::string text = WriteSubmissionRecord(aSubmission);
-  const std::string owner =
-    WriteOwnerRecord({ host_.Incarnation(), aTotal, host_.WallMillis() });
+  const std::string owner = WriteOwnerRecord(
+    { host_.Incarnation(), aTotal, host_.WallMillis(), aSubmission.customer_ });
   StoreTxn txn;
   txn.compares_.push_back({ job_keys::Owner(aJob), 0 });
   for (std::size_t at = 0; at < text.size(); at += kPartBytes) {
--- /dev/null
+++ b/src/programs/gatewayd/usage_service.cpp
@@ -0,0 +1,94 @@
+#include "programs/gatewayd/usage_service.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+namespace marjoramtally {
+
+namespace {
+
+/// A gateway that does not tell in this time is asked again in the next round.
+constexpr auto kOtherTimeout = std::chrono::milliseconds(400);
+
+} // namespace
+
+UsageService::UsageService(GatewayContext& aHost,
+                           const Forwarder& aForwarder,
+                           const JobRunner& aRunner)
+  : host_(aHost)
+  , forwarder_(aForwarder)
+  , runner_(aRunner)
+{
+  host_.Peers().Serve(RpcTopic::Usage,
+                      [this](const RpcCall& aCall, const RpcDone& aDone) {
+                        Serve(aCall, aDone);
+                      });
+}
+
+GatewayUsage
+UsageService::Own(const UsageAsk& aAsk) const
+{
+  GatewayUsage usage;
+  usage.incarnation_ = host_.Incarnation();
+  usage.ahead_ = host_.WallTime() - aAsk.now_.sinceEpoch_;
+  usage.counts_ =
+    forwarder_.Usage().Counts(host_.Now(), aAsk.now_, aAsk.window_);
+  usage.demand_ = runner_.PlacesWanted();
+  for (const auto& [service, requests] : forwarder_.InProgress()) {
+    usage.demand_[service] += requests;
+  }
+  return usage;
+}
+
+void
+UsageService::Serve(const RpcCall& aCall, const RpcDone& aDone)
+{
+  const auto ask = DecodeUsageAsk(aCall.body_);
+  if (!ask) {
+    LogEvent(LogLevel::Warn,
+             "usage_ask_unreadable",
+             { { "error", ask.error().message_ } });
+    aDone(ask.error());
+    return;
+  }
+  const auto round = std::make_shared<Round>();
+  round->answers_.push_back(Own(ask.value()));
+  round->left_ = ask.value().others_.size();
+  round->done_ = aDone;
+  if (round->left_ == 0) {
+    aDone(EncodeUsageAnswer(round->answers_));
+    return;
+  }
+  for (const std::string& other : ask.value().others_) {
+    AskOther(other, ask.value(), round);
+  }
+}
+
+void
+UsageService::AskOther(const std::string& aAddress,
+                       const UsageAsk& aAsk,
+                       const std::shared_ptr<Round>& aRound)
+{
+  RpcCall call;
+  call.topic_ = RpcTopic::Usage;
+  call.timeout_ = kOtherTimeout;
+  call.body_ = EncodeUsageAsk({ aAsk.now_, aAsk.window_, {} });
+  host_.Peers().Call(
+    aAddress, std::move(call), [aAddress, aRound](const RpcReply& aReply) {
+      auto answers = aReply ? DecodeUsageAnswer(aReply.value())
+                            : Result<std::vector<GatewayUsage>>(aReply.error());
+      if (answers) {
+        std::move(answers.value().begin(),
+                  answers.value().end(),
+                  std::back_inserter(aRound->answers_));
+      } else {
+        LogEvent(LogLevel::Debug,
+                 "usage_not_told",
+                 { { "by", aAddress }, { "error", answers.error().message_ } });
+      }
+      if (--aRound->left_ == 0) {
+        aRound->done_(EncodeUsageAnswer(aRound->answers_));
+      }
+    });
+}
+
+} // namespace marjoramtally
--- a/src/runtime/watch.capnp
+++ b/src/runtime/watch.capnp
@@ -16,6 +16,8 @@
   # The revision up to which the changes are whole.
   revision @0 :UInt64;
   changes @1 :List(WatchChange);
+  # How long ago the store vouched for this.
+  ageMs @2 :UInt32;
 }
 
 struct WatchChange {
--- a/src/runtime/watch_messages.cpp
+++ b/src/runtime/watch_messages.cpp
@@ -9,9 +9,16 @@
 
 namespace {
 
-/// Longer waits are cut to this.
+/// Longer waits and ages are cut to this.
 constexpr std::uint32_t kMostWaitMillis = 60'000;
 
+std::uint32_t
+ToMillis(Duration aDuration)
+{
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(WholeMillis(aDuration), 0, kMostWaitMillis));
+}
+
 void
 Write(wire::WatchChange::Builder aOut, const StoreEvent& aEvent)
 {
@@ -50,10 +57,7 @@
   auto ask = builder.initRoot<wire::WatchAsk>();
   ask.setPrefix(aAsk.prefix_);
   ask.setAfter(aAsk.after_);
-  const auto millis =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aAsk.wait_).count();
-  ask.setWaitMs(static_cast<std::uint32_t>(
-    std::clamp<std::int64_t>(millis, 0, kMostWaitMillis)));
+  ask.setWaitMs(ToMillis(aAsk.wait_));
   return impl::Flatten(builder);
 }
 
@@ -75,6 +79,7 @@
   capnp::MallocMessageBuilder builder;
   auto message = builder.initRoot<wire::WatchChanges>();
   message.setRevision(aBatch.revision_);
+  message.setAgeMs(ToMillis(aBatch.age_));
   const auto count = static_cast<std::uint32_t>(aBatch.events_.size());
   auto changes = message.initChanges(count);
   for (std::uint32_t i = 0; i < count; ++i) {
@@ -90,6 +95,7 @@
     aBytes, [](wire::WatchChanges::Reader aIn) -> Result<StoreWatchBatch> {
       StoreWatchBatch batch;
       batch.revision_ = aIn.getRevision();
+      batch.age_ = std::chrono::milliseconds(aIn.getAgeMs());
       for (const auto change : aIn.getChanges()) {
         batch.events_.push_back(Read(change));
       }
--- a/src/version/job_record.cpp
+++ b/src/version/job_record.cpp
@@ -107,9 +107,13 @@
 std::string
 WriteOwnerRecord(const JobOwnerRecord& aRecord)
 {
-  return Dump({ { "owner", aRecord.owner_ },
-                { "total", aRecord.total_ },
-                { "accepted", aRecord.acceptedMillis_ } });
+  Json value{ { "owner", aRecord.owner_ },
+              { "total", aRecord.total_ },
+              { "accepted", aRecord.acceptedMillis_ } };
+  if (!aRecord.customer_.Get().empty()) {
+    value["customer"] = aRecord.customer_.Get();
+  }
+  return Dump(value);
 }
 
 Result<JobOwnerRecord>
@@ -119,7 +123,8 @@
     const Json value = Json::parse(aText);
     return JobOwnerRecord{ value.at("owner").get<std::string>(),
                            value.at("total").get<std::uint64_t>(),
-                           value.at("accepted").get<std::int64_t>() };
+                           value.at("accepted").get<std::int64_t>(),
+                           CustomerId{ value.value("customer", "") } };
   });
 }
 
@@ -127,10 +132,13 @@
 WriteSubmissionRecord(const JobSubmissionRecord& aRecord)
 {
   // The body follows the first line as it was received.
-  return Dump({ { "host", aRecord.host_ },
-                { "path", aRecord.path_ },
-                { "config", aRecord.acceptedUnder_.Get() } }) +
-         '\n' + aRecord.body_;
+  Json head{ { "host", aRecord.host_ },
+             { "path", aRecord.path_ },
+             { "config", aRecord.acceptedUnder_.Get() } };
+  if (!aRecord.customer_.Get().empty()) {
+    head["customer"] = aRecord.customer_.Get();
+  }
+  return Dump(head) + '\n' + aRecord.body_;
 }
 
 Result<JobSubmissionRecord>
@@ -144,7 +152,8 @@
                                 head.at("path").get<std::string>(),
                                 std::string(aText.substr(body)),
                                 ConfigRevision{
-                                  head.value("config", std::uint64_t{ 0 }) } };
+                                  head.value("config", std::uint64_t{ 0 }) },
+                                CustomerId{ head.value("customer", "") } };
   });
 }
 
