--- /dev/null
+++ b/src/programs/orderd/duty_lease.cpp
@@ -0,0 +1,219 @@
+#include "programs/orderd/duty_lease.hpp"
+
+#include "marjoramtally/process/job_takeover.hpp"
+#include "marjoramtally/runtime/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr const char* kDutyPrefix = "mt/duty/";
+constexpr const char* kDutyKey = "mt/duty/orders";
+/// The instance that held the lease last; stays when the lease ends.
+constexpr const char* kLastHolderKey = "mt/duty/orders-last";
+
+/// Pause after a failure.
+constexpr auto kRestTime = std::chrono::milliseconds(500);
+/// Where upstreams check no fencing numbers, another instance than the last
+/// holder has to wait out its turn, 3 s; so at a start the last holder gets
+/// this much time to come back, which processes that are killed together do
+/// within some 100 ms of each other. Without it and the record of the last
+/// holder no orders went out for 4.2 s after all processes were killed; with
+/// them, for 0.6 s, of which the processes were down for 0.5 s.
+constexpr auto kLastHolderFirst = std::chrono::milliseconds(500);
+
+} // namespace
+
+DutyLease::DutyLease(GatewayContext& aHost)
+  : host_(aHost)
+  , key_(aHost.PlatformStore(),
+         aHost.Timers(),
+         aHost.LeaseClock(),
+         { kDutyKey,
+           aHost.Incarnation(),
+           aHost.Settings().leaseTtl_,
+           true,
+           [own = InstanceOf(aHost.Incarnation())](const std::string& aOther) {
+             return InstanceOf(aOther) == own;
+           } })
+  , holders_(aHost.PlatformStore(), aHost.Timers(), kDutyPrefix)
+{
+  key_.onHeld_ = [this](FencingNumber aFence) { OnHeld(aFence); };
+  key_.onLost_ = [this] { End(); };
+  holders_.onChange_ = [this](const StoreEvent& aEvent) {
+    if (aEvent.deleted_ && aEvent.record_.key_ == kDutyKey) {
+      key_.Retry();
+    }
+  };
+  holders_.onAll_ = [this](const StoreRange& aRange) {
+    const bool held = std::any_of(
+      aRange.records_.begin(),
+      aRange.records_.end(),
+      [](const StoreRecord& aRecord) { return aRecord.key_ == kDutyKey; });
+    if (!held) {
+      key_.Retry();
+    }
+  };
+}
+
+void
+DutyLease::Start()
+{
+  if (host_.Settings().fencing_) {
+    Contend();
+    return;
+  }
+  ReadLastHolder([this](std::optional<bool> aOurs) {
+    if (aOurs.value_or(true)) {
+      Contend();
+    } else {
+      host_.Timers().After(kLastHolderFirst, [this] { Contend(); });
+    }
+  });
+}
+
+void
+DutyLease::Contend()
+{
+  if (!stopped_) {
+    key_.Start();
+    holders_.Start();
+  }
+}
+
+void
+DutyLease::ReadLastHolder(std::function<void(std::optional<bool>)> aDone)
+{
+  host_.PlatformStore().Read(
+    kLastHolderKey,
+    [this, done = std::move(aDone)](const Result<StoreRange>& aRange) {
+      std::optional<bool> ours;
+      if (aRange && !aRange.value().records_.empty()) {
+        ours = aRange.value().records_.front().value_ ==
+               InstanceOf(host_.Incarnation()).Get();
+      }
+      lastHolder_ = ours.value_or(false);
+      done(ours);
+    });
+}
+
+void
+DutyLease::WriteLastHolder(FencingNumber aFence)
+{
+  StoreTxn txn;
+  txn.compares_.push_back({ kDutyKey, aFence.Get() });
+  txn.puts_.push_back(
+    { kLastHolderKey, InstanceOf(host_.Incarnation()).Get(), 0 });
+  host_.PlatformStore().Commit(
+    std::move(txn), [this, aFence](const Result<StoreCommit>& aEnd) {
+      lastHolder_ = aEnd && aEnd.value().applied_;
+      if (lastHolder_) {
+        BeginOnceHeld(aFence);
+      } else if (!aEnd) {
+        host_.Timers().After(kRestTime,
+                             [this, aFence] { BeginOnceHeld(aFence); });
+      }
+    });
+}
+
+void
+DutyLease::Stop()
+{
+  stopped_ = true;
+  End();
+  holders_.Stop();
+  key_.Release();
+}
+
+void
+DutyLease::Withdraw()
+{
+  End();
+  holders_.Stop();
+  const Duration since = host_.Now() - lastCall_;
+  const Duration rest =
+    std::max(host_.Settings().orderTurn_ - since, Duration{ 0 });
+  host_.Timers().After(rest, [this] { key_.Release(); });
+}
+
+void
+DutyLease::OnHeld(FencingNumber aFence)
+{
+  LogEvent(LogLevel::Info,
+           "duty_held",
+           { { "duty", "orders" }, { "fence", std::to_string(aFence.Get()) } });
+  awaited_ = aFence;
+  // A holder whose lease lapsed was out of reach, and upstreams refuse its
+  // number from our first order on. Where they check none, its last orders
+  // have to be over; our own instance's are.
+  if (host_.Settings().fencing_) {
+    BeginOnceHeld(aFence);
+    return;
+  }
+  ReadLastHolder([this, aFence](std::optional<bool> aOurs) {
+    const Duration wait =
+      aOurs.value_or(false) ? Duration{ 0 } : host_.Settings().orderTurn_;
+    host_.Timers().After(wait, [this, aFence] { BeginOnceHeld(aFence); });
+  });
+}
+
+/// The answers that made the key ours may have come so late that the lease is
+/// nearly over; the next renewal makes it certain.
+void
+DutyLease::BeginOnceHeld(FencingNumber aFence)
+{
+  if (awaited_ != aFence || active_) {
+    return;
+  }
+  if (!key_.Held()) {
+    host_.Timers().After(kRestTime, [this, aFence] { BeginOnceHeld(aFence); });
+  } else if (host_.Settings().fencing_ || lastHolder_) {
+    Begin();
+  } else {
+    WriteLastHolder(aFence);
+  }
+}
+
+void
+DutyLease::Begin()
+{
+  active_ = true;
+  for (const Listener& listener : listeners_) {
+    listener.onBegin_();
+  }
+}
+
+void
+DutyLease::End()
+{
+  if (active_) {
+    LogEvent(LogLevel::Info, "duty_lost", { { "duty", "orders" } });
+  }
+  active_ = false;
+  awaited_ = {};
+  for (const Listener& listener : listeners_) {
+    listener.onEnd_();
+  }
+}
+
+void
+DutyLease::OnFenced()
+{
+  LogEvent(LogLevel::Warn,
+           "duty_fenced",
+           { { "fence", std::to_string(key_.Fence().Get()) },
+             { "outcome", "the lease is given up" } });
+  End();
+  key_.StartOver();
+}
+
+StoreCompare
+DutyLease::Compare() const
+{
+  return { kDutyKey, key_.Fence().Get() };
+}
+
+} // namespace marjoramtally
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -1,6 +1,7 @@
 /// The daemon that orders upstreams to new weight versions.
 
 #include "programs/orderd/order_duty.hpp"
+#include "programs/orderd/usage_duty.hpp"
 
 #include "daemon/gateway_host.hpp"
 
@@ -16,13 +17,13 @@
   // A stop signal that comes during the start waits for `Run`.
   BlockDaemonSignals();
   int code = kExitOk;
-  auto settings =
-    StartGatewayDaemon(aArgc,
-                       aArgv,
-                       "marjoram-orderd",
-                       "Orders upstreams to the weight versions that trainers "
-                       "name.",
-                       code);
+  auto settings = StartGatewayDaemon(
+    aArgc,
+    aArgv,
+    "marjoram-orderd",
+    "Orders upstreams and their weight versions, reports customers' "
+    "use.",
+    code);
   if (!settings) {
     return code;
   }
@@ -36,9 +37,19 @@
       return MakePlatformStore(aClient, aTimers, std::move(options));
     };
   GatewayHost host(std::move(*settings), MakePlatform(), makeStore, false);
-  OrderDuty duty(host.Context());
-  host.Run(
-    [&duty] { duty.Start(); }, [&duty] { duty.Stop(); }, [] { return true; });
+  DutyLease lease(host.Context());
+  const OrderDuty orders(host.Context(), lease);
+  GatewayPoll poll(host.Context(), lease);
+  UsageDuty usage(host.Context(), lease, poll);
+  poll.onUsage_ = [&](const GatewayUsage& aUsage, TrueTime aAsked) {
+    usage.OnUsage(aUsage, aAsked);
+  };
+  poll.onRound_ = [&] {
+    usage.Advance();
+  };
+  host.Run([&lease] { lease.Start(); },
+           [&lease] { lease.Stop(); },
+           [] { return true; });
   // What is still in progress has been cut by the grace; its callbacks must
   // not run into objects that are being destroyed.
   std::_Exit(kExitOk);
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -1,6 +1,5 @@
 #include "programs/orderd/order_duty.hpp"
 
-#include "marjoramtally/process/job_takeover.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
@@ -10,184 +9,24 @@
 
 namespace {
 
-constexpr const char* kDutyPrefix = "mt/duty/";
-constexpr const char* kDutyKey = "mt/duty/orders";
-/// The instance that gave orders last; stays when the duty's lease ends.
-constexpr const char* kLastHolderKey = "mt/duty/orders-last";
-
 /// The configuration tells which kind of order is better and which services
 /// there are; a service that is missing is looked up at once. A watch would
 /// cost seven times the calls.
 constexpr auto kConfigPause = std::chrono::seconds(10);
-/// Where upstreams check no fencing numbers, another instance than the last
-/// holder has to wait out its turn, 3 s; so at a start the last holder gets
-/// this much time to come back, which processes that are killed together do
-/// within some 100 ms of each other. Without it and the record of the last
-/// holder no orders went out for 4.2 s after all processes were killed; with
-/// them, for 0.6 s, of which the processes were down for 0.5 s.
-constexpr auto kLastHolderFirst = std::chrono::milliseconds(500);
 
 } // namespace
 
-OrderDuty::OrderDuty(GatewayContext& aHost)
+OrderDuty::OrderDuty(GatewayContext& aHost, DutyLease& aLease)
   : host_(aHost)
+  , lease_(aLease)
   , reader_(aHost.Formats())
-  , duty_(aHost.PlatformStore(),
-          aHost.Timers(),
-          aHost.LeaseClock(),
-          { kDutyKey,
-            aHost.Incarnation(),
-            aHost.Settings().leaseTtl_,
-            true,
-            [own = InstanceOf(aHost.Incarnation())](const std::string& aOther) {
-              return InstanceOf(aOther) == own;
-            } })
-  , holders_(aHost.PlatformStore(), aHost.Timers(), kDutyPrefix)
-{
-  duty_.onHeld_ = [this](FencingNumber aFence) { OnHeld(aFence); };
-  duty_.onLost_ = [this] { OnLost(); };
-  holders_.onChange_ = [this](const StoreEvent& aEvent) {
-    if (aEvent.deleted_ && aEvent.record_.key_ == kDutyKey) {
-      duty_.Retry();
-    }
-  };
-  holders_.onAll_ = [this](const StoreRange& aRange) {
-    const bool held = std::any_of(
-      aRange.records_.begin(),
-      aRange.records_.end(),
-      [](const StoreRecord& aRecord) { return aRecord.key_ == kDutyKey; });
-    if (!held) {
-      duty_.Retry();
-    }
-  };
-}
-
-void
-OrderDuty::Start()
-{
-  if (host_.Settings().fencing_) {
-    Contend();
-    return;
-  }
-  ReadLastHolder([this](std::optional<bool> aOurs) {
-    if (aOurs.value_or(true)) {
-      Contend();
-    } else {
-      host_.Timers().After(kLastHolderFirst, [this] { Contend(); });
-    }
-  });
-}
-
-void
-OrderDuty::Contend()
-{
-  if (!stopped_) {
-    duty_.Start();
-    holders_.Start();
-  }
-}
-
-void
-OrderDuty::ReadLastHolder(std::function<void(std::optional<bool>)> aDone)
-{
-  host_.PlatformStore().Read(
-    kLastHolderKey,
-    [this, done = std::move(aDone)](const Result<StoreRange>& aRange) {
-      std::optional<bool> ours;
-      if (aRange && !aRange.value().records_.empty()) {
-        ours = aRange.value().records_.front().value_ ==
-               InstanceOf(host_.Incarnation()).Get();
-      }
-      lastHolder_ = ours.value_or(false);
-      done(ours);
-    });
-}
-
-void
-OrderDuty::WriteLastHolder(FencingNumber aFence)
 {
-  StoreTxn txn;
-  txn.compares_.push_back({ kDutyKey, aFence.Get() });
-  txn.puts_.push_back(
-    { kLastHolderKey, InstanceOf(host_.Incarnation()).Get(), 0 });
-  host_.PlatformStore().Commit(
-    std::move(txn), [this, aFence](const Result<StoreCommit>& aEnd) {
-      lastHolder_ = aEnd && aEnd.value().applied_;
-      if (lastHolder_) {
-        FollowOnceHeld(aFence);
-      } else if (!aEnd) {
-        host_.Timers().After(kRestTime,
-                             [this, aFence] { FollowOnceHeld(aFence); });
-      }
-    });
-}
-
-void
-OrderDuty::Stop()
-{
-  stopped_ = true;
-  OnLost();
-  holders_.Stop();
-  duty_.Release();
-}
-
-void
-OrderDuty::Withdraw()
-{
-  OnLost();
-  holders_.Stop();
-  const Duration since = host_.Now() - lastOrder_;
-  const Duration rest =
-    std::max(host_.Settings().orderTurn_ - since, Duration{ 0 });
-  host_.Timers().After(rest, [this] { duty_.Release(); });
-}
-
-void
-OrderDuty::OnHeld(FencingNumber aFence)
-{
-  LogEvent(LogLevel::Info,
-           "duty_held",
-           { { "duty", "orders" }, { "fence", std::to_string(aFence.Get()) } });
-  awaited_ = aFence;
-  // A holder whose lease lapsed was out of reach, and upstreams refuse its
-  // number from our first order on. Where they check none, its last orders
-  // have to be over; our own instance's are.
-  if (host_.Settings().fencing_) {
-    FollowOnceHeld(aFence);
-    return;
-  }
-  ReadLastHolder([this, aFence](std::optional<bool> aOurs) {
-    const Duration wait =
-      aOurs.value_or(false) ? Duration{ 0 } : host_.Settings().orderTurn_;
-    host_.Timers().After(wait, [this, aFence] { FollowOnceHeld(aFence); });
-  });
-}
-
-/// The answers that made the key ours may have come so late that the lease is
-/// nearly over; the next renewal makes it certain.
-void
-OrderDuty::FollowOnceHeld(FencingNumber aFence)
-{
-  if (awaited_ != aFence || active_) {
-    return;
-  }
-  if (!duty_.Held()) {
-    host_.Timers().After(kRestTime, [this, aFence] { FollowOnceHeld(aFence); });
-  } else if (host_.Settings().fencing_ || lastHolder_) {
-    Follow();
-  } else {
-    WriteLastHolder(aFence);
-  }
+  lease_.Add({ [this] { Follow(); }, [this] { OnLost(); } });
 }
 
 void
 OrderDuty::OnLost()
 {
-  if (active_) {
-    LogEvent(LogLevel::Info, "duty_lost", { { "duty", "orders" } });
-  }
-  active_ = false;
-  awaited_ = {};
   host_.Timers().Cancel(std::exchange(planTimer_, 0));
   upstreams_.reset();
   versions_.reset();
@@ -198,7 +37,6 @@
 void
 OrderDuty::Follow()
 {
-  active_ = true;
   // What was read in an earlier turn may have changed since.
   services_.reset();
   singleVersion_.clear();
@@ -241,7 +79,7 @@
   host_.PlatformStore().Read(
     host_.Formats().Places().config_,
     [this, aTerm](const Result<StoreRange>& aRange) {
-      if (!active_ || term_ != aTerm) {
+      if (!lease_.Active() || term_ != aTerm) {
         return;
       }
       if (aRange) {
@@ -259,7 +97,7 @@
       const auto pause =
         known ? Duration{ kConfigPause } : Duration{ kRestTime };
       host_.Timers().After(pause, [this, aTerm] {
-        if (active_ && term_ == aTerm) {
+        if (lease_.Active() && term_ == aTerm) {
           ReadConfig(aTerm);
         }
       });
@@ -397,7 +235,7 @@
     host_.Formats().RetireStatus(InstanceId{ instance }, true);
   LogEvent(LogLevel::Info, "instance_retired", { { "instance", instance } });
   if (instance == host_.Settings().instance_) {
-    Withdraw();
+    lease_.Withdraw();
   }
   StoreTxn txn;
   txn.puts_.push_back({ key, value, 0 });
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -1,14 +1,13 @@
-/// The duty of ordering upstreams to new weight versions: one process has it
-/// at a time, by a key on its lease; the key's revision is the fencing number
-/// of its orders.
+/// The duty of ordering upstreams to new weight versions, for the holder of
+/// the lease.
 #pragma once
 
 #include "daemon/gateway_context.hpp"
-#include "daemon/leased_key.hpp"
 #include "daemon/prefix_follower.hpp"
 #include "daemon/upstream_reader.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
 #include "marjoramtally/process/work_pace.hpp"
+#include "programs/orderd/duty_lease.hpp"
 
 namespace marjoramtally {
 
@@ -18,15 +17,12 @@
 /// orders and the lease.
 inline constexpr double kPlanShare = 0.125;
 
-/// Holds the duty or waits for it. Used on one loop.
+/// Acts while the lease is held. Used on one loop.
 class OrderDuty
 {
 public:
-  explicit OrderDuty(GatewayContext& aHost);
-
-  void Start();
-  /// The process ends: the next holder need not wait.
-  void Stop();
+  /// Both outlive this.
+  OrderDuty(GatewayContext& aHost, DutyLease& aLease);
 
 private:
   /// Where an upstream's order stands.
@@ -61,18 +57,6 @@
   /// @returns whether a version is newer than the one known
   static bool TakeModels(Target& aTarget,
                          const std::vector<ModelVersion>& aModels);
-  /// Gives the duty back while the process lives on.
-  void Withdraw();
-  /// Contends for the duty; where upstreams check no numbers, the instance
-  /// that gave the last orders goes first.
-  void Contend();
-  void OnHeld(FencingNumber aFence);
-  void FollowOnceHeld(FencingNumber aFence);
-  /// Reads which instance gave the last orders.
-  /// @param aDone told whether it was this one, or nothing if none is known
-  void ReadLastHolder(std::function<void(std::optional<bool>)> aDone);
-  /// Writes that this instance gives orders from now on, then begins.
-  void WriteLastHolder(FencingNumber aFence);
   void OnLost();
   void Follow();
   /// Reads which services there are and which models' texts must come from one
@@ -117,9 +101,8 @@
                                            const HttpResult&));
 
   GatewayContext& host_;
+  DutyLease& lease_;
   UpstreamReader reader_;
-  LeasedKey duty_;
-  PrefixFollower holders_;
   std::unique_ptr<PrefixFollower> upstreams_;
   std::unique_ptr<PrefixFollower> versions_;
   std::unique_ptr<PrefixFollower> retirements_;
@@ -133,17 +116,10 @@
   /// Counts the times that the duty began.
   std::uint64_t term_ = 0;
   std::map<UpstreamId, Target> targets_;
-  /// The number under which the duty is to begin; none: it is not ours.
-  FencingNumber awaited_;
-  /// The record of the last holder names this instance.
-  bool lastHolder_ = false;
-  bool active_ = false;
-  bool stopped_ = false;
   /// What a plan is made of has changed since the last one.
   bool planDue_ = true;
   WorkPace planPace_{ kPlanShare };
   LoopTimerId planTimer_ = 0;
-  TimePoint lastOrder_;
   std::set<std::string> retired_;
 };
 
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -42,10 +42,10 @@
 {
   // Without a configuration it is not known whether runs have to finish before
   // a change, nor which upstreams are the system's: orders wait for it.
-  if (!active_ || !services_ || !planDue_) {
+  if (!lease_.Active() || !services_ || !planDue_) {
     return;
   }
-  if (!duty_.Held()) {
+  if (!lease_.Held()) {
     // Nothing tells of a renewal.
     PlanLater(kRestTime);
     return;
@@ -135,7 +135,7 @@
   const std::uint64_t step = ++aTarget.step_;
   return [this, id, step, aTake](const HttpResult& aResult) {
     const auto it = targets_.find(id);
-    if (active_ && it != targets_.end() && it->second.step_ == step) {
+    if (lease_.Active() && it != targets_.end() && it->second.step_ == step) {
       (this->*aTake)(id, aResult);
     }
   };
@@ -150,7 +150,7 @@
   const std::uint64_t step = ++aTarget.step_;
   host_.Timers().After(aPause, [this, id, step, aStep] {
     const auto it = targets_.find(id);
-    if (active_ && it != targets_.end() && it->second.step_ == step) {
+    if (lease_.Active() && it != targets_.end() && it->second.step_ == step) {
       (this->*aStep)(it->second);
     }
   });
@@ -222,7 +222,7 @@
 void
 OrderDuty::SendOrder(Target& aTarget)
 {
-  if (!duty_.Held()) {
+  if (!lease_.Held()) {
     aTarget.phase_ = Phase::Idle;
     planDue_ = true;
     return;
@@ -230,7 +230,7 @@
   aTarget.phase_ = Phase::Sending;
   const VersionOrder order{
     aTarget.load_.model_, aTarget.load_.version_,
-    host_.Incarnation(),  duty_.Fence(),
+    host_.Incarnation(),  lease_.Fence(),
     aTarget.orders_,      singleVersion_.contains(aTarget.load_.model_)
   };
   LogEvent(
@@ -245,7 +245,7 @@
   HttpCall call = host_.Formats().MakeOrder(aTarget.entry_, order);
   call.timeout_ = kOrderTimeout;
   call.connectTimeout_ = kUpstreamConnectTimeout;
-  lastOrder_ = host_.Now();
+  lease_.OnCalled();
   host_.Client().Send(std::move(call),
                       Answer(aTarget, &OrderDuty::OnOrderAnswer));
 }
@@ -275,8 +275,7 @@
       return;
     case 412:
       // Another process has given orders under a higher number.
-      duty_.StartOver();
-      OnLost();
+      lease_.OnFenced();
       return;
     case 421:
       targets_.erase(aId);
--- /dev/null
+++ b/src/programs/orderd/usage_duty.cpp
@@ -0,0 +1,290 @@
+#include "programs/orderd/usage_duty.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <fmt/format.h>
+
+namespace marjoramtally {
+
+namespace {
+
+constexpr std::string_view kWindows = "mt/usage/";
+constexpr auto kAgain = std::chrono::milliseconds(700);
+/// A report that has no answer by then may still be carried out.
+constexpr auto kReportTimeout = std::chrono::milliseconds(1500);
+
+std::string
+KeyOf(UsageWindow aWindow)
+{
+  return fmt::format("{}{:012}", kWindows, aWindow);
+}
+
+std::uint64_t
+SumOf(const CustomerCounts& aCounts)
+{
+  std::uint64_t sum = 0;
+  for (const auto& [customer, count] : aCounts) {
+    sum += count;
+  }
+  return sum;
+}
+
+} // namespace
+
+UsageDuty::UsageDuty(GatewayContext& aHost,
+                     DutyLease& aLease,
+                     GatewayPoll& aPoll)
+  : host_(aHost)
+  , lease_(aLease)
+  , poll_(aPoll)
+  , book_({ aHost.Settings().usageWindow_, aHost.Settings().usageLate_ })
+{
+  if (host_.Settings().usageWindow_ > Duration{ 0 } &&
+      !host_.Settings().dutyCalls_.empty()) {
+    lease_.Add({ [this] { Begin(); }, [this] { End(); } });
+  }
+}
+
+void
+UsageDuty::Begin()
+{
+  known_ = false;
+  settling_ = false;
+  sending_ = false;
+  ReadSettled(++term_);
+}
+
+void
+UsageDuty::End()
+{
+  ++term_;
+  known_ = false;
+}
+
+void
+UsageDuty::ReadSettled(std::uint64_t aTerm)
+{
+  host_.PlatformStore().Read(
+    std::string(kWindows), [this, aTerm](const Result<StoreRange>& aRange) {
+      if (!Current(aTerm)) {
+        return;
+      }
+      if (aRange) {
+        TakeSettled(aRange.value());
+        return;
+      }
+      LogEvent(LogLevel::Warn,
+               "usage_not_read",
+               { { "error", aRange.error().message_ } });
+      host_.Timers().After(kAgain, [this, aTerm] {
+        if (Current(aTerm)) {
+          ReadSettled(aTerm);
+        }
+      });
+    });
+}
+
+void
+UsageDuty::TakeSettled(const StoreRange& aRange)
+{
+  std::map<UsageWindow, SettledWindow> settled;
+  for (const StoreRecord& record : aRange.records_) {
+    const auto window =
+      ParseNumber(record.key_.substr(kWindows.size()), 0, UINT64_MAX);
+    auto read = ReadSettledWindow(record.value_);
+    if (window && read) {
+      settled.emplace(*window, std::move(read).value());
+    } else {
+      // It stands for its window all the same: nothing is settled there again.
+      LogEvent(
+        LogLevel::Error,
+        "record_unreadable",
+        { { "key", record.key_ },
+          { "error", read ? "no window's number" : read.error().message_ } });
+    }
+  }
+  if (settled.empty()) {
+    WriteBeginning();
+    return;
+  }
+  known_ = true;
+  book_.Begin(std::move(settled), poll_.Now());
+  Advance();
+}
+
+/// The window before the first one counts as sent. A holder that ended before
+/// it settled a window would else leave no trace of those it was to report.
+void
+UsageDuty::WriteBeginning()
+{
+  const UsageWindow before =
+    WindowOf(poll_.Now(), host_.Settings().usageWindow_) - 1;
+  StoreTxn txn;
+  txn.compares_.push_back(lease_.Compare());
+  txn.compares_.push_back({ KeyOf(before), 0 });
+  txn.puts_.push_back({ KeyOf(before), WriteSettledWindow({ {}, true }), 0 });
+  host_.PlatformStore().Commit(
+    std::move(txn), [this, term = term_](const Result<StoreCommit>& aEnd) {
+      if (!Current(term)) {
+        return;
+      }
+      const Duration pause = aEnd ? Duration{ 0 } : Duration{ kAgain };
+      host_.Timers().After(pause, [this, term] {
+        if (Current(term)) {
+          ReadSettled(term);
+        }
+      });
+    });
+}
+
+void
+UsageDuty::Advance()
+{
+  if (!known_ || !lease_.Held()) {
+    return;
+  }
+  const auto due = book_.NextDue(poll_.Now(), poll_.Gateways());
+  if (due && poll_.Calibrated() && !settling_) {
+    Settle(*due);
+  }
+  if (!sending_) {
+    SendNext();
+  }
+}
+
+/// The write also notes which earlier windows were sent and drops old ones, so
+/// that a window costs one write in all.
+void
+UsageDuty::Settle(UsageWindow aWindow)
+{
+  settling_ = true;
+  SettledWindow settled{ book_.CountsOf(aWindow), false };
+  StoreTxn txn;
+  txn.compares_.push_back(lease_.Compare());
+  txn.compares_.push_back({ KeyOf(aWindow), 0 });
+  txn.puts_.push_back({ KeyOf(aWindow), WriteSettledWindow(settled), 0 });
+  const auto& before = book_.Settled();
+  if (!before.empty() && before.rbegin()->second.sent_) {
+    txn.puts_.push_back({ KeyOf(before.rbegin()->first),
+                          WriteSettledWindow(before.rbegin()->second),
+                          0 });
+  }
+  for (const UsageWindow old : book_.TakeOld()) {
+    txn.deletes_.push_back(KeyOf(old));
+  }
+  host_.PlatformStore().Commit(
+    std::move(txn),
+    [this, aWindow, settled = std::move(settled), term = term_](
+      const Result<StoreCommit>& aEnd) {
+      if (Current(term)) {
+        OnSettled(aWindow, settled, aEnd);
+      }
+    });
+}
+
+void
+UsageDuty::OnSettled(UsageWindow aWindow,
+                     SettledWindow aSettled,
+                     const Result<StoreCommit>& aEnd)
+{
+  if (!aEnd || !aEnd.value().applied_) {
+    // A write without an answer may have been made, or an earlier one.
+    ReadBack(aWindow);
+    return;
+  }
+  settling_ = false;
+  host_.Measures().Count("usage_windows_settled_total");
+  LogEvent(
+    LogLevel::Info,
+    "usage_settled",
+    { { "window", std::to_string(aWindow) },
+      { "customers", std::to_string(aSettled.counts_.size()) },
+      { "requests", std::to_string(SumOf(aSettled.counts_)) },
+      { "gateways", std::to_string(poll_.Gateways().size()) },
+      { "late_ms",
+        std::to_string(WholeMillis(poll_.Now().sinceEpoch_ -
+                                   host_.Settings().usageWindow_ *
+                                     static_cast<std::int64_t>(aWindow + 1))) },
+      { "fence", std::to_string(lease_.Fence().Get()) } });
+  book_.OnSettled(aWindow, std::move(aSettled));
+  Advance();
+}
+
+void
+UsageDuty::ReadBack(UsageWindow aWindow)
+{
+  const std::string key = KeyOf(aWindow);
+  host_.PlatformStore().Read(
+    key, [this, key, aWindow, term = term_](const Result<StoreRange>& aRange) {
+      if (!Current(term)) {
+        return;
+      }
+      settling_ = false;
+      if (!aRange) {
+        LogEvent(LogLevel::Warn,
+                 "usage_not_read",
+                 { { "error", aRange.error().message_ } });
+        return;
+      }
+      if (aRange.value().records_.empty()) {
+        return;
+      }
+      auto settled = ReadSettledWindow(aRange.value().records_.front().value_);
+      if (!settled) {
+        LogEvent(LogLevel::Error,
+                 "record_unreadable",
+                 { { "key", key }, { "error", settled.error().message_ } });
+        return;
+      }
+      book_.OnSettled(aWindow, std::move(settled).value());
+      Advance();
+    });
+}
+
+void
+UsageDuty::SendNext()
+{
+  const auto window = book_.NextToSend();
+  if (!window || !lease_.Held()) {
+    return;
+  }
+  sending_ = true;
+  HttpCall call = host_.Formats().MakeUsageCall(
+    host_.Settings().dutyCalls_,
+    lease_.Caller(),
+    { *window, book_.Settled().at(*window).counts_ });
+  call.timeout_ = kReportTimeout;
+  call.connectTimeout_ = kReportTimeout;
+  lease_.OnCalled();
+  host_.Client().Send(
+    std::move(call),
+    [this, window = *window, term = term_](const HttpResult& aResult) {
+      if (Current(term)) {
+        OnSent(window, aResult);
+      }
+    });
+}
+
+void
+UsageDuty::OnSent(UsageWindow aWindow, const HttpResult& aResult)
+{
+  sending_ = false;
+  const bool answered = aResult.end_ == HttpEnd::Whole;
+  const int status = answered ? aResult.response_.status_ : 0;
+  LogEvent(LogLevel::Info,
+           "usage_sent",
+           { { "window", std::to_string(aWindow) },
+             { "fence", std::to_string(lease_.Fence().Get()) },
+             { "status", std::to_string(status) },
+             { "error", aResult.message_ } });
+  if (status == 200) {
+    host_.Measures().Count("usage_windows_sent_total");
+    book_.OnSent(aWindow);
+    SendNext();
+  } else if (status == 409) {
+    lease_.OnFenced();
+  }
+  // Whatever else came, the next round sends the same again.
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/orderd/usage_duty.hpp
@@ -0,0 +1,57 @@
+/// The duty of reporting what customers used, for the holder of the lease.
+#pragma once
+
+#include "marjoramtally/process/usage_book.hpp"
+#include "programs/orderd/gateway_poll.hpp"
+
+namespace marjoramtally {
+
+/// Acts while the lease is held. Used on one loop.
+class UsageDuty
+{
+public:
+  /// All arguments outlive this.
+  UsageDuty(GatewayContext& aHost, DutyLease& aLease, GatewayPoll& aPoll);
+
+  void OnUsage(const GatewayUsage& aUsage, TrueTime aAsked)
+  {
+    book_.OnUsage(aUsage, aAsked);
+  }
+  /// Settles and sends what is due.
+  void Advance();
+  [[nodiscard]] const UsageBook& Book() const noexcept { return book_; }
+
+private:
+  void Begin();
+  void End();
+  void ReadSettled(std::uint64_t aTerm);
+  void TakeSettled(const StoreRange& aRange);
+  /// Notes where the bill begins, so that a later holder begins there too.
+  void WriteBeginning();
+  /// Makes a window's counts final.
+  void Settle(UsageWindow aWindow);
+  void OnSettled(UsageWindow aWindow,
+                 SettledWindow aSettled,
+                 const Result<StoreCommit>& aEnd);
+  /// Finds out which counts of a window are final.
+  void ReadBack(UsageWindow aWindow);
+  void SendNext();
+  void OnSent(UsageWindow aWindow, const HttpResult& aResult);
+  [[nodiscard]] bool Current(std::uint64_t aTerm) const noexcept
+  {
+    return term_ == aTerm && lease_.Active();
+  }
+
+  GatewayContext& host_;
+  DutyLease& lease_;
+  GatewayPoll& poll_;
+  UsageBook book_;
+  /// Counts the times that the duty began or ended.
+  std::uint64_t term_ = 0;
+  /// What earlier holders settled is known.
+  bool known_ = false;
+  bool settling_ = false;
+  bool sending_ = false;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/tests/order_fixture.hpp
@@ -0,0 +1,24 @@
+/// The duties of an order daemon under their lease, on fakes.
+#pragma once
+
+#include "gateway_fixture.hpp"
+#include "programs/orderd/order_duty.hpp"
+
+namespace marjoramtally::test {
+
+struct HeldOrders
+{
+  DutyLease lease_;
+  OrderDuty duty_;
+
+  explicit HeldOrders(GatewayContext& aHost)
+    : lease_(aHost)
+    , duty_(aHost, lease_)
+  {
+  }
+
+  void Start() { lease_.Start(); }
+  void Stop() { lease_.Stop(); }
+};
+
+} // namespace marjoramtally::test
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -1,7 +1,6 @@
 /// The duty of ordering weight versions, on fakes.
 
-#include "gateway_fixture.hpp"
-#include "programs/orderd/order_duty.hpp"
+#include "order_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -28,7 +27,7 @@
     R"({"service":"lm","address":"e:1","zone":"z","slots":1,"state":"ready",
                    "models":[{"name":"m","version":1}]})");
   fakes.store_.Put("op/version/m", R"({"model":"m","version":2})");
-  OrderDuty duty(fakes.context_);
+  HeldOrders duty(fakes.context_);
   // Grant and write together take nearly all of the lease.
   fakes.store_.delay_ = 700ms;
   duty.Start();
@@ -54,7 +53,7 @@
                 R"("kind":"rollout","service":"lm","single_version":)") +
       (single ? "true" : "false") +
       R"(}],"services":[{"name":"lm","engine":{"models":[{"name":"m"}]}}]})");
-  OrderDuty duty(fakes.context_);
+  HeldOrders duty(fakes.context_);
   duty.Start();
   fakes.timers_.Advance(100ms);
   fakes.store_.Put("op/version/m", R"({"model":"m","version":2})");
@@ -74,7 +73,7 @@
 /// A holder of the duty with one upstream and a version that it lacks.
 struct DutyFixture : GatewayFakes
 {
-  OrderDuty duty_{ context_ };
+  HeldOrders duty_{ context_ };
 
   DutyFixture()
   {
@@ -181,7 +180,7 @@
                    R"("models":[{"name":"m","version":1}]})");
   fakes.store_.Put("servers/i-2", "no entry at all");
   fakes.store_.Put("op/version/m", R"({"model":"m","version":2})");
-  OrderDuty duty(fakes.context_);
+  HeldOrders duty(fakes.context_);
   duty.Start();
   fakes.timers_.Advance(3s);
   REQUIRE(fakes.client_.sent_ == 0);
@@ -218,7 +217,7 @@
   fix.store_.Put("mt/duty/orders-last", "self");
   // Its run before was killed and its lease has not lapsed.
   fix.store_.Put("mt/duty/orders", "self~0");
-  OrderDuty duty(fix.context_);
+  HeldOrders duty(fix.context_);
   duty.Start();
   fix.timers_.Advance(100ms);
   REQUIRE(fix.client_.sent_ == 1);
@@ -229,7 +228,7 @@
 {
   UnfencedFixture fix;
   fix.store_.Put("mt/duty/orders-last", "other");
-  OrderDuty duty(fix.context_);
+  HeldOrders duty(fix.context_);
   duty.Start();
   fix.timers_.Advance(400ms);
   REQUIRE_FALSE(fix.store_.records_.contains("mt/duty/orders"));
@@ -247,7 +246,7 @@
   UnfencedFixture fix;
   fix.store_.Put("mt/duty/orders-last", "other");
   fix.store_.Put("mt/duty/orders", "self~0");
-  OrderDuty duty(fix.context_);
+  HeldOrders duty(fix.context_);
   duty.Start();
   fix.timers_.Advance(3400ms);
   REQUIRE(fix.client_.sent_ == 0);
@@ -261,7 +260,7 @@
 /// configuration.
 struct UnreadConfigFixture : GatewayFakes
 {
-  OrderDuty duty_{ context_ };
+  HeldOrders duty_{ context_ };
 
   UnreadConfigFixture()
   {
@@ -369,7 +368,7 @@
 /// A holder of the duty with many upstreams that all hold the version named.
 struct FleetFixture : GatewayFakes
 {
-  OrderDuty duty_{ context_ };
+  HeldOrders duty_{ context_ };
 
   FleetFixture()
   {
--- /dev/null
+++ b/tests/test_usage.cpp
@@ -0,0 +1,480 @@
+/// The bill of customers' use: counts by windows of true time, windows settled
+/// once, reports that are the same however often and by whom they are sent.
+
+#include "order_fixture.hpp"
+#include "programs/orderd/usage_duty.hpp"
+
+#include "marjoramtally/base/random.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const CustomerId kNorth{ "north" };
+const CustomerId kSouth{ "south" };
+
+TrueTime
+At(Duration aTime)
+{
+  return TrueTime{ aTime };
+}
+
+GatewayUsage
+Told(const std::string& aGateway, UsageCounts aCounts)
+{
+  return { aGateway, Duration{ 0 }, std::move(aCounts), {} };
+}
+
+} // namespace
+
+TEST_CASE("requests count in the window of true time in which they began")
+{
+  UsageMeter meter;
+  meter.OnBegun(kNorth, TimePoint{ 100s });
+  meter.OnBegun(kNorth, TimePoint{ 100s + 990ms });
+  meter.OnBegun(kSouth, TimePoint{ 101s + 10ms });
+  // The monotonic clock's 103 s are 1003 s of true time: windows end at
+  // multiples of 5 s, so at 1000 s, which is 100 s there.
+  const auto counts = meter.Counts(TimePoint{ 103s }, At(1003s), 5s);
+  REQUIRE(counts.size() == 1);
+  REQUIRE(counts.at(200).at(kNorth) == 2);
+  REQUIRE(counts.at(200).at(kSouth) == 1);
+  // Told another true time, the same instants lie on both sides of an end.
+  const auto moved = meter.Counts(TimePoint{ 103s }, At(1002s), 5s);
+  REQUIRE(moved.at(199).at(kNorth) == 2);
+  REQUIRE(moved.at(200).at(kSouth) == 1);
+}
+
+TEST_CASE("counts are forgotten when nobody can ask for them any more")
+{
+  UsageMeter meter;
+  meter.OnBegun(kNorth, TimePoint{ 100s });
+  meter.OnBegun(kSouth, TimePoint{ 161s });
+  const auto counts = meter.Counts(TimePoint{ 161s }, At(161s), 5s);
+  REQUIRE(counts.size() == 1);
+  REQUIRE(counts.at(32).at(kSouth) == 1);
+}
+
+TEST_CASE("the true time is what most clocks say")
+{
+  REQUIRE(MedianAhead({}) == 0s);
+  REQUIRE(MedianAhead({ 1ms, 2s, -1ms, 0ms, 2s, 2ms, -5s }) == 1ms);
+}
+
+TEST_CASE("messages of use come back as they were")
+{
+  GatewayUsage usage{ "g-1~7", -3ms, { { 7, { { kNorth, 2 } } } }, {} };
+  usage.demand_[ServiceId{ "lm" }] = 128;
+  const auto back = DecodeUsageAnswer(EncodeUsageAnswer({ usage, {} }));
+  REQUIRE(back);
+  REQUIRE(back.value().size() == 2);
+  const GatewayUsage& read = back.value().front();
+  REQUIRE(read.incarnation_ == "g-1~7");
+  REQUIRE(read.ahead_ == -3ms);
+  REQUIRE(read.counts_ == usage.counts_);
+  REQUIRE(read.demand_ == usage.demand_);
+  const auto ask =
+    DecodeUsageAsk(EncodeUsageAsk({ At(12s), 5s, { "a:1", "b:2" } }));
+  REQUIRE(ask);
+  REQUIRE(ask.value().now_ == At(12s));
+  REQUIRE(ask.value().others_ == std::vector<std::string>{ "a:1", "b:2" });
+  REQUIRE_FALSE(DecodeUsageAsk(EncodeUsageAsk({ At(12s), 0s, {} })));
+  REQUIRE_FALSE(DecodeUsageAsk(EncodeUsageAsk({ At(-1s), 5s, {} })));
+  REQUIRE_FALSE(DecodeUsageAsk("x"));
+}
+
+TEST_CASE("settled windows come back as they were")
+{
+  const SettledWindow window{ { { kNorth, 3 }, { kSouth, 1 } }, true };
+  const auto back = ReadSettledWindow(WriteSettledWindow(window));
+  REQUIRE(back);
+  REQUIRE(back.value().counts_ == window.counts_);
+  REQUIRE(back.value().sent_);
+  REQUIRE_FALSE(ReadSettledWindow("{}"));
+  REQUIRE_FALSE(ReadSettledWindow("{"));
+}
+
+TEST_CASE("a window is settled when all gateways told what began in it")
+{
+  UsageBook book({ 5s, 10s, 2s, 0.7 });
+  book.Begin({}, At(101s));
+  const std::set<std::string> both{ "g1", "g2" };
+  book.OnUsage(Told("g1", { { 20, { { kNorth, 2 } } } }), At(107s));
+  REQUIRE_FALSE(book.NextDue(At(106s), both));
+  // g2 was asked too early: more may have begun since.
+  book.OnUsage(Told("g2", { { 20, { { kNorth, 1 } } } }), At(106s));
+  REQUIRE_FALSE(book.NextDue(At(108s), both));
+  book.OnUsage(Told("g2", { { 20, { { kNorth, 4 } } } }), At(107s));
+  REQUIRE(book.NextDue(At(108s), both) == 20U);
+  REQUIRE(book.CountsOf(20) == CustomerCounts{ { kNorth, 6 } });
+  book.OnSettled(20, { book.CountsOf(20), false });
+  REQUIRE_FALSE(book.NextDue(At(108s), both));
+  REQUIRE(book.NextToSend() == 20U);
+  book.OnSent(20);
+  REQUIRE_FALSE(book.NextToSend());
+}
+
+TEST_CASE("a gateway that is gone counts with what it told last")
+{
+  UsageBook book({ 5s, 10s, 2s, 0.7 });
+  book.Begin({}, At(101s));
+  book.OnUsage(Told("g1", { { 20, { { kNorth, 2 } } } }), At(104s));
+  book.OnUsage(Told("g1-again", { { 20, { { kNorth, 1 } } } }), At(107s));
+  REQUIRE(book.NextDue(At(107s), { "g1-again" }) == 20U);
+  REQUIRE(book.CountsOf(20) == CustomerCounts{ { kNorth, 3 } });
+}
+
+TEST_CASE("a gateway that does not tell holds a window up only so long")
+{
+  UsageBook book({ 5s, 10s, 2s, 0.7 });
+  book.Begin({}, At(101s));
+  const std::set<std::string> both{ "g1", "silent" };
+  book.OnUsage(Told("g1", {}), At(110s));
+  REQUIRE_FALSE(book.NextDue(At(111900ms), both));
+  REQUIRE(book.NextDue(At(112s), both) == 20U);
+}
+
+TEST_CASE("a later holder goes on after the windows settled before it")
+{
+  UsageBook book({ 5s, 10s, 2s, 0.7 });
+  book.Begin({ { 18, { { { kNorth, 1 } }, true } },
+               { 19, { { { kNorth, 2 } }, false } } },
+             At(113s));
+  REQUIRE(book.NextToSend() == 19U);
+  // 20 and 21 ended while there was no holder.
+  book.OnUsage(Told("g1", { { 20, { { kSouth, 1 } } } }), At(113s));
+  REQUIRE(book.NextDue(At(113s), { "g1" }) == 20U);
+  book.OnSettled(20, { book.CountsOf(20), false });
+  REQUIRE(book.Settled().at(20).counts_ == CustomerCounts{ { kSouth, 1 } });
+}
+
+TEST_CASE("a holder after a long time bills nothing that nobody counted")
+{
+  UsageBook book({ 5s, 10s, 2s, 0.7 });
+  book.Begin({ { 18, { {}, true } } }, At(1003s));
+  REQUIRE(book.NextDue(At(1003s), {}) == 188U);
+}
+
+TEST_CASE("old windows are dropped once they were sent")
+{
+  UsageBook book({ 5s, 10s, 2s, 0.7 });
+  book.Begin({}, At(0s));
+  for (UsageWindow window = 0; window < 15; ++window) {
+    book.OnSettled(window, {});
+  }
+  REQUIRE(book.TakeOld().empty());
+  book.OnSent(0);
+  book.OnSent(1);
+  REQUIRE(book.TakeOld() == std::vector<UsageWindow>{ 0, 1 });
+}
+
+namespace {
+
+/// The platform as a judge of reports: each window has one count, and a call
+/// may be carried out long after it was sent.
+struct Judge
+{
+  std::map<std::string, std::string> accepted_;
+  std::uint64_t highest_ = 0;
+  std::size_t refused_ = 0;
+
+  int Take(const HttpCall& aCall)
+  {
+    const auto fence = ParseNumber(
+      FindHeader(aCall.headers_, "Fencing-Token").value_or(""), 1, UINT64_MAX);
+    REQUIRE(fence);
+    REQUIRE(FindHeader(aCall.headers_, "Duty-Holder"));
+    if (*fence < highest_) {
+      ++refused_;
+      return 409;
+    }
+    highest_ = *fence;
+    const std::size_t at = aCall.body_.find(R"("window":)");
+    REQUIRE(at != std::string::npos);
+    const std::string window = aCall.body_.substr(at);
+    const auto [known, added] = accepted_.emplace(window, aCall.body_);
+    REQUIRE(known->second == aCall.body_);
+    return 200;
+  }
+};
+
+/// Calls to one gateway, which tells what the test set.
+struct OneGateway final : PeerCalls
+{
+  const Clock* clock_ = nullptr;
+  GatewayUsage usage_;
+  /// How far its time of day is ahead of the paused clock.
+  Duration shift_{ 0 };
+  bool silent_ = false;
+  std::size_t calls_ = 0;
+
+  void Call(const std::string&, RpcCall aCall, RpcDone aDone) override
+  {
+    ++calls_;
+    REQUIRE(aCall.topic_ == RpcTopic::Usage);
+    if (silent_) {
+      aDone(Error{ ErrorKind::Timeout, "no answer" });
+    } else {
+      const auto ask = DecodeUsageAsk(aCall.body_);
+      REQUIRE(ask);
+      usage_.ahead_ =
+        clock_->Now() - TimePoint{} + shift_ - ask.value().now_.sinceEpoch_;
+      aDone(EncodeUsageAnswer({ usage_ }));
+    }
+  }
+  void Serve(RpcTopic, RpcHandler) override {}
+};
+
+/// One process that may hold the duty.
+struct Holder
+{
+  OneGateway gateway_;
+  FakeClient client_;
+  Metrics metrics_;
+  RelayPlan relays_;
+  GatewayContext host_;
+  DutyLease lease_{ host_ };
+  GatewayPoll poll_{ host_, lease_ };
+  UsageDuty duty_{ host_, lease_, poll_ };
+
+  Holder(GatewayFakes& aFakes, const std::string& aIncarnation)
+    : relays_(aIncarnation)
+    , host_({ &aFakes.settings_,
+              aFakes.platform_.get(),
+              &client_,
+              &aFakes.timers_,
+              &aFakes.store_,
+              &aFakes.clock_,
+              &aFakes.clock_,
+              &aFakes.clock_,
+              &metrics_,
+              &relays_,
+              &gateway_,
+              aIncarnation })
+  {
+    gateway_.usage_.incarnation_ = "g1~1";
+    gateway_.clock_ = &aFakes.clock_;
+    poll_.onUsage_ = [this](const GatewayUsage& aUsage, TrueTime aAsked) {
+      duty_.OnUsage(aUsage, aAsked);
+    };
+    poll_.onRound_ = [this] { duty_.Advance(); };
+  }
+};
+
+struct UsageFixture : GatewayFakes
+{
+  Judge judge_;
+
+  UsageFixture()
+  {
+    settings_.fencing_ = true;
+    settings_.dutyCalls_ = "cloud:1";
+    settings_.usageWindow_ = 5s;
+    settings_.usageLate_ = 10s;
+    store_.Put("mt/c/live/g1~1", WriteLifeRecord({ ZoneId{ "z1" }, "g1:7" }));
+  }
+
+  /// The window that is present now.
+  [[nodiscard]] UsageWindow Present() const
+  {
+    return WindowOf(At(clock_.Now() - TimePoint{}), 5s);
+  }
+
+  /// Carries out all calls of a process and answers them.
+  void Serve(Holder& aHolder)
+  {
+    while (!aHolder.client_.open_.empty()) {
+      SentCall call = aHolder.client_.Oldest();
+      const int status = judge_.Take(call.call_);
+      aHolder.client_.Answer(std::move(call), JsonResponse(status, "{}"));
+    }
+  }
+
+  void Run(Holder& aHolder, Duration aTime)
+  {
+    for (Duration left = aTime; left > 0s; left -= 100ms) {
+      timers_.Advance(100ms);
+      Serve(aHolder);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("each window is reported once, in time, with one write")
+{
+  UsageFixture fix;
+  Holder holder(fix, "o1~1");
+  holder.lease_.Start();
+  const UsageWindow first = fix.Present();
+  holder.gateway_.usage_.counts_ = { { first, { { kNorth, 3 } } } };
+  fix.Run(holder, 9s);
+  REQUIRE(fix.judge_.accepted_.size() == 1);
+  const std::size_t commits = fix.store_.commits_;
+  fix.Run(holder, 20s);
+  REQUIRE(fix.judge_.accepted_.size() == 5);
+  REQUIRE(fix.store_.commits_ - commits == 4);
+  REQUIRE(fix.judge_.accepted_.begin()->second.find(R"("north":3)") !=
+          std::string::npos);
+}
+
+// The worst order: the first holder settled a window and sent it, no answer
+// came, and its lease lapsed; meanwhile the gateway counted one more request.
+// The second holder reports the window, then the first call is carried out.
+TEST_CASE("a late call and a later holder tell the same counts")
+{
+  UsageFixture fix;
+  Holder first(fix, "o1~1");
+  Holder second(fix, "o2~1");
+  first.lease_.Start();
+  const UsageWindow window = fix.Present();
+  first.gateway_.usage_.counts_ = { { window, { { kNorth, 3 } } } };
+  second.gateway_.usage_.counts_ = { { window, { { kNorth, 4 } } } };
+  fix.timers_.Advance(9s);
+  REQUIRE(first.client_.open_.size() == 1);
+  const HttpCall late = first.client_.Oldest().call_;
+  first.lease_.Stop();
+  second.lease_.Start();
+  fix.Run(second, 3s);
+  REQUIRE(fix.judge_.accepted_.size() == 1);
+  REQUIRE(fix.judge_.accepted_.begin()->second.find(R"("north":3)") !=
+          std::string::npos);
+  // Fenced, or it would have to be equal.
+  REQUIRE(fix.judge_.Take(late) == 409);
+}
+
+TEST_CASE(
+  "a settling write whose answer is lost is read back before it is sent")
+{
+  UsageFixture fix;
+  Holder holder(fix, "o1~1");
+  holder.lease_.Start();
+  const UsageWindow window = fix.Present();
+  holder.gateway_.usage_.counts_ = { { window, { { kNorth, 3 } } } };
+  fix.Run(holder, 8200ms);
+  fix.store_.fault_ = StoreFault::LosesAnswers;
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.store_.records_.contains("mt/usage/" + [&] {
+    std::string number = std::to_string(window);
+    return std::string(12 - number.size(), '0') + number;
+  }()));
+  REQUIRE(holder.client_.sent_ == 0);
+  fix.store_.fault_ = StoreFault::None;
+  holder.gateway_.usage_.counts_ = { { window, { { kNorth, 5 } } } };
+  fix.Run(holder, 3s);
+  REQUIRE(fix.judge_.accepted_.begin()->second.find(R"("north":3)") !=
+          std::string::npos);
+}
+
+TEST_CASE("a report without an answer is sent again unchanged")
+{
+  UsageFixture fix;
+  Holder holder(fix, "o1~1");
+  holder.lease_.Start();
+  fix.timers_.Advance(9s);
+  REQUIRE(holder.client_.open_.size() == 1);
+  const std::string body = holder.client_.Oldest().call_.body_;
+  holder.client_.Fail(holder.client_.Oldest(), HttpEnd::TimedOut);
+  fix.timers_.Advance(1100ms);
+  REQUIRE(holder.client_.open_.size() == 1);
+  REQUIRE(holder.client_.Oldest().call_.body_ == body);
+}
+
+TEST_CASE("a holder that was refused for a higher number gives the lease up")
+{
+  UsageFixture fix;
+  Holder holder(fix, "o1~1");
+  holder.lease_.Start();
+  fix.timers_.Advance(9s);
+  REQUIRE(holder.client_.open_.size() == 1);
+  holder.client_.Answer(holder.client_.Oldest(), JsonResponse(409, "{}"));
+  REQUIRE_FALSE(holder.lease_.Active());
+  fix.timers_.Advance(1s);
+  REQUIRE(holder.client_.open_.empty());
+}
+
+TEST_CASE("nothing is settled on this process's clock alone")
+{
+  UsageFixture fix;
+  Holder holder(fix, "o1~1");
+  holder.gateway_.silent_ = true;
+  holder.lease_.Start();
+  fix.timers_.Advance(20s);
+  REQUIRE(holder.client_.sent_ == 0);
+  // Its clock is 2 s ahead of the gateways'.
+  holder.gateway_.silent_ = false;
+  holder.gateway_.shift_ = -2s;
+  fix.Run(holder, 1500ms);
+  REQUIRE(holder.poll_.Now() ==
+          At(fix.clock_.Now() - TimePoint{} - Duration{ 2s }));
+}
+
+// Holders change in any order, calls are carried out late and answers are lost:
+// whatever happens, no window is told with two counts.
+TEST_CASE("seeded play of holders: one count for each window")
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    Random random(seed);
+    UsageFixture fix;
+    std::vector<std::unique_ptr<Holder>> holders;
+    std::vector<HttpCall> delayed;
+    for (int i = 0; i < 3; ++i) {
+      holders.push_back(
+        std::make_unique<Holder>(fix, "o" + std::to_string(i) + "~1"));
+      holders.back()->lease_.Start();
+    }
+    std::uint64_t begun = 0;
+    for (int step = 0; step < 400; ++step) {
+      fix.timers_.Advance(100ms);
+      begun += random.Next() % 3;
+      const UsageWindow present = fix.Present();
+      for (const auto& holder : holders) {
+        holder->gateway_.usage_.counts_[present][kNorth] = begun;
+        holder->gateway_.silent_ = random.Next() % 10 == 0;
+        while (!holder->client_.open_.empty()) {
+          SentCall call = holder->client_.Oldest();
+          const std::uint64_t luck = random.Next() % 10;
+          if (luck == 0) {
+            delayed.push_back(call.call_);
+            holder->client_.Fail(std::move(call), HttpEnd::TimedOut);
+          } else if (luck == 1) {
+            fix.judge_.Take(call.call_);
+            holder->client_.Fail(std::move(call), HttpEnd::TimedOut);
+          } else {
+            const int status = fix.judge_.Take(call.call_);
+            holder->client_.Answer(std::move(call), JsonResponse(status, "{}"));
+          }
+        }
+      }
+      if (!delayed.empty() && random.Next() % 20 == 0) {
+        fix.judge_.Take(delayed.front());
+        delayed.erase(delayed.begin());
+      }
+      const std::uint64_t trouble = random.Next() % 40;
+      if (trouble == 0) {
+        fix.store_.LapseAll();
+      } else if (trouble == 1) {
+        fix.store_.fault_ = StoreFault::LosesAnswers;
+      } else if (trouble == 2) {
+        fix.store_.fault_ = StoreFault::Refuses;
+      } else if (trouble < 8) {
+        fix.store_.fault_ = StoreFault::None;
+      }
+    }
+    fix.store_.fault_ = StoreFault::None;
+    for (int i = 0; i < 150; ++i) {
+      fix.timers_.Advance(100ms);
+      for (const auto& holder : holders) {
+        holder->gateway_.silent_ = false;
+        fix.Serve(*holder);
+      }
+    }
+    // Windows of the first 30 s have all been told.
+    CHECK(fix.judge_.accepted_.size() >= 6);
+  }
+}
