Upstreams are ordered by the bursts of the last while

Change: a plan without I/O decides how many upstreams of a service are held in each zone: places for the largest demand of the last 30 s and a quarter more; before any demand twice what was there; raised at once, lowered after a minute of surplus; zones that have none are passed over; an order without an answer is repeated, and once more when a late one can have no effect any more. The holder notes an order in the store before it is sent, so that a later holder does not order less. Ways, in the play of steps that begin together (share of items that find a place at once): never ordering, use of the last second, bursts of the last 30 s; the last is kept.

--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -1,6 +1,6 @@
 /// The daemon that orders upstreams to new weight versions.
 
-#include "programs/orderd/order_duty.hpp"
+#include "programs/orderd/supply_duty.hpp"
 #include "programs/orderd/usage_duty.hpp"
 
 #include "daemon/gateway_host.hpp"
@@ -41,11 +41,14 @@
   const OrderDuty orders(host.Context(), lease);
   GatewayPoll poll(host.Context(), lease);
   UsageDuty usage(host.Context(), lease, poll);
+  SupplyDuty supply(host.Context(), lease, orders);
   poll.onUsage_ = [&](const GatewayUsage& aUsage, TrueTime aAsked) {
     usage.OnUsage(aUsage, aAsked);
+    supply.OnUsage(aUsage);
   };
   poll.onRound_ = [&] {
     usage.Advance();
+    supply.Advance();
   };
   host.Run([&lease] { lease.Start(); },
            [&lease] { lease.Stop(); },
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -121,10 +121,43 @@
     }
     singleVersion_ = SingleVersionModels(config.value());
     services_ = ServicesOf(config.value());
+    supplies_.clear();
+    for (const auto& [service, spec] : config.value().services_) {
+      if (spec.supply_) {
+        supplies_.emplace(service, *spec.supply_);
+      }
+    }
     Replan();
   }
 }
 
+std::vector<SupplyView>
+OrderDuty::SupplyViews() const
+{
+  std::vector<SupplyView> views;
+  for (const auto& [service, supply] : supplies_) {
+    SupplyView view;
+    view.service_ = service;
+    view.supply_ = supply;
+    for (const auto& [id, target] : targets_) {
+      const UpstreamEntry& entry = target.entry_;
+      if (entry.service_ == service) {
+        ++view.serving_[entry.zone_];
+        view.spot_[entry.zone_] += entry.spot_ ? 1 : 0;
+        view.slots_ = entry.slots_;
+      }
+    }
+    // A zone without any that serves was one of the service's before.
+    for (const auto& [zone, price] : supply.zonePrices_) {
+      view.serving_.try_emplace(zone, 0);
+    }
+    if (!targets_.empty()) {
+      views.push_back(std::move(view));
+    }
+  }
+  return views;
+}
+
 /// What left while no watch was open is told of only by being missing here; it
 /// would stay a home of its models that no order reaches.
 void
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -5,6 +5,7 @@
 #include "daemon/gateway_context.hpp"
 #include "daemon/prefix_follower.hpp"
 #include "daemon/upstream_reader.hpp"
+#include "marjoramtally/process/supply_plan.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
 #include "marjoramtally/process/work_pace.hpp"
 #include "programs/orderd/duty_lease.hpp"
@@ -24,6 +25,10 @@
   /// Both outlive this.
   OrderDuty(GatewayContext& aHost, DutyLease& aLease);
 
+  /// @returns the services whose upstreams may be ordered, with those that
+  /// serve; nothing before configuration and upstreams are known
+  [[nodiscard]] std::vector<SupplyView> SupplyViews() const;
+
 private:
   /// Where an upstream's order stands.
   enum class Phase
@@ -111,6 +116,8 @@
   std::set<std::string> singleVersion_;
   /// Services of the configuration; none before it was read in this turn.
   std::optional<std::set<ServiceId>> services_;
+  /// Services whose upstreams may be ordered.
+  std::map<ServiceId, UpstreamSupply> supplies_;
   /// Services of upstreams for which it was read once more.
   std::set<ServiceId> unnamed_;
   /// Counts the times that the duty began.
--- /dev/null
+++ b/src/programs/orderd/supply_duty.cpp
@@ -0,0 +1,224 @@
+#include "programs/orderd/supply_duty.hpp"
+
+#include "marjoramtally/runtime/log.hpp"
+
+#include <fmt/format.h>
+
+namespace marjoramtally {
+
+namespace {
+
+/// Followed by service, zone and kind, with a slash between them.
+constexpr std::string_view kOrdered = "mt/supply/";
+constexpr auto kAgain = std::chrono::milliseconds(700);
+constexpr auto kOrderTimeout = std::chrono::milliseconds(1500);
+
+std::string
+KeyOf(const SupplyPlace& aPlace)
+{
+  return fmt::format("{}{}/{}/{}",
+                     kOrdered,
+                     aPlace.service_.Get(),
+                     aPlace.zone_.Get(),
+                     aPlace.spot_ ? "spot" : "firm");
+}
+
+std::optional<SupplyPlace>
+PlaceOf(std::string_view aKey)
+{
+  aKey.remove_prefix(kOrdered.size());
+  const std::size_t kind = aKey.rfind('/');
+  const std::size_t zone =
+    kind == std::string_view::npos ? kind : aKey.rfind('/', kind - 1);
+  if (kind == 0 || zone == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return SupplyPlace{ ServiceId{ std::string(aKey.substr(0, zone)) },
+                      ZoneId{
+                        std::string(aKey.substr(zone + 1, kind - zone - 1)) },
+                      aKey.substr(kind + 1) == "spot" };
+}
+
+} // namespace
+
+SupplyDuty::SupplyDuty(GatewayContext& aHost,
+                       DutyLease& aLease,
+                       const OrderDuty& aOrders)
+  : host_(aHost)
+  , lease_(aLease)
+  , orders_(aOrders)
+{
+  if (!host_.Settings().dutyCalls_.empty()) {
+    lease_.Add({ [this] { Begin(); }, [this] { End(); } });
+  }
+}
+
+void
+SupplyDuty::Begin()
+{
+  plan_ = SupplyPlan{};
+  wanted_.clear();
+  known_ = false;
+  ReadOrdered(++term_);
+}
+
+void
+SupplyDuty::End()
+{
+  ++term_;
+  known_ = false;
+}
+
+void
+SupplyDuty::ReadOrdered(std::uint64_t aTerm)
+{
+  host_.PlatformStore().Read(
+    std::string(kOrdered), [this, aTerm](const Result<StoreRange>& aRange) {
+      if (!Current(aTerm)) {
+        return;
+      }
+      if (aRange) {
+        TakeOrdered(aRange.value());
+        return;
+      }
+      LogEvent(LogLevel::Warn,
+               "supply_not_read",
+               { { "error", aRange.error().message_ } });
+      host_.Timers().After(kAgain, [this, aTerm] {
+        if (Current(aTerm)) {
+          ReadOrdered(aTerm);
+        }
+      });
+    });
+}
+
+void
+SupplyDuty::TakeOrdered(const StoreRange& aRange)
+{
+  for (const StoreRecord& record : aRange.records_) {
+    const auto place = PlaceOf(record.key_);
+    const auto count = ParseNumber(record.value_, 0, UINT32_MAX);
+    if (place && count) {
+      plan_.OnRestored(*place, static_cast<std::uint32_t>(*count));
+    } else {
+      LogEvent(
+        LogLevel::Error, "record_unreadable", { { "key", record.key_ } });
+    }
+  }
+  known_ = true;
+}
+
+void
+SupplyDuty::OnUsage(const GatewayUsage& aUsage)
+{
+  for (const auto& [service, places] : aUsage.demand_) {
+    wanted_[service] += places;
+  }
+}
+
+void
+SupplyDuty::Advance()
+{
+  const TimePoint now = host_.Now();
+  for (const auto& [service, places] : std::exchange(wanted_, {})) {
+    if (places > 0) {
+      plan_.OnDemand(service, places, now);
+    }
+  }
+  if (!known_ || !lease_.Held()) {
+    return;
+  }
+  for (const SupplyView& view : orders_.SupplyViews()) {
+    for (const PlannedSupply& order : plan_.Next(view, now)) {
+      LogEvent(
+        LogLevel::Info,
+        "supply_planned",
+        { { "service", order.place_.service_.Get() },
+          { "zone", order.place_.zone_.Get() },
+          { "spot", order.place_.spot_ ? "yes" : "no" },
+          { "count", std::to_string(order.count_) },
+          { "wanted", std::to_string(plan_.Wanted(view, now)) },
+          { "serving", std::to_string(view.serving_.at(order.place_.zone_)) },
+          { "why", std::string(order.why_) } });
+      Note(order);
+    }
+  }
+}
+
+void
+SupplyDuty::Note(const PlannedSupply& aOrder)
+{
+  StoreTxn txn;
+  txn.compares_.push_back(lease_.Compare());
+  txn.puts_.push_back(
+    { KeyOf(aOrder.place_), std::to_string(aOrder.count_), 0 });
+  host_.PlatformStore().Commit(
+    std::move(txn),
+    [this, aOrder, term = term_](const Result<StoreCommit>& aEnd) {
+      if (!Current(term)) {
+        return;
+      }
+      if (aEnd && aEnd.value().applied_) {
+        Send(aOrder);
+      } else {
+        EndOrder(aOrder, SupplyEnd::Unavailable, "not noted in the store");
+      }
+    });
+}
+
+void
+SupplyDuty::Send(const PlannedSupply& aOrder)
+{
+  if (!lease_.Held()) {
+    EndOrder(aOrder, SupplyEnd::Unavailable, "the lease is not certain");
+    return;
+  }
+  HttpCall call = host_.Formats().MakeSupplyCall(host_.Settings().dutyCalls_,
+                                                 lease_.Caller(),
+                                                 { aOrder.place_.service_,
+                                                   aOrder.place_.zone_,
+                                                   aOrder.count_,
+                                                   aOrder.place_.spot_ });
+  call.timeout_ = kOrderTimeout;
+  call.connectTimeout_ = kOrderTimeout;
+  lease_.OnCalled();
+  host_.Client().Send(std::move(call),
+                      [this, aOrder, term = term_](const HttpResult& aResult) {
+                        if (Current(term)) {
+                          OnAnswer(aOrder, aResult);
+                        }
+                      });
+}
+
+void
+SupplyDuty::OnAnswer(const PlannedSupply& aOrder, const HttpResult& aResult)
+{
+  const int status =
+    aResult.end_ == HttpEnd::Whole ? aResult.response_.status_ : 0;
+  // 409 stands both for none to be had and for a higher number; a holder that
+  // was replaced finds its lease lost.
+  const bool refused = status == 409 || status == 429 || status == 503;
+  EndOrder(aOrder,
+           status == 200 ? SupplyEnd::Accepted
+           : refused     ? SupplyEnd::Unavailable
+                         : SupplyEnd::Unknown,
+           status == 0 ? aResult.message_ : std::to_string(status));
+}
+
+void
+SupplyDuty::EndOrder(const PlannedSupply& aOrder,
+                     SupplyEnd aEnd,
+                     std::string_view aAnswer)
+{
+  plan_.OnEnd(aOrder, aEnd, host_.Now());
+  LogEvent(LogLevel::Info,
+           "supply_ordered",
+           { { "service", aOrder.place_.service_.Get() },
+             { "zone", aOrder.place_.zone_.Get() },
+             { "spot", aOrder.place_.spot_ ? "yes" : "no" },
+             { "count", std::to_string(aOrder.count_) },
+             { "fence", std::to_string(lease_.Fence().Get()) },
+             { "answer", std::string(aAnswer) } });
+}
+
+} // namespace marjoramtally
--- /dev/null
+++ b/src/programs/orderd/supply_duty.hpp
@@ -0,0 +1,52 @@
+/// The duty of ordering upstreams from the platform, for the holder of the
+/// lease.
+#pragma once
+
+#include "marjoramtally/process/supply_plan.hpp"
+#include "programs/orderd/gateway_poll.hpp"
+#include "programs/orderd/order_duty.hpp"
+
+namespace marjoramtally {
+
+/// Acts while the lease is held. Used on one loop.
+class SupplyDuty
+{
+public:
+  /// All arguments outlive this.
+  SupplyDuty(GatewayContext& aHost,
+             DutyLease& aLease,
+             const OrderDuty& aOrders);
+
+  void OnUsage(const GatewayUsage& aUsage);
+  /// A round of questions is over: orders what is due.
+  void Advance();
+
+private:
+  void Begin();
+  void End();
+  void ReadOrdered(std::uint64_t aTerm);
+  void TakeOrdered(const StoreRange& aRange);
+  /// Notes an order in the store, then sends it.
+  void Note(const PlannedSupply& aOrder);
+  void Send(const PlannedSupply& aOrder);
+  void OnAnswer(const PlannedSupply& aOrder, const HttpResult& aResult);
+  void EndOrder(const PlannedSupply& aOrder,
+                SupplyEnd aEnd,
+                std::string_view aAnswer);
+  [[nodiscard]] bool Current(std::uint64_t aTerm) const noexcept
+  {
+    return term_ == aTerm && lease_.Active();
+  }
+
+  GatewayContext& host_;
+  DutyLease& lease_;
+  const OrderDuty& orders_;
+  SupplyPlan plan_;
+  /// Places wanted, summed over the answers of a round.
+  std::map<ServiceId, std::uint64_t> wanted_;
+  /// What earlier holders ordered is known.
+  bool known_ = false;
+  std::uint64_t term_ = 0;
+};
+
+} // namespace marjoramtally
--- /dev/null
+++ b/tests/test_supply.cpp
@@ -0,0 +1,373 @@
+/// How many upstreams are ordered, played against a platform that boots them.
+
+#include "order_fixture.hpp"
+#include "programs/orderd/supply_duty.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId kModel{ "lm" };
+const ZoneId kOne{ "z1" };
+const ZoneId kTwo{ "z2" };
+
+SupplyView
+View(std::uint32_t aOne, std::uint32_t aTwo)
+{
+  SupplyView view;
+  view.service_ = kModel;
+  view.supply_ = { 1, 10, 4s, { { kOne, 1.2 }, { kTwo, 0.8 } }, 0.2 };
+  view.slots_ = 6;
+  view.serving_ = { { kOne, aOne }, { kTwo, aTwo } };
+  return view;
+}
+
+/// What the plan does first, when it has seen these upstreams for a while.
+constexpr TimePoint kBegin{ 100s };
+
+/// A plan that knows how many upstreams were there at first.
+SupplyPlan
+Settled(const SupplyView& aView, SupplyPolicy aPolicy = {})
+{
+  SupplyPlan plan(aPolicy);
+  REQUIRE(plan.Next(aView, kBegin - 4s).empty());
+  return plan;
+}
+
+std::map<ZoneId, std::uint32_t>
+Counts(const std::vector<PlannedSupply>& aOrders)
+{
+  std::map<ZoneId, std::uint32_t> counts;
+  for (const PlannedSupply& order : aOrders) {
+    counts[order.place_.zone_] = order.count_;
+  }
+  return counts;
+}
+
+} // namespace
+
+TEST_CASE("before any demand more upstreams are held than were there")
+{
+  SupplyPlan plan = Settled(View(3, 2));
+  const auto orders = Counts(plan.Next(View(3, 2), kBegin));
+  REQUIRE(orders ==
+          std::map<ZoneId, std::uint32_t>{ { kOne, 5 }, { kTwo, 5 } });
+}
+
+// Upstreams registered one after the other at a start; an order for twice as
+// many as had registered took most of the others away.
+TEST_CASE("nothing is ordered before the upstreams of a start have registered")
+{
+  SupplyPlan plan;
+  TimePoint now = kBegin;
+  for (std::uint32_t count = 0; count < 5; ++count) {
+    plan.OnDemand(kModel, 1000, now);
+    REQUIRE(plan.Next(View(count, count), now).empty());
+    now = now + 1s;
+  }
+  REQUIRE(plan.Next(View(4, 4), now + 1s).empty());
+  REQUIRE(plan.Next(View(4, 4), now + 2s).size() == 2);
+}
+
+TEST_CASE("a burst of items raises the order at once, within the bounds")
+{
+  SupplyPlan plan = Settled(View(3, 3));
+  plan.OnDemand(kModel, 60, kBegin + 1s);
+  // 60 places and a quarter more are 12.5 upstreams of six places.
+  const auto orders = plan.Next(View(3, 3), kBegin + 1s);
+  REQUIRE(Counts(orders) ==
+          std::map<ZoneId, std::uint32_t>{ { kOne, 6 }, { kTwo, 7 } });
+  for (const PlannedSupply& order : orders) {
+    plan.OnEnd(order, SupplyEnd::Accepted, kBegin + 1s);
+  }
+  REQUIRE(plan.Next(View(3, 3), kBegin + 2s).empty());
+  plan.OnDemand(kModel, 1000, kBegin + 3s);
+  REQUIRE(Counts(plan.Next(View(6, 7), kBegin + 3s)) ==
+          std::map<ZoneId, std::uint32_t>{ { kOne, 10 }, { kTwo, 10 } });
+}
+
+TEST_CASE("less is ordered only after less was wanted for long")
+{
+  SupplyPlan plan = Settled(View(6, 7));
+  plan.OnDemand(kModel, 60, kBegin);
+  for (const PlannedSupply& order : plan.Next(View(6, 7), kBegin)) {
+    plan.OnEnd(order, SupplyEnd::Accepted, kBegin);
+  }
+  TimePoint now = kBegin;
+  while (now < kBegin + 89s) {
+    now = now + 1s;
+    plan.OnDemand(kModel, 12, now);
+    REQUIRE(plan.Next(View(6, 7), now).empty());
+  }
+  now = now + 4s;
+  plan.OnDemand(kModel, 12, now);
+  REQUIRE(Counts(plan.Next(View(6, 7), now)) ==
+          std::map<ZoneId, std::uint32_t>{ { kOne, 1 }, { kTwo, 2 } });
+}
+
+TEST_CASE("a zone that has none to give is passed over for a while")
+{
+  SupplyPlan plan = Settled(View(3, 3));
+  plan.OnDemand(kModel, 60, kBegin);
+  for (const PlannedSupply& order : plan.Next(View(3, 3), kBegin)) {
+    plan.OnEnd(order,
+               order.place_.zone_ == kOne ? SupplyEnd::Unavailable
+                                          : SupplyEnd::Accepted,
+               kBegin);
+  }
+  // What the first zone lacks is ordered in the second.
+  const auto elsewhere = plan.Next(View(3, 7), kBegin + 1s);
+  REQUIRE(Counts(elsewhere) == std::map<ZoneId, std::uint32_t>{ { kTwo, 10 } });
+  plan.OnEnd(elsewhere.front(), SupplyEnd::Accepted, kBegin + 1s);
+  REQUIRE(plan.Next(View(3, 10), kBegin + 4s).empty());
+  REQUIRE(Counts(plan.Next(View(3, 10), kBegin + 5s)) ==
+          std::map<ZoneId, std::uint32_t>{ { kOne, 6 } });
+}
+
+// The first order gets no answer and is carried out 12 s later, after a second
+// one for more.
+TEST_CASE("an order is repeated once an older one can have no effect any more")
+{
+  SupplyPlan plan = Settled(View(3, 7));
+  plan.OnDemand(kModel, 60, kBegin);
+  for (const PlannedSupply& order : plan.Next(View(3, 7), kBegin)) {
+    plan.OnEnd(order, SupplyEnd::Unknown, kBegin);
+  }
+  const auto again = plan.Next(View(3, 7), kBegin + 1s);
+  REQUIRE(Counts(again).at(kOne) == 6);
+  for (const PlannedSupply& order : again) {
+    plan.OnEnd(order, SupplyEnd::Accepted, kBegin + 1s);
+  }
+  REQUIRE(plan.Next(View(6, 7), kBegin + 12s).empty());
+  const auto last = plan.Next(View(6, 7), kBegin + 13s);
+  REQUIRE(Counts(last).at(kOne) == 6);
+  for (const PlannedSupply& order : last) {
+    plan.OnEnd(order, SupplyEnd::Accepted, kBegin + 13s);
+  }
+  REQUIRE(plan.Next(View(6, 7), kBegin + 14s).empty());
+}
+
+TEST_CASE("upstreams that did not come are ordered again after their boot")
+{
+  SupplyPlan plan = Settled(View(3, 7));
+  plan.OnDemand(kModel, 60, kBegin);
+  for (const PlannedSupply& order : plan.Next(View(3, 7), kBegin)) {
+    plan.OnEnd(order, SupplyEnd::Accepted, kBegin);
+  }
+  REQUIRE(plan.Next(View(3, 7), kBegin + 1s).empty());
+  REQUIRE(plan.Next(View(3, 7), kBegin + 8s).empty());
+  const auto again = plan.Next(View(3, 7), kBegin + 9s);
+  REQUIRE(Counts(again) == std::map<ZoneId, std::uint32_t>{ { kOne, 6 } });
+  REQUIRE(again.front().why_ == "fewer serve than were ordered");
+}
+
+TEST_CASE("a later holder does not order less than its predecessor did")
+{
+  SupplyPlan plan;
+  plan.OnRestored({ kModel, kOne, false }, 9);
+  plan.OnRestored({ kModel, kTwo, false }, 9);
+  plan.OnDemand(kModel, 30, kBegin);
+  REQUIRE(plan.Next(View(3, 3), kBegin).empty());
+}
+
+TEST_CASE("reclaimable upstreams are ordered as a share of what is added")
+{
+  SupplyPolicy policy;
+  policy.spotShare_ = 0.5;
+  SupplyPlan plan = Settled(View(4, 2), policy);
+  plan.OnDemand(kModel, 1000, kBegin);
+  std::map<std::pair<ZoneId, bool>, std::uint32_t> counts;
+  for (const PlannedSupply& order : plan.Next(View(4, 2), kBegin)) {
+    counts[{ order.place_.zone_, order.place_.spot_ }] = order.count_;
+  }
+  REQUIRE(counts[{ kOne, false }] == 7);
+  REQUIRE(counts[{ kOne, true }] == 3);
+  REQUIRE(counts[{ kTwo, false }] == 6);
+  REQUIRE(counts[{ kTwo, true }] == 4);
+}
+
+namespace {
+
+/// Steps of a trainer: a burst of items each four seconds, each item needs a
+/// place for some time. The platform boots what is ordered.
+struct StepPlay
+{
+  SupplyPlan plan_;
+  std::uint32_t serving_ = 4;
+  std::deque<std::pair<TimePoint, std::uint32_t>> booting_;
+  std::vector<Duration> waits_;
+  std::uint32_t orders_ = 0;
+  double upstreamSeconds_ = 0;
+
+  explicit StepPlay(SupplyPolicy aPolicy)
+    : plan_(aPolicy)
+  {
+  }
+
+  void Run(int aSeconds)
+  {
+    constexpr std::uint32_t kItems = 72;
+    constexpr Duration kRun = 3s;
+    std::deque<TimePoint> waiting;
+    std::multiset<TimePoint> running;
+    for (int tenth = 0; tenth < aSeconds * 10; ++tenth) {
+      const TimePoint now{ tenth * 100ms };
+      while (!booting_.empty() && booting_.front().first <= now) {
+        serving_ = std::max(serving_, booting_.front().second);
+        booting_.pop_front();
+      }
+      running.erase(running.begin(), running.upper_bound(now));
+      // The first step begins 10 s after the system.
+      if (tenth >= 100 && tenth % 40 == 20) {
+        waiting.insert(waiting.end(), kItems, now);
+      }
+      while (!waiting.empty() && running.size() < serving_ * 6U) {
+        waits_.push_back(now - waiting.front());
+        waiting.pop_front();
+        running.insert(now + kRun);
+      }
+      upstreamSeconds_ += serving_ * 0.1;
+      if (tenth % 10 == 0) {
+        Plan(now, waiting.size() + running.size());
+      }
+    }
+  }
+
+  void Plan(TimePoint aNow, std::uint64_t aPlaces)
+  {
+    if (aPlaces > 0) {
+      plan_.OnDemand(kModel, aPlaces, aNow);
+    }
+    SupplyView view = View(0, 0);
+    view.supply_.max_ = 30;
+    view.serving_ = { { kOne, serving_ } };
+    for (const PlannedSupply& order : plan_.Next(view, aNow)) {
+      ++orders_;
+      booting_.emplace_back(aNow + 4s, order.count_);
+      plan_.OnEnd(order, SupplyEnd::Accepted, aNow);
+    }
+  }
+
+  [[nodiscard]] double ShareAtOnce() const
+  {
+    const auto atOnce = std::count(waits_.begin(), waits_.end(), Duration{ 0 });
+    return static_cast<double>(atOnce) / static_cast<double>(waits_.size());
+  }
+};
+
+} // namespace
+
+// Items that find a place at once, of three ways to order: what is there
+// (0.33), by use of the last moment (0.82), and by the bursts of the last while
+// (0.95).
+TEST_CASE("steps that begin together find places when bursts are remembered")
+{
+  SupplyPolicy none;
+  none.beforeDemand_ = 1.0;
+  none.headroom_ = 0.0;
+  SupplyPolicy use;
+  use.beforeDemand_ = 1.0;
+  use.headroom_ = 1.0;
+  use.memory_ = 1s;
+  use.lowerAfter_ = 2s;
+  StepPlay standing(none);
+  StepPlay byUse(use);
+  StepPlay byBursts({});
+  standing.Run(60);
+  byUse.Run(60);
+  byBursts.Run(60);
+  INFO(standing.ShareAtOnce()
+       << " " << byUse.ShareAtOnce() << " " << byBursts.ShareAtOnce());
+  CHECK(byBursts.ShareAtOnce() > byUse.ShareAtOnce());
+  CHECK(byUse.ShareAtOnce() > standing.ShareAtOnce());
+  CHECK(byBursts.ShareAtOnce() >= 0.9);
+  CHECK(standing.orders_ == 0);
+  // No thrashing: the number changes with the first demand and then stays.
+  CHECK(byBursts.orders_ <= 3);
+}
+
+namespace {
+
+struct SupplyFixture : GatewayFakes
+{
+  HeldOrders orders_{ context_ };
+  std::unique_ptr<SupplyDuty> duty_;
+
+  SupplyFixture()
+  {
+    settings_.fencing_ = true;
+    settings_.dutyCalls_ = "cloud:1";
+    duty_ =
+      std::make_unique<SupplyDuty>(context_, orders_.lease_, orders_.duty_);
+    store_.Put(
+      "op/config",
+      R"({"version":1,"routes":[],"services":[{"name":"lm","scale":{)"
+      R"("min":1,"max":4,"boot_s":4,"zone_prices":{"z1":1,"z2":2}}}]})");
+    for (const char* id : { "a", "b" }) {
+      store_.Put(
+        std::string("servers/") + id,
+        std::string(R"({"service":"lm","address":"e:1","zone":"z1",)") +
+          R"("slots":6,"state":"ready"})");
+    }
+    orders_.Start();
+    timers_.Advance(200ms);
+    duty_->Advance();
+    timers_.Advance(3100ms);
+  }
+
+  void Round(std::uint64_t aPlaces)
+  {
+    GatewayUsage usage;
+    usage.demand_[kModel] = aPlaces;
+    duty_->OnUsage(usage);
+    duty_->Advance();
+    timers_.Advance(20ms);
+  }
+};
+
+} // namespace
+
+TEST_CASE("an order is noted in the store before it is sent, under the fence")
+{
+  SupplyFixture fix;
+  fix.store_.delay_ = 50ms;
+  fix.Round(30);
+  REQUIRE(fix.client_.open_.empty());
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.client_.open_.size() == 2);
+  const HttpCall& call = fix.client_.Oldest().call_;
+  REQUIRE(call.url_ == "http://cloud:1/scale");
+  REQUIRE(FindHeader(call.headers_, "Fencing-Token") ==
+          std::to_string(fix.orders_.lease_.Fence().Get()));
+  REQUIRE(call.body_ == R"({"service":"lm","target_groups":4,"zone":"z1"})");
+  REQUIRE(fix.store_.records_.at("mt/supply/lm/z1/firm").value_ == "4");
+}
+
+TEST_CASE("a process that does not hold the lease orders nothing")
+{
+  SupplyFixture fix;
+  fix.store_.fault_ = StoreFault::Silent;
+  fix.timers_.Advance(5s);
+  fix.Round(30);
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.client_.open_.empty());
+}
+
+TEST_CASE("a later holder knows what was ordered before it")
+{
+  SupplyFixture fix;
+  fix.Round(30);
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.client_.open_.size() == 2);
+  const std::size_t sent = fix.client_.sent_;
+  fix.orders_.lease_.OnFenced();
+  fix.timers_.Advance(10s);
+  REQUIRE(fix.orders_.lease_.Active());
+  fix.Round(30);
+  fix.timers_.Advance(100ms);
+  REQUIRE(fix.client_.sent_ == sent);
+}
