Gateways that nobody vouches to are not ready; loads go where no long run is

Cause: a zone was cut off for 5.6 s; its 19 gateways refused every job, for 4.5 s of it, as leases of gateways that own nothing are renewed each 4 s and the balancer was told that they were ready. Change: a follower tells when no source vouches for what it knows, and a gateway whose configuration is doubted is not ready. Test: a gateway behind doors. 2. Cause: a load holds the runs of its upstream up, and a step waits for its longest text: texts of 20 to 49 events that moved once took 62 ms an event in place of 48, those of 149 and more 7.74 s in place of 7.12. Change: gateways tell their long runs with their use, and a version is loaded first where there are none. Test: the plan.

--- a/include/marjoramtally/process/usage_meter.hpp
+++ b/include/marjoramtally/process/usage_meter.hpp
@@ -64,6 +64,8 @@
   UsageCounts counts_;
   /// Places that its items and requests want, by service.
   std::map<ServiceId, std::uint64_t> demand_;
+  /// Its long runs in progress, by upstream.
+  std::map<UpstreamId, std::uint32_t> longRuns_;
 };
 
 /// @returns the median of how far clocks are ahead; 0 if there are none
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -30,6 +30,9 @@
   std::map<std::string, WeightVersion> versions_;
   /// An order is under way there, or may be.
   bool busy_ = false;
+  /// Long runs in progress there, as far as is known. A load would hold them
+  /// up, and a step waits for its longest text.
+  std::uint32_t longRuns_ = 0;
 };
 
 /// One load to be ordered.
--- a/src/connection/usage.capnp
+++ b/src/connection/usage.capnp
@@ -22,6 +22,13 @@
   aheadMicros @1 :Int64;
   windows @2 :List(WindowUsage);
   demand @3 :List(Demand);
+  runs @4 :List(UpstreamRuns);
+}
+
+# Long runs of items in progress at an upstream.
+struct UpstreamRuns {
+  upstream @0 :Text;
+  runs @1 :UInt32;
 }
 
 struct WindowUsage {
--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -110,6 +110,7 @@
       return;
     }
     if (aBatch.interrupted_) {
+      Tell(&PrefixFollower::onDoubted_);
       return;
     }
     for (const StoreEvent& event : aBatch.events_) {
--- a/src/daemon/prefix_follower.hpp
+++ b/src/daemon/prefix_follower.hpp
@@ -27,6 +27,8 @@
   /// Told how old the knowledge is that a source of the watch vouched for just
   /// now, after the changes it brought.
   std::function<void(Duration)> onVouched_;
+  /// Told that no source vouches for what is known, until one does again.
+  std::function<void()> onDoubted_;
   /// Told why a reading failed.
   std::function<void(const Error&)> onFailure_;
 
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -204,6 +204,11 @@
     return;
   }
   if (aBatch.interrupted_) {
+    TellDoubt(aId);
+    own = Find(aId);
+    if (own == nullptr) {
+      return;
+    }
     own->history_.Lose();
     WakeAskers(own->prefix_);
     own->history_.Start(own->after_, {});
@@ -353,9 +358,23 @@
   }
 }
 
+void
+RelayedStore::TellDoubt(StoreWatchId aId)
+{
+  // The callback may stop the watch.
+  const auto onBatch = watches_.at(aId).onBatch_;
+  StoreWatchBatch doubt;
+  doubt.interrupted_ = true;
+  onBatch(doubt);
+}
+
 void
 RelayedStore::Unconfirmed(StoreWatchId aId)
 {
+  TellDoubt(aId);
+  if (Find(aId) == nullptr) {
+    return;
+  }
   Own& own = watches_.at(aId);
   own.refusals_ = 0;
   if (std::exchange(own.lost_, false)) {
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -95,6 +95,8 @@
   void OpenLater(StoreWatchId aId);
   /// No relay vouches for what is known here.
   void Unconfirmed(StoreWatchId aId);
+  /// Tells the watcher that nobody vouches for what it knows.
+  void TellDoubt(StoreWatchId aId);
   void OpenDirect(StoreWatchId aId);
   void OnDirect(StoreWatchId aId, const StoreWatchBatch& aBatch);
   void AskRelay(StoreWatchId aId, const std::string& aAddress);
--- a/src/process/usage_messages.cpp
+++ b/src/process/usage_messages.cpp
@@ -33,6 +33,13 @@
     demand[at].setService(service.Get());
     demand[at++].setPlaces(places);
   }
+  auto runs =
+    aOut.initRuns(static_cast<std::uint32_t>(aUsage.longRuns_.size()));
+  at = 0;
+  for (const auto& [upstream, count] : aUsage.longRuns_) {
+    runs[at].setUpstream(upstream.Get());
+    runs[at++].setRuns(count);
+  }
 }
 
 GatewayUsage
@@ -50,6 +57,10 @@
   for (const auto entry : aIn.getDemand()) {
     usage.demand_[ServiceId{ entry.getService().cStr() }] = entry.getPlaces();
   }
+  for (const auto entry : aIn.getRuns()) {
+    usage.longRuns_[UpstreamId{ entry.getUpstream().cStr() }] =
+      entry.getRuns();
+  }
   return usage;
 }
 
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <tuple>
 
 namespace marjoramtally {
@@ -287,7 +288,13 @@
   }
   std::stable_sort(
     wanted.begin(), wanted.end(), [](const auto& aLeft, const auto& aRight) {
-      return std::get<0>(aLeft) > std::get<0>(aRight);
+      const auto rank = [](const auto& aWanted) {
+        const std::uint64_t gap = std::get<0>(aWanted);
+        return std::tuple(gap < kMostBehind,
+                          std::get<1>(aWanted)->longRuns_,
+                          std::numeric_limits<std::uint64_t>::max() - gap);
+      };
+      return rank(aLeft) < rank(aRight);
     });
   const std::uint32_t atOnce = AtOnce(aService.size());
   std::set<UpstreamId> chosen;
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -168,7 +168,9 @@
   config_.onSettled_ = [this] { runner_.OnBoardChanged(); };
   config_.onVouched_ = [this](Duration aAge) {
     configVouched_ = std::max(configVouched_, host_.Now() - aAge);
+    configDoubted_ = false;
   };
+  config_.onDoubted_ = [this] { configDoubted_ = true; };
   config_.Start(kPlanKnown);
 }
 
@@ -271,8 +273,10 @@
   runner_.OnUpstreamRestarted(aId);
 }
 
-/// A process that the store does not answer takes in no jobs; others may.
-/// Where it answers none, the balancer goes on with all. Before the upstreams
+/// A process that the store does not answer takes in no jobs; others may. In a
+/// zone that is cut off all processes learn so from their watches within a
+/// second or two, and its callers are sent to other zones; leases of processes
+/// that own nothing are renewed too seldom to tell. Where the store answers none, the balancer goes on with all. Before the upstreams
 /// were read, all requests would be refused for want of one.
 std::string_view
 Gateway::WhyNotReady() const
@@ -286,6 +290,9 @@
   if (!upstreamsKnown_) {
     return "no upstreams read yet";
   }
+  if (configDoubted_) {
+    return "nobody vouches for the configuration";
+  }
   return life_.Reached() ? "" : "the store does not answer";
 }
 
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -69,6 +69,8 @@
   Random random_;
   /// The configuration known here was the newest then.
   TimePoint configVouched_;
+  /// No source vouches for the configuration.
+  bool configDoubted_ = false;
   /// Whether a whole reading of the upstreams came, also one of none.
   bool upstreamsKnown_ = false;
   bool stopping_ = false;
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -63,6 +63,9 @@
   }
   /// @returns places that items of the jobs here want, by service
   [[nodiscard]] std::map<ServiceId, std::uint64_t> PlacesWanted() const;
+  /// @returns runs that have gone on for a while, and so are likely to go on,
+  /// by upstream
+  [[nodiscard]] std::map<UpstreamId, std::uint32_t> LongRuns() const;
   /// @returns the ledger of an owned job, or nullptr
   [[nodiscard]] const JobLedger* Find(const JobId& aJob) const;
 
@@ -130,6 +133,7 @@
     WeightVersion version_;
     std::uint32_t events_ = 0;
     TimePoint lastProgress_;
+    TimePoint started_;
     /// Why the run is to be given up; empty while it is not.
     std::string fault_;
   };
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -20,6 +20,8 @@
 /// lets nothing be heard at all and another has room: a zone that is cut off
 /// is full of such upstreams.
 constexpr auto kQuietSilence = std::chrono::milliseconds(600);
+/// Most texts are done by then; one that is not takes some seconds more.
+constexpr auto kLongRun = std::chrono::milliseconds(1200);
 /// How often runs are looked at while there are any.
 constexpr auto kCheckPause = std::chrono::milliseconds(120);
 
@@ -115,6 +117,7 @@
   run.upstream_ = upstream.entry_.id_;
   run.parser_ = EventStreamParser(host_.Formats().Names().versionField_);
   run.lastProgress_ = host_.Now();
+  run.started_ = host_.Now();
   aJob.runs_[aItem] = id;
   aJob.places_[item.group_] = run.upstream_;
   LogEvent(
@@ -350,6 +353,18 @@
   Dispatch();
 }
 
+std::map<UpstreamId, std::uint32_t>
+JobRunner::LongRuns() const
+{
+  std::map<UpstreamId, std::uint32_t> runs;
+  for (const auto& [id, run] : runs_) {
+    if (host_.Now() - run.started_ >= Duration{ kLongRun }) {
+      ++runs[run.upstream_];
+    }
+  }
+  return runs;
+}
+
 void
 JobRunner::WatchRuns()
 {
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -38,15 +38,17 @@
     };
   GatewayHost host(std::move(*settings), MakePlatform(), makeStore, false);
   DutyLease lease(host.Context());
-  const OrderDuty orders(host.Context(), lease);
+  OrderDuty orders(host.Context(), lease);
   GatewayPoll poll(host.Context(), lease);
   UsageDuty usage(host.Context(), lease, poll);
   SupplyDuty supply(host.Context(), lease, orders);
   poll.onUsage_ = [&](const GatewayUsage& aUsage, TrueTime aAsked) {
     usage.OnUsage(aUsage, aAsked);
+    orders.OnUsage(aUsage);
     supply.OnUsage(aUsage);
   };
   poll.onRound_ = [&] {
+    orders.OnRound();
     usage.Advance();
     supply.Advance();
   };
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -32,6 +32,8 @@
   versions_.reset();
   retirements_.reset();
   targets_.clear();
+  longRuns_.clear();
+  longRunsTold_.clear();
 }
 
 void
@@ -131,6 +133,20 @@
   }
 }
 
+void
+OrderDuty::OnUsage(const GatewayUsage& aUsage)
+{
+  for (const auto& [upstream, runs] : aUsage.longRuns_) {
+    longRunsTold_[upstream] += runs;
+  }
+}
+
+void
+OrderDuty::OnRound()
+{
+  longRuns_ = std::exchange(longRunsTold_, {});
+}
+
 std::vector<SupplyView>
 OrderDuty::SupplyViews() const
 {
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -6,6 +6,7 @@
 #include "daemon/prefix_follower.hpp"
 #include "daemon/upstream_reader.hpp"
 #include "marjoramtally/process/supply_plan.hpp"
+#include "marjoramtally/process/usage_meter.hpp"
 #include "marjoramtally/process/weight_plan.hpp"
 #include "marjoramtally/process/work_pace.hpp"
 #include "programs/orderd/duty_lease.hpp"
@@ -25,6 +26,10 @@
   /// Both outlive this.
   OrderDuty(GatewayContext& aHost, DutyLease& aLease);
 
+  /// Takes what a gateway told of its long runs.
+  void OnUsage(const GatewayUsage& aUsage);
+  /// A round of questions to gateways is over.
+  void OnRound();
   /// @returns the services whose upstreams may be ordered, with those that
   /// serve; nothing before configuration and upstreams are known
   [[nodiscard]] std::vector<SupplyView> SupplyViews() const;
@@ -120,6 +125,9 @@
   std::optional<std::set<ServiceId>> services_;
   /// Services whose upstreams may be ordered.
   std::map<ServiceId, UpstreamSupply> supplies_;
+  /// Long runs at upstreams: as told in the last round, and so far in this one.
+  std::map<UpstreamId, std::uint32_t> longRuns_;
+  std::map<UpstreamId, std::uint32_t> longRunsTold_;
   /// Services of upstreams for which it was read once more.
   std::set<ServiceId> unnamed_;
   /// Counts the times that the duty began.
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -60,11 +60,13 @@
   std::vector<PlanUpstream> upstreams;
   for (const auto& [id, target] : targets_) {
     if (!target.versions_.empty() && Named(target.entry_.service_)) {
+      const auto runs = longRuns_.find(id);
       upstreams.push_back({ id,
                             target.entry_.service_,
                             target.entry_.zone_,
                             target.versions_,
-                            target.phase_ != Phase::Idle });
+                            target.phase_ != Phase::Idle,
+                            runs == longRuns_.end() ? 0 : runs->second });
     }
   }
   const std::vector<PlannedLoad> loads = plan_.Next(upstreams);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -122,3 +122,25 @@
   fix.Call();
   REQUIRE(fix.client_.open_.size() == 1);
 }
+
+// The order: a zone was cut off from the store. Its gateways, which renewed their
+// leases each 4 s, told the balancer that they were ready and refused each job
+// that its trainers sent them, for the 5.6 s of the cut; gateways of other zones
+// would have taken them.
+TEST_CASE("a gateway whose watch nobody vouches for is not ready")
+{
+  Fixture fix;
+  const std::string& place = fix.platform_->Places().config_;
+  fix.gateway_->Start();
+  fix.timers_.Advance(2s);
+  REQUIRE(fix.Ready()->status_ == 200);
+  fix.store_.TellBatch(place, { false, true, 0, {} });
+  const auto reply = fix.Ready();
+  REQUIRE(reply->status_ == 503);
+  REQUIRE(reply->body_.find("nobody vouches") != std::string::npos);
+  // It serves what reaches it all the same, and is ready again with the first
+  // answer of a source.
+  fix.Call();
+  fix.store_.TellBatch(place, { false, false, fix.store_.Revision(), {} });
+  REQUIRE(fix.Ready()->status_ == 200);
+}
--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -26,7 +26,10 @@
 GatewayUsage
 Told(const std::string& aGateway, UsageCounts aCounts)
 {
-  return { aGateway, Duration{ 0 }, std::move(aCounts), {} };
+  GatewayUsage usage;
+  usage.incarnation_ = aGateway;
+  usage.counts_ = std::move(aCounts);
+  return usage;
 }
 
 } // namespace
@@ -67,8 +70,12 @@
 
 TEST_CASE("messages of use come back as they were")
 {
-  GatewayUsage usage{ "g-1~7", -3ms, { { 7, { { kNorth, 2 } } } }, {} };
+  GatewayUsage usage;
+  usage.incarnation_ = "g-1~7";
+  usage.ahead_ = -3ms;
+  usage.counts_ = { { 7, { { kNorth, 2 } } } };
   usage.demand_[ServiceId{ "lm" }] = 128;
+  usage.longRuns_[UpstreamId{ "u1" }] = 2;
   const auto back = DecodeUsageAnswer(EncodeUsageAnswer({ usage, {} }));
   REQUIRE(back);
   REQUIRE(back.value().size() == 2);
@@ -77,6 +84,7 @@
   REQUIRE(read.ahead_ == -3ms);
   REQUIRE(read.counts_ == usage.counts_);
   REQUIRE(read.demand_ == usage.demand_);
+  REQUIRE(read.longRuns_ == usage.longRuns_);
   const auto ask =
     DecodeUsageAsk(EncodeUsageAsk({ At(12s), 5s, { "a:1", "b:2" } }));
   REQUIRE(ask);
--- a/tests/test_weight_plan.cpp
+++ b/tests/test_weight_plan.cpp
@@ -394,3 +394,33 @@
   REQUIRE_FALSE(plan.Next(fleet).empty());
   REQUIRE(plan.Looks() <= bound);
 }
+
+// A step waits for its longest text, which a load at its upstream holds up by
+// a second or makes move.
+TEST_CASE("a version is loaded first where no long run goes on")
+{
+  WeightPlan plan;
+  std::vector<PlanUpstream> upstreams;
+  for (int i = 0; i < 12; ++i) {
+    PlanUpstream upstream{ UpstreamId{ "u" + std::to_string(10 + i) },
+                           ServiceId{ "lm" },
+                           ZoneId{ "z" + std::to_string(i % 3) },
+                           { { "m", WeightVersion{ 1 } } } };
+    upstream.longRuns_ = i < 6 ? 1 : 0;
+    upstreams.push_back(upstream);
+  }
+  plan.OnNamed("m", WeightVersion{ 2 }, TimePoint{ std::chrono::seconds(1) });
+  const auto loads = plan.Next(upstreams);
+  REQUIRE(loads.size() == 2);
+  for (const PlannedLoad& load : loads) {
+    REQUIRE(load.upstream_ >= UpstreamId{ "u16" });
+  }
+  // Two versions behind, an upstream serves no step, whatever runs there.
+  plan.OnNamed("m", WeightVersion{ 3 }, TimePoint{ std::chrono::seconds(5) });
+  for (std::size_t i = 6; i < upstreams.size(); ++i) {
+    upstreams[i].versions_["m"] = WeightVersion{ 2 };
+  }
+  for (const PlannedLoad& load : plan.Next(upstreams)) {
+    REQUIRE(load.upstream_ < UpstreamId{ "u16" });
+  }
+}
