--- a/include/marjoramtally/process/load_limit.hpp
+++ b/include/marjoramtally/process/load_limit.hpp
@@ -2,9 +2,9 @@
 ///
 /// The store of weights bears some loads at once; with more, each takes longer
 /// and holds the runs of its upstream up for as long. Upstreams that were added
-/// do not make it faster, so the limit follows what loads take: it shrinks while
-/// they take much longer than the fastest, and grows slowly while it is used up
-/// and they do not.
+/// do not make it faster, so the limit follows what loads take: it shrinks
+/// while they take much longer than the fastest, and grows slowly while it is
+/// used up and they do not.
 #pragma once
 
 #include "marjoramtally/base/clock.hpp"
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -116,9 +116,8 @@
   void AssignHomes(const Places& aService);
   /// @returns how many upstreams are to be a model's home: as many as can be
   /// kept up with the versions that are named
-  [[nodiscard]] std::size_t ShareOf(
-    std::size_t aUpstreams,
-    const std::vector<std::string>& aModels);
+  [[nodiscard]] std::size_t ShareOf(std::size_t aUpstreams,
+                                    const std::vector<std::string>& aModels);
   [[nodiscard]] std::uint32_t AtOnce(std::size_t aUpstreams);
   /// @param aCount homes to add
   /// @param aMost models at home at one upstream while others have fewer
--- a/src/process/usage_messages.cpp
+++ b/src/process/usage_messages.cpp
@@ -58,8 +58,7 @@
     usage.demand_[ServiceId{ entry.getService().cStr() }] = entry.getPlaces();
   }
   for (const auto entry : aIn.getRuns()) {
-    usage.longRuns_[UpstreamId{ entry.getUpstream().cStr() }] =
-      entry.getRuns();
+    usage.longRuns_[UpstreamId{ entry.getUpstream().cStr() }] = entry.getRuns();
   }
   return usage;
 }
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -169,6 +169,8 @@
   config_.onVouched_ = [this](Duration aAge) {
     configVouched_ = std::max(configVouched_, host_.Now() - aAge);
     configDoubted_ = false;
+    host_.Measures().Set("config_age_seconds",
+                         std::chrono::duration<double>(aAge).count());
   };
   config_.onDoubted_ = [this] { configDoubted_ = true; };
   config_.Start(kPlanKnown);
@@ -190,6 +192,13 @@
   const std::uint64_t revision = config.value().revision_.Get();
   const std::size_t routes = config.value().routes_.size();
   const bool applied = routes_.Apply(std::move(config).value());
+  std::size_t keys = 0;
+  for (const Customer& customer : routes_.Customers().All()) {
+    keys += customer.keys_.size();
+  }
+  host_.Measures().Set("customers",
+                       static_cast<double>(routes_.Customers().All().size()));
+  host_.Measures().Set("keys", static_cast<double>(keys));
   LogEvent(LogLevel::Info,
            "config_read",
            { { "revision", std::to_string(revision) },
@@ -276,8 +285,9 @@
 /// A process that the store does not answer takes in no jobs; others may. In a
 /// zone that is cut off all processes learn so from their watches within a
 /// second or two, and its callers are sent to other zones; leases of processes
-/// that own nothing are renewed too seldom to tell. Where the store answers none, the balancer goes on with all. Before the upstreams
-/// were read, all requests would be refused for want of one.
+/// that own nothing are renewed too seldom to tell. Where the store answers
+/// none, the balancer goes on with all. Before the upstreams were read, all
+/// requests would be refused for want of one.
 std::string_view
 Gateway::WhyNotReady() const
 {
--- a/src/programs/orderd/duty_lease.cpp
+++ b/src/programs/orderd/duty_lease.cpp
@@ -181,6 +181,7 @@
 DutyLease::Begin()
 {
   active_ = true;
+  host_.Measures().Set("duty_fence", static_cast<double>(key_.Fence().Get()));
   for (const Listener& listener : listeners_) {
     listener.onBegin_();
   }
@@ -194,6 +195,7 @@
   }
   active_ = false;
   awaited_ = {};
+  host_.Measures().Set("duty_fence", 0);
   for (const Listener& listener : listeners_) {
     listener.onEnd_();
   }
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -194,15 +194,15 @@
     target.versions_[target.load_.model_] >= target.load_.version_;
   if (target.phase_ == Phase::Loading) {
     if (reached || host_.Now() - target.since_ > kLongestLoad) {
-      LogEvent(LogLevel::Info,
-               "load_ended",
-               { { "upstream", aId.Get() },
-                 { "model", target.load_.model_ },
-                 { "version", std::to_string(target.load_.version_.Get()) },
-                 { "took_ms",
-                   std::to_string(
-                     WholeMillis(host_.Now() - target.accepted_)) },
-                 { "outcome", reached ? "loaded" : "not seen to end" } });
+      LogEvent(
+        LogLevel::Info,
+        "load_ended",
+        { { "upstream", aId.Get() },
+          { "model", target.load_.model_ },
+          { "version", std::to_string(target.load_.version_.Get()) },
+          { "took_ms",
+            std::to_string(WholeMillis(host_.Now() - target.accepted_)) },
+          { "outcome", reached ? "loaded" : "not seen to end" } });
       target.phase_ = Phase::Idle;
       if (reached) {
         plan_.OnLoaded(host_.Now() - target.accepted_, host_.Now());
--- a/src/programs/orderd/supply_duty.cpp
+++ b/src/programs/orderd/supply_duty.cpp
@@ -129,6 +129,9 @@
     return;
   }
   for (const SupplyView& view : orders_.SupplyViews()) {
+    host_.Measures().Set("upstreams_wanted{service=\"" + view.service_.Get() +
+                           "\"}",
+                         plan_.Wanted(view, now));
     for (const PlannedSupply& order : plan_.Next(view, now)) {
       LogEvent(
         LogLevel::Info,
@@ -211,6 +214,13 @@
                      std::string_view aAnswer)
 {
   plan_.OnEnd(aOrder, aEnd, host_.Now());
+  if (aEnd == SupplyEnd::Accepted) {
+    host_.Measures().Set("upstreams_ordered{service=\"" +
+                           aOrder.place_.service_.Get() + "\",zone=\"" +
+                           aOrder.place_.zone_.Get() + "\",kind=\"" +
+                           (aOrder.place_.spot_ ? "spot" : "firm") + "\"}",
+                         aOrder.count_);
+  }
   LogEvent(LogLevel::Info,
            "supply_ordered",
            { { "service", aOrder.place_.service_.Get() },
--- a/src/programs/orderd/usage_duty.cpp
+++ b/src/programs/orderd/usage_duty.cpp
@@ -194,6 +194,7 @@
   }
   settling_ = false;
   host_.Measures().Count("usage_windows_settled_total");
+  host_.Measures().Set("usage_last_settled", static_cast<double>(aWindow));
   LogEvent(
     LogLevel::Info,
     "usage_settled",
@@ -279,6 +280,7 @@
              { "error", aResult.message_ } });
   if (status == 200) {
     host_.Measures().Count("usage_windows_sent_total");
+    host_.Measures().Set("usage_last_sent", static_cast<double>(aWindow));
     book_.OnSent(aWindow);
     SendNext();
   } else if (status == 409) {
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -123,10 +123,10 @@
   REQUIRE(fix.client_.open_.size() == 1);
 }
 
-// The order: a zone was cut off from the store. Its gateways, which renewed their
-// leases each 4 s, told the balancer that they were ready and refused each job
-// that its trainers sent them, for the 5.6 s of the cut; gateways of other zones
-// would have taken them.
+// The order: a zone was cut off from the store. Its gateways, which renewed
+// their leases each 4 s, told the balancer that they were ready and refused
+// each job that its trainers sent them, for the 5.6 s of the cut; gateways of
+// other zones would have taken them.
 TEST_CASE("a gateway whose watch nobody vouches for is not ready")
 {
   Fixture fix;
