--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -247,9 +247,8 @@
       if (!aOwner) {
         aReply->Send(
           RefusedResponse("the store cannot be asked", kJobComeBack));
-      } else if (!aOwner.value()) {
-        aReply->Send(NoSuchJob());
-      } else if (!MayAsk(aQuery.customer_, CustomerIn(*aOwner.value()))) {
+      } else if (!aOwner.value() ||
+                 !MayAsk(aQuery.customer_, CustomerIn(*aOwner.value()))) {
         aReply->Send(NoSuchJob());
       } else {
         NoteTotal(aQuery.job_, *aOwner.value());
