--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -1,4 +1,5 @@
-/// The daemon that orders upstreams to new weight versions.
+/// The daemon of the duties that one process has for all: weight versions of
+/// upstreams, reports of customers' use, orders for upstreams.
 
 #include "programs/orderd/supply_duty.hpp"
 #include "programs/orderd/usage_duty.hpp"
