--- a/tests/test_supply.cpp
+++ b/tests/test_supply.cpp
@@ -262,8 +262,8 @@
 } // namespace
 
 // Items that find a place at once, of three ways to order: what is there
-// (0.33), by use of the last moment (0.82), and by the bursts of the last while
-// (0.95).
+// (0.06), by use of the last moment (0.90), and by the bursts of the last while
+// (0.97).
 TEST_CASE("steps that begin together find places when bursts are remembered")
 {
   SupplyPolicy none;
