An upstream is chosen from rankings, not by a look at the whole fleet

What callers saw: on a fleet of some 3,000 upstreams trainers' steps came seconds late, while the same demand on 300 upstreams was served.

Cause (one of several that are looked for there): the owner of a step looked at all upstreams for each item that it placed, and once more to find the median pace; CheckRuns did so for each run in progress, eight times a second. On 3,000 upstreams a choice took 415 us and Slow() 89 us (one busy core), so 250 runs cost 22 ms of processor time each 120 ms, which is more than an instance with an eighth of a core has.

Change: upstreams are kept by service, and by model and version, in the order in which they are chosen; the median of paces is kept sorted. UpstreamBoard::OfService served nobody and is gone.

Tests: the cost is counted in looks; the code before took 3,072,000 looks for 128 items among 6,000 upstreams, and the test failed.

--- a/include/marjoramtally/process/upstream_board.hpp
+++ b/include/marjoramtally/process/upstream_board.hpp
@@ -4,11 +4,13 @@
 
 #include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/ids.hpp"
+#include "marjoramtally/process/pace_median.hpp"
 
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace marjoramtally {
@@ -141,6 +143,12 @@
   explicit UpstreamBoard(ZoneId aZone,
                          BoardPolicy aPolicy = {},
                          std::string aSelf = {});
+  // Its order of upstreams refers to its own objects.
+  UpstreamBoard(const UpstreamBoard&) = delete;
+  UpstreamBoard& operator=(const UpstreamBoard&) = delete;
+  UpstreamBoard(UpstreamBoard&&) = default;
+  UpstreamBoard& operator=(UpstreamBoard&&) = default;
+  ~UpstreamBoard() = default;
 
   /// An upstream registered or changed. A restart clears all that is known of
   /// it but the calls in progress, which their drivers settle.
@@ -182,18 +190,39 @@
   [[nodiscard]] bool Quiet(const BoardUpstream& aUpstream,
                            TimePoint aNow) const noexcept;
   [[nodiscard]] const BoardUpstream* Find(const UpstreamId& aId) const;
-  [[nodiscard]] std::vector<const BoardUpstream*> OfService(
-    const ServiceId& aService) const;
+  /// @returns how many upstreams all choices so far have looked at
+  [[nodiscard]] std::uint64_t Looks() const noexcept { return looks_; }
   /// @returns whether the upstream may get new work
   [[nodiscard]] bool Usable(const BoardUpstream& aUpstream,
                             TimePoint aNow) const noexcept;
 
 private:
+  /// Calls in flight a slot, this process's own order, id.
+  using Rank = std::tuple<double, std::size_t, UpstreamId>;
+  using Ranking = std::map<Rank, const BoardUpstream*>;
+
+  /// The upstreams of one service in the order in which they are chosen, so
+  /// that a choice looks at the first ones and not at the whole fleet.
+  struct Service
+  {
+    Ranking ranking_;
+    /// The same by model and version: after a version is named few hold it.
+    std::map<std::string, std::map<WeightVersion, Ranking>> models_;
+    PaceMedian paces_;
+  };
+
+  [[nodiscard]] static Rank RankOf(const BoardUpstream& aUpstream);
+  /// Takes an upstream out of its service, which a change of its rank or its
+  /// pace needs before, and back in after.
+  void Unlist(const BoardUpstream& aUpstream);
+  void List(const BoardUpstream& aUpstream);
+  [[nodiscard]] const Service* FindService(const ServiceId& aService) const;
+  /// @returns the rankings of which an upstream for an item is chosen
+  [[nodiscard]] std::vector<const Ranking*> RankingsFor(
+    const ItemNeeds& aNeeds) const;
   [[nodiscard]] bool Fits(const BoardUpstream& aUpstream,
                           const ItemNeeds& aNeeds,
                           TimePoint aNow) const;
-  /// @returns 0 if no pace is known
-  [[nodiscard]] Duration MedianPace(const ServiceId& aService) const;
   [[nodiscard]] bool SlowerThan(const BoardUpstream& aUpstream,
                                 Duration aMedian) const noexcept;
 
@@ -201,6 +230,8 @@
   BoardPolicy policy_;
   std::string self_;
   std::map<UpstreamId, BoardUpstream> upstreams_;
+  std::map<ServiceId, Service> services_;
+  mutable std::uint64_t looks_ = 0;
   /// The newest start seen of each id that says when it started; outlives the
   /// entry, so that an old one which comes late brings nothing back. Such ids
   /// are those of the fleet's places and so stay few.
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -25,6 +25,53 @@
 {
 }
 
+UpstreamBoard::Rank
+UpstreamBoard::RankOf(const BoardUpstream& aUpstream)
+{
+  return { LoadOf(aUpstream), aUpstream.order_, aUpstream.entry_.id_ };
+}
+
+void
+UpstreamBoard::List(const BoardUpstream& aUpstream)
+{
+  const Rank rank = RankOf(aUpstream);
+  Service& service = services_[aUpstream.entry_.service_];
+  service.ranking_.emplace(rank, &aUpstream);
+  for (const auto& [model, version] : aUpstream.versions_) {
+    service.models_[model][version].emplace(rank, &aUpstream);
+  }
+  service.paces_.Add(aUpstream.pace_);
+}
+
+void
+UpstreamBoard::Unlist(const BoardUpstream& aUpstream)
+{
+  const auto found = services_.find(aUpstream.entry_.service_);
+  if (found == services_.end()) {
+    return;
+  }
+  const Rank rank = RankOf(aUpstream);
+  Service& service = found->second;
+  service.ranking_.erase(rank);
+  for (const auto& [model, version] : aUpstream.versions_) {
+    auto& versions = service.models_[model];
+    versions[version].erase(rank);
+    std::erase_if(versions,
+                  [](const auto& aVersion) { return aVersion.second.empty(); });
+  }
+  service.paces_.Remove(aUpstream.pace_);
+  if (service.ranking_.empty()) {
+    services_.erase(found);
+  }
+}
+
+const UpstreamBoard::Service*
+UpstreamBoard::FindService(const ServiceId& aService) const
+{
+  const auto service = services_.find(aService);
+  return service == services_.end() ? nullptr : &service->second;
+}
+
 EntryEffect
 UpstreamBoard::OnEntry(UpstreamEntry aEntry)
 {
@@ -37,6 +84,9 @@
   }
   const bool present = upstreams_.contains(aEntry.id_);
   BoardUpstream& upstream = upstreams_[aEntry.id_];
+  if (present) {
+    Unlist(upstream);
+  }
   const bool restarted = present && upstream.entry_.start_ < aEntry.start_;
   if (restarted) {
     BoardUpstream fresh;
@@ -56,6 +106,7 @@
   const bool draining = upstream.entry_.draining_ || aEntry.draining_;
   upstream.entry_ = std::move(aEntry);
   upstream.entry_.draining_ = draining;
+  List(upstream);
   return restarted ? EntryEffect::Restarted : EntryEffect::Current;
 }
 
@@ -69,8 +120,13 @@
   // What vanished long ago and has nothing in flight is forgotten.
   std::erase_if(upstreams_, [&](const auto& aEntry) {
     const BoardUpstream& upstream = aEntry.second;
-    return upstream.vanished_ != kNever && upstream.inFlight_ == 0 &&
-           aNow - upstream.vanished_ > policy_.vanishGrace_;
+    const bool forgotten = upstream.vanished_ != kNever &&
+                           upstream.inFlight_ == 0 &&
+                           aNow - upstream.vanished_ > policy_.vanishGrace_;
+    if (forgotten) {
+      Unlist(upstream);
+    }
+    return forgotten;
   });
 }
 
@@ -102,9 +158,15 @@
 UpstreamBoard::OnStart(const UpstreamId& aId, TimePoint aNow)
 {
   const auto it = upstreams_.find(aId);
-  if (it != upstreams_.end() && it->second.inFlight_++ == 0) {
-    it->second.heard_ = aNow;
+  if (it == upstreams_.end()) {
+    return;
   }
+  BoardUpstream& upstream = it->second;
+  Unlist(upstream);
+  if (upstream.inFlight_++ == 0) {
+    upstream.heard_ = aNow;
+  }
+  List(upstream);
 }
 
 void
@@ -136,7 +198,9 @@
   }
   BoardUpstream& upstream = it->second;
   if (upstream.inFlight_ > 0) {
+    Unlist(upstream);
     --upstream.inFlight_;
+    List(upstream);
   }
   if (aVerdict == CallVerdict::Answered || aVerdict == CallVerdict::Full) {
     upstream.heard_ = aNow;
@@ -177,12 +241,15 @@
     return;
   }
   Duration& pace = it->second.pace_;
+  PaceMedian& paces = services_.at(it->second.entry_.service_).paces_;
+  paces.Remove(pace);
   if (pace.count() == 0) {
     pace = aGap;
-    return;
+  } else {
+    const double change = static_cast<double>((aGap - pace).count());
+    pace += Duration{ static_cast<std::int64_t>(change * policy_.paceWeight_) };
   }
-  const double change = static_cast<double>((aGap - pace).count());
-  pace += Duration{ static_cast<std::int64_t>(change * policy_.paceWeight_) };
+  paces.Add(pace);
 }
 
 void
@@ -191,10 +258,17 @@
                          WeightVersion aVersion)
 {
   const auto it = upstreams_.find(aId);
-  if (it != upstreams_.end()) {
-    WeightVersion& known = it->second.versions_[aModel];
-    known = std::max(known, aVersion);
+  if (it == upstreams_.end()) {
+    return;
   }
+  BoardUpstream& upstream = it->second;
+  const auto known = upstream.versions_.find(aModel);
+  if (known != upstream.versions_.end() && known->second >= aVersion) {
+    return;
+  }
+  Unlist(upstream);
+  upstream.versions_[aModel] = aVersion;
+  List(upstream);
 }
 
 bool
@@ -211,20 +285,31 @@
                     const std::set<UpstreamId>& aTried,
                     TimePoint aNow) const
 {
+  const Service* service = FindService(aService);
+  if (service == nullptr) {
+    return nullptr;
+  }
   const BoardUpstream* best = nullptr;
   std::tuple<bool, bool, bool, double, bool, std::size_t> bestRank;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ != aService || aTried.contains(id) ||
-        !Usable(upstream, aNow)) {
+  for (const auto& [listed, upstream] : service->ranking_) {
+    // None that follows has less in flight or lies nearer.
+    const auto& [vanished, avoided, quiet, load, far, order] = bestRank;
+    if (best != nullptr && !vanished && !avoided && !quiet &&
+        (!far || std::get<0>(listed) > load)) {
+      break;
+    }
+    ++looks_;
+    if (aTried.contains(upstream->entry_.id_) || !Usable(*upstream, aNow)) {
       continue;
     }
-    const bool avoided = upstream.avoidUntil_ > aNow;
-    const bool vanished = upstream.vanished_ != kNever;
-    const bool far = upstream.entry_.zone_ != zone_;
-    const std::tuple rank{ vanished,         avoided, Quiet(upstream, aNow),
-                           LoadOf(upstream), far,     upstream.order_ };
+    const std::tuple rank{ upstream->vanished_ != kNever,
+                           upstream->avoidUntil_ > aNow,
+                           Quiet(*upstream, aNow),
+                           LoadOf(*upstream),
+                           upstream->entry_.zone_ != zone_,
+                           upstream->order_ };
     if (best == nullptr || rank < bestRank) {
-      best = &upstream;
+      best = upstream;
       bestRank = rank;
     }
   }
@@ -254,47 +339,62 @@
 const BoardUpstream*
 UpstreamBoard::PickForItem(const ItemNeeds& aNeeds, TimePoint aNow) const
 {
+  const Service* service = FindService(aNeeds.service_);
+  if (service == nullptr) {
+    return nullptr;
+  }
+  const Duration median = service->paces_.Get();
+  const BoardUpstream* preferred = Find(aNeeds.preferred_);
+  if (preferred != nullptr && Fits(*preferred, aNeeds, aNow) &&
+      !SlowerThan(*preferred, median) && !Quiet(*preferred, aNow)) {
+    return preferred;
+  }
+  using Faults = std::tuple<bool, bool, bool>;
+  constexpr Faults kNone{ false, false, false };
   const BoardUpstream* best = nullptr;
-  std::tuple<bool, bool, bool, double, std::size_t> bestRank;
-  const Duration median = MedianPace(aNeeds.service_);
-  for (const auto& [id, upstream] : upstreams_) {
-    if (!Fits(upstream, aNeeds, aNow)) {
-      continue;
-    }
-    const bool slow = SlowerThan(upstream, median);
-    const bool quiet = Quiet(upstream, aNow);
-    if (id == aNeeds.preferred_ && !slow && !quiet) {
-      return &upstream;
-    }
-    const std::tuple rank{ upstream.vanished_ != kNever,
-                           quiet,
-                           slow,
-                           LoadOf(upstream),
-                           upstream.order_ };
-    if (best == nullptr || rank < bestRank) {
-      best = &upstream;
-      bestRank = rank;
+  std::pair<Faults, Rank> bestRank;
+  for (const Ranking* ranking : RankingsFor(aNeeds)) {
+    for (const auto& [rank, upstream] : *ranking) {
+      if (best != nullptr && bestRank < std::pair(kNone, rank)) {
+        break;
+      }
+      ++looks_;
+      if (!Fits(*upstream, aNeeds, aNow)) {
+        continue;
+      }
+      const Faults faults{ upstream->vanished_ != kNever,
+                           Quiet(*upstream, aNow),
+                           SlowerThan(*upstream, median) };
+      if (best == nullptr || std::pair(faults, rank) < bestRank) {
+        best = upstream;
+        bestRank = { faults, rank };
+      }
     }
   }
   return best;
 }
 
-Duration
-UpstreamBoard::MedianPace(const ServiceId& aService) const
+std::vector<const UpstreamBoard::Ranking*>
+UpstreamBoard::RankingsFor(const ItemNeeds& aNeeds) const
 {
-  std::vector<Duration> paces;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ == aService && upstream.pace_.count() > 0) {
-      paces.push_back(upstream.pace_);
-    }
+  const Service* service = FindService(aNeeds.service_);
+  if (service == nullptr) {
+    return {};
+  }
+  if (aNeeds.model_.empty()) {
+    return { &service->ranking_ };
   }
-  if (paces.empty()) {
-    return Duration{ 0 };
+  std::vector<const Ranking*> rankings;
+  const auto model = service->models_.find(aNeeds.model_);
+  if (model != service->models_.end()) {
+    const auto& versions = model->second;
+    for (auto it = versions.lower_bound(aNeeds.minVersion_);
+         it != versions.end();
+         ++it) {
+      rankings.push_back(&it->second);
+    }
   }
-  const auto middle =
-    paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
-  std::nth_element(paces.begin(), middle, paces.end());
-  return *middle;
+  return rankings;
 }
 
 bool
@@ -310,7 +410,9 @@
 {
   const BoardUpstream* upstream = Find(aId);
   return upstream != nullptr && upstream->pace_.count() > 0 &&
-         SlowerThan(*upstream, MedianPace(upstream->entry_.service_));
+         SlowerThan(
+           *upstream,
+           services_.at(upstream->entry_.service_).paces_.Get());
 }
 
 const BoardUpstream*
@@ -320,16 +422,4 @@
   return it == upstreams_.end() ? nullptr : &it->second;
 }
 
-std::vector<const BoardUpstream*>
-UpstreamBoard::OfService(const ServiceId& aService) const
-{
-  std::vector<const BoardUpstream*> found;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ == aService) {
-      found.push_back(&upstream);
-    }
-  }
-  return found;
-}
-
 } // namespace marjoramtally
--- /dev/null
+++ b/tests/test_upstream_choice.cpp
@@ -0,0 +1,210 @@
+/// The choice of an upstream: what it costs in a large fleet, and that the
+/// order in which upstreams are kept chooses as a look at all of them does.
+
+#include "marjoramtally/process.hpp"
+
+#include "marjoramtally/base/random.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace marjoramtally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 100s };
+constexpr std::uint32_t kSlots = 6;
+const ServiceId kModels{ "models" };
+const ServiceId kPlain{ "plain" };
+const std::vector<std::string> kZones = { "z1", "z2", "z3" };
+
+UpstreamEntry
+MakeEntry(std::size_t aNumber)
+{
+  UpstreamEntry entry;
+  entry.id_ = UpstreamId{ "i-" + std::to_string(aNumber) };
+  entry.service_ = aNumber % 10 < 7 ? kModels : kPlain;
+  entry.address_ = "127.0.0.1:1";
+  entry.zone_ = ZoneId{ kZones[aNumber % kZones.size()] };
+  entry.slots_ = kSlots;
+  entry.models_ = { { "m", WeightVersion{ 1 + aNumber % 3 } } };
+  return entry;
+}
+
+UpstreamBoard
+MakeFleet(std::size_t aCount)
+{
+  UpstreamBoard board(ZoneId{ "z1" }, {}, "self");
+  for (std::size_t i = 0; i < aCount; ++i) {
+    board.OnEntry(MakeEntry(i));
+  }
+  return board;
+}
+
+/// Places the items of a step and looks after them as they run.
+/// @returns upstreams looked at
+std::uint64_t
+PlaceStep(UpstreamBoard& aBoard, std::size_t aItems)
+{
+  const std::uint64_t before = aBoard.Looks();
+  for (std::size_t i = 0; i < aItems; ++i) {
+    const BoardUpstream* upstream =
+      aBoard.PickForItem({ kModels, "m", WeightVersion{ 2 }, {}, {} }, kStart);
+    REQUIRE(upstream != nullptr);
+    const UpstreamId id = upstream->entry_.id_;
+    aBoard.OnStart(id, kStart);
+    aBoard.OnPace(id, 40ms);
+    REQUIRE_FALSE(aBoard.Slow(id));
+    REQUIRE(aBoard.Pick(kPlain, {}, kStart) != nullptr);
+  }
+  return aBoard.Looks() - before;
+}
+
+double
+LoadOf(const BoardUpstream& aUpstream)
+{
+  return static_cast<double>(aUpstream.inFlight_) / aUpstream.entry_.slots_;
+}
+
+/// Chooses by a look at all upstreams.
+struct WholeLook
+{
+  const UpstreamBoard& board_;
+  const std::vector<UpstreamId>& ids_;
+  TimePoint now_;
+
+  [[nodiscard]] UpstreamId ForRequest(const std::set<UpstreamId>& aTried) const
+  {
+    std::optional<std::tuple<bool, bool, bool, double, bool, std::size_t>> best;
+    UpstreamId chosen;
+    for (const UpstreamId& id : ids_) {
+      const BoardUpstream* upstream = board_.Find(id);
+      if (upstream == nullptr || upstream->entry_.service_ != kPlain ||
+          aTried.contains(id) || !board_.Usable(*upstream, now_)) {
+        continue;
+      }
+      const std::tuple rank{ upstream->vanished_ != kNever,
+                             upstream->avoidUntil_ > now_,
+                             board_.Quiet(*upstream, now_),
+                             LoadOf(*upstream),
+                             upstream->entry_.zone_ != ZoneId{ "z1" },
+                             upstream->order_ };
+      if (!best || rank < *best) {
+        best = rank;
+        chosen = id;
+      }
+    }
+    return chosen;
+  }
+
+  [[nodiscard]] UpstreamId ForItem(WeightVersion aLeast,
+                                   const UpstreamId& aPreferred) const
+  {
+    std::optional<std::tuple<bool, bool, bool, double, std::size_t>> best;
+    UpstreamId chosen;
+    for (const UpstreamId& id : ids_) {
+      const BoardUpstream* upstream = board_.Find(id);
+      if (upstream == nullptr || upstream->entry_.service_ != kModels ||
+          !board_.Usable(*upstream, now_) || upstream->avoidUntil_ > now_ ||
+          upstream->inFlight_ >= upstream->entry_.slots_ ||
+          upstream->versions_.at("m") < aLeast) {
+        continue;
+      }
+      const bool quiet = board_.Quiet(*upstream, now_);
+      const bool slow = board_.Slow(id);
+      if (id == aPreferred && !slow && !quiet) {
+        return id;
+      }
+      const std::tuple rank{ upstream->vanished_ != kNever,
+                             quiet,
+                             slow,
+                             LoadOf(*upstream),
+                             upstream->order_ };
+      if (!best || rank < *best) {
+        best = rank;
+        chosen = id;
+      }
+    }
+    return chosen;
+  }
+};
+
+UpstreamId
+IdOf(const BoardUpstream* aUpstream)
+{
+  return aUpstream == nullptr ? UpstreamId{} : aUpstream->entry_.id_;
+}
+
+} // namespace
+
+// The owner of a step's items looked at all 3,000 upstreams for each item that
+// it placed and for each run in progress, eight times a second, and so fell
+// behind the events of its runs: trainers' steps came 2 to 5 s late.
+TEST_CASE("placing items costs no more looks in a fleet a hundred times larger")
+{
+  constexpr std::size_t kItems = 128;
+  UpstreamBoard small = MakeFleet(60);
+  UpstreamBoard large = MakeFleet(6000);
+  const std::uint64_t few = PlaceStep(small, kItems);
+  const std::uint64_t many = PlaceStep(large, kItems);
+  REQUIRE(many <= 2 * few);
+  REQUIRE(many <= 20 * kItems);
+}
+
+TEST_CASE("the choice is that of a look at all upstreams")
+{
+  const std::uint64_t seed = GENERATE(range(1, 21));
+  Random random(seed);
+  const auto draw = [&random](std::uint64_t aBelow) {
+    return random.Below(aBelow);
+  };
+  constexpr std::size_t kFleet = 30;
+  UpstreamBoard board = MakeFleet(kFleet);
+  std::vector<UpstreamId> ids;
+  for (std::size_t i = 0; i < kFleet; ++i) {
+    ids.push_back(MakeEntry(i).id_);
+  }
+  TimePoint now = kStart;
+  for (int round = 0; round < 400; ++round) {
+    now = now + std::chrono::milliseconds(draw(60));
+    const std::size_t number = draw(kFleet);
+    const UpstreamId& id = ids[number];
+    UpstreamEntry entry = MakeEntry(number);
+    switch (draw(10)) {
+      case 0:
+        board.OnVanished(id, now);
+        break;
+      case 1:
+        entry.start_ = UpstreamStart{ draw(4) };
+        entry.draining_ = draw(8) == 0;
+        entry.service_ = draw(10) == 0 ? kPlain : entry.service_;
+        board.OnEntry(entry);
+        break;
+      case 2:
+        board.OnPace(id, std::chrono::milliseconds(20 + draw(200)));
+        break;
+      case 3:
+        board.OnHeard(id, now);
+        break;
+      case 4:
+        board.OnVersion(id, "m", WeightVersion{ draw(5) });
+        break;
+      case 5:
+        board.OnEnd(id, static_cast<CallVerdict>(draw(5)), now);
+        break;
+      default:
+        board.OnStart(id, now);
+        break;
+    }
+    const WholeLook whole{ board, ids, now };
+    const UpstreamId& other = ids[draw(kFleet)];
+    const WeightVersion least{ 1 + draw(4) };
+    REQUIRE(IdOf(board.Pick(kPlain, { other }, now)) ==
+            whole.ForRequest({ other }));
+    REQUIRE(
+      IdOf(board.PickForItem({ kModels, "m", least, other, {} }, now)) ==
+      whole.ForItem(least, other));
+  }
+}
