Loads of weights: a limit that is found from below, and loads that keep their place

A load that its upstream reports as under way keeps its place; only an order that was lost is sent anew.

--- a/include/marjoramtally/process/load_limit.hpp
+++ b/include/marjoramtally/process/load_limit.hpp
@@ -2,14 +2,16 @@
 ///
 /// The store of weights bears some loads at once; with more, each takes longer
 /// and holds the runs of its upstream up for as long. Upstreams that were added
-/// do not make it faster, so the limit follows what loads take: it shrinks
-/// while they take much longer than the fastest, and grows slowly while it is
-/// used up and they do not.
+/// do not make it faster, so the limit follows what loads take, as congestion
+/// control does: it begins low and doubles while loads take no longer than
+/// alone, up to a first guess; then it grows slowly. Loads that are slowed lead
+/// straight to the number that the store bears.
 #pragma once
 
 #include "marjoramtally/base/clock.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace marjoramtally {
 
@@ -26,15 +28,26 @@
   /// A load ended.
   /// @param aInProgress loads in progress until then, this one included
   void OnLoaded(Duration aTook, std::uint32_t aInProgress, TimePoint aNow);
-  /// @param aFirst the limit as long as nothing was learned
+  /// @param aFirst the limit that is guessed as long as nothing was learned
   [[nodiscard]] std::uint32_t AtOnce(std::uint32_t aFirst);
 
 private:
+  /// Judges the loads that began since the limit changed, once there are
+  /// enough of them.
+  void EndRound(TimePoint aNow);
+
   std::uint32_t least_;
   double limit_ = 0;
+  /// Below it the limit doubles.
+  double guess_ = 0;
   /// What the fastest load took.
   Duration fastest_{ 0 };
-  TimePoint shrunk_;
+  /// When the limit was last changed or confirmed.
+  TimePoint changed_;
+  /// What loads that began since then took.
+  std::vector<Duration> took_;
+  /// As many were in progress as may be.
+  bool usedUp_ = false;
 };
 
 } // namespace marjoramtally
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramtally/runtime/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace marjoramtally {
@@ -14,7 +15,10 @@
 /// A load takes about 0.9 s; reports lag by some hundred milliseconds.
 constexpr auto kFirstLook = std::chrono::milliseconds(1050);
 constexpr auto kNextLook = std::chrono::milliseconds(100);
-/// A load that is not seen to end is ordered anew after this time.
+/// Later looks come as this part of the time that the load has taken.
+constexpr int kLookShare = 10;
+/// An order that is under way no more and has changed nothing was lost. Reports
+/// lag, so this is believed after this time only.
 constexpr auto kLongestLoad = std::chrono::seconds(5);
 /// A plan that takes this part of the lease is told of: renewals are due three
 /// times in one lease.
@@ -193,7 +197,11 @@
   const bool reached =
     target.versions_[target.load_.model_] >= target.load_.version_;
   if (target.phase_ == Phase::Loading) {
-    if (reached || host_.Now() - target.since_ > kLongestLoad) {
+    // One that goes on keeps its place: the store of weights is busy with it,
+    // and an order in its stead would only come on top.
+    const bool lost = !report.value().busy_ &&
+                      host_.Now() - target.since_ > kLongestLoad;
+    if (reached || lost) {
       LogEvent(
         LogLevel::Info,
         "load_ended",
@@ -202,7 +210,7 @@
           { "version", std::to_string(target.load_.version_.Get()) },
           { "took_ms",
             std::to_string(WholeMillis(host_.Now() - target.accepted_)) },
-          { "outcome", reached ? "loaded" : "not seen to end" } });
+          { "outcome", reached ? "loaded" : "lost" } });
       target.phase_ = Phase::Idle;
       if (reached) {
         plan_.OnLoaded(host_.Now() - target.accepted_, host_.Now());
@@ -211,7 +219,10 @@
       }
       Replan();
     } else {
-      LookAgain(target, kNextLook);
+      LookAgain(target,
+                std::max<Duration>(kNextLook,
+                                   (host_.Now() - target.accepted_) /
+                                     kLookShare));
     }
     return;
   }
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -166,6 +166,33 @@
   fix.AcceptOrder("4");
 }
 
+// The store of weights was so busy that loads took over 5 s. The upstream was
+// ordered anew then, and another one in its place, so that more and more loads
+// were under way and none of them ended.
+TEST_CASE("a load that takes long keeps its place until it ends")
+{
+  DutyFixture fix;
+  fix.Report(1000, 4);
+  fix.AcceptOrder("4");
+  for (int i = 0; i < 20; ++i) {
+    fix.timers_.Advance(2s);
+    fix.Report(1000, 5, true);
+    REQUIRE(fix.client_.open_.empty());
+  }
+}
+
+TEST_CASE("an order that was lost is sent again")
+{
+  DutyFixture fix;
+  fix.Report(1000, 4);
+  fix.AcceptOrder("4");
+  fix.timers_.Advance(6s);
+  fix.Report(1000, 4);
+  fix.timers_.Advance(600ms);
+  fix.Report(1000, 4);
+  fix.AcceptOrder("4");
+}
+
 TEST_CASE("orders go to no upstream that another writer registered")
 {
   GatewayFakes fakes;
