Homes of a model follow what its items have use for, not the size of the fleet

What callers saw: with 3,000 upstreams instances heard late which upstreams were leaving, and the holder of the duties took a third to a half of its processor.

Each order is a load, a change of the upstream's entry that reaches every instance, and two connections of the holder.

Change: gateways tell the holder which places the items of each model want, with what they tell of use. A model gets homes for three times its largest burst of 30 s: half of them may be a version too old for the next step, and a zone of three may be lost. Where nothing is told, all stays as it was. Homes that are too old to serve go first when there are too many. PeakDemand is shared with the plan of upstreams. Pauses between looks at a long load end at a second.

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -25,6 +25,7 @@
 #include "marjoramtally/process/output_estimate.hpp"
 #include "marjoramtally/process/owner_plan.hpp"
 #include "marjoramtally/process/pace_median.hpp"
+#include "marjoramtally/process/peak_demand.hpp"
 #include "marjoramtally/process/poll_plan.hpp"
 #include "marjoramtally/process/prefix_hints.hpp"
 #include "marjoramtally/process/quarantine.hpp"
--- a/include/marjoramtally/process/supply_plan.hpp
+++ b/include/marjoramtally/process/supply_plan.hpp
@@ -8,9 +8,9 @@
 #pragma once
 
 #include "marjoramtally/base/clock.hpp"
+#include "marjoramtally/process/peak_demand.hpp"
 #include "marjoramtally/process/route_table.hpp"
 
-#include <deque>
 #include <set>
 
 namespace marjoramtally {
@@ -101,12 +101,6 @@
                                      TimePoint aNow) const;
 
 private:
-  struct Demand
-  {
-    TimePoint at_;
-    std::uint64_t places_ = 0;
-  };
-
   /// What is known of an order.
   struct Ordered
   {
@@ -149,7 +143,7 @@
   Ordered& Find(const SupplyPlace& aPlace, std::uint32_t aServing);
 
   SupplyPolicy policy_;
-  std::map<ServiceId, std::deque<Demand>> demand_;
+  std::map<ServiceId, PeakDemand> demand_;
   std::map<SupplyPlace, Ordered> ordered_;
   std::map<ServiceId, First> first_;
   /// Services whose present orders are known: from an earlier holder, or as
--- a/include/marjoramtally/process/usage_meter.hpp
+++ b/include/marjoramtally/process/usage_meter.hpp
@@ -64,6 +64,8 @@
   UsageCounts counts_;
   /// Places that its items and requests want, by service.
   std::map<ServiceId, std::uint64_t> demand_;
+  /// Places that items want, by model.
+  std::map<std::string, std::uint64_t> modelDemand_;
   /// Its long runs in progress, by upstream.
   std::map<UpstreamId, std::uint32_t> longRuns_;
 };
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -12,8 +12,10 @@
 #include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/ids.hpp"
 #include "marjoramtally/process/load_limit.hpp"
+#include "marjoramtally/process/peak_demand.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +35,8 @@
   /// Long runs in progress there, as far as is known. A load would hold them
   /// up, and a step waits for its longest text.
   std::uint32_t longRuns_ = 0;
+  /// Places for items.
+  std::uint32_t slots_ = 1;
 };
 
 /// One load to be ordered.
@@ -64,6 +68,12 @@
   /// share. Three models on eight upstreams: awaited groups whole after 3.4 s,
   /// not 4.1 s (mean of 360 played steps).
   double mostHomes_ = 1.5;
+  /// Most homes of a model, in places for each place of its largest burst: half
+  /// of them may be a version too old for the next step, and a zone of three
+  /// may be lost. More would be loaded for nobody, however large the fleet is.
+  double homePlaces_ = 3.0;
+  /// The largest burst of this time counts.
+  Duration demandMemory_ = std::chrono::seconds(30);
   /// A load takes 0.9 s, and the report that tells of its end lags by 0.2 s.
   Duration loadTime_ = std::chrono::milliseconds(1100);
   /// Share of the time in which as many loads as may be are under way: with
@@ -89,6 +99,11 @@
   void OnNamed(const std::string& aModel,
                WeightVersion aVersion,
                TimePoint aNow);
+  /// Places that items of a model want now. A model of which nothing was told
+  /// is given as many homes as loads can keep up with.
+  void OnDemand(const std::string& aModel,
+                std::uint64_t aPlaces,
+                TimePoint aNow);
   /// A load that was ordered has ended.
   void OnLoaded(Duration aTook, TimePoint aNow);
   /// @returns loads to order now
@@ -114,10 +129,17 @@
   /// Adds the loads of one service.
   void PlanService(const Places& aService, std::vector<PlannedLoad>& aLoads);
   void AssignHomes(const Places& aService);
-  /// @returns how many upstreams are to be a model's home: as many as can be
-  /// kept up with the versions that are named
-  [[nodiscard]] std::size_t ShareOf(std::size_t aUpstreams,
-                                    const std::vector<std::string>& aModels);
+  /// @returns how many upstreams are to be each model's home: as many as can
+  /// be kept up with the versions that are named, and no more than its items
+  /// have use for
+  [[nodiscard]] std::map<std::string, std::size_t> ShareOut(
+    const Places& aService,
+    const std::vector<std::string>& aModels);
+  /// @returns upstreams that hold the places of a model's largest burst;
+  /// nothing if no demand is known
+  [[nodiscard]] std::optional<double> UpstreamsForBurst(
+    const Places& aService,
+    const std::string& aModel) const;
   [[nodiscard]] std::uint32_t AtOnce(std::size_t aUpstreams);
   /// @param aCount homes to add
   /// @param aMost models at home at one upstream while others have fewer
@@ -151,6 +173,9 @@
 
   WeightPlanPolicy policy_;
   std::map<std::string, Naming> named_;
+  std::map<std::string, PeakDemand> demand_;
+  /// The largest burst of each model as of its last demand.
+  std::map<std::string, std::uint64_t> bursts_;
   /// Models at home at an upstream.
   std::map<UpstreamId, std::set<std::string>> homes_;
   std::uint64_t looks_ = 0;
--- a/src/connection/usage.capnp
+++ b/src/connection/usage.capnp
@@ -23,6 +23,13 @@
   windows @2 :List(WindowUsage);
   demand @3 :List(Demand);
   runs @4 :List(UpstreamRuns);
+  models @5 :List(ModelDemand);
+}
+
+# Places that items of a model want.
+struct ModelDemand {
+  model @0 :Text;
+  places @1 :UInt64;
 }
 
 # Long runs of items in progress at an upstream.
--- a/src/process/supply_plan.cpp
+++ b/src/process/supply_plan.cpp
@@ -47,15 +47,8 @@
                      std::uint64_t aPlaces,
                      TimePoint aNow)
 {
-  std::deque<Demand>& seen = demand_[aService];
-  while (!seen.empty() && seen.front().at_ + policy_.memory_ < aNow) {
-    seen.pop_front();
-  }
-  // Only what no later demand exceeds can become the largest.
-  while (!seen.empty() && seen.back().places_ <= aPlaces) {
-    seen.pop_back();
-  }
-  seen.push_back({ aNow, aPlaces });
+  demand_.try_emplace(aService, policy_.memory_)
+    .first->second.OnDemand(aPlaces, aNow);
 }
 
 void
@@ -87,17 +80,8 @@
 std::uint64_t
 SupplyPlan::Peak(const ServiceId& aService, TimePoint aNow) const
 {
-  std::uint64_t peak = 0;
-  const auto seen = demand_.find(aService);
-  if (seen == demand_.end()) {
-    return peak;
-  }
-  for (const Demand& demand : seen->second) {
-    if (demand.at_ + policy_.memory_ >= aNow) {
-      peak = std::max(peak, demand.places_);
-    }
-  }
-  return peak;
+  const auto demand = demand_.find(aService);
+  return demand == demand_.end() ? 0 : demand->second.At(aNow);
 }
 
 std::uint32_t
--- a/src/process/usage_messages.cpp
+++ b/src/process/usage_messages.cpp
@@ -33,6 +33,13 @@
     demand[at].setService(service.Get());
     demand[at++].setPlaces(places);
   }
+  auto models =
+    aOut.initModels(static_cast<std::uint32_t>(aUsage.modelDemand_.size()));
+  at = 0;
+  for (const auto& [model, places] : aUsage.modelDemand_) {
+    models[at].setModel(model);
+    models[at++].setPlaces(places);
+  }
   auto runs =
     aOut.initRuns(static_cast<std::uint32_t>(aUsage.longRuns_.size()));
   at = 0;
@@ -57,6 +64,9 @@
   for (const auto entry : aIn.getDemand()) {
     usage.demand_[ServiceId{ entry.getService().cStr() }] = entry.getPlaces();
   }
+  for (const auto entry : aIn.getModels()) {
+    usage.modelDemand_[entry.getModel().cStr()] = entry.getPlaces();
+  }
   for (const auto entry : aIn.getRuns()) {
     usage.longRuns_[UpstreamId{ entry.getUpstream().cStr() }] = entry.getRuns();
   }
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -108,15 +108,43 @@
                        policy_.upstreamsOfLoad_);
 }
 
+void
+WeightPlan::OnDemand(const std::string& aModel,
+                     std::uint64_t aPlaces,
+                     TimePoint aNow)
+{
+  PeakDemand& demand =
+    demand_.try_emplace(aModel, policy_.demandMemory_).first->second;
+  demand.OnDemand(aPlaces, aNow);
+  bursts_[aModel] = demand.At(aNow);
+}
+
 void
 WeightPlan::OnLoaded(Duration aTook, TimePoint aNow)
 {
   limit_.OnLoaded(aTook, busy_, aNow);
 }
 
-std::size_t
-WeightPlan::ShareOf(std::size_t aUpstreams,
-                    const std::vector<std::string>& aModels)
+std::optional<double>
+WeightPlan::UpstreamsForBurst(const Places& aService,
+                              const std::string& aModel) const
+{
+  const auto burst = bursts_.find(aModel);
+  if (burst == bursts_.end()) {
+    return std::nullopt;
+  }
+  std::uint64_t slots = 0;
+  for (const Place& place : aService) {
+    slots += place.upstream_->slots_;
+  }
+  return static_cast<double>(burst->second) *
+         static_cast<double>(aService.size()) /
+         static_cast<double>(std::max<std::uint64_t>(slots, 1));
+}
+
+std::map<std::string, std::size_t>
+WeightPlan::ShareOut(const Places& aService,
+                     const std::vector<std::string>& aModels)
 {
   using Seconds = std::chrono::duration<double>;
   // Versions named a second, each of which half of its homes load.
@@ -128,16 +156,26 @@
     versions += 1.0 / std::max(Seconds(period).count(),
                                Seconds(policy_.loadTime_).count());
   }
-  const double loads = policy_.loadShare_ * AtOnce(aUpstreams) /
+  const double loads = policy_.loadShare_ * AtOnce(aService.size()) /
                        Seconds(policy_.loadTime_).count();
-  const auto upstreams = static_cast<double>(aUpstreams);
+  const auto upstreams = static_cast<double>(aService.size());
   const auto models = static_cast<double>(aModels.size());
   const double bearable = loads / (versions * policy_.newestShare_);
-  const double wanted = policy_.mostHomes_ * upstreams / models;
-  const double least = upstreams / models;
-  const double share = std::clamp(bearable, least, std::max(wanted, least));
-  return std::clamp<std::size_t>(
-    static_cast<std::size_t>(std::lround(share)), 1, aUpstreams);
+  std::map<std::string, std::size_t> shares;
+  for (const std::string& model : aModels) {
+    double least = upstreams / models;
+    double wanted = policy_.mostHomes_ * upstreams / models;
+    if (const auto burst = UpstreamsForBurst(aService, model)) {
+      least = std::min(least, *burst);
+      wanted = std::min(wanted, policy_.homePlaces_ * *burst);
+    }
+    const double share = std::clamp(bearable, least, std::max(wanted, least));
+    shares[model] =
+      std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(share)),
+                              1,
+                              aService.size());
+  }
+  return shares;
 }
 
 /// Where versions differ, the models that are least behind were at home there
@@ -219,19 +257,23 @@
                         std::size_t aCount,
                         const Places& aService)
 {
-  std::vector<std::set<std::string>*> homes;
+  /// Too old to serve a step, models at home there.
+  using Rank = std::pair<bool, std::size_t>;
+  std::vector<std::pair<Rank, std::set<std::string>*>> homes;
   looks_ += aService.size();
   for (const Place& place : aService) {
     if (place.home_->contains(aModel)) {
-      homes.push_back(place.home_);
+      const bool old = Gap(*place.upstream_, aModel) >= kMostBehind;
+      homes.emplace_back(Rank{ old, place.home_->size() }, place.home_);
     }
   }
-  std::stable_sort(
-    homes.begin(), homes.end(), [](const auto* aLeft, const auto* aRight) {
-      return aLeft->size() > aRight->size();
-    });
+  std::stable_sort(homes.begin(),
+                   homes.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.first > aRight.first;
+                   });
   for (std::size_t i = 0; i < aCount; ++i) {
-    homes[i]->erase(aModel);
+    homes[i].second->erase(aModel);
   }
 }
 
@@ -242,19 +284,20 @@
   if (models.empty()) {
     return;
   }
-  const std::size_t share = ShareOf(aService.size(), models);
+  const std::map<std::string, std::size_t> shares = ShareOut(aService, models);
   const std::map<std::string, std::size_t> before = CountHomes(aService);
-  for (const std::string& model : models) {
+  std::size_t homes = 0;
+  for (const auto& [model, share] : shares) {
     const std::size_t count = CountOf(before, model);
     if (count > share) {
       RemoveHomes(model, count - share, aService);
     }
+    homes += share;
   }
-  const std::size_t most =
-    (share * models.size() + aService.size() - 1) / aService.size();
+  const std::size_t most = (homes + aService.size() - 1) / aService.size();
   Relieve(most, aService);
   const std::map<std::string, std::size_t> left = CountHomes(aService);
-  for (const std::string& model : models) {
+  for (const auto& [model, share] : shares) {
     const std::size_t count = CountOf(left, model);
     if (count < share) {
       AddHomes(model, share - count, most, aService);
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -174,12 +174,29 @@
     if (job.ended_ || route == nullptr || route->services_.empty()) {
       continue;
     }
-    const std::size_t waiting = job.ledger_.Waiting(host_.Now()).size();
-    places[route->services_.front().service_] += waiting + job.runs_.size();
+    places[route->services_.front().service_] += PlacesOf(job);
   }
   return places;
 }
 
+std::map<std::string, std::uint64_t>
+JobRunner::PlacesOfModels() const
+{
+  std::map<std::string, std::uint64_t> places;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.ended_) {
+      places[job.ledger_.Spec().model_] += PlacesOf(job);
+    }
+  }
+  return places;
+}
+
+std::uint64_t
+JobRunner::PlacesOf(const OwnedJob& aJob) const
+{
+  return aJob.ledger_.Waiting(host_.Now()).size() + aJob.runs_.size();
+}
+
 void
 JobRunner::GiveBack()
 {
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -63,6 +63,8 @@
   }
   /// @returns places that items of the jobs here want, by service
   [[nodiscard]] std::map<ServiceId, std::uint64_t> PlacesWanted() const;
+  /// @returns the same by model
+  [[nodiscard]] std::map<std::string, std::uint64_t> PlacesOfModels() const;
   /// @returns runs that have gone on for a while, and so are likely to go on,
   /// by upstream
   [[nodiscard]] std::map<UpstreamId, std::uint32_t> LongRuns() const;
@@ -155,6 +157,8 @@
 
   /// Gives a job the limits of the configuration in force.
   /// @returns whether that configuration can tell what is to be done with it
+  /// @returns places that a job's items hold or wait for
+  [[nodiscard]] std::uint64_t PlacesOf(const OwnedJob& aJob) const;
   [[nodiscard]] bool Govern(const JobId& aId, OwnedJob& aJob);
   [[nodiscard]] JobPolicy PolicyOf(const OwnedJob& aJob) const;
   void TakeTexts(OwnedJob& aJob);
--- a/src/programs/gatewayd/usage_service.cpp
+++ b/src/programs/gatewayd/usage_service.cpp
@@ -33,6 +33,7 @@
   usage.counts_ =
     forwarder_.Usage().Counts(host_.Now(), aAsk.now_, aAsk.window_);
   usage.demand_ = runner_.PlacesWanted();
+  usage.modelDemand_ = runner_.PlacesOfModels();
   usage.longRuns_ = runner_.LongRuns();
   for (const auto& [service, requests] : forwarder_.InProgress()) {
     usage.demand_[service] += requests;
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -34,6 +34,7 @@
   targets_.clear();
   longRuns_.clear();
   longRunsTold_.clear();
+  placesTold_.clear();
 }
 
 void
@@ -139,12 +140,20 @@
   for (const auto& [upstream, runs] : aUsage.longRuns_) {
     longRunsTold_[upstream] += runs;
   }
+  for (const auto& [model, places] : aUsage.modelDemand_) {
+    placesTold_[model] += places;
+  }
 }
 
 void
 OrderDuty::OnRound()
 {
   longRuns_ = std::exchange(longRunsTold_, {});
+  for (const auto& [model, places] : std::exchange(placesTold_, {})) {
+    if (places > 0) {
+      plan_.OnDemand(model, places, host_.Now());
+    }
+  }
 }
 
 std::vector<SupplyView>
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -26,7 +26,7 @@
   /// Both outlive this.
   OrderDuty(GatewayContext& aHost, DutyLease& aLease);
 
-  /// Takes what a gateway told of its long runs.
+  /// Takes what a gateway told of its long runs and of the places it wants.
   void OnUsage(const GatewayUsage& aUsage);
   /// A round of questions to gateways is over.
   void OnRound();
@@ -128,6 +128,8 @@
   /// Long runs at upstreams: as told in the last round, and so far in this one.
   std::map<UpstreamId, std::uint32_t> longRuns_;
   std::map<UpstreamId, std::uint32_t> longRunsTold_;
+  /// Places that items want, by model, as told in this round so far.
+  std::map<std::string, std::uint64_t> placesTold_;
   /// Services of upstreams for which it was read once more.
   std::set<ServiceId> unnamed_;
   /// Counts the times that the duty began.
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -15,8 +15,9 @@
 /// A load takes about 0.9 s; reports lag by some hundred milliseconds.
 constexpr auto kFirstLook = std::chrono::milliseconds(1050);
 constexpr auto kNextLook = std::chrono::milliseconds(100);
-/// Later looks come as this part of the time that the load has taken.
+/// Pauses are this part of the time that the load has taken, up to the longest.
 constexpr int kLookShare = 10;
+constexpr auto kLongestLook = std::chrono::seconds(1);
 /// An order that is under way no more and has changed nothing was lost. Reports
 /// lag, so this is believed after this time only.
 constexpr auto kLongestLoad = std::chrono::seconds(5);
@@ -70,7 +71,8 @@
                             target.entry_.zone_,
                             target.versions_,
                             target.phase_ != Phase::Idle,
-                            runs == longRuns_.end() ? 0 : runs->second });
+                            runs == longRuns_.end() ? 0 : runs->second,
+                            target.entry_.slots_ });
     }
   }
   const std::vector<PlannedLoad> loads = plan_.Next(upstreams);
@@ -219,10 +221,10 @@
       }
       Replan();
     } else {
-      LookAgain(target,
-                std::max<Duration>(kNextLook,
-                                   (host_.Now() - target.accepted_) /
-                                     kLookShare));
+      const Duration taken = host_.Now() - target.accepted_;
+      LookAgain(
+        target,
+        std::clamp<Duration>(taken / kLookShare, kNextLook, kLongestLook));
     }
     return;
   }
--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -75,6 +75,7 @@
   usage.ahead_ = -3ms;
   usage.counts_ = { { 7, { { kNorth, 2 } } } };
   usage.demand_[ServiceId{ "lm" }] = 128;
+  usage.modelDemand_["m"] = 120;
   usage.longRuns_[UpstreamId{ "u1" }] = 2;
   const auto back = DecodeUsageAnswer(EncodeUsageAnswer({ usage, {} }));
   REQUIRE(back);
@@ -84,6 +85,7 @@
   REQUIRE(read.ahead_ == -3ms);
   REQUIRE(read.counts_ == usage.counts_);
   REQUIRE(read.demand_ == usage.demand_);
+  REQUIRE(read.modelDemand_ == usage.modelDemand_);
   REQUIRE(read.longRuns_ == usage.longRuns_);
   const auto ask =
     DecodeUsageAsk(EncodeUsageAsk({ At(12s), 5s, { "a:1", "b:2" } }));
