The limit of loads grows by loads that began while it was used up

Cause, from the log of the holder on sites of 300 upstreams: loads that began before all places were taken had the store of weights to themselves and ended fast, so the limit doubled twice before the first slowed load ended; up to 36 loads of 2.3 s each where 16 are borne, for five seconds after the start and after each change of the holder. A limit that was cut to exactly what is borne then left the store idle for a part of the time.

Change: only loads that began since the limit was used up let it grow; that is told when they are ordered. A cut keeps a tenth more than is borne.

--- a/include/marjoramtally/process/load_limit.hpp
+++ b/include/marjoramtally/process/load_limit.hpp
@@ -3,7 +3,7 @@
 /// The store of weights bears some loads at once; with more, each takes longer
 /// and holds the runs of its upstream up for as long. Upstreams that were added
 /// do not make it faster, so the limit follows what loads take, as congestion
-/// control does: it begins low and doubles while loads take no longer than
+/// control does: it begins low and grows fast while loads take no longer than
 /// alone, up to a first guess; then it grows slowly. Loads that are slowed lead
 /// straight to the number that the store bears.
 #pragma once
@@ -28,26 +28,33 @@
   /// A load ended.
   /// @param aInProgress loads in progress until then, this one included
   void OnLoaded(Duration aTook, std::uint32_t aInProgress, TimePoint aNow);
+  /// Loads were ordered.
+  /// @param aCount loads in progress with them
+  void OnInProgress(std::uint32_t aCount, TimePoint aNow);
   /// @param aFirst the limit that is guessed as long as nothing was learned
   [[nodiscard]] std::uint32_t AtOnce(std::uint32_t aFirst);
 
 private:
   /// Judges the loads that began since the limit changed, once there are
   /// enough of them.
-  void EndRound(TimePoint aNow);
+  void Judge(TimePoint aNow);
+  void Change(double aLimit, TimePoint aNow);
 
   std::uint32_t least_;
   double limit_ = 0;
-  /// Below it the limit doubles.
+  /// Below it the limit grows fast.
   double guess_ = 0;
   /// What the fastest load took.
   Duration fastest_{ 0 };
   /// When the limit was last changed or confirmed.
   TimePoint changed_;
-  /// What loads that began since then took.
+  /// Since when as many are in progress as may be; `kNever` if they are not.
+  TimePoint full_ = kNever;
+  /// What loads that began since the change took.
   std::vector<Duration> took_;
-  /// As many were in progress as may be.
-  bool usedUp_ = false;
+  /// Loads that began since the limit was used up. Those before them had the
+  /// store of weights to themselves for a while and say little of it.
+  std::size_t tookFull_ = 0;
 };
 
 } // namespace marjoramtally
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -106,6 +106,8 @@
                 TimePoint aNow);
   /// A load that was ordered has ended.
   void OnLoaded(Duration aTook, TimePoint aNow);
+  /// The loads of the last plan are being ordered.
+  void OnOrdered(TimePoint aNow);
   /// @returns loads to order now
   [[nodiscard]] std::vector<PlannedLoad> Next(
     const std::vector<PlanUpstream>& aUpstreams);
--- a/src/process/load_limit.cpp
+++ b/src/process/load_limit.cpp
@@ -1,6 +1,7 @@
 #include "marjoramtally/process/load_limit.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjoramtally {
 
@@ -10,6 +11,11 @@
 /// tells of its end comes in steps of a tenth.
 constexpr double kSlowed = 1.35;
 constexpr double kGrow = 1.05;
+/// Kept in progress for each load that the store bears, so that it never waits.
+constexpr double kKept = 1.1;
+/// Part of the limit at which it counts as used up; one load ends before the
+/// next is ordered.
+constexpr double kFull = 0.85;
 constexpr double kGrowFast = 2.0;
 /// Most loads at first. A guess that is too high slows all loads, so that what
 /// one takes alone is never seen.
@@ -38,32 +44,52 @@
   if (limit_ == 0 || aNow - aTook < changed_) {
     return;
   }
-  usedUp_ = usedUp_ || aInProgress >= static_cast<std::uint32_t>(limit_);
+  OnInProgress(aInProgress, aNow);
   took_.push_back(aTook);
-  const auto enough = std::max(
-    kLeastRound, static_cast<std::size_t>(limit_ * kRoundShare));
-  if (took_.size() >= enough) {
-    EndRound(aNow);
+  tookFull_ += full_ != kNever && aNow - aTook >= full_ ? 1 : 0;
+  Judge(aNow);
+}
+
+void
+LoadLimit::OnInProgress(std::uint32_t aCount, TimePoint aNow)
+{
+  if (aCount < kFull * std::floor(limit_)) {
+    full_ = kNever;
+  } else if (full_ == kNever) {
+    full_ = aNow;
   }
 }
 
 void
-LoadLimit::EndRound(TimePoint aNow)
+LoadLimit::Judge(TimePoint aNow)
 {
+  const auto enough =
+    std::max(kLeastRound, static_cast<std::size_t>(limit_ * kRoundShare));
+  if (took_.size() < enough) {
+    return;
+  }
   const auto middle =
     took_.begin() + static_cast<std::ptrdiff_t>(took_.size() / 2);
   std::nth_element(took_.begin(), middle, took_.end());
   const double slowing = Ratio(*middle, fastest_);
   if (slowing > kSlowed) {
-    limit_ = std::max<double>(least_, limit_ / slowing);
-    guess_ = limit_;
-  } else if (usedUp_) {
-    limit_ = limit_ < guess_ ? std::min(limit_ * kGrowFast, guess_)
-                             : limit_ * kGrow;
+    guess_ = std::max<double>(least_, limit_ * kKept / slowing);
+    Change(guess_, aNow);
+  } else if (tookFull_ >= enough) {
+    Change(limit_ < guess_ ? std::min(limit_ * kGrowFast, guess_)
+                           : limit_ * kGrow,
+           aNow);
   }
+}
+
+void
+LoadLimit::Change(double aLimit, TimePoint aNow)
+{
+  limit_ = aLimit;
   changed_ = aNow;
+  full_ = kNever;
   took_.clear();
-  usedUp_ = false;
+  tookFull_ = 0;
 }
 
 std::uint32_t
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -119,6 +119,12 @@
   bursts_[aModel] = demand.At(aNow);
 }
 
+void
+WeightPlan::OnOrdered(TimePoint aNow)
+{
+  limit_.OnInProgress(busy_, aNow);
+}
+
 void
 WeightPlan::OnLoaded(Duration aTook, TimePoint aNow)
 {
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -79,6 +79,7 @@
   const TimePoint ended = host_.Now();
   planPace_.OnDone(begun, ended);
   TellPlanTime(upstreams.size(), loads.size(), ended - begun);
+  plan_.OnOrdered(ended);
   for (const PlannedLoad& load : loads) {
     Begin(load);
   }
