What a relay answers to its peers is a unit of its own

The second part is RelayAnswers now, which knows no more than what is held of a prefix. Behaviour is the same; the tests of relays pass unchanged. Layout as the formatter wants it.

--- /dev/null
+++ b/src/daemon/relay_answers.cpp
@@ -0,0 +1,130 @@
+#include "daemon/relay_answers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramtally {
+
+namespace {
+
+/// The age that an answer tells may be this much too small, so that one serves
+/// all peers that are told at the same time.
+constexpr auto kSameAnswer = std::chrono::milliseconds(20);
+/// A relay that does not yet know a revision gets this long.
+constexpr auto kCatchUp = std::chrono::milliseconds(50);
+
+} // namespace
+
+RelayAnswers::RelayAnswers(LoopTimers& aTimers,
+                           const Clock& aClock,
+                           HistoryOf aHistory)
+  : timers_(aTimers)
+  , clock_(aClock)
+  , history_(std::move(aHistory))
+{
+}
+
+std::optional<Error>
+RelayAnswers::RefusalOf(const WatchHistory* aHistory,
+                        std::uint64_t aAfter) const
+{
+  if (aHistory == nullptr) {
+    return Error{ ErrorKind::NotFound, "this process does not relay that" };
+  }
+  if (!aHistory->Confirmed(clock_.Now())) {
+    return Error{ ErrorKind::Unavailable, "the store does not answer here" };
+  }
+  if (!aHistory->Covers(aAfter)) {
+    return Error{ ErrorKind::Conflict, "that history is not held here" };
+  }
+  return std::nullopt;
+}
+
+const std::string&
+RelayAnswers::AnswerFor(const std::string& aPrefix,
+                        const WatchHistory& aHistory,
+                        std::uint64_t aAfter)
+{
+  const TimePoint now = clock_.Now();
+  const std::uint64_t revision = aHistory.Known();
+  const bool same = answer_.prefix_ == aPrefix && answer_.after_ == aAfter &&
+                    answer_.revision_ == revision &&
+                    now - answer_.made_ <= Duration{ kSameAnswer };
+  if (!same) {
+    StoreWatchBatch batch = aHistory.After(aAfter);
+    batch.age_ = aHistory.Age(now);
+    answer_ = { aPrefix, aAfter, revision, now, EncodeWatchBatch(batch) };
+  }
+  return answer_.bytes_;
+}
+
+void
+RelayAnswers::Serve(const WatchAsk& aAsk, StoreDone<std::string> aDone)
+{
+  const WatchHistory* history = history_(aAsk.prefix_);
+  if (const auto refusal = RefusalOf(history, aAsk.after_)) {
+    aDone(*refusal);
+    return;
+  }
+  if (history->HasAfter(aAsk.after_)) {
+    aDone(AnswerFor(aAsk.prefix_, *history, aAsk.after_));
+    return;
+  }
+  const std::uint64_t number = ++lastAsker_;
+  const std::string& prefix = aAsk.prefix_;
+  const LoopTimerId timer =
+    timers_.After(std::max<Duration>(aAsk.wait_, kCatchUp),
+                  [this, prefix, number] { End(prefix, number); });
+  askers_[prefix][number] = { aAsk.after_, std::move(aDone), timer };
+}
+
+void
+RelayAnswers::Wake(const std::string& aPrefix)
+{
+  const auto it = askers_.find(aPrefix);
+  if (it == askers_.end()) {
+    return;
+  }
+  const WatchHistory* history = history_(aPrefix);
+  std::vector<std::uint64_t> due;
+  for (const auto& [number, asker] : it->second) {
+    if (RefusalOf(history, asker.after_) || history->HasAfter(asker.after_)) {
+      due.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : due) {
+    End(aPrefix, number);
+  }
+}
+
+void
+RelayAnswers::EndAll(const std::string& aPrefix)
+{
+  auto node = askers_.extract(aPrefix);
+  if (node.empty()) {
+    return;
+  }
+  for (const auto& [number, asker] : node.mapped()) {
+    timers_.Cancel(asker.timer_);
+    asker.done_(Error{ ErrorKind::Conflict, "the history was lost" });
+  }
+}
+
+void
+RelayAnswers::End(const std::string& aPrefix, std::uint64_t aNumber)
+{
+  auto node = askers_[aPrefix].extract(aNumber);
+  if (node.empty()) {
+    return;
+  }
+  const Asker& asker = node.mapped();
+  timers_.Cancel(asker.timer_);
+  const WatchHistory* history = history_(aPrefix);
+  if (const auto refusal = RefusalOf(history, asker.after_)) {
+    asker.done_(*refusal);
+    return;
+  }
+  asker.done_(AnswerFor(aPrefix, *history, asker.after_));
+}
+
+} // namespace marjoramtally
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -42,11 +42,6 @@
 /// may have been in force late. Above the longest pause of a watch that is
 /// well.
 constexpr auto kSilenceTold = std::chrono::milliseconds(1700);
-/// The age that an answer tells may be this much too small, so that one serves
-/// all peers that are told at the same time.
-constexpr auto kSameAnswer = std::chrono::milliseconds(20);
-/// A relay that does not yet know a revision gets this long.
-constexpr auto kCatchUp = std::chrono::milliseconds(50);
 
 std::size_t
 BytesOf(const StoreWatchBatch& aBatch)
@@ -73,6 +68,9 @@
   , askPeer_(std::move(aAskPeer))
   , relays_(std::move(aRelays))
   , probes_(kFirstProbe, kLongestProbe, 1)
+  , answers_(aTimers, aClock, [this](const std::string& aPrefix) {
+    return HistoryOfServed(aPrefix);
+  })
 {
 }
 
@@ -213,7 +211,7 @@
       return;
     }
     own->history_.Lose();
-    WakeAskers(own->prefix_);
+    answers_.Wake(own->prefix_);
     own->history_.Start(own->after_, {});
     if (!relays_(own->prefix_).empty()) {
       // Relays say sooner than many tries of each process when it is back.
@@ -229,7 +227,7 @@
   }
   if (aBatch.ended_) {
     own->history_.Lose();
-    EndAskers(own->prefix_);
+    answers_.EndAll(own->prefix_);
     Deliver(aId, aBatch);
     return;
   }
@@ -237,7 +235,7 @@
   probes_.Reset();
   Heard(*own, "store");
   own->history_.Append(aBatch, clock_.Now());
-  WakeAskers(own->prefix_);
+  answers_.Wake(own->prefix_);
   const bool relayed =
     !relays_(own->prefix_).empty() && clock_.Now() >= own->directUntil_;
   const StoreWatchId direct = own->direct_;
@@ -429,121 +427,15 @@
   onBatch(news);
 }
 
-RelayedStore::Own*
-RelayedStore::FindServed(const std::string& aPrefix)
+const WatchHistory*
+RelayedStore::HistoryOfServed(const std::string& aPrefix) const
 {
-  for (auto& [id, own] : watches_) {
+  for (const auto& [id, own] : watches_) {
     if (own.prefix_ == aPrefix && own.direct_ != 0) {
-      return &own;
+      return &own.history_;
     }
   }
   return nullptr;
 }
 
-std::optional<Error>
-RelayedStore::RefusalOf(const Own* aOwn, std::uint64_t aAfter) const
-{
-  if (aOwn == nullptr) {
-    return Error{ ErrorKind::NotFound, "this process does not relay that" };
-  }
-  if (!aOwn->history_.Confirmed(clock_.Now())) {
-    return Error{ ErrorKind::Unavailable, "the store does not answer here" };
-  }
-  if (!aOwn->history_.Covers(aAfter)) {
-    return Error{ ErrorKind::Conflict, "that history is not held here" };
-  }
-  return std::nullopt;
-}
-
-const std::string&
-RelayedStore::AnswerFor(const Own& aOwn, std::uint64_t aAfter)
-{
-  const TimePoint now = clock_.Now();
-  const std::uint64_t revision = aOwn.history_.Known();
-  const bool same = answer_.prefix_ == aOwn.prefix_ &&
-                    answer_.after_ == aAfter &&
-                    answer_.revision_ == revision &&
-                    now - answer_.made_ <= Duration{ kSameAnswer };
-  if (!same) {
-    StoreWatchBatch batch = aOwn.history_.After(aAfter);
-    batch.age_ = aOwn.history_.Age(now);
-    answer_ = {
-      aOwn.prefix_, aAfter, revision, now, EncodeWatchBatch(batch)
-    };
-  }
-  return answer_.bytes_;
-}
-
-void
-RelayedStore::Serve(const WatchAsk& aAsk, StoreDone<std::string> aDone)
-{
-  const Own* own = FindServed(aAsk.prefix_);
-  if (const auto refusal = RefusalOf(own, aAsk.after_)) {
-    aDone(*refusal);
-    return;
-  }
-  if (own->history_.HasAfter(aAsk.after_)) {
-    aDone(AnswerFor(*own, aAsk.after_));
-    return;
-  }
-  const std::uint64_t number = ++lastAsker_;
-  const std::string& prefix = aAsk.prefix_;
-  const LoopTimerId timer =
-    timers_.After(std::max<Duration>(aAsk.wait_, kCatchUp),
-                  [this, prefix, number] { EndAsker(prefix, number); });
-  askers_[prefix][number] = { aAsk.after_, std::move(aDone), timer };
-}
-
-/// Answers those that wait for changes under a prefix, if there are any now
-/// or nothing can be vouched for any more.
-void
-RelayedStore::WakeAskers(const std::string& aPrefix)
-{
-  const auto it = askers_.find(aPrefix);
-  if (it == askers_.end()) {
-    return;
-  }
-  const Own* own = FindServed(aPrefix);
-  std::vector<std::uint64_t> due;
-  for (const auto& [number, asker] : it->second) {
-    if (RefusalOf(own, asker.after_) ||
-        own->history_.HasAfter(asker.after_)) {
-      due.push_back(number);
-    }
-  }
-  for (const std::uint64_t number : due) {
-    EndAsker(aPrefix, number);
-  }
-}
-
-void
-RelayedStore::EndAskers(const std::string& aPrefix)
-{
-  auto node = askers_.extract(aPrefix);
-  if (node.empty()) {
-    return;
-  }
-  for (const auto& [number, asker] : node.mapped()) {
-    timers_.Cancel(asker.timer_);
-    asker.done_(Error{ ErrorKind::Conflict, "the history was lost" });
-  }
-}
-
-void
-RelayedStore::EndAsker(const std::string& aPrefix, std::uint64_t aNumber)
-{
-  auto node = askers_[aPrefix].extract(aNumber);
-  if (node.empty()) {
-    return;
-  }
-  const Asker& asker = node.mapped();
-  timers_.Cancel(asker.timer_);
-  const Own* own = FindServed(aPrefix);
-  if (const auto refusal = RefusalOf(own, asker.after_)) {
-    asker.done_(*refusal);
-    return;
-  }
-  asker.done_(AnswerFor(*own, asker.after_));
-}
-
 } // namespace marjoramtally
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -3,15 +3,13 @@
 /// store itself.
 #pragma once
 
+#include "daemon/relay_answers.hpp"
 #include "marjoramtally/base/backoff.hpp"
 #include "marjoramtally/process/relay_plan.hpp"
 #include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/store.hpp"
-#include "marjoramtally/runtime/watch_history.hpp"
-#include "marjoramtally/runtime/watch_messages.hpp"
 
 #include <map>
-#include <optional>
 
 namespace marjoramtally {
 
@@ -52,7 +50,10 @@
   void StopWatch(StoreWatchId aWatch) override;
 
   /// Answers a peer with an encoded batch, at once or when there is a change.
-  void Serve(const WatchAsk& aAsk, StoreDone<std::string> aDone);
+  void Serve(const WatchAsk& aAsk, StoreDone<std::string> aDone)
+  {
+    answers_.Serve(aAsk, std::move(aDone));
+  }
 
 private:
   /// One watch of this process.
@@ -83,24 +84,6 @@
     TimePoint heard_;
   };
 
-  /// A peer that waits for a change.
-  struct Asker
-  {
-    std::uint64_t after_ = 0;
-    StoreDone<std::string> done_;
-    LoopTimerId timer_ = 0;
-  };
-
-  /// An encoded answer. Peers that wait know the same and are told the same.
-  struct Answer
-  {
-    std::string prefix_;
-    std::uint64_t after_ = 0;
-    std::uint64_t revision_ = 0;
-    TimePoint made_;
-    std::string bytes_;
-  };
-
   void Open(StoreWatchId aId);
   void OpenLater(StoreWatchId aId);
   /// No relay vouches for what is known here.
@@ -121,18 +104,10 @@
   /// long none had.
   void Heard(Own& aOwn, std::string_view aSource);
   [[nodiscard]] Own* Find(StoreWatchId aId);
-  [[nodiscard]] Own* FindServed(const std::string& aPrefix);
-  /// @returns why a peer that knows all up to a revision gets no changes here;
-  /// nothing if it does
-  [[nodiscard]] std::optional<Error> RefusalOf(const Own* aOwn,
-                                               std::uint64_t aAfter) const;
-  /// @returns the changes that are held, with the age of what is known here
-  [[nodiscard]] const std::string& AnswerFor(const Own& aOwn,
-                                             std::uint64_t aAfter);
-  /// Tells those that wait under a prefix that they must read anew.
-  void EndAskers(const std::string& aPrefix);
-  void WakeAskers(const std::string& aPrefix);
-  void EndAsker(const std::string& aPrefix, std::uint64_t aNumber);
+  /// @returns what the store's own watch of a prefix told; nullptr if there is
+  /// none
+  [[nodiscard]] const WatchHistory* HistoryOfServed(
+    const std::string& aPrefix) const;
 
   Store& store_;
   LoopTimers& timers_;
@@ -147,9 +122,7 @@
   StoreWatchId probing_ = 0;
   StoreWatchId last_ = 0;
   std::map<StoreWatchId, Own> watches_;
-  std::uint64_t lastAsker_ = 0;
-  std::map<std::string, std::map<std::uint64_t, Asker>> askers_;
-  Answer answer_;
+  RelayAnswers answers_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/process/upstream_board.cpp
+++ b/src/process/upstream_board.cpp
@@ -302,12 +302,11 @@
     if (aTried.contains(upstream->entry_.id_) || !Usable(*upstream, aNow)) {
       continue;
     }
-    const std::tuple rank{ upstream->vanished_ != kNever,
-                           upstream->avoidUntil_ > aNow,
-                           Quiet(*upstream, aNow),
-                           LoadOf(*upstream),
-                           upstream->entry_.zone_ != zone_,
-                           upstream->order_ };
+    const std::tuple rank{
+      upstream->vanished_ != kNever,   upstream->avoidUntil_ > aNow,
+      Quiet(*upstream, aNow),          LoadOf(*upstream),
+      upstream->entry_.zone_ != zone_, upstream->order_
+    };
     if (best == nullptr || rank < bestRank) {
       best = upstream;
       bestRank = rank;
@@ -410,9 +409,8 @@
 {
   const BoardUpstream* upstream = Find(aId);
   return upstream != nullptr && upstream->pace_.count() > 0 &&
-         SlowerThan(
-           *upstream,
-           services_.at(upstream->entry_.service_).paces_.Get());
+         SlowerThan(*upstream,
+                    services_.at(upstream->entry_.service_).paces_.Get());
 }
 
 const BoardUpstream*
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -176,10 +176,8 @@
       wanted = std::min(wanted, policy_.homePlaces_ * *burst);
     }
     const double share = std::clamp(bearable, least, std::max(wanted, least));
-    shares[model] =
-      std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(share)),
-                              1,
-                              aService.size());
+    shares[model] = std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::lround(share)), 1, aService.size());
   }
   return shares;
 }
@@ -273,11 +271,10 @@
       homes.emplace_back(Rank{ old, place.home_->size() }, place.home_);
     }
   }
-  std::stable_sort(homes.begin(),
-                   homes.end(),
-                   [](const auto& aLeft, const auto& aRight) {
-                     return aLeft.first > aRight.first;
-                   });
+  std::stable_sort(
+    homes.begin(), homes.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
   for (std::size_t i = 0; i < aCount; ++i) {
     homes[i].second->erase(aModel);
   }
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -202,8 +202,8 @@
   if (target.phase_ == Phase::Loading) {
     // One that goes on keeps its place: the store of weights is busy with it,
     // and an order in its stead would only come on top.
-    const bool lost = !report.value().busy_ &&
-                      host_.Now() - target.since_ > kLongestLoad;
+    const bool lost =
+      !report.value().busy_ && host_.Now() - target.since_ > kLongestLoad;
     if (reached || lost) {
       LogEvent(
         LogLevel::Info,
--- a/tests/test_load_limit.cpp
+++ b/tests/test_load_limit.cpp
@@ -112,7 +112,8 @@
   REQUIRE(limit.AtOnce(0) == 2);
 }
 
-TEST_CASE("a larger first guess is reached once loads are seen not to be slowed")
+TEST_CASE(
+  "a larger first guess is reached once loads are seen not to be slowed")
 {
   LoadLimit limit(2);
   REQUIRE(limit.AtOnce(18) == 8);
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -77,8 +77,8 @@
       });
       return;
     }
-    timers_.After(
-      1ms, [this, aAsk, aDone] { first_.Serve(aAsk, Decoded(aDone)); });
+    timers_.After(1ms,
+                  [this, aAsk, aDone] { first_.Serve(aAsk, Decoded(aDone)); });
   }
 
   void Start()
--- a/tests/test_upstream_choice.cpp
+++ b/tests/test_upstream_choice.cpp
@@ -203,8 +203,7 @@
     const WeightVersion least{ 1 + draw(4) };
     REQUIRE(IdOf(board.Pick(kPlain, { other }, now)) ==
             whole.ForRequest({ other }));
-    REQUIRE(
-      IdOf(board.PickForItem({ kModels, "m", least, other, {} }, now)) ==
-      whole.ForItem(least, other));
+    REQUIRE(IdOf(board.PickForItem({ kModels, "m", least, other, {} }, now)) ==
+            whole.ForItem(least, other));
   }
 }
--- a/tests/test_watch_messages.cpp
+++ b/tests/test_watch_messages.cpp
@@ -22,8 +22,8 @@
   StoreEvent event;
   event.record_.key_ = "servers/i-" + std::to_string(mixed);
   event.record_.value_ =
-    R"({"service":"drafts","address":"10.1.)" +
-    std::to_string(mixed % 200) + "." + std::to_string(mixed % 251) +
+    R"({"service":"drafts","address":"10.1.)" + std::to_string(mixed % 200) +
+    "." + std::to_string(mixed % 251) +
     R"(:8689","zone":"north-1","version":"v1","slots":6,"state":"ready",)"
     R"("cold_remaining_ms":0,"born":17674150)" +
     std::to_string(mixed) + R"(,"seq":)" + std::to_string(mixed % 97) +
