The play of demand tells the plan when loads are ordered, as the driver does

Since loads count towards growth from the moment at which the limit is used up, a play that doesn't tell so kept it at eight and its bursts found 168 of 240 places; the check is as it was and passes.

--- a/tests/test_weight_plan.cpp
+++ b/tests/test_weight_plan.cpp
@@ -447,7 +447,9 @@
       plan_.OnLoaded(std::chrono::milliseconds(100 * kLoadTicks), now);
       it = loading_.erase(it);
     }
-    for (const PlannedLoad& load : plan_.Next(fleet_)) {
+    const std::vector<PlannedLoad> loads = plan_.Next(fleet_);
+    plan_.OnOrdered(now);
+    for (const PlannedLoad& load : loads) {
       const std::size_t place = places_.at(load.upstream_);
       fleet_[place].busy_ = true;
       loading_[place] = { load, aTick + kLoadTicks };
