--- a/include/marjoramtally/process/load_limit.hpp
+++ b/include/marjoramtally/process/load_limit.hpp
@@ -33,6 +33,11 @@
   void OnInProgress(std::uint32_t aCount, TimePoint aNow);
   /// @param aFirst the limit that is guessed as long as nothing was learned
   [[nodiscard]] std::uint32_t AtOnce(std::uint32_t aFirst);
+  /// @returns the present limit; 0 before it was asked for
+  [[nodiscard]] std::uint32_t Get() const noexcept
+  {
+    return static_cast<std::uint32_t>(limit_);
+  }
 
 private:
   /// Judges the loads that began since the limit changed, once there are
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -111,6 +111,16 @@
   /// @returns loads to order now
   [[nodiscard]] std::vector<PlannedLoad> Next(
     const std::vector<PlanUpstream>& aUpstreams);
+  /// @returns how many loads may be under way
+  [[nodiscard]] std::uint32_t LoadsAtOnce() const noexcept
+  {
+    return limit_.Get();
+  }
+  /// @returns how many were when the last plan was made, with those it ordered
+  [[nodiscard]] std::uint32_t LoadsInProgress() const noexcept
+  {
+    return busy_;
+  }
   /// @returns the first model whose home an upstream is; empty if it has none
   [[nodiscard]] std::string HomeOf(const UpstreamId& aUpstream) const;
   /// @returns to how many models an upstream is home
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -80,6 +80,8 @@
   planPace_.OnDone(begun, ended);
   TellPlanTime(upstreams.size(), loads.size(), ended - begun);
   plan_.OnOrdered(ended);
+  host_.Measures().Set("loads_at_once", plan_.LoadsAtOnce());
+  host_.Measures().Set("loads_in_progress", plan_.LoadsInProgress());
   for (const PlannedLoad& load : loads) {
     Begin(load);
   }
@@ -213,6 +215,8 @@
           { "version", std::to_string(target.load_.version_.Get()) },
           { "took_ms",
             std::to_string(WholeMillis(host_.Now() - target.accepted_)) },
+          { "in_progress", std::to_string(plan_.LoadsInProgress()) },
+          { "at_once", std::to_string(plan_.LoadsAtOnce()) },
           { "outcome", reached ? "loaded" : "lost" } });
       target.phase_ = Phase::Idle;
       if (reached) {
--- a/tests/play_seeds.sh
+++ b/tests/play_seeds.sh
@@ -27,6 +27,9 @@
   if grep -qE '^rules broken|ended by itself' <<<"$out"; then
     echo "$site $day $seed: $(grep -m1 -E '^rules broken|ended by itself' <<<"$out")"
     failed=1
+  elif ! grep -q '^worth ' <<<"$out"; then
+    echo "$site $day $seed: not played: $(tail -n 1 <<<"$out")"
+    failed=1
   else
     echo "$site $day $seed: rules kept"
   fi
--- a/tests/vary_site.sh
+++ b/tests/vary_site.sh
@@ -35,6 +35,26 @@
     { print }' "$site"
 }
 
+# Multiplies the counts of a list of the site file: LIST TIMES [FILE]
+multiply() {
+  local list=$1 times=$2
+  shift 2
+  awk -v list="$list" -v times="$times" '
+    $0 == list " = [" { inside = 1 }
+    /^\]/ { inside = 0 }
+    inside {
+      line = ""
+      rest = $0
+      while (match(rest, /count = [0-9]+/)) {
+        count = int(substr(rest, RSTART + 8, RLENGTH - 8) * times + 0.5)
+        line = line substr(rest, 1, RSTART + 7) count
+        rest = substr(rest, RSTART + RLENGTH)
+      }
+      $0 = line rest
+    }
+    { print }' "$@"
+}
+
 case "$variant" in
   streams) add_streams ;;
   no-spare) sed 's/spare = [0-9]*/spare = 0/' "$site" ;;
@@ -56,21 +76,12 @@
   many-samplers) sed -E '/model = "llm"/ s/count = [0-9]+/count = 6/g' "$site" ;;
   crowd)
     # 28 times the upstreams, of which as large a part may load at once.
-    awk -v times=28 '
-      /^services = \[/ { inside = 1 }
-      /^\]/ { inside = 0 }
-      inside {
-        line = ""
-        rest = $0
-        while (match(rest, /count = [0-9]+/)) {
-          count = substr(rest, RSTART + 8, RLENGTH - 8)
-          line = line substr(rest, 1, RSTART + 7) count * times
-          rest = substr(rest, RSTART + RLENGTH)
-        }
-        $0 = line rest
-      }
-      /^at_once = / { $3 *= times }
-      { print }' "$site" ;;
+    multiply services 28 "$site" |
+      awk '/^at_once = / { $3 *= 28 } { print }' ;;
+  hundreds)
+    # A few hundred instances before thousands of upstreams, for the same
+    # demand; the store of weights bears as many loads as before.
+    multiply services 47 "$site" | multiply machines 4.4 ;;
   small-memory) sed -E 's/kv_tokens = [0-9]+/kv_tokens = 20000/' "$site" ;;
   *)
     echo "vary_site.sh: no variant $variant" >&2
