--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -117,10 +117,7 @@
     return limit_.Get();
   }
   /// @returns how many were when the last plan was made, with those it ordered
-  [[nodiscard]] std::uint32_t LoadsInProgress() const noexcept
-  {
-    return busy_;
-  }
+  [[nodiscard]] std::uint32_t LoadsInProgress() const noexcept { return busy_; }
   /// @returns the first model whose home an upstream is; empty if it has none
   [[nodiscard]] std::string HomeOf(const UpstreamId& aUpstream) const;
   /// @returns to how many models an upstream is home
