--- /dev/null
+++ b/tests/plan_fleet.hpp
@@ -0,0 +1,26 @@
+/// A fleet for plans of weights.
+#pragma once
+
+#include "marjoramtally/process.hpp"
+
+namespace marjoramtally::test {
+
+/// Upstreams with all models in their first version.
+inline std::vector<PlanUpstream>
+MakeFleet(int aUpstreams, int aModels)
+{
+  std::vector<PlanUpstream> fleet;
+  for (int i = 0; i < aUpstreams; ++i) {
+    PlanUpstream upstream;
+    upstream.id_ = UpstreamId{ "u" + std::to_string(i) };
+    upstream.service_ = ServiceId{ "svc" };
+    upstream.zone_ = ZoneId{ "z" + std::to_string(i % 5) };
+    for (int model = 0; model < aModels; ++model) {
+      upstream.versions_["m" + std::to_string(model)] = WeightVersion{ 1 };
+    }
+    fleet.push_back(std::move(upstream));
+  }
+  return fleet;
+}
+
+} // namespace marjoramtally::test
--- /dev/null
+++ b/tests/test_weight_demand.cpp
@@ -0,0 +1,136 @@
+/// Homes and loads of models against what their items want.
+
+#include "plan_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::seconds(100) };
+
+/// Trainers that name a version each 4 s, in turn, before a fleet.
+struct DemandPlay
+{
+  static constexpr int kModels = 4;
+  static constexpr std::uint64_t kBurst = 240;
+  static constexpr std::uint32_t kSlots = 6;
+  /// Of 100 ms.
+  static constexpr int kLoadTicks = 11;
+  static constexpr int kVersionTicks = 40;
+
+  WeightPlan plan_;
+  std::vector<PlanUpstream> fleet_;
+  std::map<UpstreamId, std::size_t> places_;
+  std::map<std::size_t, std::pair<PlannedLoad, int>> loading_;
+  std::size_t loads_ = 0;
+
+  explicit DemandPlay(int aUpstreams)
+    : fleet_(MakeFleet(aUpstreams, kModels))
+  {
+    for (std::size_t i = 0; i < fleet_.size(); ++i) {
+      fleet_[i].slots_ = kSlots;
+      fleet_[i].zone_ = ZoneId{ "z" + std::to_string(i % 3) };
+      places_[fleet_[i].id_] = i;
+    }
+  }
+
+  void Tick(int aTick)
+  {
+    const TimePoint now = kStart + std::chrono::milliseconds(100 * aTick);
+    for (int model = 0; model < kModels; ++model) {
+      const std::string name = "m" + std::to_string(model);
+      if (aTick % 10 == 0) {
+        plan_.OnDemand(name, kBurst, now);
+      }
+      if (aTick % kVersionTicks == 10 * model) {
+        plan_.OnNamed(name, NewestAt(aTick, model), now);
+      }
+    }
+    for (auto it = loading_.begin(); it != loading_.end();) {
+      const auto& [load, until] = it->second;
+      if (until > aTick) {
+        ++it;
+        continue;
+      }
+      PlanUpstream& upstream = fleet_[it->first];
+      upstream.versions_[load.model_] = load.version_;
+      upstream.busy_ = false;
+      plan_.OnLoaded(std::chrono::milliseconds(100 * kLoadTicks), now);
+      it = loading_.erase(it);
+    }
+    const std::vector<PlannedLoad> loads = plan_.Next(fleet_);
+    plan_.OnOrdered(now);
+    for (const PlannedLoad& load : loads) {
+      const std::size_t place = places_.at(load.upstream_);
+      fleet_[place].busy_ = true;
+      loading_[place] = { load, aTick + kLoadTicks };
+      ++loads_;
+    }
+  }
+
+  [[nodiscard]] static WeightVersion NewestAt(int aTick, int aModel)
+  {
+    const int named = (aTick - 10 * aModel) / kVersionTicks;
+    return WeightVersion{ 2 + static_cast<std::uint64_t>(named) };
+  }
+
+  /// @returns places that may serve the newest step of a model
+  [[nodiscard]] std::uint64_t Places(int aTick,
+                                     int aModel,
+                                     const ZoneId& aLost) const
+  {
+    std::uint64_t places = 0;
+    for (const PlanUpstream& upstream : fleet_) {
+      const WeightVersion held =
+        upstream.versions_.at("m" + std::to_string(aModel));
+      const bool fits = held.Get() + 1 >= NewestAt(aTick, aModel).Get();
+      places += fits && upstream.zone_ != aLost ? kSlots : 0;
+    }
+    return places;
+  }
+};
+
+} // namespace
+
+// With 3,000 upstreams a version was ordered to some hundred, for bursts that
+// have use for forty: the holder of the duty sent two hundred orders a second,
+// and the store of weights was busy with loads for nobody.
+TEST_CASE("loads follow what items have use for, however large the fleet is")
+{
+  constexpr int kTicks = 400;
+  const auto loadsOf = [](int aUpstreams) {
+    DemandPlay play(aUpstreams);
+    for (int tick = 0; tick < kTicks; ++tick) {
+      play.Tick(tick);
+    }
+    return play.loads_;
+  };
+  const std::size_t few = loadsOf(600);
+  const std::size_t many = loadsOf(3000);
+  REQUIRE(few > 0);
+  REQUIRE(many <= few + few / 5);
+}
+
+TEST_CASE("a burst finds its places whichever zone is lost")
+{
+  const int upstreams = GENERATE(600, 3000);
+  const int lost = GENERATE(0, 1, 2);
+  DemandPlay play(upstreams);
+  // Ten versions, the first of which every upstream can serve.
+  for (int tick = 0; tick < 10 * DemandPlay::kVersionTicks; ++tick) {
+    play.Tick(tick);
+    for (int model = 0; model < DemandPlay::kModels; ++model) {
+      // Steps are asked a while after their version was named.
+      const int since = (tick - 10 * model) % DemandPlay::kVersionTicks;
+      if (tick >= 10 * model && since > 2 * DemandPlay::kLoadTicks) {
+        CAPTURE(tick, model);
+        REQUIRE(
+          play.Places(tick, model, ZoneId{ "z" + std::to_string(lost) }) >=
+          DemandPlay::kBurst);
+      }
+    }
+  }
+}
--- a/tests/test_weight_plan.cpp
+++ b/tests/test_weight_plan.cpp
@@ -1,11 +1,12 @@
 /// The plan of weights: which upstream is home to which models, and what it
 /// loads next.
 
-#include "marjoramtally/process.hpp"
+#include "plan_fleet.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace marjoramtally;
+using namespace marjoramtally::test;
 
 namespace {
 
@@ -281,28 +282,6 @@
   REQUIRE(static_cast<std::size_t>(usable) == homes);
 }
 
-namespace {
-
-/// Upstreams with all models in their first version.
-std::vector<PlanUpstream>
-MakeFleet(int aUpstreams, int aModels)
-{
-  std::vector<PlanUpstream> fleet;
-  for (int i = 0; i < aUpstreams; ++i) {
-    PlanUpstream upstream;
-    upstream.id_ = UpstreamId{ "u" + std::to_string(i) };
-    upstream.service_ = kService;
-    upstream.zone_ = ZoneId{ "z" + std::to_string(i % 5) };
-    for (int model = 0; model < aModels; ++model) {
-      upstream.versions_["m" + std::to_string(model)] = WeightVersion{ 1 };
-    }
-    fleet.push_back(std::move(upstream));
-  }
-  return fleet;
-}
-
-} // namespace
-
 TEST_CASE("homes are spread although upstreams register one after the other")
 {
   const int upstreams = GENERATE(2, 3, 8, 10, 35, 77, 100);
@@ -395,132 +374,6 @@
   REQUIRE(plan.Looks() <= bound);
 }
 
-namespace {
-
-/// Trainers that name a version each 4 s, in turn, before a fleet.
-struct DemandPlay
-{
-  static constexpr int kModels = 4;
-  static constexpr std::uint64_t kBurst = 240;
-  static constexpr std::uint32_t kSlots = 6;
-  /// Of 100 ms.
-  static constexpr int kLoadTicks = 11;
-  static constexpr int kVersionTicks = 40;
-
-  WeightPlan plan_;
-  std::vector<PlanUpstream> fleet_;
-  std::map<UpstreamId, std::size_t> places_;
-  std::map<std::size_t, std::pair<PlannedLoad, int>> loading_;
-  std::size_t loads_ = 0;
-
-  explicit DemandPlay(int aUpstreams)
-    : fleet_(MakeFleet(aUpstreams, kModels))
-  {
-    for (std::size_t i = 0; i < fleet_.size(); ++i) {
-      fleet_[i].slots_ = kSlots;
-      fleet_[i].zone_ = ZoneId{ "z" + std::to_string(i % 3) };
-      places_[fleet_[i].id_] = i;
-    }
-  }
-
-  void Tick(int aTick)
-  {
-    const TimePoint now = kStart + std::chrono::milliseconds(100 * aTick);
-    for (int model = 0; model < kModels; ++model) {
-      const std::string name = "m" + std::to_string(model);
-      if (aTick % 10 == 0) {
-        plan_.OnDemand(name, kBurst, now);
-      }
-      if (aTick % kVersionTicks == 10 * model) {
-        plan_.OnNamed(name, NewestAt(aTick, model), now);
-      }
-    }
-    for (auto it = loading_.begin(); it != loading_.end();) {
-      const auto& [load, until] = it->second;
-      if (until > aTick) {
-        ++it;
-        continue;
-      }
-      PlanUpstream& upstream = fleet_[it->first];
-      upstream.versions_[load.model_] = load.version_;
-      upstream.busy_ = false;
-      plan_.OnLoaded(std::chrono::milliseconds(100 * kLoadTicks), now);
-      it = loading_.erase(it);
-    }
-    const std::vector<PlannedLoad> loads = plan_.Next(fleet_);
-    plan_.OnOrdered(now);
-    for (const PlannedLoad& load : loads) {
-      const std::size_t place = places_.at(load.upstream_);
-      fleet_[place].busy_ = true;
-      loading_[place] = { load, aTick + kLoadTicks };
-      ++loads_;
-    }
-  }
-
-  [[nodiscard]] static WeightVersion NewestAt(int aTick, int aModel)
-  {
-    const int named = (aTick - 10 * aModel) / kVersionTicks;
-    return WeightVersion{ 2 + static_cast<std::uint64_t>(named) };
-  }
-
-  /// @returns places that may serve the newest step of a model
-  [[nodiscard]] std::uint64_t Places(int aTick,
-                                     int aModel,
-                                     const ZoneId& aLost) const
-  {
-    std::uint64_t places = 0;
-    for (const PlanUpstream& upstream : fleet_) {
-      const WeightVersion held =
-        upstream.versions_.at("m" + std::to_string(aModel));
-      const bool fits = held.Get() + 1 >= NewestAt(aTick, aModel).Get();
-      places += fits && upstream.zone_ != aLost ? kSlots : 0;
-    }
-    return places;
-  }
-};
-
-} // namespace
-
-// With 3,000 upstreams a version was ordered to some hundred, for bursts that
-// have use for forty: the holder of the duty sent two hundred orders a second,
-// and the store of weights was busy with loads for nobody.
-TEST_CASE("loads follow what items have use for, however large the fleet is")
-{
-  constexpr int kTicks = 400;
-  const auto loadsOf = [](int aUpstreams) {
-    DemandPlay play(aUpstreams);
-    for (int tick = 0; tick < kTicks; ++tick) {
-      play.Tick(tick);
-    }
-    return play.loads_;
-  };
-  const std::size_t few = loadsOf(600);
-  const std::size_t many = loadsOf(3000);
-  REQUIRE(few > 0);
-  REQUIRE(many <= few + few / 5);
-}
-
-TEST_CASE("a burst finds its places whichever zone is lost")
-{
-  const int upstreams = GENERATE(600, 3000);
-  const int lost = GENERATE(0, 1, 2);
-  DemandPlay play(upstreams);
-  // Ten versions, the first of which every upstream can serve.
-  for (int tick = 0; tick < 10 * DemandPlay::kVersionTicks; ++tick) {
-    play.Tick(tick);
-    for (int model = 0; model < DemandPlay::kModels; ++model) {
-      // Steps are asked a while after their version was named.
-      const int since = (tick - 10 * model) % DemandPlay::kVersionTicks;
-      if (tick >= 10 * model && since > 2 * DemandPlay::kLoadTicks) {
-        CAPTURE(tick, model);
-        REQUIRE(
-          play.Places(tick, model, ZoneId{ "z" + std::to_string(lost) }) >=
-          DemandPlay::kBurst);
-      }
-    }
-  }
-}
-
 // A step waits for its longest text, which a load at its upstream holds up by
 // a second or makes move.
 TEST_CASE("a version is loaded first where no long run goes on")
