Fewer loads are kept under way than the store of weights bears

A load holds up the runs of its upstream for as long as it takes.

Change: a round counts as slowed above 1.2 times the fastest, and nine tenths of what is borne are kept.

--- a/src/process/load_limit.cpp
+++ b/src/process/load_limit.cpp
@@ -9,10 +9,11 @@
 
 /// A load that takes so many times the fastest was slowed by others; what
 /// tells of its end comes in steps of a tenth.
-constexpr double kSlowed = 1.35;
+constexpr double kSlowed = 1.2;
 constexpr double kGrow = 1.05;
-/// Kept in progress for each load that the store bears, so that it never waits.
-constexpr double kKept = 1.1;
+/// Kept in progress of what the store bears: a load holds up the runs of its
+/// upstream for as long as it takes, which costs more than a store that idles.
+constexpr double kKept = 0.9;
 /// Part of the limit at which it counts as used up; one load ends before the
 /// next is ordered.
 constexpr double kFull = 0.85;
