Gateways tell the largest demand of a model since they were last asked

What is told is the largest demand since the last question; the test failed when only the present one was told.

--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -3,6 +3,7 @@
 #include "marjoramtally/runtime/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marjoramtally {
 
@@ -81,6 +82,7 @@
                                                   ++lastSequence_));
   TellOwning();
   if (added) {
+    NoteModelDemand();
     Advance(aJob, it->second);
   }
 }
@@ -179,8 +181,9 @@
   return places;
 }
 
-std::map<std::string, std::uint64_t>
-JobRunner::PlacesOfModels() const
+/// Demand grows only when a job is taken up.
+void
+JobRunner::NoteModelDemand()
 {
   std::map<std::string, std::uint64_t> places;
   for (const auto& [id, job] : jobs_) {
@@ -188,7 +191,16 @@
       places[job.ledger_.Spec().model_] += PlacesOf(job);
     }
   }
-  return places;
+  for (const auto& [model, wanted] : places) {
+    modelDemand_[model] = std::max(modelDemand_[model], wanted);
+  }
+}
+
+std::map<std::string, std::uint64_t>
+JobRunner::TakeModelDemand()
+{
+  NoteModelDemand();
+  return std::exchange(modelDemand_, {});
 }
 
 std::uint64_t
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -63,8 +63,9 @@
   }
   /// @returns places that items of the jobs here want, by service
   [[nodiscard]] std::map<ServiceId, std::uint64_t> PlacesWanted() const;
-  /// @returns the same by model
-  [[nodiscard]] std::map<std::string, std::uint64_t> PlacesOfModels() const;
+  /// @returns the most places that items of each model have wanted at once
+  /// since the last call: a step of short texts comes and goes between two
+  [[nodiscard]] std::map<std::string, std::uint64_t> TakeModelDemand();
   /// @returns runs that have gone on for a while, and so are likely to go on,
   /// by upstream
   [[nodiscard]] std::map<UpstreamId, std::uint32_t> LongRuns() const;
@@ -232,6 +233,7 @@
   [[nodiscard]] OwnedJob* WriterOf(const ResultsWrite& aWrite);
   void Keep(OwnedJob& aJob);
   void TellOwning();
+  void NoteModelDemand();
 
   GatewayContext& host_;
   const RouteTable& routes_;
@@ -240,6 +242,8 @@
   JobStore& store_;
   std::map<JobId, OwnedJob> jobs_;
   std::uint64_t lastSequence_ = 0;
+  /// The most places wanted at once since they were last asked for, by model.
+  std::map<std::string, std::uint64_t> modelDemand_;
   std::map<RunId, Run> runs_;
   RunId lastRun_ = 0;
   PartialTexts partials_;
--- a/src/programs/gatewayd/usage_service.cpp
+++ b/src/programs/gatewayd/usage_service.cpp
@@ -13,7 +13,7 @@
 
 UsageService::UsageService(GatewayContext& aHost,
                            const Forwarder& aForwarder,
-                           const JobRunner& aRunner)
+                           JobRunner& aRunner)
   : host_(aHost)
   , forwarder_(aForwarder)
   , runner_(aRunner)
@@ -25,7 +25,7 @@
 }
 
 GatewayUsage
-UsageService::Own(const UsageAsk& aAsk) const
+UsageService::Own(const UsageAsk& aAsk)
 {
   GatewayUsage usage;
   usage.incarnation_ = host_.Incarnation();
@@ -33,7 +33,7 @@
   usage.counts_ =
     forwarder_.Usage().Counts(host_.Now(), aAsk.now_, aAsk.window_);
   usage.demand_ = runner_.PlacesWanted();
-  usage.modelDemand_ = runner_.PlacesOfModels();
+  usage.modelDemand_ = runner_.TakeModelDemand();
   usage.longRuns_ = runner_.LongRuns();
   for (const auto& [service, requests] : forwarder_.InProgress()) {
     usage.demand_[service] += requests;
--- a/src/programs/gatewayd/usage_service.hpp
+++ b/src/programs/gatewayd/usage_service.hpp
@@ -14,7 +14,7 @@
   /// All arguments outlive this.
   UsageService(GatewayContext& aHost,
                const Forwarder& aForwarder,
-               const JobRunner& aRunner);
+               JobRunner& aRunner);
 
 private:
   /// Answers that come from several gateways.
@@ -26,14 +26,14 @@
   };
 
   void Serve(const RpcCall& aCall, const RpcDone& aDone);
-  [[nodiscard]] GatewayUsage Own(const UsageAsk& aAsk) const;
+  [[nodiscard]] GatewayUsage Own(const UsageAsk& aAsk);
   void AskOther(const std::string& aAddress,
                 const UsageAsk& aAsk,
                 const std::shared_ptr<Round>& aRound);
 
   GatewayContext& host_;
   const Forwarder& forwarder_;
-  const JobRunner& runner_;
+  JobRunner& runner_;
 };
 
 } // namespace marjoramtally
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -451,3 +451,19 @@
   fix.timers_.Advance(2s);
   REQUIRE(fix.runner_.Find(kJob) == nullptr);
 }
+
+// A step of short texts is over within the second between two questions; homes
+// of its model would follow the few items that were still running.
+TEST_CASE("the demand that is told is the largest since the last question")
+{
+  JobFixture fix;
+  fix.Accept(2);
+  fix.CompleteItem();
+  fix.CompleteScore();
+  fix.CompleteItem();
+  fix.CompleteScore();
+  fix.timers_.Advance(300ms);
+  REQUIRE(fix.runner_.Find(kJob)->Listed().size() == 2);
+  REQUIRE(fix.runner_.TakeModelDemand().at("m") == 2);
+  REQUIRE(fix.runner_.TakeModelDemand().at("m") == 0);
+}
