A round of loads that says nothing ends

Memory grew with the holder's time, and loads that were slowed later were lost among thousands that were not.

Change: a round ends after eight times the loads that it needs. The test, 10,000 loads alone and then slowed ones, failed before (the limit stayed at 8).

--- a/src/process/load_limit.cpp
+++ b/src/process/load_limit.cpp
@@ -25,6 +25,9 @@
 /// little: an upstream may be slow by itself.
 constexpr double kRoundShare = 0.5;
 constexpr std::size_t kLeastRound = 2;
+/// A round that says nothing ends after so many times that number: what loads
+/// took long ago says nothing of the present.
+constexpr std::size_t kLongestRound = 8;
 /// Loads are slowed where the middle one of a round is. That they are not is
 /// believed where this share of them is not, of as many as the limit: the first
 /// ones to end are those that were slowed least.
@@ -94,6 +97,8 @@
     Change(limit_ < guess_ ? std::min(limit_ * kGrowFast, guess_)
                            : limit_ * kGrow,
            aNow);
+  } else if (took_.size() >= kLongestRound * enough) {
+    Change(limit_, aNow);
   }
 }
 
--- a/tests/test_load_limit.cpp
+++ b/tests/test_load_limit.cpp
@@ -221,6 +221,23 @@
   REQUIRE(store.largest_ <= 2 * store.bears_);
 }
 
+TEST_CASE("loads that are slowed are seen however long others were not")
+{
+  LoadLimit limit(2);
+  const std::uint32_t first = limit.AtOnce(8);
+  TimePoint now{ 1s };
+  for (int i = 0; i < 10'000; ++i) {
+    now = now + 1s;
+    limit.OnLoaded(1s, 1, now);
+  }
+  REQUIRE(limit.AtOnce(8) == first);
+  for (std::uint32_t i = 0; i < 6 * first; ++i) {
+    now = now + 1s;
+    limit.OnLoaded(2s, first - 2, now);
+  }
+  REQUIRE(limit.AtOnce(8) <= first / 2);
+}
+
 TEST_CASE("single upstreams that load slowly do not shrink the limit")
 {
   LoadLimit limit(2);
