Answers are deflated for peers only that say they understand it

Change: a question says that its sender inflates; others are told in plain. Tests: two peers of one relay, one of each kind; the message both ways.

--- a/include/marjoramtally/runtime/watch_messages.hpp
+++ b/include/marjoramtally/runtime/watch_messages.hpp
@@ -13,6 +13,9 @@
   std::uint64_t after_ = 0;
   /// How long the answer may be held back while there is no change.
   Duration wait_{ 0 };
+  /// The sender understands deflated answers. A process that does not would
+  /// take one for an answer without changes.
+  bool inflates_ = true;
 };
 
 [[nodiscard]] std::string
@@ -21,8 +24,9 @@
 DecodeWatchAsk(std::string_view aBytes);
 /// Deflates what is larger than a kilobyte: a relay sends it to dozens of
 /// peers, and its link is what changes of many records fill first.
+/// @param aDeflated whether that may be done
 [[nodiscard]] std::string
-EncodeWatchBatch(const StoreWatchBatch& aBatch);
+EncodeWatchBatch(const StoreWatchBatch& aBatch, bool aDeflated = true);
 [[nodiscard]] Result<StoreWatchBatch>
 DecodeWatchBatch(std::string_view aBytes);
 
--- a/src/daemon/relay_answers.cpp
+++ b/src/daemon/relay_answers.cpp
@@ -43,17 +43,20 @@
 const std::string&
 RelayAnswers::AnswerFor(const std::string& aPrefix,
                         const WatchHistory& aHistory,
-                        std::uint64_t aAfter)
+                        std::uint64_t aAfter,
+                        bool aDeflated)
 {
   const TimePoint now = clock_.Now();
   const std::uint64_t revision = aHistory.Known();
   const bool same = answer_.prefix_ == aPrefix && answer_.after_ == aAfter &&
+                    answer_.deflated_ == aDeflated &&
                     answer_.revision_ == revision &&
                     now - answer_.made_ <= Duration{ kSameAnswer };
   if (!same) {
     StoreWatchBatch batch = aHistory.After(aAfter);
     batch.age_ = aHistory.Age(now);
-    answer_ = { aPrefix, aAfter, revision, now, EncodeWatchBatch(batch) };
+    answer_ = { aPrefix,  aAfter, aDeflated,
+                revision, now,    EncodeWatchBatch(batch, aDeflated) };
   }
   return answer_.bytes_;
 }
@@ -67,7 +70,7 @@
     return;
   }
   if (history->HasAfter(aAsk.after_)) {
-    aDone(AnswerFor(aAsk.prefix_, *history, aAsk.after_));
+    aDone(AnswerFor(aAsk.prefix_, *history, aAsk.after_, aAsk.inflates_));
     return;
   }
   const std::uint64_t number = ++lastAsker_;
@@ -75,7 +78,9 @@
   const LoopTimerId timer =
     timers_.After(std::max<Duration>(aAsk.wait_, kCatchUp),
                   [this, prefix, number] { End(prefix, number); });
-  askers_[prefix][number] = { aAsk.after_, std::move(aDone), timer };
+  askers_[prefix][number] = {
+    aAsk.after_, aAsk.inflates_, std::move(aDone), timer
+  };
 }
 
 void
@@ -124,7 +129,7 @@
     asker.done_(*refusal);
     return;
   }
-  asker.done_(AnswerFor(aPrefix, *history, asker.after_));
+  asker.done_(AnswerFor(aPrefix, *history, asker.after_, asker.inflates_));
 }
 
 } // namespace marjoramtally
--- a/src/daemon/relay_answers.hpp
+++ b/src/daemon/relay_answers.hpp
@@ -36,6 +36,7 @@
   struct Asker
   {
     std::uint64_t after_ = 0;
+    bool inflates_ = false;
     StoreDone<std::string> done_;
     LoopTimerId timer_ = 0;
   };
@@ -45,6 +46,7 @@
   {
     std::string prefix_;
     std::uint64_t after_ = 0;
+    bool deflated_ = false;
     std::uint64_t revision_ = 0;
     TimePoint made_;
     std::string bytes_;
@@ -57,7 +59,8 @@
   /// @returns the changes that are held, with the age of what is known here
   [[nodiscard]] const std::string& AnswerFor(const std::string& aPrefix,
                                              const WatchHistory& aHistory,
-                                             std::uint64_t aAfter);
+                                             std::uint64_t aAfter,
+                                             bool aDeflated);
   void End(const std::string& aPrefix, std::uint64_t aNumber);
 
   LoopTimers& timers_;
--- a/src/runtime/watch.capnp
+++ b/src/runtime/watch.capnp
@@ -10,6 +10,8 @@
   after @1 :UInt64;
   # How long the answer may be held back while there is no change.
   waitMs @2 :UInt32;
+  # The sender understands deflated answers.
+  inflates @3 :Bool;
 }
 
 struct WatchChanges {
--- a/src/runtime/watch_messages.cpp
+++ b/src/runtime/watch_messages.cpp
@@ -132,6 +132,7 @@
   ask.setPrefix(aAsk.prefix_);
   ask.setAfter(aAsk.after_);
   ask.setWaitMs(ToMillis(aAsk.wait_));
+  ask.setInflates(aAsk.inflates_);
   return impl::Flatten(builder);
 }
 
@@ -143,15 +144,16 @@
       const std::uint32_t wait = std::min(aIn.getWaitMs(), kMostWaitMillis);
       return WatchAsk{ aIn.getPrefix().cStr(),
                        aIn.getAfter(),
-                       std::chrono::milliseconds(wait) };
+                       std::chrono::milliseconds(wait),
+                       aIn.getInflates() };
     });
 }
 
 std::string
-EncodeWatchBatch(const StoreWatchBatch& aBatch)
+EncodeWatchBatch(const StoreWatchBatch& aBatch, bool aDeflated)
 {
   std::string plain = EncodePlain(aBatch);
-  if (plain.size() < kPackFrom || plain.size() > kMostUnpacked) {
+  if (!aDeflated || plain.size() < kPackFrom || plain.size() > kMostUnpacked) {
     return plain;
   }
   std::string packed = Pack(plain);
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -224,6 +224,26 @@
   REQUIRE(told[4].revision_ == known + 2);
 }
 
+TEST_CASE("a peer that does not inflate is told in plain, beside one that does")
+{
+  TwoProcesses two;
+  two.Start();
+  two.timers_.Advance(100ms);
+  const std::uint64_t known = two.store_.Revision();
+  StoreEvent event = MakeEvent("k/a", known + 1);
+  event.record_.value_ = std::string(20'000, 'v');
+  std::map<bool, std::size_t> sizes;
+  for (const bool inflates : { true, false, true }) {
+    two.first_.Serve({ "k/", known, 1000ms, inflates },
+                     [&sizes, inflates](const Result<std::string>& aBytes) {
+                       sizes[inflates] = aBytes.value().size();
+                     });
+  }
+  two.store_.TellBatch("k/", { false, false, known + 1, { event } });
+  REQUIRE(sizes.at(false) > 20'000);
+  REQUIRE(sizes.at(true) < 2'000);
+}
+
 TEST_CASE("a history vouches for nothing that the store has not confirmed")
 {
   const TimePoint start{ 10s };
--- a/tests/test_watch_messages.cpp
+++ b/tests/test_watch_messages.cpp
@@ -55,6 +55,24 @@
           batch.events_.back().record_.value_);
 }
 
+// A process of a release that knows no deflated answers would take one for "no
+// change" and vouch for what it holds.
+TEST_CASE("answers are deflated for those only that say they understand it")
+{
+  StoreWatchBatch batch;
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    batch.events_.push_back(MakeUpstreamChange(i));
+  }
+  const std::string plain = EncodeWatchBatch(batch, false);
+  const std::string deflated = EncodeWatchBatch(batch, true);
+  REQUIRE(plain.size() > 2 * deflated.size());
+  REQUIRE(plain.find("servers/i-") != std::string::npos);
+  REQUIRE(DecodeWatchBatch(plain).value().events_.size() == 20);
+  REQUIRE(DecodeWatchAsk(EncodeWatchAsk({ "k/", 7, {} })).value().inflates_);
+  REQUIRE_FALSE(
+    DecodeWatchAsk(EncodeWatchAsk({ "k/", 7, {}, false })).value().inflates_);
+}
+
 TEST_CASE("a deflated message that is cut or lies of its size is an error")
 {
   StoreWatchBatch batch;
