Logs: tell why a suspected request is not refused, and keep seldom lines

Lines about suspicions drowned at the gateway that mattered: 55,000 lines of attempt_failed in 1.7 s left room for nothing else, its upstream_vanished and suspect lines are lost. Nothing told what a gateway heard from another one, which request keeps a suspect from being refused, or which break was dropped since its upstream proved to be alive, and no line joined a request's id to its fingerprint.

Change: events that are seldom logged have a reserve of 50 lines a second beside the 200 for all; suspect_told, suspect_spared, break_disproved; attempt_failed and attempt_outwaited have the fingerprint.

Test: a flood of one event hides no other event (fails without the reserve: every later line of the other events was dropped). No decision changes.

--- a/include/marjoramtally/process/crash_watch.hpp
+++ b/include/marjoramtally/process/crash_watch.hpp
@@ -11,6 +11,7 @@
 #include "marjoramtally/process/upstream_table.hpp"
 
 #include <deque>
+#include <utility>
 
 namespace marjoramtally {
 
@@ -43,6 +44,13 @@
                                    std::chrono::milliseconds(300) };
 };
 
+/// A break that no longer counts, because its upstream proved to be alive.
+struct DisprovedBreak
+{
+  UpstreamId upstream_;
+  Fingerprint fingerprint_;
+};
+
 /// The crashes that one instance observes. Not thread-safe.
 class CrashWatch
 {
@@ -107,6 +115,11 @@
   {
     return quarantine_.Refused(aNow);
   }
+  /// @returns the breaks disproved since the last call, for the log
+  [[nodiscard]] std::vector<DisprovedBreak> TakeDisproved()
+  {
+    return std::exchange(disproved_, {});
+  }
   /// @returns the number of breaks that wait for the end of a registration
   [[nodiscard]] std::size_t Breaks() const noexcept { return breaks_.size(); }
 
@@ -151,6 +164,7 @@
   std::map<UpstreamId, Running> running_;
   std::map<UpstreamId, Registration> registered_;
   std::map<UpstreamId, Ended> ended_;
+  std::vector<DisprovedBreak> disproved_;
 };
 
 } // namespace marjoramtally
--- a/include/marjoramtally/process/quarantine.hpp
+++ b/include/marjoramtally/process/quarantine.hpp
@@ -10,6 +10,7 @@
 #include "marjoramtally/connection/suspicion_messages.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -40,6 +41,15 @@
   std::size_t maxSuspicions_ = 4096;
 };
 
+/// A request that explains the crashes of another one, because it was in
+/// progress at each of them.
+struct CoSuspect
+{
+  Fingerprint fingerprint_;
+  /// Number of all its crashes.
+  std::size_t crashes_ = 0;
+};
+
 /// Whether and how a request may run.
 struct QuarantineVerdict
 {
@@ -50,6 +60,8 @@
   Duration retryAfter_{ 0 };
   /// Human-readable; set if refused.
   std::string reason_;
+  /// Why a request with enough crashes to be refused is not.
+  std::optional<CoSuspect> sparedFor_;
 };
 
 /// The suspicions of one instance. Not thread-safe.
@@ -144,9 +156,9 @@
   [[nodiscard]] std::vector<Crash> UnexplainedCrashes(
     const Suspicion& aSuspicion,
     TimePoint aNow) const;
-  /// @returns the maximum number of crashes of any other request that was in
-  /// progress at all of these; 0 if there is none
-  [[nodiscard]] std::size_t MaxCrashesOfCoSuspect(
+  /// @returns the request with the most crashes among the others that were in
+  /// progress at all of these
+  [[nodiscard]] std::optional<CoSuspect> FindCoSuspect(
     const Suspicion& aSuspicion,
     const std::vector<Crash>& aCrashes) const;
   [[nodiscard]] bool IsQuarantineDue(const Suspicion& aSuspicion,
--- a/include/marjoramtally/runtime/log_limit.hpp
+++ b/include/marjoramtally/runtime/log_limit.hpp
@@ -6,12 +6,50 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 
 namespace marjoramtally {
 
-/// Limits the rate of lines and counts those dropped.
+/// A token bucket that is full at first.
+class LineAllowance
+{
+public:
+  constexpr LineAllowance(double aPerSecond, double aBurst) noexcept
+    : perSecond_(aPerSecond)
+    , burst_(aBurst)
+    , tokens_(aBurst)
+  {
+  }
+
+  /// @returns tokens available at a time that is not before the last one taken
+  [[nodiscard]] double Available(TimePoint aNow) const noexcept
+  {
+    const double seconds = std::chrono::duration<double>(aNow - last_).count();
+    return std::min(burst_, tokens_ + seconds * perSecond_);
+  }
+  /// Takes a token, if there is one.
+  bool Take(TimePoint aNow) noexcept
+  {
+    tokens_ = Available(aNow);
+    last_ = aNow;
+    if (tokens_ < 1.0) {
+      return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+  }
+
+private:
+  double perSecond_;
+  double burst_;
+  double tokens_;
+  TimePoint last_;
+};
+
+/// Limits the rate of lines and counts those dropped. Events that are seldom
+/// logged have a reserve, so that a flood of one event hides no other.
 class LogLimit
 {
 public:
@@ -21,19 +59,29 @@
   /// Lines admitted in a burst: enough for a restart or a failover of a large
   /// job.
   static constexpr double kBurstLines = 1000;
+  /// Lines in reserve, for all events together.
+  static constexpr double kReservePerSecond = 50;
+  static constexpr double kReserveBurst = 200;
+  /// Lines of one event that may use the reserve.
+  static constexpr double kEventPerSecond = 5;
+  static constexpr double kEventBurst = 20;
 
   /// @returns whether a line may be written now
-  [[nodiscard]] bool Admit(TimePoint aNow) noexcept
+  [[nodiscard]] bool Admit(TimePoint aNow, std::string_view aEvent = {})
   {
-    const double seconds = std::chrono::duration<double>(aNow - last_).count();
-    last_ = aNow;
-    tokens_ = std::min(kBurstLines, tokens_ + seconds * kLinesPerSecond);
-    if (tokens_ < 1.0) {
-      CountDropped();
-      return false;
+    auto event = events_.find(aEvent);
+    if (event == events_.end()) {
+      event = events_
+                .emplace(std::string(aEvent),
+                         LineAllowance(kEventPerSecond, kEventBurst))
+                .first;
     }
-    tokens_ -= 1.0;
-    return true;
+    const bool seldom = event->second.Take(aNow);
+    if (lines_.Take(aNow) || (seldom && reserve_.Take(aNow))) {
+      return true;
+    }
+    CountDropped();
+    return false;
   }
 
   /// Counts a line that was not written.
@@ -43,8 +91,7 @@
   /// one; 0 while lines are still being dropped
   [[nodiscard]] std::uint64_t TakeDroppedCount(TimePoint aNow) noexcept
   {
-    const double seconds = std::chrono::duration<double>(aNow - last_).count();
-    if (dropped_ == 0 || tokens_ + seconds * kLinesPerSecond < 2.0) {
+    if (dropped_ == 0 || lines_.Available(aNow) < 2.0) {
       return 0;
     }
     const std::uint64_t count = dropped_;
@@ -53,8 +100,9 @@
   }
 
 private:
-  double tokens_ = kBurstLines;
-  TimePoint last_;
+  LineAllowance lines_{ kLinesPerSecond, kBurstLines };
+  LineAllowance reserve_{ kReservePerSecond, kReserveBurst };
+  std::map<std::string, LineAllowance, std::less<>> events_;
   std::uint64_t dropped_ = 0;
 };
 
--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -114,7 +114,12 @@
 CrashWatch::ForgetBreaks(const UpstreamId& aUpstream, TimePoint aBefore)
 {
   std::erase_if(breaks_, [&](const Break& aBreak) {
-    return aBreak.upstream_ == aUpstream && aBreak.brokenAt_ < aBefore;
+    const bool disproved =
+      aBreak.upstream_ == aUpstream && aBreak.brokenAt_ < aBefore;
+    if (disproved) {
+      disproved_.push_back({ aBreak.upstream_, aBreak.fingerprint_ });
+    }
+    return disproved;
   });
 }
 
--- a/src/process/quarantine.cpp
+++ b/src/process/quarantine.cpp
@@ -59,6 +59,9 @@
     return verdict;
   }
   verdict.isolated_ = true;
+  if (suspicion.crashes_.size() >= options_.crashes_) {
+    verdict.sparedFor_ = FindCoSuspect(suspicion, suspicion.crashes_);
+  }
   return verdict;
 }
 
@@ -253,11 +256,11 @@
   return crashes;
 }
 
-std::size_t
-Quarantine::MaxCrashesOfCoSuspect(const Suspicion& aSuspicion,
-                                  const std::vector<Crash>& aCrashes) const
+std::optional<CoSuspect>
+Quarantine::FindCoSuspect(const Suspicion& aSuspicion,
+                          const std::vector<Crash>& aCrashes) const
 {
-  std::size_t most = 0;
+  std::optional<CoSuspect> found;
   for (const auto& [fingerprint, other] : suspicions_) {
     const bool atEach = &other != &aSuspicion &&
                         std::all_of(aCrashes.begin(),
@@ -265,11 +268,11 @@
                                     [&other = other](const Crash& aCrash) {
                                       return WasInvolvedIn(other, aCrash);
                                     });
-    if (atEach) {
-      most = std::max(most, other.crashes_.size());
+    if (atEach && (!found || other.crashes_.size() > found->crashes_)) {
+      found = CoSuspect{ fingerprint, other.crashes_.size() };
     }
   }
-  return most;
+  return found;
 }
 
 bool
@@ -290,7 +293,8 @@
       options_.crashesInCommon_ <= options_.crashes_) {
     return crashes.size() >= options_.crashes_;
   }
-  const std::size_t others = MaxCrashesOfCoSuspect(aSuspicion, crashes);
+  const auto coSuspect = FindCoSuspect(aSuspicion, crashes);
+  const std::size_t others = coSuspect ? coSuspect->crashes_ : 0;
   const std::size_t own = aSuspicion.crashes_.size();
   return others < own ||
          (others == own && crashes.size() >= options_.crashesInCommon_);
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -339,6 +339,7 @@
            "attempt_failed",
            { { "id", aPending.request_.attempt_ },
              { "upstream", aPending.upstream_.Get() },
+             { "fingerprint", Hex(aPending.fingerprint_) },
              { "sent", aEnd == HttpEnd::NotSent ? "no" : "yes" },
              { "error", aWhy } });
   if (aEnd != HttpEnd::NotSent) {
@@ -449,6 +450,7 @@
            "attempt_outwaited",
            { { "id", pending.request_.attempt_ },
              { "upstream", pending.upstream_.Get() },
+             { "fingerprint", Hex(pending.fingerprint_) },
              { "next", other->entry_.id_.Get() } });
   SendNext(aId);
 }
--- a/src/programs/gatewayd/request_quarantine.cpp
+++ b/src/programs/gatewayd/request_quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace marjoramtally {
 
@@ -17,12 +18,6 @@
 constexpr auto kUpdateRetryDelay = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxUpdateTries = 4;
 
-std::string
-Hex(Fingerprint aFingerprint)
-{
-  return fmt::format("{:016x}", aFingerprint.Get());
-}
-
 std::string
 UpstreamNames(const SuspicionUpdate& aUpdate)
 {
@@ -45,6 +40,12 @@
     { aMethod, aHost.substr(0, aHost.find(':')), aTarget, aBody });
 }
 
+std::string
+Hex(Fingerprint aFingerprint)
+{
+  return fmt::format("{:016x}", aFingerprint.Get());
+}
+
 RequestQuarantine::RequestQuarantine(GatewayContext& aHost)
   : host_(aHost)
 {
@@ -61,10 +62,64 @@
   if (verdict.refused_) {
     host_.Measures().Count("quarantine_refusals_total");
     LogRefusal(aFingerprint, verdict);
+  } else if (verdict.sparedFor_) {
+    LogSpared(aFingerprint, *verdict.sparedFor_);
   }
   return verdict;
 }
 
+void
+RequestQuarantine::LogSpared(Fingerprint aFingerprint,
+                             const CoSuspect& aCoSuspect)
+{
+  const TimePoint now = host_.Now();
+  std::erase_if(loggedSpared_, [&](const auto& aEntry) {
+    return watch_.KnownSuspicion(aEntry.first, now).empty();
+  });
+  for (const SuspicionUpdate& known :
+       watch_.KnownSuspicion(aFingerprint, now)) {
+    std::size_t& logged = loggedSpared_[aFingerprint];
+    if (std::exchange(logged, known.crashes_.size()) < known.crashes_.size()) {
+      LogEvent(LogLevel::Warn,
+               "suspect_spared",
+               { { "fingerprint", Hex(aFingerprint) },
+                 { "upstreams", UpstreamNames(known) },
+                 { "other", Hex(aCoSuspect.fingerprint_) },
+                 { "other_crashes", std::to_string(aCoSuspect.crashes_) } });
+    }
+  }
+}
+
+void
+RequestQuarantine::LogDisproved()
+{
+  for (const DisprovedBreak& disproved : watch_.TakeDisproved()) {
+    LogEvent(LogLevel::Info,
+             "break_disproved",
+             { { "fingerprint", Hex(disproved.fingerprint_) },
+               { "upstream", disproved.upstream_.Get() } });
+  }
+}
+
+CrashWatch::Updates
+RequestQuarantine::Apply(const SuspicionUpdate& aUpdate)
+{
+  const TimePoint now = host_.Now();
+  const auto countKnown = [](const CrashWatch::Updates& aKnown) {
+    return aKnown.empty() ? 0 : aKnown.front().crashes_.size();
+  };
+  const std::size_t before =
+    countKnown(watch_.KnownSuspicion(aUpdate.fingerprint_, now));
+  CrashWatch::Updates known = watch_.OnUpdate(aUpdate, now);
+  if (countKnown(known) > before) {
+    LogEvent(LogLevel::Warn,
+             "suspect_told",
+             { { "fingerprint", Hex(aUpdate.fingerprint_) },
+               { "upstreams", UpstreamNames(known.front()) } });
+  }
+  return known;
+}
+
 void
 RequestQuarantine::LogRefusal(Fingerprint aFingerprint,
                               const QuarantineVerdict& aVerdict)
@@ -109,12 +164,14 @@
   } else {
     watch_.OnEnded(aUpstream, aFingerprint);
   }
+  LogDisproved();
 }
 
 void
 RequestQuarantine::OnEntry(const UpstreamEntry& aEntry)
 {
   Publish(watch_.OnEntry(aEntry, host_.Now()));
+  LogDisproved();
 }
 
 void
@@ -127,6 +184,7 @@
 RequestQuarantine::OnList(const std::vector<UpstreamEntry>& aEntries)
 {
   Publish(watch_.OnList(aEntries, host_.Now()));
+  LogDisproved();
 }
 
 void
@@ -164,7 +222,7 @@
                                 : Result<CrashWatch::Updates>(aReply.error());
       if (known) {
         for (const SuspicionUpdate& update : known.value()) {
-          static_cast<void>(watch_.OnUpdate(update, host_.Now()));
+          static_cast<void>(Apply(update));
         }
         return;
       }
@@ -192,7 +250,7 @@
   }
   CrashWatch::Updates known;
   for (const SuspicionUpdate& update : updates.value()) {
-    CrashWatch::Updates found = watch_.OnUpdate(update, host_.Now());
+    CrashWatch::Updates found = Apply(update);
     std::move(found.begin(), found.end(), std::back_inserter(known));
   }
   aDone(Encode(known));
--- a/src/programs/gatewayd/request_quarantine.hpp
+++ b/src/programs/gatewayd/request_quarantine.hpp
@@ -26,6 +26,10 @@
               std::string_view aTarget,
               std::string_view aBody) noexcept;
 
+/// @returns a fingerprint as it stands in the logs
+[[nodiscard]] std::string
+Hex(Fingerprint aFingerprint);
+
 /// Drives a `CrashWatch` and exchanges its updates with other gateways. Used on
 /// one loop.
 class RequestQuarantine
@@ -69,11 +73,20 @@
   void OnUpdates(const RpcCall& aCall, const RpcDone& aDone);
   /// Logs a quarantine once until it ends.
   void LogRefusal(Fingerprint aFingerprint, const QuarantineVerdict& aVerdict);
+  /// Logs once for each number of its crashes that a suspect is not refused.
+  void LogSpared(Fingerprint aFingerprint, const CoSuspect& aCoSuspect);
+  /// Logs the breaks at an upstream that proved to be alive.
+  void LogDisproved();
+  /// Applies an update from another gateway and logs what is new here.
+  /// @returns the local suspicion against its request
+  [[nodiscard]] CrashWatch::Updates Apply(const SuspicionUpdate& aUpdate);
 
   GatewayContext& host_;
   CrashWatch watch_;
   /// When each logged quarantine ends.
   std::map<Fingerprint, TimePoint> loggedUntil_;
+  /// Number of crashes with which each spared suspect was logged.
+  std::map<Fingerprint, std::size_t> loggedSpared_;
 };
 
 } // namespace marjoramtally
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramtally/runtime/log_limit.hpp"
 
+#include <algorithm>
 #include <array>
 #include <fcntl.h>
 #include <log4cxx/appenderskeleton.h>
@@ -43,7 +44,7 @@
         prefix_ + "event=log_lines_left_out count=" + std::to_string(dropped) +
         "\n"));
     }
-    if (limit_.Admit(now)) {
+    if (limit_.Admit(now, EventOf(aEvent->getRenderedMessage()))) {
       LogString line;
       getLayout()->format(line, aEvent, aPool);
       if (!pending_.Put(line)) {
@@ -57,6 +58,14 @@
   [[nodiscard]] bool requiresLayout() const override { return true; }
 
 private:
+  /// @returns the name of a line's event, which follows the prefix
+  [[nodiscard]] std::string_view EventOf(std::string_view aLine) const
+  {
+    constexpr std::string_view kField = "event=";
+    aLine.remove_prefix(std::min(prefix_.size() + kField.size(), aLine.size()));
+    return aLine.substr(0, aLine.find(' '));
+  }
+
   void Flush()
   {
     while (!pending_.empty()) {
--- a/tests/test_log_limit.cpp
+++ b/tests/test_log_limit.cpp
@@ -22,6 +22,31 @@
   REQUIRE(limit.Admit(start + 1s));
 }
 
+TEST_CASE("a flood of one event hides no other event")
+{
+  LogLimit limit;
+  TimePoint now{ 1s };
+  int flood = 0;
+  for (int second = 0; second < 10; ++second) {
+    for (int i = 0; i < 5000; ++i) {
+      flood += limit.Admit(now, "attempt_failed") ? 1 : 0;
+    }
+    REQUIRE(limit.Admit(now, "suspect"));
+    REQUIRE(limit.Admit(now, "upstream_vanished"));
+    now += 1s;
+  }
+  constexpr double kWithoutReserve =
+    LogLimit::kBurstLines + 9 * LogLimit::kLinesPerSecond;
+  REQUIRE(flood <= static_cast<int>(kWithoutReserve));
+  // The reserve is bounded as well.
+  int seldom = 0;
+  for (int i = 0; i < 5000; ++i) {
+    seldom += limit.Admit(now, "event" + std::to_string(i)) ? 1 : 0;
+  }
+  REQUIRE(seldom <= static_cast<int>(LogLimit::kLinesPerSecond +
+                                     LogLimit::kReserveBurst));
+}
+
 TEST_CASE("a reader that accepts nothing uses a bounded buffer")
 {
   LogBuffer buffer;
