Attribute a crash to calls that were abandoned just before it

Cause: an attempt that timed out in favour of another upstream counted as nothing, as did one whose caller left or whose time was up. A request that broke there counted more crashes than the one that caused them; it was quarantined, and then explained the crashes of the other one.

Change: CallEnd::Abandoned for what this side ended after it may have begun, on all paths: attempt timeouts, stalled streams, callers that left, time limits, rejected answers, items that were moved or stopped before their first event. Such a call counts as a break whose upstream may run it for up to a second more, so an answer within that second proves nothing for it. Abandoned calls do not keep requests apart, do not move the time of a crash, and are the first to be dropped when 512 are held.

Why it works: the request that causes the crashes is then at each of them, so no other request can have more.

Six new tests, of which those on abandoned calls fail before.

--- a/include/marjoramtally/process/crash_watch.hpp
+++ b/include/marjoramtally/process/crash_watch.hpp
@@ -26,6 +26,8 @@
   Duration maxRegistrationLag_ = std::chrono::seconds(6);
   /// Maximum time between the first and last broken connection of one crash.
   Duration breakSpread_ = std::chrono::seconds(1);
+  /// Maximum time for which an upstream runs a call that was abandoned.
+  Duration maxAbandonedRun_ = std::chrono::seconds(1);
   /// Time after a break from which a renewal of the registration proves that
   /// the upstream is alive. An earlier renewal can have been sent before the
   /// break, because a relay delays it by up to 1.7 s.
@@ -85,7 +87,12 @@
   void OnBroken(const UpstreamId& aUpstream,
                 Fingerprint aFingerprint,
                 TimePoint aNow);
-  /// Records any other end of a call.
+  /// Records that this side ended a call without an answer. The upstream may go
+  /// on running it for a moment, and a crash in that time is the request's too.
+  void OnAbandoned(const UpstreamId& aUpstream,
+                   Fingerprint aFingerprint,
+                   TimePoint aNow);
+  /// Records any other end of a call: not sent, or not run.
   void OnEnded(const UpstreamId& aUpstream, Fingerprint aFingerprint);
 
   // Registrations of upstreams.
@@ -134,12 +141,15 @@
     UpstreamStart start_;
     TimePoint endedAt_;
   };
+  /// An end of a call that may have crashed its upstream.
   struct Break
   {
     UpstreamId upstream_;
     Fingerprint fingerprint_;
     TimePoint sentAt_;
     TimePoint brokenAt_;
+    /// Ended by this side; the connection did not break.
+    bool abandoned_ = false;
   };
   using Running = std::multimap<Fingerprint, TimePoint>;
 
@@ -154,6 +164,13 @@
   /// Attributes the crash of an upstream to the requests that broke there.
   [[nodiscard]] Updates AttributeCrash(const UpstreamId& aUpstream,
                                        TimePoint aNow);
+  void AddBreak(const UpstreamId& aUpstream,
+                Fingerprint aFingerprint,
+                TimePoint aNow,
+                bool aAbandoned);
+  /// @returns when the last connection to an upstream broke, or the last call
+  /// there was abandoned if none broke
+  [[nodiscard]] TimePoint LastBreakAt(const UpstreamId& aUpstream) const;
   void DropOldBreaks(TimePoint aNow);
   void ForgetBreaks(const UpstreamId& aUpstream, TimePoint aBefore);
 
--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -9,7 +9,7 @@
 {
   return quarantine_.Suspects(aFingerprint) ||
          std::any_of(breaks_.begin(), breaks_.end(), [&](const Break& aBreak) {
-           return aBreak.fingerprint_ == aFingerprint;
+           return aBreak.fingerprint_ == aFingerprint && !aBreak.abandoned_;
          });
 }
 
@@ -85,6 +85,23 @@
 CrashWatch::OnBroken(const UpstreamId& aUpstream,
                      Fingerprint aFingerprint,
                      TimePoint aNow)
+{
+  AddBreak(aUpstream, aFingerprint, aNow, false);
+}
+
+void
+CrashWatch::OnAbandoned(const UpstreamId& aUpstream,
+                        Fingerprint aFingerprint,
+                        TimePoint aNow)
+{
+  AddBreak(aUpstream, aFingerprint, aNow, true);
+}
+
+void
+CrashWatch::AddBreak(const UpstreamId& aUpstream,
+                     Fingerprint aFingerprint,
+                     TimePoint aNow,
+                     bool aAbandoned)
 {
   const auto sentAt = EndCall(aUpstream, aFingerprint);
   const auto registration = registered_.find(aUpstream);
@@ -96,9 +113,14 @@
   }
   DropOldBreaks(aNow);
   if (breaks_.size() >= options_.maxBreaks_) {
-    breaks_.pop_front();
+    // Calls are abandoned far more often than connections break.
+    const auto abandoned =
+      std::find_if(breaks_.begin(), breaks_.end(), [](const Break& aBreak) {
+        return aBreak.abandoned_;
+      });
+    breaks_.erase(abandoned == breaks_.end() ? breaks_.begin() : abandoned);
   }
-  breaks_.push_back({ aUpstream, aFingerprint, *sentAt, aNow });
+  breaks_.push_back({ aUpstream, aFingerprint, *sentAt, aNow, aAbandoned });
 }
 
 void
@@ -114,8 +136,10 @@
 CrashWatch::ForgetBreaks(const UpstreamId& aUpstream, TimePoint aBefore)
 {
   std::erase_if(breaks_, [&](const Break& aBreak) {
+    const Duration mayRunOn =
+      aBreak.abandoned_ ? options_.maxAbandonedRun_ : Duration::zero();
     const bool disproved =
-      aBreak.upstream_ == aUpstream && aBreak.brokenAt_ < aBefore;
+      aBreak.upstream_ == aUpstream && aBreak.brokenAt_ < aBefore - mayRunOn;
     if (disproved) {
       disproved_.push_back({ aBreak.upstream_, aBreak.fingerprint_ });
     }
@@ -123,15 +147,24 @@
   });
 }
 
-CrashWatch::Updates
-CrashWatch::AttributeCrash(const UpstreamId& aUpstream, TimePoint aNow)
+TimePoint
+CrashWatch::LastBreakAt(const UpstreamId& aUpstream) const
 {
-  TimePoint last{};
-  for (const Break& broken : breaks_) {
-    if (broken.upstream_ == aUpstream) {
-      last = std::max(last, broken.brokenAt_);
+  TimePoint broken{};
+  TimePoint abandoned{};
+  for (const Break& each : breaks_) {
+    if (each.upstream_ == aUpstream) {
+      TimePoint& last = each.abandoned_ ? abandoned : broken;
+      last = std::max(last, each.brokenAt_);
     }
   }
+  return broken == TimePoint{} ? abandoned : broken;
+}
+
+CrashWatch::Updates
+CrashWatch::AttributeCrash(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  const TimePoint last = LastBreakAt(aUpstream);
   Updates updates;
   for (const Break& broken : breaks_) {
     if (broken.upstream_ == aUpstream &&
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -346,9 +346,7 @@
     ++aPending.possibleRuns_;
     MarkRunStarted(aPending, aPending.sentAt_);
   }
-  EndAttempt(aPending,
-             CallVerdict::Failed,
-             aEnd == HttpEnd::Broken ? CallEnd::Broken : CallEnd::Other);
+  EndAttempt(aPending, CallVerdict::Failed, CallEndOf(aEnd));
   SendNext(aId);
 }
 
@@ -397,7 +395,7 @@
              { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
   ++aPending.possibleRuns_;
   MarkRunStarted(aPending, aPending.sentAt_);
-  EndAttempt(aPending, CallVerdict::Failed);
+  EndAttempt(aPending, CallVerdict::Failed, CallEnd::Abandoned);
   SendNext(aId);
 }
 
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -197,7 +197,8 @@
                   CallVerdict aVerdict,
                   CallEnd aEnd = CallEnd::Other);
   /// Cancels the current attempt.
-  void CancelAttempt(PendingRequest& aPending, CallEnd aEnd = CallEnd::Other);
+  void CancelAttempt(PendingRequest& aPending,
+                     CallEnd aEnd = CallEnd::Abandoned);
   /// Removes the request and reports its outcome.
   void Finish(ForwardId aId, ForwardOutcome aOutcome);
   /// Finishes the request with an error response: a refusal for status 503,
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -197,7 +197,9 @@
   [[nodiscard]] bool OnEvent(Run& aRun, const ServerEvent& aEvent);
   void OnRunEnd(RunId aId, const HttpResult& aResult);
   void FinishRun(const Run& aRun, OwnedJob& aJob, const HttpResult& aResult);
-  void StopRun(RunId aId, CallVerdict aVerdict, CallEnd aEnd = CallEnd::Other);
+  void StopRun(RunId aId,
+               CallVerdict aVerdict,
+               CallEnd aEnd = CallEnd::Abandoned);
   void StopRuns(OwnedJob& aJob);
   void ScheduleRunCheck();
   void CheckRuns();
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -252,12 +252,10 @@
   // A request that crashes an upstream does so at its start, so a run with
   // events is not counted. A text takes 7 s, so an unrelated crash hits the
   // same text twice now and then.
-  const bool broken = aResult.end_ == HttpEnd::Broken && aRun.events_ == 0;
-  forwarder_.Quarantine().OnEnd(aRun.fingerprint_,
-                                aRun.upstream_,
-                                ran      ? CallEnd::Answered
-                                : broken ? CallEnd::Broken
-                                         : CallEnd::Other);
+  const CallEnd failure =
+    aRun.events_ > 0 ? CallEnd::Other : CallEndOf(aResult.end_);
+  forwarder_.Quarantine().OnEnd(
+    aRun.fingerprint_, aRun.upstream_, ran ? CallEnd::Answered : failure);
   if (complete && aRun.status_ == 200 && !aRun.parser_.Partial() &&
       aRun.events_ > 0) {
     upstreamTable_.OnEnd(aRun.upstream_, CallVerdict::Answered, now);
@@ -328,7 +326,8 @@
   job.runs_.erase(run.item_);
   job.ledger_.OnInterrupted(run.item_);
   upstreamTable_.OnEnd(run.upstream_, aVerdict, host_.Now());
-  forwarder_.Quarantine().OnEnd(run.fingerprint_, run.upstream_, aEnd);
+  forwarder_.Quarantine().OnEnd(
+    run.fingerprint_, run.upstream_, run.events_ == 0 ? aEnd : CallEnd::Other);
   host_.Client().Cancel(run.call_);
 }
 
@@ -352,9 +351,7 @@
         { "upstream", aUpstream.Get() },
         { "events", std::to_string(run.events_) },
         { "why", "the upstream has restarted" } });
-    StopRun(id,
-            CallVerdict::Abandoned,
-            run.events_ == 0 ? CallEnd::Broken : CallEnd::Other);
+    StopRun(id, CallVerdict::Abandoned, CallEnd::Broken);
   }
   Dispatch();
 }
--- a/src/programs/gatewayd/request_quarantine.cpp
+++ b/src/programs/gatewayd/request_quarantine.cpp
@@ -30,6 +30,22 @@
 
 } // namespace
 
+CallEnd
+CallEndOf(HttpEnd aEnd) noexcept
+{
+  switch (aEnd) {
+    case HttpEnd::Complete:
+    case HttpEnd::NotSent:
+      return CallEnd::Other;
+    case HttpEnd::Broken:
+      return CallEnd::Broken;
+    case HttpEnd::TimedOut:
+    case HttpEnd::Cancelled:
+      return CallEnd::Abandoned;
+  }
+  return CallEnd::Other;
+}
+
 Fingerprint
 FingerprintOf(std::string_view aMethod,
               std::string_view aHost,
@@ -161,6 +177,8 @@
     Publish(watch_.OnCompleted(aUpstream, aFingerprint));
   } else if (aEnd == CallEnd::Broken) {
     watch_.OnBroken(aUpstream, aFingerprint, host_.Now());
+  } else if (aEnd == CallEnd::Abandoned) {
+    watch_.OnAbandoned(aUpstream, aFingerprint, host_.Now());
   } else {
     watch_.OnEnded(aUpstream, aFingerprint);
   }
--- a/src/programs/gatewayd/request_quarantine.hpp
+++ b/src/programs/gatewayd/request_quarantine.hpp
@@ -14,10 +14,16 @@
   Answered,
   /// The connection broke after bytes were sent.
   Broken,
-  /// Anything else: not sent, not run, abandoned.
+  /// Ended by this side without an answer, after it may have begun to run.
+  Abandoned,
+  /// Anything else: not sent or not run.
   Other,
 };
 
+/// @returns how a call ended that gave no valid answer
+[[nodiscard]] CallEnd
+CallEndOf(HttpEnd aEnd) noexcept;
+
 /// @returns a fingerprint that is the same for repetitions of a request
 /// @param aHost with or without a port
 [[nodiscard]] Fingerprint
--- a/tests/test_crash_watch.cpp
+++ b/tests/test_crash_watch.cpp
@@ -57,6 +57,11 @@
     watch_.OnBroken(Upstream(aUpstream), aRequest, clock_.Now());
   }
 
+  void Abandon(int aUpstream, Fingerprint aRequest)
+  {
+    watch_.OnAbandoned(Upstream(aUpstream), aRequest, clock_.Now());
+  }
+
   void Answer(int aUpstream, Fingerprint aRequest)
   {
     static_cast<void>(watch_.OnCompleted(Upstream(aUpstream), aRequest));
@@ -258,6 +263,67 @@
   REQUIRE(fix.watch_.OnList({}, fix.clock_.Now()).size() == 1);
 }
 
+TEST_CASE("crash watch: a crash right after a call was abandoned is attributed")
+{
+  Fixture fix;
+  for (int i = 0; i < 2; ++i) {
+    fix.Send(i, kCulprit);
+    fix.clock_.Advance(105ms);
+    fix.Abandon(i, kCulprit);
+    // Another call is answered while the abandoned one still runs.
+    fix.Send(i, kInnocent);
+    fix.clock_.Advance(10ms);
+    fix.Answer(i, kInnocent);
+    fix.clock_.Advance(kRegistrationLag);
+    REQUIRE(fix.Vanish(i).size() == 1);
+  }
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  REQUIRE_FALSE(fix.Refused(kInnocent));
+}
+
+TEST_CASE("crash watch: an upstream that outlives an abandoned call is cleared")
+{
+  Fixture fix;
+  for (int i = 0; i < 2; ++i) {
+    fix.Send(i, kInnocent);
+    fix.Abandon(i, kInnocent);
+    fix.clock_.Advance(1200ms);
+    fix.Send(i, kCulprit);
+    fix.clock_.Advance(10ms);
+    fix.Answer(i, kCulprit);
+    fix.clock_.Advance(kRegistrationLag);
+    REQUIRE(fix.Vanish(i).empty());
+  }
+  REQUIRE_FALSE(fix.RefusedSoon(kInnocent));
+}
+
+TEST_CASE("crash watch: a call abandoned after a crash hides no broken one")
+{
+  Fixture fix;
+  fix.Send(0, kCulprit);
+  fix.Break(0, kCulprit);
+  fix.Send(0, kInnocent);
+  fix.clock_.Advance(1500ms);
+  fix.Abandon(0, kInnocent);
+  fix.clock_.Advance(kRegistrationLag);
+  REQUIRE_FALSE(fix.Vanish(0).empty());
+  REQUIRE(fix.watch_.KnownSuspicion(kCulprit, fix.clock_.Now()).size() == 1);
+}
+
+TEST_CASE("crash watch: abandoned calls displace no broken one")
+{
+  Fixture fix;
+  fix.Send(0, kCulprit);
+  fix.Break(0, kCulprit);
+  for (std::uint64_t i = 10; i < 2000; ++i) {
+    fix.Send(1, Fingerprint{ i });
+    fix.Abandon(1, Fingerprint{ i });
+  }
+  REQUIRE(fix.watch_.Breaks() == 512);
+  fix.clock_.Advance(kRegistrationLag);
+  REQUIRE(fix.Vanish(0).size() == 1);
+}
+
 TEST_CASE("crash watch: a crash is not attributed to a long-running request")
 {
   Fixture fix;
--- a/tests/test_log_limit.cpp
+++ b/tests/test_log_limit.cpp
@@ -33,7 +33,7 @@
     }
     REQUIRE(limit.Admit(now, "suspect"));
     REQUIRE(limit.Admit(now, "upstream_vanished"));
-    now += 1s;
+    now = now + 1s;
   }
   constexpr double kWithoutReserve =
     LogLimit::kBurstLines + 9 * LogLimit::kLinesPerSecond;
--- a/tests/test_request_quarantine.cpp
+++ b/tests/test_request_quarantine.cpp
@@ -59,9 +59,9 @@
     forwarder_.Quarantine().OnVanished(UpstreamId{ aId });
   }
 
-  void Start(const std::string& aBody,
-             RouteKind aKind = RouteKind::AtMostOnce,
-             std::uint32_t aMaxAttempts = 1)
+  ForwardId Start(const std::string& aBody,
+                  RouteKind aKind = RouteKind::AtMostOnce,
+                  std::uint32_t aMaxAttempts = 1)
   {
     ForwardRequest request;
     request.attempt_ = "id" + std::to_string(client_.sent_);
@@ -73,9 +73,10 @@
     request.service_ = ServiceId{ "svc" };
     request.kind_ = aKind;
     request.maxAttempts_ = aMaxAttempts;
-    forwarder_.Start(std::move(request), [this](ForwardOutcome aOutcome) {
-      outcomes_.push_back(std::move(aOutcome));
-    });
+    return forwarder_.Start(std::move(request),
+                            [this](ForwardOutcome aOutcome) {
+                              outcomes_.push_back(std::move(aOutcome));
+                            });
   }
 
   static std::string UpstreamOf(const SentCall& aCall)
@@ -362,6 +363,43 @@
   REQUIRE(gateway.crashes_ == 3);
 }
 
+TEST_CASE(
+  "a request is refused whose attempts were abandoned before its upstreams "
+  "crashed")
+{
+  TestGateway gateway;
+  for (int round = 0; round < 2; ++round) {
+    const ForwardId id = gateway.Start(kCrashingBody, RouteKind::Idempotent, 2);
+    const std::string first = TestGateway::UpstreamOf(gateway.client_.Oldest());
+    gateway.timers_.Advance(800ms);
+    REQUIRE(gateway.client_.open_.size() == 1);
+    REQUIRE(TestGateway::UpstreamOf(gateway.client_.Oldest()) != first);
+    gateway.Crash(first);
+    gateway.forwarder_.Cancel(id);
+    gateway.timers_.Advance(kRegistrationLag + kReportSettleTime);
+  }
+  gateway.Start(kCrashingBody, RouteKind::Idempotent, 2);
+  REQUIRE(gateway.outcomes_.back().response_.status_ == 503);
+  REQUIRE(gateway.outcomes_.back().notRun_);
+}
+
+TEST_CASE(
+  "a request is refused whose callers left before its upstreams crashed")
+{
+  TestGateway gateway;
+  for (int round = 0; round < 2; ++round) {
+    const ForwardId id = gateway.Start(kCrashingBody);
+    const std::string upstream =
+      TestGateway::UpstreamOf(gateway.client_.Oldest());
+    gateway.timers_.Advance(50ms);
+    gateway.forwarder_.Cancel(id);
+    gateway.Crash(upstream);
+    gateway.timers_.Advance(kRegistrationLag + kReportSettleTime);
+  }
+  gateway.Start(kCrashingBody);
+  REQUIRE(gateway.outcomes_.back().response_.status_ == 503);
+}
+
 TEST_CASE("items whose connections were reset are all restarted at once")
 {
   TestJobGateway gateway(2);
