An outdated list of registrations withdraws no crash

What callers would see: requests that crash upstreams, refused everywhere, run again after the store has dropped its history.

Cause: an upstream that is registered again as the same incarnation had not crashed, so its crashes are withdrawn. A list proves no such thing: the first reading after a lost history may come from a replica that is seconds behind, and still contains the upstreams whose end the gateway has already been told. All gateways read such a list at the same moment, so all crashes at these upstreams were withdrawn at once.

Change: only an entry that the upstream writes afterwards withdraws its crashes.

Evidence: the new test fails with lists taken as before (the request is not refused). Entries are renewed about each second, so a true return withdraws them as soon.

--- a/include/marjoramtally/process/crash_watch.hpp
+++ b/include/marjoramtally/process/crash_watch.hpp
@@ -140,6 +140,15 @@
   [[nodiscard]] std::size_t Breaks() const noexcept { return breaks_.size(); }
 
 private:
+  /// How an entry became known.
+  enum class EntrySource
+  {
+    /// Its upstream wrote it, which proves that it was alive.
+    Written,
+    /// A list contained it. The list may be older than the end of the
+    /// registration, because a replica of the store may be seconds behind.
+    Listed,
+  };
   struct Registration
   {
     UpstreamStart start_;
@@ -175,7 +184,9 @@
   /// @returns when it was sent; nothing if unknown
   std::optional<TimePoint> EndCall(const UpstreamId& aUpstream,
                                    Fingerprint aFingerprint);
-  [[nodiscard]] Updates Register(const UpstreamEntry& aEntry, TimePoint aNow);
+  [[nodiscard]] Updates Register(const UpstreamEntry& aEntry,
+                                 EntrySource aSource,
+                                 TimePoint aNow);
   /// Attributes the crash of an upstream to the requests that broke there.
   [[nodiscard]] Updates AttributeCrash(const UpstreamId& aUpstream,
                                        TimePoint aNow);
--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -237,17 +237,22 @@
 }
 
 CrashWatch::Updates
-CrashWatch::Register(const UpstreamEntry& aEntry, TimePoint aNow)
+CrashWatch::Register(const UpstreamEntry& aEntry,
+                     EntrySource aSource,
+                     TimePoint aNow)
 {
   const auto ended = ended_.find(aEntry.id_);
   if (ended != ended_.end()) {
     if (aEntry.start_ < ended->second.start_) {
       return {};
     }
-    if (ended->second.start_ == aEntry.start_) {
+    const bool same = ended->second.start_ == aEntry.start_;
+    if (same && aSource == EntrySource::Written) {
       quarantine_.OnAlive(aEntry.id_, aNow);
     }
-    ended_.erase(ended);
+    if (!same || aSource == EntrySource::Written) {
+      ended_.erase(ended);
+    }
   }
   const auto [it, added] = registered_.try_emplace(
     aEntry.id_, Registration{ aEntry.start_, aEntry.draining_ });
@@ -268,7 +273,7 @@
 CrashWatch::Updates
 CrashWatch::OnEntry(const UpstreamEntry& aEntry, TimePoint aNow)
 {
-  Updates updates = Register(aEntry, aNow);
+  Updates updates = Register(aEntry, EntrySource::Written, aNow);
   ForgetBreaks(aEntry.id_, aNow - options_.minRenewalLag_, aNow);
   return updates;
 }
@@ -298,7 +303,7 @@
   std::set<UpstreamId> listed;
   for (const UpstreamEntry& entry : aEntries) {
     listed.insert(entry.id_);
-    add(Register(entry, aNow));
+    add(Register(entry, EntrySource::Listed, aNow));
   }
   std::vector<UpstreamId> missing;
   for (const auto& [id, registration] : registered_) {
--- a/tests/test_crash_watch.cpp
+++ b/tests/test_crash_watch.cpp
@@ -258,6 +258,27 @@
   REQUIRE(fix.RefusedSoon(kCulprit));
 }
 
+TEST_CASE("crash watch: an outdated list withdraws no crash")
+{
+  Fixture fix;
+  static_cast<void>(fix.Crash(0, { kCulprit }));
+  static_cast<void>(fix.Crash(1, { kCulprit }));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  std::vector<UpstreamEntry> outdated(6);
+  for (int i = 0; i < 6; ++i) {
+    outdated.at(static_cast<std::size_t>(i)).id_ = Upstream(i);
+  }
+  static_cast<void>(fix.watch_.OnList(outdated, fix.clock_.Now()));
+  REQUIRE(fix.Refused(kCulprit));
+  static_cast<void>(fix.Vanish(0));
+  static_cast<void>(fix.Vanish(1));
+  REQUIRE(fix.RefusedSoon(kCulprit));
+  // An entry that the upstream writes afterwards does.
+  static_cast<void>(fix.watch_.OnList(outdated, fix.clock_.Now()));
+  static_cast<void>(fix.Register(0));
+  REQUIRE_FALSE(fix.RefusedSoon(kCulprit));
+}
+
 TEST_CASE("crash watch: upstreams missing from a complete list have ended")
 {
   Fixture fix;
