--- a/tests/test_request_quarantine.cpp
+++ b/tests/test_request_quarantine.cpp
@@ -307,6 +307,47 @@
   REQUIRE(one.crashes_ + other.crashes_ == 2);
 }
 
+TEST_CASE("a break on trial holds a request back at other gateways at once")
+{
+  TestGateway one;
+  TestGateway other;
+  one.linked_.others_["other:1"] = &other.linked_;
+  one.relays_.OnAlive("other~1", { ZoneId{ "z1" }, "other:1" });
+  const Fingerprint crashing =
+    FingerprintOf("POST", "h", "/p/1", kCrashingBody);
+  const Fingerprint mild = FingerprintOf("POST", "h", "/p/1", "mild");
+  for (const char* upstream : { "u0", "u1" }) {
+    const UpstreamId id{ upstream };
+    RequestQuarantine& quarantine = one.forwarder_.Quarantine();
+    for (const Fingerprint request : { crashing, mild }) {
+      quarantine.OnSent(request, id);
+      quarantine.OnEnd(request, id, CallEnd::Broken);
+    }
+    one.timers_.Advance(kRegistrationLag);
+    one.RemoveUpstream(upstream);
+    other.RemoveUpstream(upstream);
+  }
+  one.timers_.Advance(kReportSettleTime);
+  other.timers_.Advance(2 * kRegistrationLag + kReportSettleTime);
+  one.Start(kCrashingBody);
+  one.Serve();
+  REQUIRE(one.crashes_ == 1);
+  other.Start(kCrashingBody);
+  REQUIRE(other.outcomes_.size() == 1);
+  REQUIRE(other.outcomes_.back().response_.status_ == 503);
+  REQUIRE(other.outcomes_.back().response_.body_.find("held back") !=
+          std::string::npos);
+  // Long before the registration ends.
+  other.timers_.Advance(kReportSettleTime);
+  other.Start(kCrashingBody);
+  REQUIRE(other.outcomes_.size() == 2);
+  REQUIRE(other.outcomes_.back().response_.body_.find("quarantined") !=
+          std::string::npos);
+  other.Start("mild");
+  other.Serve();
+  REQUIRE(other.outcomes_.back().response_.status_ == 200);
+}
+
 TEST_CASE("a report that did not reach a gateway is sent again")
 {
   TestGateway one;
