Name the check for an earlier crash WasAtCrash

IsSuspected beside IsSuspect read alike: one tells whether a request was in progress at a crash, the other one whether it broke lately as well. No behaviour changes; found when reading the diff.

--- a/include/marjoramtally/process/crash_watch.hpp
+++ b/include/marjoramtally/process/crash_watch.hpp
@@ -74,7 +74,7 @@
   [[nodiscard]] QuarantineVerdict Judge(Fingerprint aFingerprint,
                                         TimePoint aNow);
   /// @returns whether a request was in progress at a crash
-  [[nodiscard]] bool IsSuspected(Fingerprint aFingerprint) const
+  [[nodiscard]] bool WasAtCrash(Fingerprint aFingerprint) const
   {
     return quarantine_.Suspects(aFingerprint);
   }
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -442,7 +442,7 @@
     return;
   }
   PendingRequest& pending = it->second;
-  if (quarantine_.IsSuspected(pending.fingerprint_)) {
+  if (quarantine_.WasAtCrash(pending.fingerprint_)) {
     // A second attempt might crash a second upstream.
     return;
   }
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -86,6 +86,7 @@
     /// Doubles with each consecutive failure.
     Duration delay_{ 0 };
   };
+
   struct OwnedJob
   {
     OwnedJob(const JobSubmissionRecord& aSubmission,
--- a/src/programs/gatewayd/request_quarantine.hpp
+++ b/src/programs/gatewayd/request_quarantine.hpp
@@ -46,9 +46,9 @@
   /// @returns whether a request may run
   [[nodiscard]] QuarantineVerdict Judge(Fingerprint aFingerprint);
   /// @returns whether a request was in progress at a crash
-  [[nodiscard]] bool IsSuspected(Fingerprint aFingerprint) const
+  [[nodiscard]] bool WasAtCrash(Fingerprint aFingerprint) const
   {
-    return watch_.IsSuspected(aFingerprint);
+    return watch_.WasAtCrash(aFingerprint);
   }
   /// @returns false if this request is a suspect and another suspect is in
   /// progress at the upstream; else true
