--- a/include/marjoramtally/process/upstream_table.hpp
+++ b/include/marjoramtally/process/upstream_table.hpp
@@ -5,6 +5,7 @@
 #include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/ids.hpp"
 #include "marjoramtally/process/pace_median.hpp"
+#include "marjoramtally/process/upstream_load.hpp"
 
 #include <map>
 #include <optional>
@@ -102,6 +103,9 @@
   /// ms; plain calls take 25 to 200 ms.
   Duration idleTimeout_ = std::chrono::milliseconds(300);
   std::int64_t idleTimeoutPaces_ = 6;
+  /// Load reports of upstreams decide for all services. Otherwise they decide
+  /// for the services whose upstreams report how long work takes.
+  bool loadAware_ = false;
 };
 
 /// An upstream and the state that this process keeps for it.
@@ -124,6 +128,15 @@
   std::map<std::string, WeightVersion> versions_;
   /// Orders upstreams that are otherwise equal; specific to this process.
   std::size_t tieBreak_ = 0;
+  /// What is believed of its load; kept for services that are load-aware.
+  UpstreamLoad load_;
+
+  /// @returns calls of this process in flight per slot
+  [[nodiscard]] double LoadPerSlot() const noexcept
+  {
+    return static_cast<double>(inFlight_) /
+           static_cast<double>(entry_.slots_ > 0 ? entry_.slots_ : 1);
+  }
 };
 
 /// Requirements of an item on its upstream.
@@ -181,6 +194,15 @@
                  const std::string& aModel,
                  WeightVersion aVersion);
 
+  /// The upstream reported its load.
+  /// @param aAt when it measured the load
+  /// @returns why the report is ignored; empty if it is not
+  std::string_view OnLoad(const UpstreamId& aId,
+                          const LoadReport& aReport,
+                          TimePoint aAt);
+  /// @returns whether load reports decide for a service
+  [[nodiscard]] bool LoadAware(const ServiceId& aService) const;
+
   /// Selects an upstream for a request: the fewest calls in flight per slot,
   /// then the local zone, then the tie-breaking order of this process.
   /// @param aTried upstreams that must not be selected again
@@ -223,6 +245,8 @@
     /// was just released.
     std::map<std::string, std::map<WeightVersion, Ranking>> models_;
     PaceMedian paces_;
+    /// An upstream has reported how long work takes.
+    bool reportsSlowdown_ = false;
   };
 
   [[nodiscard]] static Rank RankOf(const TrackedUpstream& aUpstream);
--- a/include/marjoramtally/runtime/platform.hpp
+++ b/include/marjoramtally/runtime/platform.hpp
@@ -37,6 +37,8 @@
   std::string urgency_;
   /// In a request to an upstream: the customer who sent it.
   std::string customer_;
+  /// In a response: the load of the upstream.
+  std::string load_;
 };
 
 /// Keys and key prefixes in the store that the platform writes.
@@ -148,6 +150,14 @@
   [[nodiscard]] virtual Result<NamedVersion> ReadVersion(
     std::string_view aValue) const = 0;
 
+  /// @returns nothing if the text is no load of an upstream
+  [[nodiscard]] virtual std::optional<LoadReport> ReadLoad(
+    std::string_view aText) const = 0;
+  /// @returns whether a deployment with these features, separated by commas,
+  /// asks for decisions by load
+  [[nodiscard]] virtual bool AsksForLoadControl(
+    std::string_view aFeatures) const = 0;
+
   [[nodiscard]] virtual Result<JobSpec> ReadSubmission(
     std::string_view aBody) const = 0;
   [[nodiscard]] virtual std::optional<JobQuery> ReadQuery(
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -34,6 +34,8 @@
   { "usage-window", &Settings::usageWindow_, false, 0, 3600 * kSecond },
   { "usage-late", &Settings::usageLate_, false, kSecond, 3600 * kSecond },
   { "grace", &Settings::grace_, false, 100 * kMillisecond, 600 * kSecond },
+  { "load-control", &Settings::loadControl_ },
+  { "platform-features", &Settings::platformFeatures_ },
   { "status-time", &Settings::statusTime_, false, kSecond, 86'400 * kSecond },
   { "log-level", &Settings::logLevel_ },
 });
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -49,6 +49,13 @@
   Duration usageLate_ = std::chrono::seconds(10);
   /// Time from the stop signal to the forced kill.
   Duration grace_ = std::chrono::seconds(8);
+  /// Load reports of upstreams decide for all services. Otherwise they decide
+  /// where upstreams report how long work takes, and where the features ask for
+  /// it.
+  bool loadControl_ = false;
+  /// Features of the deployment as the platform lists them, separated by
+  /// commas.
+  std::string platformFeatures_;
   /// How long a job's results can be read after its submission.
   Duration statusTime_ = std::chrono::seconds(120);
   std::string logLevel_ = "info";
--- a/src/process/upstream_table.cpp
+++ b/src/process/upstream_table.cpp
@@ -1,21 +1,9 @@
 #include "marjoramtally/process/upstream_table.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace marjoramtally {
 
-namespace {
-
-double
-LoadOf(const TrackedUpstream& aUpstream) noexcept
-{
-  return static_cast<double>(aUpstream.inFlight_) /
-         std::max(1U, aUpstream.entry_.slots_);
-}
-
-} // namespace
-
 UpstreamTable::UpstreamTable(ZoneId aZone,
                              SelectionPolicy aPolicy,
                              std::string aSelf)
@@ -28,7 +16,7 @@
 UpstreamTable::Rank
 UpstreamTable::RankOf(const TrackedUpstream& aUpstream)
 {
-  return { LoadOf(aUpstream), aUpstream.tieBreak_, aUpstream.entry_.id_ };
+  return { aUpstream.LoadPerSlot(), aUpstream.tieBreak_, aUpstream.entry_.id_ };
 }
 
 void
@@ -92,6 +80,8 @@
     TrackedUpstream fresh;
     fresh.inFlight_ = upstream.inFlight_;
     fresh.lastReceivedAt_ = upstream.lastReceivedAt_;
+    fresh.load_ = std::move(upstream.load_);
+    fresh.load_.Forget();
     upstream = std::move(fresh);
   }
   upstream.removedAt_ = kNever;
@@ -168,6 +158,9 @@
   if (upstream.inFlight_++ == 0) {
     upstream.lastReceivedAt_ = aNow;
   }
+  if (LoadAware(upstream.entry_.service_)) {
+    upstream.load_.OnSent(aNow);
+  }
   AddToRankings(upstream);
 }
 
@@ -202,6 +195,7 @@
   if (upstream.inFlight_ > 0) {
     RemoveFromRankings(upstream);
     --upstream.inFlight_;
+    upstream.load_.OnEnded(aNow);
     AddToRankings(upstream);
   }
   if (aVerdict == CallVerdict::Answered || aVerdict == CallVerdict::Full) {
@@ -273,147 +267,46 @@
   AddToRankings(upstream);
 }
 
-bool
-UpstreamTable::Usable(const TrackedUpstream& aUpstream,
-                      TimePoint aNow) const noexcept
+std::string_view
+UpstreamTable::OnLoad(const UpstreamId& aId,
+                      const LoadReport& aReport,
+                      TimePoint aAt)
 {
-  const bool gone = aUpstream.removedAt_ != kNever &&
-                    aNow - aUpstream.removedAt_ >= policy_.removalGrace_;
-  return !gone && !aUpstream.entry_.draining_;
-}
-
-const TrackedUpstream*
-UpstreamTable::Pick(const ServiceId& aService,
-                    const std::set<UpstreamId>& aTried,
-                    TimePoint aNow) const
-{
-  const Service* service = FindService(aService);
-  if (service == nullptr) {
-    return nullptr;
-  }
-  const TrackedUpstream* best = nullptr;
-  std::tuple<bool, bool, bool, double, bool, std::size_t> bestRank;
-  for (const auto& [listed, upstream] : service->ranking_) {
-    // Stops when no later upstream has a lower load or, at the same load, a
-    // better zone.
-    const auto& [vanished, avoided, unresponsive, load, far, order] = bestRank;
-    if (best != nullptr && !vanished && !avoided && !unresponsive &&
-        (!far || std::get<0>(listed) > load)) {
-      break;
-    }
-    ++inspected_;
-    if (aTried.contains(upstream->entry_.id_) || !Usable(*upstream, aNow)) {
-      continue;
-    }
-    const std::tuple rank{
-      upstream->removedAt_ != kNever,  upstream->avoidUntil_ > aNow,
-      Unresponsive(*upstream, aNow),   LoadOf(*upstream),
-      upstream->entry_.zone_ != zone_, upstream->tieBreak_
-    };
-    if (best == nullptr || rank < bestRank) {
-      best = upstream;
-      bestRank = rank;
-    }
-  }
-  return best;
-}
-
-bool
-UpstreamTable::Fits(const TrackedUpstream& aUpstream,
-                    const ItemNeeds& aNeeds,
-                    TimePoint aNow) const
-{
-  if (aUpstream.entry_.service_ != aNeeds.service_ ||
-      aUpstream.entry_.id_ == aNeeds.excluded_ || !Usable(aUpstream, aNow)) {
-    return false;
-  }
-  if (!aNeeds.model_.empty()) {
-    const auto version = aUpstream.versions_.find(aNeeds.model_);
-    if (version == aUpstream.versions_.end() ||
-        version->second < aNeeds.minVersion_) {
-      return false;
-    }
-  }
-  return aUpstream.avoidUntil_ <= aNow &&
-         aUpstream.inFlight_ < aUpstream.entry_.slots_;
-}
-
-const TrackedUpstream*
-UpstreamTable::PickForItem(const ItemNeeds& aNeeds, TimePoint aNow) const
-{
-  const Service* service = FindService(aNeeds.service_);
-  if (service == nullptr) {
-    return nullptr;
-  }
-  const Duration median = service->paces_.Get();
-  const TrackedUpstream* preferred = Find(aNeeds.preferred_);
-  if (preferred != nullptr && Fits(*preferred, aNeeds, aNow) &&
-      !SlowerThan(*preferred, median) && !Unresponsive(*preferred, aNow)) {
-    return preferred;
-  }
-  using Penalties = std::tuple<bool, bool, bool>;
-  constexpr Penalties kNone{ false, false, false };
-  const TrackedUpstream* best = nullptr;
-  std::pair<Penalties, Rank> bestRank;
-  for (const Ranking* ranking : RankingsFor(aNeeds)) {
-    for (const auto& [rank, upstream] : *ranking) {
-      if (best != nullptr && bestRank < std::pair(kNone, rank)) {
-        break;
-      }
-      ++inspected_;
-      if (!Fits(*upstream, aNeeds, aNow)) {
-        continue;
-      }
-      const Penalties penalties{ upstream->removedAt_ != kNever,
-                                 Unresponsive(*upstream, aNow),
-                                 SlowerThan(*upstream, median) };
-      if (best == nullptr || std::pair(penalties, rank) < bestRank) {
-        best = upstream;
-        bestRank = { penalties, rank };
-      }
-    }
+  const auto it = upstreams_.find(aId);
+  if (it == upstreams_.end()) {
+    return "unknown upstream";
   }
-  return best;
-}
-
-std::vector<const UpstreamTable::Ranking*>
-UpstreamTable::RankingsFor(const ItemNeeds& aNeeds) const
-{
-  const Service* service = FindService(aNeeds.service_);
-  if (service == nullptr) {
-    return {};
+  const std::string_view fault = CheckLoadReport(aReport);
+  if (!fault.empty()) {
+    return fault;
   }
-  if (aNeeds.model_.empty()) {
-    return { &service->ranking_ };
+  const auto service = services_.find(it->second.entry_.service_);
+  if (aReport.slowdown_ && service != services_.end()) {
+    service->second.reportsSlowdown_ = true;
   }
-  std::vector<const Ranking*> rankings;
-  const auto model = service->models_.find(aNeeds.model_);
-  if (model != service->models_.end()) {
-    const auto& versions = model->second;
-    for (auto it = versions.lower_bound(aNeeds.minVersion_);
-         it != versions.end();
-         ++it) {
-      rankings.push_back(&it->second);
-    }
+  if (LoadAware(it->second.entry_.service_)) {
+    it->second.load_.OnReport(aReport, aAt);
   }
-  return rankings;
+  return {};
 }
 
 bool
-UpstreamTable::SlowerThan(const TrackedUpstream& aUpstream,
-                          Duration aMedian) const noexcept
+UpstreamTable::LoadAware(const ServiceId& aService) const
 {
-  return static_cast<double>(aUpstream.pace_.count()) >
-         policy_.slowFactor_ * static_cast<double>(aMedian.count());
+  if (policy_.loadAware_) {
+    return true;
+  }
+  const Service* service = FindService(aService);
+  return service != nullptr && service->reportsSlowdown_;
 }
 
 bool
-UpstreamTable::Slow(const UpstreamId& aId) const
+UpstreamTable::Usable(const TrackedUpstream& aUpstream,
+                      TimePoint aNow) const noexcept
 {
-  const TrackedUpstream* upstream = Find(aId);
-  return upstream != nullptr && upstream->pace_.count() > 0 &&
-         SlowerThan(*upstream,
-                    services_.at(upstream->entry_.service_).paces_.Get());
+  const bool gone = aUpstream.removedAt_ != kNever &&
+                    aNow - aUpstream.removedAt_ >= policy_.removalGrace_;
+  return !gone && !aUpstream.entry_.draining_;
 }
 
 const TrackedUpstream*
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -381,6 +381,7 @@
                   const HttpHeaders& aHeaders)
 {
   HttpResponse head{ aStatus, aHeaders, {} };
+  RecordLoad(host_, upstreamTable_, aPending.upstream_, aHeaders);
   aPending.rejectReason_ = RejectReason(aPending, head);
   if (aPending.stream_) {
     OnStreamHead(aPending, std::move(head));
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -257,6 +257,13 @@
             const WireNames& aNames,
             const CustomerId& aCustomer);
 
+/// Records the load that an upstream reports in the head of an answer.
+void
+RecordLoad(const GatewayContext& aHost,
+           UpstreamTable& aTable,
+           const UpstreamId& aUpstream,
+           const HttpHeaders& aHeaders);
+
 /// @returns a refusal with a `Retry-After` header
 [[nodiscard]] HttpResponse
 RefusedResponse(std::string_view aWhy, Duration aRetryAfter);
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -37,6 +37,16 @@
            false };
 }
 
+SelectionPolicy
+SelectionPolicyOf(const GatewayContext& aHost)
+{
+  SelectionPolicy policy;
+  policy.loadAware_ =
+    aHost.Settings().loadControl_ ||
+    aHost.Formats().AsksForLoadControl(aHost.Settings().platformFeatures_);
+  return policy;
+}
+
 std::string
 HostWithoutPort(const HttpRequest& aRequest)
 {
@@ -68,7 +78,7 @@
   , listeners_(aListeners)
   , reader_(aHost.Formats())
   , upstreamTable_(ZoneId{ aHost.Settings().zone_ },
-                   SelectionPolicy{},
+                   SelectionPolicyOf(aHost),
                    aHost.Settings().instance_)
   , forwarder_(aHost, upstreamTable_)
   , store_(aHost)
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -157,6 +157,7 @@
   }
   Run& run = it->second;
   upstreamTable_.OnReceived(run.upstream_, host_.Now());
+  RecordLoad(host_, upstreamTable_, run.upstream_, aHeaders);
   const WireNames& names = host_.Formats().Names();
   const JobItem& item = jobs_.at(run.job_).ledger_.Spec().items_[run.item_];
   const auto echo = FindHeader(aHeaders, names.attempt_);
