Removal of an upstream: work that does not grow with the fleet

An entry that a list repeats unchanged was taken out of its rankings and put back.

Change: removed upstreams stand in the order of their removal; an unchanged entry changes nothing.

Test: 200 removals inspect at most 200 upstreams at 400 and at 8,000 upstreams (all of them 200 times before); an upstream with calls is dropped after their end; one that restarts after its removal stays.

--- a/include/marjoramtally/process/upstream_table.hpp
+++ b/include/marjoramtally/process/upstream_table.hpp
@@ -21,6 +21,8 @@
 {
   std::string model_;
   WeightVersion version_;
+
+  bool operator==(const ModelVersion&) const = default;
 };
 
 /// Registration of an upstream. Id and start together identify an incarnation.
@@ -37,6 +39,8 @@
   std::vector<ModelVersion> models_;
   /// Whether the platform may reclaim it at short notice.
   bool spot_ = false;
+
+  bool operator==(const UpstreamEntry&) const = default;
 };
 
 /// Effect of a registry entry on the known state of its upstream.
@@ -222,7 +226,8 @@
   [[nodiscard]] bool Unresponsive(const TrackedUpstream& aUpstream,
                                   TimePoint aNow) const noexcept;
   [[nodiscard]] const TrackedUpstream* Find(const UpstreamId& aId) const;
-  /// @returns how many upstreams all selections so far have inspected
+  /// @returns how many upstreams all selections and removals so far have
+  /// inspected
   [[nodiscard]] std::uint64_t InspectedCount() const noexcept
   {
     return inspected_;
@@ -249,6 +254,9 @@
     bool reportsSlowdown_ = false;
   };
 
+  /// Drops upstreams whose grace period has expired and that have no calls in
+  /// flight.
+  void DropExpired(TimePoint aNow);
   [[nodiscard]] static Rank RankOf(const TrackedUpstream& aUpstream);
   /// An upstream must be removed from the rankings before its rank or its pace
   /// changes, and added again afterwards.
@@ -269,6 +277,8 @@
   std::string self_;
   std::map<UpstreamId, TrackedUpstream> upstreams_;
   std::map<ServiceId, Service> services_;
+  /// Upstreams whose entry was removed, in the order of the removals.
+  std::set<std::pair<TimePoint, UpstreamId>> removed_;
   mutable std::uint64_t inspected_ = 0;
   /// Latest known start of each id whose entry has one. Kept after the entry is
   /// removed, so that a delayed entry of an earlier incarnation is ignored.
--- a/src/process/upstream_table.cpp
+++ b/src/process/upstream_table.cpp
@@ -72,6 +72,11 @@
   }
   const bool present = upstreams_.contains(aEntry.id_);
   TrackedUpstream& upstream = upstreams_[aEntry.id_];
+  if (upstream.removedAt_ != kNever) {
+    removed_.erase({ upstream.removedAt_, aEntry.id_ });
+  } else if (present && upstream.entry_ == aEntry) {
+    return EntryEffect::Current;
+  }
   if (present) {
     RemoveFromRankings(upstream);
   }
@@ -107,19 +112,26 @@
   const auto it = upstreams_.find(aId);
   if (it != upstreams_.end() && it->second.removedAt_ == kNever) {
     it->second.removedAt_ = aNow;
+    removed_.insert({ aNow, aId });
   }
-  // Drops entries whose grace period has expired and that have no calls in
-  // flight.
-  std::erase_if(upstreams_, [&](const auto& aEntry) {
-    const TrackedUpstream& upstream = aEntry.second;
-    const bool forgotten = upstream.removedAt_ != kNever &&
-                           upstream.inFlight_ == 0 &&
-                           aNow - upstream.removedAt_ > policy_.removalGrace_;
-    if (forgotten) {
-      RemoveFromRankings(upstream);
+  DropExpired(aNow);
+}
+
+void
+UpstreamTable::DropExpired(TimePoint aNow)
+{
+  for (auto it = removed_.begin();
+       it != removed_.end() && aNow - it->first > policy_.removalGrace_;) {
+    ++inspected_;
+    const auto upstream = upstreams_.find(it->second);
+    if (upstream->second.inFlight_ > 0) {
+      ++it;
+      continue;
     }
-    return forgotten;
-  });
+    RemoveFromRankings(upstream->second);
+    upstreams_.erase(upstream);
+    it = removed_.erase(it);
+  }
 }
 
 std::vector<UpstreamId>
--- a/tests/test_upstream_table.cpp
+++ b/tests/test_upstream_table.cpp
@@ -428,3 +428,54 @@
     REQUIRE(count <= 15);
   }
 }
+
+// Each removal went through all upstreams of the fleet: 200 at once took an
+// eighth of a core 0.2 s at 10,000 upstreams.
+TEST_CASE("the work of a removal does not grow with the fleet")
+{
+  for (const int upstreams : { 400, 8000 }) {
+    UpstreamTable table(ZoneId{ "z1" });
+    for (int i = 0; i < upstreams; ++i) {
+      table.OnEntry(MakeEntry(std::to_string(i)));
+    }
+    const std::uint64_t before = table.InspectedCount();
+    TimePoint now = kStart;
+    for (int i = 0; i < 200; ++i) {
+      table.OnRemoved(UpstreamId{ std::to_string(i) }, now);
+      now += 20ms;
+    }
+    table.OnRemoved(UpstreamId{ "0" }, now + 2s);
+    CAPTURE(upstreams);
+    REQUIRE(table.InspectedCount() - before <= 200);
+    REQUIRE(table.Find(UpstreamId{ "0" }) == nullptr);
+    REQUIRE(table.Find(UpstreamId{ "199" }) == nullptr);
+    REQUIRE(table.Find(UpstreamId{ "200" }) != nullptr);
+  }
+}
+
+TEST_CASE("a removed upstream is dropped once its last call has ended")
+{
+  UpstreamTable table = MakeTable({ MakeEntry("a"), MakeEntry("b") });
+  table.OnStart(UpstreamId{ "a" }, kStart);
+  table.OnRemoved(UpstreamId{ "a" }, kStart);
+  table.OnRemoved(UpstreamId{ "b" }, kStart + 2s);
+  REQUIRE(table.Find(UpstreamId{ "a" }) != nullptr);
+  table.OnEnd(UpstreamId{ "a" }, CallVerdict::Answered, kStart + 3s);
+  table.OnRemoved(UpstreamId{ "b" }, kStart + 4s);
+  REQUIRE(table.Find(UpstreamId{ "a" }) == nullptr);
+  REQUIRE(table.Find(UpstreamId{ "b" }) == nullptr);
+}
+
+TEST_CASE("an upstream that restarts after its removal stays registered")
+{
+  UpstreamTable table(ZoneId{ "z1" });
+  UpstreamEntry entry = MakeEntry("a");
+  entry.start_ = UpstreamStart{ 1 };
+  table.OnEntry(entry);
+  table.OnRemoved(entry.id_, kStart);
+  entry.start_ = UpstreamStart{ 2 };
+  REQUIRE(table.OnEntry(entry) == EntryEffect::Restarted);
+  table.OnRemoved(UpstreamId{ "other" }, kStart + 10s);
+  REQUIRE(table.Find(entry.id_) != nullptr);
+  REQUIRE(PickId(table, kStart + 10s) == "a");
+}
