Complete reads go through relays, in parts

Cause: relays carried changes, not records. Each process read the whole list of upstreams from the store, page after page, at its start and whenever a relay no longer held its revision: at 835 gateways and 10,001 upstreams of some 830 bytes 6.9 GB, 55 s of the store's link by calculation, and 50 calls each. It grows with gateways x upstreams. Ruled out by the logs of the common start: there the list is still empty when it is first read, but it is read again 1.3 s later, as the relay's history of 512 KB (950 changes) has passed by.

Change: a relay mirrors the records of its prefix. After a lost history the relay reads again and turns the difference into changes, so its peers read nothing. A process reads the upstreams once it knows its peers, at once if their records are there. A record too large for relays is read from the store as before.

--- a/include/marjoramtally/runtime/store.hpp
+++ b/include/marjoramtally/runtime/store.hpp
@@ -82,6 +82,8 @@
   /// Time since the store confirmed this state. Relays add their own ages, so
   /// that no clocks are compared.
   Duration age_{ 0 };
+  /// Greater than the revision if a relay knows more changes than it sent.
+  std::uint64_t latest_ = 0;
 };
 
 struct StoreLease
@@ -110,6 +112,11 @@
   {
     Read(std::move(aPrefix), std::move(aDone));
   }
+  /// Reads all records under the prefix again after a watch of it ended.
+  virtual void ReadAgain(std::string aPrefix, StoreDone<StoreRange> aDone)
+  {
+    Read(std::move(aPrefix), std::move(aDone));
+  }
   /// Reads the records under the prefix whose keys are greater than a key.
   virtual void ReadAfter(std::string aPrefix,
                          std::string aAfter,
--- a/include/marjoramtally/runtime/watch_history.hpp
+++ b/include/marjoramtally/runtime/watch_history.hpp
@@ -2,8 +2,7 @@
 /// its peers.
 #pragma once
 
-#include "marjoramtally/base/clock.hpp"
-#include "marjoramtally/runtime/store.hpp"
+#include "marjoramtally/runtime/change_source.hpp"
 
 #include <deque>
 #include <optional>
@@ -11,7 +10,7 @@
 namespace marjoramtally {
 
 /// Bounded history of one prefix.
-class WatchHistory
+class WatchHistory final : public ChangeSource
 {
 public:
   /// Maximum number of changes kept.
@@ -20,14 +19,6 @@
   /// in one burst is then below 38 MB; each process reads a larger change from
   /// the store, which has the faster link.
   static constexpr std::size_t kMaxBytes = 512UL * 1024UL;
-  /// Largest change kept, in bytes: 72 peers get it together, which is 4.7 MB
-  /// or 0.6 s of a 60 Mbit/s link; a relay that needs more than a second counts
-  /// as unresponsive.
-  static constexpr std::size_t kMaxChangeBytes = 64UL * 1024UL;
-  /// How long a response of the store confirms the changes. A watch is renewed
-  /// every 1.4 s, and a change must be known after two seconds.
-  static constexpr Duration kConfirmationLifetime =
-    std::chrono::milliseconds(1700);
 
   /// Starts with a watch that reports all changes after this revision.
   void Start(std::uint64_t aAfter, TimePoint aNow);
@@ -35,25 +26,25 @@
   /// Marks the history as unconfirmed after the watch ended or was interrupted.
   void Invalidate() { known_.reset(); }
 
-  /// @returns whether the history is known to be complete as of
-  /// `kConfirmationLifetime` ago
-  [[nodiscard]] bool Confirmed(TimePoint aNow) const noexcept;
-  /// @returns the time since the store confirmed the history
-  [[nodiscard]] Duration Age(TimePoint aNow) const noexcept
+  [[nodiscard]] bool Confirmed(TimePoint aNow) const noexcept override;
+  [[nodiscard]] Duration Age(TimePoint aNow) const noexcept override
   {
     return aNow - confirmed_;
   }
-  /// @returns the latest known revision; 0 if none is known
-  [[nodiscard]] std::uint64_t Known() const noexcept
+  [[nodiscard]] std::uint64_t Known() const noexcept override
   {
     return known_.value_or(0);
   }
   /// @returns whether all changes after the revision are held
   [[nodiscard]] bool Covers(std::uint64_t aAfter) const noexcept;
-  /// @returns whether there are changes after the revision
-  [[nodiscard]] bool HasAfter(std::uint64_t aAfter) const noexcept;
+  [[nodiscard]] bool Covers(
+    const WatchPosition& aPosition) const noexcept override
+  {
+    return Covers(aPosition.after_);
+  }
+  [[nodiscard]] bool HasAfter(std::uint64_t aAfter) const noexcept override;
   /// @returns the changes after the revision, up to the latest known one
-  [[nodiscard]] StoreWatchBatch After(std::uint64_t aAfter) const;
+  [[nodiscard]] StoreWatchBatch After(std::uint64_t aAfter) const override;
 
 private:
   /// @returns the first change after a revision
--- a/include/marjoramtally/runtime/watch_messages.hpp
+++ b/include/marjoramtally/runtime/watch_messages.hpp
@@ -9,13 +9,15 @@
 struct WatchAsk
 {
   std::string prefix_;
-  /// The last revision that the sender knows.
+  /// The last revision that the sender knows; 0: it reads all records.
   std::uint64_t after_ = 0;
   /// How long the response may be held back while there is no change.
   Duration wait_{ 0 };
   /// The sender accepts deflated responses. A process that does not support
   /// them would read one as a response without changes.
   bool inflates_ = true;
+  /// The sender may hold records removed after this revision; 0: as `after_`.
+  std::uint64_t removalsAfter_ = 0;
 };
 
 [[nodiscard]] std::string
--- a/src/daemon/prefix_follower.cpp
+++ b/src/daemon/prefix_follower.cpp
@@ -44,7 +44,7 @@
       }
     };
     if (hasRead_) {
-      store_.Read(prefix_, onRead);
+      store_.ReadAgain(prefix_, onRead);
     } else {
       store_.ReadEarlier(prefix_, onRead);
     }
--- a/src/daemon/relay_answers.cpp
+++ b/src/daemon/relay_answers.cpp
@@ -13,51 +13,101 @@
 /// Minimum wait before an answer without changes: time for a relay to receive a
 /// revision that the peer already knows.
 constexpr auto kMinWait = std::chrono::milliseconds(50);
+/// An encoded part of all records is reused for this long. Peers that read them
+/// after a common start are seconds apart, and encoding the parts for each of
+/// them would take a small processor longer than sending them. A part may be
+/// outdated, as later parts contain what has changed since.
+constexpr auto kPartReuseTime = std::chrono::seconds(2);
 
 } // namespace
 
 RelayAnswers::RelayAnswers(LoopTimers& aTimers,
                            const Clock& aClock,
-                           HistoryOf aHistory)
+                           SourceOf aSource,
+                           LoadRecords aLoad)
   : timers_(aTimers)
   , clock_(aClock)
-  , history_(std::move(aHistory))
+  , source_(std::move(aSource))
+  , load_(std::move(aLoad))
 {
 }
 
 std::optional<Error>
-RelayAnswers::RefusalOf(const WatchHistory* aHistory,
-                        std::uint64_t aAfter) const
+RelayAnswers::RefusalOf(const ChangeSource* aSource, const WatchAsk& aAsk) const
 {
-  if (aHistory == nullptr) {
+  if (aSource == nullptr) {
     return Error{ ErrorKind::NotFound, "this process does not relay that" };
   }
-  if (!aHistory->Confirmed(clock_.Now())) {
+  if (!aSource->Confirmed(clock_.Now())) {
     return Error{ ErrorKind::Unavailable, "the store does not answer here" };
   }
-  if (!aHistory->Covers(aAfter)) {
+  const std::uint64_t removals =
+    aAsk.removalsAfter_ == 0 ? aAsk.after_ : aAsk.removalsAfter_;
+  if (!aSource->Covers({ aAsk.after_, removals })) {
     return Error{ ErrorKind::Conflict, "that history is not held here" };
   }
   return std::nullopt;
 }
 
+bool
+RelayAnswers::AwaitsLoad(const ChangeSource* aSource,
+                         const WatchAsk& aAsk) const
+{
+  return Reads(aAsk) && aSource != nullptr &&
+         RefusalOf(aSource, aAsk).has_value() &&
+         aSource->Confirmed(clock_.Now()) && load_(aAsk.prefix_);
+}
+
+const std::string*
+RelayAnswers::PartFor(const WatchAsk& aAsk, const ChangeSource& aSource)
+{
+  const TimePoint now = clock_.Now();
+  const PartKey key{ aAsk.prefix_, aAsk.after_, aAsk.inflates_ };
+  const auto kept = parts_.find(key);
+  if (kept != parts_.end() &&
+      now - kept->second.encodedAt_ <= Duration{ kPartReuseTime }) {
+    return &kept->second.bytes_;
+  }
+  StoreWatchBatch batch = aSource.After(aAsk.after_);
+  if (batch.revision_ >= batch.latest_) {
+    return nullptr;
+  }
+  DropOldParts(now);
+  batch.age_ = aSource.Age(now);
+  Part& part = parts_[key];
+  part = { now, EncodeWatchBatch(batch, aAsk.inflates_) };
+  return &part.bytes_;
+}
+
+void
+RelayAnswers::DropOldParts(TimePoint aNow)
+{
+  std::erase_if(parts_, [aNow](const auto& aPart) {
+    return aNow - aPart.second.encodedAt_ > Duration{ kPartReuseTime };
+  });
+}
+
 const std::string&
-RelayAnswers::AnswerFor(const std::string& aPrefix,
-                        const WatchHistory& aHistory,
-                        std::uint64_t aAfter,
-                        bool aDeflated)
+RelayAnswers::AnswerFor(const WatchAsk& aAsk, const ChangeSource& aSource)
 {
+  if (Reads(aAsk)) {
+    if (const std::string* part = PartFor(aAsk, aSource)) {
+      return *part;
+    }
+  }
   const TimePoint now = clock_.Now();
-  const std::uint64_t revision = aHistory.Known();
+  const std::uint64_t revision = aSource.Known();
   const bool same =
-    lastAnswer_.prefix_ == aPrefix && lastAnswer_.after_ == aAfter &&
-    lastAnswer_.deflated_ == aDeflated && lastAnswer_.revision_ == revision &&
+    lastAnswer_.prefix_ == aAsk.prefix_ && lastAnswer_.after_ == aAsk.after_ &&
+    lastAnswer_.deflated_ == aAsk.inflates_ &&
+    lastAnswer_.revision_ == revision &&
     now - lastAnswer_.encodedAt_ <= Duration{ kAnswerReuseTime };
   if (!same) {
-    StoreWatchBatch batch = aHistory.After(aAfter);
-    batch.age_ = aHistory.Age(now);
-    lastAnswer_ = { aPrefix,  aAfter, aDeflated,
-                    revision, now,    EncodeWatchBatch(batch, aDeflated) };
+    StoreWatchBatch batch = aSource.After(aAsk.after_);
+    batch.age_ = aSource.Age(now);
+    lastAnswer_ = { aAsk.prefix_, aAsk.after_, aAsk.inflates_,
+                    revision,     now,         EncodeWatchBatch(
+                                                 batch, aAsk.inflates_) };
   }
   return lastAnswer_.bytes_;
 }
@@ -65,23 +115,23 @@
 void
 RelayAnswers::Serve(const WatchAsk& aAsk, StoreDone<std::string> aDone)
 {
-  const WatchHistory* history = history_(aAsk.prefix_);
-  if (const auto refusal = RefusalOf(history, aAsk.after_)) {
-    aDone(*refusal);
-    return;
-  }
-  if (history->HasAfter(aAsk.after_)) {
-    aDone(AnswerFor(aAsk.prefix_, *history, aAsk.after_, aAsk.inflates_));
-    return;
+  const ChangeSource* source = source_(aAsk.prefix_);
+  if (!AwaitsLoad(source, aAsk)) {
+    if (const auto refusal = RefusalOf(source, aAsk)) {
+      aDone(*refusal);
+      return;
+    }
+    if (Reads(aAsk) || source->HasAfter(aAsk.after_)) {
+      aDone(AnswerFor(aAsk, *source));
+      return;
+    }
   }
   const std::uint64_t number = ++lastRequest_;
   const std::string& prefix = aAsk.prefix_;
   const LoopTimerId timer =
     timers_.After(std::max<Duration>(aAsk.wait_, kMinWait),
                   [this, prefix, number] { Complete(prefix, number); });
-  pending_[prefix][number] = {
-    aAsk.after_, aAsk.inflates_, std::move(aDone), timer
-  };
+  pending_[prefix][number] = { aAsk, std::move(aDone), timer };
 }
 
 void
@@ -91,11 +141,14 @@
   if (it == pending_.end()) {
     return;
   }
-  const WatchHistory* history = history_(aPrefix);
+  const ChangeSource* source = source_(aPrefix);
   std::vector<std::uint64_t> due;
   for (const auto& [number, request] : it->second) {
-    if (RefusalOf(history, request.after_) ||
-        history->HasAfter(request.after_)) {
+    if (AwaitsLoad(source, request.ask_)) {
+      continue;
+    }
+    if (RefusalOf(source, request.ask_) || Reads(request.ask_) ||
+        source->HasAfter(request.ask_.after_)) {
       due.push_back(number);
     }
   }
@@ -126,13 +179,17 @@
   }
   const PendingRequest& request = node.mapped();
   timers_.Cancel(request.timer_);
-  const WatchHistory* history = history_(aPrefix);
-  if (const auto refusal = RefusalOf(history, request.after_)) {
+  const ChangeSource* source = source_(aPrefix);
+  if (AwaitsLoad(source, request.ask_)) {
+    request.done_(Error{ ErrorKind::Unavailable,
+                         "the records are not loaded here yet" });
+    return;
+  }
+  if (const auto refusal = RefusalOf(source, request.ask_)) {
     request.done_(*refusal);
     return;
   }
-  request.done_(
-    AnswerFor(aPrefix, *history, request.after_, request.inflates_));
+  request.done_(AnswerFor(request.ask_, *source));
 }
 
 } // namespace marjoramtally
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -68,9 +68,12 @@
   , queryPeer_(std::move(aQueryPeer))
   , relays_(std::move(aRelays))
   , probeDelays_(kMinProbeDelay, kMaxProbeDelay, 1)
-  , answers_(aTimers, aClock, [this](const std::string& aPrefix) {
-    return HistoryOfServed(aPrefix);
-  })
+  , reading_(aTimers, aClock, queryPeer_, relays_)
+  , answers_(
+      aTimers,
+      aClock,
+      [this](const std::string& aPrefix) { return SourceOfServed(aPrefix); },
+      [this](const std::string& aPrefix) { return LoadMirror(aPrefix); })
 {
 }
 
@@ -88,7 +91,95 @@
 void
 RelayedStore::ReadEarlier(std::string aPrefix, StoreDone<StoreRange> aDone)
 {
-  store_.ReadEarlier(std::move(aPrefix), std::move(aDone));
+  ReadWatched(aPrefix, &Store::ReadEarlier, std::move(aDone));
+}
+
+void
+RelayedStore::ReadAgain(std::string aPrefix, StoreDone<StoreRange> aDone)
+{
+  ReadWatched(aPrefix, &Store::ReadAgain, std::move(aDone));
+}
+
+void
+RelayedStore::ReadWatched(const std::string& aPrefix,
+                          ReadStore aReadStore,
+                          StoreDone<StoreRange> aDone)
+{
+  if (relays_(aPrefix).empty()) {
+    ReadFromStore(aPrefix, aReadStore, std::move(aDone));
+    return;
+  }
+  reading_.Read(aPrefix,
+                [this, aPrefix, aReadStore, done = std::move(aDone)](
+                  Result<StoreRange> aRange) {
+                  if (aRange) {
+                    done(std::move(aRange));
+                  } else {
+                    ReadFromStore(aPrefix, aReadStore, done);
+                  }
+                });
+}
+
+void
+RelayedStore::ReadFromStore(const std::string& aPrefix,
+                            ReadStore aReadStore,
+                            StoreDone<StoreRange> aDone)
+{
+  (store_.*aReadStore)(
+    aPrefix,
+    [this, alive = alive_, aPrefix, done = std::move(aDone)](
+      const Result<StoreRange>& aRange) {
+      if (!*alive) {
+        return;
+      }
+      if (aRange && relays_(aPrefix).empty()) {
+        mirrors_[aPrefix].Load(aRange.value(), clock_.Now());
+        answers_.NotifyChange(aPrefix);
+      }
+      done(aRange);
+    });
+}
+
+bool
+RelayedStore::LoadMirror(const std::string& aPrefix)
+{
+  if (mirrors_.contains(aPrefix) || FindDirect(aPrefix) == nullptr ||
+      !relays_(aPrefix).empty()) {
+    return false;
+  }
+  if (loading_.insert(aPrefix).second) {
+    store_.Read(aPrefix,
+                [this, alive = alive_, aPrefix](
+                  const Result<StoreRange>& aRange) {
+                  if (*alive) {
+                    OnLoaded(aPrefix, aRange);
+                  }
+                });
+  }
+  return true;
+}
+
+void
+RelayedStore::OnLoaded(const std::string& aPrefix,
+                       const Result<StoreRange>& aRange)
+{
+  loading_.erase(aPrefix);
+  const OwnWatch* own = FindDirect(aPrefix);
+  // The watch has reported changes during the read, which the mirror lacks.
+  if (!aRange || own == nullptr ||
+      !own->history_.Covers(aRange.value().revision_)) {
+    LogEvent(LogLevel::Info,
+             "relay_not_loaded",
+             { { "prefix", aPrefix },
+               { "error",
+                 aRange ? "the watch does not continue the read"
+                        : aRange.error().message_ } });
+    return;
+  }
+  PrefixMirror& mirror = mirrors_[aPrefix];
+  mirror.Load(aRange.value(), clock_.Now());
+  mirror.Append(own->history_.After(aRange.value().revision_), clock_.Now());
+  answers_.NotifyChange(aPrefix);
 }
 
 void
@@ -166,6 +257,7 @@
     OpenDirect(aId);
     return;
   }
+  mirrors_.erase(own.prefix_);
   QueryRelay(aId, relays[own.nextRelay_ % relays.size()]);
 }
 
@@ -191,6 +283,11 @@
   ++own.round_;
   timers_.Cancel(std::exchange(own.backupTimer_, 0));
   own.history_.Start(own.after_, clock_.Now());
+  const auto mirror = mirrors_.find(own.prefix_);
+  if (mirror != mirrors_.end() && mirror->second.Known() < own.after_) {
+    // Relays have sent changes that the mirror lacks.
+    mirrors_.erase(mirror);
+  }
   own.direct_ = store_.Watch(
     own.prefix_, own.after_ + 1, [this, aId](const StoreWatchBatch& aBatch) {
       OnDirect(aId, aBatch);
@@ -211,6 +308,10 @@
       return;
     }
     own->history_.Invalidate();
+    const auto mirror = mirrors_.find(own->prefix_);
+    if (mirror != mirrors_.end()) {
+      mirror->second.Unconfirm();
+    }
     answers_.NotifyChange(own->prefix_);
     own->history_.Start(own->after_, {});
     if (!relays_(own->prefix_).empty()) {
@@ -228,7 +329,10 @@
   }
   if (aBatch.ended_) {
     own->history_.Invalidate();
-    answers_.FailAll(own->prefix_);
+    // With a mirror, the peers wait for the changes that the next read shows.
+    if (!mirrors_.contains(own->prefix_)) {
+      answers_.FailAll(own->prefix_);
+    }
     Deliver(aId, aBatch);
     return;
   }
@@ -236,6 +340,10 @@
   probeDelays_.Reset();
   OnConfirmed(*own, "store");
   own->history_.Append(aBatch, clock_.Now());
+  const auto mirror = mirrors_.find(own->prefix_);
+  if (mirror != mirrors_.end()) {
+    mirror->second.Append(aBatch, clock_.Now());
+  }
   answers_.NotifyChange(own->prefix_);
   const bool relayed =
     !relays_(own->prefix_).empty() && clock_.Now() >= own->directUntil_;
@@ -433,15 +541,26 @@
   onBatch(unseen);
 }
 
-const WatchHistory*
-RelayedStore::HistoryOfServed(const std::string& aPrefix) const
+RelayedStore::OwnWatch*
+RelayedStore::FindDirect(const std::string& aPrefix)
 {
-  for (const auto& [id, own] : watches_) {
+  for (auto& [id, own] : watches_) {
     if (own.prefix_ == aPrefix && own.direct_ != 0) {
-      return &own.history_;
+      return &own;
     }
   }
   return nullptr;
 }
 
+const ChangeSource*
+RelayedStore::SourceOfServed(const std::string& aPrefix)
+{
+  const auto mirror = mirrors_.find(aPrefix);
+  if (mirror != mirrors_.end()) {
+    return &mirror->second;
+  }
+  const OwnWatch* own = FindDirect(aPrefix);
+  return own == nullptr ? nullptr : &own->history_;
+}
+
 } // namespace marjoramtally
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -1,28 +1,23 @@
 /// A store whose watches go through relays, which are other processes, where
 /// the relay plan assigns any. Serves the watches of this process to its peers.
-/// Reads and writes go to the store directly.
+/// Complete reads of a watched prefix go through relays as well; other reads and
+/// writes go to the store directly.
 #pragma once
 
 #include "daemon/relay_answers.hpp"
+#include "daemon/relay_reading.hpp"
 #include "marjoramtally/base/backoff.hpp"
 #include "marjoramtally/process/relay_plan.hpp"
 #include "marjoramtally/runtime/loop_timers.hpp"
+#include "marjoramtally/runtime/prefix_mirror.hpp"
 #include "marjoramtally/runtime/store.hpp"
+#include "marjoramtally/runtime/watch_history.hpp"
 
 #include <map>
+#include <set>
 
 namespace marjoramtally {
 
-/// Requests changes from a peer; `aDone` runs on the loop.
-using QueryPeer = std::function<void(const std::string& aAddress,
-                                     const WatchAsk& aAsk,
-                                     StoreDone<StoreWatchBatch> aDone)>;
-
-/// @returns the addresses of a prefix's relays, in order of preference; empty
-/// if this process watches the prefix at the store
-using RelaysOf =
-  std::function<const std::vector<std::string>&(const std::string& aPrefix)>;
-
 /// Used on one loop.
 class RelayedStore final : public Store
 {
@@ -37,6 +32,7 @@
 
   void Read(std::string aPrefix, StoreDone<StoreRange> aDone) override;
   void ReadEarlier(std::string aPrefix, StoreDone<StoreRange> aDone) override;
+  void ReadAgain(std::string aPrefix, StoreDone<StoreRange> aDone) override;
   void ReadAfter(std::string aPrefix,
                  std::string aAfter,
                  StoreDone<StoreRange> aDone) override;
@@ -87,6 +83,19 @@
     TimePoint confirmedAt_;
   };
 
+  /// Reads a store range of a prefix that is watched afterwards.
+  using ReadStore = void (Store::*)(std::string, StoreDone<StoreRange>);
+  void ReadWatched(const std::string& aPrefix,
+                   ReadStore aReadStore,
+                   StoreDone<StoreRange> aDone);
+  void ReadFromStore(const std::string& aPrefix,
+                     ReadStore aReadStore,
+                     StoreDone<StoreRange> aDone);
+  /// Loads the mirror of a prefix that this process began to relay after it had
+  /// read the records elsewhere.
+  /// @returns whether a peer should wait for it
+  bool LoadMirror(const std::string& aPrefix);
+  void OnLoaded(const std::string& aPrefix, const Result<StoreRange>& aRange);
   void Open(StoreWatchId aId);
   void ReopenAfterDelay(StoreWatchId aId);
   /// Handles that no relay confirms a watch: ends it if a relay has lost the
@@ -107,10 +116,10 @@
   /// Records that a source confirmed a watch, and logs a long gap before it.
   void OnConfirmed(OwnWatch& aOwn, std::string_view aSource);
   [[nodiscard]] OwnWatch* Find(StoreWatchId aId);
-  /// @returns the history of the direct watch of a prefix; nullptr if there is
-  /// none
-  [[nodiscard]] const WatchHistory* HistoryOfServed(
-    const std::string& aPrefix) const;
+  [[nodiscard]] OwnWatch* FindDirect(const std::string& aPrefix);
+  /// @returns what peers are answered from: the mirror of a prefix, else the
+  /// history of its direct watch; nullptr if there is none
+  [[nodiscard]] const ChangeSource* SourceOfServed(const std::string& aPrefix);
 
   Store& store_;
   LoopTimers& timers_;
@@ -126,6 +135,11 @@
   StoreWatchId probingWatch_ = 0;
   StoreWatchId last_ = 0;
   std::map<StoreWatchId, OwnWatch> watches_;
+  /// Mirrors of the prefixes that this process relays.
+  std::map<std::string, PrefixMirror> mirrors_;
+  /// Prefixes whose mirrors are being loaded.
+  std::set<std::string> loading_;
+  RelayReading reading_;
   RelayAnswers answers_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -14,8 +14,8 @@
 /// the relays are known once the liveness records are written. Watches opened
 /// earlier would all go directly to the store, from every process.
 constexpr auto kRelayPlanDelay = std::chrono::milliseconds(500);
-/// Delay of watches that are not input to the relay plan; they open after the
-/// plan is known.
+/// Delay of what is read or watched through relays until the relay plan is
+/// known after a common start.
 constexpr auto kWatchDelay = std::chrono::milliseconds(700);
 /// Maximum body size of a request of a caller or trainer.
 constexpr std::uint64_t kMaxBodyBytes = 32ULL << 20U;
@@ -134,7 +134,7 @@
 Gateway::Start()
 {
   FollowConfig();
-  FollowUpstreams();
+  directory_.onRead_ = [this] { OnPeersRead(); };
   runner_.onUnfinishedChanged_ = [this](bool aOwning) {
     livenessLease_.SetTtl(aOwning ? host_.Settings().leaseTtl_ : kIdleLeaseTtl);
   };
@@ -142,6 +142,19 @@
   directory_.Start(kRelayPlanDelay);
 }
 
+/// The list of upstreams is read from relays, so it is read once the other
+/// processes are known. After a common start they are known only through the
+/// watch of their records.
+void
+Gateway::OnPeersRead()
+{
+  if (host_.Relays().UsesRelays()) {
+    FollowUpstreams();
+  } else {
+    host_.Timers().After(kWatchDelay, [this] { FollowUpstreams(); });
+  }
+}
+
 void
 Gateway::Stop()
 {
@@ -237,7 +250,7 @@
     }
   };
   upstreams_.onBatchEnd_ = [this] { runner_.OnUpstreamsChanged(); };
-  upstreams_.Start(kWatchDelay);
+  upstreams_.Start();
 }
 
 void
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -2,6 +2,8 @@
 
 #include "marjoramtally/runtime/log.hpp"
 
+#include <utility>
+
 namespace marjoramtally {
 
 namespace {
@@ -24,6 +26,9 @@
 {
   follower_.onSnapshot_ = [this](const StoreRange& aRange) {
     ApplySnapshot(aRange);
+    if (onRead_) {
+      std::exchange(onRead_, nullptr)();
+    }
   };
   follower_.onChange_ = [this](const StoreEvent& aEvent) {
     ApplyChange(aEvent);
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -27,6 +27,8 @@
   /// Set before `Start`. Called when a job's owner has changed.
   std::function<void(const JobId&, const KnownJob&)> onOwner_;
   std::function<void(const JobId&)> onEnd_;
+  /// Called once, after the first complete read.
+  std::function<void()> onRead_;
 
   /// @param aWatchAfter delay before the watch of the store starts
   void Start(Duration aWatchAfter = Duration{ 0 });
--- a/src/runtime/watch.capnp
+++ b/src/runtime/watch.capnp
@@ -12,6 +12,8 @@
   waitMs @2 :UInt32;
   # The sender accepts deflated responses.
   inflates @3 :Bool;
+  # The sender may hold records removed after this revision; 0: as after.
+  removalsAfter @4 :UInt64;
 }
 
 struct WatchChanges {
@@ -24,6 +26,9 @@
   # size.
   packed @3 :Data;
   unpackedBytes @4 :UInt32;
+  # The latest revision that the relay knows; greater than the revision if more
+  # changes follow.
+  latest @5 :UInt64;
 }
 
 struct WatchChange {
--- a/src/runtime/watch_history.cpp
+++ b/src/runtime/watch_history.cpp
@@ -84,6 +84,7 @@
 {
   StoreWatchBatch batch;
   batch.revision_ = std::max(aAfter, known_.value_or(0));
+  batch.latest_ = batch.revision_;
   batch.events_.assign(FirstAfter(aAfter), events_.end());
   return batch;
 }
--- a/src/runtime/watch_messages.cpp
+++ b/src/runtime/watch_messages.cpp
@@ -65,6 +65,7 @@
   auto message = builder.initRoot<wire::WatchChanges>();
   message.setRevision(aBatch.revision_);
   message.setAgeMs(ToMillis(aBatch.age_));
+  message.setLatest(aBatch.latest_);
   const auto count = static_cast<std::uint32_t>(aBatch.events_.size());
   auto changes = message.initChanges(count);
   for (std::uint32_t i = 0; i < count; ++i) {
@@ -119,6 +120,7 @@
   StoreWatchBatch batch;
   batch.revision_ = aIn.getRevision();
   batch.age_ = std::chrono::milliseconds(aIn.getAgeMs());
+  batch.latest_ = std::max(batch.revision_, aIn.getLatest());
   for (const auto change : aIn.getChanges()) {
     batch.events_.push_back(Read(change));
   }
@@ -136,6 +138,7 @@
   ask.setAfter(aAsk.after_);
   ask.setWaitMs(ToMillis(aAsk.wait_));
   ask.setInflates(aAsk.inflates_);
+  ask.setRemovalsAfter(aAsk.removalsAfter_);
   return impl::Flatten(builder);
 }
 
@@ -148,7 +151,8 @@
       return WatchAsk{ aIn.getPrefix().cStr(),
                        aIn.getAfter(),
                        std::chrono::milliseconds(wait),
-                       aIn.getInflates() };
+                       aIn.getInflates(),
+                       aIn.getRemovalsAfter() };
     });
 }
 
