Owners and relays by the capacity of instances

Cause: owners and relays were drawn by a hash of names. Here 50 of 835 gateways have half a core and 200 Mbit/s, the others an eighth and 60: by chance one of 17 owners and relays is a large one. A relay sends the parts of the list of upstreams to 72 peers, some 36 MB, 4.8 s of 60 Mbit/s or 1.4 s of 200 (calculation).

Change: instances tell their capacity (share of a core times its speed, from the settings) in their liveness record; the plans prefer the most. Among equals the hash decides as before, so fleets of equal instances are served as before. The control records are read before the upstreams, at once and without a delay.

Weighed: a hash weighted by capacity; a third of few trainers would still get a small owner. Not yet measured on the fleet.

--- a/include/marjoramtally/base.hpp
+++ b/include/marjoramtally/base.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marjoramtally/base/backoff.hpp"
+#include "marjoramtally/base/capacity.hpp"
 #include "marjoramtally/base/clock.hpp"
 #include "marjoramtally/base/fields.hpp"
 #include "marjoramtally/base/findings.hpp"
--- a/include/marjoramtally/base/fields.hpp
+++ b/include/marjoramtally/base/fields.hpp
@@ -2,6 +2,7 @@
 /// pointers.
 #pragma once
 
+#include "marjoramtally/base/capacity.hpp"
 #include "marjoramtally/base/ini.hpp"
 #include "marjoramtally/base/units.hpp"
 
@@ -15,10 +16,15 @@
 struct FieldSpec
 {
   std::string_view key_;
-  std::variant<std::string T::*, std::uint64_t T::*, Duration T::*, bool T::*>
+  std::variant<std::string T::*,
+               std::uint64_t T::*,
+               Duration T::*,
+               bool T::*,
+               Capacity T::*>
     member_;
   bool required_ = false;
-  /// Inclusive bounds of numbers, or of durations in microseconds.
+  /// Inclusive bounds of numbers, of durations in microseconds, or of
+  /// capacities in thousandths of a core.
   std::uint64_t min_ = 0;
   std::uint64_t max_ = UINT64_MAX;
 };
@@ -42,6 +48,11 @@
          std::uint64_t aMin,
          std::uint64_t aMax);
 std::string
+SetField(Capacity& aOut,
+         const std::string& aText,
+         std::uint64_t aMin,
+         std::uint64_t aMax);
+std::string
 SetField(bool& aOut, const std::string& aText, std::uint64_t, std::uint64_t);
 
 /// Adds a finding for a key that no field has.
--- a/include/marjoramtally/process/relay_plan.hpp
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -5,6 +5,7 @@
 /// watches the store itself.
 #pragma once
 
+#include "marjoramtally/base/capacity.hpp"
 #include "marjoramtally/base/ids.hpp"
 #include "marjoramtally/base/result.hpp"
 
@@ -23,6 +24,7 @@
   ZoneId zone_;
   /// Address for calls by peers, as IP:PORT; empty: it cannot be called.
   std::string address_;
+  Capacity capacity_{ 0 };
 };
 
 [[nodiscard]] std::string
@@ -65,11 +67,6 @@
   /// process tries them; empty: it watches the store itself
   [[nodiscard]] const std::vector<std::string>& Relays(
     const std::string& aPrefix) const;
-  /// @returns whether enough processes are known for relays
-  [[nodiscard]] bool UsesRelays() const noexcept
-  {
-    return callable_ >= policy_.minPeers_;
-  }
   /// @returns addresses of all other processes that can be called
   [[nodiscard]] std::vector<std::string> Peers() const;
   /// @returns how many processes all computations so far have inspected
@@ -84,8 +81,8 @@
     std::string incarnation_;
     LivenessRecord record_;
   };
-  /// Hash of the prefix and the incarnation, incarnation.
-  using Rank = std::tuple<std::size_t, std::string_view>;
+  /// Negative capacity, hash of the prefix and the incarnation, incarnation.
+  using Rank = std::tuple<std::int64_t, std::size_t, std::string_view>;
   using Order = std::map<Rank, const Process*>;
 
   /// The callable processes in the order in which they become relays of one
--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -153,6 +153,10 @@
 [[nodiscard]] std::set<std::string>
 SingleVersionModels(const RoutingConfig& aConfig);
 
+/// @returns the models of all services
+[[nodiscard]] std::set<std::string>
+ModelsOf(const RoutingConfig& aConfig);
+
 /// @returns the services named in a configuration
 [[nodiscard]] std::set<ServiceId>
 ServicesOf(const RoutingConfig& aConfig);
--- a/src/base/fields.cpp
+++ b/src/base/fields.cpp
@@ -1,5 +1,8 @@
 #include "marjoramtally/base/fields.hpp"
 
+#include <charconv>
+#include <cmath>
+
 namespace marjoramtally::impl {
 
 std::string
@@ -48,6 +51,29 @@
   return {};
 }
 
+std::string
+SetField(Capacity& aOut,
+         const std::string& aText,
+         std::uint64_t aMin,
+         std::uint64_t aMax)
+{
+  constexpr double kThousandths = 1000;
+  double cores = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed =
+    std::from_chars(aText.data(), end, cores, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(cores)) {
+    return "not a decimal number";
+  }
+  const double thousandths = cores * kThousandths;
+  if (thousandths < static_cast<double>(aMin) ||
+      thousandths > static_cast<double>(aMax)) {
+    return "out of range";
+  }
+  aOut = Capacity{ static_cast<std::uint32_t>(std::lround(thousandths)) };
+  return {};
+}
+
 std::string
 SetField(bool& aOut,
          const std::string& aText,
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t kMaxPort = 65535;
 constexpr std::uint64_t kMillisecond = 1000;
 constexpr std::uint64_t kSecond = 1'000'000;
+/// In thousandths of a core.
+constexpr std::uint64_t kMaxCapacity = 1'000'000;
 
 using Settings = GatewaySettings;
 constexpr auto kFields = std::to_array<FieldSpec<Settings>>({
@@ -34,6 +36,8 @@
   { "usage-window", &Settings::usageWindow_, false, 0, 3600 * kSecond },
   { "usage-late", &Settings::usageLate_, false, kSecond, 3600 * kSecond },
   { "grace", &Settings::grace_, false, 100 * kMillisecond, 600 * kSecond },
+  { "processor-share", &Settings::processorShare_, false, 0, kMaxCapacity },
+  { "processor-speed", &Settings::processorSpeed_, false, 1, kMaxCapacity },
   { "load-control", &Settings::loadControl_ },
   { "platform-features", &Settings::platformFeatures_ },
   { "status-time", &Settings::statusTime_, false, kSecond, 86'400 * kSecond },
@@ -59,6 +63,17 @@
 
 } // namespace
 
+Capacity
+CapacityOf(const GatewaySettings& aSettings) noexcept
+{
+  constexpr std::uint64_t kThousandths = 1000;
+  const std::uint64_t capacity =
+    std::uint64_t{ aSettings.processorShare_.Get() } *
+    aSettings.processorSpeed_.Get() / kThousandths;
+  return Capacity{ static_cast<std::uint32_t>(
+    std::min(capacity, kMaxCapacity)) };
+}
+
 std::optional<ListenAddress>
 ParseListenAddress(std::string_view aText)
 {
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -18,6 +18,11 @@
   /// as IP:PORT; empty on instances that do not serve callers.
   std::string front_;
   std::string ready_;
+  /// Part of a core that this process may use, and the speed of that core
+  /// relative to the others of the fleet. Instances with more capacity own jobs
+  /// and relay changes for the others.
+  Capacity processorShare_{ 0 };
+  Capacity processorSpeed_{ 1000 };
   /// Address of the platform's store, as IP:PORT.
   std::string store_;
   /// Port for RPC from peers, such as requests for the store's changes; 0
@@ -61,6 +66,10 @@
   std::string logLevel_ = "info";
 };
 
+/// @returns the processing capacity of this instance
+[[nodiscard]] Capacity
+CapacityOf(const GatewaySettings& aSettings) noexcept;
+
 /// An IP address and a port.
 struct ListenAddress
 {
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -16,9 +16,12 @@
 std::string
 WriteLivenessRecord(const LivenessRecord& aRecord)
 {
-  return Json{
-    { "zone", aRecord.zone_.Get() }, { "address", aRecord.address_ }
-  }.dump(-1, ' ', false, Json::error_handler_t::replace);
+  Json value{ { "zone", aRecord.zone_.Get() },
+              { "address", aRecord.address_ } };
+  if (aRecord.capacity_ != Capacity{}) {
+    value["capacity"] = aRecord.capacity_.Get();
+  }
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<LivenessRecord>
@@ -27,7 +30,8 @@
   try {
     const Json value = Json::parse(aText);
     return LivenessRecord{ ZoneId{ value.at("zone").get<std::string>() },
-                           value.at("address").get<std::string>() };
+                           value.at("address").get<std::string>(),
+                           Capacity{ value.value("capacity", 0U) } };
   } catch (const Json::exception& failure) {
     return Error{ ErrorKind::BadInput,
                   std::string("cannot parse liveness record: ") +
@@ -44,7 +48,8 @@
 RelayPlan::Rank
 RelayPlan::RankOf(const std::string& aPrefix, const Process& aProcess)
 {
-  return { std::hash<std::string>{}(aPrefix + aProcess.incarnation_),
+  return { -std::int64_t{ aProcess.record_.capacity_.Get() },
+           std::hash<std::string>{}(aPrefix + aProcess.incarnation_),
            aProcess.incarnation_ };
 }
 
@@ -145,12 +150,13 @@
   return order;
 }
 
-/// Chooses the first processes of the order, spread over zones. A process that
+/// Chooses the first processes of the order, spread over zones: those with the
+/// most capacity, as a relay sends to dozens of peers at once. A process that
 /// joins or leaves changes few of the relays.
 std::vector<std::string>
 RelayPlan::Choose(const Order& aOrder) const
 {
-  if (!UsesRelays()) {
+  if (callable_ < policy_.minPeers_) {
     return {};
   }
   const std::size_t wanted = std::max(
--- a/src/process/route_table.cpp
+++ b/src/process/route_table.cpp
@@ -45,6 +45,16 @@
   return nullptr;
 }
 
+std::set<std::string>
+ModelsOf(const RoutingConfig& aConfig)
+{
+  std::set<std::string> models;
+  for (const auto& [id, service] : aConfig.services_) {
+    models.insert(service.models_.begin(), service.models_.end());
+  }
+  return models;
+}
+
 std::set<ServiceId>
 ServicesOf(const RoutingConfig& aConfig)
 {
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -14,8 +14,8 @@
 /// the relays are known once the liveness records are written. Watches opened
 /// earlier would all go directly to the store, from every process.
 constexpr auto kRelayPlanDelay = std::chrono::milliseconds(500);
-/// Delay of what is read or watched through relays until the relay plan is
-/// known after a common start.
+/// Delay of watches that are not input to the relay plan; they open after the
+/// plan is known.
 constexpr auto kWatchDelay = std::chrono::milliseconds(700);
 /// Maximum body size of a request of a caller or trainer.
 constexpr std::uint64_t kMaxBodyBytes = 32ULL << 20U;
@@ -32,7 +32,8 @@
   return { job_keys::Liveness(aHost.Incarnation()),
            WriteLivenessRecord({ ZoneId{ aHost.Settings().zone_ },
                                  aHost.Settings().address_ + ":" +
-                                   std::to_string(aHost.Settings().rpcPort_) }),
+                                   std::to_string(aHost.Settings().rpcPort_),
+                                 CapacityOf(aHost.Settings()) }),
            kIdleLeaseTtl,
            false };
 }
@@ -134,7 +135,9 @@
 Gateway::Start()
 {
   FollowConfig();
-  directory_.onRead_ = [this] { OnPeersRead(); };
+  // The list of upstreams is the largest part of the store and is read from
+  // relays, which are known once the other processes are.
+  directory_.onRead_ = [this] { FollowUpstreams(); };
   runner_.onUnfinishedChanged_ = [this](bool aOwning) {
     livenessLease_.SetTtl(aOwning ? host_.Settings().leaseTtl_ : kIdleLeaseTtl);
   };
@@ -142,19 +145,6 @@
   directory_.Start(kRelayPlanDelay);
 }
 
-/// The list of upstreams is read from relays, so it is read once the other
-/// processes are known. After a common start they are known only through the
-/// watch of their records.
-void
-Gateway::OnPeersRead()
-{
-  if (host_.Relays().UsesRelays()) {
-    FollowUpstreams();
-  } else {
-    host_.Timers().After(kWatchDelay, [this] { FollowUpstreams(); });
-  }
-}
-
 void
 Gateway::Stop()
 {
@@ -218,6 +208,7 @@
   const std::uint64_t revision = config.value().revision_.Get();
   const std::size_t routes = config.value().routes_.size();
   const bool applied = routes_.Apply(std::move(config).value());
+  directory_.SetTrainers(ModelsOf(routes_.Config()));
   std::size_t keys = 0;
   for (const Customer& customer : routes_.Customers().All()) {
     keys += customer.keys_.size();
@@ -250,7 +241,7 @@
     }
   };
   upstreams_.onBatchEnd_ = [this] { runner_.OnUpstreamsChanged(); };
-  upstreams_.Start();
+  upstreams_.Start(kWatchDelay);
 }
 
 void
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -30,7 +30,6 @@
 
 private:
   void FollowConfig();
-  void OnPeersRead();
   void FollowUpstreams();
   void ApplyConfig(const StoreRecord& aRecord);
   void ApplyUpstream(const StoreRecord& aRecord);
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -135,11 +135,12 @@
                             const StoreRecord& aRecord)
 {
   livenessKeys_.insert(aRecord.key_);
-  takeover_.OnAlive(aIncarnation, host_.Now());
   auto record = ReadLivenessRecord(aRecord.value_);
+  takeover_.OnAlive(aIncarnation, host_.Now());
   if (record) {
     addresses_[aIncarnation] = record.value().address_;
-    owners_.OnAlive(aIncarnation, record.value().address_);
+    owners_.OnAlive(
+      aIncarnation, record.value().address_, record.value().capacity_);
     host_.Relays().OnAlive(aIncarnation, std::move(record).value());
   } else {
     LogEvent(LogLevel::Error,
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -38,10 +38,16 @@
   [[nodiscard]] std::string AddressOf(const std::string& aIncarnation) const;
   /// @returns the address of the process that owns a trainer's new jobs; empty
   /// if it is this process
-  [[nodiscard]] std::string OwnerFor(std::string_view aTrainer) const
+  [[nodiscard]] std::string OwnerFor(const std::string& aTrainer) const
   {
     return owners_.OwnerOf(aTrainer);
   }
+  /// Sets all trainers of the configuration, which share the capacity of the
+  /// processes.
+  void SetTrainers(std::set<std::string> aTrainers)
+  {
+    owners_.SetTrainers(std::move(aTrainers));
+  }
   [[nodiscard]] const KnownJob* Find(const JobId& aJob) const;
   /// @returns whether neither the job's end nor an owner with a higher fencing
   /// number is known
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -173,6 +173,93 @@
   }
 }
 
+namespace {
+
+constexpr Capacity kSmall{ 90 };
+constexpr Capacity kMedium{ 300 };
+constexpr Capacity kLarge{ 500 };
+
+/// A plan of uneven instances: few large ones, some medium, most small.
+OwnerPlan
+MakeUnevenPlan(const std::string& aSelf, std::set<std::string> aTrainers)
+{
+  OwnerPlan plan(aSelf);
+  for (int i = 0; i < 73; ++i) {
+    const std::string name = "p" + std::to_string(i);
+    const Capacity capacity = i < 6 ? kLarge : i < 23 ? kMedium : kSmall;
+    plan.OnAlive(name + "~1", name + ":1", capacity);
+  }
+  plan.SetTrainers(std::move(aTrainers));
+  return plan;
+}
+
+/// @returns the number in the owner's name
+int
+OwnerNumber(const OwnerPlan& aPlan, const std::string& aTrainer)
+{
+  const std::string owner = aPlan.OwnerOf(aTrainer);
+  return std::stoi(owner.substr(1));
+}
+
+} // namespace
+
+TEST_CASE("trainers share the capacity of uneven instances")
+{
+  const OwnerPlan few = MakeUnevenPlan("p72~1", { "m1", "m2", "m3" });
+  std::set<int> owners;
+  for (const char* trainer : { "m1", "m2", "m3" }) {
+    REQUIRE(OwnerNumber(few, trainer) < 6);
+    owners.insert(OwnerNumber(few, trainer));
+  }
+  REQUIRE(owners.size() == 3);
+
+  std::set<std::string> trainers;
+  for (int i = 0; i < 40; ++i) {
+    trainers.insert("m" + std::to_string(i));
+  }
+  const OwnerPlan many = MakeUnevenPlan("p72~1", trainers);
+  std::map<int, int> shares;
+  for (const std::string& trainer : trainers) {
+    ++shares[OwnerNumber(many, trainer)];
+  }
+  for (const auto& [number, count] : shares) {
+    REQUIRE(number < 23);
+    REQUIRE(count <= (number < 6 ? 4 : 2));
+  }
+}
+
+TEST_CASE("all processes assign trainers to uneven instances alike, and the "
+          "death of an owner moves few")
+{
+  std::set<std::string> trainers;
+  for (int i = 0; i < 12; ++i) {
+    trainers.insert("m" + std::to_string(i));
+  }
+  OwnerPlan one = MakeUnevenPlan("p71~1", trainers);
+  const OwnerPlan other = MakeUnevenPlan("p72~1", trainers);
+  std::map<std::string, std::string> before;
+  for (const std::string& trainer : trainers) {
+    before[trainer] = one.OwnerOf(trainer);
+    REQUIRE(other.OwnerOf(trainer) == before[trainer]);
+  }
+  const std::string dead = before.at("m0");
+  one.OnGone(dead.substr(0, dead.find(':')) + "~1");
+  int moved = 0;
+  for (const std::string& trainer : trainers) {
+    REQUIRE(one.OwnerOf(trainer) != dead);
+    moved += one.OwnerOf(trainer) != before[trainer] ? 1 : 0;
+  }
+  REQUIRE(moved >= 1);
+  REQUIRE(moved <= 6);
+}
+
+TEST_CASE("a trainer that no configuration names gets an owner")
+{
+  const OwnerPlan plan = MakeUnevenPlan("p72~1", { "m1" });
+  REQUIRE(OwnerNumber(plan, "unknown") < 6);
+  REQUIRE(plan.OwnerOf("unknown") != plan.OwnerOf("m1"));
+}
+
 TEST_CASE("a process without an address is not chosen as owner")
 {
   OwnerPlan plan("self~1");
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -211,12 +211,38 @@
   REQUIRE(inspected.at(1600) <= 12 * inspected.at(100));
 }
 
-TEST_CASE("liveness records can be read as they were written")
+TEST_CASE("the instances with the most capacity are relays, in different zones")
+{
+  RelayPlan plan("p0~1");
+  for (int i = 0; i < 60; ++i) {
+    const std::string name = "p" + std::to_string(i) + "~1";
+    const Capacity capacity{ i >= 50 ? 500U : 90U };
+    plan.OnAlive(name,
+                 { ZoneId{ "z" + std::to_string(i % 3) }, name, capacity });
+  }
+  std::set<int> zones;
+  for (const std::string& relay : plan.Relays("k/")) {
+    const int number = std::stoi(relay.substr(1));
+    REQUIRE(number >= 50);
+    REQUIRE(zones.insert(number % 3).second);
+  }
+  REQUIRE(zones.size() == 2);
+}
+
+TEST_CASE("a liveness record without a capacity can be read")
 {
   const auto record =
-    ReadLivenessRecord(WriteLivenessRecord({ ZoneId{ "z" }, "10.0.0.1:7" }));
+    ReadLivenessRecord(R"({"zone":"z","address":"10.0.0.1:7"})");
+  REQUIRE(record.value().capacity_ == Capacity{});
+}
+
+TEST_CASE("liveness records can be read as they were written")
+{
+  const auto record = ReadLivenessRecord(
+    WriteLivenessRecord({ ZoneId{ "z" }, "10.0.0.1:7", Capacity{ 120 } }));
   REQUIRE(record.value().zone_ == ZoneId{ "z" });
   REQUIRE(record.value().address_ == "10.0.0.1:7");
+  REQUIRE(record.value().capacity_ == Capacity{ 120 });
   REQUIRE(ReadLivenessRecord("front-1").error().kind_ == ErrorKind::BadInput);
 }
 
