Takeover of jobs: ranks are kept, the largest process claims first

Cause: each look at jobs without an owner ranked every such job against all processes, twice, and counted all that were gone; it follows each batch of changes. 0.4, 1.4, 4.8, 10 ms a look at 80, 250, 835, 1,670 processes with 40 such jobs and a fifth of the processes gone (users' figures), eight times that on an eighth of a core.

Change: the rank of a job without an owner is kept and changed by each process that comes or goes; the times of those gone are kept in order. Candidates with more capacity claim first.

Test: 20 looks at 40 jobs inspect as many processes at 1,000 as at 100 (10 times as many before); kept ranks equal fresh ones over 300 random changes.

--- a/src/process/job_takeover.cpp
+++ b/src/process/job_takeover.cpp
@@ -31,24 +31,76 @@
 }
 
 void
-JobTakeover::OnAlive(const std::string& aIncarnation, TimePoint /*aNow*/)
+JobTakeover::OnAlive(const std::string& aIncarnation, Capacity aCapacity)
 {
-  alive_.insert(aIncarnation);
-  gone_.erase(aIncarnation);
+  const auto gone = gone_.find(aIncarnation);
+  if (gone != gone_.end()) {
+    goneTimes_.erase(
+      std::lower_bound(goneTimes_.begin(), goneTimes_.end(), gone->second));
+    gone_.erase(gone);
+  }
+  const auto known = alive_.find(aIncarnation);
+  if (known != alive_.end() && known->second == aCapacity) {
+    return;
+  }
+  if (known != alive_.end()) {
+    ChangeRanks(aIncarnation, known->second, false);
+  }
+  alive_[aIncarnation] = aCapacity;
+  ChangeRanks(aIncarnation, aCapacity, true);
 }
 
 void
 JobTakeover::OnGone(const std::string& aIncarnation, TimePoint aNow)
 {
-  if (alive_.erase(aIncarnation) != 0) {
-    gone_[aIncarnation] = aNow;
+  const auto known = alive_.find(aIncarnation);
+  if (known == alive_.end()) {
+    return;
+  }
+  const Capacity capacity = known->second;
+  alive_.erase(known);
+  ChangeRanks(aIncarnation, capacity, false);
+  gone_[aIncarnation] = aNow;
+  goneTimes_.insert(
+    std::upper_bound(goneTimes_.begin(), goneTimes_.end(), aNow), aNow);
+}
+
+bool
+JobTakeover::ClaimsFirst(const std::string& aOther,
+                         Capacity aCapacity,
+                         const JobId& aJob) const
+{
+  ++inspected_;
+  const std::hash<std::string> hash;
+  const auto self = alive_.find(self_);
+  const std::pair own(self == alive_.end() ? Capacity{} : self->second,
+                      hash(self_ + aJob.Get()));
+  return aOther != self_ &&
+         std::pair(aCapacity, hash(aOther + aJob.Get())) > own;
+}
+
+void
+JobTakeover::ChangeRanks(const std::string& aOther,
+                         Capacity aCapacity,
+                         bool aAlive)
+{
+  for (const auto& [job, ownership] : jobs_) {
+    if (!ownership.rank_) {
+      continue;
+    }
+    if (aOther == self_) {
+      ownership.rank_.reset();
+    } else if (ClaimsFirst(aOther, aCapacity, job)) {
+      ownership.rank_ =
+        aAlive ? *ownership.rank_ + 1 : *ownership.rank_ - 1;
+    }
   }
 }
 
 void
 JobTakeover::OnOwner(const JobId& aJob, std::string aOwner, TimePoint aNow)
 {
-  jobs_[aJob] = Ownership{ std::move(aOwner), aNow };
+  jobs_[aJob] = Ownership{ std::move(aOwner), aNow, std::nullopt };
 }
 
 void
@@ -60,22 +112,30 @@
 std::size_t
 JobTakeover::Rank(const JobId& aJob) const
 {
-  const std::hash<std::string> hash;
-  const std::size_t own = hash(self_ + aJob.Get());
   return static_cast<std::size_t>(
-    std::count_if(alive_.begin(), alive_.end(), [&](const std::string& aOther) {
-      return aOther != self_ && hash(aOther + aJob.Get()) > own;
+    std::count_if(alive_.begin(), alive_.end(), [&](const auto& aOther) {
+      return ClaimsFirst(aOther.first, aOther.second, aJob);
     }));
 }
 
+std::size_t
+JobTakeover::RankOf(const JobId& aJob, const Ownership& aOwnership) const
+{
+  if (!aOwnership.rank_) {
+    aOwnership.rank_ = Rank(aJob);
+  }
+  return *aOwnership.rank_;
+}
+
 Duration
 JobTakeover::GraceOf(TimePoint aGone) const
 {
-  const auto vanished = static_cast<std::size_t>(
-    std::count_if(gone_.begin(), gone_.end(), [&](const auto& aEntry) {
-      return aEntry.second <= aGone + policy_.correlationWindow_ &&
-             aGone <= aEntry.second + policy_.correlationWindow_;
-    }));
+  const auto first = std::lower_bound(goneTimes_.begin(),
+                                      goneTimes_.end(),
+                                      aGone - policy_.correlationWindow_);
+  const auto last = std::upper_bound(
+    first, goneTimes_.end(), aGone + policy_.correlationWindow_);
+  const auto vanished = static_cast<std::size_t>(last - first);
   return vanished < alive_.size() ? policy_.lossGrace_ : policy_.returnGrace_;
 }
 
@@ -94,7 +154,7 @@
     return kNever;
   }
   const Duration rankDelay =
-    policy_.rankStep_ * static_cast<std::int64_t>(Rank(aJob));
+    policy_.rankStep_ * static_cast<std::int64_t>(RankOf(aJob, aOwnership));
   if (aOwnership.owner_.empty()) {
     return aOwnership.since_ + rankDelay;
   }
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -136,7 +136,8 @@
 {
   livenessKeys_.insert(aRecord.key_);
   auto record = ReadLivenessRecord(aRecord.value_);
-  takeover_.OnAlive(aIncarnation, host_.Now());
+  takeover_.OnAlive(aIncarnation,
+                    record ? record.value().capacity_ : Capacity{});
   if (record) {
     addresses_[aIncarnation] = record.value().address_;
     owners_.OnAlive(
