Relay plan: a restart changes no relay

Cause: relays were drawn by a hash of incarnations. While a fleet restarts, each new liveness record changed the plan, and processes with different views asked processes that did not take themselves for relays.

Change: the hash is of the prefix and the instance.

Test: while 200 processes restart one by one, the plan stays the same.

--- a/include/marjoramtally/process/relay_plan.hpp
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -46,9 +46,10 @@
   std::size_t minRelays_ = 2;
 };
 
-/// The plan as computed by one process. Takes part in it: the newest
-/// incarnation of each instance. Earlier ones have ended, even if their leases
-/// have not expired, and would be half of the plan after a restart of all.
+/// The plan as computed by one process. The newest incarnation of each instance
+/// takes part in it. Earlier ones have ended, even if their leases have not
+/// expired, and would be half of the plan after a restart of all. A restart
+/// changes no relay, so that views agree while a fleet restarts.
 class RelayPlan
 {
 public:
@@ -78,10 +79,11 @@
 private:
   struct Process
   {
+    InstanceId instance_;
     std::string incarnation_;
     LivenessRecord record_;
   };
-  /// Negative capacity, hash of the prefix and the incarnation, incarnation.
+  /// Negative capacity, hash of the prefix and the instance, instance.
   using Rank = std::tuple<std::int64_t, std::size_t, std::string_view>;
   using Order = std::map<Rank, const Process*>;
 
@@ -102,6 +104,7 @@
   [[nodiscard]] std::vector<std::string> Choose(const Order& aOrder) const;
 
   std::string self_;
+  InstanceId instance_;
   RelayPlanPolicy policy_;
   std::map<InstanceId, Process> processes_;
   /// Number of processes that can be called.
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -41,6 +41,7 @@
 
 RelayPlan::RelayPlan(std::string aSelf, RelayPlanPolicy aPolicy)
   : self_(std::move(aSelf))
+  , instance_(InstanceOf(self_))
   , policy_(aPolicy)
 {
 }
@@ -49,8 +50,8 @@
 RelayPlan::RankOf(const std::string& aPrefix, const Process& aProcess)
 {
   return { -std::int64_t{ aProcess.record_.capacity_.Get() },
-           std::hash<std::string>{}(aPrefix + aProcess.incarnation_),
-           aProcess.incarnation_ };
+           std::hash<std::string>{}(aPrefix + aProcess.instance_.Get()),
+           aProcess.instance_.Get() };
 }
 
 void
@@ -88,14 +89,15 @@
 RelayPlan::OnAlive(const std::string& aIncarnation, LivenessRecord aRecord)
 {
   ++inspected_;
-  const auto [it, added] = processes_.try_emplace(InstanceOf(aIncarnation));
+  const InstanceId instance = InstanceOf(aIncarnation);
+  const auto [it, added] = processes_.try_emplace(instance);
   Process& process = it->second;
   // Names of an instance's incarnations sort by start time.
   if (!added && aIncarnation < process.incarnation_) {
     return;
   }
   RemoveFromOrders(process);
-  process = { aIncarnation, std::move(aRecord) };
+  process = { instance, aIncarnation, std::move(aRecord) };
   AddToOrders(process);
 }
 
@@ -115,7 +117,7 @@
 {
   std::vector<std::string> peers;
   for (const auto& [instance, process] : processes_) {
-    if (process.incarnation_ != self_ && !process.record_.address_.empty()) {
+    if (instance != instance_ && !process.record_.address_.empty()) {
       peers.push_back(process.record_.address_);
     }
   }
@@ -181,7 +183,7 @@
   std::vector<std::string> relays;
   relays.reserve(chosen.size());
   for (const Process* process : chosen) {
-    if (process->incarnation_ == self_) {
+    if (process->instance_ == instance_) {
       return {};
     }
     relays.push_back(process->record_.address_);
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -188,6 +188,24 @@
   REQUIRE(plan.Relays("k/") == before);
 }
 
+TEST_CASE("a restart of all processes changes no relay")
+{
+  const auto zoneOf = [](int aNumber) {
+    return ZoneId{ "z" + std::to_string(aNumber % 3) };
+  };
+  RelayPlan plan("p0~2");
+  for (int i = 0; i < 200; ++i) {
+    const std::string instance = "p" + std::to_string(i);
+    plan.OnAlive(instance + "~1", { zoneOf(i), instance });
+  }
+  const std::vector<std::string> before = plan.Relays("k/");
+  for (int i = 0; i < 200; ++i) {
+    const std::string instance = "p" + std::to_string(i);
+    plan.OnAlive(instance + "~2", { zoneOf(i), instance });
+    REQUIRE(plan.Relays("k/") == before);
+  }
+}
+
 TEST_CASE("the work of a change of the relay plan does not grow with the fleet")
 {
   std::map<int, std::uint64_t> inspected;
