First reads wait for their turn at the store's link

Cause, from the logs of the fleet after all were killed, code untouched: reads of the control records and of the upstreams were given up after 1.2 s without a byte (reading_failed at 34.5 s on each gateway logged) and begun anew, while the store still sent the old answers. With the upstreams read from relays, 835 first pages of control records and configurations remain, 1.2 s of the link by calculation.

Test: the silence allowed is three times the queue of 835 first pages. Next limit: control records grow with the square of the fleet; at 1,970 processes the first pages are 2.8 s of the link, all pages some 12 s.

--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -157,6 +157,28 @@
   CHECK(range->value().revision_ == 7);
 }
 
+// After a restart of 835 processes, the first pages of the control records and
+// the configuration keep the store's link busy for over 1.2 s. Processes whose
+// answers were last gave up, and their repeated reads lengthened the queue.
+TEST_CASE("a first read waits for its turn at the store's link")
+{
+  constexpr std::int64_t kProcesses = 835;
+  // 500 records and a configuration of 264 routes, as sent.
+  constexpr std::int64_t kBytes = 500 * 235 + 65'000;
+  constexpr std::int64_t kLinkBytesPerMilli = 125'000;
+  const std::chrono::milliseconds queue(kProcesses * kBytes /
+                                        kLinkBytesPerMilli);
+  Fixture fix;
+  fix.store_->ReadEarlier("p", [](const auto&) {});
+  const HttpCall& first = fix.client_.Oldest().call_;
+  REQUIRE(first.idleTimeout_ >= 3 * queue);
+  REQUIRE(first.timeout_ >= first.idleTimeout_);
+  fix.Answer(200, R"({"items":[],"as_of":5,"has_more":false})");
+  // Other reads find out sooner that a connection is dead.
+  fix.store_->Read("p", [](const auto&) {});
+  REQUIRE(fix.client_.Oldest().call_.idleTimeout_ <= 1300ms);
+}
+
 TEST_CASE("pages whose keys do not advance are an error that names the key")
 {
   Fixture fix;
