A new holder of orders starts from the limit of loads that the last one found

Change: the holder records the limit in the store, under its fence, when it has doubled or halved and is above 8; a new holder reads it once and starts from it. If the store of weights bears less now, the first round tells, as before.

Not yet measured on the fleet.

--- a/include/marjoramtally/process/load_limit.hpp
+++ b/include/marjoramtally/process/load_limit.hpp
@@ -20,6 +20,11 @@
 class LoadLimit
 {
 public:
+  /// Maximum limit before a load has ended, if none is remembered. If it is too
+  /// high, all loads are slowed and the duration of an undisturbed load is never
+  /// observed.
+  static constexpr std::uint32_t kMaxInitialLimit = 8;
+
   /// @param aMinLimit the limit never falls below this
   explicit LoadLimit(std::uint32_t aMinLimit)
     : minLimit_(aMinLimit)
@@ -33,6 +38,9 @@
   /// Loads were ordered.
   /// @param aCount number of loads in progress, the new ones included
   void OnInProgress(std::uint32_t aCount, TimePoint aNow);
+  /// Starts from the limit that another process has found, until a load has
+  /// ended here.
+  void Remember(std::uint32_t aLimit) noexcept { remembered_ = aLimit; }
   /// @param aInitialGuess expected limit, used until a load has ended
   /// @returns the current limit
   [[nodiscard]] std::uint32_t LimitFor(std::uint32_t aInitialGuess);
@@ -49,6 +57,8 @@
   void SetLimit(double aLimit, TimePoint aNow);
 
   std::uint32_t minLimit_;
+  /// Limit found by another process; 0 if none is known.
+  std::uint32_t remembered_ = 0;
   double limit_ = 0;
   /// Below this value the limit grows fast.
   double fastGrowthCeiling_ = 0;
--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -111,6 +111,11 @@
                 TimePoint aNow);
   /// An ordered load has ended.
   void OnLoaded(Duration aTook, TimePoint aNow);
+  /// Starts from the limit of concurrent loads that another process has found.
+  void RememberLoadLimit(std::uint32_t aLimit) noexcept
+  {
+    limit_.Remember(aLimit);
+  }
   /// The loads of the last plan are being ordered.
   void OnOrdered(TimePoint aNow);
   /// @returns the loads to order now
--- a/src/process/load_limit.cpp
+++ b/src/process/load_limit.cpp
@@ -19,9 +19,6 @@
 /// next one is ordered.
 constexpr double kSaturatedShare = 0.85;
 constexpr double kFastGrowth = 2.0;
-/// Maximum initial limit. If the initial limit is too high, all loads are
-/// slowed and the duration of an undisturbed load is never observed.
-constexpr std::uint32_t kMaxInitialLimit = 8;
 /// Number of loads that are evaluated together, as a share of the limit. A
 /// single load is not conclusive: its upstream may be slow.
 constexpr double kRoundShare = 0.5;
@@ -124,9 +121,11 @@
 LoadLimit::LimitFor(std::uint32_t aInitialGuess)
 {
   if (fastest_ == Duration{ 0 }) {
-    fastGrowthCeiling_ = std::max(aInitialGuess, minLimit_);
-    limit_ = std::clamp(
-      aInitialGuess, minLimit_, std::max(minLimit_, kMaxInitialLimit));
+    fastGrowthCeiling_ = std::max({ aInitialGuess, minLimit_, remembered_ });
+    limit_ = std::max(
+      std::clamp(
+        aInitialGuess, minLimit_, std::max(minLimit_, kMaxInitialLimit)),
+      remembered_);
   }
   return static_cast<std::uint32_t>(limit_);
 }
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -13,6 +13,10 @@
 /// unknown service causes an immediate read. A watch would need seven times as
 /// many calls.
 constexpr auto kConfigReadInterval = std::chrono::seconds(10);
+/// The limit of concurrent loads that the holder of the duty has found.
+constexpr const char* kLoadLimitKey = "mt/duty/load-limit";
+/// Upper bound of a recorded limit, which guards against an invalid record.
+constexpr std::uint32_t kMaxLoadLimit = 100'000;
 
 } // namespace
 
@@ -45,6 +49,7 @@
   singleVersion_.clear();
   planDue_ = true;
   ReadConfig(++term_);
+  ReadLoadLimit(term_);
   const StorePlaces& places = host_.Formats().Places();
   const auto follow = [this](const std::string& aPrefix,
                              void (OrderDuty::*aHandler)(const StoreRecord&)) {
@@ -107,6 +112,58 @@
     });
 }
 
+void
+OrderDuty::ReadLoadLimit(std::uint64_t aTerm)
+{
+  host_.PlatformStore().Read(
+    kLoadLimitKey, [this, aTerm](const Result<StoreRange>& aRange) {
+      if (!lease_.Active() || term_ != aTerm) {
+        return;
+      }
+      if (!aRange) {
+        LogEvent(LogLevel::Info,
+                 "load_limit_not_read",
+                 { { "error", aRange.error().message_ } });
+        return;
+      }
+      for (const StoreRecord& record : aRange.value().records_) {
+        const auto limit = ParseNumber(record.value_, 1, kMaxLoadLimit);
+        if (record.key_ == kLoadLimitKey && limit) {
+          recordedLimit_ = static_cast<std::uint32_t>(*limit);
+          plan_.RememberLoadLimit(recordedLimit_);
+          Replan();
+        }
+      }
+    });
+}
+
+/// Small limits are not recorded: they are found again at once.
+void
+OrderDuty::RecordLoadLimit()
+{
+  const std::uint32_t limit = plan_.ConcurrentLoadLimit();
+  const bool changed =
+    limit >= 2 * recordedLimit_ || 2 * limit <= recordedLimit_;
+  const bool small = limit <= LoadLimit::kMaxInitialLimit &&
+                     recordedLimit_ <= LoadLimit::kMaxInitialLimit;
+  if (!changed || small) {
+    return;
+  }
+  recordedLimit_ = limit;
+  StoreTxn txn;
+  txn.compares_.push_back(lease_.Compare());
+  txn.puts_.push_back({ kLoadLimitKey, std::to_string(limit), 0 });
+  host_.PlatformStore().Commit(
+    std::move(txn), [limit](const Result<StoreCommit>& aEnd) {
+      if (!aEnd) {
+        LogEvent(LogLevel::Info,
+                 "load_limit_not_recorded",
+                 { { "limit", std::to_string(limit) },
+                   { "error", aEnd.error().message_ } });
+      }
+    });
+}
+
 void
 OrderDuty::ApplyConfig(const StoreRange& aRange)
 {
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -87,6 +87,13 @@
   void OnVersionRecord(const StoreRecord& aRecord);
   void OnRetirementRecord(const StoreRecord& aRecord);
 
+  /// Reads the limit of concurrent loads that the last holder has found. A new
+  /// holder of a large fleet would otherwise order a few loads at once for
+  /// several versions.
+  void ReadLoadLimit(std::uint64_t aTerm);
+  /// Records the limit if it has changed much.
+  void RecordLoadLimit();
+
   /// Rereads the configuration once for each service that it does not contain,
   /// which may have been added since it was read.
   void ReadConfigForUnknownServices();
@@ -142,6 +149,8 @@
   /// once; replies of earlier terms are ignored.
   std::uint64_t term_ = 0;
   std::map<UpstreamId, Target> targets_;
+  /// Limit of concurrent loads as recorded in the store; 0 if none is.
+  std::uint32_t recordedLimit_ = 0;
   /// Whether an input has changed since the last plan.
   bool planDue_ = true;
   TimeShareLimiter planLimiter_{ kMaxPlanTimeShare };
--- a/src/programs/orderd/order_steps.cpp
+++ b/src/programs/orderd/order_steps.cpp
@@ -224,6 +224,7 @@
       target.phase_ = Phase::Idle;
       if (reached) {
         plan_.OnLoaded(host_.Now() - target.acceptedAt_, host_.Now());
+        RecordLoadLimit();
       } else {
         target.acceptedOrders_.reset();
       }
--- a/tests/test_load_limit.cpp
+++ b/tests/test_load_limit.cpp
@@ -130,6 +130,21 @@
   REQUIRE(limit.LimitFor(0) == 2);
 }
 
+TEST_CASE("a limit that another process has found is used at once")
+{
+  LoadLimit limit(2);
+  limit.Remember(60);
+  REQUIRE(limit.LimitFor(18) == 60);
+  // The store sustains half of that now.
+  TimePoint now{ 1s };
+  limit.OnInProgress(60, now);
+  limit.OnLoaded(1s, 60, now + 1s);
+  for (int i = 0; i < 40; ++i) {
+    limit.OnLoaded(2s, 60, now + 2s);
+  }
+  REQUIRE(limit.LimitFor(18) <= 30);
+}
+
 TEST_CASE("a larger initial guess is reached once loads are not slowed")
 {
   LoadLimit limit(2);
