Complete reads wait for relays that still load the records

Cause, found in review: a process that got nothing from relays for 6 s read from the store. While a fleet restarts, relays may need as long for their own reads, and the fallback of all processes is what the relays are there to avoid (55 s of the store's link at 835 processes).

Change: a relay says that it loads; the wait for relays is half a second for each of them without an answer and two seconds without a part, so that a small fleet, where a read from the store costs little, waits a second and a fleet of 835 six.

Test: 400 processes whose relays read for 8 s make as many reads as there are relays; a process whose two relays are gone reads from the store within two seconds.

--- a/src/daemon/relay_answers.cpp
+++ b/src/daemon/relay_answers.cpp
@@ -53,9 +53,9 @@
 RelayAnswers::AwaitsLoad(const ChangeSource* aSource,
                          const WatchAsk& aAsk) const
 {
-  return Reads(aAsk) && aSource != nullptr &&
-         RefusalOf(aSource, aAsk).has_value() &&
-         aSource->Confirmed(clock_.Now()) && load_(aAsk.prefix_);
+  return Reads(aAsk) && RefusalOf(aSource, aAsk).has_value() &&
+         (aSource == nullptr || aSource->Confirmed(clock_.Now())) &&
+         load_(aAsk.prefix_);
 }
 
 const std::string*
@@ -181,8 +181,8 @@
   timers_.Cancel(request.timer_);
   const ChangeSource* source = source_(aPrefix);
   if (AwaitsLoad(source, request.ask_)) {
-    request.done_(Error{ ErrorKind::Unavailable,
-                         "the records are not loaded here yet" });
+    // Without a revision: the peer asks again.
+    request.done_(EncodeWatchBatch({}, request.ask_.inflates_));
     return;
   }
   if (const auto refusal = RefusalOf(source, request.ask_)) {
--- a/src/daemon/relay_answers.hpp
+++ b/src/daemon/relay_answers.hpp
@@ -16,9 +16,10 @@
 /// not watch the prefix at the store
 using SourceOf = std::function<const ChangeSource*(const std::string& aPrefix)>;
 
-/// Reads all records of a prefix that this process watches at the store, so
-/// that peers can read them here.
-/// @returns false if they are held already
+/// Reads all records of a prefix that this process relays, unless it does so
+/// already, so that peers can read them here.
+/// @returns whether peers should wait for them; false if they are held, or this
+/// process is no relay
 using LoadRecords = std::function<bool(const std::string& aPrefix)>;
 
 /// Answers the requests of peers, which wait until there is a change. Used on
--- a/src/daemon/relay_reading.cpp
+++ b/src/daemon/relay_reading.cpp
@@ -12,10 +12,12 @@
 constexpr auto kLoadWait = std::chrono::milliseconds(1000);
 /// If all relays refuse, they are queried again after this time.
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
-/// A reading without a part for this long continues at the store. Relays load
-/// the records within two seconds of their own start; if each process of a
-/// large fleet read them from the store, its link would take most of a minute.
-constexpr auto kMaxStall = std::chrono::seconds(6);
+/// A process reads from the store if none of its relays answers for this long,
+/// times their number. What the store sends then grows with the square of the
+/// fleet, and so does the time worth waiting for a relay.
+constexpr auto kStallPerRelay = std::chrono::milliseconds(500);
+/// The same if relays answer that they load the records but send none.
+constexpr auto kLoadingPerRelay = std::chrono::milliseconds(2000);
 
 } // namespace
 
@@ -44,6 +46,7 @@
   reading.done_ = std::move(aDone);
   reading.startedAt_ = clock_.Now();
   reading.progressAt_ = reading.startedAt_;
+  reading.heardAt_ = reading.startedAt_;
   Query(id);
 }
 
@@ -82,7 +85,14 @@
     return;
   }
   Reading& reading = readings_.at(aId);
+  reading.heardAt_ = clock_.Now();
   const StoreWatchBatch& batch = aBatch.value();
+  if (batch.latest_ == 0) {
+    OnRefusal(
+      aId,
+      Error{ ErrorKind::Unavailable, "the relay loads the records itself" });
+    return;
+  }
   if (reading.until_ == 0) {
     reading.until_ = batch.latest_;
   }
@@ -126,10 +136,9 @@
 void
 RelayReading::OnRefusal(ReadingId aId, const Error& aError)
 {
-  Reading& reading = readings_.at(aId);
+  const Reading& reading = readings_.at(aId);
   // A conflict: the records are too large for relays, or too old.
-  if (aError.kind_ == ErrorKind::Conflict ||
-      clock_.Now() - reading.progressAt_ > Duration{ kMaxStall }) {
+  if (aError.kind_ == ErrorKind::Conflict || IsStalled(reading)) {
     LogEvent(LogLevel::Info,
              "relays_unread",
              { { "prefix", reading.prefix_ },
@@ -139,6 +148,23 @@
     Finish(aId, aError);
     return;
   }
+  QueryNext(aId);
+}
+
+bool
+RelayReading::IsStalled(const Reading& aReading) const
+{
+  const TimePoint now = clock_.Now();
+  const auto relays =
+    static_cast<std::int64_t>(relays_(aReading.prefix_).size());
+  return now - aReading.heardAt_ > relays * Duration{ kStallPerRelay } ||
+         now - aReading.progressAt_ > relays * Duration{ kLoadingPerRelay };
+}
+
+void
+RelayReading::QueryNext(ReadingId aId)
+{
+  Reading& reading = readings_.at(aId);
   ++reading.nextRelay_;
   if (++reading.refusals_ < relays_(reading.prefix_).size()) {
     Query(aId);
--- a/src/daemon/relay_reading.hpp
+++ b/src/daemon/relay_reading.hpp
@@ -61,12 +61,17 @@
     TimePoint startedAt_;
     /// When the last part was received.
     TimePoint progressAt_;
+    /// When a relay last sent a part or told that it loads the records.
+    TimePoint heardAt_;
     std::size_t parts_ = 0;
   };
 
   void Query(ReadingId aId);
   void OnAnswer(ReadingId aId, const Result<StoreWatchBatch>& aBatch);
   void OnRefusal(ReadingId aId, const Error& aError);
+  void QueryNext(ReadingId aId);
+  /// @returns whether the records should be read from the store instead
+  [[nodiscard]] bool IsStalled(const Reading& aReading) const;
   void Finish(ReadingId aId, Result<StoreRange> aRange);
 
   LoopTimers& timers_;
--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -143,11 +143,10 @@
 bool
 RelayedStore::LoadMirror(const std::string& aPrefix)
 {
-  if (mirrors_.contains(aPrefix) || FindDirect(aPrefix) == nullptr ||
-      !relays_(aPrefix).empty()) {
+  if (mirrors_.contains(aPrefix) || !relays_(aPrefix).empty()) {
     return false;
   }
-  if (loading_.insert(aPrefix).second) {
+  if (FindDirect(aPrefix) != nullptr && loading_.insert(aPrefix).second) {
     store_.Read(aPrefix,
                 [this, alive = alive_, aPrefix](
                   const Result<StoreRange>& aRange) {
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -93,7 +93,7 @@
                      StoreDone<StoreRange> aDone);
   /// Loads the mirror of a prefix that this process began to relay after it had
   /// read the records elsewhere.
-  /// @returns whether a peer should wait for it
+  /// @returns whether a peer should wait for it, or for the first read
   bool LoadMirror(const std::string& aPrefix);
   void OnLoaded(const std::string& aPrefix, const Result<StoreRange>& aRange);
   void Open(StoreWatchId aId);
--- a/tests/test_relay_reading.cpp
+++ b/tests/test_relay_reading.cpp
@@ -244,7 +244,7 @@
   PutRecords(fleet.store_, 300);
   fleet.store_.fault_ = StoreFault::Refuses;
   fleet.Start();
-  fleet.timers_.Advance(4s);
+  fleet.timers_.Advance(2500ms);
   REQUIRE(fleet.CountComplete() == 0);
   fleet.store_.fault_ = StoreFault::None;
   fleet.store_.reads_ = 0;
@@ -254,6 +254,38 @@
   REQUIRE(fleet.store_.reads_ <= 2 * fleet.CountRelays());
 }
 
+// If each process read the records itself while relays still wait for the store,
+// the store would be busy with them for most of a minute.
+TEST_CASE("processes wait for relays that are still loading the records")
+{
+  RelayFleet fleet(400);
+  PutRecords(fleet.store_, 300);
+  fleet.Renew();
+  fleet.store_.delay_ = 8s;
+  fleet.Start();
+  fleet.timers_.Advance(14s);
+  REQUIRE(fleet.CountComplete() == 400);
+  REQUIRE(fleet.store_.reads_ == fleet.CountRelays());
+}
+
+TEST_CASE("a process whose relays are all gone reads from the store")
+{
+  RelayFleet fleet(100);
+  PutRecords(fleet.store_, 300);
+  fleet.Renew();
+  std::string alone;
+  for (const auto& [name, member] : fleet.members_) {
+    if (member->plan_.Relays("k/").empty()) {
+      fleet.Kill(name);
+    } else {
+      alone = name;
+    }
+  }
+  fleet.Start(alone);
+  fleet.timers_.Advance(2s);
+  REQUIRE(fleet.members_.at(alone)->records_ == fleet.Expected());
+}
+
 TEST_CASE("a process that the store turns away reads from relays")
 {
   RelayFleet fleet(100);
