Control records and configuration are read through relays at a start as well

Change: the first relay of the control records writes down all of them (mt/relays, one key, when they change). A process that starts reads that key and takes them for its relays until it has the control records; one that finds itself there reads from the store. If none answers, it reads from the store after half a second for each. A silent relay is passed over after 0.6 s.

Weighed: gossip between processes (no means of finding the first peer but the store); splitting the control records by zone (still the square).

Not yet measured on the fleet.

--- a/include/marjoramtally/process/relay_plan.hpp
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -61,6 +61,11 @@
   RelayPlan& operator=(RelayPlan&&) = default;
   ~RelayPlan() = default;
 
+  /// Sets the relays that are used while too few processes are known: those that
+  /// served before this process started. Its own address among them makes it a
+  /// relay.
+  void SetSeeds(std::vector<std::string> aAddresses,
+                const std::string& aOwnAddress);
   void OnAlive(const std::string& aIncarnation, LivenessRecord aRecord);
   void OnGone(const std::string& aIncarnation);
 
@@ -68,6 +73,10 @@
   /// process tries them; empty: it watches the store itself
   [[nodiscard]] const std::vector<std::string>& Relays(
     const std::string& aPrefix) const;
+  /// @returns addresses of all relays of a prefix; empty if this process is not
+  /// the first of them, or there are none
+  [[nodiscard]] std::vector<std::string> RelaysIfFirst(
+    const std::string& aPrefix) const;
   /// @returns addresses of all other processes that can be called
   [[nodiscard]] std::vector<std::string> Peers() const;
   /// @returns how many processes all computations so far have inspected
@@ -101,11 +110,18 @@
   void AddToOrders(const Process& aProcess);
   void RemoveFromOrders(const Process& aProcess);
   [[nodiscard]] Order MakeOrder(const std::string& aPrefix) const;
+  [[nodiscard]] Prefix& PrefixFor(const std::string& aPrefix) const;
+  [[nodiscard]] std::vector<const Process*> ChooseProcesses(
+    const Order& aOrder) const;
   [[nodiscard]] std::vector<std::string> Choose(const Order& aOrder) const;
+  /// Rotates addresses by a hash of this process, so that processes begin at
+  /// different relays.
+  void Rotate(std::vector<std::string>& aAddresses) const;
 
   std::string self_;
   InstanceId instance_;
   RelayPlanPolicy policy_;
+  std::vector<std::string> seeds_;
   std::map<InstanceId, Process> processes_;
   /// Number of processes that can be called.
   std::size_t callable_ = 0;
--- a/src/daemon/relay_reading.cpp
+++ b/src/daemon/relay_reading.cpp
@@ -9,7 +9,11 @@
 namespace {
 
 /// How long a relay may delay an answer until it has loaded the records itself.
-constexpr auto kLoadWait = std::chrono::milliseconds(1000);
+constexpr auto kLoadWait = std::chrono::milliseconds(400);
+/// If a relay has not answered the first request after this time, the next one
+/// is queried: it may be cut off. Later parts may take longer, as the links of
+/// relays are busy when a fleet starts, and second copies would add to that.
+constexpr auto kMaxFirstAnswer = std::chrono::milliseconds(600);
 /// If all relays refuse, they are queried again after this time.
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
 /// A process reads from the store if none of its relays answers for this long,
@@ -57,7 +61,7 @@
   if (it == readings_.end()) {
     return;
   }
-  const Reading& reading = it->second;
+  Reading& reading = it->second;
   const std::vector<std::string>& relays = relays_(reading.prefix_);
   if (relays.empty()) {
     Finish(aId, Error{ ErrorKind::Unavailable, "no relay is known" });
@@ -68,10 +72,25 @@
   ask.after_ = reading.after_;
   ask.wait_ = kLoadWait;
   ask.removalsAfter_ = reading.until_;
+  const std::uint64_t round = ++reading.round_;
+  const auto isCurrent = [this, alive = alive_, aId, round] {
+    if (!*alive) {
+      return false;
+    }
+    const auto current = readings_.find(aId);
+    return current != readings_.end() && current->second.round_ == round;
+  };
+  if (reading.until_ == 0) {
+    timers_.After(kMaxFirstAnswer, [this, isCurrent, aId] {
+      if (isCurrent()) {
+        OnRefusal(aId, Error{ ErrorKind::Timeout, "no answer" });
+      }
+    });
+  }
   queryPeer_(relays[reading.nextRelay_ % relays.size()],
              ask,
-             [this, alive = alive_, aId](const Result<StoreWatchBatch>& aBatch) {
-               if (*alive && readings_.contains(aId)) {
+             [this, isCurrent, aId](const Result<StoreWatchBatch>& aBatch) {
+               if (isCurrent()) {
                  OnAnswer(aId, aBatch);
                }
              });
@@ -171,6 +190,8 @@
     return;
   }
   reading.refusals_ = 0;
+  // Ignores a late answer, as the next query does.
+  ++reading.round_;
   timers_.After(kRetryDelay, [this, alive = alive_, aId] {
     if (*alive) {
       Query(aId);
--- a/src/daemon/relay_reading.hpp
+++ b/src/daemon/relay_reading.hpp
@@ -56,6 +56,8 @@
     /// The records are complete once they include this revision; 0: not known.
     std::uint64_t until_ = 0;
     std::size_t nextRelay_ = 0;
+    /// Number of the current query; answers to earlier ones are ignored.
+    std::uint64_t round_ = 0;
     /// Number of consecutive relays that refused.
     std::size_t refusals_ = 0;
     TimePoint startedAt_;
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -124,14 +124,20 @@
   return peers;
 }
 
-const std::vector<std::string>&
-RelayPlan::Relays(const std::string& aPrefix) const
+RelayPlan::Prefix&
+RelayPlan::PrefixFor(const std::string& aPrefix) const
 {
   const auto [it, added] = prefixes_.try_emplace(aPrefix);
-  Prefix& prefix = it->second;
   if (added) {
-    prefix.order_ = MakeOrder(aPrefix);
+    it->second.order_ = MakeOrder(aPrefix);
   }
+  return it->second;
+}
+
+const std::vector<std::string>&
+RelayPlan::Relays(const std::string& aPrefix) const
+{
+  Prefix& prefix = PrefixFor(aPrefix);
   if (!prefix.current_) {
     prefix.relays_ = Choose(prefix.order_);
     prefix.current_ = true;
@@ -155,12 +161,9 @@
 /// Chooses the first processes of the order, spread over zones: those with the
 /// most capacity, as a relay sends to dozens of peers at once. A process that
 /// joins or leaves changes few of the relays.
-std::vector<std::string>
-RelayPlan::Choose(const Order& aOrder) const
+std::vector<const RelayPlan::Process*>
+RelayPlan::ChooseProcesses(const Order& aOrder) const
 {
-  if (callable_ < policy_.minPeers_) {
-    return {};
-  }
   const std::size_t wanted = std::max(
     policy_.minRelays_,
     (aOrder.size() + policy_.peersPerRelay_ - 1) / policy_.peersPerRelay_);
@@ -180,21 +183,68 @@
       }
     }
   }
+  return chosen;
+}
+
+std::vector<std::string>
+RelayPlan::Choose(const Order& aOrder) const
+{
+  if (callable_ < policy_.minPeers_) {
+    return seeds_;
+  }
   std::vector<std::string> relays;
-  relays.reserve(chosen.size());
-  for (const Process* process : chosen) {
+  for (const Process* process : ChooseProcesses(aOrder)) {
     if (process->instance_ == instance_) {
       return {};
     }
     relays.push_back(process->record_.address_);
   }
-  // The first relay to try differs by process, to spread the load.
-  std::rotate(relays.begin(),
-              relays.begin() + static_cast<std::ptrdiff_t>(
-                                 std::hash<std::string>{}(self_) %
-                                 relays.size()),
-              relays.end());
+  Rotate(relays);
   return relays;
 }
 
+std::vector<std::string>
+RelayPlan::RelaysIfFirst(const std::string& aPrefix) const
+{
+  if (callable_ < policy_.minPeers_) {
+    return {};
+  }
+  const std::vector<const Process*> chosen =
+    ChooseProcesses(PrefixFor(aPrefix).order_);
+  std::vector<std::string> relays;
+  if (!chosen.empty() && chosen.front()->instance_ == instance_) {
+    for (const Process* process : chosen) {
+      relays.push_back(process->record_.address_);
+    }
+  }
+  return relays;
+}
+
+void
+RelayPlan::SetSeeds(std::vector<std::string> aAddresses,
+                    const std::string& aOwnAddress)
+{
+  const bool own =
+    std::find(aAddresses.begin(), aAddresses.end(), aOwnAddress) !=
+    aAddresses.end();
+  seeds_ = own ? std::vector<std::string>{} : std::move(aAddresses);
+  Rotate(seeds_);
+  for (auto& [name, prefix] : prefixes_) {
+    prefix.current_ = false;
+  }
+}
+
+void
+RelayPlan::Rotate(std::vector<std::string>& aAddresses) const
+{
+  if (aAddresses.empty()) {
+    return;
+  }
+  const std::size_t first =
+    std::hash<std::string>{}(self_) % aAddresses.size();
+  std::rotate(aAddresses.begin(),
+              aAddresses.begin() + static_cast<std::ptrdiff_t>(first),
+              aAddresses.end());
+}
+
 } // namespace marjoramtally
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -134,9 +134,10 @@
 void
 Gateway::Start()
 {
-  FollowConfig();
-  // The list of upstreams is the largest part of the store and is read from
-  // relays, which are known once the other processes are.
+  // Records are read from relays: those that served before until the other
+  // processes are known. The list of upstreams, the largest part of the store,
+  // waits for these.
+  directory_.onSeeded_ = [this] { FollowConfig(); };
   directory_.onRead_ = [this] { FollowUpstreams(); };
   runner_.onUnfinishedChanged_ = [this](bool aOwning) {
     livenessLease_.SetTtl(aOwning ? host_.Settings().leaseTtl_ : kIdleLeaseTtl);
--- a/src/programs/gatewayd/job_directory.cpp
+++ b/src/programs/gatewayd/job_directory.cpp
@@ -23,8 +23,10 @@
   , follower_(aHost.PlatformStore(), aHost.Timers(), job_keys::kControl)
   , takeover_(aHost.Incarnation())
   , owners_(aHost.Incarnation())
+  , seeds_(aHost, job_keys::kControl)
 {
   follower_.onSnapshot_ = [this](const StoreRange& aRange) {
+    seeds_.Drop();
     ApplySnapshot(aRange);
     if (onRead_) {
       std::exchange(onRead_, nullptr)();
@@ -39,7 +41,12 @@
 void
 JobDirectory::Start(Duration aWatchAfter)
 {
-  follower_.Start(aWatchAfter);
+  seeds_.Read([this, aWatchAfter] {
+    if (onSeeded_) {
+      std::exchange(onSeeded_, nullptr)();
+    }
+    follower_.Start(aWatchAfter);
+  });
   host_.Timers().After(kRemovalInterval, [this] { RemoveExpired(); });
 }
 
@@ -143,6 +150,7 @@
     owners_.OnAlive(
       aIncarnation, record.value().address_, record.value().capacity_);
     host_.Relays().OnAlive(aIncarnation, std::move(record).value());
+    seeds_.OnPlanChanged();
   } else {
     LogEvent(LogLevel::Error,
              "record_unreadable",
@@ -161,6 +169,7 @@
     const std::string incarnation(key.substr(liveness.size()));
     takeover_.OnGone(incarnation, host_.Now());
     host_.Relays().OnGone(incarnation);
+    seeds_.OnPlanChanged();
     owners_.OnGone(incarnation);
     addresses_.erase(incarnation);
   } else if (key.starts_with(owners)) {
--- a/src/programs/gatewayd/job_directory.hpp
+++ b/src/programs/gatewayd/job_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/prefix_follower.hpp"
+#include "daemon/relay_seeds.hpp"
 #include "marjoramtally/process/job_takeover.hpp"
 #include "marjoramtally/process/owner_plan.hpp"
 #include "programs/gatewayd/job_store.hpp"
@@ -27,6 +28,8 @@
   /// Set before `Start`. Called when a job's owner has changed.
   std::function<void(const JobId&, const KnownJob&)> onOwner_;
   std::function<void(const JobId&)> onEnd_;
+  /// Called once, when the relays that served before are known.
+  std::function<void()> onSeeded_;
   /// Called once, after the first complete read.
   std::function<void()> onRead_;
 
@@ -79,6 +82,7 @@
   PrefixFollower follower_;
   JobTakeover takeover_;
   OwnerPlan owners_;
+  RelaySeeds seeds_;
   std::map<JobId, KnownJob> jobs_;
   /// Keys of liveness records, to detect those that are missing from a
   /// complete read.
--- a/tests/relay_fleet.hpp
+++ b/tests/relay_fleet.hpp
@@ -165,6 +165,8 @@
   FakeStore store_{ timers_ };
   std::map<std::string, std::unique_ptr<Member>> members_;
   std::set<std::string> killed_;
+  /// Processes that do not answer their peers.
+  std::set<std::string> silent_;
 
 private:
   void Ask(const std::string& aRelay,
@@ -173,6 +175,12 @@
   {
     timers_.After(std::chrono::milliseconds(1), [this, aRelay, aAsk, aDone] {
       Member& relay = *members_.at(aRelay);
+      if (silent_.contains(aRelay)) {
+        timers_.After(std::chrono::milliseconds(1300), [aDone] {
+          aDone(Error{ ErrorKind::Timeout, "no answer" });
+        });
+        return;
+      }
       if (relay.store_ == nullptr) {
         aDone(Error{ ErrorKind::Unavailable, "connection refused" });
         return;
--- a/tests/test_relay_reading.cpp
+++ b/tests/test_relay_reading.cpp
@@ -286,6 +286,31 @@
   REQUIRE(fleet.members_.at(alone)->records_ == fleet.Expected());
 }
 
+TEST_CASE("a silent relay delays a read by less than its time-out")
+{
+  RelayFleet fleet(100);
+  PutRecords(fleet.store_, 300);
+  fleet.Renew();
+  std::string alone;
+  for (const auto& [name, member] : fleet.members_) {
+    if (!member->plan_.Relays("k/").empty()) {
+      alone = name;
+    }
+  }
+  for (const auto& [name, member] : fleet.members_) {
+    if (name != alone) {
+      fleet.Start(name);
+    }
+  }
+  fleet.timers_.Advance(2s);
+  fleet.silent_.insert(fleet.members_.at(alone)->plan_.Relays("k/").front());
+  const std::size_t reads = fleet.store_.reads_;
+  fleet.Start(alone);
+  fleet.timers_.Advance(700ms);
+  REQUIRE(fleet.members_.at(alone)->records_ == fleet.Expected());
+  REQUIRE(fleet.store_.reads_ == reads);
+}
+
 TEST_CASE("a process that the store turns away reads from relays")
 {
   RelayFleet fleet(100);
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -254,6 +254,42 @@
   REQUIRE(record.value().capacity_ == Capacity{});
 }
 
+TEST_CASE("seeds serve until enough processes are known")
+{
+  RelayPlan plan("p0~2");
+  plan.SetSeeds({ "a", "b" }, "p0");
+  REQUIRE(plan.Relays("k/").size() == 2);
+  plan.SetSeeds({ "a", "p0" }, "p0");
+  REQUIRE(plan.Relays("k/").empty());
+  plan.SetSeeds({ "a", "b" }, "p0");
+  for (int i = 0; i < 30; ++i) {
+    const std::string name = "p" + std::to_string(i) + "~1";
+    plan.OnAlive(name, { ZoneId{ "z" }, name });
+  }
+  for (const std::string& relay : plan.Relays("k/")) {
+    REQUIRE(relay.starts_with("p"));
+  }
+}
+
+TEST_CASE("only the first relay of a prefix tells all of them")
+{
+  std::size_t tellers = 0;
+  std::vector<std::string> told;
+  for (int i = 0; i < 180; ++i) {
+    const RelayPlan plan = MakePlan("p" + std::to_string(i) + "~1", 180);
+    const std::vector<std::string> relays = plan.RelaysIfFirst("k/");
+    if (!relays.empty()) {
+      ++tellers;
+      told = relays;
+    }
+  }
+  REQUIRE(tellers == 1);
+  REQUIRE(told.size() == 3);
+  for (const std::string& relay : told) {
+    REQUIRE(MakePlan(relay, 180).Relays("k/").empty());
+  }
+}
+
 TEST_CASE("liveness records can be read as they were written")
 {
   const auto record = ReadLivenessRecord(
