--- a/include/marjoramtally/process/job_takeover.hpp
+++ b/include/marjoramtally/process/job_takeover.hpp
@@ -90,9 +90,7 @@
                                  Capacity aCapacity,
                                  const JobId& aJob) const;
   /// Adds to the known ranks the effect of a process that came or is gone.
-  void ChangeRanks(const std::string& aOther,
-                   Capacity aCapacity,
-                   bool aAlive);
+  void ChangeRanks(const std::string& aOther, Capacity aCapacity, bool aAlive);
   /// @returns how long a liveness record that vanished then may reappear
   [[nodiscard]] Duration GraceOf(TimePoint aGone) const;
 
--- a/include/marjoramtally/process/load_limit.hpp
+++ b/include/marjoramtally/process/load_limit.hpp
@@ -21,8 +21,8 @@
 {
 public:
   /// Maximum limit before a load has ended, if none is remembered. If it is too
-  /// high, all loads are slowed and the duration of an undisturbed load is never
-  /// observed.
+  /// high, all loads are slowed and the duration of an undisturbed load is
+  /// never observed.
   static constexpr std::uint32_t kMaxInitialLimit = 8;
 
   /// @param aMinLimit the limit never falls below this
--- a/include/marjoramtally/process/relay_plan.hpp
+++ b/include/marjoramtally/process/relay_plan.hpp
@@ -61,9 +61,9 @@
   RelayPlan& operator=(RelayPlan&&) = default;
   ~RelayPlan() = default;
 
-  /// Sets the relays that are used while too few processes are known: those that
-  /// served before this process started. Its own address among them makes it a
-  /// relay.
+  /// Sets the relays that are used while too few processes are known: those
+  /// that served before this process started. Its own address among them makes
+  /// it a relay.
   void SetSeeds(std::vector<std::string> aAddresses,
                 const std::string& aOwnAddress);
   void OnAlive(const std::string& aIncarnation, LivenessRecord aRecord);
--- a/src/daemon/relay_answers.cpp
+++ b/src/daemon/relay_answers.cpp
@@ -105,9 +105,10 @@
   if (!same) {
     StoreWatchBatch batch = aSource.After(aAsk.after_);
     batch.age_ = aSource.Age(now);
-    lastAnswer_ = { aAsk.prefix_, aAsk.after_, aAsk.inflates_,
-                    revision,     now,         EncodeWatchBatch(
-                                                 batch, aAsk.inflates_) };
+    lastAnswer_ = {
+      aAsk.prefix_, aAsk.after_, aAsk.inflates_,
+      revision,     now,         EncodeWatchBatch(batch, aAsk.inflates_)
+    };
   }
   return lastAnswer_.bytes_;
 }
--- a/src/daemon/relay_answers.hpp
+++ b/src/daemon/relay_answers.hpp
@@ -1,8 +1,8 @@
 /// A relay's answers to peers that request changes.
 #pragma once
 
-#include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/change_source.hpp"
+#include "marjoramtally/runtime/loop_timers.hpp"
 #include "marjoramtally/runtime/watch_messages.hpp"
 
 #include <functional>
--- a/src/daemon/relay_seeds.hpp
+++ b/src/daemon/relay_seeds.hpp
@@ -6,8 +6,9 @@
 
 namespace marjoramtally {
 
-/// After a restart of all, each process would otherwise read the control records
-/// from the store, and they grow with the fleet as well. Used on one loop.
+/// After a restart of all, each process would otherwise read the control
+/// records from the store, and they grow with the fleet as well. Used on one
+/// loop.
 class RelaySeeds
 {
 public:
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -1,7 +1,7 @@
 /// A store whose watches go through relays, which are other processes, where
 /// the relay plan assigns any. Serves the watches of this process to its peers.
-/// Complete reads of a watched prefix go through relays as well; other reads and
-/// writes go to the store directly.
+/// Complete reads of a watched prefix go through relays as well; other reads
+/// and writes go to the store directly.
 #pragma once
 
 #include "daemon/relay_answers.hpp"
--- a/src/process/job_takeover.cpp
+++ b/src/process/job_takeover.cpp
@@ -91,8 +91,7 @@
     if (aOther == self_) {
       ownership.rank_.reset();
     } else if (ClaimsFirst(aOther, aCapacity, job)) {
-      ownership.rank_ =
-        aAlive ? *ownership.rank_ + 1 : *ownership.rank_ - 1;
+      ownership.rank_ = aAlive ? *ownership.rank_ + 1 : *ownership.rank_ - 1;
     }
   }
 }
@@ -130,9 +129,8 @@
 Duration
 JobTakeover::GraceOf(TimePoint aGone) const
 {
-  const auto first = std::lower_bound(goneTimes_.begin(),
-                                      goneTimes_.end(),
-                                      aGone - policy_.correlationWindow_);
+  const auto first = std::lower_bound(
+    goneTimes_.begin(), goneTimes_.end(), aGone - policy_.correlationWindow_);
   const auto last = std::upper_bound(
     first, goneTimes_.end(), aGone + policy_.correlationWindow_);
   const auto vanished = static_cast<std::size_t>(last - first);
--- a/src/process/load_limit.cpp
+++ b/src/process/load_limit.cpp
@@ -122,10 +122,10 @@
 {
   if (fastest_ == Duration{ 0 }) {
     fastGrowthCeiling_ = std::max({ aInitialGuess, minLimit_, remembered_ });
-    limit_ = std::max(
-      std::clamp(
-        aInitialGuess, minLimit_, std::max(minLimit_, kMaxInitialLimit)),
-      remembered_);
+    limit_ = std::max(std::clamp(aInitialGuess,
+                                 minLimit_,
+                                 std::max(minLimit_, kMaxInitialLimit)),
+                      remembered_);
   }
   return static_cast<std::uint32_t>(limit_);
 }
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -240,8 +240,7 @@
   if (aAddresses.empty()) {
     return;
   }
-  const std::size_t first =
-    std::hash<std::string>{}(self_) % aAddresses.size();
+  const std::size_t first = std::hash<std::string>{}(self_) % aAddresses.size();
   std::rotate(aAddresses.begin(),
               aAddresses.begin() + static_cast<std::ptrdiff_t>(first),
               aAddresses.end());
--- a/tests/test_job_takeover.cpp
+++ b/tests/test_job_takeover.cpp
@@ -161,8 +161,8 @@
       kept.OnGone(name, kStart + std::chrono::milliseconds(i));
       alive.erase(name);
     } else {
-      const Capacity capacity{ static_cast<std::uint32_t>(
-        100 * random.Below(3)) };
+      const Capacity capacity{ static_cast<std::uint32_t>(100 *
+                                                          random.Below(3)) };
       kept.OnAlive(name, capacity);
       alive[name] = capacity;
     }
--- a/tests/test_relay_reading.cpp
+++ b/tests/test_relay_reading.cpp
@@ -14,8 +14,7 @@
 StoreEvent
 MakeEvent(const std::string& aKey, std::uint64_t aRevision, bool aDeleted)
 {
-  return { aDeleted,
-           { aKey, aDeleted ? "" : "v", aRevision, aRevision, 0 } };
+  return { aDeleted, { aKey, aDeleted ? "" : "v", aRevision, aRevision, 0 } };
 }
 
 StoreRange
@@ -81,10 +80,9 @@
 TEST_CASE("a mirror sends the latest state of each record, and removals")
 {
   PrefixMirror mirror;
-  mirror.Load(MakeRange(10,
-                        { MakeEvent("k/a", 3, false),
-                          MakeEvent("k/b", 4, false) }),
-              TimePoint{ 10s });
+  mirror.Load(
+    MakeRange(10, { MakeEvent("k/a", 3, false), MakeEvent("k/b", 4, false) }),
+    TimePoint{ 10s });
   mirror.Append({ false,
                   false,
                   14,
@@ -110,10 +108,9 @@
                           MakeEvent("k/b", 4, false),
                           MakeEvent("k/c", 5, false) }),
               TimePoint{ 10s });
-  mirror.Load(MakeRange(20,
-                        { MakeEvent("k/a", 3, false),
-                          MakeEvent("k/b", 15, false) }),
-              TimePoint{ 12s });
+  mirror.Load(
+    MakeRange(20, { MakeEvent("k/a", 3, false), MakeEvent("k/b", 15, false) }),
+    TimePoint{ 12s });
   const StoreWatchBatch batch = mirror.After(10);
   REQUIRE(batch.revision_ == 20);
   REQUIRE(batch.events_.size() == 2);
@@ -146,8 +143,9 @@
   for (std::size_t i = 0; i < PrefixMirror::kMaxRemovals + 5; ++i) {
     const std::string key = "k/" + std::to_string(i);
     ++revision;
-    mirror.Append({ false, false, revision, { MakeEvent(key, revision, true) } },
-                  TimePoint{ 10s });
+    mirror.Append(
+      { false, false, revision, { MakeEvent(key, revision, true) } },
+      TimePoint{ 10s });
   }
   REQUIRE_FALSE(mirror.Covers({ 5, 5 }));
   REQUIRE(mirror.Covers({ 6, 6 }));
@@ -254,8 +252,8 @@
   REQUIRE(fleet.store_.reads_ <= 2 * fleet.CountRelays());
 }
 
-// If each process read the records itself while relays still wait for the store,
-// the store would be busy with them for most of a minute.
+// If each process read the records itself while relays still wait for the
+// store, the store would be busy with them for most of a minute.
 TEST_CASE("processes wait for relays that are still loading the records")
 {
   RelayFleet fleet(400);
