Loads of a version follow the largest burst of its model

Cause: without calls of duties nothing tells the holder of orders what items want, so half of a model's replicas were to hold its newest version: 397 of 6,364 upstreams for steps that need 19.

Change: an owner writes its model's burst (slots that its items hold, wait for or will want) beside the record of a job that it accepts, when it has grown by a quarter; the holder reads it with the other records of the duties, so neither costs a call. The newest version goes to one and a half times what the burst needs. Replicas stay spread over all upstreams: loads go to those without runs, which the holder is not told of here.

Test: as many loads at 600 and 3,000 upstreams; a burst finds its slots whichever zone is lost, also without polls; 12 loads for a burst of 8, 50 without a record. RelayAnswers cancels its timers. Not yet measured on the fleet.

--- a/include/marjoramtally/process/weight_plan.hpp
+++ b/include/marjoramtally/process/weight_plan.hpp
@@ -109,6 +109,11 @@
   void OnDemand(const std::string& aModel,
                 std::uint64_t aSlots,
                 TimePoint aNow);
+  /// The largest number of slots that items of a model have wanted at once.
+  /// Bounds the loads of each version. Unlike `OnDemand` it leaves the replicas
+  /// spread over the service, so that loads go to upstreams without runs: it
+  /// comes without reports of long runs.
+  void OnBurst(const std::string& aModel, std::uint64_t aSlots);
   /// An ordered load has ended.
   void OnLoaded(Duration aTook, TimePoint aNow);
   /// Starts from the limit of concurrent loads that another process has found.
@@ -159,11 +164,19 @@
   [[nodiscard]] std::map<std::string, std::size_t> TargetReplicas(
     const ServiceUpstreams& aService,
     const std::vector<std::string>& aModels);
+  /// @returns the number of upstreams with this many slots
+  [[nodiscard]] static double UpstreamsFor(std::uint64_t aSlots,
+                                           const ServiceUpstreams& aService);
   /// @returns the number of upstreams with enough slots for a model's largest
   /// burst; nothing if no demand is known
   [[nodiscard]] std::optional<double> UpstreamsForBurst(
     const ServiceUpstreams& aService,
     const std::string& aModel) const;
+  /// @returns the number of a model's replicas that should hold its newest
+  /// version
+  [[nodiscard]] double NewestWanted(const ServiceUpstreams& aService,
+                                    const std::string& aModel,
+                                    std::size_t aReplicas) const;
   [[nodiscard]] std::uint32_t ConcurrentLoads(std::size_t aUpstreams);
   /// @param aCount replicas to add
   /// @param aMaxPerUpstream models per upstream above which others are
@@ -201,6 +214,8 @@
   std::map<std::string, PeakDemand> demand_;
   /// The largest burst of each model, as of its last demand.
   std::map<std::string, std::uint64_t> peakDemand_;
+  /// Bounds of the loads of each version, by model.
+  std::map<std::string, std::uint64_t> bursts_;
   /// Models that each upstream is a replica of.
   std::map<UpstreamId, std::set<std::string>> replicas_;
   std::uint64_t examined_ = 0;
--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -18,6 +18,10 @@
 /// an upstream that does not accept within this time is considered dead.
 inline constexpr auto kUpstreamConnectTimeout = std::chrono::milliseconds(250);
 
+/// Prefix of the records in which owners of jobs tell the holder of the order
+/// duty how many slots the items of a model have wanted at once.
+inline constexpr const char* kBurstPrefix = "mt/duty/burst/";
+
 /// RPC between processes. Handlers and completions run on the loop.
 class PeerCalls
 {
--- a/src/daemon/relay_answers.cpp
+++ b/src/daemon/relay_answers.cpp
@@ -32,6 +32,15 @@
 {
 }
 
+RelayAnswers::~RelayAnswers()
+{
+  for (const auto& [prefix, requests] : pending_) {
+    for (const auto& [number, request] : requests) {
+      timers_.Cancel(request.timer_);
+    }
+  }
+}
+
 std::optional<Error>
 RelayAnswers::RefusalOf(const ChangeSource* aSource, const WatchAsk& aAsk) const
 {
--- a/src/daemon/relay_answers.hpp
+++ b/src/daemon/relay_answers.hpp
@@ -33,6 +33,10 @@
                SourceOf aSource,
                LoadRecords aLoad);
 
+  ~RelayAnswers();
+  RelayAnswers(const RelayAnswers&) = delete;
+  RelayAnswers& operator=(const RelayAnswers&) = delete;
+
   /// Answers a peer with an encoded batch: immediately if there are changes,
   /// else at the next change or when the requested wait ends.
   void Serve(const WatchAsk& aAsk, StoreDone<std::string> aDone);
--- a/src/process/weight_plan.cpp
+++ b/src/process/weight_plan.cpp
@@ -120,6 +120,12 @@
   peakDemand_[aModel] = demand.At(aNow);
 }
 
+void
+WeightPlan::OnBurst(const std::string& aModel, std::uint64_t aSlots)
+{
+  bursts_[aModel] = aSlots;
+}
+
 void
 WeightPlan::OnOrdered(TimePoint aNow)
 {
@@ -132,6 +138,17 @@
   limit_.OnLoaded(aTook, busy_, aNow);
 }
 
+double
+WeightPlan::UpstreamsFor(std::uint64_t aSlots, const ServiceUpstreams& aService)
+{
+  std::uint64_t slots = 0;
+  for (const ServiceUpstream& entry : aService) {
+    slots += entry.upstream_->slots_;
+  }
+  return static_cast<double>(aSlots) * static_cast<double>(aService.size()) /
+         static_cast<double>(std::max<std::uint64_t>(slots, 1));
+}
+
 std::optional<double>
 WeightPlan::UpstreamsForBurst(const ServiceUpstreams& aService,
                               const std::string& aModel) const
@@ -140,13 +157,21 @@
   if (burst == peakDemand_.end()) {
     return std::nullopt;
   }
-  std::uint64_t slots = 0;
-  for (const ServiceUpstream& entry : aService) {
-    slots += entry.upstream_->slots_;
-  }
-  return static_cast<double>(burst->second) *
-         static_cast<double>(aService.size()) /
-         static_cast<double>(std::max<std::uint64_t>(slots, 1));
+  return UpstreamsFor(burst->second, aService);
+}
+
+double
+WeightPlan::NewestWanted(const ServiceUpstreams& aService,
+                         const std::string& aModel,
+                         std::size_t aReplicas) const
+{
+  const double share = policy_.newestShare_ * static_cast<double>(aReplicas);
+  const auto burst = bursts_.find(aModel);
+  return burst == bursts_.end()
+           ? share
+           : std::min(share,
+                      policy_.newestShare_ * policy_.burstHeadroom_ *
+                        UpstreamsFor(burst->second, aService));
 }
 
 std::map<std::string, std::size_t>
@@ -353,6 +378,10 @@
       };
       return rank(aLeft) < rank(aRight);
     });
+  std::map<std::string, double> newestWanted;
+  for (const auto& [model, count] : replicas) {
+    newestWanted[model] = NewestWanted(aService, model, count);
+  }
   const std::uint32_t maxLoads = ConcurrentLoads(aService.size());
   std::set<UpstreamId> chosen;
   for (const auto& [gap, upstream, model] : wanted) {
@@ -363,9 +392,8 @@
     // one.
     const std::size_t count = CountOf(replicas, model);
     const std::size_t maxBusy = std::max<std::size_t>(1, count / 2);
-    const bool enough =
-      newest[model] >= policy_.newestShare_ * static_cast<double>(count);
-    if (gap < kUnusableGap && enough) {
+    const bool enough = newest[model] >= newestWanted[model];
+    if (enough && (gap < kUnusableGap || bursts_.contains(model))) {
       continue;
     }
     if (busyOfModel[model] >= maxBusy || !chosen.insert(upstream->id_).second) {
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -16,6 +16,9 @@
 /// some milliseconds, and a trainer's submission is late after 400 ms.
 constexpr auto kForwardTimeout = std::chrono::milliseconds(200);
 
+/// A model's burst is recorded again if it has grown by this factor.
+constexpr double kBurstGrowth = 1.25;
+
 std::string_view
 NameOf(AcceptOutcome aOutcome)
 {
@@ -113,6 +116,23 @@
   });
 }
 
+/// Where duties are called, the holder of the order duty polls the gateways
+/// instead.
+StorePut
+JobIntake::GrownBurst(const JobSpec& aSpec)
+{
+  const std::uint64_t slots =
+    runner_.SlotsWantedOf(aSpec.model_) + aSpec.items_.size();
+  std::uint64_t& recorded = recordedBursts_[aSpec.model_];
+  if (!host_.Settings().dutyCalls_.empty() || aSpec.model_.empty() ||
+      static_cast<double>(slots) <=
+        kBurstGrowth * static_cast<double>(recorded)) {
+    return {};
+  }
+  recorded = slots;
+  return { kBurstPrefix + aSpec.model_, std::to_string(slots), 0 };
+}
+
 void
 JobIntake::AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone)
 {
@@ -129,8 +149,11 @@
       done(aResult.outcome_);
       if (aResult.outcome_ == AcceptOutcome::Accepted) {
         StartAccepted(*aSubmission, aResult.fence_);
+      } else {
+        recordedBursts_.erase(aSubmission->spec_.model_);
       }
-    });
+    },
+    GrownBurst(aSubmission->spec_));
 }
 
 /// The answer to the write may arrive after the notifications of the job's end
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -52,6 +52,10 @@
 
   /// Writes the acceptance to the store and owns the job afterwards.
   void AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone);
+  /// @returns a record for the holder of the order duty of the slots that the
+  /// items of a model will want, if they are more than recorded before; else
+  /// one without a key
+  [[nodiscard]] StorePut GrownBurst(const JobSpec& aSpec);
   /// Starts a job that was accepted here, unless it has ended or changed its
   /// owner in the meantime.
   void StartAccepted(const Submission& aSubmission, FencingNumber aFence);
@@ -71,6 +75,8 @@
   JobStore& store_;
   JobDirectory& directory_;
   JobRunner& runner_;
+  /// Bursts recorded by this process, by model.
+  std::map<std::string, std::uint64_t> recordedBursts_;
   bool open_ = true;
 };
 
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -197,6 +197,18 @@
   }
 }
 
+std::uint64_t
+JobRunner::SlotsWantedOf(const std::string& aModel) const
+{
+  std::uint64_t slots = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.ended_ && job.ledger_.Spec().model_ == aModel) {
+      slots += SlotsWantedBy(job);
+    }
+  }
+  return slots;
+}
+
 std::map<std::string, std::uint64_t>
 JobRunner::TakeModelDemand()
 {
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -66,6 +66,8 @@
   /// @returns upstream slots that items of owned jobs hold or wait for, by
   /// service
   [[nodiscard]] std::map<ServiceId, std::uint64_t> SlotsWanted() const;
+  /// @returns upstream slots that items of a model hold or wait for
+  [[nodiscard]] std::uint64_t SlotsWantedOf(const std::string& aModel) const;
   /// @returns the maximum number of slots wanted at once by items of each
   /// model since the last call; a step of short texts may begin and end
   /// between two calls
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -139,7 +139,8 @@
 JobStore::Accept(const JobId& aJob,
                  const JobSubmissionRecord& aSubmission,
                  std::uint64_t aTotal,
-                 std::function<void(AcceptResult)> aDone)
+                 std::function<void(AcceptResult)> aDone,
+                 StorePut aBurst)
 {
   const std::string text = WriteSubmissionRecord(aSubmission);
   const std::string owner = WriteOwnerRecord(
@@ -153,6 +154,9 @@
         0 });
   }
   txn.puts_.push_back({ job_keys::Owner(aJob), owner, 0 });
+  if (!aBurst.key_.empty()) {
+    txn.puts_.push_back(std::move(aBurst));
+  }
   store_.Commit(std::move(txn),
                 [this, aJob, owner, done = std::move(aDone)](
                   const Result<StoreCommit>& aCommit) {
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -102,10 +102,12 @@
 public:
   explicit JobStore(GatewayContext& aHost);
 
+  /// @param aBurst written in the same transaction if it has a key
   void Accept(const JobId& aJob,
               const JobSubmissionRecord& aSubmission,
               std::uint64_t aTotal,
-              std::function<void(AcceptResult)> aDone);
+              std::function<void(AcceptResult)> aDone,
+              StorePut aBurst = {});
   /// @param aDone called with `BadInput` if the stored records cannot be read
   void Load(const JobId& aJob, StoreDone<StoredJob> aDone);
   void LoadSubmission(const JobId& aJob, StoreDone<JobSubmissionRecord> aDone);
--- a/src/programs/orderd/duty_lease.cpp
+++ b/src/programs/orderd/duty_lease.cpp
@@ -46,6 +46,8 @@
   dutyRecords_.onChange_ = [this](const StoreEvent& aEvent) {
     if (aEvent.deleted_ && aEvent.record_.key_ == kDutyKey) {
       key_.Retry();
+    } else if (!aEvent.deleted_ && onRecord_) {
+      onRecord_(aEvent.record_);
     }
   };
   dutyRecords_.onSnapshot_ = [this](const StoreRange& aRange) {
@@ -53,6 +55,11 @@
       aRange.records_.begin(),
       aRange.records_.end(),
       [](const StoreRecord& aRecord) { return aRecord.key_ == kDutyKey; });
+    for (const StoreRecord& record : aRange.records_) {
+      if (onRecord_) {
+        onRecord_(record);
+      }
+    }
     if (!held) {
       key_.Retry();
     }
--- a/src/programs/orderd/duty_lease.hpp
+++ b/src/programs/orderd/duty_lease.hpp
@@ -24,6 +24,10 @@
     std::function<void()> onBegin_;
     std::function<void()> onEnd_;
   };
+  /// Called for each record under the prefix of the duties that other processes
+  /// write for the holder.
+  std::function<void(const StoreRecord&)> onRecord_;
+
   /// Call before `Start`.
   void Add(Listener aListener) { listeners_.push_back(std::move(aListener)); }
 
--- a/src/programs/orderd/order_duty.cpp
+++ b/src/programs/orderd/order_duty.cpp
@@ -26,6 +26,27 @@
   , reader_(aHost.Formats())
 {
   lease_.Add({ [this] { Begin(); }, [this] { End(); } });
+  lease_.onRecord_ = [this](const StoreRecord& aRecord) {
+    OnDutyRecord(aRecord);
+  };
+}
+
+void
+OrderDuty::OnDutyRecord(const StoreRecord& aRecord)
+{
+  const std::string_view key = aRecord.key_;
+  const std::string_view bursts = kBurstPrefix;
+  if (!key.starts_with(bursts)) {
+    return;
+  }
+  const auto slots = ParseNumber(aRecord.value_, 1, UINT32_MAX);
+  if (!slots) {
+    LogEvent(LogLevel::Error,
+             "record_unreadable",
+             { { "key", aRecord.key_ }, { "error", "not a number" } });
+    return;
+  }
+  plan_.OnBurst(std::string(key.substr(bursts.size())), *slots);
 }
 
 void
--- a/src/programs/orderd/order_duty.hpp
+++ b/src/programs/orderd/order_duty.hpp
@@ -85,6 +85,8 @@
   void OnUpstreamsRead(const StoreRange& aRange);
   void OnUpstreamRecord(const StoreRecord& aRecord);
   void OnVersionRecord(const StoreRecord& aRecord);
+  /// Applies an owner's record of the slots that a step of its model wants.
+  void OnDutyRecord(const StoreRecord& aRecord);
   void OnRetirementRecord(const StoreRecord& aRecord);
 
   /// Reads the limit of concurrent loads that the last holder has found. A new
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -280,6 +280,37 @@
   REQUIRE(pair.OwnerOf("j1") == "two~1");
 }
 
+TEST_CASE("an accepted job records the slots that its model wants")
+{
+  Pair pair;
+  const std::string key = kBurstPrefix + pair.model_;
+  SECTION("the holder of the order duty does not poll")
+  {
+    REQUIRE(pair.Submit("j1")->status_ == 202);
+    REQUIRE(pair.store_.records_.at(key).value_ == "1");
+    // Two open jobs want twice as many.
+    REQUIRE(pair.Submit("j2")->status_ == 202);
+    REQUIRE(pair.store_.records_.at(key).value_ == "2");
+    const std::uint64_t revision = pair.store_.records_.at(key).modRevision_;
+    pair.second_.jobs_.Stop(0s);
+    REQUIRE(pair.store_.records_.at(key).modRevision_ == revision);
+  }
+  SECTION("it polls the gateways")
+  {
+    pair.settings_.dutyCalls_ = "c:1";
+    REQUIRE(pair.Submit("j1")->status_ == 202);
+    REQUIRE_FALSE(pair.store_.records_.contains(key));
+  }
+  SECTION("the job is refused")
+  {
+    pair.store_.refusals_ = 2;
+    REQUIRE(pair.Submit("j1")->status_ == 503);
+    REQUIRE_FALSE(pair.store_.records_.contains(key));
+    REQUIRE(pair.Submit("j2")->status_ == 202);
+    REQUIRE(pair.store_.records_.at(key).value_ == "1");
+  }
+}
+
 TEST_CASE("a job whose owner is unreachable or stopping is owned here")
 {
   Pair pair;
--- a/tests/test_order_limit.cpp
+++ b/tests/test_order_limit.cpp
@@ -103,3 +103,21 @@
   REQUIRE(record != fix.store_.records_.end());
   REQUIRE(std::stoi(record->second.value_) >= 16);
 }
+
+// Without calls of duties nothing told the holder what items want, and it kept
+// the newest version on half of a model's replicas, 397 of 6,364 upstreams for
+// steps that need 19.
+TEST_CASE("the loads of a version follow the recorded burst of its model")
+{
+  LargeDutyFixture fix;
+  fix.store_.Put("mt/duty/load-limit", "60");
+  const std::string burst = GENERATE("", "8", "many");
+  CAPTURE(burst);
+  if (!burst.empty()) {
+    fix.store_.Put("mt/duty/burst/m", burst);
+  }
+  fix.duty_.Start();
+  fix.timers_.Advance(300ms);
+  // Half of all replicas, or one and a half times what the burst needs.
+  REQUIRE(fix.client_.open_.size() == (burst == "8" ? 12 : 50));
+}
--- a/tests/test_upstream_table.cpp
+++ b/tests/test_upstream_table.cpp
@@ -442,7 +442,7 @@
     TimePoint now = kStart;
     for (int i = 0; i < 200; ++i) {
       table.OnRemoved(UpstreamId{ std::to_string(i) }, now);
-      now += 20ms;
+      now = now + 20ms;
     }
     table.OnRemoved(UpstreamId{ "0" }, now + 2s);
     CAPTURE(upstreams);
--- a/tests/test_weight_demand.cpp
+++ b/tests/test_weight_demand.cpp
@@ -23,13 +23,16 @@
   static constexpr int kVersionTicks = 40;
 
   WeightPlan plan_;
+  /// Whether the demand is polled, or only the largest burst is recorded.
+  bool polled_ = true;
   std::vector<PlanUpstream> fleet_;
   std::map<UpstreamId, std::size_t> indexes_;
   std::map<std::size_t, std::pair<PlannedLoad, int>> loading_;
   std::size_t loads_ = 0;
 
-  explicit DemandSimulation(int aUpstreams)
-    : fleet_(MakeFleet(aUpstreams, kModels))
+  explicit DemandSimulation(int aUpstreams, bool aPolled = true)
+    : polled_(aPolled)
+    , fleet_(MakeFleet(aUpstreams, kModels))
   {
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       fleet_[i].slots_ = kSlots;
@@ -43,9 +46,12 @@
     const TimePoint now = kStart + std::chrono::milliseconds(100 * aTick);
     for (int model = 0; model < kModels; ++model) {
       const std::string name = "m" + std::to_string(model);
-      if (aTick % 10 == 0) {
+      if (aTick % 10 == 0 && polled_) {
         plan_.OnDemand(name, kBurst, now);
       }
+      if (aTick == 0 && !polled_) {
+        plan_.OnBurst(name, kBurst);
+      }
       if (aTick % kVersionTicks == 10 * model) {
         plan_.OnVersionAnnounced(name, NewestAt(aTick, model), now);
       }
@@ -104,8 +110,10 @@
 TEST_CASE("the number of loads follows demand, not the size of the fleet")
 {
   constexpr int kTicks = 400;
-  const auto loadsOf = [](int aUpstreams) {
-    DemandSimulation simulation(aUpstreams);
+  const bool polled = GENERATE(true, false);
+  CAPTURE(polled);
+  const auto loadsOf = [polled](int aUpstreams) {
+    DemandSimulation simulation(aUpstreams, polled);
     for (int tick = 0; tick < kTicks; ++tick) {
       simulation.Tick(tick);
     }
@@ -121,7 +129,7 @@
 {
   const int upstreams = GENERATE(600, 3000);
   const int lost = GENERATE(0, 1, 2);
-  DemandSimulation simulation(upstreams);
+  DemandSimulation simulation(upstreams, GENERATE(true, false));
   // Ten versions; every upstream can serve the first one.
   for (int tick = 0; tick < 10 * DemandSimulation::kVersionTicks; ++tick) {
     simulation.Tick(tick);
