Test fleet of relays: calls time out, as between processes

A call to a relay that was ended in a test never ended itself, so a process waited for it without bound.

--- a/tests/relay_fleet.hpp
+++ b/tests/relay_fleet.hpp
@@ -169,31 +169,45 @@
   std::set<std::string> silent_;
 
 private:
+  /// A call that ends with its first answer or its time-out.
   void Ask(const std::string& aRelay,
            const WatchAsk& aAsk,
            StoreDone<StoreWatchBatch> aDone)
   {
-    timers_.After(std::chrono::milliseconds(1), [this, aRelay, aAsk, aDone] {
-      Member& relay = *members_.at(aRelay);
-      if (silent_.contains(aRelay)) {
-        timers_.After(std::chrono::milliseconds(1300), [aDone] {
-          aDone(Error{ ErrorKind::Timeout, "no answer" });
-        });
-        return;
+    const auto answered = std::make_shared<bool>(false);
+    const auto end = [answered, done = std::move(aDone)](
+                       const Result<StoreWatchBatch>& aBatch) {
+      if (!std::exchange(*answered, true)) {
+        done(aBatch);
       }
-      if (relay.store_ == nullptr) {
-        aDone(Error{ ErrorKind::Unavailable, "connection refused" });
+    };
+    timers_.After(std::chrono::milliseconds(1300), [end] {
+      end(Error{ ErrorKind::Timeout, "no answer" });
+    });
+    timers_.After(std::chrono::milliseconds(1),
+                  [this, aRelay, aAsk, end] { Serve(aRelay, aAsk, end); });
+  }
+
+  void Serve(const std::string& aRelay,
+             const WatchAsk& aAsk,
+             const StoreDone<StoreWatchBatch>& aDone)
+  {
+    Member& relay = *members_.at(aRelay);
+    if (silent_.contains(aRelay)) {
+      return;
+    }
+    if (relay.store_ == nullptr) {
+      aDone(Error{ ErrorKind::Unavailable, "connection refused" });
+      return;
+    }
+    relay.store_->Serve(aAsk, [&relay, aDone](const auto& aBytes) {
+      if (!aBytes) {
+        aDone(aBytes.error());
         return;
       }
-      relay.store_->Serve(aAsk, [&relay, aDone](const auto& aBytes) {
-        if (!aBytes) {
-          aDone(aBytes.error());
-          return;
-        }
-        relay.sent_ += aBytes.value().size();
-        relay.largest_ = std::max(relay.largest_, aBytes.value().size());
-        aDone(DecodeWatchBatch(aBytes.value()));
-      });
+      relay.sent_ += aBytes.value().size();
+      relay.largest_ = std::max(relay.largest_, aBytes.value().size());
+      aDone(DecodeWatchBatch(aBytes.value()));
     });
   }
 };
