--- a/include/marjoramtally/base.hpp
+++ b/include/marjoramtally/base.hpp
@@ -9,6 +9,7 @@
 #include "marjoramtally/base/ids.hpp"
 #include "marjoramtally/base/index_set.hpp"
 #include "marjoramtally/base/ini.hpp"
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/base/overloaded.hpp"
 #include "marjoramtally/base/random.hpp"
 #include "marjoramtally/base/result.hpp"
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -1,5 +1,7 @@
 #include "daemon/cluster.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -80,7 +82,7 @@
            ClusterView& aView,
            std::vector<std::string>& aSeeds)
 {
-  const Json body = Json::parse(aRecord.value_, nullptr, false);
+  const Json body = ParseJsonOrDiscarded(aRecord.value_);
   if (!body.is_object()) {
     return false;
   }
@@ -107,7 +109,7 @@
 std::optional<OwnerRecord>
 ReadDutyOwner(const StoreRecord& aRecord)
 {
-  const Json body = Json::parse(aRecord.value_, nullptr, false);
+  const Json body = ParseJsonOrDiscarded(aRecord.value_);
   if (!body.is_object()) {
     return std::nullopt;
   }
@@ -224,7 +226,7 @@
     }
     const auto known = roles_.find(key);
     if (known != roles_.end()) {
-      ReadRoles(Json::parse(known->second.value_), aView);
+      ReadRoles(ParseJson(known->second.value_), aView);
       roles.insert(*known);
     }
   }
--- a/src/daemon/config_http.cpp
+++ b/src/daemon/config_http.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/access.hpp"
 #include "daemon/config_editor.hpp"
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/version/rules_edit.hpp"
 
 #include <nlohmann/json.hpp>
@@ -22,7 +23,7 @@
 Result<EditRequest>
 ParseEditRequest(const std::string& aBody)
 {
-  const Json body = Json::parse(aBody, nullptr, false);
+  const Json body = ParseJsonOrDiscarded(aBody);
   if (!body.is_object() || !body.value("file", Json()).is_string() ||
       !body.value("set", Json()).is_string()) {
     return Error{ ErrorKind::BadInput,
--- a/src/daemon/instance_list.cpp
+++ b/src/daemon/instance_list.cpp
@@ -1,5 +1,7 @@
 #include "daemon/instance_list.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -29,7 +31,7 @@
 Result<std::vector<PlatformInstance>>
 ParseInstanceList(const std::string& aText)
 {
-  const Json body = Json::parse(aText, nullptr, false);
+  const Json body = ParseJsonOrDiscarded(aText);
   if (!body.is_object() || !body.contains("instances")) {
     return Error{ ErrorKind::BadInput,
                   "instance list has no 'instances' field" };
--- a/src/daemon/manifest.cpp
+++ b/src/daemon/manifest.cpp
@@ -1,5 +1,6 @@
 #include "daemon/manifest.hpp"
 
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/connection/config_messages.hpp"
 
 #include <array>
@@ -72,7 +73,7 @@
 ParseManifest(const std::string& aText)
 {
   try {
-    return FromJson(Json::parse(aText));
+    return FromJson(ParseJson(aText));
   } catch (const Json::exception& failure) {
     return Error{ ErrorKind::BadInput,
                   std::string("unreadable manifest: ") + failure.what() };
--- a/src/daemon/relay_seeds.cpp
+++ b/src/daemon/relay_seeds.cpp
@@ -1,5 +1,6 @@
 #include "daemon/relay_seeds.hpp"
 
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/runtime/log.hpp"
 
 #include <nlohmann/json.hpp>
@@ -50,7 +51,7 @@
       continue;
     }
     try {
-      recorded_ = Json::parse(record.value_).get<std::vector<std::string>>();
+      recorded_ = ParseJson(record.value_).get<std::vector<std::string>>();
       host_.Relays().SetSeeds(recorded_, own_);
     } catch (const Json::exception& failure) {
       LogEvent(LogLevel::Error,
--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -1,5 +1,6 @@
 #include "marjoramtally/process/relay_plan.hpp"
 
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/process/job_takeover.hpp"
 
 #include <algorithm>
@@ -28,7 +29,7 @@
 ReadLivenessRecord(std::string_view aText)
 {
   try {
-    const Json value = Json::parse(aText);
+    const Json value = ParseJson(aText);
     return LivenessRecord{ ZoneId{ value.at("zone").get<std::string>() },
                            value.at("address").get<std::string>(),
                            Capacity{ value.value("capacity", 0U) } };
--- a/src/process/usage_ledger.cpp
+++ b/src/process/usage_ledger.cpp
@@ -1,5 +1,7 @@
 #include "marjoramtally/process/usage_ledger.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -26,7 +28,7 @@
 ReadSettledWindow(std::string_view aText)
 {
   try {
-    const Json value = Json::parse(aText);
+    const Json value = ParseJson(aText);
     SettledWindow window;
     window.sent_ = value.at("sent").get<bool>();
     for (const auto& [customer, count] : value.at("counts").items()) {
--- a/src/programs/controld/allocation_service.cpp
+++ b/src/programs/controld/allocation_service.cpp
@@ -1,5 +1,7 @@
 #include "programs/controld/allocation_service.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -168,7 +170,7 @@
     if (record.key_ != aKey) {
       continue;
     }
-    const auto roles = nlohmann::json::parse(record.value_, nullptr, false);
+    const auto roles = ParseJsonOrDiscarded(record.value_);
     if (!roles.is_object()) {
       // Only owners write this record, so retrying the read would not help.
       LogEvent(LogLevel::Error, "store_record_unreadable", { { "key", aKey } });
--- a/src/programs/controld/candidate_source.cpp
+++ b/src/programs/controld/candidate_source.cpp
@@ -1,5 +1,7 @@
 #include "programs/controld/candidate_source.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -45,8 +47,7 @@
   if (aResult.end_ != HttpEnd::Complete || aResult.response_.status_ != 200) {
     return std::nullopt;
   }
-  const auto reply =
-    nlohmann::json::parse(aResult.response_.body_, nullptr, false);
+  const auto reply = ParseJsonOrDiscarded(aResult.response_.body_);
   if (!reply.is_object() || !reply.contains("reward") ||
       !reply["reward"].is_number()) {
     return std::nullopt;
--- a/src/programs/controld/order_sender.cpp
+++ b/src/programs/controld/order_sender.cpp
@@ -1,5 +1,7 @@
 #include "programs/controld/order_sender.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -43,7 +45,7 @@
 std::optional<UpstreamState>
 ParseState(const std::string& aText)
 {
-  const Json body = Json::parse(aText, nullptr, false);
+  const Json body = ParseJsonOrDiscarded(aText);
   if (!body.is_object()) {
     return std::nullopt;
   }
--- a/src/programs/controld/version_announcer.cpp
+++ b/src/programs/controld/version_announcer.cpp
@@ -1,5 +1,7 @@
 #include "programs/controld/version_announcer.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -54,7 +56,7 @@
       continue;
     }
     result.modRevision_ = record.modRevision_;
-    if (!ReadAnnounced(Json::parse(record.value_, nullptr, false),
+    if (!ReadAnnounced(ParseJsonOrDiscarded(record.value_),
                        result.announced_)) {
       LogEvent(LogLevel::Error, "store_record_unreadable", { { "key", aKey } });
       return Error{ ErrorKind::Unavailable,
--- a/src/programs/ctl/session.cpp
+++ b/src/programs/ctl/session.cpp
@@ -1,5 +1,6 @@
 #include "programs/ctl/session.hpp"
 
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/runtime/program.hpp"
 
 #include <iostream>
@@ -25,8 +26,7 @@
 std::uint64_t
 RevisionOf(const std::optional<std::string>& aStatus)
 {
-  const Json body =
-    aStatus ? Json::parse(*aStatus, nullptr, false) : Json::object();
+  const Json body = aStatus ? ParseJsonOrDiscarded(*aStatus) : Json::object();
   return body.is_object() ? body.value("revision", std::uint64_t{ 0 }) : 0;
 }
 
@@ -221,7 +221,7 @@
     if (!record.key_.starts_with(kInstancePrefix)) {
       continue;
     }
-    const Json body = Json::parse(record.value_, nullptr, false);
+    const Json body = ParseJsonOrDiscarded(record.value_);
     if (body.is_object()) {
       instances.push_back({ record.key_.substr(kInstancePrefix.size()),
                             body.value("role", ""),
--- a/src/programs/ctl/trace_command.cpp
+++ b/src/programs/ctl/trace_command.cpp
@@ -1,5 +1,6 @@
 #include "programs/ctl/commands.hpp"
 
+#include "marjoramtally/base/json.hpp"
 #include "marjoramtally/runtime/program.hpp"
 
 #include <algorithm>
@@ -30,7 +31,7 @@
     std::istringstream lines(text.value());
     std::string line;
     while (std::getline(lines, line)) {
-      Json span = Json::parse(line, nullptr, false);
+      Json span = ParseJsonOrDiscarded(line);
       if (span.is_object() && span.value("traceId", "") == aTrace) {
         spans.push_back(std::move(span));
       }
--- a/src/programs/ctl/view_commands.cpp
+++ b/src/programs/ctl/view_commands.cpp
@@ -1,4 +1,6 @@
 #include "marjoramtally/runtime/program.hpp"
+
+#include "marjoramtally/base/json.hpp"
 #include "programs/ctl/folder.hpp"
 #include "programs/ctl/session.hpp"
 
@@ -122,7 +124,7 @@
             { "zone", aInstance.zone_ },
             { "http", aInstance.http_ } };
   const auto text = aSession.Query(aInstance.http_, "/status.json");
-  const Json body = text ? Json::parse(*text, nullptr, false) : Json(nullptr);
+  const Json body = text ? ParseJsonOrDiscarded(*text) : Json(nullptr);
   if (!body.is_object()) {
     row["revision"] = "no answer";
     return row;
@@ -233,7 +235,7 @@
             { "records", Json::object() } };
   for (const StoreRecord& record : live.value()) {
     out["records"][record.key_.substr(kLivePrefix.size())] =
-      Json::parse(record.value_, nullptr, false);
+      ParseJsonOrDiscarded(record.value_);
   }
   for (const LiveInstance& instance : ListInstances(live.value())) {
     out["instances"].push_back(DescribeInstance(session, instance));
--- a/src/programs/entryd/completions.cpp
+++ b/src/programs/entryd/completions.cpp
@@ -1,5 +1,7 @@
 #include "programs/entryd/completions.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -26,7 +28,7 @@
 Result<std::string>
 ReadBody(const DispatchResult& aResult)
 {
-  const Json body = Json::parse(aResult.response_.body_);
+  const Json body = ParseJson(aResult.response_.body_);
   GenerateReply reply;
   reply.upstream_ = aResult.upstream_;
   reply.text_ = body.at("choices").at(0).at("text").get<std::string>();
@@ -44,7 +46,7 @@
 ParseCompletionRequest(const std::string& aBody)
 {
   try {
-    const Json body = Json::parse(aBody);
+    const Json body = ParseJson(aBody);
     const bool stream = body.value("stream", false);
     if (stream && body.value("n", 1) != 1) {
       return Error{ ErrorKind::BadInput, "a stream has one choice: 'n' is 1" };
@@ -94,7 +96,7 @@
   if (aResponse.status_ >= 400 && aResponse.status_ < 500) {
     return AttemptEnd::Complete;
   }
-  const Json body = Json::parse(aResponse.body_, nullptr, false);
+  const Json body = ParseJsonOrDiscarded(aResponse.body_);
   if (aResponse.status_ != 200 || !body.is_object() ||
       !body.contains("choices") || !body["choices"].is_array() ||
       body["choices"].empty()) {
--- a/src/programs/entryd/report_poller.cpp
+++ b/src/programs/entryd/report_poller.cpp
@@ -1,5 +1,7 @@
 #include "programs/entryd/report_poller.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -13,7 +15,7 @@
 ParseReport(const std::string& aBody)
 {
   try {
-    const auto body = nlohmann::json::parse(aBody);
+    const auto body = ParseJson(aBody);
     UpstreamReport report;
     report.running_ = body.at("running").get<std::uint64_t>();
     report.queued_ = body.at("queued").get<std::uint64_t>();
--- a/src/programs/entryd/stream_relay.cpp
+++ b/src/programs/entryd/stream_relay.cpp
@@ -1,5 +1,7 @@
 #include "programs/entryd/stream_relay.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include "programs/entryd/completions.hpp"
 
 #include <nlohmann/json.hpp>
@@ -32,7 +34,7 @@
   errorBody_.clear();
   aCall.body_ = body_;
   if (stream_.Tokens() > 0) {
-    Json body = Json::parse(body_);
+    Json body = ParseJson(body_);
     body["resume_from"] = stream_.Tokens();
     body["resume_text"] = stream_.Text();
     aCall.body_ = body.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -176,7 +178,7 @@
     return;
   }
   if (!stream_.IsComplete()) {
-    Json error = Json::parse(aResponse.body_, nullptr, false);
+    Json error = ParseJsonOrDiscarded(aResponse.body_);
     if (!error.is_object() || !error.contains("error")) {
       error = Json{ { "error", { { "kind", "unknown" } } } };
     }
--- a/src/programs/entryd/trainer_api.cpp
+++ b/src/programs/entryd/trainer_api.cpp
@@ -1,5 +1,7 @@
 #include "programs/entryd/trainer_api.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include "daemon/access.hpp"
 
 #include <algorithm>
@@ -134,7 +136,7 @@
     }
     try {
       return TrainerRequest{ TrainerId{ rest.substr(0, slash) },
-                             route.parse_(Json::parse(aRequest.body_)) };
+                             route.parse_(ParseJson(aRequest.body_)) };
     } catch (const std::exception& failure) {
       return Error{ ErrorKind::BadInput,
                     "body of " + name + ": " + failure.what() };
--- a/src/request/completion_stream.cpp
+++ b/src/request/completion_stream.cpp
@@ -1,5 +1,7 @@
 #include "marjoramtally/request/completion_stream.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -88,7 +90,7 @@
 CompletionStream::ParseChunk(const std::string& aData) const
 {
   try {
-    const Json event = Json::parse(aData);
+    const Json event = ParseJson(aData);
     const Json& choice = event.at("choices").at(0);
     Chunk chunk;
     chunk.text_ = choice.value("text", "");
@@ -171,7 +173,7 @@
                           const Chunk& aChunk,
                           const std::string& aNewText) const
 {
-  Json event = Json::parse(aData);
+  Json event = ParseJson(aData);
   const bool same = aNewText.size() == aChunk.text_.size();
   const bool labels = event.contains("weight_versions");
   if (same && !labels) {
--- a/src/runtime/etcd_store.cpp
+++ b/src/runtime/etcd_store.cpp
@@ -1,5 +1,7 @@
 #include "marjoramtally/runtime/etcd_store.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <atomic>
 #include <kj/encoding.h>
 #include <map>
@@ -244,8 +246,7 @@
     aWatch.pending_ += aData;
     std::size_t end = aWatch.pending_.find('\n');
     while (end != std::string::npos && !aWatch.stopped_) {
-      const Json line =
-        Json::parse(aWatch.pending_.substr(0, end), nullptr, false);
+      const Json line = ParseJsonOrDiscarded(aWatch.pending_.substr(0, end));
       aWatch.pending_.erase(0, end + 1);
       if (line.is_discarded()) {
         return false;
@@ -300,7 +301,7 @@
                       aResult.response_.body_ };
     }
     try {
-      return aParse(Json::parse(aResult.response_.body_));
+      return aParse(ParseJson(aResult.response_.body_));
     } catch (const std::exception& failure) {
       return Error{ ErrorKind::Internal,
                     std::string("the store's answer is unreadable: ") +
--- a/src/version/job_record.cpp
+++ b/src/version/job_record.cpp
@@ -1,5 +1,7 @@
 #include "marjoramtally/version/job_record.hpp"
 
+#include "marjoramtally/base/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace marjoramtally {
@@ -91,7 +93,7 @@
 {
   return Read("partial texts", [&] {
     std::vector<PartialRecord> texts;
-    for (const Json& value : Json::parse(aText)) {
+    for (const Json& value : ParseJson(aText)) {
       PartialText text;
       text.text_ = value.at("text").get<std::string>();
       text.lastEvent_ = value.at("last").get<std::uint64_t>();
@@ -120,7 +122,7 @@
 ReadOwnerRecord(std::string_view aText)
 {
   return Read("an owner", [&] {
-    const Json value = Json::parse(aText);
+    const Json value = ParseJson(aText);
     return JobOwnerRecord{ value.at("owner").get<std::string>(),
                            value.at("total").get<std::uint64_t>(),
                            value.at("accepted").get<std::int64_t>(),
@@ -146,7 +148,7 @@
 {
   return Read("a submission", [&] {
     const std::size_t end = std::min(aText.find('\n'), aText.size());
-    const Json head = Json::parse(aText.substr(0, end));
+    const Json head = ParseJson(aText.substr(0, end));
     const std::size_t body = std::min(end + 1, aText.size());
     return JobSubmissionRecord{ head.at("host").get<std::string>(),
                                 head.at("path").get<std::string>(),
@@ -172,7 +174,7 @@
 {
   return Read("results", [&] {
     std::vector<JobResult> results;
-    for (const Json& value : Json::parse(aText)) {
+    for (const Json& value : ParseJson(aText)) {
       results.push_back(ReadResult(value));
     }
     return results;
--- a/tests/test_base.cpp
+++ b/tests/test_base.cpp
@@ -1,6 +1,7 @@
 #include "marjoramtally/base.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace marjoramtally;
 
@@ -54,3 +55,22 @@
   clock.Advance(std::chrono::seconds(2));
   CHECK(clock.Now() - start == std::chrono::seconds(2));
 }
+
+TEST_CASE("JSON text is parsed up to a depth, brackets in strings not counted")
+{
+  const auto nest = [](std::size_t aDepth, const std::string& aInner) {
+    return std::string(aDepth, '[') + aInner + std::string(aDepth, ']');
+  };
+  const std::string brackets =
+    '"' + std::string(kMaxJsonDepth, '[') + R"(\"[{\\")";
+  CHECK_NOTHROW(ParseJson(nest(kMaxJsonDepth, brackets)));
+  CHECK_NOTHROW(ParseJson(R"([[],[],{"a":{}},"]"])"));
+  CHECK_THROWS_AS(ParseJson(nest(kMaxJsonDepth + 1, brackets)),
+                  nlohmann::json::exception);
+  CHECK_THROWS_AS(ParseJson("]]]]" + nest(kMaxJsonDepth, "")),
+                  nlohmann::json::exception);
+  CHECK_THROWS_AS(ParseJson("\"\\"), nlohmann::json::exception);
+  CHECK(ParseJsonOrDiscarded("{").is_discarded());
+  CHECK(ParseJsonOrDiscarded(nest(kMaxJsonDepth + 1, "")).is_discarded());
+  CHECK(ParseJsonOrDiscarded(nest(kMaxJsonDepth, "7")).is_array());
+}
--- a/tests/test_platform_formats.cpp
+++ b/tests/test_platform_formats.cpp
@@ -160,6 +160,28 @@
   REQUIRE_FALSE(kPlatform->ReadVersion("{}"));
 }
 
+// Guards against a stack overflow, which ended every process that read the
+// value and could not be caught.
+TEST_CASE("a deeply nested field of another writer is an error, not a crash")
+{
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested =
+    std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto upstream = kPlatform->ReadUpstream(
+    "servers/x",
+    R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,)"
+    R"("state":"ready","models":)" +
+      nested + "}");
+  REQUIRE(upstream.error().kind_ == ErrorKind::BadInput);
+  REQUIRE(upstream.error().message_.find("nested") != std::string::npos);
+  REQUIRE_FALSE(kPlatform->ReadReport(R"({"models":)" + nested + "}"));
+  REQUIRE_FALSE(kPlatform->ReadVersion(R"({"model":)" + nested + "}"));
+  REQUIRE_FALSE(kPlatform->ReadConfig(
+    R"({"version":1,"routes":[],"services":)" + nested + "}"));
+  REQUIRE_FALSE(kPlatform->ReadSubmission(
+    R"({"items":[{"id":"a","path":"/","headers":{"X":)" + nested + "}}]}"));
+}
+
 TEST_CASE("job queries are distinguished by method and path")
 {
   const auto read =
