--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -37,8 +37,14 @@
   Duration idleTimeout_{ 0 };
   /// Time limit for opening the connection.
   Duration connectTimeout_ = std::chrono::seconds(2);
-  /// Uses a separate connection, so that libcurl never sends the request twice.
+  /// Uses a connection for this call only, so that no earlier call can have
+  /// left it broken.
   bool atMostOnce_ = false;
+  /// The request may be sent again if a kept connection closes before any byte
+  /// of the response, as those of GET calls always may. The result then tells
+  /// only about the last time: a refusal does not prove that the request was
+  /// never executed.
+  bool mayResend_ = false;
   /// Uses a connection that no call was sent on before.
   bool newConnection_ = false;
   /// Called on a client thread for each piece of the body, if set; the result
@@ -65,6 +71,8 @@
   std::uint16_t localPort_ = 0;
   /// The call opened its connection.
   bool opened_ = false;
+  /// The request was sent more than once (`HttpCall::mayResend_`).
+  bool resent_ = false;
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/src/programs/controld/candidate_source.cpp
+++ b/src/programs/controld/candidate_source.cpp
@@ -139,6 +139,7 @@
   call.url_ = "http://" + aScoring->scorer_ + "/score";
   call.body_ = aScoring->body_;
   call.timeout_ = kScoreTimeout;
+  call.mayResend_ = true;
   host_.Http().Send(std::move(call),
                     [this, aScoring](const HttpResult& aResult) {
                       OnScore(aScoring, aResult);
--- a/src/programs/entryd/in_flight_request.cpp
+++ b/src/programs/entryd/in_flight_request.cpp
@@ -18,10 +18,8 @@
   return std::max<Duration>(left, kMinAttemptTime);
 }
 
-} // namespace
-
 AttemptEnd
-ClassifyAttempt(const InFlightRequest& aRequest, HttpResult& aResult)
+ClassifyLastSending(const InFlightRequest& aRequest, HttpResult& aResult)
 {
   if (aRequest.message_.sink_) {
     return aRequest.message_.sink_->Classify(aResult);
@@ -33,6 +31,17 @@
                                           : AttemptEnd::MaybeRun;
 }
 
+} // namespace
+
+AttemptEnd
+ClassifyAttempt(const InFlightRequest& aRequest, HttpResult& aResult)
+{
+  const AttemptEnd end = ClassifyLastSending(aRequest, aResult);
+  // The request may have run when it was sent first.
+  return end == AttemptEnd::NotRun && aResult.resent_ ? AttemptEnd::MaybeRun
+                                                      : end;
+}
+
 std::uint64_t
 CountTokens(const HttpResponse& aResponse)
 {
@@ -93,6 +102,7 @@
   call.headers_.push_back({ "traceparent", aTrace.Format() });
   call.body_ = aRequest.message_.body_;
   call.atMostOnce_ = !aRequest.spec_.idempotent_;
+  call.mayResend_ = aRequest.spec_.idempotent_;
   call.timeout_ = TimeLeft(aRequest.spec_, aNow);
   call.headers_.push_back(
     { std::string(kDeadlineHeader),
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -207,6 +207,7 @@
   call.connectTimeout_ =
     std::min<Duration>(kUpstreamConnectTimeout, call.timeout_);
   call.atMostOnce_ = !Repeatable(aPending);
+  call.mayResend_ = !call.atMostOnce_;
   // A late second answer to an earlier call on the same connection is
   // recognised by its id. Without an id, or with one that was sent before and
   // whose failure may arrive twice, a new connection is required.
@@ -311,7 +312,8 @@
              { "status", std::to_string(head.status_) },
              { "names", std::string(echo.value_or("nothing")) },
              { "port", std::to_string(aResult.localPort_) },
-             { "first_on_connection", aResult.opened_ ? "yes" : "no" } });
+             { "first_on_connection", aResult.opened_ ? "yes" : "no" },
+             { "resent", aResult.resent_ ? "yes" : "no" } });
 }
 
 void
@@ -325,6 +327,11 @@
   if (aResult.opened_) {
     host_.Measures().Count("upstream_connections_total{for=\"calls\"}");
   }
+  if (aResult.resent_) {
+    // Whatever the answer is, the upstream may have run the request when it was
+    // sent first.
+    ++pending->possibleRuns_;
+  }
   if (!pending->rejectReason_.empty()) {
     OnRejected(aId, *pending, aResult);
   } else if (pending->stream_) {
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -70,6 +70,7 @@
   call.body_ = item.body_;
   call.timeout_ = left;
   call.connectTimeout_ = kUpstreamConnectTimeout;
+  call.mayResend_ = true;
   // On a reused connection, a duplicate answer to the failed run would count
   // as a failure of the next run.
   call.newConnection_ = aJob.ledger_.RunFailed(aItem);
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -94,6 +94,25 @@
   return 0;
 }
 
+/// Called before each time that libcurl sends the request. libcurl sends it
+/// again by itself if a kept connection closes before any byte of the response,
+/// although the peer may have executed it.
+int
+CurlTransfer::OnPrerequest(void* aUser,
+                           char* /*aPeerAddress*/,
+                           char* /*aLocalAddress*/,
+                           int /*aPeerPort*/,
+                           int /*aLocalPort*/)
+{
+  auto& transfer = *static_cast<CurlTransfer*>(aUser);
+  if (transfer.SentBytes() == 0) {
+    return CURL_PREREQFUNC_OK;
+  }
+  transfer.resent_ =
+    transfer.call_.mayResend_ || transfer.call_.method_ == "GET";
+  return transfer.resent_ ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 void
 CurlTransfer::PrepareHandle(CURL* aEasy)
 {
@@ -103,6 +122,7 @@
   curl_easy_setopt(aEasy, CURLOPT_BUFFERSIZE, kReadBufferBytes);
   curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, OnHeader);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQFUNCTION, OnPrerequest);
 }
 
 void
@@ -115,6 +135,7 @@
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(easy_, CURLOPT_URL, call_.url_.c_str());
   curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, Millis(call_.timeout_));
   curl_easy_setopt(
@@ -196,15 +217,21 @@
   return true;
 }
 
+long
+CurlTransfer::SentBytes() const
+{
+  long bytes = 0;
+  curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes;
+}
+
 HttpEnd
 CurlTransfer::Classify(CURLcode aCode) const
 {
   if (aCode == CURLE_OK) {
     return HttpEnd::Complete;
   }
-  long sentBytes = 0;
-  curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sentBytes);
-  if (sentBytes == 0) {
+  if (SentBytes() == 0) {
     return HttpEnd::NotSent;
   }
   if (cancelled_) {
@@ -228,6 +255,7 @@
   curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &opened);
   result.localPort_ = static_cast<std::uint16_t>(port);
   result.opened_ = opened > 0;
+  result.resent_ = resent_;
   result.response_ = std::move(response_);
   return result;
 }
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -39,7 +39,14 @@
                             std::size_t aSize,
                             std::size_t aCount,
                             void* aUser);
+  static int OnPrerequest(void* aUser,
+                          char* aPeerAddress,
+                          char* aLocalAddress,
+                          int aPeerPort,
+                          int aLocalPort);
   void OnByteReceived();
+  /// @returns the number of bytes of the request that have left this process
+  [[nodiscard]] long SentBytes() const;
   void SetMethod();
   void SetHeaders();
   /// @returns false if the caller rejects the response
@@ -57,6 +64,7 @@
   std::vector<std::string> headerLines_;
   std::vector<curl_slist> headerNodes_;
   bool headReported_ = false;
+  bool resent_ = false;
   bool cancelled_ = false;
 };
 
--- a/src/runtime/etcd_store.cpp
+++ b/src/runtime/etcd_store.cpp
@@ -169,35 +169,37 @@
     const std::string end = PrefixEnd(aPrefix);
     const Json body{ { "key", EncodeBase64(aPrefix) },
                      { "range_end", EncodeBase64(end) } };
-    Request<StoreRange>("/v3/kv/range", body, ParseRange, std::move(aDone));
+    Request<StoreRange>(
+      MakeRepeatableCall("/v3/kv/range", body), ParseRange, std::move(aDone));
   }
 
   void Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone) override
   {
     Request<StoreCommit>(
-      "/v3/kv/txn", TxnBody(aTxn), ParseCommit, std::move(aDone));
+      MakeCall("/v3/kv/txn", TxnBody(aTxn)), ParseCommit, std::move(aDone));
   }
 
   void GrantLease(Duration aTtl, StoreDone<StoreLease> aDone) override
   {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(aTtl).count();
     const Json body{ { "TTL", std::to_string(seconds) } };
-    Request<StoreLease>("/v3/lease/grant", body, ParseLease, std::move(aDone));
+    Request<StoreLease>(
+      MakeCall("/v3/lease/grant", body), ParseLease, std::move(aDone));
   }
 
   void KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone) override
   {
     const Json body{ { "ID", std::to_string(aLease) } };
-    Request<StoreLease>(
-      "/v3/lease/keepalive", body, ParseLease, std::move(aDone));
+    Request<StoreLease>(MakeRepeatableCall("/v3/lease/keepalive", body),
+                        ParseLease,
+                        std::move(aDone));
   }
 
   void RevokeLease(StoreLeaseId aLease, StoreDone<bool> aDone) override
   {
     const Json body{ { "ID", std::to_string(aLease) } };
     Request<bool>(
-      "/v3/lease/revoke",
-      body,
+      MakeCall("/v3/lease/revoke", body),
       [](const Json&) { return true; },
       std::move(aDone));
   }
@@ -212,7 +214,8 @@
     const Json create{ { "key", EncodeBase64(aPrefix) },
                        { "range_end", EncodeBase64(PrefixEnd(aPrefix)) },
                        { "start_revision", std::to_string(aFromRevision) } };
-    HttpCall call = MakeCall("/v3/watch", { { "create_request", create } });
+    HttpCall call =
+      MakeRepeatableCall("/v3/watch", { { "create_request", create } });
     call.timeout_ = kWatchTimeout;
     call.onData_ = [watch](std::string_view aData) {
       return OnWatchData(*watch, aData);
@@ -269,13 +272,20 @@
     return call;
   }
 
+  /// @returns a call whose repetition has no further effect
+  HttpCall MakeRepeatableCall(const std::string& aPath, const Json& aBody) const
+  {
+    HttpCall call = MakeCall(aPath, aBody);
+    call.mayResend_ = true;
+    return call;
+  }
+
   template<typename T>
-  void Request(const std::string& aPath,
-               const Json& aBody,
+  void Request(HttpCall aCall,
                std::function<T(const Json&)> aParse,
                StoreDone<T> aDone)
   {
-    client_.Send(MakeCall(aPath, aBody),
+    client_.Send(std::move(aCall),
                  [parse = std::move(aParse),
                   done = std::move(aDone)](const HttpResult& aResult) {
                    done(ParseReply<T>(aResult, parse));
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -42,7 +42,8 @@
   [[nodiscard]] SentCall& Oldest() { return open_.front(); }
 
   /// Ends a call with a complete response.
-  void Answer(SentCall aCall, HttpResponse aResponse)
+  /// @param aResent whether the client sent the call twice
+  void Answer(SentCall aCall, HttpResponse aResponse, bool aResent = false)
   {
     Cancel(aCall.id_);
     --cancelled_;
@@ -58,7 +59,9 @@
       }
       aResponse.body_.clear();
     }
-    aCall.done_({ HttpEnd::Complete, std::move(aResponse), {} });
+    HttpResult result{ HttpEnd::Complete, std::move(aResponse), {} };
+    result.resent_ = aResent;
+    aCall.done_(std::move(result));
   }
 
   void Fail(SentCall aCall, HttpEnd aEnd)
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -183,12 +183,27 @@
   REQUIRE(fix.clock_.Now() == startedAt);
 }
 
+// Guards against a refusal that is not true: the refusal answers the second
+// sending, and the upstream may have run the first.
+TEST_CASE("a request that was sent twice is not refused as not run")
+{
+  Fixture fix;
+  fix.Start();
+  REQUIRE(fix.FirstCall().call_.mayResend_);
+  const SentCall first = fix.FirstCall();
+  fix.client_.Answer(first, fix.NotRun(first, 503), true);
+  fix.client_.Answer(fix.FirstCall(), fix.NotRun(fix.FirstCall(), 503));
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->notRun_);
+}
+
 TEST_CASE(
   "an at-most-once request that may have run is neither retried nor refused")
 {
   Fixture fix;
   fix.Start(RouteKind::AtMostOnce, 3);
   REQUIRE(fix.FirstCall().call_.atMostOnce_);
+  REQUIRE_FALSE(fix.FirstCall().call_.mayResend_);
   fix.client_.Fail(fix.FirstCall(), HttpEnd::Broken);
   REQUIRE(fix.client_.sent_ == 1);
   REQUIRE(fix.outcome_->response_.status_ == 502);
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -198,29 +198,51 @@
   CHECK(server.requests_ == 2);
 }
 
-TEST_CASE(
-  "libcurl resends on a closed connection, except for at-most-once calls")
+// Guards against a refusal of a request that was executed. libcurl sent a write
+// to the store again by itself, and the 503 to the second sending was taken for
+// the fate of both.
+TEST_CASE("only a call that allows it is sent again on a closed connection")
+{
+  const bool mayResend = GENERATE(false, true);
+  const auto client = HttpClient::Create(1);
+  RawServer server([](RawServer& aServer) {
+    const int kept = AnswerThenClose(aServer);
+    aServer.Read(kept);
+    close(kept);
+    // A connection that libcurl opens to send again may stay unused.
+    while (aServer.requests_ < 3) {
+      const int next = aServer.Accept();
+      aServer.Read(next);
+      RawServer::Write(next, kCompleteResponse);
+      close(next);
+    }
+  });
+  CHECK_FALSE(SendAndWait(*client, Post(server)).resent_);
+  HttpCall call = Post(server);
+  call.mayResend_ = mayResend;
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == (mayResend ? HttpEnd::Complete : HttpEnd::Broken));
+  CHECK(result.resent_ == mayResend);
+  if (result.end_ == HttpEnd::Broken) {
+    CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Complete);
+  }
+  server.Join();
+  CHECK(server.requests_ == 3);
+}
+
+TEST_CASE("an at-most-once call uses a connection of its own and is not resent")
 {
-  const bool atMostOnce = GENERATE(false, true);
   const auto client = HttpClient::Create(1);
-  RawServer server([&](RawServer& aServer) {
+  RawServer server([](RawServer& aServer) {
     const int kept = AnswerThenClose(aServer);
-    const int second = atMostOnce ? aServer.Accept() : kept;
+    const int second = aServer.Accept();
     aServer.Read(second);
     close(second);
-    if (atMostOnce) {
-      close(kept);
-      return;
-    }
-    const int third = aServer.Accept();
-    aServer.Read(third);
-    RawServer::Write(third, kCompleteResponse);
-    close(third);
+    close(kept);
   });
   CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Complete);
-  const HttpResult result = SendAndWait(*client, Post(server, atMostOnce));
-  CHECK(result.end_ == (atMostOnce ? HttpEnd::Broken : HttpEnd::Complete));
-  CHECK(server.requests_ == (atMostOnce ? 2 : 3));
+  CHECK(SendAndWait(*client, Post(server, true)).end_ == HttpEnd::Broken);
+  CHECK(server.requests_ == 2);
 }
 
 TEST_CASE("a paused response waits for its reader and is complete")
