A repeated submission is not refused while an earlier one may be accepted

A gateway whose acceptance of a job had an unknown outcome answered 503, "not run", when the same job came again and the store refused that write; the earlier write may have been applied, or may be some seconds later.

The gateway keeps such jobs for 60 s and answers 504. The new test "a job that this process may have accepted earlier is not refused" got 503 before.

--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -16,6 +16,10 @@
 /// some milliseconds, and a trainer's submission is late after 400 ms.
 constexpr auto kForwardTimeout = std::chrono::milliseconds(200);
 
+/// Time after which a write whose outcome is unknown is no longer applied; the
+/// store may apply one some seconds late.
+constexpr auto kUnsettledRetention = std::chrono::seconds(60);
+
 /// A model's burst is recorded again if it has grown by this factor.
 constexpr double kBurstGrowth = 1.25;
 
@@ -142,11 +146,12 @@
     aSubmission->spec_.items_.size(),
     [this, aSubmission, done = std::move(aDone)](const AcceptResult& aResult) {
       const JobId& job = aSubmission->job_;
-      LogEvent(LogLevel::Info,
-               "job_submitted",
-               { { "job", job.Get() },
-                 { "outcome", std::string(NameOf(aResult.outcome_)) } });
-      done(aResult.outcome_);
+      const AcceptOutcome outcome = Settle(job, aResult.outcome_);
+      LogEvent(
+        LogLevel::Info,
+        "job_submitted",
+        { { "job", job.Get() }, { "outcome", std::string(NameOf(outcome)) } });
+      done(outcome);
       if (aResult.outcome_ == AcceptOutcome::Accepted) {
         StartAccepted(*aSubmission, aResult.fence_);
       } else {
@@ -156,6 +161,23 @@
     GrownBurst(aSubmission->spec_));
 }
 
+/// A refusal promises that the job does not run, which the refusal of a
+/// repeated submission does not prove for the earlier ones.
+AcceptOutcome
+JobIntake::Settle(const JobId& aJob, AcceptOutcome aLast)
+{
+  const TimePoint now = host_.Now();
+  std::erase_if(unsettled_, [now](const auto& aEntry) {
+    return now - aEntry.second >= Duration{ kUnsettledRetention };
+  });
+  if (aLast == AcceptOutcome::Unknown) {
+    unsettled_[aJob] = now;
+  } else if (aLast == AcceptOutcome::Refused && unsettled_.contains(aJob)) {
+    return AcceptOutcome::Unknown;
+  }
+  return aLast;
+}
+
 /// The answer to the write may arrive after the notifications of the job's end
 /// or its next owner, which are not repeated.
 void
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -52,6 +52,9 @@
 
   /// Writes the acceptance to the store and owns the job afterwards.
   void AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone);
+  /// @returns the outcome of all submissions of a job here, given that of the
+  /// last one
+  [[nodiscard]] AcceptOutcome Settle(const JobId& aJob, AcceptOutcome aLast);
   /// @returns a record for the holder of the order duty of the slots that the
   /// items of a model will want, if they are more than recorded before; else
   /// one without a key
@@ -77,6 +80,8 @@
   JobRunner& runner_;
   /// Bursts recorded by this process, by model.
   std::map<std::string, std::uint64_t> recordedBursts_;
+  /// Jobs of which an acceptance here has an unknown outcome, with its time.
+  std::map<JobId, TimePoint> unsettled_;
   bool open_ = true;
 };
 
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -351,6 +351,22 @@
   REQUIRE(reply->status_ == 504);
 }
 
+// Guards against a refusal of a job that runs later: the refusal of a repeated
+// submission proves nothing about the earlier one.
+TEST_CASE("a job that this process may have accepted earlier is not refused")
+{
+  Pair pair;
+  // A job without a model is owned where it is submitted.
+  pair.model_.clear();
+  pair.store_.fault_ = StoreFault::Unresponsive;
+  REQUIRE(pair.Submit("j1")->status_ == 504);
+  pair.store_.fault_ = StoreFault::Refuses;
+  REQUIRE(pair.Submit("j1")->status_ == 504);
+  REQUIRE(pair.Submit("j2")->status_ == 503);
+  pair.timers_.Advance(61s);
+  REQUIRE(pair.Submit("j1")->status_ == 503);
+}
+
 TEST_CASE("a job that no process could write is refused")
 {
   Pair pair;
