--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -93,6 +93,12 @@
   {
     return items_[aItem].state_;
   }
+  /// @returns whether the item's result is decided; no later event changes it
+  [[nodiscard]] bool IsFinal(ItemIndex aItem) const noexcept
+  {
+    const ItemState state = items_[aItem].state_;
+    return state == ItemState::Finished || state == ItemState::Listed;
+  }
   [[nodiscard]] const PartialText& Text(ItemIndex aItem) const noexcept
   {
     return items_[aItem].text_;
@@ -107,7 +113,7 @@
   void OnStarted(ItemIndex aItem);
   /// Appends an event of the item's stream, generated under `aVersion`.
   /// @returns an error if the stream must be abandoned: the event is out of
-  /// sequence, or the job does not allow its version
+  /// sequence, the job does not allow its version, or the result is final
   [[nodiscard]] Result<bool> OnEvent(ItemIndex aItem,
                                      const ServerEvent& aEvent,
                                      WeightVersion aVersion);
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -304,12 +304,45 @@
   if (first) {
     RestoreTexts(aJob);
   }
-  aJob.ledger_.AbandonOverdue(host_.Now());
+  AbandonOverdue(aId, aJob);
   Score(aId, aJob);
   ScheduleFlush();
   return true;
 }
 
+/// An item can be running, or wait for its score, when its time is over: runs
+/// keep the time limit of the configuration under which they started.
+void
+JobRunner::AbandonOverdue(const JobId& aId, OwnedJob& aJob)
+{
+  aJob.ledger_.AbandonOverdue(host_.Now());
+  const auto runs = aJob.runs_;
+  for (const auto& [item, run] : runs) {
+    if (aJob.ledger_.IsFinal(item)) {
+      LogStopped(aId, aJob, item);
+      StopRun(run, CallVerdict::Abandoned);
+    }
+  }
+  std::erase_if(aJob.scores_, [&](const auto& aScore) {
+    if (!aJob.ledger_.IsFinal(aScore.first)) {
+      return false;
+    }
+    LogStopped(aId, aJob, aScore.first);
+    forwarder_.Cancel(aScore.second);
+    return true;
+  });
+}
+
+void
+JobRunner::LogStopped(const JobId& aId, const OwnedJob& aJob, ItemIndex aItem)
+{
+  LogEvent(LogLevel::Info,
+           "item_stopped",
+           { { "item", aJob.ledger_.Spec().items_[aItem].id_.Get() },
+             { "job", aId.Get() },
+             { "why", std::string(aJob.ledger_.ErrorOf(aItem)) } });
+}
+
 /// Which texts can be reused depends on whether the route requires a single
 /// weight version per text.
 void
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -181,6 +181,11 @@
   /// @returns whether that configuration is recent enough to know the job
   [[nodiscard]] bool ApplyLimits(const JobId& aId, OwnedJob& aJob);
   [[nodiscard]] JobPolicy PolicyOf(const OwnedJob& aJob) const;
+  /// Abandons the items of a job whose time is over, and stops their work.
+  void AbandonOverdue(const JobId& aId, OwnedJob& aJob);
+  static void LogStopped(const JobId& aId,
+                         const OwnedJob& aJob,
+                         ItemIndex aItem);
   void RestoreTexts(OwnedJob& aJob);
   void Dispatch();
   /// @returns whether items wait that may be able to start without another
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -282,7 +282,7 @@
         batch.writes_.size() == kMaxJobsPerWrite) {
       continue;
     }
-    job.ledger_.AbandonOverdue(now);
+    AbandonOverdue(id, job);
     const bool partials = !job.runs_.empty() && PartialsDue(job) &&
                           !job.ledger_.AwaitsLastGroups(now);
     // Since a write is made anyway, it includes all finished results.
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -128,7 +128,9 @@
 void
 JobLedger::OnStarted(ItemIndex aItem)
 {
-  items_[aItem].state_ = ItemState::Running;
+  if (!IsFinal(aItem)) {
+    items_[aItem].state_ = ItemState::Running;
+  }
 }
 
 Result<bool>
@@ -136,6 +138,9 @@
                    const ServerEvent& aEvent,
                    WeightVersion aVersion)
 {
+  if (IsFinal(aItem)) {
+    return Error{ ErrorKind::Conflict, "the item's result is final" };
+  }
   PartialText& text = items_[aItem].text_;
   if (!aEvent.id_ || *aEvent.id_ != text.lastEvent_ + 1) {
     return Error{ ErrorKind::BadInput, "the event is out of sequence" };
@@ -170,6 +175,9 @@
 void
 JobLedger::OnCompleted(ItemIndex aItem, TimePoint aNow)
 {
+  if (IsFinal(aItem)) {
+    return;
+  }
   Item& item = items_[aItem];
   item.text_.complete_ = true;
   if (spec_.items_[aItem].score_) {
@@ -249,7 +257,7 @@
 JobLedger::Finish(ItemIndex aItem, std::string_view aError, TimePoint aNow)
 {
   Item& item = items_[aItem];
-  if (item.state_ == ItemState::Finished || item.state_ == ItemState::Listed) {
+  if (IsFinal(aItem)) {
     return;
   }
   item.state_ = ItemState::Finished;
--- a/tests/test_job_ledger.cpp
+++ b/tests/test_job_ledger.cpp
@@ -66,6 +66,27 @@
   aLedger.OnScored(aItem, "sig", aNow);
 }
 
+/// Feeds all events of a run and a score to an item.
+void
+FeedLateEvents(JobLedger& aLedger, ItemIndex aItem, TimePoint aNow)
+{
+  aLedger.OnStarted(aItem);
+  REQUIRE_FALSE(Take(aLedger, aItem, aLedger.Text(aItem).lastEvent_ + 1));
+  aLedger.OnInterrupted(aItem);
+  aLedger.OnEmptyContinuation(aItem, aNow);
+  aLedger.OnEmptyContinuation(aItem, aNow);
+  for (std::uint32_t i = 0; i < JobPolicy{}.maxAttempts_; ++i) {
+    aLedger.OnRunFailed(aItem, aNow);
+  }
+  aLedger.OnPermanentFailure(aItem, aNow);
+  aLedger.OnRouteRemoved(aItem, aNow);
+  aLedger.OnCompleted(aItem, aNow);
+  aLedger.OnScoreRequested(aItem);
+  aLedger.OnScored(aItem, "late", aNow);
+  aLedger.OnScoreFailed(aItem, JobPolicy{}.maxScoreFailures_, aNow);
+  aLedger.AbandonOverdue(aNow + JobPolicy{}.maxQueue_);
+}
+
 } // namespace
 
 TEST_CASE("an item's text joins its events in order and lists their versions")
@@ -359,3 +380,35 @@
   ledger.OnCompleted(0, kStart + 3s);
   REQUIRE(ledger.Waiting(kStart + 3s) == std::vector<ItemIndex>{ 1, 3, 2 });
 }
+
+// Guards against a position whose result changes after it was read: an item was
+// abandoned while it ran, and the end of its run turned it into a completed
+// one.
+TEST_CASE("no event changes a final result, before or after it is listed")
+{
+  const bool completed = GENERATE(false, true);
+  const bool listed = GENERATE(false, true);
+  JobLedger ledger = MakeLedger();
+  if (completed) {
+    Complete(ledger, 0, kStart);
+  } else {
+    ledger.OnStarted(0);
+    REQUIRE(Take(ledger, 0, 1));
+    ledger.OnPermanentFailure(0, kStart);
+  }
+  if (listed) {
+    ledger.OnListed({ 0 });
+  }
+  const JobResult before = ledger.ResultOf(0);
+  const ItemState state = ledger.State(0);
+  FeedLateEvents(ledger, 0, kStart + 1s);
+  const JobResult after = ledger.ResultOf(0);
+  REQUIRE(ledger.State(0) == state);
+  REQUIRE(after.completed_ == completed);
+  REQUIRE(after.text_ == before.text_);
+  REQUIRE(after.versions_ == before.versions_);
+  REQUIRE(after.score_ == before.score_);
+  REQUIRE(ledger.Listed().size() == (listed ? 1 : 0));
+  const auto finished = ledger.Finished();
+  REQUIRE(std::count(finished.begin(), finished.end(), 0) == (listed ? 0 : 1));
+}
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -283,6 +283,37 @@
   REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_) == "2");
 }
 
+// Guards against a position whose result changes: a configuration that shortens
+// the time of items abandoned those that ran, and their runs went on.
+TEST_CASE("an item abandoned under a new configuration is stopped and stays so")
+{
+  const bool scoring = GENERATE(false, true);
+  JobFixture fix;
+  fix.Accept(1);
+  if (scoring) {
+    fix.CompleteItem();
+  }
+  const SentCall late = fix.Call();
+  fix.timers_.Advance(9s);
+  RoutingConfig config = JobFixture::Config(2);
+  config.routes_.front().maxQueue_ = 1s;
+  fix.routes_.Apply(std::move(config));
+  fix.runner_.OnUpstreamsChanged();
+  REQUIRE(fix.client_.open_.empty());
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE_FALSE(fix.Stored().front().completed_);
+  // The answer crossed the end of the call.
+  const HttpResponse response =
+    scoring ? fix.Answer(late, 200, "") : fix.Stream(late, Event(1, "a"));
+  late.call_.onHead_(response.status_, response.headers_);
+  late.done_({ HttpEnd::Complete, response, {} });
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.client_.open_.empty());
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE_FALSE(fix.runner_.Find(kJob)->ResultOf(0).completed_);
+}
+
 TEST_CASE("a stopping process releases its jobs with their partial texts")
 {
   JobFixture fix;
