Bodies of items are given to their customer only

What callers saw: another customer's key got the body of an item from the gateway that owns its job. Cause: ReadBody answered from the ledger before customers were compared. The test "a job belongs to its customer, whichever key it sends" asked for this 404, but with the query in the path of its fake request, so that nobody would have got the body; it is split now and got 200 before the fix, and the customer's own key must get 200.

--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -247,11 +247,11 @@
 void
 JobApi::ReadBody(const JobQuery& aQuery, HttpReplyPtr aReply)
 {
-  if (const JobLedger* ledger = runner_.Find(aQuery.job_)) {
-    SendBody(*aReply, FindBody(ledger->Spec(), aQuery.item_));
-    return;
-  }
   IfExists(aQuery, aReply, [this, aQuery, aReply] {
+    if (const JobLedger* ledger = runner_.Find(aQuery.job_)) {
+      SendBody(*aReply, FindBody(ledger->Spec(), aQuery.item_));
+      return;
+    }
     const std::string owner = OwnerAddress(aQuery.job_);
     if (owner.empty()) {
       BodyFromStore(aQuery, aReply);
--- a/tests/test_customers.cpp
+++ b/tests/test_customers.cpp
@@ -200,14 +200,17 @@
                      { false, false, store_.Revision(), {}, aAge });
   }
 
-  std::shared_ptr<FakeReply> Call(const std::string& aPath,
+  /// @param aTarget path and query
+  std::shared_ptr<FakeReply> Call(const std::string& aTarget,
                                   HttpHeaders aHeaders,
                                   const std::string& aMethod = "GET",
                                   const std::string& aBody = {})
   {
     HttpRequest request;
     request.method_ = aMethod;
-    request.path_ = aPath;
+    const std::size_t path = std::min(aTarget.find('?'), aTarget.size());
+    request.path_ = aTarget.substr(0, path);
+    request.query_ = aTarget.substr(std::min(path + 1, aTarget.size()));
     request.headers_ = std::move(aHeaders);
     request.headers_.push_back({ "Host", "h" });
     request.body_ = aBody;
@@ -364,12 +367,15 @@
     REQUIRE(CountHeaders(sent, "Tenant") == 1);
     REQUIRE(CountHeaders(sent, "Authorization") == 0);
   }
+  // Guards against a body that another customer gets: it was read from the
+  // ledger of the job's owner before customers were compared.
   SECTION("other customers cannot find it")
   {
     REQUIRE(status("k-b", "GET", "/lots/job1") == 404);
     REQUIRE(status("k-b", "GET", "/items/job1?id=i1") == 404);
     REQUIRE(status("k-b", "DELETE", "/lots/job1") == 404);
     REQUIRE(status("k-a2", "GET", "/lots/job1") == 200);
+    REQUIRE(status("k-a2", "GET", "/items/job1?id=i1") == 200);
   }
   SECTION("another key of the customer ends it")
   {
