A call is one request: fields of items cannot smuggle another

What happened: the value of an item's header held line breaks, and an upstream ran a second request that was written in it. Content-Length and Transfer-Encoding of an item were passed on as well and would have done the same without a line break.

A submission with such a field is answered 400 with its place; framing headers and those that the gateway sets are not taken from items; and the HTTP client refuses every call that would be more than one request. The new tests cover eleven fields of a submission, the framing headers and the client.

--- a/include/marjoramtally/runtime/http_types.hpp
+++ b/include/marjoramtally/runtime/http_types.hpp
@@ -26,6 +26,16 @@
 [[nodiscard]] std::optional<std::string_view>
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName) noexcept;
 
+/// @returns whether a field can be sent without changing where it or the
+/// message ends
+[[nodiscard]] bool
+IsSafeHeader(std::string_view aName, std::string_view aValue) noexcept;
+
+/// @returns whether a method, path, query or URL can be part of a request line
+/// without changing where it ends
+[[nodiscard]] bool
+IsSafeInRequestLine(std::string_view aText) noexcept;
+
 /// A complete request as received.
 struct HttpRequest
 {
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -32,6 +32,35 @@
   return kNames.at(static_cast<std::size_t>(aOutcome));
 }
 
+/// @returns the first place in a submission that cannot be sent to an upstream
+/// as part of one request; empty if there is none
+std::string
+FindUnsafePlace(const JobSpec& aSpec)
+{
+  for (std::size_t i = 0; i < aSpec.items_.size(); ++i) {
+    const JobItem& item = aSpec.items_[i];
+    const std::string place = "items[" + std::to_string(i) + "]";
+    if (!item.path_.starts_with('/') || !IsSafeInRequestLine(item.path_)) {
+      return place + ".path is no path";
+    }
+    if (!IsSafeHeader("id", item.id_.Get())) {
+      return place + ".id contains a line break";
+    }
+    for (const auto& [name, value] : item.headers_) {
+      if (!IsSafeHeader(name, value)) {
+        return place + ".headers." + name + " is no header of one line";
+      }
+    }
+    if (item.score_ && (!item.score_->path_.starts_with('/') ||
+                        !IsSafeInRequestLine(item.score_->path_) ||
+                        !IsSafeHeader("host", item.score_->host_) ||
+                        !IsSafeHeader("id", item.score_->id_.Get()))) {
+      return place + ": its score call is no request";
+    }
+  }
+  return {};
+}
+
 /// @returns the outcome in the answer; `Unknown` if there is none
 AcceptOutcome
 ReadForwardOutcome(const RpcReply& aReply)
@@ -94,7 +123,7 @@
     aReply->Send(RefusedResponse("shutting down", kJobRetryAfter));
     return;
   }
-  auto spec = host_.Formats().ReadSubmission(aRequest.body_);
+  auto spec = ReadSubmission(aRequest.body_);
   if (!spec) {
     LogEvent(LogLevel::Warn,
              "job_rejected",
@@ -120,6 +149,17 @@
   });
 }
 
+Result<JobSpec>
+JobIntake::ReadSubmission(std::string_view aBody) const
+{
+  auto spec = host_.Formats().ReadSubmission(aBody);
+  const std::string unsafe = spec ? FindUnsafePlace(spec.value()) : "";
+  if (!unsafe.empty()) {
+    return Error{ ErrorKind::BadInput, unsafe };
+  }
+  return spec;
+}
+
 /// Where duties are called, the holder of the order duty polls the gateways
 /// instead.
 StorePut
@@ -264,7 +304,7 @@
   const auto forwarded = DecodeJobHandover(aCall.body_);
   auto record = forwarded ? ReadSubmissionRecord(forwarded.value().submission_)
                           : Result<JobSubmissionRecord>(forwarded.error());
-  auto spec = record ? host_.Formats().ReadSubmission(record.value().body_)
+  auto spec = record ? ReadSubmission(record.value().body_)
                      : Result<JobSpec>(record.error());
   if (!spec || !IsValidJobId(JobId{ forwarded.value().job_ })) {
     LogEvent(LogLevel::Warn,
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -50,6 +50,9 @@
   using SubmissionPtr = std::shared_ptr<const Submission>;
   using AcceptDone = std::function<void(AcceptOutcome)>;
 
+  /// @returns `BadInput`, with the place, also for what cannot be sent to an
+  /// upstream
+  [[nodiscard]] Result<JobSpec> ReadSubmission(std::string_view aBody) const;
   /// Writes the acceptance to the store and owns the job afterwards.
   void AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone);
   /// @returns the outcome of all submissions of a job here, given that of the
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -53,10 +53,18 @@
   call.method_ = "POST";
   call.url_ = "http://" + aUpstream.address_ + item.path_;
   for (const auto& [name, value] : item.headers_) {
-    call.headers_.push_back({ name, value });
+    own.push_back({ name, value });
+  HttpHeaders own;
   }
   if (routes_.RequiresKeys() || !aJob.customer_.Get().empty()) {
     SetCustomer(call.headers_, names, aJob.customer_);
+  // Fields that frame the message or are set below would change or double it.
+  call.headers_ = ForwardableHeaders(own, names);
+  std::erase_if(call.headers_, [&](const HttpHeader& aHeader) {
+    const HttpHeaders one{ aHeader };
+    return FindHeader(one, "Host") || FindHeader(one, names.attempt_) ||
+           FindHeader(one, names.lastEvent_);
+  });
   }
   call.headers_.push_back({ "Host", aJob.host_ });
   call.headers_.push_back({ names.attempt_, item.id_.Get() });
--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -158,6 +158,13 @@
 CurlLoop::StartTransfer(std::unique_ptr<CurlTransfer> aTransfer)
 {
   CurlTransfer& transfer = *aTransfer;
+  const std::string unsafe = transfer.FindUnsafePart();
+  if (!unsafe.empty()) {
+    HttpResult result;
+    result.message_ = unsafe;
+    transfer.TakeDone()(std::move(result));
+    return;
+  }
   transfer.Attach(TakeHandle());
   active_.emplace(transfer.Id(), std::move(aTransfer));
   curl_multi_add_handle(multi_, transfer.Handle());
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -44,6 +44,23 @@
 {
 }
 
+/// Parts of a call can come from other processes. libcurl sends a line break in
+/// one of them as it is, and what follows would be read as a request of its
+/// own.
+std::string
+CurlTransfer::FindUnsafePart() const
+{
+  if (!IsSafeInRequestLine(call_.method_) || !IsSafeInRequestLine(call_.url_)) {
+    return "the request line would contain a space or control character";
+  }
+  for (const HttpHeader& header : call_.headers_) {
+    if (!IsSafeHeader(header.name_, header.value_)) {
+      return "the header " + header.name_ + " would not end with its line";
+    }
+  }
+  return {};
+}
+
 std::size_t
 CurlTransfer::OnHeader(char* aData,
                        std::size_t aSize,
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -27,6 +27,8 @@
   /// Takes a prepared handle and sets the options of this call.
   void Attach(CURL* aEasy);
   /// Reads the result once libcurl has ended the call.
+  /// @returns why the call cannot be sent as one request; empty if it can
+  [[nodiscard]] std::string FindUnsafePart() const;
   [[nodiscard]] HttpResult TakeResult(CURLcode aCode);
   [[nodiscard]] HttpDone TakeDone() noexcept { return std::move(done_); }
 
--- a/src/runtime/http_types.cpp
+++ b/src/runtime/http_types.cpp
@@ -42,6 +42,25 @@
   return std::nullopt;
 }
 
+bool
+IsSafeHeader(std::string_view aName, std::string_view aValue) noexcept
+{
+  constexpr std::string_view kLineEnds("\r\n\0", 3);
+  const bool valueEnds = aValue.find_first_of(kLineEnds) != aValue.npos;
+  return !aName.empty() && !valueEnds && IsSafeInRequestLine(aName) &&
+         aName.find(':') == aName.npos;
+}
+
+bool
+IsSafeInRequestLine(std::string_view aText) noexcept
+{
+  constexpr unsigned char kLastSpaceOrControl = ' ';
+  constexpr unsigned char kDelete = 0x7f;
+  return std::none_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return aByte <= kLastSpaceOrControl || aByte == kDelete;
+  });
+}
+
 HttpResponse
 JsonResponse(int aStatus, std::string aBody)
 {
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -172,6 +172,31 @@
 
 TEST_CASE("a response that its protocol does not prove complete is broken")
 {
+TEST_CASE("a call that would be more than one request is not sent")
+{
+  const int part = GENERATE(range(0, 4));
+  const auto client = HttpClient::Create(1);
+  RawServer server([](RawServer&) {});
+  HttpCall call = Post(server);
+  switch (part) {
+    case 0:
+      call.method_ = "POST / HTTP/1.1\r\nA: b\r\n\r\nGET";
+      break;
+    case 1:
+      call.url_ += "/x HTTP/1.1\r\nA: b";
+      break;
+    case 2:
+      call.headers_ = { { "A", "b\r\n\r\nGET / HTTP/1.1" } };
+      break;
+    default:
+      call.headers_ = { { "A: b\nC", "d" } };
+      break;
+  }
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == HttpEnd::NotSent);
+  CHECK(result.message_.find("would") != std::string::npos);
+}
+
   const std::string head = "HTTP/1.1 200 OK\r\n";
   const auto bytes = GENERATE_COPY(
     std::string(),
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -450,6 +450,41 @@
   REQUIRE_FALSE(pair.store_.records_.contains(job_keys::Owner(JobId{ "j1" })));
 }
 
+// Guards against a request that is smuggled in a field of an item: an upstream
+// ran what followed a line break in a header as a request of its own.
+TEST_CASE("a submission whose item is more than one request is rejected")
+{
+  const std::string item = GENERATE(
+    R"("id":"a1","path":"/i/a1","headers":{"X":"1\r\nY: 2"})",
+    R"("id":"a1","path":"/i/a1","headers":{"X":"1\nY: 2"})",
+    R"("id":"a1","path":"/i/a1","headers":{"X: 1\r\nY":"2"})",
+    R"("id":"a1","path":"/i/a1","headers":{"X:":"2"})",
+    R"("id":"a1","path":"/i/a1","headers":{"":"2"})",
+    R"("id":"a1","path":"/i/a1 HTTP/1.1\r\nY: 2","headers":{})",
+    R"("id":"a1","path":"@evil/","headers":{})",
+    R"("id":"a1\r\nY: 2","path":"/i/a1","headers":{})",
+    R"("id":"a1","path":"/i/a1","scorer_url":{"id":"s","host":"h\r\nY: 2",)"
+    R"("path":"/s","body":""})",
+    R"("id":"a1","path":"/i/a1","scorer_url":{"id":"s\n","host":"h",)"
+    R"("path":"/s","body":""})",
+    R"("id":"a1","path":"/i/a1","scorer_url":{"id":"s","host":"h",)"
+    R"("path":"/s x","body":""})");
+  Pair pair;
+  HttpRequest request;
+  request.method_ = "POST";
+  request.path_ = "/i/j1";
+  request.headers_ = { { "Host", "h" },
+                       { pair.platform_->Names().attempt_, "j1" } };
+  request.body_ = R"({"items":[{"id":"a0","path":"/i/a0"},{)" + item +
+                  R"(,"body":"","tokens":1}]})";
+  const auto reply = std::make_shared<FakeReply>();
+  pair.first_.jobs_.Submit(std::move(request), ConfigRevision{ 1 }, reply);
+  pair.timers_.Advance(50ms);
+  REQUIRE(reply->status_ == 400);
+  REQUIRE(reply->body_.find("items[1]") != std::string::npos);
+  REQUIRE_FALSE(pair.store_.records_.contains(job_keys::Owner(JobId{ "j1" })));
+}
+
 TEST_CASE("messages about jobs are decoded as they were encoded")
 {
   const std::string bytes("a\0b", 3);
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -204,6 +204,33 @@
 
 // The id cannot distinguish a duplicate answer to the failed call from the
 // answer to the next call, so the failure would count twice.
+TEST_CASE("an item cannot change how its request is framed or whose it is")
+{
+  JobFixture fix;
+  JobSpec spec = JobFixture::MakeSpec(1);
+  spec.items_[0].headers_ = { { "Model", "m" },
+                              { "content-length", "0" },
+                              { "Transfer-Encoding", "chunked" },
+                              { "Connection", "close" },
+                              { "host", "other" },
+                              { fix.platform_->Names().attempt_, "other" },
+                              { fix.platform_->Names().expectUpstream_, "x" },
+                              { fix.platform_->Names().lastEvent_, "7" },
+                              { fix.platform_->Names().deadline_, "1" } };
+  fix.runner_.Add(kJob, {}, fix.submission_, spec, {}, {}, {});
+  std::vector<std::string> names;
+  for (const HttpHeader& header : fix.Call().call_.headers_) {
+    names.push_back(header.name_);
+  }
+  REQUIRE(names ==
+          std::vector<std::string>{ "Model",
+                                    "Host",
+                                    fix.platform_->Names().attempt_,
+                                    fix.platform_->Names().deadline_,
+                                    fix.platform_->Names().expectUpstream_ });
+  REQUIRE(fix.Header(fix.Call(), "Host") == "h");
+}
+
 TEST_CASE("a retry after a failure uses a new connection")
 {
   JobFixture fix;
