A stopping gateway takes only requests that it can still answer

What callers saw: requests on kept connections were taken until the gateway exited 0.7 s before the end of its grace period, and cut then. Cause: a stop closed the listener and checked nothing else. After the 2.6 s in which the balancer still sends connections, a request is taken only if its time limit ends before the exit; others get 503 at once.

Related: a response counted as done once it was handed to the HTTP library, so that the process could exit before it was written; a request is in flight until its response is written now.

Tests: "a stopping gateway takes only requests that end before its exit", "a request is in flight until its response is written".

--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// How long before the forced kill at the end of the grace period the process
-/// exits on its own.
-constexpr auto kExitMargin = std::chrono::milliseconds(700);
 /// How often a stopping process checks whether its last request has ended.
 constexpr auto kIdlePollInterval = std::chrono::milliseconds(100);
 /// Network time of a relay's answer, added to the time for which the relay may
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -7,6 +7,10 @@
 
 namespace marjoramtally {
 
+/// How long before the forced kill at the end of the grace period the process
+/// exits on its own.
+inline constexpr auto kExitMargin = std::chrono::milliseconds(700);
+
 /// Section `[gateway]` of a settings file.
 struct GatewaySettings
 {
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -23,6 +23,8 @@
 /// Time for which the listeners stay open after `Stop`. The balancer polls the
 /// readiness once a second and keeps sending requests until two polls failed.
 constexpr auto kDrainTime = std::chrono::milliseconds(2600);
+/// Time for an answer to reach its caller after the limit of its request.
+constexpr auto kAnswerMargin = std::chrono::milliseconds(100);
 /// Sent as `Retry-After` while the configuration is missing or too old.
 constexpr auto kRetryAfter = std::chrono::milliseconds(300);
 
@@ -169,6 +171,17 @@
   return true;
 }
 
+bool
+Gateway::CanEnd(Duration aLimit) const
+{
+  if (!stopping_) {
+    return true;
+  }
+  const Duration stoppingFor = host_.Now() - stoppedAt_;
+  return stoppingFor < kDrainTime || stoppingFor + aLimit + kAnswerMargin <=
+                                       host_.Settings().grace_ - kExitMargin;
+}
+
 void
 Gateway::FollowConfig()
 {
@@ -455,6 +468,14 @@
                                           std::chrono::milliseconds(*deadline))
                      : aRoute.timeout_;
   request.objective_ = aRoute.objective_;
+  if (!CanEnd(request.limit_)) {
+    LogEvent(LogLevel::Info,
+             "stopping_refused",
+             { { "id", request.attempt_ },
+               { "limit_ms", std::to_string(WholeMillis(request.limit_)) } });
+    aReply->Send(RefusedResponse("shutting down", kRetryAfter));
+    return;
+  }
   const ForwardId id =
     forwarder_.Start(std::move(request), [aReply](ForwardOutcome aOutcome) {
       EndReply(*aReply, std::move(aOutcome));
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -51,6 +51,10 @@
   {
     return host_.Now() - configConfirmedAt_;
   }
+  /// @returns whether a request with this time limit can still be answered
+  /// here. A stopping gateway takes any while the balancer still sends new
+  /// connections, and later only those that end before its exit.
+  [[nodiscard]] bool CanEnd(Duration aLimit) const;
   /// @returns why the gateway is not ready; empty if it is
   [[nodiscard]] std::string_view NotReadyReason() const;
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -150,8 +150,8 @@
     auto builder = request_->create_response(StatusLine(aResponse.status_));
     AddHeaders(builder, aResponse.headers_);
     builder.set_body(std::move(aResponse.body_));
-    builder.done();
-    Finish();
+    replied_ = true;
+    builder.done(FinishWhenWritten());
   }
 
   void Begin(int aStatus, HttpHeaders aHeaders) override
@@ -175,11 +175,13 @@
 
   void End() override
   {
-    if (stream_) {
-      stream_->done();
-      stream_.reset();
+    if (!stream_) {
+      Finish();
+      return;
     }
-    Finish();
+    replied_ = true;
+    stream_->done(FinishWhenWritten());
+    stream_.reset();
   }
 
   void Abort() override
@@ -211,7 +213,10 @@
   {
     CallerSocket* socket =
       CallerSocket::Find(request_->remote_endpoint(), connection_);
-    if (socket == nullptr || finished_) {
+    if (replied_) {
+      return;
+    }
+    if (socket == nullptr) {
       // The connection is closed. A last chunk would mark the response as
       // complete.
       Finish();
@@ -239,7 +244,7 @@
       Tcp::socket::wait_read,
       [self = weak_from_this(), handle, aGone](const asio::error_code& aError) {
         const auto reply = self.lock();
-        if (aError || !reply || reply->finished_) {
+        if (aError || !reply || reply->replied_) {
           return;
         }
         char byte = 0;
@@ -261,6 +266,14 @@
     }
   }
 
+  /// @returns a callback for the end of the last write. Until then the request
+  /// is in flight, since a process that stops exits when none is.
+  std::function<void(const asio::error_code&)> FinishWhenWritten()
+  {
+    return
+      [self = shared_from_this()](const asio::error_code&) { self->Finish(); };
+  }
+
   void Finish()
   {
     if (!finished_.exchange(true)) {
@@ -274,6 +287,9 @@
   std::size_t loop_;
   std::uint64_t connection_;
   std::unique_ptr<StreamBuilder> stream_;
+  /// The complete response was handed to the library.
+  std::atomic<bool> replied_{ false };
+  /// No longer counted as in flight.
   std::atomic<bool> finished_{ false };
 };
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -56,19 +56,25 @@
     REQUIRE(gateway_->Open());
   }
 
-  std::shared_ptr<FakeReply> SendRequest(std::uint16_t aPort)
+  std::shared_ptr<FakeReply> SendRequest(std::uint16_t aPort,
+                                         Duration aDeadline = 1min)
   {
     HttpRequest request;
     request.method_ = "GET";
     request.path_ = "/x/1";
-    request.headers_ = { { "Host", "h" } };
+    request.headers_ = { { "Host", "h" },
+                         { platform_->Names().deadline_,
+                           std::to_string(WholeMillis(aDeadline)) } };
     auto reply = std::make_shared<FakeReply>();
     listeners_.handlers_.at(aPort)(std::move(request), reply);
     return reply;
   }
 
   std::shared_ptr<FakeReply> Ready() { return SendRequest(2); }
-  std::shared_ptr<FakeReply> Call() { return SendRequest(1); }
+  std::shared_ptr<FakeReply> Call(Duration aDeadline = 1min)
+  {
+    return SendRequest(1, aDeadline);
+  }
 };
 
 } // namespace
@@ -144,3 +150,29 @@
   fix.store_.SendBatch(prefix, { false, false, fix.store_.Revision(), {} });
   REQUIRE(fix.Ready()->status_ == 200);
 }
+
+// Guards against requests that are cut when the process exits: it took those on
+// kept connections until the end of its grace period.
+TEST_CASE("a stopping gateway takes only requests that end before its exit")
+{
+  Fixture fix;
+  fix.store_.Put(fix.platform_->Places().upstreams_ + "e", kUpstream);
+  fix.gateway_->Start();
+  fix.timers_.Advance(2s);
+  fix.gateway_->Stop();
+  // The balancer still sends new connections.
+  fix.timers_.Advance(2500ms);
+  REQUIRE_FALSE(fix.Call()->ended_);
+  REQUIRE(fix.client_.open_.size() == 1);
+  fix.client_.Fail(fix.client_.Oldest(), HttpEnd::TimedOut);
+  // The route allows 3 s; the process exits 7.3 s after the signal.
+  fix.timers_.Advance(1500ms);
+  REQUIRE_FALSE(fix.Call()->ended_);
+  REQUIRE(fix.client_.open_.size() == 1);
+  fix.timers_.Advance(500ms);
+  const auto refused = fix.Call();
+  REQUIRE(refused->status_ == 503);
+  REQUIRE(FindHeader(refused->headers_, "Retry-After"));
+  REQUIRE(fix.client_.open_.size() == 1);
+  REQUIRE(fix.Call(1s)->status_ == 0);
+}
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <mutex>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace marjoramtally;
@@ -177,3 +178,33 @@
   });
   gone.get_future().get();
 }
+
+// Guards against an answer that is cut when a stopping process exits: it
+// counted as done once it was handed to the library.
+TEST_CASE("a request is in flight until its response is written")
+{
+  HeldReplies held;
+  HttpServerOptions options;
+  options.threads_ = 1;
+  auto server = std::move(HttpServer::Start(options, held.Handler())).value();
+  const int caller = Connect(server->Port(), 0);
+  const HttpReplyPtr reply = held.Take();
+  REQUIRE(server->InFlight() == 1);
+  // More than the sockets of a connection buffer.
+  constexpr std::size_t kBytes = 32U << 20U;
+  HttpResponse response;
+  response.body_.assign(kBytes, 'x');
+  reply->Send(std::move(response));
+  std::vector<char> bytes(1U << 16U);
+  std::size_t received = 0;
+  while (received < kBytes) {
+    REQUIRE((received > kBytes / 2 || server->InFlight() == 1));
+    const auto got = recv(caller, bytes.data(), bytes.size(), 0);
+    REQUIRE(got > 0);
+    received += static_cast<std::size_t>(got);
+  }
+  while (server->InFlight() != 0) {
+    std::this_thread::yield();
+  }
+  close(caller);
+}
