An upstream missing from a list gets no grace period unless most are missing

An item reached an upstream 3.4 s after its entry had been removed: a gateway that had been cut off read the list 2 s after the cut, and the grace period of 1.5 s began then. A list does not tell when an entry was removed. If most entries are missing, they expired while the store was unavailable and return within 2 s, which the grace period is for; a few have left, perhaps before the cut ended.

The test "an upstream that is missing from a list had left before" fails on the code before.

--- a/include/marjoramtally/process/upstream_table.hpp
+++ b/include/marjoramtally/process/upstream_table.hpp
@@ -180,7 +180,8 @@
   EntryEffect OnEntry(UpstreamEntry aEntry);
   /// Handles the removal of a registration.
   void OnRemoved(const UpstreamId& aId, TimePoint aNow);
-  /// Handles a complete list: entries that it does not contain were removed.
+  /// Handles a complete list: entries that it does not contain were removed,
+  /// and are selectable for `removalGrace_` only if most are missing.
   /// @returns upstreams that have restarted
   std::vector<UpstreamId> OnList(std::vector<UpstreamEntry> aEntries,
                                  TimePoint aNow);
@@ -254,6 +255,9 @@
     bool reportsSlowdown_ = false;
   };
 
+  /// Records when an entry was removed; the first time counts.
+  void MarkRemoved(const UpstreamId& aId, TimePoint aAt);
+
   /// Drops upstreams whose grace period has expired and that have no calls in
   /// flight.
   void DropExpired(TimePoint aNow);
--- a/src/process/upstream_table.cpp
+++ b/src/process/upstream_table.cpp
@@ -108,13 +108,19 @@
 
 void
 UpstreamTable::OnRemoved(const UpstreamId& aId, TimePoint aNow)
+{
+  MarkRemoved(aId, aNow);
+  DropExpired(aNow);
+}
+
+void
+UpstreamTable::MarkRemoved(const UpstreamId& aId, TimePoint aAt)
 {
   const auto it = upstreams_.find(aId);
   if (it != upstreams_.end() && it->second.removedAt_ == kNever) {
-    it->second.removedAt_ = aNow;
-    removed_.insert({ aNow, aId });
+    it->second.removedAt_ = aAt;
+    removed_.insert({ aAt, aId });
   }
-  DropExpired(aNow);
 }
 
 void
@@ -148,13 +154,19 @@
   }
   std::vector<UpstreamId> missing;
   for (const auto& [id, upstream] : upstreams_) {
-    if (!listed.contains(id)) {
+    if (!listed.contains(id) && upstream.removedAt_ == kNever) {
       missing.push_back(id);
     }
   }
+  // A list does not tell when an entry was removed. If most are missing, they
+  // expired with the store and return soon; a few have left, perhaps before
+  // this process could read again.
+  const bool expired = missing.size() > listed.size();
+  const TimePoint removedAt = expired ? aNow : aNow - policy_.removalGrace_;
   for (const UpstreamId& id : missing) {
-    OnRemoved(id, aNow);
+    MarkRemoved(id, removedAt);
   }
+  DropExpired(aNow);
   return restarted;
 }
 
--- a/tests/test_upstream_table.cpp
+++ b/tests/test_upstream_table.cpp
@@ -264,6 +264,28 @@
   REQUIRE(PickId(table, late, { UpstreamId{ "b" } }).empty());
 }
 
+// Guards against work for an upstream that left long ago: a gateway that had
+// been cut off read the list 2 s after the cut and used a missing upstream for
+// the whole grace period, 3.4 s after it had left.
+TEST_CASE("an upstream that is missing from a list had left before")
+{
+  UpstreamTable table =
+    MakeTable({ MakeEntry("a"), MakeEntry("b"), MakeEntry("c") });
+  SECTION("a few that are missing get no calls")
+  {
+    table.OnList({ MakeEntry("b"), MakeEntry("c") }, kStart);
+    REQUIRE(
+      PickId(table, kStart, { UpstreamId{ "b" }, UpstreamId{ "c" } }).empty());
+  }
+  SECTION("most that are missing expired with the store and may return")
+  {
+    table.OnList({ MakeEntry("c") }, kStart);
+    REQUIRE_FALSE(PickId(table, kStart, { UpstreamId{ "c" } }).empty());
+    const TimePoint late = kStart + SelectionPolicy{}.removalGrace_;
+    REQUIRE(PickId(table, late, { UpstreamId{ "c" } }).empty());
+  }
+}
+
 TEST_CASE("a failed upstream is avoided while there is another")
 {
   UpstreamTable table = MakeTable({ MakeEntry("a"), MakeEntry("b", "z2") });
