Responses without end are ended at a size, not at the time limit

The users say that bytes which are no answer may come without end, in a head or a body, until we close. Heads (with interim heads and trailers) and bodies that the HTTP client collects had no limit but time: memory grew until then. Now a head has 64 KiB, a body 16 MiB (64 MiB from the store), and all long bodies of a loop share 64 MiB, which small answers do not need, so that they are still received. The call ends as cancelled at once, so that its request goes on elsewhere or its caller is answered.

Streams: an event has 1 MiB with all bytes since the last one, also bytes that are no event, which were skipped without a limit; an answer that is no stream has 1 MiB where a stream was asked for, and 64 KiB for an item.

--- a/include/marjoramtally/request/event_stream.hpp
+++ b/include/marjoramtally/request/event_stream.hpp
@@ -26,7 +26,7 @@
 class EventStreamParser
 {
 public:
-  /// Maximum size of an event, in bytes.
+  /// Maximum size of an event in bytes, with all lines since the last one.
   static constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
   EventStreamParser() = default;
@@ -56,6 +56,7 @@
   std::string labelField_;
   std::string line_;
   ServerEvent event_;
+  std::size_t bytesSinceEvent_ = 0;
   bool hasData_ = false;
 };
 
--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -19,11 +19,15 @@
   Broken,
   /// The time limit expired after bytes were sent.
   TimedOut,
-  /// `Cancel` was called after bytes were sent.
+  /// Ended by this side after bytes were sent.
   Cancelled,
 };
 
-/// One outgoing request.
+/// Maximum size of the head of a response, with interim heads and trailers.
+constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+
+/// One outgoing request. A peer may send bytes without end, so a response that
+/// exceeds its limits ends the call as cancelled.
 struct HttpCall
 {
   std::string method_ = "GET";
@@ -35,6 +39,8 @@
   /// 0: only `timeout_` applies. It allows a long `timeout_` for large
   /// responses over a busy link, where a repeated request would add load.
   Duration idleTimeout_{ 0 };
+  /// Maximum size of a body that is returned with the result.
+  std::size_t maxBodyBytes_ = 16U << 20U;
   /// Time limit for opening the connection.
   Duration connectTimeout_ = std::chrono::seconds(2);
   /// Uses a connection for this call only, so that no earlier call can have
--- a/src/programs/gatewayd/forwarder_streams.cpp
+++ b/src/programs/gatewayd/forwarder_streams.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::string_view kEventStream = "text/event-stream";
+/// Maximum size of an answer to a request for a stream that is no stream.
+constexpr std::size_t kMaxPlainBytes = 1U << 20U;
 
 } // namespace
 
@@ -82,7 +84,10 @@
   }
   if (!stream.events_) {
     stream.head_.body_ += aBytes;
-    return true;
+    if (stream.head_.body_.size() > kMaxPlainBytes) {
+      aPending.rejectReason_ = "is too long";
+    }
+    return aPending.rejectReason_.empty();
   }
   std::string events = stream.relay_.Feed(aBytes);
   const bool valid = stream.relay_.Fault().empty();
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -149,6 +149,8 @@
     HttpCallId call_ = 0;
     EventStreamParser parser_;
     int status_ = 0;
+    /// Bytes of the body of an answer that is no stream; they are not kept.
+    std::size_t skippedBytes_ = 0;
     bool notRun_ = false;
     WeightVersion version_;
     std::uint32_t events_ = 0;
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -24,6 +24,8 @@
 /// Most texts are complete by this age; one that is not takes some seconds
 /// more.
 constexpr auto kLongRunAge = std::chrono::milliseconds(1200);
+/// Maximum size of an answer that reports a failure.
+constexpr std::size_t kMaxErrorBytes = 64U << 10U;
 constexpr auto kRunCheckInterval = std::chrono::milliseconds(120);
 
 } // namespace
@@ -52,12 +54,10 @@
   HttpCall call;
   call.method_ = "POST";
   call.url_ = "http://" + aUpstream.address_ + item.path_;
+  HttpHeaders own;
   for (const auto& [name, value] : item.headers_) {
     own.push_back({ name, value });
-  HttpHeaders own;
   }
-  if (routes_.RequiresKeys() || !aJob.customer_.Get().empty()) {
-    SetCustomer(call.headers_, names, aJob.customer_);
   // Fields that frame the message or are set below would change or double it.
   call.headers_ = ForwardableHeaders(own, names);
   std::erase_if(call.headers_, [&](const HttpHeader& aHeader) {
@@ -65,6 +65,8 @@
     return FindHeader(one, "Host") || FindHeader(one, names.attempt_) ||
            FindHeader(one, names.lastEvent_);
   });
+  if (routes_.RequiresKeys() || !aJob.customer_.Get().empty()) {
+    SetCustomer(call.headers_, names, aJob.customer_);
   }
   call.headers_.push_back({ "Host", aJob.host_ });
   call.headers_.push_back({ names.attempt_, item.id_.Get() });
@@ -163,7 +165,11 @@
   }
   Run& run = it->second;
   if (run.status_ != 200) {
-    return true;
+    run.skippedBytes_ += aData.size();
+    if (run.skippedBytes_ > kMaxErrorBytes) {
+      run.fault_ = "the answer is too long";
+    }
+    return run.fault_.empty();
   }
   const auto events = run.parser_.FeedEvents(aData);
   if (!events) {
--- a/src/request/event_stream.cpp
+++ b/src/request/event_stream.cpp
@@ -51,8 +51,10 @@
   std::vector<ServerEvent> events;
   while (!aBytes.empty()) {
     const std::size_t end = aBytes.find('\n');
-    line_ += aBytes.substr(0, end);
-    if (line_.size() + event_.data_.size() > kMaxEventBytes) {
+    const std::string_view piece = aBytes.substr(0, end);
+    line_ += piece;
+    bytesSinceEvent_ += piece.size() + 1;
+    if (bytesSinceEvent_ > kMaxEventBytes) {
       return Error{ ErrorKind::BadInput, "an event of the stream is too long" };
     }
     if (end == std::string_view::npos) {
@@ -74,6 +76,7 @@
   if (line.empty()) {
     if (hasData_) {
       aEvents.push_back(std::move(event_));
+      bytesSinceEvent_ = 0;
     }
     event_ = {};
     hasData_ = false;
--- a/src/runtime/curl_loop.cpp
+++ b/src/runtime/curl_loop.cpp
@@ -165,7 +165,7 @@
     transfer.TakeDone()(std::move(result));
     return;
   }
-  transfer.Attach(TakeHandle());
+  transfer.Attach(TakeHandle(), budget_);
   active_.emplace(transfer.Id(), std::move(aTransfer));
   curl_multi_add_handle(multi_, transfer.Handle());
   ArmIdleTimer(transfer);
--- a/src/runtime/curl_loop.hpp
+++ b/src/runtime/curl_loop.hpp
@@ -94,6 +94,7 @@
   /// Timers of the calls that have an idle timeout.
   std::unordered_map<HttpCallId, asio::steady_timer> idleTimers_;
   std::vector<CURL*> idleHandles_;
+  BufferBudget budget_;
 
   std::mutex mutex_;
   bool scheduled_ = false;
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -71,6 +71,10 @@
   auto& headers = transfer.response_.headers_;
   transfer.OnByteReceived();
   const std::string_view line(aData, aSize * aCount);
+  transfer.headBytes_ += line.size();
+  if (transfer.headBytes_ > kMaxHeadBytes) {
+    return transfer.Reject("the head of the response is too long");
+  }
   if (line.starts_with("HTTP/")) {
     headers.clear();
     return line.size();
@@ -101,8 +105,7 @@
     return CURL_WRITEFUNC_PAUSE;
   }
   if (!transfer.call_.onData_) {
-    transfer.response_.body_.append(aData, bytes);
-    return bytes;
+    return transfer.AppendToBody({ aData, bytes });
   }
   if (transfer.call_.onData_(std::string_view(aData, bytes))) {
     return bytes;
@@ -111,6 +114,29 @@
   return 0;
 }
 
+std::size_t
+CurlTransfer::AppendToBody(std::string_view aBytes)
+{
+  std::string& body = response_.body_;
+  const std::size_t size = body.size() + aBytes.size();
+  if (size > call_.maxBodyBytes_) {
+    return Reject("the body of the response is too long");
+  }
+  if (!budget_->Grow(body.size(), size)) {
+    return Reject("too many long responses at once");
+  }
+  body.append(aBytes);
+  return aBytes.size();
+}
+
+std::size_t
+CurlTransfer::Reject(const char* aWhy) noexcept
+{
+  rejected_ = aWhy;
+  cancelled_ = true;
+  return 0;
+}
+
 /// Called before each time that libcurl sends the request. libcurl sends it
 /// again by itself if a kept connection closes before any byte of the response,
 /// although the peer may have executed it.
@@ -143,9 +169,10 @@
 }
 
 void
-CurlTransfer::Attach(CURL* aEasy)
+CurlTransfer::Attach(CURL* aEasy, BufferBudget& aBudget)
 {
   easy_ = aEasy;
+  budget_ = &aBudget;
   OnByteReceived();
   const long fresh = call_.atMostOnce_ || call_.newConnection_ ? 1L : 0L;
   const long single = call_.atMostOnce_ ? 1L : 0L;
@@ -264,8 +291,10 @@
   HttpResult result;
   result.end_ = Classify(aCode);
   if (result.end_ != HttpEnd::Complete) {
-    result.message_ = curl_easy_strerror(aCode);
+    result.message_ =
+      rejected_ != nullptr ? rejected_ : curl_easy_strerror(aCode);
   }
+  budget_->Release(response_.body_.size());
   long port = 0;
   long opened = 0;
   curl_easy_getinfo(easy_, CURLINFO_LOCAL_PORT, &port);
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marjoramtally/runtime/http_client.hpp"
+#include "runtime/buffer_budget.hpp"
 #include "runtime/idle_timeout.hpp"
 
 #include <curl/curl.h>
@@ -14,6 +15,8 @@
 {
 public:
   CurlTransfer(HttpCallId aId, HttpCall aCall, HttpDone aDone);
+  CurlTransfer(const CurlTransfer&) = delete;
+  CurlTransfer& operator=(const CurlTransfer&) = delete;
 
   [[nodiscard]] HttpCallId Id() const noexcept { return id_; }
   [[nodiscard]] CURL* Handle() const noexcept { return easy_; }
@@ -24,11 +27,12 @@
   /// Sets the options that are the same for every call; called once for each
   /// handle.
   static void PrepareHandle(CURL* aEasy);
-  /// Takes a prepared handle and sets the options of this call.
-  void Attach(CURL* aEasy);
-  /// Reads the result once libcurl has ended the call.
   /// @returns why the call cannot be sent as one request; empty if it can
   [[nodiscard]] std::string FindUnsafePart() const;
+  /// Takes a prepared handle and sets the options of this call.
+  /// @param aBudget of the loop; outlives this
+  void Attach(CURL* aEasy, BufferBudget& aBudget);
+  /// Reads the result once libcurl has ended the call.
   [[nodiscard]] HttpResult TakeResult(CURLcode aCode);
   [[nodiscard]] HttpDone TakeDone() noexcept { return std::move(done_); }
 
@@ -47,6 +51,11 @@
                           int aPeerPort,
                           int aLocalPort);
   void OnByteReceived();
+  /// @returns the number of bytes taken, as libcurl expects it
+  std::size_t AppendToBody(std::string_view aBytes);
+  /// Ends the call because of its response.
+  /// @returns 0, which makes libcurl end it
+  std::size_t Reject(const char* aWhy) noexcept;
   /// @returns the number of bytes of the request that have left this process
   [[nodiscard]] long SentBytes() const;
   void SetMethod();
@@ -61,6 +70,11 @@
   HttpResponse response_;
   IdleTimeout idleTimeout_;
   CURL* easy_ = nullptr;
+  BufferBudget* budget_ = nullptr;
+  /// Bytes of heads and trailers received.
+  std::size_t headBytes_ = 0;
+  /// Why the response was rejected, if not by its receiver; else null.
+  const char* rejected_ = nullptr;
   /// The request's header lines, and the linked list of them that libcurl
   /// reads.
   std::vector<std::string> headerLines_;
--- a/src/runtime/etcd_store.cpp
+++ b/src/runtime/etcd_store.cpp
@@ -16,6 +16,8 @@
 
 /// Time limit of a watch call; the watcher then opens a new one.
 constexpr auto kWatchTimeout = std::chrono::minutes(10);
+/// Maximum size of an answer, which contains a complete range.
+constexpr std::size_t kMaxAnswerBytes = 64U << 20U;
 
 std::string
 EncodeBase64(const std::string& aText)
@@ -269,6 +271,7 @@
     call.headers_ = { { "Content-Type", "application/json" } };
     call.timeout_ = timeout_;
     call.connectTimeout_ = timeout_;
+    call.maxBodyBytes_ = kMaxAnswerBytes;
     return call;
   }
 
--- a/tests/test_forward_streams.cpp
+++ b/tests/test_forward_streams.cpp
@@ -250,6 +250,25 @@
   CHECK(fix.outcome_->response_.body_ == "no such prompt");
 }
 
+TEST_CASE("an answer without end that is no stream does not keep its caller")
+{
+  const int status = GENERATE(200, 500);
+  Fixture fix;
+  fix.Start(true, 1);
+  const WireNames& names = fix.platform_->Names();
+  fix.Call().onHead_(status,
+                     { { names.attempt_, "id1" }, { names.signature_, "s" } });
+  const std::string bytes(1U << 16U, 'x');
+  int pieces = 0;
+  while (pieces < 100 && fix.Data(bytes)) {
+    ++pieces;
+  }
+  REQUIRE(pieces < 100);
+  fix.End(HttpEnd::Cancelled);
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->notRun_);
+}
+
 TEST_CASE("an unsigned stream is rejected at its first bytes")
 {
   Fixture fix;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -1,5 +1,6 @@
 #include "loopback_listener.hpp"
 #include "marjoramtally/runtime.hpp"
+#include "runtime/buffer_budget.hpp"
 
 #include <array>
 #include <atomic>
@@ -56,9 +57,10 @@
     requests_ += bytes.empty() ? 0 : 1;
   }
 
-  static void Write(int aConnection, const std::string& aBytes)
+  /// @returns whether the connection is still open
+  static bool Write(int aConnection, const std::string& aBytes)
   {
-    send(aConnection, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    return send(aConnection, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) >= 0;
   }
 
   void StopListening()
@@ -170,8 +172,6 @@
   CHECK(SendAndWait(*client, call).end_ == HttpEnd::NotSent);
 }
 
-TEST_CASE("a response that its protocol does not prove complete is broken")
-{
 TEST_CASE("a call that would be more than one request is not sent")
 {
   const int part = GENERATE(range(0, 4));
@@ -197,6 +197,8 @@
   CHECK(result.message_.find("would") != std::string::npos);
 }
 
+TEST_CASE("a response that its protocol does not prove complete is broken")
+{
   const std::string head = "HTTP/1.1 200 OK\r\n";
   const auto bytes = GENERATE_COPY(
     std::string(),
@@ -306,6 +308,59 @@
   CHECK(received == body);
 }
 
+// Guards against a response that is received without end: it held memory until
+// the call's time limit, and its caller got no answer before.
+TEST_CASE("a response without end is ended at its limit, not at the time limit")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto [begin, repeated] = GENERATE_COPY(table<std::string, std::string>({
+    { head, "X-Filler: " + std::string(1000, 'x') + "\r\n" },
+    { head + "X-Filler: ", std::string(1000, 'x') },
+    { "", "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" },
+    { "", std::string(1000, 'x') },
+    { head + "\r\n", std::string(1000, 'x') },
+    { chunked, "3e8\r\n" + std::string(1000, 'x') + "\r\n" },
+    { chunked + "0\r\n", "X-Filler: " + std::string(1000, 'x') + "\r\n" },
+  }));
+  std::atomic<std::size_t> written{ 0 };
+  RawServer server([&, begin = begin, repeated = repeated](RawServer& aServer) {
+    const int connection = aServer.Accept();
+    aServer.Read(connection);
+    RawServer::Write(connection, begin);
+    while (RawServer::Write(connection, repeated)) {
+      written += repeated.size();
+    }
+    close(connection);
+  });
+  const auto client = HttpClient::Create(1);
+  HttpCall call = Post(server);
+  call.timeout_ = std::chrono::seconds(60);
+  call.maxBodyBytes_ = 1U << 20U;
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  server.Join();
+  INFO(result.message_);
+  CHECK((result.end_ == HttpEnd::Cancelled || result.end_ == HttpEnd::Broken));
+  // Twice the limits and what the sockets buffer.
+  CHECK(written < (16U << 20U));
+}
+
+TEST_CASE("long responses share a bound, which small ones do not need")
+{
+  constexpr std::size_t kSmall = BufferBudget::kUncountedBytes;
+  BufferBudget budget{ 1000 };
+  REQUIRE(budget.Grow(0, kSmall));
+  REQUIRE(budget.Held() == 0);
+  REQUIRE(budget.Grow(kSmall - 1, kSmall + 600));
+  REQUIRE_FALSE(budget.Grow(kSmall, kSmall + 401));
+  REQUIRE(budget.Held() == 600);
+  REQUIRE(budget.Grow(0, kSmall));
+  REQUIRE(budget.Grow(kSmall, kSmall + 400));
+  budget.Release(kSmall + 600);
+  REQUIRE(budget.Grow(0, kSmall + 600));
+  REQUIRE(budget.Held() == 1000);
+}
+
 TEST_CASE("an abandoned call leaves no data to arrive later")
 {
   // After a plain close, the kernel retransmits undelivered data, which arrives
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -231,6 +231,25 @@
   REQUIRE(fix.Header(fix.Call(), "Host") == "h");
 }
 
+TEST_CASE("an item leaves an upstream whose answer does not end")
+{
+  const int status = GENERATE(200, 500, 422);
+  JobFixture fix;
+  fix.Accept(1);
+  const SentCall call = fix.Call();
+  const HttpResponse head = fix.Answer(call, status, "");
+  REQUIRE(call.call_.onHead_(head.status_, head.headers_));
+  const std::string bytes(1U << 16U, 'x');
+  int pieces = 0;
+  while (pieces < 100 && call.call_.onData_(bytes)) {
+    ++pieces;
+  }
+  REQUIRE(pieces < 100);
+  fix.client_.Fail(call, HttpEnd::Cancelled);
+  REQUIRE(fix.runner_.Find(kJob)->State(0) == ItemState::Running);
+  REQUIRE(fix.Call().call_.url_ == "http://e1:1/i/0");
+}
+
 TEST_CASE("a retry after a failure uses a new connection")
 {
   JobFixture fix;
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -44,6 +44,23 @@
     parser.Feed(std::string(EventStreamParser::kMaxEventBytes + 1, 'x')));
 }
 
+// Guards against a stream of bytes that are no event and do not end.
+TEST_CASE("a stream without an event for too long is an error")
+{
+  const std::string line =
+    GENERATE(": comment\n", "\n", "unknown: field\n", "id: 1\n");
+  EventStreamParser parser;
+  std::size_t bytes = 0;
+  while (bytes <= 2 * EventStreamParser::kMaxEventBytes && parser.Feed(line)) {
+    bytes += line.size();
+  }
+  CHECK(bytes <= EventStreamParser::kMaxEventBytes);
+  EventStreamParser other;
+  for (std::size_t i = 0; i < EventStreamParser::kMaxEventBytes; ++i) {
+    REQUIRE(other.Feed("data: x\n\n").value().size() == 1);
+  }
+}
+
 TEST_CASE("a stream is complete only with finish reason and final event")
 {
   CompletionStream stream;
