Quarantine: take out a function that nothing calls any more

IsIsolatedAt served the placing of items that may have crashed an upstream; since items are exempt from the quarantine it had no caller.

--- a/src/programs/gatewayd/request_quarantine.cpp
+++ b/src/programs/gatewayd/request_quarantine.cpp
@@ -162,14 +162,6 @@
                        static_cast<double>(watch_.Refused(now)));
 }
 
-bool
-RequestQuarantine::IsIsolatedAt(Fingerprint aFingerprint,
-                                const UpstreamId& aUpstream) const
-{
-  const auto avoid = watch_.UpstreamsToAvoid(aFingerprint);
-  return std::find(avoid.begin(), avoid.end(), aUpstream) == avoid.end();
-}
-
 void
 RequestQuarantine::OnEnd(Fingerprint aFingerprint,
                          const UpstreamId& aUpstream,
--- a/src/programs/gatewayd/request_quarantine.hpp
+++ b/src/programs/gatewayd/request_quarantine.hpp
@@ -50,10 +50,6 @@
   {
     return watch_.WasAtCrash(aFingerprint);
   }
-  /// @returns false if this request is a suspect and another suspect is in
-  /// progress at the upstream; else true
-  [[nodiscard]] bool IsIsolatedAt(Fingerprint aFingerprint,
-                                  const UpstreamId& aUpstream) const;
   /// @returns upstreams at which another suspect is in progress, if this
   /// request is a suspect; else none
   [[nodiscard]] std::vector<UpstreamId> UpstreamsToAvoid(
