Logs: which answers of the store decided the outcome of a submission

The record of the refused jobs that ran cannot tell its hypotheses apart: job_submitted gives an outcome, not what it was taken from, and nothing says that a refusal was wrong. job_submitted has why= now: the answer to the write and, where the record was read afterwards, what was found. refused_job_accepted (and refused_jobs_accepted_total) is reported where the store lists this process as the owner of a job of which it had taken all own writes for refused.

The new test submits with a store that executes and refuses; no outcome changes.

--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -20,6 +20,14 @@
 /// store may apply one some seconds late.
 constexpr auto kUnsettledRetention = std::chrono::seconds(60);
 
+void
+DropExpired(std::map<JobId, TimePoint>& aJobs, TimePoint aNow)
+{
+  std::erase_if(aJobs, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second >= Duration{ kUnsettledRetention };
+  });
+}
+
 /// A model's burst is recorded again if it has grown by this factor.
 constexpr double kBurstGrowth = 1.25;
 
@@ -180,6 +188,7 @@
 void
 JobIntake::AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone)
 {
+  refused_.erase(aSubmission->job_);
   store_.Accept(
     aSubmission->job_,
     aSubmission->record_,
@@ -187,10 +196,11 @@
     [this, aSubmission, done = std::move(aDone)](const AcceptResult& aResult) {
       const JobId& job = aSubmission->job_;
       const AcceptOutcome outcome = Settle(job, aResult.outcome_);
-      LogEvent(
-        LogLevel::Info,
-        "job_submitted",
-        { { "job", job.Get() }, { "outcome", std::string(NameOf(outcome)) } });
+      LogEvent(LogLevel::Info,
+               "job_submitted",
+               { { "job", job.Get() },
+                 { "outcome", std::string(NameOf(outcome)) },
+                 { "why", aResult.why_ } });
       done(outcome);
       if (aResult.outcome_ == AcceptOutcome::Accepted) {
         StartAccepted(*aSubmission, aResult.fence_);
@@ -207,17 +217,40 @@
 JobIntake::Settle(const JobId& aJob, AcceptOutcome aLast)
 {
   const TimePoint now = host_.Now();
-  std::erase_if(unsettled_, [now](const auto& aEntry) {
-    return now - aEntry.second >= Duration{ kUnsettledRetention };
-  });
+  DropExpired(unsettled_, now);
+  DropExpired(refused_, now);
   if (aLast == AcceptOutcome::Unknown) {
     unsettled_[aJob] = now;
   } else if (aLast == AcceptOutcome::Refused && unsettled_.contains(aJob)) {
     return AcceptOutcome::Unknown;
+  } else if (aLast == AcceptOutcome::Refused) {
+    refused_[aJob] = now;
+    const KnownJob* known = directory_.Find(aJob);
+    if (known != nullptr && known->record_.owner_ == host_.Incarnation()) {
+      OnOwnedByThis(aJob);
+    }
+  } else {
+    refused_.erase(aJob);
   }
   return aLast;
 }
 
+void
+JobIntake::OnOwnedByThis(const JobId& aJob)
+{
+  const auto refused = refused_.find(aJob);
+  if (refused == refused_.end()) {
+    return;
+  }
+  host_.Measures().Count("refused_jobs_accepted_total");
+  LogEvent(LogLevel::Error,
+           "refused_job_accepted",
+           { { "job", aJob.Get() },
+             { "refused_ms_ago",
+               std::to_string(WholeMillis(host_.Now() - refused->second)) } });
+  refused_.erase(refused);
+}
+
 /// The answer to the write may arrive after the notifications of the job's end
 /// or its next owner, which are not repeated.
 void
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -36,6 +36,9 @@
               ConfigRevision aRevision,
               HttpReplyPtr aReply,
               const CustomerId& aCustomer);
+  /// Reports a broken promise if the store lists a job with this process as
+  /// its owner although each of its writes of that job was refused.
+  void OnOwnedByThis(const JobId& aJob);
   /// Stops accepting jobs.
   void Stop() noexcept { open_ = false; }
   [[nodiscard]] bool Open() const noexcept { return open_; }
@@ -85,6 +88,8 @@
   std::map<std::string, std::uint64_t> recordedBursts_;
   /// Jobs of which an acceptance here has an unknown outcome, with its time.
   std::map<JobId, TimePoint> unsettled_;
+  /// Jobs that were refused here and not accepted here since, with the time.
+  std::map<JobId, TimePoint> refused_;
   bool open_ = true;
 };
 
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -157,45 +157,53 @@
   if (!aBurst.key_.empty()) {
     txn.puts_.push_back(std::move(aBurst));
   }
-  store_.Commit(std::move(txn),
-                [this, aJob, owner, done = std::move(aDone)](
-                  const Result<StoreCommit>& aCommit) {
-                  if (aCommit && aCommit.value().applied_) {
-                    done({ AcceptOutcome::Accepted,
-                           FencingNumber{ aCommit.value().revision_ } });
-                  } else if (!aCommit &&
-                             aCommit.error().kind_ == ErrorKind::Unavailable) {
-                    done({ AcceptOutcome::Refused, {} });
-                  } else {
-                    ResolveAccept(aJob,
-                                  owner,
-                                  done,
-                                  aCommit ? AcceptOutcome::Refused
-                                          : AcceptOutcome::Unknown);
-                  }
-                });
+  store_.Commit(
+    std::move(txn),
+    [this, aJob, owner, done = std::move(aDone)](
+      const Result<StoreCommit>& aCommit) {
+      if (aCommit && aCommit.value().applied_) {
+        done({ AcceptOutcome::Accepted,
+               FencingNumber{ aCommit.value().revision_ },
+               "" });
+      } else if (!aCommit && aCommit.error().kind_ == ErrorKind::Unavailable) {
+        done({ AcceptOutcome::Refused, {}, aCommit.error().message_ });
+      } else {
+        ResolveAccept(aJob,
+                      owner,
+                      done,
+                      aCommit ? AcceptOutcome::Refused : AcceptOutcome::Unknown,
+                      aCommit ? "the owner record existed"
+                              : aCommit.error().message_);
+      }
+    });
 }
 
 void
 JobStore::ResolveAccept(const JobId& aJob,
                         std::string aRecord,
                         std::function<void(AcceptResult)> aDone,
-                        AcceptOutcome aIfAbsent)
+                        AcceptOutcome aIfAbsent,
+                        std::string aWhy)
 {
-  ReadOwner(aJob,
-            [record = std::move(aRecord), done = std::move(aDone), aIfAbsent](
-              const Result<std::optional<StoreRecord>>& aOwner) {
-              if (!aOwner) {
-                done({ AcceptOutcome::Unknown, {} });
-              } else if (!aOwner.value()) {
-                done({ aIfAbsent, {} });
-              } else if (aOwner.value()->value_ == record) {
-                done({ AcceptOutcome::Accepted,
-                       FencingNumber{ aOwner.value()->modRevision_ } });
-              } else {
-                done({ AcceptOutcome::Known, {} });
-              }
-            });
+  ReadOwner(
+    aJob,
+    [record = std::move(aRecord),
+     done = std::move(aDone),
+     aIfAbsent,
+     why = std::move(aWhy) + "; read afterwards: "](
+      const Result<std::optional<StoreRecord>>& aOwner) {
+      if (!aOwner) {
+        done({ AcceptOutcome::Unknown, {}, why + aOwner.error().message_ });
+      } else if (!aOwner.value()) {
+        done({ aIfAbsent, {}, why + "no owner record" });
+      } else if (aOwner.value()->value_ == record) {
+        done({ AcceptOutcome::Accepted,
+               FencingNumber{ aOwner.value()->modRevision_ },
+               why + "the record of this write" });
+      } else {
+        done({ AcceptOutcome::Known, {}, why + "a record of another write" });
+      }
+    });
 }
 
 void
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -61,6 +61,9 @@
 {
   AcceptOutcome outcome_ = AcceptOutcome::Unknown;
   FencingNumber fence_;
+  /// The answers of the store that decided the outcome; empty if the write was
+  /// confirmed.
+  std::string why_;
 };
 
 /// A job as stored.
@@ -138,10 +141,12 @@
   void LoadPartials(const JobId& aJob,
                     StoredJob aLoaded,
                     StoreDone<StoredJob> aDone);
+  /// @param aWhy the answer to the write
   void ResolveAccept(const JobId& aJob,
                      std::string aRecord,
                      std::function<void(AcceptResult)> aDone,
-                     AcceptOutcome aIfAbsent);
+                     AcceptOutcome aIfAbsent,
+                     std::string aWhy);
   void RemoveKeys(const JobId& aJob, std::vector<std::string> aKeys);
 
   GatewayContext& host_;
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -18,6 +18,8 @@
   LosesAnswers,
   /// Commits are not executed, and all calls time out.
   Unresponsive,
+  /// Commits are executed, but all calls fail as if nothing had been done.
+  ExecutesAndRefuses,
 };
 
 /// Records, leases and watches. Each call is answered after `delay_`.
@@ -230,7 +232,8 @@
   template<typename T>
   void Answer(Result<T> aResult, StoreDone<T> aDone)
   {
-    if (fault_ == StoreFault::Refuses) {
+    if (fault_ == StoreFault::Refuses ||
+        fault_ == StoreFault::ExecutesAndRefuses) {
       aResult = Error{ ErrorKind::Unavailable, "refused" };
     } else if (fault_ != StoreFault::None) {
       aResult = Error{ ErrorKind::Timeout, "no answer" };
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -2,6 +2,7 @@
 /// requests about the other's jobs.
 
 #include "job_gateway.hpp"
+#include "log_capture.hpp"
 #include "marjoramtally/connection/job_messages.hpp"
 #include "marjoramtally/process.hpp"
 
@@ -367,6 +368,24 @@
   REQUIRE(pair.Submit("j1")->status_ == 503);
 }
 
+// Guards against a broken refusal that no log shows.
+TEST_CASE("a refused job that the store lists as owned here is reported")
+{
+  Pair pair;
+  const LogCapture log;
+  pair.model_.clear();
+  pair.store_.fault_ = StoreFault::Refuses;
+  REQUIRE(pair.Submit("j1")->status_ == 503);
+  pair.store_.fault_ = StoreFault::None;
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+  REQUIRE_FALSE(log.Contains("event=refused_job_accepted"));
+  pair.store_.fault_ = StoreFault::ExecutesAndRefuses;
+  REQUIRE(pair.Submit("j2")->status_ == 503);
+  REQUIRE(
+    log.Contains("event=job_submitted job=j2 outcome=refused why=refused"));
+  REQUIRE(log.Contains("event=refused_job_accepted job=j2 refused_ms_ago="));
+}
+
 TEST_CASE("a job that no process could write is refused")
 {
   Pair pair;
