Logs: a call that is not sent again says why it ended

The end of a call whose kept connection closed before the response read "Operation was aborted by an application callback", which names libcurl's way of not sending it again and not what happened. It reads "the connection closed before the response"; a check in the test of the client asks for it.

--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -153,7 +153,11 @@
   }
   transfer.resent_ =
     transfer.call_.mayResend_ || transfer.call_.method_ == "GET";
-  return transfer.resent_ ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  if (transfer.resent_) {
+    return CURL_PREREQFUNC_OK;
+  }
+  transfer.rejected_ = "the connection closed before the response";
+  return CURL_PREREQFUNC_ABORT;
 }
 
 void
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -251,6 +251,7 @@
   CHECK(result.end_ == (mayResend ? HttpEnd::Complete : HttpEnd::Broken));
   CHECK(result.resent_ == mayResend);
   if (result.end_ == HttpEnd::Broken) {
+    CHECK(result.message_ == "the connection closed before the response");
     CHECK(SendAndWait(*client, Post(server)).end_ == HttpEnd::Complete);
   }
   server.Join();
