--- a/tests/test_refused_jobs.cpp
+++ b/tests/test_refused_jobs.cpp
@@ -165,3 +165,32 @@
   }
   REQUIRE_FALSE(fleet.IsStored("j1"));
 }
+
+// The owner ends between its write and its answer, and starts again without its
+// memory.
+TEST_CASE(
+  "a job whose owner was killed after its write is not refused everywhere")
+{
+  const bool restarted = GENERATE(false, true);
+  const bool closes = GENERATE(true, false);
+  CAPTURE(restarted, closes);
+  Fleet fleet;
+  JobGateway next{ fleet, fleet.stores_[2], "three~2" };
+  fleet.server_.GoDownAtNextWrite({ closes, 503 });
+  fleet.gateways_[0].peers_.losesAnswers_ = true;
+  std::vector<int> answers{ fleet.Submit(0, "j1") };
+  fleet.gateways_[0].peers_.losesAnswers_ = false;
+  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+    auto& peers = fleet.gateways_[gateway].peers_.others_;
+    peers.erase("a:3");
+    if (restarted) {
+      peers["a:3"] = &next.peers_;
+    }
+  }
+  answers.push_back(fleet.Submit(1, "j1"));
+  answers.push_back(fleet.Submit(0, "j1"));
+  CAPTURE(answers);
+  REQUIRE(fleet.IsStored("j1"));
+  CHECK(answers != std::vector<int>{ 503, 503, 503 });
+  CHECK(answers.front() == 504);
+}
