Leased keys: a key that is still on its previous lease is written again

What callers would see (read in the code, not run at a gateway): a gateway moves its liveness record to a shorter lease as it accepts its first job. If the store does not answer that write, the record ends with the previous lease, which is no longer renewed, and is not written again until the process restarts. Others then take a running gateway for dead and take its jobs over.

Cause: the read that settles the unanswered write finds the record on its previous lease. It was taken for the key of another process, so the key waited for that process to leave and revoked its own lease. Nobody ends that wait: `Retry` is called for exclusive keys only.

Evidence: the new test failed without the fix: the record stays on its first lease (`1 != 1` for old and new lease), 3 s after the store answers again. It passes with it, as do the tests of keys, leases and jobs.

Why this fix works: only an exclusive key can be another process's. Any other one is written again, on the lease that was granted for it.

Ruled out: exclusive keys. The duty's key recognizes earlier runs of its own instance (`isOurs_`) and is tried again when the key is deleted.

--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -223,7 +223,10 @@
       OnWritten(StoreCommit{ true, record.modRevision_ });
       return;
     }
-    if (options_.isOurs_ && options_.isOurs_(record.value_)) {
+    const bool mayReplace =
+      !options_.exclusive_ ||
+      (options_.isOurs_ && options_.isOurs_(record.value_));
+    if (mayReplace) {
       replacedRevision_ = record.modRevision_;
       Write();
       return;
--- a/tests/test_leased_key.cpp
+++ b/tests/test_leased_key.cpp
@@ -234,3 +234,26 @@
   REQUIRE(key.Held());
   REQUIRE(store.TtlOf(store.records_.at("life").lease_) == 1500ms);
 }
+
+// Guards against a gateway that is taken for dead although it runs: its key was
+// found under its own previous lease and taken for the key of another process.
+TEST_CASE("a key whose move to a new lease got no answer is moved later")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 12s, false });
+  key.Start();
+  timers.Advance(10ms);
+  const StoreLeaseId before = store.records_.at("life").lease_;
+  key.SetTtl(1500ms);
+  timers.Advance(2ms);
+  store.fault_ = StoreFault::Unresponsive;
+  timers.Advance(1s);
+  store.fault_ = StoreFault::None;
+  timers.Advance(3s);
+  REQUIRE(store.records_.at("life").lease_ != before);
+  store.ExpireLease(before);
+  REQUIRE(store.records_.contains("life"));
+  REQUIRE(key.Held());
+}
