Leased keys: a late write does not move a key back to an older lease

What callers would see (read in the code, not run at a gateway): a gateway whose first write of its liveness record gets no answer, writes it again and moves it to a shorter lease for its first job. The record is then on the abandoned lease again and ends with it; the process renews the other lease and does not notice that others take it for dead.

Cause: the write of a key that is not exclusive had no condition, so the answer to the later write was taken for the end of the earlier one.

Why this fix works: every write now expects the revision that its process saw last, so of two writes only the first to arrive is executed. The revision is kept when a write succeeds and reset when the lease is known to have ended; a conflict is settled by reading, as for exclusive keys, and costs no call when nothing is lost.

Ruled out: exclusive keys, which had the condition; writes of an ended lease, which the store refuses.

--- a/src/daemon/leased_key.cpp
+++ b/src/daemon/leased_key.cpp
@@ -109,6 +109,7 @@
   }
   ++epoch_;
   lease_ = 0;
+  replacedRevision_ = 0;
   held_ = false;
   waiting_ = false;
   Schedule(options_.ttl_, &LeasedKey::Grant);
@@ -155,9 +156,9 @@
 LeasedKey::Write()
 {
   StoreTxn txn;
-  if (options_.exclusive_) {
-    txn.compares_.push_back({ options_.key_, replacedRevision_ });
-  }
+  // Also if others may not hold the key: a write that got no answer may be
+  // executed later and must not replace a newer one.
+  txn.compares_.push_back({ options_.key_, replacedRevision_ });
   txn.puts_.push_back({ options_.key_, options_.value_, lease_ });
   store_.Commit(
     std::move(txn),
@@ -172,6 +173,7 @@
     held_ = true;
     waiting_ = false;
     fence_ = FencingNumber{ aCommit.value().revision_ };
+    replacedRevision_ = aCommit.value().revision_;
     if (requestedTtl_ == options_.ttl_) {
       RenewAfter(options_.ttl_ / kRenewalsPerTtl);
     } else {
@@ -274,6 +276,7 @@
   }
   if (aLease.error().kind_ == ErrorKind::NotFound) {
     OnLost("the store ended it");
+    replacedRevision_ = 0;
     Grant();
     return;
   }
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -5,6 +5,7 @@
 #include "marjoramtally/runtime/store.hpp"
 
 #include <map>
+#include <utility>
 
 namespace marjoramtally::test {
 
@@ -47,6 +48,9 @@
   std::size_t refusals_ = 0;
   /// Number of the commit that is refused, counted from 1; 0: none.
   std::size_t refuseCommit_ = 0;
+  /// If not 0, the next commit gets no answer and is executed after this time,
+  /// if its condition still holds.
+  Duration nextCommitAfter_{ 0 };
   /// Number of calls of `Read`, including those made by `ReadEarlier`.
   std::size_t reads_ = 0;
   /// Reads of exactly this prefix are refused.
@@ -93,6 +97,16 @@
       });
       return;
     }
+    if (nextCommitAfter_ > Duration{ 0 }) {
+      timers_.After(std::exchange(nextCommitAfter_, Duration{ 0 }),
+                    [this, txn = std::move(aTxn)] {
+                      Commit(txn, [](const Result<StoreCommit>&) {});
+                    });
+      timers_.After(delay_, [done = std::move(aDone)] {
+        done(Error{ ErrorKind::Timeout, "no answer" });
+      });
+      return;
+    }
     if (fault_ == StoreFault::Refuses || fault_ == StoreFault::Unresponsive) {
       Answer<StoreCommit>(StoreCommit{}, std::move(aDone));
       return;
--- a/tests/test_leased_key.cpp
+++ b/tests/test_leased_key.cpp
@@ -257,3 +257,23 @@
   REQUIRE(store.records_.contains("life"));
   REQUIRE(key.Held());
 }
+
+// Guards against a key that ends with an abandoned lease although its process
+// runs: a write that got no answer moved it back to that lease.
+TEST_CASE("a late write does not move a key back to its previous lease")
+{
+  ManualClock clock;
+  ManualTimers timers(clock);
+  FakeStore store(timers);
+  LeasedKey key(store, timers, clock, { "life", "me", 12s, false });
+  store.nextCommitAfter_ = 3s;
+  key.Start();
+  timers.Advance(1s);
+  REQUIRE(key.Held());
+  const StoreLeaseId before = store.records_.at("life").lease_;
+  key.SetTtl(1500ms);
+  timers.Advance(3s);
+  REQUIRE(store.records_.at("life").lease_ != before);
+  store.ExpireLease(before);
+  REQUIRE(store.records_.contains("life"));
+}
