Jobs: no refusal while another write of the job has no answer

A caller that submits a job twice, or whose submission is handed on twice, was told 503 'refused_not_run' for the second although the first was still waiting for the store and ran afterwards. JobIntake::Settle knew of writes that had ended without an answer, not of writes in flight.

Writes in flight are now counted by job, and a refusal beside one becomes 504. The first submission keeps its own outcome: alone it is still refused with 503.

Without the fix, the new test fails with 503 == 504 while the owner record is in the store. Ruled out: to let the second submission wait for the first, because a second write on another connection often succeeds where the first hangs.

--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -189,12 +189,16 @@
 JobIntake::AcceptHere(const SubmissionPtr& aSubmission, AcceptDone aDone)
 {
   refused_.erase(aSubmission->job_);
+  ++writing_[aSubmission->job_];
   store_.Accept(
     aSubmission->job_,
     aSubmission->record_,
     aSubmission->spec_.items_.size(),
     [this, aSubmission, done = std::move(aDone)](const AcceptResult& aResult) {
       const JobId& job = aSubmission->job_;
+      if (--writing_.at(job) == 0) {
+        writing_.erase(job);
+      }
       const AcceptOutcome outcome = Settle(job, aResult.outcome_);
       LogEvent(LogLevel::Info,
                "job_submitted",
@@ -221,7 +225,8 @@
   DropExpired(refused_, now);
   if (aLast == AcceptOutcome::Unknown) {
     unsettled_[aJob] = now;
-  } else if (aLast == AcceptOutcome::Refused && unsettled_.contains(aJob)) {
+  } else if (aLast == AcceptOutcome::Refused &&
+             (unsettled_.contains(aJob) || writing_.contains(aJob))) {
     return AcceptOutcome::Unknown;
   } else if (aLast == AcceptOutcome::Refused) {
     refused_[aJob] = now;
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -86,6 +86,8 @@
   JobRunner& runner_;
   /// Bursts recorded by this process, by model.
   std::map<std::string, std::uint64_t> recordedBursts_;
+  /// Number of acceptances of each job that await the answer of the store.
+  std::map<JobId, std::size_t> writing_;
   /// Jobs of which an acceptance here has an unknown outcome, with its time.
   std::map<JobId, TimePoint> unsettled_;
   /// Jobs that were refused here and not accepted here since, with the time.
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -368,6 +368,25 @@
   REQUIRE(pair.Submit("j1")->status_ == 503);
 }
 
+// The store refuses the second submission while the first has no answer yet.
+TEST_CASE("a job that this process is still writing is not refused")
+{
+  Pair pair;
+  pair.model_.clear();
+  pair.store_.dropsEvents_ = true;
+  pair.store_.delay_ = 1s;
+  pair.store_.fault_ = StoreFault::LosesAnswers;
+  const auto first = pair.Submit("j1");
+  pair.store_.delay_ = 4ms;
+  pair.store_.fault_ = StoreFault::Refuses;
+  const auto second = pair.Submit("j1");
+  REQUIRE_FALSE(first->ended_);
+  REQUIRE(pair.store_.records_.contains(job_keys::Owner(JobId{ "j1" })));
+  REQUIRE(second->status_ == 504);
+  pair.timers_.Advance(3s);
+  REQUIRE(first->status_ == 504);
+}
+
 // Guards against a broken refusal that no log shows.
 TEST_CASE("a refused job that the store lists as owned here is reported")
 {
