Jobs: a stopping gateway does not refuse what it may have accepted

Told to stop, a gateway answered each submission 'refused' before it looked at earlier ones of the same job: 503 to callers, a refusal to the gateways that hand jobs on, also while a write of that job had no answer or an unknown outcome. The store applies such a write later and the job runs.

Both paths now ask what Settle asks: with an unsettled or unanswered write the outcome is unknown. A job of which nothing is known is refused as before, and one that the directory lists is answered as known to other gateways too, before the stop is looked at.

--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -69,6 +69,13 @@
   return {};
 }
 
+HttpResponse
+UnknownOutcomeResponse()
+{
+  return ErrorResponse(
+    504, "unknown_outcome", "the store did not say whether it took it");
+}
+
 /// @returns the outcome in the answer; `Unknown` if there is none
 AcceptOutcome
 ReadForwardOutcome(const RpcReply& aReply)
@@ -128,7 +135,11 @@
     return;
   }
   if (!open_) {
-    aReply->Send(RefusedResponse("shutting down", kJobRetryAfter));
+    if (MayBeAccepted(job)) {
+      aReply->Send(UnknownOutcomeResponse());
+    } else {
+      aReply->Send(RefusedResponse("shutting down", kJobRetryAfter));
+    }
     return;
   }
   auto spec = ReadSubmission(aRequest.body_);
@@ -221,12 +232,10 @@
 JobIntake::Settle(const JobId& aJob, AcceptOutcome aLast)
 {
   const TimePoint now = host_.Now();
-  DropExpired(unsettled_, now);
   DropExpired(refused_, now);
   if (aLast == AcceptOutcome::Unknown) {
     unsettled_[aJob] = now;
-  } else if (aLast == AcceptOutcome::Refused &&
-             (unsettled_.contains(aJob) || writing_.contains(aJob))) {
+  } else if (aLast == AcceptOutcome::Refused && MayBeAccepted(aJob)) {
     return AcceptOutcome::Unknown;
   } else if (aLast == AcceptOutcome::Refused) {
     refused_[aJob] = now;
@@ -240,6 +249,13 @@
   return aLast;
 }
 
+bool
+JobIntake::MayBeAccepted(const JobId& aJob)
+{
+  DropExpired(unsettled_, host_.Now());
+  return unsettled_.contains(aJob) || writing_.contains(aJob);
+}
+
 void
 JobIntake::OnOwnedByThis(const JobId& aJob)
 {
@@ -335,10 +351,6 @@
   const auto answer = [aDone](AcceptOutcome aOutcome) {
     aDone(EncodeJobHandoverReply(static_cast<std::uint8_t>(aOutcome)));
   };
-  if (!open_) {
-    answer(AcceptOutcome::Refused);
-    return;
-  }
   const auto forwarded = DecodeJobHandover(aCall.body_);
   auto record = forwarded ? ReadSubmissionRecord(forwarded.value().submission_)
                           : Result<JobSubmissionRecord>(forwarded.error());
@@ -356,6 +368,11 @@
     answer(AcceptOutcome::Known);
     return;
   }
+  if (!open_) {
+    answer(MayBeAccepted(job) ? AcceptOutcome::Unknown
+                              : AcceptOutcome::Refused);
+    return;
+  }
   AcceptHere(std::make_shared<const Submission>(Submission{
                job, std::move(record).value(), std::move(spec).value() }),
              answer);
@@ -378,8 +395,7 @@
       aReply.Send(RefusedResponse("the store took nothing", kJobRetryAfter));
       return;
     case AcceptOutcome::Unknown:
-      aReply.Send(ErrorResponse(
-        504, "unknown_outcome", "the store did not say whether it took it"));
+      aReply.Send(UnknownOutcomeResponse());
       return;
   }
 }
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -61,6 +61,8 @@
   /// @returns the outcome of all submissions of a job here, given that of the
   /// last one
   [[nodiscard]] AcceptOutcome Settle(const JobId& aJob, AcceptOutcome aLast);
+  /// @returns whether an earlier submission of a job here may be accepted
+  [[nodiscard]] bool MayBeAccepted(const JobId& aJob);
   /// @returns a record for the holder of the order duty of the slots that the
   /// items of a model will want, if they are more than recorded before; else
   /// one without a key
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -59,6 +59,27 @@
     return reply;
   }
 
+  /// @returns the outcome at the second process
+  AcceptOutcome HandOn(const std::string& aJob)
+  {
+    RpcCall call;
+    call.topic_ = RpcTopic::JobHandOn;
+    call.body_ =
+      EncodeJobHandover({ aJob,
+                          WriteSubmissionRecord(
+                            { "h",
+                              "/i/" + aJob,
+                              R"({"items":[{"id":"a1","path":"/i/a1"}]})" }) });
+    std::optional<AcceptOutcome> end;
+    second_.peers_.handlers_.at(RpcTopic::JobHandOn)(
+      call, [&end](const RpcReply& aReply) {
+        end = static_cast<AcceptOutcome>(
+          DecodeJobHandoverReply(aReply.value()).value());
+      });
+    timers_.Advance(50ms);
+    return end.value();
+  }
+
   std::string OwnerOf(const std::string& aJob)
   {
     const auto& record = store_.records_.at(job_keys::Owner(JobId{ aJob }));
@@ -387,6 +408,29 @@
   REQUIRE(first->status_ == 504);
 }
 
+// The store may still apply the write of the earlier submission.
+TEST_CASE("a stopping process does not refuse a job that it may have accepted")
+{
+  Pair pair;
+  pair.store_.dropsEvents_ = true;
+  pair.store_.fault_ = StoreFault::LosesAnswers;
+  SECTION("it was submitted there")
+  {
+    pair.model_.clear();
+    REQUIRE(pair.Submit("j1")->status_ == 504);
+    pair.first_.jobs_.Stop(8s);
+    REQUIRE(pair.Submit("j1")->status_ == 504);
+    REQUIRE(pair.Submit("j2")->status_ == 503);
+  }
+  SECTION("it was handed on to it")
+  {
+    REQUIRE(pair.HandOn("j1") == AcceptOutcome::Unknown);
+    pair.second_.jobs_.Stop(8s);
+    REQUIRE(pair.HandOn("j1") == AcceptOutcome::Unknown);
+    REQUIRE(pair.HandOn("j2") == AcceptOutcome::Refused);
+  }
+}
+
 // Guards against a broken refusal that no log shows.
 TEST_CASE("a refused job that the store lists as owned here is reported")
 {
