Jobs: the unknown outcome of a hand-on is remembered

A gateway handed a submission to the process that owns the trainer's jobs, got no answer, could not write itself and told the caller 504. Only the other process knew that the job might be accepted. Once that process had been restarted, the next submission of the job at this gateway was refused by both: 503, although the store held the job or could still apply the write.

The outcome is now remembered with those of own writes, for the same minute, and decides later refusals in one place (Settle), also of the submission itself. Such a submission is no longer noted as refused, which would have reported a broken refusal that callers never got.

Without the fix, the new test fails with 503 == 504 at the second submission. Not covered: the next submission at a third gateway, which heard of neither.

--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -232,6 +232,7 @@
 JobIntake::Settle(const JobId& aJob, AcceptOutcome aLast)
 {
   const TimePoint now = host_.Now();
+  DropExpired(unsettled_, now);
   DropExpired(refused_, now);
   if (aLast == AcceptOutcome::Unknown) {
     unsettled_[aJob] = now;
@@ -334,14 +335,13 @@
         Answer(*aSubmission, end, *aReply);
         return;
       }
-      AcceptHere(
-        aSubmission, [this, aSubmission, aReply, end](AcceptOutcome aLocal) {
-          const bool mayBeAccepted =
-            aLocal == AcceptOutcome::Refused && end == AcceptOutcome::Unknown;
-          Answer(*aSubmission,
-                 mayBeAccepted ? AcceptOutcome::Unknown : aLocal,
-                 *aReply);
-        });
+      if (end == AcceptOutcome::Unknown) {
+        unsettled_[aSubmission->job_] = host_.Now();
+      }
+      AcceptHere(aSubmission,
+                 [this, aSubmission, aReply](AcceptOutcome aLocal) {
+                   Answer(*aSubmission, aLocal, *aReply);
+                 });
     });
 }
 
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -61,7 +61,8 @@
   /// @returns the outcome of all submissions of a job here, given that of the
   /// last one
   [[nodiscard]] AcceptOutcome Settle(const JobId& aJob, AcceptOutcome aLast);
-  /// @returns whether an earlier submission of a job here may be accepted
+  /// @returns whether an earlier submission of a job through this process may
+  /// be accepted
   [[nodiscard]] bool MayBeAccepted(const JobId& aJob);
   /// @returns a record for the holder of the order duty of the slots that the
   /// items of a model will want, if they are more than recorded before; else
@@ -90,7 +91,8 @@
   std::map<std::string, std::uint64_t> recordedBursts_;
   /// Number of acceptances of each job that await the answer of the store.
   std::map<JobId, std::size_t> writing_;
-  /// Jobs of which an acceptance here has an unknown outcome, with its time.
+  /// Jobs of which an acceptance, here or by the process that was to own the
+  /// job, has an unknown outcome, with its time.
   std::map<JobId, TimePoint> unsettled_;
   /// Jobs that were refused here and not accepted here since, with the time.
   std::map<JobId, TimePoint> refused_;
--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -431,6 +431,23 @@
   }
 }
 
+// The outcome of a submission that was handed on is remembered here, because a
+// restarted owner does not know it.
+TEST_CASE("a job that a restarted process may have accepted is not refused")
+{
+  Pair pair;
+  pair.store_.fault_ = StoreFault::Refuses;
+  pair.first_.peers_.losesAnswers_ = true;
+  REQUIRE(pair.Submit("j1")->status_ == 504);
+  pair.first_.peers_.losesAnswers_ = false;
+  JobGateway restarted{ pair, pair.store_, "two~2" };
+  pair.first_.peers_.others_["a:2"] = &restarted.peers_;
+  REQUIRE(pair.Submit("j1")->status_ == 504);
+  REQUIRE(pair.Submit("j2")->status_ == 503);
+  pair.timers_.Advance(61s);
+  REQUIRE(pair.Submit("j1")->status_ == 503);
+}
+
 // Guards against a broken refusal that no log shows.
 TEST_CASE("a refused job that the store lists as owned here is reported")
 {
