Jobs: a text of two versions is generated anew when its route wants one

Cause: versions were compared with the route only as events came in and as a text was taken over. A text that was complete, or got no further event, was never compared again: it was scored and listed under limits that did not allow it any more. That held for texts in scoring, for decided results that waited for their group, for runs whose end was the next thing to come, and for interrupted texts that two empty answers turned into complete ones.

Evidence: without the fix the new ledger test fails in all four states (the text is kept: lastEvent_ 2 == 0; the state stays Running, Scoring or Finished instead of Waiting), and the runner test in both: "a\nb" was stored instead of "c" (run about to end), and the score call stayed open with no new run (scoring).

Fix: `JobLedger::SetPolicy` discards each text that the new limits do not allow and makes its item wait again; the runner stops its run and its score call, so neither a late end nor a late score completes the new text, and the score is asked for anew once that is complete. Results that were handed to the store (new state `Listing`) and errored ones stay: the write may have been applied, and a position must not change. With that state left out the test "a result whose write is in doubt ..." fails.

Ruled out: the minimum version cannot change under a job, it is part of its submission; texts of earlier owners and jobs are compared as they are taken over. Not changed: a result whose write is unconfirmed over a disruption of the store is still written as it was decided.

--- a/include/marjoramtally/version/job_ledger.hpp
+++ b/include/marjoramtally/version/job_ledger.hpp
@@ -22,8 +22,12 @@
   Running,
   /// Its text is complete and its score is pending.
   Scoring,
-  /// Its result is final but not yet written to the store.
+  /// Its result is decided but not yet handed to the store. No event changes
+  /// it; a configuration that does not allow its text discards it.
   Finished,
+  /// Its result was handed to the store and may be written there, so it no
+  /// longer changes.
+  Listing,
   /// Its result is written at a position of the job's results.
   Listed,
 };
@@ -79,8 +83,11 @@
   /// @param aAccepted time of acceptance, by this instance's clock
   JobLedger(JobSpec aSpec, JobPolicy aPolicy, TimePoint aAccepted);
 
-  /// Replaces the limits; results that are already final do not change.
-  void SetPolicy(JobPolicy aPolicy) noexcept { policy_ = aPolicy; }
+  /// Replaces the limits. Texts whose versions they do not allow are discarded
+  /// and generated anew, except those of results handed to the store.
+  /// @returns items whose text was discarded; their runs and score calls are to
+  /// be stopped
+  [[nodiscard]] std::vector<ItemIndex> SetPolicy(JobPolicy aPolicy);
 
   /// Restores listed results, read from the store in order of position.
   void Restore(const std::vector<JobResult>& aListed);
@@ -93,11 +100,13 @@
   {
     return items_[aItem].state_;
   }
-  /// @returns whether the item's result is decided; no later event changes it
+  /// @returns whether the item's result is decided; no later event of its run
+  /// or score call changes it
   [[nodiscard]] bool IsFinal(ItemIndex aItem) const noexcept
   {
     const ItemState state = items_[aItem].state_;
-    return state == ItemState::Finished || state == ItemState::Listed;
+    return state == ItemState::Finished || state == ItemState::Listing ||
+           state == ItemState::Listed;
   }
   [[nodiscard]] const PartialText& Text(ItemIndex aItem) const noexcept
   {
@@ -157,7 +166,7 @@
   void AbandonOverdue(TimePoint aNow);
   /// @returns items whose results are to be written now, in order of position
   [[nodiscard]] std::vector<ItemIndex> Listable(TimePoint aNow) const;
-  /// @returns all items whose results are final but not yet written
+  /// @returns all items whose results are final but not yet handed to the store
   [[nodiscard]] std::vector<ItemIndex> Finished() const;
   /// @returns why an item was abandoned; empty if it was not
   [[nodiscard]] std::string_view ErrorOf(ItemIndex aItem) const noexcept
@@ -175,6 +184,8 @@
     return items_[aItem].finished_;
   }
   [[nodiscard]] JobResult ResultOf(ItemIndex aItem) const;
+  /// The results are handed to the store.
+  void OnListing(const std::vector<ItemIndex>& aItems);
   /// The results were written at the next positions, in this order.
   void OnListed(const std::vector<ItemIndex>& aItems);
   [[nodiscard]] const std::vector<ItemIndex>& Listed() const noexcept
--- a/src/programs/gatewayd/job_runner.cpp
+++ b/src/programs/gatewayd/job_runner.cpp
@@ -292,7 +292,7 @@
   const bool first = aJob.limits_.config_ == ConfigRevision{};
   const JobPolicy policy = PolicyOf(aJob);
   aJob.limits_ = policy;
-  aJob.ledger_.SetPolicy(policy);
+  const std::vector<ItemIndex> discarded = aJob.ledger_.SetPolicy(policy);
   aJob.deadline_ = aJob.accepted_ + policy.maxQueue_;
   LogEvent(LogLevel::Info,
            "job_limits",
@@ -300,7 +300,9 @@
              { "config", std::to_string(revision.Get()) },
              { "attempts", std::to_string(policy.maxAttempts_) },
              { "score_attempts", std::to_string(policy.maxScoreFailures_) },
-             { "queue_ms", std::to_string(WholeMillis(policy.maxQueue_)) } });
+             { "queue_ms", std::to_string(WholeMillis(policy.maxQueue_)) },
+             { "single_version", policy.singleVersion_ ? "yes" : "no" } });
+  StopDiscarded(aId, aJob, discarded);
   if (first) {
     RestoreTexts(aJob);
   }
@@ -333,6 +335,29 @@
   });
 }
 
+/// A run would go on after the last event of a discarded text, and its score
+/// call was sent before the new text is complete.
+void
+JobRunner::StopDiscarded(const JobId& aId,
+                         OwnedJob& aJob,
+                         const std::vector<ItemIndex>& aItems)
+{
+  for (const ItemIndex item : aItems) {
+    LogEvent(LogLevel::Info,
+             "item_text_discarded",
+             { { "item", aJob.ledger_.Spec().items_[item].id_.Get() },
+               { "job", aId.Get() },
+               { "config", std::to_string(aJob.limits_.config_.Get()) } });
+    if (const auto run = aJob.runs_.find(item); run != aJob.runs_.end()) {
+      StopRun(run->second, CallVerdict::Abandoned);
+    }
+    if (auto score = aJob.scores_.extract(item)) {
+      forwarder_.Cancel(score.mapped());
+    }
+    aJob.scoreRetries_.erase(item);
+  }
+}
+
 void
 JobRunner::LogStopped(const JobId& aId, const OwnedJob& aJob, ItemIndex aItem)
 {
--- a/src/programs/gatewayd/job_runner.hpp
+++ b/src/programs/gatewayd/job_runner.hpp
@@ -184,6 +184,10 @@
   [[nodiscard]] JobPolicy PolicyOf(const OwnedJob& aJob) const;
   /// Abandons the items of a job whose time is over, and stops their work.
   void AbandonOverdue(const JobId& aId, OwnedJob& aJob);
+  /// Stops the work of items whose text the limits do not allow any more.
+  void StopDiscarded(const JobId& aId,
+                     OwnedJob& aJob,
+                     const std::vector<ItemIndex>& aItems);
   static void LogStopped(const JobId& aId,
                          const OwnedJob& aJob,
                          ItemIndex aItem);
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -143,6 +143,7 @@
     write.partials_ = EncodePartials(aJob.ledger_, items);
     aJob.lastPartialsWrite_ = host_.Now();
   }
+  aJob.ledger_.OnListing(items);
   aBatch.writes_.push_back(std::move(write));
   aBatch.items_.push_back(std::move(items));
 }
--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -53,6 +53,30 @@
   return fresh && (!policy_.singleVersion_ || aVersions.size() <= 1);
 }
 
+std::vector<ItemIndex>
+JobLedger::SetPolicy(JobPolicy aPolicy)
+{
+  policy_ = aPolicy;
+  std::vector<ItemIndex> discarded;
+  for (ItemIndex i = 0; i < items_.size(); ++i) {
+    Item& item = items_[i];
+    if (item.state_ == ItemState::Listing || item.state_ == ItemState::Listed ||
+        item.errored_ || VersionsFit(item.text_.versions_)) {
+      continue;
+    }
+    if (item.state_ == ItemState::Finished) {
+      ++open_[spec_.items_[i].group_];
+    }
+    item.state_ = ItemState::Waiting;
+    item.text_ = {};
+    item.score_.clear();
+    // The score call of the new text may start only once that is complete.
+    item.scoreRequested_ = false;
+    discarded.push_back(i);
+  }
+  return discarded;
+}
+
 void
 JobLedger::Reuse(ItemIndex aItem, PartialText aText)
 {
@@ -351,6 +375,14 @@
   return result;
 }
 
+void
+JobLedger::OnListing(const std::vector<ItemIndex>& aItems)
+{
+  for (const ItemIndex item : aItems) {
+    items_[item].state_ = ItemState::Listing;
+  }
+}
+
 void
 JobLedger::OnListed(const std::vector<ItemIndex>& aItems)
 {
--- a/tests/job_fixture.hpp
+++ b/tests/job_fixture.hpp
@@ -96,6 +96,15 @@
     runner_.Add(kJob, fence_, submission_, MakeSpec(aItems), {}, {}, {});
   }
 
+  /// Applies a configuration that allows one weight version per text.
+  void RequireSingleVersion()
+  {
+    RoutingConfig config = Config(2);
+    config.routes_.front().singleVersion_ = true;
+    routes_.Apply(std::move(config));
+    runner_.OnUpstreamsChanged();
+  }
+
   SentCall Call(std::size_t aIndex = 0) { return client_.open_.at(aIndex); }
 
   HttpResponse Stream(const SentCall& aCall,
--- a/tests/test_job_ledger.cpp
+++ b/tests/test_job_ledger.cpp
@@ -145,6 +145,81 @@
   REQUIRE(ledger.Text(0).lastEvent_ == 0);
 }
 
+// Guards against a result of two versions on a route that wants one: the
+// versions were compared only as events came in.
+TEST_CASE("a text of two versions is discarded when its route wants one")
+{
+  const ItemState state = GENERATE(ItemState::Waiting,
+                                   ItemState::Running,
+                                   ItemState::Scoring,
+                                   ItemState::Finished);
+  JobLedger ledger = MakeLedger();
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1, 5));
+  REQUIRE(Take(ledger, 0, 2, 6));
+  if (state == ItemState::Waiting) {
+    ledger.OnInterrupted(0);
+  } else if (state != ItemState::Running) {
+    ledger.OnCompleted(0, kStart);
+    ledger.OnScoreRequested(0);
+    if (state == ItemState::Finished) {
+      ledger.OnScored(0, "old", kStart);
+    }
+  }
+  REQUIRE(ledger.State(0) == state);
+  Complete(ledger, 1, kStart);
+  JobPolicy policy;
+  policy.singleVersion_ = true;
+  REQUIRE(ledger.SetPolicy(policy) == std::vector<ItemIndex>{ 0 });
+  REQUIRE(ledger.State(0) == ItemState::Waiting);
+  REQUIRE(ledger.Text(0).lastEvent_ == 0);
+  REQUIRE(ledger.Text(0).text_.empty());
+  REQUIRE(ledger.Finished() == std::vector<ItemIndex>{ 1 });
+  // Its group is not complete any more.
+  REQUIRE(ledger.Listable(kStart).empty());
+  // Neither an answer to the earlier score call nor an end without events
+  // completes the new text.
+  ledger.OnScored(0, "old", kStart);
+  ledger.OnEmptyContinuation(0, kStart);
+  ledger.OnEmptyContinuation(0, kStart);
+  REQUIRE(ledger.State(0) == ItemState::Waiting);
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1, 6));
+  ledger.OnCompleted(0, kStart + 1s);
+  REQUIRE(ledger.Unscored() == std::vector<ItemIndex>{ 0 });
+  ledger.OnScored(0, "new", kStart + 1s);
+  REQUIRE(ledger.ResultOf(0).versions_ == std::vector{ WeightVersion{ 6 } });
+  REQUIRE(ledger.ResultOf(0).text_ == "t1");
+  REQUIRE(ledger.ResultOf(0).score_ == "new");
+  REQUIRE(ledger.Listable(kStart + 1s) == std::vector<ItemIndex>{ 0, 1 });
+}
+
+// Guards against a result that changes after it was read: a write whose answer
+// is pending may have been applied.
+TEST_CASE("a result handed to the store or errored stays under new limits")
+{
+  const bool errored = GENERATE(false, true);
+  JobLedger ledger = MakeLedger();
+  ledger.OnStarted(0);
+  REQUIRE(Take(ledger, 0, 1, 5));
+  REQUIRE(Take(ledger, 0, 2, 6));
+  if (errored) {
+    ledger.OnPermanentFailure(0, kStart);
+  } else {
+    ledger.OnCompleted(0, kStart);
+    ledger.OnScored(0, "sig", kStart);
+    ledger.OnListing({ 0 });
+  }
+  const ItemState state = ledger.State(0);
+  JobPolicy policy;
+  policy.singleVersion_ = true;
+  REQUIRE(ledger.SetPolicy(policy).empty());
+  FeedLateEvents(ledger, 0, kStart + 1s);
+  REQUIRE(ledger.State(0) == state);
+  REQUIRE(ledger.ResultOf(0).completed_ == !errored);
+  REQUIRE(ledger.ResultOf(0).text_ == (errored ? "" : "t1\nt2"));
+}
+
 TEST_CASE("an item is abandoned after failed runs, not after interrupted ones")
 {
   JobLedger ledger = MakeLedger();
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -360,6 +360,71 @@
   REQUIRE_FALSE(fix.runner_.Find(kJob)->ResultOf(0).completed_);
 }
 
+// Guards against a result of two versions on a route that wants one: a text was
+// in scoring, or its run about to end, when the configuration changed.
+TEST_CASE("a text of two versions is generated anew when its route wants one")
+{
+  const bool scoring = GENERATE(false, true);
+  JobFixture fix;
+  fix.Accept(1);
+  const SentCall run = fix.Call();
+  const std::string events = Event(1, "a") +
+                             fix.platform_->Names().versionField_ + ": 6\n" +
+                             Event(2, "b");
+  if (scoring) {
+    fix.client_.Answer(run, fix.Stream(run, events));
+  } else {
+    fix.Begin(run, events);
+  }
+  REQUIRE(fix.runner_.Find(kJob)->Text(0).versions_.size() == 2);
+  const SentCall late = fix.Call();
+  fix.RequireSingleVersion();
+  REQUIRE(fix.client_.open_.size() == 1);
+  REQUIRE(fix.Call().call_.url_.find("/i/0") != std::string::npos);
+  REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_).empty());
+  // The answer crossed the end of the call.
+  const HttpResponse response =
+    scoring ? fix.Answer(late, 200, "") : fix.Stream(late, "", 6);
+  late.call_.onHead_(response.status_, response.headers_);
+  late.done_({ HttpEnd::Complete, response, {} });
+  fix.timers_.Advance(1s);
+  REQUIRE(fix.Stored().empty());
+  const SentCall again = fix.Call();
+  fix.client_.Answer(again, fix.Stream(again, Event(1, "c"), 6));
+  fix.CompleteScore();
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE(fix.Stored().front().text_ == "c");
+  REQUIRE(fix.Stored().front().versions_ == std::vector{ WeightVersion{ 6 } });
+}
+
+// Guards against a position whose result differs from the one that was read: a
+// write without an answer may have been applied.
+TEST_CASE("a result whose write is in doubt stays when its route changes")
+{
+  JobFixture fix;
+  fix.Accept(1);
+  const SentCall run = fix.Call();
+  fix.client_.Answer(run,
+                     fix.Stream(run,
+                                Event(1, "a") +
+                                  fix.platform_->Names().versionField_ +
+                                  ": 6\n" + Event(2, "b")));
+  fix.store_.fault_ = StoreFault::LosesAnswers;
+  fix.CompleteScore();
+  fix.timers_.Advance(300ms);
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE(fix.runner_.Find(kJob)->Listed().empty());
+  fix.RequireSingleVersion();
+  REQUIRE(fix.client_.open_.empty());
+  fix.store_.fault_ = StoreFault::None;
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.runner_.Find(kJob)->Listed().size() == 1);
+  REQUIRE(fix.Stored().size() == 1);
+  REQUIRE(fix.runner_.Find(kJob)->ResultOf(0).text_ ==
+          fix.Stored().front().text_);
+}
+
 TEST_CASE("a stopping process releases its jobs with their partial texts")
 {
   JobFixture fix;
