Jobs: a complete text handed on without a score call ends no process

What callers saw: nothing yet, found by reading. The process that takes over a job whose items have no score call could crash, and each next owner after it.

Cause: a text of an earlier owner that is complete was always set to wait for its score. Without a score call its request was read from an empty optional. Owners hand on such a text when the decided results exceed the size of one record (600 KB): the rest goes with the partial texts.

Evidence: without the fix "complete texts handed on ..." ends with SIGSEGV as the next owner starts the job (two texts of 350 KB, the first owner stops), and the ledger test fails with a score to be requested.

Fix: a text that is taken over as complete goes through the same step as one that ends here, `OnCompleted`, which decides its result at once if no score is asked. It counts as decided at the acceptance, so it is listed without another wait for its group.

Ruled out: items with score calls behave as before (the test "a text of an earlier job is used only if its versions are allowed").

--- a/src/version/job_ledger.cpp
+++ b/src/version/job_ledger.cpp
@@ -86,7 +86,7 @@
   }
   item.text_ = std::move(aText);
   if (item.text_.complete_) {
-    item.state_ = ItemState::Scoring;
+    OnCompleted(aItem, accepted_);
   }
 }
 
--- a/tests/test_job_ledger.cpp
+++ b/tests/test_job_ledger.cpp
@@ -383,6 +383,21 @@
   REQUIRE(ledger.State(0) == ItemState::Scoring);
 }
 
+// Guards against a score call that does not exist: a complete text of an
+// earlier owner was set to wait for the score of an item without one.
+TEST_CASE("a complete text of an earlier owner needs no score if none is asked")
+{
+  JobSpec spec = MakeSpec();
+  spec.items_[0].score_.reset();
+  JobLedger ledger(std::move(spec), {}, kStart);
+  ledger.Reuse(0, { "t1", 4, { WeightVersion{ 5 } }, true });
+  REQUIRE(ledger.Unscored().empty());
+  REQUIRE(ledger.State(0) == ItemState::Finished);
+  REQUIRE(ledger.ResultOf(0).completed_);
+  REQUIRE(ledger.ResultOf(0).text_ == "t1");
+  REQUIRE(ledger.Listable(kStart + 3s) == std::vector<ItemIndex>{ 0 });
+}
+
 TEST_CASE("job records are read back as they were written")
 {
   const JobOwnerRecord owner{ "front-1~7", 36, 1'234 };
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -452,6 +452,51 @@
   REQUIRE(owner.value().owner_.empty());
 }
 
+// Guards against a crash of the next owner: results above the size of a record
+// are handed on as complete texts, and items without a score call have none.
+TEST_CASE("complete texts handed on without a score call are listed")
+{
+  JobFixture fix;
+  constexpr std::size_t kEventBytes = 70'000;
+  JobSpec spec = JobFixture::MakeSpec(2);
+  for (JobItem& item : spec.items_) {
+    item.score_.reset();
+  }
+  fix.Accept(0);
+  fix.runner_.Drop(kJob);
+  fix.runner_.Add(kJob, fix.fence_, fix.submission_, spec, {}, {}, {});
+  std::string events;
+  for (int i = 1; i <= 5; ++i) {
+    events += Event(i, std::string(kEventBytes, 'x'));
+  }
+  for (std::size_t i = 0; i < spec.items_.size(); ++i) {
+    const SentCall call = fix.Call();
+    fix.client_.Answer(call, fix.Stream(call, events));
+  }
+  fix.runner_.ReleaseAll();
+  fix.timers_.Advance(50ms);
+  REQUIRE(fix.Stored().size() == 1);
+  std::optional<StoredJob> stored;
+  fix.jobs_.Load(kJob,
+                 [&](const Result<StoredJob>& aJob) { stored = aJob.value(); });
+  fix.timers_.Advance(50ms);
+  REQUIRE(stored->partials_.size() == 1);
+  REQUIRE(stored->partials_.front().text_.complete_);
+  JobRunner next{
+    fix.context_, fix.routes_, fix.upstreamTable_, fix.forwarder_, fix.jobs_
+  };
+  const FencingNumber fence{
+    fix.store_.records_.at(job_keys::Owner(kJob)).modRevision_
+  };
+  next.Add(
+    kJob, fence, fix.submission_, spec, fix.Stored(), stored->partials_, {});
+  fix.timers_.Advance(3s);
+  REQUIRE(fix.client_.open_.empty());
+  REQUIRE(fix.Stored().size() == 2);
+  REQUIRE(fix.Stored().back().completed_);
+  REQUIRE(fix.Stored().back().text_.size() > 5 * kEventBytes);
+}
+
 TEST_CASE("partial texts are written for the next owner")
 {
   JobFixture fix;
