Jobs: an owner record that is gone again is no refusal

The write of a submission failed because the job had an owner record, and the read that followed found none: the job had been removed in between. The caller was told 503 'refused_not_run' of a job that had been accepted and may have run; where the submission had been handed on, the other gateway accepted the job a second time.

The absence now leaves the outcome unknown, as after a write without an answer, so the caller gets 504. Only an error that promises that nothing was done refuses.

Without the fix, the new test fails with 503 == 504. It removes the record between write and read. Ruled out as the cause of the refused jobs that ran: jobs are removed a minute after their results may go, long after their last submission.

--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -171,31 +171,30 @@
         ResolveAccept(aJob,
                       owner,
                       done,
-                      aCommit ? AcceptOutcome::Refused : AcceptOutcome::Unknown,
                       aCommit ? "the owner record existed"
                               : aCommit.error().message_);
       }
     });
 }
 
+/// The absence of the record proves no refusal: the write may be applied later,
+/// and a record that made it fail was removed since.
 void
 JobStore::ResolveAccept(const JobId& aJob,
                         std::string aRecord,
                         std::function<void(AcceptResult)> aDone,
-                        AcceptOutcome aIfAbsent,
                         std::string aWhy)
 {
   ReadOwner(
     aJob,
     [record = std::move(aRecord),
      done = std::move(aDone),
-     aIfAbsent,
      why = std::move(aWhy) + "; read afterwards: "](
       const Result<std::optional<StoreRecord>>& aOwner) {
       if (!aOwner) {
         done({ AcceptOutcome::Unknown, {}, why + aOwner.error().message_ });
       } else if (!aOwner.value()) {
-        done({ aIfAbsent, {}, why + "no owner record" });
+        done({ AcceptOutcome::Unknown, {}, why + "no owner record" });
       } else if (aOwner.value()->value_ == record) {
         done({ AcceptOutcome::Accepted,
                FencingNumber{ aOwner.value()->modRevision_ },
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -145,7 +145,6 @@
   void ResolveAccept(const JobId& aJob,
                      std::string aRecord,
                      std::function<void(AcceptResult)> aDone,
-                     AcceptOutcome aIfAbsent,
                      std::string aWhy);
   void RemoveKeys(const JobId& aJob, std::vector<std::string> aKeys);
 
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -219,6 +219,18 @@
   REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
 }
 
+// The owner record is removed between the failed write and the read.
+TEST_CASE("a job whose owner record existed is not refused")
+{
+  Fixture fix;
+  auto& store = fix.GatewayFakes::store_;
+  store.dropsEvents_ = true;
+  store.Put(job_keys::Owner(kJob), WriteOwnerRecord({ "other~1", 1, 0 }));
+  store.delay_ = 8ms;
+  fix.timers_.After(5ms, [&] { store.Remove(job_keys::Owner(kJob)); });
+  REQUIRE(fix.Submit(kJob) == 504);
+}
+
 // A page with a total of 0 makes a trainer skip the step as empty. This
 // occurred when the owner record, read from the store or received by the
 // watch, was unreadable and counted as a job of 0 items.
