Jobs: an end without an answer of the store is not refused

DELETE of a job was answered 503 'refused_not_run' whenever the store did not confirm the write of the end, also if it never answered and had written it: the job ended although the caller had the promise that nothing was done. JobStore::End handed on only whether the write was confirmed.

It now tells apart what writes of results do: 503 if the store refused the write, 504 if the outcome is unknown. job_end_asked has the outcomes written, refused and not known. An end is written without conditions, so a caller may repeat it.

Without the fix, the new test fails with 503 == 504 while the end is in the store; a refused end is still answered 503 (second test).

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -310,14 +310,23 @@
       aReply->Send(JsonResponse(200, "{}"));
       return;
     }
-    store_.End(job, [this, job, aReply](bool aWritten) {
+    store_.End(job, [this, job, aReply](WriteOutcome aOutcome) {
+      const bool refused = aOutcome == WriteOutcome::Refused;
+      const bool written = aOutcome == WriteOutcome::Written;
       LogEvent(LogLevel::Info,
                "job_end_asked",
                { { "job", job.Get() },
-                 { "outcome", aWritten ? "written" : "not known" } });
-      if (!aWritten) {
-        aReply->Send(
-          RefusedResponse("the store did not answer", kJobRetryAfter));
+                 { "outcome",
+                   written   ? "written"
+                   : refused ? "refused"
+                             : "not known" } });
+      if (refused) {
+        aReply->Send(RefusedResponse("the store took nothing", kJobRetryAfter));
+        return;
+      }
+      if (!written) {
+        aReply->Send(ErrorResponse(
+          504, "unknown_outcome", "the store did not say whether it took it"));
         return;
       }
       runner_.End(job);
--- a/src/programs/gatewayd/job_store.cpp
+++ b/src/programs/gatewayd/job_store.cpp
@@ -382,14 +382,11 @@
 }
 
 void
-JobStore::End(const JobId& aJob, std::function<void(bool)> aDone)
+JobStore::End(const JobId& aJob, std::function<void(WriteOutcome)> aDone)
 {
   StoreTxn txn;
   txn.puts_.push_back({ job_keys::End(aJob), "", 0 });
-  store_.Commit(std::move(txn),
-                [done = std::move(aDone)](const Result<StoreCommit>& aEnd) {
-                  done(aEnd && aEnd.value().applied_);
-                });
+  CommitWrites(std::move(txn), std::move(aDone));
 }
 
 void
--- a/src/programs/gatewayd/job_store.hpp
+++ b/src/programs/gatewayd/job_store.hpp
@@ -130,7 +130,7 @@
   void Release(const ResultsWrite& aWrite,
                const JobOwnerRecord& aRecord,
                std::function<void(WriteOutcome)> aDone);
-  void End(const JobId& aJob, std::function<void(bool)> aDone);
+  void End(const JobId& aJob, std::function<void(WriteOutcome)> aDone);
   /// Removes all records of a job. Failures are logged; the removal can be
   /// repeated as long as the job's owner record exists.
   void Remove(const JobId& aJob, std::uint64_t aRecords);
--- a/tests/test_job_api.cpp
+++ b/tests/test_job_api.cpp
@@ -231,6 +231,26 @@
   REQUIRE(fix.Submit(kJob) == 504);
 }
 
+// A refusal promises that the end was not written.
+TEST_CASE("an end whose write has no answer is not refused")
+{
+  ForeignFixture fix;
+  fix.GatewayFakes::store_.fault_ = StoreFault::LosesAnswers;
+  REQUIRE(fix.Query(JobQuery::Verb::End)->status_ == 504);
+  REQUIRE(fix.GatewayFakes::store_.records_.contains(job_keys::End(kForeign)));
+  fix.GatewayFakes::store_.fault_ = StoreFault::None;
+  REQUIRE(fix.Query(JobQuery::Verb::End)->status_ == 200);
+}
+
+TEST_CASE("an end that the store refuses is refused")
+{
+  ForeignFixture fix;
+  fix.GatewayFakes::store_.fault_ = StoreFault::Refuses;
+  const auto reply = fix.Query(JobQuery::Verb::End);
+  REQUIRE(reply->status_ == 503);
+  REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
+}
+
 // A page with a total of 0 makes a trainer skip the step as empty. This
 // occurred when the owner record, read from the store or received by the
 // watch, was unreadable and counted as a job of 0 items.
