Jobs: one response for a write whose outcome is unknown

The answer 504 unknown_outcome was written twice, for a submission and for the end of a job; both use the same function now.

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -325,8 +325,7 @@
         return;
       }
       if (!written) {
-        aReply->Send(ErrorResponse(
-          504, "unknown_outcome", "the store did not say whether it took it"));
+        aReply->Send(UnknownOutcomeResponse());
         return;
       }
       runner_.End(job);
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -69,13 +69,6 @@
   return {};
 }
 
-HttpResponse
-UnknownOutcomeResponse()
-{
-  return ErrorResponse(
-    504, "unknown_outcome", "the store did not say whether it took it");
-}
-
 /// @returns the outcome in the answer; `Unknown` if there is none
 AcceptOutcome
 ReadForwardOutcome(const RpcReply& aReply)
@@ -90,6 +83,13 @@
 
 } // namespace
 
+HttpResponse
+UnknownOutcomeResponse()
+{
+  return ErrorResponse(
+    504, "unknown_outcome", "the store did not say whether it took it");
+}
+
 bool
 IsValidJobId(const JobId& aJob)
 {
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -11,6 +11,10 @@
 /// Retry-After for requests about jobs that could not be answered.
 inline constexpr auto kJobRetryAfter = std::chrono::milliseconds(300);
 
+/// @returns the answer to a caller if the store may have applied a write
+[[nodiscard]] HttpResponse
+UnknownOutcomeResponse();
+
 /// @returns whether the id may be part of a key in the store
 [[nodiscard]] bool
 IsValidJobId(const JobId& aJob);
