Jobs: an accepted job is not refused before a watch reports it

What callers saw: 503 "refused_not_run" for a job that the same process had accepted and was running.

In an outage the watch is silent, the repeated submission writes again, and the refusal of that write was taken for the fate of the job.

Fix: a gateway remembers for a minute the jobs that it accepted, itself or by handing them on, and answers a repetition as known; a write that fails is answered as known too if the job is listed or accepted meanwhile.

--- a/src/programs/gatewayd/job_api.cpp
+++ b/src/programs/gatewayd/job_api.cpp
@@ -105,9 +105,7 @@
 {
   const bool mine = aKnown.record_.owner_ == host_.Incarnation();
   totals_.erase(aJob);
-  if (mine) {
-    intake_.OnOwnedByThis(aJob);
-  }
+  intake_.OnOwner(aJob, mine);
   if (runner_.Owns(aJob)) {
     if (!mine || runner_.FenceOf(aJob) != aKnown.fence_) {
       runner_.Drop(aJob);
--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -130,8 +130,8 @@
       400, "bad_job", "the job's id is missing or not letters and digits"));
     return;
   }
-  if (const KnownJob* known = directory_.Find(job)) {
-    AnswerKnown(known->record_.customer_, aCustomer, *aReply);
+  if (const CustomerId* owner = FindAccepted(job)) {
+    AnswerKnown(*owner, aCustomer, *aReply);
     return;
   }
   if (!open_) {
@@ -211,6 +211,9 @@
         writing_.erase(job);
       }
       const AcceptOutcome outcome = Settle(job, aResult.outcome_);
+      if (outcome == AcceptOutcome::Accepted) {
+        OnAccepted(*aSubmission);
+      }
       LogEvent(LogLevel::Info,
                "job_submitted",
                { { "job", job.Get() },
@@ -234,22 +237,30 @@
   const TimePoint now = host_.Now();
   DropExpired(unsettled_, now);
   DropExpired(refused_, now);
+  const bool confirmed =
+    aLast == AcceptOutcome::Accepted || aLast == AcceptOutcome::Known;
+  if (confirmed) {
+    return aLast;
+  }
+  if (FindAccepted(aJob) != nullptr) {
+    return AcceptOutcome::Known;
+  }
   if (aLast == AcceptOutcome::Unknown) {
     unsettled_[aJob] = now;
-  } else if (aLast == AcceptOutcome::Refused && MayBeAccepted(aJob)) {
+  } else if (MayBeAccepted(aJob)) {
     return AcceptOutcome::Unknown;
-  } else if (aLast == AcceptOutcome::Refused) {
-    refused_[aJob] = now;
-    const KnownJob* known = directory_.Find(aJob);
-    if (known != nullptr && known->record_.owner_ == host_.Incarnation()) {
-      OnOwnedByThis(aJob);
-    }
   } else {
-    refused_.erase(aJob);
+    refused_[aJob] = now;
   }
   return aLast;
 }
 
+void
+JobIntake::OnAccepted(const Submission& aSubmission)
+{
+  accepted_[aSubmission.job_] = { aSubmission.record_.customer_, host_.Now() };
+}
+
 bool
 JobIntake::MayBeAccepted(const JobId& aJob)
 {
@@ -257,19 +268,37 @@
   return unsettled_.contains(aJob) || writing_.contains(aJob);
 }
 
+const CustomerId*
+JobIntake::FindAccepted(const JobId& aJob)
+{
+  if (const KnownJob* known = directory_.Find(aJob)) {
+    return &known->record_.customer_;
+  }
+  const TimePoint now = host_.Now();
+  std::erase_if(accepted_, [now](const auto& aEntry) {
+    return now - aEntry.second.at_ >= Duration{ kUnsettledRetention };
+  });
+  const auto accepted = accepted_.find(aJob);
+  return accepted == accepted_.end() ? nullptr : &accepted->second.customer_;
+}
+
 void
-JobIntake::OnOwnedByThis(const JobId& aJob)
+JobIntake::OnOwner(const JobId& aJob, bool aMine)
 {
   const auto refused = refused_.find(aJob);
   if (refused == refused_.end()) {
     return;
   }
-  host_.Measures().Count("refused_jobs_accepted_total");
-  LogEvent(LogLevel::Error,
-           "refused_job_accepted",
-           { { "job", aJob.Get() },
-             { "refused_ms_ago",
-               std::to_string(WholeMillis(host_.Now() - refused->second)) } });
+  // Another process accepted the job; this one may take it over later.
+  if (aMine) {
+    host_.Measures().Count("refused_jobs_accepted_total");
+    LogEvent(
+      LogLevel::Error,
+      "refused_job_accepted",
+      { { "job", aJob.Get() },
+        { "refused_ms_ago",
+          std::to_string(WholeMillis(host_.Now() - refused->second)) } });
+  }
   refused_.erase(refused);
 }
 
@@ -331,6 +360,9 @@
                  { "to", aOwner },
                  { "outcome", std::string(NameOf(end)) },
                  { "error", aAnswer ? "" : aAnswer.error().message_ } });
+      if (end == AcceptOutcome::Accepted) {
+        OnAccepted(*aSubmission);
+      }
       if (end == AcceptOutcome::Accepted || end == AcceptOutcome::Known) {
         Answer(*aSubmission, end, *aReply);
         return;
@@ -364,7 +396,7 @@
     return;
   }
   const JobId job{ forwarded.value().job_ };
-  if (directory_.Find(job) != nullptr) {
+  if (FindAccepted(job) != nullptr) {
     answer(AcceptOutcome::Known);
     return;
   }
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -40,9 +40,10 @@
               ConfigRevision aRevision,
               HttpReplyPtr aReply,
               const CustomerId& aCustomer);
-  /// Reports a broken promise if the store lists a job with this process as
-  /// its owner although each of its writes of that job was refused.
-  void OnOwnedByThis(const JobId& aJob);
+  /// Reports a broken promise if the store lists a job first with this process
+  /// as its owner although each of its writes of that job was refused.
+  /// @param aMine whether this process owns the job
+  void OnOwner(const JobId& aJob, bool aMine);
   /// Stops accepting jobs.
   void Stop() noexcept { open_ = false; }
   [[nodiscard]] bool Open() const noexcept { return open_; }
@@ -55,6 +56,11 @@
     JobSpec spec_;
   };
   using SubmissionPtr = std::shared_ptr<const Submission>;
+  struct AcceptedJob
+  {
+    CustomerId customer_;
+    TimePoint at_;
+  };
   using AcceptDone = std::function<void(AcceptOutcome)>;
 
   /// @returns `BadInput`, with the place, also for what cannot be sent to an
@@ -65,6 +71,11 @@
   /// @returns the outcome of all submissions of a job here, given that of the
   /// last one
   [[nodiscard]] AcceptOutcome Settle(const JobId& aJob, AcceptOutcome aLast);
+  void OnAccepted(const Submission& aSubmission);
+  /// @returns the customer of a job that is listed, or was accepted through
+  /// this process and is not listed yet because no watch has reported it;
+  /// nullptr for any other job
+  [[nodiscard]] const CustomerId* FindAccepted(const JobId& aJob);
   /// @returns whether an earlier submission of a job through this process may
   /// be accepted
   [[nodiscard]] bool MayBeAccepted(const JobId& aJob);
@@ -98,6 +109,8 @@
   /// Jobs of which an acceptance, here or by the process that was to own the
   /// job, has an unknown outcome, with its time.
   std::map<JobId, TimePoint> unsettled_;
+  /// Customers of the jobs that were accepted through this process lately.
+  std::map<JobId, AcceptedJob> accepted_;
   /// Jobs that were refused here and not accepted here since, with the time.
   std::map<JobId, TimePoint> refused_;
   bool open_ = true;
