Jobs: what may be accepted is remembered until the store answers again

Cause: a minute bounds how late the store applies a write, not how long nobody reports what it holds. Unknown outcomes now expire only after a minute at whose end a submission was accepted; a job that runs here is known, and one that was answered as known is remembered like an accepted one. The outcome of a hand-on decides its own answer again, whatever its age.

--- a/src/programs/gatewayd/job_intake.cpp
+++ b/src/programs/gatewayd/job_intake.cpp
@@ -211,7 +211,8 @@
         writing_.erase(job);
       }
       const AcceptOutcome outcome = Settle(job, aResult.outcome_);
-      if (outcome == AcceptOutcome::Accepted) {
+      if (outcome == AcceptOutcome::Accepted ||
+          outcome == AcceptOutcome::Known) {
         OnAccepted(*aSubmission);
       }
       LogEvent(LogLevel::Info,
@@ -235,7 +236,6 @@
 JobIntake::Settle(const JobId& aJob, AcceptOutcome aLast)
 {
   const TimePoint now = host_.Now();
-  DropExpired(unsettled_, now);
   DropExpired(refused_, now);
   const bool confirmed =
     aLast == AcceptOutcome::Accepted || aLast == AcceptOutcome::Known;
@@ -258,13 +258,15 @@
 void
 JobIntake::OnAccepted(const Submission& aSubmission)
 {
-  accepted_[aSubmission.job_] = { aSubmission.record_.customer_, host_.Now() };
+  const TimePoint now = host_.Now();
+  accepted_[aSubmission.job_] = { aSubmission.record_.customer_, now };
+  // While the store answers nobody, no watch reports what it holds.
+  DropExpired(unsettled_, now);
 }
 
 bool
-JobIntake::MayBeAccepted(const JobId& aJob)
+JobIntake::MayBeAccepted(const JobId& aJob) const
 {
-  DropExpired(unsettled_, host_.Now());
   return unsettled_.contains(aJob) || writing_.contains(aJob);
 }
 
@@ -274,6 +276,9 @@
   if (const KnownJob* known = directory_.Find(aJob)) {
     return &known->record_.customer_;
   }
+  if (runner_.Owns(aJob)) {
+    return &runner_.CustomerOf(aJob);
+  }
   const TimePoint now = host_.Now();
   std::erase_if(accepted_, [now](const auto& aEntry) {
     return now - aEntry.second.at_ >= Duration{ kUnsettledRetention };
@@ -360,20 +365,22 @@
                  { "to", aOwner },
                  { "outcome", std::string(NameOf(end)) },
                  { "error", aAnswer ? "" : aAnswer.error().message_ } });
-      if (end == AcceptOutcome::Accepted) {
-        OnAccepted(*aSubmission);
-      }
       if (end == AcceptOutcome::Accepted || end == AcceptOutcome::Known) {
+        OnAccepted(*aSubmission);
         Answer(*aSubmission, end, *aReply);
         return;
       }
       if (end == AcceptOutcome::Unknown) {
         unsettled_[aSubmission->job_] = host_.Now();
       }
-      AcceptHere(aSubmission,
-                 [this, aSubmission, aReply](AcceptOutcome aLocal) {
-                   Answer(*aSubmission, aLocal, *aReply);
-                 });
+      AcceptHere(
+        aSubmission, [this, aSubmission, aReply, end](AcceptOutcome aLocal) {
+          const bool mayBeAccepted =
+            aLocal == AcceptOutcome::Refused && end == AcceptOutcome::Unknown;
+          Answer(*aSubmission,
+                 mayBeAccepted ? AcceptOutcome::Unknown : aLocal,
+                 *aReply);
+        });
     });
 }
 
--- a/src/programs/gatewayd/job_intake.hpp
+++ b/src/programs/gatewayd/job_intake.hpp
@@ -78,7 +78,7 @@
   [[nodiscard]] const CustomerId* FindAccepted(const JobId& aJob);
   /// @returns whether an earlier submission of a job through this process may
   /// be accepted
-  [[nodiscard]] bool MayBeAccepted(const JobId& aJob);
+  [[nodiscard]] bool MayBeAccepted(const JobId& aJob) const;
   /// @returns a record for the holder of the order duty of the slots that the
   /// items of a model will want, if they are more than recorded before; else
   /// one without a key
