Tests: outcomes of submissions in a file of their own, submitted where they say

test_job_intake.cpp had grown to 662 lines of two jobs: who owns a job, and what a caller is told of a submission whose fate the store does not confirm. The second is tests/test_submission_outcomes.cpp now, the two gateways of both tests/gateway_pair.hpp.

--- a/tests/test_job_intake.cpp
+++ b/tests/test_job_intake.cpp
@@ -1,9 +1,7 @@
 /// Jobs submitted at one gateway and owned by another, and how each answers
 /// requests about the other's jobs.
 
-#include "job_gateway.hpp"
-#include "log_capture.hpp"
-#include "marjoramtally/connection/job_messages.hpp"
+#include "gateway_pair.hpp"
 #include "marjoramtally/process.hpp"
 
 #include <catch2/catch.hpp>
@@ -14,129 +12,6 @@
 
 namespace {
 
-/// Two gateways and a model whose jobs the second is to own.
-struct Pair : GatewayFakes
-{
-  JobGateway first_{ *this, store_, "one~1" };
-  JobGateway second_{ *this, store_, "two~1" };
-  std::string model_;
-
-  Pair()
-  {
-    first_.peers_.others_["a:2"] = &second_.peers_;
-    second_.peers_.others_["a:1"] = &first_.peers_;
-    first_.directory_.Start();
-    second_.directory_.Start();
-    timers_.Advance(20ms);
-    store_.Put(job_keys::Liveness("one~1"),
-               WriteLivenessRecord({ ZoneId{ "z" }, "a:1" }));
-    store_.Put(job_keys::Liveness("two~1"),
-               WriteLivenessRecord({ ZoneId{ "z" }, "a:2" }));
-    timers_.Advance(20ms);
-    constexpr int kEnough = 100;
-    for (int i = 0; i < kEnough && model_.empty(); ++i) {
-      const std::string candidate = "m" + std::to_string(i);
-      if (first_.directory_.OwnerFor(candidate) == "a:2") {
-        model_ = candidate;
-      }
-    }
-    REQUIRE_FALSE(model_.empty());
-  }
-
-  std::shared_ptr<FakeReply> Submit(const std::string& aJob)
-  {
-    auto reply = std::make_shared<FakeReply>();
-    HttpRequest request;
-    request.method_ = "POST";
-    request.path_ = "/i/" + aJob;
-    request.headers_ = { { "Host", "h" },
-                         { platform_->Names().attempt_, aJob } };
-    request.body_ = R"({"model":")" + model_ +
-                    R"(","items":[{"id":"a1","path":"/i/a1","headers":{},)"
-                    R"("body":"aGk=","tokens":1}]})";
-    first_.jobs_.Submit(std::move(request), ConfigRevision{ 1 }, reply);
-    timers_.Advance(50ms);
-    return reply;
-  }
-
-  /// @returns the outcome at the second process
-  AcceptOutcome HandOn(const std::string& aJob)
-  {
-    RpcCall call;
-    call.topic_ = RpcTopic::JobHandOn;
-    call.body_ =
-      EncodeJobHandover({ aJob,
-                          WriteSubmissionRecord(
-                            { "h",
-                              "/i/" + aJob,
-                              R"({"items":[{"id":"a1","path":"/i/a1"}]})" }) });
-    std::optional<AcceptOutcome> end;
-    second_.peers_.handlers_.at(RpcTopic::JobHandOn)(
-      call, [&end](const RpcReply& aReply) {
-        end = static_cast<AcceptOutcome>(
-          DecodeJobHandoverReply(aReply.value()).value());
-      });
-    timers_.Advance(50ms);
-    return end.value();
-  }
-
-  std::string OwnerOf(const std::string& aJob)
-  {
-    const auto& record = store_.records_.at(job_keys::Owner(JobId{ aJob }));
-    return ReadOwnerRecord(record.value_).value().owner_;
-  }
-
-  /// Adds an upstream that serves the model.
-  void AddTo(UpstreamTable& aTable) const
-  {
-    UpstreamEntry entry;
-    entry.id_ = UpstreamId{ "e0" };
-    entry.service_ = ServiceId{ "lm" };
-    entry.address_ = "e0:1";
-    entry.zone_ = ZoneId{ "z1" };
-    entry.slots_ = 4;
-    entry.models_ = { { model_, WeightVersion{ 5 } } };
-    aTable.OnEntry(std::move(entry));
-  }
-
-  /// Completes the only item at the second process.
-  void AnswerItem()
-  {
-    const SentCall call = second_.client_.Oldest();
-    HttpResponse response = Answer(call, 200, "id: 1\ndata: x\n\n");
-    response.headers_.push_back({ platform_->Names().versions_, "5" });
-    second_.client_.Answer(call, std::move(response));
-  }
-
-  std::shared_ptr<FakeReply> ReadFirst(const std::string& aJob, int aWaitMillis)
-  {
-    JobQuery query;
-    query.job_ = JobId{ aJob };
-    query.verb_ = JobQuery::Verb::Read;
-    HttpRequest request;
-    request.headers_ = { { platform_->Names().wait_,
-                           std::to_string(aWaitMillis) } };
-    auto reply = std::make_shared<FakeReply>();
-    first_.jobs_.Query(query, request, reply);
-    timers_.Advance(10ms);
-    return reply;
-  }
-
-  std::shared_ptr<FakeReply> QueryFirst(const std::string& aJob,
-                                        JobQuery::Verb aVerb,
-                                        const std::string& aItem = "")
-  {
-    JobQuery query;
-    query.job_ = JobId{ aJob };
-    query.verb_ = aVerb;
-    query.item_ = ItemId{ aItem };
-    auto reply = std::make_shared<FakeReply>();
-    first_.jobs_.Query(query, HttpRequest{}, reply);
-    timers_.Advance(50ms);
-    return reply;
-  }
-};
-
 OwnerPlan
 MakeOwnerPlan(const std::string& aSelf, int aInstances)
 {
@@ -292,7 +167,7 @@
 
 TEST_CASE("a job is owned by the process that owns its trainer's jobs")
 {
-  Pair pair;
+  GatewayPair pair;
   REQUIRE(pair.Submit("j1")->status_ == 202);
   REQUIRE(pair.OwnerOf("j1") == "two~1");
   REQUIRE(pair.second_.runner_.Owns(JobId{ "j1" }));
@@ -304,7 +179,7 @@
 
 TEST_CASE("an accepted job records the slots that its model wants")
 {
-  Pair pair;
+  GatewayPair pair;
   const std::string key = kBurstPrefix + pair.model_;
   SECTION("the holder of the order duty does not poll")
   {
@@ -335,7 +210,7 @@
 
 TEST_CASE("a job whose owner is unreachable or stopping is owned here")
 {
-  Pair pair;
+  GatewayPair pair;
   SECTION("it cannot be reached")
   {
     pair.first_.peers_.cut_ = true;
@@ -351,7 +226,7 @@
 
 TEST_CASE("a job is accepted once although the other process's answer is lost")
 {
-  Pair pair;
+  GatewayPair pair;
   pair.first_.peers_.losesAnswers_ = true;
   REQUIRE(pair.Submit("j1")->status_ == 202);
   const bool first = pair.first_.runner_.Owns(JobId{ "j1" });
@@ -359,182 +234,9 @@
   REQUIRE(first != second);
 }
 
-// A refusal with 503 promises that no part of the job runs. Here the other
-// process accepted the job, its answer was lost, and this process's own write
-// was refused: the job runs, so the answer must not be a refusal.
-TEST_CASE("a job that another process may have accepted is not refused")
-{
-  const bool reported = GENERATE(false, true);
-  Pair pair;
-  pair.first_.peers_.losesAnswers_ = true;
-  // The first write is the other process's, the second this one's.
-  pair.store_.refuseCommit_ = 2;
-  pair.store_.dropsEvents_ = !reported;
-  const auto reply = pair.Submit("j1");
-  REQUIRE(pair.second_.runner_.Owns(JobId{ "j1" }));
-  REQUIRE(reply->status_ == (reported ? 202 : 504));
-}
-
-// Guards against a refusal of a job that runs later: the refusal of a repeated
-// submission proves nothing about the earlier one.
-TEST_CASE("a job that this process may have accepted earlier is not refused")
-{
-  Pair pair;
-  // A job without a model is owned where it is submitted.
-  pair.model_.clear();
-  pair.store_.fault_ = StoreFault::Unresponsive;
-  REQUIRE(pair.Submit("j1")->status_ == 504);
-  pair.store_.fault_ = StoreFault::Refuses;
-  REQUIRE(pair.Submit("j1")->status_ == 504);
-  REQUIRE(pair.Submit("j2")->status_ == 503);
-  // What the store holds is known only once it answers again.
-  pair.timers_.Advance(61s);
-  REQUIRE(pair.Submit("j1")->status_ == 504);
-  pair.timers_.Advance(61s);
-  pair.store_.fault_ = StoreFault::None;
-  REQUIRE(pair.Submit("j3")->status_ == 202);
-  pair.store_.fault_ = StoreFault::Refuses;
-  REQUIRE(pair.Submit("j1")->status_ == 503);
-}
-
-// The store refuses the second submission while the first has no answer yet.
-TEST_CASE("a job that this process is still writing is not refused")
-{
-  Pair pair;
-  pair.model_.clear();
-  pair.store_.dropsEvents_ = true;
-  pair.store_.delay_ = 1s;
-  pair.store_.fault_ = StoreFault::LosesAnswers;
-  const auto first = pair.Submit("j1");
-  pair.store_.delay_ = 4ms;
-  pair.store_.fault_ = StoreFault::Refuses;
-  const auto second = pair.Submit("j1");
-  REQUIRE_FALSE(first->ended_);
-  REQUIRE(pair.store_.records_.contains(job_keys::Owner(JobId{ "j1" })));
-  REQUIRE(second->status_ == 504);
-  pair.timers_.Advance(3s);
-  REQUIRE(first->status_ == 504);
-}
-
-// The store may still apply the write of the earlier submission.
-TEST_CASE("a stopping process does not refuse a job that it may have accepted")
-{
-  Pair pair;
-  pair.store_.dropsEvents_ = true;
-  pair.store_.fault_ = StoreFault::LosesAnswers;
-  SECTION("it was submitted there")
-  {
-    pair.model_.clear();
-    REQUIRE(pair.Submit("j1")->status_ == 504);
-    pair.first_.jobs_.Stop(8s);
-    REQUIRE(pair.Submit("j1")->status_ == 504);
-    REQUIRE(pair.Submit("j2")->status_ == 503);
-  }
-  SECTION("it was handed on to it")
-  {
-    REQUIRE(pair.HandOn("j1") == AcceptOutcome::Unknown);
-    pair.second_.jobs_.Stop(8s);
-    REQUIRE(pair.HandOn("j1") == AcceptOutcome::Unknown);
-    REQUIRE(pair.HandOn("j2") == AcceptOutcome::Refused);
-  }
-}
-
-// The outcome of a submission that was handed on is remembered here, because a
-// restarted owner does not know it.
-TEST_CASE("a job that a restarted process may have accepted is not refused")
-{
-  Pair pair;
-  pair.store_.fault_ = StoreFault::Refuses;
-  pair.first_.peers_.losesAnswers_ = true;
-  REQUIRE(pair.Submit("j1")->status_ == 504);
-  pair.first_.peers_.losesAnswers_ = false;
-  JobGateway restarted{ pair, pair.store_, "two~2" };
-  pair.first_.peers_.others_["a:2"] = &restarted.peers_;
-  REQUIRE(pair.Submit("j1")->status_ == 504);
-  REQUIRE(pair.Submit("j2")->status_ == 503);
-  // What the store holds is known only once it answers again.
-  pair.timers_.Advance(61s);
-  REQUIRE(pair.Submit("j1")->status_ == 504);
-  pair.timers_.Advance(61s);
-  pair.store_.fault_ = StoreFault::None;
-  REQUIRE(pair.Submit("j3")->status_ == 202);
-  pair.store_.fault_ = StoreFault::Refuses;
-  REQUIRE(pair.Submit("j1")->status_ == 503);
-}
-
-// Guards against a broken refusal that no log shows.
-TEST_CASE("a refused job that the store lists as owned here is reported")
-{
-  Pair pair;
-  const LogCapture log;
-  pair.model_.clear();
-  pair.store_.fault_ = StoreFault::Refuses;
-  REQUIRE(pair.Submit("j1")->status_ == 503);
-  pair.store_.fault_ = StoreFault::None;
-  REQUIRE(pair.Submit("j1")->status_ == 202);
-  REQUIRE_FALSE(log.Contains("event=refused_job_accepted"));
-  pair.store_.fault_ = StoreFault::ExecutesAndRefuses;
-  pair.store_.dropsEvents_ = true;
-  REQUIRE(pair.Submit("j2")->status_ == 503);
-  REQUIRE(
-    log.Contains("event=job_submitted job=j2 outcome=refused why=refused"));
-  pair.store_.fault_ = StoreFault::None;
-  pair.store_.dropsEvents_ = false;
-  const std::string key = job_keys::Owner(JobId{ "j2" });
-  pair.store_.Put(key, pair.store_.records_.at(key).value_);
-  pair.timers_.Advance(50ms);
-  REQUIRE(log.Contains("event=refused_job_accepted job=j2 refused_ms_ago="));
-}
-
-// Guards against a false report: another process accepted the job first.
-TEST_CASE("a refused job that is taken over later is not reported")
-{
-  Pair pair;
-  const LogCapture log;
-  pair.model_.clear();
-  pair.store_.fault_ = StoreFault::Refuses;
-  REQUIRE(pair.Submit("j1")->status_ == 503);
-  pair.store_.fault_ = StoreFault::None;
-  const std::string key = job_keys::Owner(JobId{ "j1" });
-  pair.store_.Put(key, WriteOwnerRecord({ "three~1", 1, 0 }));
-  pair.timers_.Advance(50ms);
-  pair.store_.Put(key, WriteOwnerRecord({ "one~1", 1, 0 }));
-  pair.timers_.Advance(50ms);
-  REQUIRE_FALSE(log.Contains("event=refused_job_accepted"));
-}
-
-// No watch reports the job in an outage, in which the store refuses its writes.
-TEST_CASE("an accepted job is not refused when it is submitted again")
-{
-  const bool handedOn = GENERATE(true, false);
-  Pair pair;
-  if (!handedOn) {
-    pair.model_.clear();
-  }
-  pair.store_.dropsEvents_ = true;
-  REQUIRE(pair.Submit("j1")->status_ == 202);
-  pair.store_.fault_ = StoreFault::Refuses;
-  REQUIRE(pair.Submit("j1")->status_ == 202);
-  pair.first_.peers_.cut_ = true;
-  REQUIRE(pair.Submit("j1")->status_ == 202);
-  pair.timers_.Advance(61s);
-  REQUIRE(pair.HandOn("j1") == AcceptOutcome::Known);
-  REQUIRE(pair.Submit("j2")->status_ >= 503);
-}
-
-TEST_CASE("a job that no process could write is refused")
-{
-  Pair pair;
-  pair.store_.refusals_ = 2;
-  const auto reply = pair.Submit("j1");
-  REQUIRE(reply->status_ == 503);
-  REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
-  REQUIRE_FALSE(pair.second_.runner_.Owns(JobId{ "j1" }));
-}
-
 TEST_CASE("an item's body comes from the job's owner, else from the store")
 {
-  Pair pair;
+  GatewayPair pair;
   REQUIRE(pair.Submit("j1")->status_ == 202);
   pair.timers_.Advance(1s);
   const std::size_t reads = pair.store_.reads_;
@@ -551,7 +253,7 @@
 
 TEST_CASE("a read at another process is answered as soon as a result is listed")
 {
-  Pair pair;
+  GatewayPair pair;
   pair.AddTo(pair.second_.upstreamTable_);
   REQUIRE(pair.Submit("j1")->status_ == 202);
   pair.timers_.Advance(1s);
@@ -567,7 +269,7 @@
 
 TEST_CASE("a read that waits at an owner without a result is answered in time")
 {
-  Pair pair;
+  GatewayPair pair;
   REQUIRE(pair.Submit("j1")->status_ == 202);
   pair.timers_.Advance(1s);
   SECTION("the owner lives")
@@ -589,7 +291,7 @@
 
 TEST_CASE("a forwarded submission that cannot be read is refused")
 {
-  Pair pair;
+  GatewayPair pair;
   std::optional<AcceptOutcome> end;
   const std::string text = GENERATE("", "no submission");
   RpcCall call;
@@ -624,7 +326,7 @@
     R"("path":"/s","body":""})",
     R"("id":"a1","path":"/i/a1","scorer_url":{"id":"s","host":"h",)"
     R"("path":"/s x","body":""})");
-  Pair pair;
+  GatewayPair pair;
   HttpRequest request;
   request.method_ = "POST";
   request.path_ = "/i/j1";
