Test: an acceptance that the store executes late

The variant in which the first sending takes effect seconds after it was given up, which the record cannot tell from one that takes effect at once: submissions until then are answered 504 at the owner and where the job is handed on, the job runs once the write is executed, and is known then. Passes on the code of today.

--- a/tests/test_submission_outcomes.cpp
+++ b/tests/test_submission_outcomes.cpp
@@ -175,3 +175,20 @@
   REQUIRE(FindHeader(reply->headers_, "Retry-After").has_value());
   REQUIRE_FALSE(pair.second_.runner_.Owns(JobId{ "j1" }));
 }
+
+// The store executes the write seconds after it was given up.
+TEST_CASE(
+  "a job whose acceptance is executed late is not refused before it runs")
+{
+  GatewayPair pair;
+  pair.store_.nextCommitAfter_ = 3s;
+  REQUIRE(pair.SubmitToOwner("j1")->status_ == 504);
+  pair.store_.fault_ = StoreFault::Refuses;
+  REQUIRE(pair.SubmitToOwner("j1")->status_ == 504);
+  REQUIRE(pair.Submit("j1")->status_ == 504);
+  pair.store_.fault_ = StoreFault::None;
+  REQUIRE_FALSE(pair.second_.runner_.Owns(JobId{ "j1" }));
+  pair.timers_.Advance(4s);
+  REQUIRE(pair.second_.runner_.Owns(JobId{ "j1" }));
+  REQUIRE(pair.Submit("j1")->status_ == 202);
+}
