Logs: whether a response's head was received, and how much of its body

Seen outside: callers got successes that were none, and no line of a gateway tells what the upstream had sent. An answer that is passed on is logged at debug level only, and there only as whole or not.

attempt_ended now says whether a whole head was received and how many bytes of the body (the three hypotheses of the postmortem differ in these and in first_on_connection, which is there), and upstream_responses_cut_total counts responses that ended within their head or body. No logic changes: nothing decides by the new fields.

--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -79,6 +79,10 @@
   bool opened_ = false;
   /// The request was sent more than once (`HttpCall::mayResend_`).
   bool resent_ = false;
+  /// The head of the final response was received whole.
+  bool headReceived_ = false;
+  /// Bytes of the body received, whoever took them.
+  std::uint64_t bodyBytes_ = 0;
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -322,6 +322,8 @@
            { { "id", aPending.request_.attempt_ },
              { "upstream", aPending.upstream_.Get() },
              { "whole", aResult.end_ == HttpEnd::Complete ? "yes" : "no" },
+             { "head", aResult.headReceived_ ? "yes" : "no" },
+             { "bytes", std::to_string(aResult.bodyBytes_) },
              { "status", std::to_string(head.status_) },
              { "names", std::string(echo.value_or("nothing")) },
              { "port", std::to_string(aResult.localPort_) },
@@ -337,6 +339,7 @@
     return;
   }
   LogAttemptEnd(*pending, aResult);
+  CountCutResponse(host_, aResult);
   if (aResult.opened_) {
     host_.Measures().Count("upstream_connections_total{for=\"calls\"}");
   }
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -270,6 +270,10 @@
            const UpstreamId& aUpstream,
            const HttpHeaders& aHeaders);
 
+/// Counts a response whose connection ended within its head or its body.
+void
+CountCutResponse(const GatewayContext& aHost, const HttpResult& aResult);
+
 /// @returns a refusal with a `Retry-After` header
 [[nodiscard]] HttpResponse
 RefusedResponse(std::string_view aWhy, Duration aRetryAfter);
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -229,6 +229,7 @@
   const TimePoint now = host_.Now();
   const bool complete =
     aResult.end_ == HttpEnd::Complete && aRun.fault_.empty();
+  CountCutResponse(host_, aResult);
   if (aResult.opened_) {
     host_.Measures().Count("upstream_connections_total{for=\"items\"}");
   }
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -104,6 +104,7 @@
   if (transfer.call_.mayReceive_ && !transfer.call_.mayReceive_()) {
     return CURL_WRITEFUNC_PAUSE;
   }
+  transfer.bodyBytes_ += bytes;
   if (!transfer.call_.onData_) {
     return transfer.AppendToBody({ aData, bytes });
   }
@@ -306,6 +307,8 @@
   result.localPort_ = static_cast<std::uint16_t>(port);
   result.opened_ = opened > 0;
   result.resent_ = resent_;
+  result.headReceived_ = headReported_;
+  result.bodyBytes_ = bodyBytes_;
   result.response_ = std::move(response_);
   return result;
 }
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -73,6 +73,7 @@
   BufferBudget* budget_ = nullptr;
   /// Bytes of heads and trailers received.
   std::size_t headBytes_ = 0;
+  std::uint64_t bodyBytes_ = 0;
   /// Why the response was rejected, if not by its receiver; else null.
   const char* rejected_ = nullptr;
   /// The request's header lines, and the linked list of them that libcurl
