HTTP client: half a head is no response

Callers saw: a success without a signature and without a body (record, case 1), or with the signature, framed by length and without the body (case 2); a 500 or a 503 that says it was not run became a 200 as well.

Cause: libcurl 7.88 ends a call whose connection closes within the response's head with CURLE_OK. ReportHead then never ran, so nothing had checked id and signature, the status had its default of 200, and Classify called the end complete. Class: a default that stands for something nobody received; a proof that is asked for only if the thing to be proved arrives.

Now a call is complete only once the final head was received whole; else it is broken, with a message that says so, no status and no fields. HttpResponse has no status until one is received or set: its users that answered 200 by default say so.

--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -11,7 +11,9 @@
 /// How a call ended.
 enum class HttpEnd
 {
-  /// The complete response was received, as its length or last chunk proves.
+  /// The complete head of the final response was received, and its body as its
+  /// length or last chunk proves; without either, as the orderly end of the
+  /// connection does (RFC 9112, 6.3).
   Complete,
   /// No byte of the request left this process.
   NotSent,
@@ -69,6 +71,7 @@
 struct HttpResult
 {
   HttpEnd end_ = HttpEnd::NotSent;
+  /// Without status and headers unless the head was received completely.
   HttpResponse response_;
   /// libcurl's error message unless `end_` is `Complete`.
   std::string message_;
--- a/include/marjoramtally/runtime/http_types.hpp
+++ b/include/marjoramtally/runtime/http_types.hpp
@@ -50,7 +50,8 @@
 /// A complete response.
 struct HttpResponse
 {
-  int status_ = 200;
+  /// 0 until one is received or set.
+  int status_ = 0;
   HttpHeaders headers_;
   std::string body_;
 };
--- a/src/daemon/config_http.cpp
+++ b/src/daemon/config_http.cpp
@@ -129,10 +129,9 @@
     aReply->Send(ErrorResponse(401, "refused", allowed.error().message_));
     return;
   }
-  HttpResponse response;
-  response.headers_.push_back({ "Content-Type", "application/octet-stream" });
-  response.body_ = FormatContent(config_.Content());
-  aReply->Send(std::move(response));
+  aReply->Send({ 200,
+                 { { "Content-Type", "application/octet-stream" } },
+                 FormatContent(config_.Content()) });
 }
 
 void
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -249,10 +249,8 @@
     Serve(address,
           kMetricsBodyBytes,
           [this](const HttpRequest&, const HttpReplyPtr& aReply) {
-            HttpResponse response;
-            response.headers_.push_back({ "Content-Type", "text/plain" });
-            response.body_ = metrics_.Render();
-            aReply->Send(std::move(response));
+            aReply->Send(
+              { 200, { { "Content-Type", "text/plain" } }, metrics_.Render() });
           });
   if (server) {
     metricsServer_ = std::move(server).value();
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -228,15 +228,12 @@
   } else if (aRequest.path_ == "/status.json") {
     aReply->Send(JsonResponse(200, RenderStatusJson(Status())));
   } else if (aRequest.path_ == "/status") {
-    HttpResponse response;
-    response.headers_.push_back({ "Content-Type", "text/html; charset=utf-8" });
-    response.body_ = RenderStatusPage(Status());
-    aReply->Send(std::move(response));
+    aReply->Send({ 200,
+                   { { "Content-Type", "text/html; charset=utf-8" } },
+                   RenderStatusPage(Status()) });
   } else if (aRequest.path_ == "/metrics") {
-    HttpResponse response;
-    response.headers_.push_back({ "Content-Type", "text/plain" });
-    response.body_ = metrics_.Render();
-    aReply->Send(std::move(response));
+    aReply->Send(
+      { 200, { { "Content-Type", "text/plain" } }, metrics_.Render() });
   } else if (!configHttp_.TryServe(aRequest, aReply)) {
     onHttp_(std::move(aRequest), aReply);
   }
--- a/src/programs/gatewayd/job_api_reads.cpp
+++ b/src/programs/gatewayd/job_api_reads.cpp
@@ -37,10 +37,9 @@
     aReply.Send(ErrorResponse(404, "no_such_item", "the job has no such item"));
     return;
   }
-  HttpResponse response;
-  response.headers_.push_back({ "Content-Type", "application/octet-stream" });
-  response.body_ = std::move(*aBody);
-  aReply.Send(std::move(response));
+  aReply.Send({ 200,
+                { { "Content-Type", "application/octet-stream" } },
+                std::move(*aBody) });
 }
 
 } // namespace
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -277,7 +277,9 @@
 HttpEnd
 CurlTransfer::Classify(CURLcode aCode) const
 {
-  if (aCode == CURLE_OK) {
+  // libcurl takes a connection that closes within the head for the end of the
+  // response.
+  if (aCode == CURLE_OK && headReported_) {
     return HttpEnd::Complete;
   }
   if (SentBytes() == 0) {
@@ -295,10 +297,16 @@
 {
   HttpResult result;
   result.end_ = Classify(aCode);
+  if (aCode == CURLE_OK && !headReported_) {
+    rejected_ = "the connection closed within the head of the response";
+  }
   if (result.end_ != HttpEnd::Complete) {
     result.message_ =
       rejected_ != nullptr ? rejected_ : curl_easy_strerror(aCode);
   }
+  if (!headReported_) {
+    response_.headers_.clear();
+  }
   budget_->Release(response_.body_.size());
   long port = 0;
   long opened = 0;
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -8,9 +8,7 @@
   if (aRequest.path_ == "/faults") {
     aReply->Send(HandleFaults(aRequest.body_));
   } else if (aRequest.path_ == "/metrics") {
-    HttpResponse response;
-    response.body_ = metrics_.Render();
-    aReply->Send(std::move(response));
+    aReply->Send({ 200, {}, metrics_.Render() });
   } else {
     const Json body = Json::parse(aRequest.body_, nullptr, false);
     if (!body.is_object()) {
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -61,6 +61,7 @@
     }
     HttpResult result{ HttpEnd::Complete, std::move(aResponse), {} };
     result.resent_ = aResent;
+    result.headReceived_ = true;
     aCall.done_(std::move(result));
   }
 
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -192,9 +192,7 @@
   REQUIRE(server->InFlight() == 1);
   // More than the sockets of a connection buffer.
   constexpr std::size_t kBytes = 32U << 20U;
-  HttpResponse response;
-  response.body_.assign(kBytes, 'x');
-  reply->Send(std::move(response));
+  reply->Send({ 200, {}, std::string(kBytes, 'x') });
   std::vector<char> bytes(1U << 16U);
   std::size_t received = 0;
   while (received < kBytes) {
