HTTP client: fields after the body are not fields of the head

Read in the code beside the half heads: OnHeader added the fields of a chunked response's trailers to those of its head. What the head lacked, a signature say, could come after the checks of the head and stand in the result.

Trailers are still counted against the limit of a head, and ignored.

--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -75,6 +75,10 @@
   if (transfer.headBytes_ > kMaxHeadBytes) {
     return transfer.Reject("the head of the response is too long");
   }
+  if (transfer.headReported_) {
+    // A field of the trailers, which nothing may take for one of the head.
+    return line.size();
+  }
   if (line.starts_with("HTTP/")) {
     headers.clear();
     return line.size();
--- a/tests/socket_client.hpp
+++ b/tests/socket_client.hpp
@@ -79,10 +79,14 @@
 {
 public:
   /// @param aIdHeader name of that field
-  explicit CuttingServer(std::string aBytes, std::string aIdHeader = {})
+  /// @param aResets whether connections are reset instead of closed
+  explicit CuttingServer(std::string aBytes,
+                         std::string aIdHeader = {},
+                         bool aResets = false)
     : listener_(ListenOnLoopback(16))
     , bytes_(std::move(aBytes))
     , idHeader_(std::move(aIdHeader))
+    , resets_(aResets)
     , thread_([this] { ServeAll(); })
   {
   }
@@ -112,6 +116,10 @@
         static_cast<void>(
           send(connection, answer.data(), answer.size(), MSG_NOSIGNAL));
       }
+      if (resets_) {
+        const linger atOnce{ 1, 0 };
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+      }
       close(connection);
     }
   }
@@ -164,6 +172,7 @@
   LoopbackListener listener_;
   std::string bytes_;
   std::string idHeader_;
+  bool resets_;
   std::atomic<int> requests_{ 0 };
   std::thread thread_;
 };
--- a/tests/test_cut_responses.cpp
+++ b/tests/test_cut_responses.cpp
@@ -163,3 +163,69 @@
   CHECK(outcome.response_.status_ == (repeated ? 200 : 502));
   CHECK((outcome.response_.body_ == "mine") == repeated);
 }
+
+TEST_CASE("a complete head alone does not complete a response: its body is cut")
+{
+  const std::string framing =
+    GENERATE("Content-Length: 4\r\n\r\nmin",
+             "Content-Length: 4\r\n\r\n",
+             "Transfer-Encoding: chunked\r\n\r\n",
+             "Transfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n",
+             "Transfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\n",
+             "Transfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\nA: b",
+             "Transfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\nA: b\r\n");
+  CAPTURE(framing);
+  const CuttingServer cutting(kOk + kProof + framing, "Attempt-Id");
+  Fixture fix;
+  fix.AddServer("a", cutting);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Idempotent);
+  CHECK_FALSE(outcome.answered_);
+  CHECK(outcome.response_.status_ == 502);
+}
+
+// RFC 9112, 8: without a length, an orderly end of the connection completes it.
+TEST_CASE(
+  "a body without a length is complete at the connection's end, but not "
+  "at its reset")
+{
+  const bool resets = GENERATE(false, true);
+  CAPTURE(resets);
+  const CuttingServer server(kOk + kProof + "\r\nmine", "Attempt-Id", resets);
+  Fixture fix;
+  fix.AddServer("a", server);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Idempotent);
+  CHECK(outcome.answered_ != resets);
+  CHECK(outcome.response_.status_ == (resets ? 502 : 200));
+  CHECK((outcome.response_.body_ == "mine") != resets);
+}
+
+TEST_CASE("fields after the body are not fields of the head")
+{
+  const CuttingServer server(
+    kOk + "Attempt-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\nmine\r\n0\r\nResponse-Signature: s\r\n\r\n",
+    "Attempt-Id");
+  const auto client = HttpClient::Create(1);
+  HttpCall call;
+  call.url_ = "http://" + server.Address();
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == HttpEnd::Complete);
+  CHECK(result.response_.body_ == "mine");
+  CHECK_FALSE(FindHeader(result.response_.headers_, "Response-Signature"));
+}
+
+TEST_CASE("a head that holds a second status line is not a complete head")
+{
+  const std::string second =
+    GENERATE("HTTP/1.1 200 OK\r\n", "HTTP/1.1 500 x\r\n");
+  const std::string first =
+    GENERATE("HTTP/1.1 500 x\r\n", "HTTP/1.1 200 OK\r\n");
+  const CuttingServer server(first + "Attempt-Id: {id}\r\n" + second + kProof +
+                               "Content-Length: 4\r\n\r\nmine",
+                             "Attempt-Id");
+  Fixture fix;
+  fix.AddServer("a", server);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Idempotent);
+  CHECK_FALSE(outcome.answered_);
+  CHECK(outcome.response_.status_ == 502);
+}
