HTTP client: a head that does not tell where its body ends is refused

Read and tried beside the half heads: libcurl takes contradicting lengths (the last one), a length with other characters (its digits), one beyond 63 bits (none), and a length beside chunks for whole responses, and gives the bytes after an interim 101 as a body without a head.

The framing is now checked when the head ends, as RFC 9112, 6.3 asks of a gateway; a body before a whole final head ends the call. Comparing one field's name has a function of its own (IsNamed), where three places built a list of one field.

--- a/include/marjoramtally/runtime/http_types.hpp
+++ b/include/marjoramtally/runtime/http_types.hpp
@@ -22,6 +22,10 @@
 /// Header fields in wire order.
 using HttpHeaders = std::vector<HttpHeader>;
 
+/// @returns whether a field has that name
+[[nodiscard]] bool
+IsNamed(const HttpHeader& aHeader, std::string_view aName) noexcept;
+
 /// @returns the value of the first field with that name, if any
 [[nodiscard]] std::optional<std::string_view>
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName) noexcept;
--- a/src/programs/gatewayd/forwarder_streams.cpp
+++ b/src/programs/gatewayd/forwarder_streams.cpp
@@ -41,7 +41,7 @@
   if (const auto last = stream.relay_.Last()) {
     const std::string& name = host_.Formats().Names().lastEvent_;
     std::erase_if(aCall.headers_, [&](const HttpHeader& aHeader) {
-      return FindHeader({ aHeader }, name).has_value();
+      return IsNamed(aHeader, name);
     });
     aCall.headers_.push_back({ name, std::to_string(*last) });
   }
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -61,9 +61,8 @@
   // Fields that frame the message or are set below would change or double it.
   call.headers_ = ForwardableHeaders(own, names);
   std::erase_if(call.headers_, [&](const HttpHeader& aHeader) {
-    const HttpHeaders one{ aHeader };
-    return FindHeader(one, "Host") || FindHeader(one, names.attempt_) ||
-           FindHeader(one, names.lastEvent_);
+    return IsNamed(aHeader, "Host") || IsNamed(aHeader, names.attempt_) ||
+           IsNamed(aHeader, names.lastEvent_);
   });
   if (routes_.RequiresKeys() || !aJob.customer_.Get().empty()) {
     SetCustomer(call.headers_, names, aJob.customer_);
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -1,6 +1,9 @@
 #include "runtime/curl_transfer.hpp"
 
+#include "marjoramtally/base/units.hpp"
+
 #include <algorithm>
+#include <limits>
 
 namespace marjoramtally {
 
@@ -12,6 +15,8 @@
 /// Lower statuses are interim responses (RFC 9110, 15.2), which precede the
 /// final one.
 constexpr long kMinFinalStatus = 200;
+/// Largest `Content-Length` that libcurl can represent, in bytes.
+constexpr std::uint64_t kMaxBodyLength = std::numeric_limits<curl_off_t>::max();
 
 std::string_view
 TrimValue(std::string_view aText) noexcept
@@ -26,6 +31,27 @@
   return aText;
 }
 
+/// libcurl accepts lengths that contradict each other or are no numbers, and
+/// then takes the end of the connection, or an earlier place, for the end of
+/// the body (RFC 9112, 6.3).
+bool
+FramesBody(const HttpHeaders& aHeaders)
+{
+  std::string_view length;
+  for (const HttpHeader& header : aHeaders) {
+    if (!IsNamed(header, "Content-Length")) {
+      continue;
+    }
+    const bool valid =
+      ParseNumber(header.value_, 0, kMaxBodyLength).has_value();
+    if (!valid || (!length.empty() && length != header.value_)) {
+      return false;
+    }
+    length = header.value_;
+  }
+  return length.empty() || !FindHeader(aHeaders, "Transfer-Encoding");
+}
+
 long
 Millis(Duration aDuration)
 {
@@ -105,6 +131,9 @@
   auto& transfer = *static_cast<CurlTransfer*>(aUser);
   const std::size_t bytes = aSize * aCount;
   transfer.OnByteReceived();
+  if (!transfer.headReported_) {
+    return transfer.Reject("the response has a body before its head ends");
+  }
   if (transfer.call_.mayReceive_ && !transfer.call_.mayReceive_()) {
     return CURL_WRITEFUNC_PAUSE;
   }
@@ -261,6 +290,10 @@
   if (headReported_ || status < kMinFinalStatus) {
     return true;
   }
+  if (!FramesBody(response_.headers_)) {
+    Reject("the head of the response does not tell where its body ends");
+    return false;
+  }
   headReported_ = true;
   response_.status_ = static_cast<int>(status);
   if (call_.onHead_ && !call_.onHead_(response_.status_, response_.headers_)) {
--- a/src/runtime/http_types.cpp
+++ b/src/runtime/http_types.cpp
@@ -31,11 +31,17 @@
 
 } // namespace
 
+bool
+IsNamed(const HttpHeader& aHeader, std::string_view aName) noexcept
+{
+  return EqualIgnoringCase(aHeader.name_, aName);
+}
+
 std::optional<std::string_view>
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName) noexcept
 {
   for (const HttpHeader& header : aHeaders) {
-    if (EqualIgnoringCase(header.name_, aName)) {
+    if (IsNamed(header, aName)) {
       return header.value_;
     }
   }
--- a/tests/test_cut_responses.cpp
+++ b/tests/test_cut_responses.cpp
@@ -229,3 +229,39 @@
   CHECK_FALSE(outcome.answered_);
   CHECK(outcome.response_.status_ == 502);
 }
+
+TEST_CASE("a head that does not tell where its body ends is no complete head")
+{
+  const std::string framing =
+    GENERATE("Content-Length: 3\r\nContent-Length: 4\r\n\r\nmine",
+             "Content-Length: 3\r\nContent-Length: 4\r\n\r\nmin",
+             "Content-Length: 2x\r\n\r\nmine",
+             "Content-Length: 99999999999999999999999\r\n\r\nmine",
+             "Content-Length:\r\n\r\nmine",
+             "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\nmine\r\n0\r\n\r\n");
+  CAPTURE(framing);
+  const CuttingServer server(kOk + kProof + framing, "Attempt-Id");
+  Fixture fix;
+  fix.AddServer("a", server);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Idempotent);
+  CHECK_FALSE(outcome.answered_);
+  CHECK(outcome.response_.status_ == 502);
+}
+
+TEST_CASE("bytes of an upgraded connection are no body of a response")
+{
+  const CuttingServer server("HTTP/1.1 101 x\r\nUpgrade: y\r\n\r\nmine");
+  const auto client = HttpClient::Create(1);
+  HttpCall call;
+  call.url_ = "http://" + server.Address();
+  std::string received;
+  call.onData_ = [&received](std::string_view aBytes) {
+    received += aBytes;
+    return true;
+  };
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ != HttpEnd::Complete);
+  CHECK(result.response_.status_ == 0);
+  CHECK(received.empty());
+}
