Test: a continuation that is cut within its head does not end a stream

A resumable stream whose second upstream closes within its head goes on at the third, and its caller gets both events once and one head. It stays as a guard; the caller's first answer from half a head is the case of the tests beside it.

--- a/tests/test_cut_responses.cpp
+++ b/tests/test_cut_responses.cpp
@@ -73,7 +73,7 @@
   }
 
   /// Forwards one request and waits for its outcome.
-  const ForwardOutcome& Forward(RouteKind aKind)
+  const ForwardOutcome& Forward(RouteKind aKind, bool aResumable = false)
   {
     ForwardRequest request;
     request.attempt_ = "id1";
@@ -83,7 +83,8 @@
     request.body_ = "x";
     request.service_ = ServiceId{ "svc" };
     request.kind_ = aKind;
-    request.maxAttempts_ = 2;
+    request.maxAttempts_ = 3;
+    request.resumable_ = aResumable;
     request.limit_ = 10s;
     if (aKind == RouteKind::Stream) {
       request.reply_ = reply_;
@@ -265,3 +266,29 @@
   CHECK(result.response_.status_ == 0);
   CHECK(received.empty());
 }
+
+TEST_CASE("a continuation that is cut within its head does not end a stream")
+{
+  const std::string half = GENERATE(from_range(CutHeads()));
+  CAPTURE(half);
+  const std::string stream = kOk + kProof +
+                             "Content-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+  const CuttingServer first(stream + "f\r\nid: 1\ndata: a\n\n\r\n",
+                            "Attempt-Id");
+  const CuttingServer cutting(half, "Attempt-Id");
+  const CuttingServer last(stream + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+                           "Attempt-Id");
+  Fixture fix;
+  fix.AddServer("a", first);
+  fix.AddServer("b", cutting);
+  fix.AddServer("c", last);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Stream, true);
+  CHECK(first.Requests() == 1);
+  CHECK(cutting.Requests() == 1);
+  CHECK(last.Requests() == 1);
+  CHECK(outcome.answered_);
+  CHECK(outcome.headSent_);
+  CHECK(fix.reply_->beginCalls_ == 1);
+  CHECK(fix.reply_->body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
