Gateway: one comparison of field names

forward_headers.cpp compared names by tolower, which hangs on the locale, beside the function of http_types.cpp that does not. It uses IsNamed now; nothing else changes (the tests of forwarded headers are those of the whole suite).

--- a/src/programs/gatewayd/forward_headers.cpp
+++ b/src/programs/gatewayd/forward_headers.cpp
@@ -18,25 +18,12 @@
 constexpr std::string_view kAuthorization = "authorization";
 
 bool
-SameName(std::string_view aLeft, std::string_view aRight) noexcept
-{
-  return aLeft.size() == aRight.size() &&
-         std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    [](char aOne, char aOther) {
-                      return std::tolower(static_cast<unsigned char>(aOne)) ==
-                             std::tolower(static_cast<unsigned char>(aOther));
-                    });
-}
-
-bool
-IsHopByHop(std::string_view aName)
+IsHopByHop(const HttpHeader& aHeader)
 {
   return std::any_of(
     kHopByHopFields.begin(),
     kHopByHopFields.end(),
-    [&](std::string_view aField) { return SameName(aName, aField); });
+    [&](std::string_view aField) { return IsNamed(aHeader, aField); });
 }
 
 } // namespace
@@ -46,9 +33,8 @@
 {
   HttpHeaders forwardable;
   for (const HttpHeader& header : aHeaders) {
-    if (!IsHopByHop(header.name_) &&
-        !SameName(header.name_, aNames.deadline_) &&
-        !SameName(header.name_, aNames.expectUpstream_)) {
+    if (!IsHopByHop(header) && !IsNamed(header, aNames.deadline_) &&
+        !IsNamed(header, aNames.expectUpstream_)) {
       forwardable.push_back(header);
     }
   }
@@ -61,8 +47,8 @@
             const CustomerId& aCustomer)
 {
   std::erase_if(aHeaders, [&](const HttpHeader& aHeader) {
-    return SameName(aHeader.name_, kAuthorization) ||
-           SameName(aHeader.name_, aNames.customer_);
+    return IsNamed(aHeader, kAuthorization) ||
+           IsNamed(aHeader, aNames.customer_);
   });
   if (!aCustomer.Get().empty()) {
     aHeaders.push_back({ aNames.customer_, aCustomer.Get() });
