--- a/src/runtime/log_explanation.cpp
+++ b/src/runtime/log_explanation.cpp
@@ -23,7 +23,7 @@
                                                      "call" };
 
 /// Events about the state of a process and of what it reads.
-constexpr std::array<std::string_view, 14> kStateEvents{
+constexpr std::array<std::string_view, 15> kStateEvents{
   "config_read",
   "upstreams_read",
   "watch_interrupted",
@@ -38,6 +38,7 @@
   "watch_resumed",
   "socket_not_watched",
   "reading_failed",
+  "call_repeated",
 };
 
 /// Events about an upstream.
