Log: a value from outside does not hide or split its line

What operators saw: an entry of another writer whose error quotes megabytes (an unknown state, a token of the parser) was told by no line at all. Its line exceeded the 256 KB of the output buffer, which drops a line whole, and the reader had noted the error as told. Zero bytes, escapes and DEL in a key went to the log as they were.

Cause: values were written at any length, and only CR and LF were replaced.

A value is cut at 4,096 bytes and marked, and control characters become spaces.

--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -110,27 +110,45 @@
   return log4cxx::Level::getInfo();
 }
 
+/// Longer values are cut: errors quote what other processes wrote, and a line
+/// that exceeds the buffer would be dropped completely.
+constexpr std::size_t kMaxValueBytes = 4096;
+constexpr std::string_view kCutMark = "...";
+
+bool
+IsControl(char aChar) noexcept
+{
+  constexpr char kDelete = 0x7f;
+  return (aChar >= 0 && aChar < ' ') || aChar == kDelete;
+}
+
 bool
 NeedsQuotes(std::string_view aValue)
 {
   return aValue.empty() ||
-         aValue.find_first_of(" \"=\\\n\r\t") != std::string_view::npos;
+         aValue.find_first_of(" \"=\\") != std::string_view::npos ||
+         std::any_of(aValue.begin(), aValue.end(), IsControl);
 }
 
 void
 AppendValue(std::string& aLine, std::string_view aValue)
 {
-  if (!NeedsQuotes(aValue)) {
-    aLine += aValue;
+  const std::string_view shown = aValue.substr(0, kMaxValueBytes);
+  const std::string_view mark =
+    shown.size() < aValue.size() ? kCutMark : std::string_view();
+  if (!NeedsQuotes(shown)) {
+    aLine += shown;
+    aLine += mark;
     return;
   }
   aLine += '"';
-  for (const char c : aValue) {
+  for (const char c : shown) {
     if (c == '"' || c == '\\') {
       aLine += '\\';
     }
-    aLine += (c == '\n' || c == '\r') ? ' ' : c;
+    aLine += IsControl(c) ? ' ' : c;
   }
+  aLine += mark;
   aLine += '"';
 }
 
--- a/tests/test_log_limit.cpp
+++ b/tests/test_log_limit.cpp
@@ -1,10 +1,12 @@
 /// Limits on logging.
 
+#include "log_capture.hpp"
 #include "marjoramtally/runtime/log_limit.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace marjoramtally;
+using namespace marjoramtally::test;
 using namespace std::chrono_literals;
 
 TEST_CASE("lines beyond the rate are dropped and counted")
@@ -63,3 +65,28 @@
   buffer.Consume(held);
   REQUIRE(buffer.empty());
 }
+
+// An error quotes what another process wrote, up to megabytes.
+TEST_CASE("a value longer than the buffer of lines does not hide its event")
+{
+  const LogCapture log;
+  LogEvent(LogLevel::Error,
+           "upstream_unreadable",
+           { { "error", "unknown state " + std::string(1U << 20U, 'x') },
+             { "key", "servers/odd" } });
+  LogBuffer buffer;
+  REQUIRE(buffer.Put(log.Lines()));
+  CHECK(log.Contains("event=upstream_unreadable error=\"unknown state xxx"));
+  CHECK(log.Contains("xxx...\" key=servers/odd\n"));
+}
+
+TEST_CASE("control characters in a value neither end nor hide a line")
+{
+  const LogCapture log;
+  using namespace std::string_literals;
+  LogEvent(LogLevel::Error,
+           "upstream_unreadable",
+           { { "key", "servers/a\0b\x1b[2J\x7f\nevent=x"s } });
+  CHECK(log.Contains(
+    "event=upstream_unreadable key=\"servers/a b [2J  event=x\"\n"));
+}
