--- /dev/null
+++ b/tests/test_odd_entries.cpp
@@ -0,0 +1,215 @@
+/// Entries of other writers that are odd: what the daemons read beside them
+/// holds and is followed further.
+
+#include "daemon/upstream_reader.hpp"
+#include "gateway_fixture.hpp"
+#include "log_capture.hpp"
+#include "marjoramtally/runtime/log_limit.hpp"
+#include "order_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// @returns a registration in which one field has another value
+/// @param aValue JSON text; empty: without the field
+std::string
+Registration(const std::string& aField = {}, const std::string& aValue = {})
+{
+  std::map<std::string, std::string> fields{
+    { "service", R"("s")" },   { "address", R"("10.0.0.1:1")" },
+    { "zone", R"("z1")" },     { "slots", "4" },
+    { "state", R"("ready")" }, { "models", R"([{"name":"m","version":1}])" },
+  };
+  if (!aField.empty()) {
+    fields[aField] = aValue;
+  }
+  std::string text;
+  for (const auto& [name, value] : fields) {
+    if (!value.empty()) {
+      text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    }
+  }
+  return text + "}";
+}
+
+std::string
+Nested(std::size_t aDepth)
+{
+  return std::string(aDepth, '[') + std::string(aDepth, ']');
+}
+
+std::string
+NestedObjects(std::size_t aDepth)
+{
+  std::string text;
+  for (std::size_t i = 0; i < aDepth; ++i) {
+    text += R"({"a":)";
+  }
+  return text + "1" + std::string(aDepth, '}');
+}
+
+std::string
+Quoted(const std::string& aText)
+{
+  return '"' + aText + '"';
+}
+
+constexpr std::size_t kDeep = 200'000;
+constexpr std::size_t kMegabytes = 4U << 20U;
+
+/// Registrations that name no upstream that could be used.
+std::vector<std::string>
+OddRegistrations()
+{
+  std::vector<std::string> odd{
+    "",
+    " ",
+    "null",
+    "NaN",
+    "1e400",
+    "\xff\xfe",
+    std::string(1, '\0'),
+    Nested(kDeep),
+    NestedObjects(kDeep),
+    std::string(kMegabytes, 'x'),
+    Quoted(std::string(kMegabytes, 'x')),
+    Registration("a\xff", "1"),
+    Registration("state", Quoted(std::string(kMegabytes, 'x'))),
+    Registration("other", "1e400"),
+    Registration("other", Nested(kDeep)),
+    Registration("models", R"([{"name":"m","version":1e400}])"),
+    Registration("models", R"([{"name":"m","version":-1}])"),
+    Registration("models", R"([{"name":"m","version":1.5}])"),
+    Registration("models",
+                 R"([{"name":"m","version":99999999999999999999999}])"),
+    Registration("models", R"([{"name":1,"version":1}])"),
+    Registration("models", "[1]"),
+    Registration("models", R"([{"name":"m","version":)" + Nested(kDeep) + "}]"),
+  };
+  for (const char* port : { "0",
+                            "-0",
+                            "-1",
+                            "+1",
+                            "65536",
+                            "70000",
+                            "99999999999999999999",
+                            "1e3",
+                            "0x50",
+                            "",
+                            "80 ",
+                            "80/",
+                            "http" }) {
+    odd.push_back(
+      Registration("address", Quoted(std::string("10.0.0.1:") + port)));
+  }
+  for (const char* address : { "10.0.0.1",
+                               ":80",
+                               "",
+                               " :80",
+                               "a b:80",
+                               "a\\u0000b:80",
+                               "a\\r\\nb:80",
+                               "a\\u007fb:80",
+                               "a/b:80",
+                               "a?b:80",
+                               "a#b:80",
+                               "a@b:80",
+                               "\xff:80" }) {
+    odd.push_back(Registration("address", Quoted(address)));
+  }
+  odd.push_back(
+    Registration("address", Quoted(std::string(kMegabytes, 'a') + ":80")));
+  for (const char* number : { "0",
+                              "-0",
+                              "-1",
+                              "1.5",
+                              "1e400",
+                              "-1e400",
+                              "1e308",
+                              "9223372036854775808",
+                              "18446744073709551615",
+                              "99999999999999999999999999",
+                              "NaN",
+                              "\"8\"",
+                              "true",
+                              "null",
+                              "[]",
+                              "{}" }) {
+    odd.push_back(Registration("slots", number));
+  }
+  for (const char* number : { "-1",
+                              "1.5",
+                              "1e400",
+                              "1e308",
+                              "99999999999999999999999999",
+                              "\"8\"",
+                              "true",
+                              "null",
+                              "[]" }) {
+    odd.push_back(Registration("born", number));
+  }
+  for (const char* field : { "service", "zone", "state", "address" }) {
+    for (const char* value :
+         { "", "\"\"", "1", "1e400", "true", "null", "[]", "{}", "NaN" }) {
+      odd.push_back(Registration(field, value));
+    }
+    odd.push_back(Registration(field, Nested(kDeep)));
+  }
+  for (const char* value : { "1", "\"yes\"", "null", "[]" }) {
+    odd.push_back(Registration("spot", value));
+  }
+  return odd;
+}
+
+StoreRecord
+Record(const std::string& aKey, std::string aValue, std::uint64_t aRevision)
+{
+  StoreRecord record;
+  record.key_ = aKey;
+  record.value_ = std::move(aValue);
+  record.modRevision_ = aRevision;
+  return record;
+}
+
+std::size_t
+CountOf(const std::string& aText, const std::string& aPart)
+{
+  std::size_t count = 0;
+  for (std::size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("an odd registration names no upstream and is logged once")
+{
+  const auto platform = MakePlatform();
+  const std::string prefix = platform->Places().upstreams_;
+  for (const std::string& odd : OddRegistrations()) {
+    INFO(odd.substr(0, 200));
+    LogCapture log;
+    UpstreamReader reader(*platform);
+    const StoreRange range{ 3,
+                            { Record(prefix + "a", Registration(), 1),
+                              Record(prefix + "odd", odd, 2),
+                              Record(prefix + "z", Registration(), 3) } };
+    const auto entries = reader.ReadAll(range);
+    CHECK(entries.size() == 2);
+    CHECK(reader.ReadAll(range).size() == 2);
+    const std::string lines = log.Lines();
+    CHECK(CountOf(lines, "event=upstream_unreadable key=" + prefix + "odd") ==
+          1);
+    // Longer lines are dropped whole.
+    CHECK(lines.size() < LogBuffer::kMaxBytes);
+    // A later value of the same key.
+    CHECK(reader.Read(Record(prefix + "odd", Registration(), 4)));
+  }
+}
