Platform formats: a number is read as it stands, or not at all

What operators see: a configuration whose version is -1, 1e308 or was applied as version, 2^63 or the like, and no later configuration was followed any more: each was "older than the current revision". A registration whose start time lies beyond all others kept every later, valid one of its key out, as outdated. -1 attempts were 4,294,967,295 attempts, 1.5 was 1, 4,294,967,296 was 0, in configurations, submissions, named versions and reports.

Cause: the JSON library converts by static_cast, which wraps, truncates and is undefined for a double out of range.

Versions, start times and counts end at 2^53, the largest number that writers of JSON exchange exactly. An unreadable configuration is told, and the one in force holds.

--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -1,6 +1,7 @@
 /// Readiness of a complete gateway, with fake listeners.
 
 #include "gateway_fixture.hpp"
+#include "log_capture.hpp"
 #include "programs/gatewayd/gateway.hpp"
 
 #include <catch2/catch.hpp>
@@ -176,3 +177,66 @@
   REQUIRE(fix.client_.open_.size() == 1);
   REQUIRE(fix.Call(1s)->status_ == 0);
 }
+
+// A number that is taken for another one was followed by no later version.
+TEST_CASE("a configuration with an odd version keeps no later one out")
+{
+  const std::string odd =
+    GENERATE("-1", "1e308", "1.5e300", "18446744073709551615", "1e400");
+  INFO(odd);
+  Fixture fix;
+  fix.store_.Put(fix.platform_->Places().upstreams_ + "e", kUpstream);
+  fix.gateway_->Start();
+  fix.timers_.Advance(2s);
+  const std::string& key = fix.platform_->Places().config_;
+  LogCapture log;
+  fix.store_.Put(key, R"({"version":)" + odd + R"(,"routes":[]})");
+  fix.timers_.Advance(1s);
+  CHECK(log.Contains("event=config_unreadable"));
+  // The earlier configuration holds.
+  fix.Call();
+  CHECK(fix.client_.sent_ == 1);
+  fix.store_.Put(key, R"({"version":2,"routes":[]})");
+  fix.timers_.Advance(1s);
+  CHECK(log.Contains("event=config_read revision=2 routes=0 outcome=applied"));
+}
+
+TEST_CASE("an odd entry of an upstream keeps neither others nor itself out")
+{
+  // Its start time would make a later, valid one look outdated.
+  const std::string odd =
+    GENERATE(std::string(R"("born":18446744073709551615)"),
+             std::string(R"("slots":1e400)"),
+             std::string(R"("address":"e:70000")"),
+             std::string(R"("models":)") + std::string(200'000, '[') +
+               std::string(200'000, ']'));
+  Fixture fix;
+  const std::string& prefix = fix.platform_->Places().upstreams_;
+  const auto entry = [](const std::string& aAddress,
+                        const std::string& aFurther) {
+    return R"({"service":"s","address":")" + aAddress +
+           R"(","zone":"z1","slots":1,"state":"ready",)" + aFurther + "}";
+  };
+  LogCapture log;
+  fix.store_.Put(prefix + "good", entry("good:1", R"("born":5)"));
+  fix.store_.Put(prefix + "odd", entry("odd:1", odd));
+  fix.gateway_->Start();
+  fix.timers_.Advance(2s);
+  const auto reached = [&] {
+    fix.Call();
+    REQUIRE_FALSE(fix.client_.open_.empty());
+    const std::string url = fix.client_.open_.back().call_.url_;
+    fix.client_.Fail(fix.client_.open_.back(), HttpEnd::TimedOut);
+    return url;
+  };
+  CHECK(reached().starts_with("http://good:1/"));
+  CHECK(log.Contains("event=upstream_unreadable key=" + prefix + "odd"));
+  fix.store_.Put(prefix + "good", entry("moved:1", R"("born":6)"));
+  fix.timers_.Advance(100ms);
+  CHECK(reached().starts_with("http://moved:1/"));
+  fix.store_.Put(prefix + "odd", entry("mended:1", R"("born":7)"));
+  fix.timers_.Advance(100ms);
+  fix.store_.Remove(prefix + "good");
+  fix.timers_.Advance(100ms);
+  CHECK(reached().starts_with("http://mended:1/"));
+}
--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -7,6 +7,7 @@
 #include "marjoramtally/runtime/log_limit.hpp"
 #include "order_fixture.hpp"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace marjoramtally;
@@ -147,6 +148,8 @@
                               "1.5",
                               "1e400",
                               "1e308",
+                              "9007199254740993",
+                              "18446744073709551615",
                               "99999999999999999999999999",
                               "\"8\"",
                               "true",
@@ -214,3 +217,83 @@
     CHECK(reader.Read(Record(prefix + "odd", Registration(), 4)));
   }
 }
+
+namespace {
+
+/// JSON texts that are no whole number that can be used.
+constexpr std::array kOddNumbers{
+  "-1",
+  "-9223372036854775808",
+  "1.5",
+  "0.5",
+  "1e308",
+  "-1e308",
+  "1e400",
+  "18446744073709551615",
+  "9223372036854775808",
+  "9007199254740993",
+  "99999999999999999999999999",
+  "NaN",
+  "\"NaN\"",
+  "\"1\"",
+  "true",
+  "null",
+  "[]",
+  "{}",
+};
+
+/// @returns a text in which the only `#` is replaced
+std::string
+Filled(std::string aText, const std::string& aValue)
+{
+  return aText.replace(aText.find('#'), 1, aValue);
+}
+
+} // namespace
+
+TEST_CASE("a configuration with an odd number is unreadable, not another one")
+{
+  const auto platform = MakePlatform();
+  for (const char* text : {
+         R"({"version":#,"routes":[]})",
+         R"({"version":1,"routes":[{"host":"h","prefix":"/","priority":#}]})",
+         R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
+         R"("max_attempts":#}]})",
+         R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
+         R"("traffic_split":[{"service":"s","weight":#}]}]})",
+         R"({"version":1,"routes":[],"services":[{"name":"s","max_conns":#}]})",
+         R"({"version":1,"routes":[],)"
+         R"("services":[{"name":"s","scale":{"max":#}}]})",
+         R"({"version":1,"routes":[],)"
+         R"("services":[{"name":"s","scale":{"min":#,"max":9}}]})",
+         R"({"version":1,"routes":[],"limits":{"max_body_bytes":#}})",
+       }) {
+    for (const char* number : kOddNumbers) {
+      INFO(Filled(text, number));
+      CHECK_FALSE(platform->ReadConfig(Filled(text, number)));
+    }
+    CHECK(platform->ReadConfig(Filled(text, "7")));
+    CHECK(platform->ReadConfig(Filled(text, "7.0")));
+  }
+}
+
+TEST_CASE("odd numbers in a version, a submission or a report are errors")
+{
+  const auto platform = MakePlatform();
+  const Platform& formats = *platform;
+  for (const char* number : kOddNumbers) {
+    INFO(number);
+    CHECK_FALSE(
+      formats.ReadVersion(Filled(R"({"model":"m","version":#})", number)));
+    for (const char* field : { "step", "min_version", "target_groups" }) {
+      CHECK_FALSE(formats.ReadSubmission(
+        R"({"items":[],")" + std::string(field) + "\":" + number + "}"));
+    }
+    CHECK_FALSE(formats.ReadSubmission(
+      Filled(R"({"items":[{"id":"i","path":"/","tokens":#}]})", number)));
+    for (const char* report :
+         { R"({"seq":#})", R"({"models":[{"name":"m","version":#}]})" }) {
+      CHECK_FALSE(formats.ReadReport(Filled(report, number)));
+    }
+  }
+}
