--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -8,20 +8,11 @@
 using namespace marjoramtally::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A configuration whose only service is that of the upstreams below.
-constexpr const char* kConfig =
-  R"({"version":1,"routes":[{"host":"h","prefix":"/j/","kind":"rollout",)"
-  R"("service":"lm"}],"services":[{"name":"lm"}]})";
-
-} // namespace
-
 TEST_CASE("a holder whose lease was granted late sends orders after a renewal")
 {
   GatewayFakes fakes;
   fakes.settings_.fencing_ = true;
-  fakes.store_.Put("op/config", kConfig);
+  fakes.store_.Put("op/config", kOrderConfig);
   fakes.store_.Put(
     "servers/i-1",
     R"({"service":"lm","address":"e:1","zone":"z","slots":1,"state":"ready",
@@ -68,64 +59,6 @@
           std::string::npos);
 }
 
-namespace {
-
-/// A holder of the duty with one upstream that lacks the announced version.
-struct DutyFixture : GatewayFakes
-{
-  LeasedOrderDuty duty_{ context_ };
-
-  DutyFixture()
-  {
-    settings_.fencing_ = true;
-    store_.Put("op/config", kConfig);
-    Register(1000);
-    store_.Put("op/version/m", R"({"model":"m","version":2})");
-    duty_.Start();
-    timers_.Advance(100ms);
-  }
-
-  void Register(std::uint64_t aStart,
-                const std::string& aState = "ready",
-                const std::string& aService = "lm")
-  {
-    store_.Put("servers/i-1",
-               R"({"service":")" + aService +
-                 R"(","address":"e:1","zone":"z","slots":1,"state":")" +
-                 aState + R"(","born":)" + std::to_string(aStart) +
-                 R"(,"models":[{"name":"m","version":1}]})");
-    timers_.Advance(20ms);
-  }
-
-  [[nodiscard]] std::string OldestPath()
-  {
-    return client_.open_.empty() ? "" : client_.Oldest().call_.url_;
-  }
-
-  void AnswerReport(std::uint64_t aStart, int aOrders, bool aBusy = false)
-  {
-    REQUIRE(OldestPath() == "http://e:1/report");
-    client_.Answer(client_.Oldest(),
-                   JsonResponse(200,
-                                R"({"busy":)" +
-                                  std::string(aBusy ? "true" : "false") +
-                                  R"(,"seq":)" + std::to_string(aOrders) +
-                                  R"(,"born":)" + std::to_string(aStart) +
-                                  R"(,"models":[{"name":"m","version":1}]})"));
-    timers_.Advance(20ms);
-  }
-
-  void AcceptOrder(const std::string& aExpected)
-  {
-    REQUIRE(OldestPath() == "http://e:1/order");
-    const std::string& body = client_.Oldest().call_.body_;
-    REQUIRE(body.find(R"("expected":)" + aExpected) != std::string::npos);
-    client_.Answer(client_.Oldest(), HttpResponse{ 202, {}, {} });
-  }
-};
-
-} // namespace
-
 TEST_CASE(
   "a restarted upstream receives the order again with its own order count")
 {
@@ -231,7 +164,7 @@
   {
     settings_.fencing_ = false;
     settings_.orderTurn_ = 3s;
-    store_.Put("op/config", kConfig);
+    store_.Put("op/config", kOrderConfig);
     store_.Put("servers/i-1",
                R"({"service":"lm","address":"e:1","zone":"z","slots":1,)"
                R"("state":"ready","models":[{"name":"m","version":1}]})");
@@ -402,7 +335,7 @@
   FleetFixture()
   {
     settings_.fencing_ = true;
-    store_.Put("op/config", kConfig);
+    store_.Put("op/config", kOrderConfig);
     for (int i = 0; i < 50; ++i) {
       WriteHeartbeat(i, 0);
     }
