Platform store: an answer to a transaction needs its fields

Read beside half a head taken for an answer: a complete 200 to a transaction decided by its status alone. Without a revision it was applied as revision 0, which became a fencing number, and in later conditions means that there is no key; -1 wrapped to the largest number and 1.5 was 1. A 412 was a failed condition with any body.

--- /dev/null
+++ b/tests/test_incomplete_answers.cpp
@@ -0,0 +1,44 @@
+/// Answers that are complete as HTTP, and lack what their readers need.
+
+#include "store_calls.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramtally;
+using namespace marjoramtally::test;
+
+// A transaction without its revision was applied as revision 0, which as a
+// fencing number and in a condition means that there is no key.
+TEST_CASE("an answer to a write that lacks its revision leaves it unknown")
+{
+  const std::string body = GENERATE("",
+                                    "{}",
+                                    "[]",
+                                    "null",
+                                    R"({"revision":0})",
+                                    R"({"revision":null})",
+                                    R"({"revision":-1})",
+                                    R"({"revision":1.5})",
+                                    R"({"revision":"7"})");
+  CAPTURE(body);
+  StoreCalls calls;
+  calls.Commit();
+  calls.Answer(200, body);
+  CHECK(IsUnknown(calls.commit_));
+}
+
+TEST_CASE("a failed condition without its items leaves the write unknown")
+{
+  const std::string body = GENERATE("",
+                                    "{}",
+                                    "[]",
+                                    "null",
+                                    R"({"revision":7})",
+                                    R"({"items":{}})",
+                                    R"({"items":null})");
+  CAPTURE(body);
+  StoreCalls calls;
+  calls.Commit();
+  calls.Answer(412, body);
+  CHECK(IsUnknown(calls.commit_));
+}
