Probed calls belong to the product, not to its adapter

platform/ translates and decides nothing; when a call is probed and repeated is a decision of any client of a store behind a busy link.

--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -15,6 +15,7 @@
 #include "marjoramtally/runtime/metrics.hpp"
 #include "marjoramtally/runtime/open_store.hpp"
 #include "marjoramtally/runtime/platform.hpp"
+#include "marjoramtally/runtime/probed_calls.hpp"
 #include "marjoramtally/runtime/program.hpp"
 #include "marjoramtally/runtime/rpc.hpp"
 #include "marjoramtally/runtime/rpc_mac.hpp"
--- a/platform/probed_calls.cpp
+++ b/src/runtime/probed_calls.cpp
@@ -1,4 +1,4 @@
-#include "probed_calls.hpp"
+#include "marjoramtally/runtime/probed_calls.hpp"
 
 #include "marjoramtally/runtime/log.hpp"
 
