Platform store: an answer about a lease needs its fields

A complete 200 to a grant without `lease` was lease 0, which is none: the keys written with it, of processes and of duties, would never be removed. Without `ttl_ms` a grant or a renewal was one of 0 ms, so its holder gave its duty up.

--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -42,3 +42,35 @@
   calls.Answer(412, body);
   CHECK(IsUnknown(calls.commit_));
 }
+
+// A grant without its lease was lease 0, which is none: keys written with it
+// were never removed.
+TEST_CASE("an answer to a grant that lacks the lease or its time is no lease")
+{
+  const std::string body = GENERATE("",
+                                    "{}",
+                                    "[]",
+                                    R"({"ttl_ms":3000})",
+                                    R"({"lease":0,"ttl_ms":3000})",
+                                    R"({"lease":-4,"ttl_ms":3000})",
+                                    R"({"lease":null,"ttl_ms":3000})",
+                                    R"({"lease":7})",
+                                    R"({"lease":7,"ttl_ms":null})");
+  CAPTURE(body);
+  StoreCalls calls;
+  calls.GrantLease();
+  calls.Answer(200, body);
+  CHECK(IsUnknown(calls.lease_));
+}
+
+// A renewal without its time was taken for one that had expired.
+TEST_CASE("an answer to a renewal that lacks its time is no renewal")
+{
+  const std::string body =
+    GENERATE("", "{}", "[]", R"({"lease":7})", R"({"ttl_ms":null})");
+  CAPTURE(body);
+  StoreCalls calls;
+  calls.KeepAlive();
+  calls.Answer(200, body);
+  CHECK(IsUnknown(calls.lease_));
+}
