Platform store: a range needs its fields

A complete 200 to a range without `has_more` was taken for the last page, and one whose `items` is null or an object for a page without any: the records that follow count as absent, which for jobs, leases and upstreams is a finding. A page without items that says that more follow ended the range as complete if it was the first, and was read again without end if it was a later one. `as_of` of 0 or -1 became the revision from which changes are watched.

--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -74,3 +74,45 @@
   calls.Answer(200, body);
   CHECK(IsUnknown(calls.lease_));
 }
+
+// A range that did not say whether more follows was taken for complete, and its
+// other records for absent.
+TEST_CASE("a range that lacks a field is an error, not an absence")
+{
+  const std::string items =
+    R"("items":[{"key":"p/a","value":"YQ==","revision":3,"created_at":2,)"
+    R"("lease":0}])";
+  const std::string body =
+    GENERATE_COPY(as<std::string>{},
+                  "",
+                  "{}",
+                  "[]",
+                  "{" + items + R"(,"has_more":false})",
+                  "{" + items + R"(,"has_more":false,"as_of":0})",
+                  "{" + items + R"(,"has_more":false,"as_of":-1})",
+                  "{" + items + R"(,"as_of":9})",
+                  "{" + items + R"(,"has_more":null,"as_of":9})",
+                  R"({"items":[],"has_more":true,"as_of":9})",
+                  R"({"has_more":false,"as_of":9})",
+                  R"({"items":null,"has_more":false,"as_of":9})",
+                  R"({"items":{},"has_more":false,"as_of":9})");
+  CAPTURE(body);
+  StoreCalls calls;
+  calls.Read();
+  calls.Answer(200, body);
+  CHECK(IsUnknown(calls.range_));
+}
+
+// The same page was read again without end.
+TEST_CASE("a page without items that says that more follow is an error")
+{
+  StoreCalls calls;
+  calls.Read();
+  calls.Answer(200,
+               R"({"items":[{"key":"p/a","value":"YQ==","revision":3,)"
+               R"("created_at":2,"lease":0}],"has_more":true,"as_of":9})");
+  REQUIRE_FALSE(calls.range_);
+  calls.Answer(200, R"({"items":[],"has_more":true,"as_of":9})");
+  CHECK(IsUnknown(calls.range_));
+  CHECK(calls.client_.open_.empty());
+}
