Platform store: an item needs its fields

A complete 200 with an item that lacks its `value` was an item with an empty one, in ranges and in changes; one without `lease` had lease 0, so that a process that read its own key back took it for another holder's, and one without `created_at` had creation revision 0. A revision of -1 wrapped to the largest number.

An item as it was written must have all that the protocol promises: key, value, revision, created_at, lease; a removal its key and revision. Else the answer is unreadable: a read fails, a watch ends and its prefix is read again. The items of two test stores lacked their lease and have it now.

--- a/tests/store_server.hpp
+++ b/tests/store_server.hpp
@@ -209,7 +209,8 @@
         items.push_back({ { "key", key },
                           { "value", record.value_ },
                           { "revision", record.modRevision_ },
-                          { "created_at", record.modRevision_ } });
+                          { "created_at", record.modRevision_ },
+                          { "lease", 0 } });
       }
     }
     return wire::Json{
--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -116,3 +116,32 @@
   CHECK(IsUnknown(calls.range_));
   CHECK(calls.client_.open_.empty());
 }
+
+// An item without its value was taken for one that is empty.
+TEST_CASE("an item that lacks a field makes its answer unreadable")
+{
+  const std::string item =
+    GENERATE(R"({})",
+             R"({"key":"p/a","revision":3})",
+             R"({"key":"p/a","revision":3,"removed":false})",
+             R"({"key":"p/a","revision":3,"created_at":2,"lease":0})",
+             R"({"key":"p/a","value":"","revision":3,"lease":0})",
+             R"({"key":"p/a","value":"","revision":3,"created_at":2})",
+             R"({"key":"p/a","value":"","created_at":2,"lease":0})",
+             R"({"value":"","revision":3,"created_at":2,"lease":0})",
+             R"({"key":"p/a","value":"","revision":-1,"created_at":2,)"
+             R"("lease":0})",
+             R"({"key":"p/a","value":"","revision":3,"created_at":2,)"
+             R"("lease":null})");
+  CAPTURE(item);
+  StoreCalls read;
+  read.Read();
+  read.Answer(200, R"({"items":[)" + item + R"(],"has_more":false,"as_of":9})");
+  CHECK(IsUnknown(read.range_));
+  StoreCalls watch;
+  watch.Watch();
+  watch.Answer(200, R"({"events":[)" + item + R"(],"as_of":9})");
+  REQUIRE(watch.batches_.size() == 1);
+  CHECK(watch.batches_.front().ended_);
+  CHECK(watch.batches_.front().events_.empty());
+}
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -122,7 +122,7 @@
 Page(const std::string& aKey, bool aMore, int aRevision)
 {
   return R"({"items":[{"key":")" + aKey +
-         R"(","value":"YQ==","revision":3,"created_at":2}],"has_more":)" +
+         R"(","value":"YQ==","revision":3,"created_at":2,"lease":0}],"has_more":)" +
          (aMore ? "true" : "false") + R"(,"as_of":)" +
          std::to_string(aRevision) + "}";
 }
@@ -308,7 +308,7 @@
   ManualTimers timers(clock);
   const std::string page =
     R"({"items":[{"key":"c","value":")" + std::string(kConfigBytes, 'A') +
-    R"(","revision":3,"created_at":2}],"has_more":false,"as_of":3})";
+    R"(","revision":3,"created_at":2,"lease":0}],"has_more":false,"as_of":3})";
   SharedBandwidthLink link(timers, kBytesPerMilli, page);
   std::vector<std::unique_ptr<Store>> stores;
   std::vector<std::unique_ptr<PrefixFollower>> followers;
