Platform store: an answer to a watch needs its fields

A complete 200 to a watch whose `events` is null or an object had no changes, and `as_of` of 0 or -1 became the revision to go on from: the whole history, or one that is never reached, so that no change is told any more.

--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -145,3 +145,25 @@
   CHECK(watch.batches_.front().ended_);
   CHECK(watch.batches_.front().events_.empty());
 }
+
+TEST_CASE("an answer to a watch that lacks a field ends it")
+{
+  const std::string body = GENERATE("",
+                                    "{}",
+                                    "[]",
+                                    R"({"events":[]})",
+                                    R"({"as_of":9})",
+                                    R"({"events":null,"as_of":9})",
+                                    R"({"events":{},"as_of":9})",
+                                    R"({"events":[],"as_of":0})",
+                                    R"({"events":[],"as_of":-1})",
+                                    R"({"events":[{"key":"p/a",)"
+                                    R"("removed":true}],"as_of":9})");
+  CAPTURE(body);
+  StoreCalls calls;
+  calls.Watch();
+  calls.Answer(200, body);
+  REQUIRE(calls.batches_.size() == 1);
+  CHECK(calls.batches_.front().ended_);
+  CHECK(calls.batches_.front().events_.empty());
+}
