Platform store: only a transaction may fail for its condition

412 is a status of transactions alone, but passed as an answer of every call: an end of a lease so answered was told as done, and a grant, a range or a watch was read from its body.

--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -167,3 +167,25 @@
   CHECK(calls.batches_.front().ended_);
   CHECK(calls.batches_.front().events_.empty());
 }
+
+// The status of a failed condition was a success to all calls.
+TEST_CASE("only a write can fail for its condition")
+{
+  StoreCalls revoke;
+  revoke.RevokeLease();
+  revoke.Answer(412, R"({"items":[]})");
+  CHECK(IsUnknown(revoke.revoked_));
+  StoreCalls grant;
+  grant.GrantLease();
+  grant.Answer(412, R"({"lease":7,"ttl_ms":3000})");
+  CHECK(IsUnknown(grant.lease_));
+  StoreCalls read;
+  read.Read();
+  read.Answer(412, R"({"items":[],"has_more":false,"as_of":9})");
+  CHECK(IsUnknown(read.range_));
+  StoreCalls watch;
+  watch.Watch();
+  watch.Answer(412, R"({"events":[],"as_of":9})");
+  REQUIRE(watch.batches_.size() == 1);
+  CHECK(watch.batches_.front().interrupted_);
+}
