Orders of weights: a report of an upstream needs its fields

A complete 200 to a report without `busy` was that of an idle upstream, one without `seq` that of one that had accepted no order, one without `models` or a version that of one without weights: the holder sent an order on that, or told a load that still ran as lost.

`busy`, `seq`, `models` and the name and version of each model are read or the report is unreadable, and is read again later; `born`, which the protocol does not promise, stays optional. The report in the test of start times lacked these fields and has them now; what it checks is unchanged.

--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -1,5 +1,6 @@
 /// Answers that are complete as HTTP, and lack what their readers need.
 
+#include "order_fixture.hpp"
 #include "store_calls.hpp"
 
 #include <catch2/catch.hpp>
@@ -189,3 +190,29 @@
   REQUIRE(watch.batches_.size() == 1);
   CHECK(watch.batches_.front().interrupted_);
 }
+
+// A report without `busy` or `seq` was that of an idle upstream that had
+// accepted no order.
+TEST_CASE("a report that lacks a field is read again before an order is sent")
+{
+  const std::string body =
+    GENERATE("",
+             "{}",
+             "[]",
+             R"({"seq":4,"models":[]})",
+             R"({"busy":null,"seq":4,"models":[]})",
+             R"({"busy":false,"models":[]})",
+             R"({"busy":false,"seq":-1,"models":[]})",
+             R"({"busy":false,"seq":4})",
+             R"({"busy":false,"seq":4,"models":{}})",
+             R"({"busy":false,"seq":4,"models":[{"name":"m"}]})",
+             R"({"busy":false,"seq":4,"models":[{"version":2}]})");
+  CAPTURE(body);
+  DutyFixture fix;
+  REQUIRE(fix.OldestPath() == "http://e:1/report");
+  fix.client_.Answer(fix.client_.Oldest(), JsonResponse(200, body));
+  CHECK(fix.client_.open_.empty());
+  fix.timers_.Advance(600ms);
+  fix.AnswerReport(1000, 4);
+  fix.AcceptOrder("4");
+}
--- a/tests/test_platform_formats.cpp
+++ b/tests/test_platform_formats.cpp
@@ -82,7 +82,8 @@
   REQUIRE_FALSE(read(R"(,"born":1772719869.5)"));
   REQUIRE_FALSE(read(R"(,"born":-5)"));
   REQUIRE_FALSE(read(R"(,"born":null)"));
-  const auto report = kPlatform->ReadReport(R"({"busy":false,"born":12})");
+  const auto report =
+    kPlatform->ReadReport(R"({"busy":false,"seq":0,"models":[],"born":12})");
   REQUIRE(report.value().start_ == UpstreamStart{ 12 });
 }
 
