Platform store: a key that is no text does not hide the others

What operators see: another writer leaves one key under a prefix that holds half of a surrogate pair or bytes that are not UTF-8. The store sends it as it took it. Every read of the prefix then fails and is repeated without end, every watch ends on the entry, and no daemon follows upstreams, configuration or job records there as long as the key stands.

Cause: the JSON parser refuses the whole answer for one such key.

The answer is then parsed with the invalid text replaced. Records whose key holds a replacement are left out and told (record_unreadable); the others are read and followed. Values are base64 and cannot be concerned. A page that names no key to continue from is an error, so that reading ends.

Test: 11 odd keys, each in two pages and in a watch.

--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -110,6 +110,7 @@
     store_->Read(
       "p/", [&range](Result<StoreRange> aRange) { range = std::move(aRange); });
     for (const std::string& page : aPages) {
+      REQUIRE_FALSE(client_.open_.empty());
       Answer(200, page);
     }
     REQUIRE(client_.open_.empty());
@@ -234,6 +235,71 @@
   }
 }
 
+namespace {
+
+/// Keys of another writer as a store sends them that takes any bytes.
+const std::vector<std::string> kOddKeys{
+  "p/\\udcff",        "p/\\ud83d",
+  "p/\\ud83dx",       "p/\\udc00\\ud800",
+  "p/\\ud83d\\u0041", "p/\xff",
+  "p/\xc3",           "p/\xc0\xaf",
+  "p/\xed\xa0\x80",   "p/\xf5\x80\x80\x80",
+  "p/\xe2\x82\\n",
+};
+
+std::string
+Item(const std::string& aKey, int aRevision)
+{
+  return R"({"key":")" + aKey + R"(","value":"YQ==","revision":)" +
+         std::to_string(aRevision) + R"(,"created_at":2})";
+}
+
+} // namespace
+
+// Guards against daemons that follow nothing under a prefix any more as long as
+// one key there is no text.
+TEST_CASE("a key that is no text is told, and the records beside it are read")
+{
+  const std::string odd = GENERATE(from_range(kOddKeys));
+  INFO(odd);
+  const std::string good =
+    "p/\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80\\ud83d\\ude00";
+  Fixture fix;
+  const LogCapture log;
+  const auto range =
+    fix.Read({ R"({"items":[)" + Item("p/a", 3) + "," + Item(odd, 4) +
+                 R"(],"has_more":true,"as_of":9})",
+               R"({"items":[)" + Item(odd, 4) + "," + Item(odd, 4) + "," +
+                 Item(good, 5) + R"(],"has_more":false,"as_of":9})" });
+  REQUIRE(range);
+  REQUIRE(range.value().records_.size() == 2);
+  CHECK(range.value().records_[1].key_ ==
+        "p/\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80\xf0\x9f\x98\x80");
+  CHECK((log.Contains("event=record_unreadable key=p/") ||
+         log.Contains("event=record_unreadable key=\"p/")));
+
+  std::vector<StoreWatchBatch> batches;
+  fix.store_->Watch("p/", 10, [&](const StoreWatchBatch& aBatch) {
+    batches.push_back(aBatch);
+  });
+  fix.Answer(200,
+             R"({"events":[)" + Item(odd, 11) + "," + Item("p/a", 12) +
+               R"(],"as_of":12})");
+  REQUIRE(batches.size() == 1);
+  CHECK_FALSE(batches[0].ended_);
+  REQUIRE(batches[0].events_.size() == 1);
+  CHECK(batches[0].events_[0].record_.modRevision_ == 12);
+}
+
+TEST_CASE("pages of keys that are no text do not repeat without end")
+{
+  Fixture fix;
+  const std::string page =
+    R"({"items":[)" + Item("p/\\udcff", 4) + R"(],"has_more":true,"as_of":9})";
+  CHECK_FALSE(fix.Read({ Page("p/a", true, 9), page }));
+  CHECK_FALSE(fix.Read({ page }));
+}
+
 TEST_CASE("a watch resumes from the last revision that it received")
 {
   Fixture fix;
