Relays: a key with a zero byte stays the key that it is

What operators would see: another writer leaves a key such as "servers/a", a zero byte and more. Processes that read from relays then hold the odd entry, or its removal, in place of the valid "servers/a".

Cause: a key was converted to Cap'n Proto text without its length and read back up to the first zero byte, so that two keys became one.

--- a/src/runtime/watch_messages.cpp
+++ b/src/runtime/watch_messages.cpp
@@ -33,7 +33,8 @@
 Write(wire::WatchChange::Builder aOut, const StoreEvent& aEvent)
 {
   const StoreRecord& record = aEvent.record_;
-  aOut.setKey(record.key_);
+  // Converted from a string alone, a key would end at its first zero byte.
+  aOut.setKey(capnp::Text::Reader(record.key_.c_str(), record.key_.size()));
   aOut.setValue(
     kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value_.data()),
                  record.value_.size()));
@@ -49,7 +50,7 @@
   StoreEvent event;
   const auto value = aIn.getValue();
   event.deleted_ = aIn.getDeleted();
-  event.record_.key_ = aIn.getKey().cStr();
+  event.record_.key_.assign(aIn.getKey().cStr(), aIn.getKey().size());
   event.record_.value_.assign(reinterpret_cast<const char*>(value.begin()),
                               value.size());
   event.record_.modRevision_ = aIn.getRevision();
--- a/tests/test_watch_messages.cpp
+++ b/tests/test_watch_messages.cpp
@@ -93,3 +93,21 @@
     REQUIRE((!read || EncodeWatchBatch(read.value()) == encoded));
   }
 }
+
+// A key cut at its zero byte is another key, whose record it replaces.
+TEST_CASE("a key with a zero byte is not taken for a shorter key")
+{
+  using namespace std::string_literals;
+  StoreWatchBatch batch;
+  batch.revision_ = 2;
+  for (const std::string& key : { "servers/a"s, "servers/a\0b"s }) {
+    StoreEvent event;
+    event.record_.key_ = key;
+    batch.events_.push_back(event);
+  }
+  const auto read = DecodeWatchBatch(EncodeWatchBatch(batch, false));
+  REQUIRE(read);
+  REQUIRE(read.value().events_.size() == 2);
+  CHECK(read.value().events_[0].record_.key_ == "servers/a"s);
+  CHECK(read.value().events_[1].record_.key_ == "servers/a\0b"s);
+}
