Upstream entries: a key that names no id names no upstream

Calls to an upstream carry its id in a header. An entry whose key is the bare prefix, or holds a space, a line end or another control character, was offered work, and no call to it could be sent.

--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -218,6 +218,20 @@
   }
 }
 
+// Calls carry the id in a header; with such an id they could not be sent.
+TEST_CASE("a registration whose key names no id names no upstream")
+{
+  using namespace std::string_literals;
+  const auto platform = MakePlatform();
+  const std::string prefix = platform->Places().upstreams_;
+  CHECK(platform->ReadUpstream(prefix + "i-1", Registration()));
+  for (const std::string& id :
+       { ""s, "a\0b"s, "a\r\nb"s, "a b"s, "a\x7f"s, "\x1b[2J"s }) {
+    INFO(id);
+    CHECK_FALSE(platform->ReadUpstream(prefix + id, Registration()));
+  }
+}
+
 namespace {
 
 /// JSON texts that are no whole number that can be used.
