--- a/include/marjoramtally/base/json.hpp
+++ b/include/marjoramtally/base/json.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <nlohmann/json_fwd.hpp>
+#include <string>
 #include <string_view>
 
 namespace marjoramtally {
@@ -22,4 +23,12 @@
 [[nodiscard]] nlohmann::json
 ParseJsonOrDiscarded(std::string_view aText);
 
+/// Stands for text that was replaced.
+constexpr std::string_view kReplacementCharacter = "\xef\xbf\xbd";
+
+/// Replaces what a JSON parser refuses in strings that another writer chose:
+/// bytes that are not UTF-8, and halves of surrogate pairs.
+[[nodiscard]] std::string
+ReplaceInvalidJsonText(std::string_view aText);
+
 } // namespace marjoramtally
