Etcd store: an object without its header or its lease is no reply

In etcd's JSON a field that is zero is absent, so a complete 200 with any object was a reply whose fields are all zero: a write whose condition had failed, an empty range, a lease ended, a lease 0 granted, or one renewed that had expired. The object that names an error was read like that, too. The lines of a watch were read with the same defaults, and the exception of one without its key-value passed through the client's thread.

Every reply must have a header with a revision above 0, a change its key and revision, and a reply about a lease the lease; a line that is unreadable ends the watch.

--- a/src/runtime/etcd_store.cpp
+++ b/src/runtime/etcd_store.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace marjoramtally {
 
@@ -62,24 +63,34 @@
                          : it->get<std::int64_t>();
 }
 
+/// @throws std::invalid_argument if the field is absent or not above 0
+std::uint64_t
+Revision(const Json& aObject, const char* aName)
+{
+  const std::int64_t revision = Number(aObject, aName);
+  if (revision <= 0) {
+    throw std::invalid_argument(std::string(aName) + " is absent");
+  }
+  return static_cast<std::uint64_t>(revision);
+}
+
+/// Since fields that are zero are absent, only the header tells a reply from an
+/// object that is none.
 std::uint64_t
 HeaderRevision(const Json& aReply)
 {
-  const auto it = aReply.find("header");
-  return it == aReply.end()
-           ? 0
-           : static_cast<std::uint64_t>(Number(*it, "revision"));
+  return Revision(aReply.at("header"), "revision");
 }
 
 StoreRecord
 ParseRecord(const Json& aKv)
 {
   StoreRecord record;
-  record.key_ = DecodeBase64(aKv.value("key", ""));
+  record.key_ = DecodeBase64(aKv.at("key").get<std::string>());
   record.value_ = DecodeBase64(aKv.value("value", ""));
   record.createRevision_ =
     static_cast<std::uint64_t>(Number(aKv, "create_revision"));
-  record.modRevision_ = static_cast<std::uint64_t>(Number(aKv, "mod_revision"));
+  record.modRevision_ = Revision(aKv, "mod_revision");
   record.lease_ = Number(aKv, "lease");
   return record;
 }
@@ -105,7 +116,11 @@
 ParseLease(const Json& aReply)
 {
   const Json& body = aReply.contains("result") ? aReply["result"] : aReply;
-  return { Number(body, "ID"), std::chrono::seconds(Number(body, "TTL")) };
+  const StoreLeaseId id = Number(body, "ID");
+  if (id == 0) {
+    throw std::invalid_argument("the reply names no lease");
+  }
+  return { id, std::chrono::seconds(Number(body, "TTL")) };
 }
 
 Json
@@ -145,7 +160,7 @@
 StoreWatchBatch
 ParseBatch(const Json& aLine)
 {
-  const Json result = aLine.value("result", Json::object());
+  const Json& result = aLine.at("result");
   StoreWatchBatch batch;
   batch.revision_ = HeaderRevision(result);
   batch.ended_ = result.value("canceled", false);
@@ -156,6 +171,17 @@
   return batch;
 }
 
+/// @returns nothing if the line is unreadable
+std::optional<StoreWatchBatch>
+ReadBatch(const std::string& aLine)
+{
+  try {
+    return ParseBatch(ParseJson(aLine));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 class EtcdStore final : public Store
 {
 public:
@@ -202,7 +228,7 @@
     const Json body{ { "ID", std::to_string(aLease) } };
     Request<bool>(
       MakeCall("/v3/lease/revoke", body),
-      [](const Json&) { return true; },
+      [](const Json& aReply) { return HeaderRevision(aReply) > 0; },
       std::move(aDone));
   }
 
@@ -251,12 +277,12 @@
     aWatch.pending_ += aData;
     std::size_t end = aWatch.pending_.find('\n');
     while (end != std::string::npos && !aWatch.stopped_) {
-      const Json line = ParseJsonOrDiscarded(aWatch.pending_.substr(0, end));
+      const auto batch = ReadBatch(aWatch.pending_.substr(0, end));
       aWatch.pending_.erase(0, end + 1);
-      if (line.is_discarded()) {
+      if (!batch) {
         return false;
       }
-      aWatch.onBatch_(ParseBatch(line));
+      aWatch.onBatch_(*batch);
       end = aWatch.pending_.find('\n');
     }
     return !aWatch.stopped_;
--- a/tests/test_incomplete_answers.cpp
+++ b/tests/test_incomplete_answers.cpp
@@ -216,3 +216,73 @@
   fix.AnswerReport(1000, 4);
   fix.AcceptOrder("4");
 }
+
+// An object without any field was a reply whose fields are all zero: a write
+// whose condition had failed, an empty range, a lease that had expired.
+TEST_CASE("a reply of etcd without a header is unreadable")
+{
+  const std::string body = GENERATE("",
+                                    "{}",
+                                    "[]",
+                                    R"({"error":{"message":"no leader"}})",
+                                    R"({"succeeded":true})",
+                                    R"({"header":{}})",
+                                    R"({"header":{"revision":"0"}})");
+  CAPTURE(body);
+  StoreCalls commit(StoreCalls::Kind::Etcd);
+  commit.Commit();
+  commit.Answer(200, body);
+  CHECK(IsUnknown(commit.commit_));
+  StoreCalls read(StoreCalls::Kind::Etcd);
+  read.Read();
+  read.Answer(200, body);
+  CHECK(IsUnknown(read.range_));
+  StoreCalls revoke(StoreCalls::Kind::Etcd);
+  revoke.RevokeLease();
+  revoke.Answer(200, body);
+  CHECK(IsUnknown(revoke.revoked_));
+  StoreCalls watch(StoreCalls::Kind::Etcd);
+  watch.Watch();
+  watch.Answer(200, body + "\n");
+  REQUIRE(watch.batches_.size() == 1);
+  CHECK(watch.batches_.front().ended_);
+}
+
+TEST_CASE("a lease reply of etcd that names no lease is unreadable")
+{
+  const bool grants = GENERATE(true, false);
+  const std::string body = GENERATE("{}",
+                                    R"({"TTL":"3"})",
+                                    R"({"ID":"0","TTL":"3"})",
+                                    R"({"result":{}})",
+                                    R"({"error":{"message":"no leader"}})");
+  CAPTURE(grants, body);
+  StoreCalls calls(StoreCalls::Kind::Etcd);
+  if (grants) {
+    calls.GrantLease();
+  } else {
+    calls.KeepAlive();
+  }
+  calls.Answer(200, body);
+  CHECK(IsUnknown(calls.lease_));
+}
+
+// The exception of its reader passed through the client's thread.
+TEST_CASE("a change of etcd that lacks a field ends the watch")
+{
+  const std::string event =
+    GENERATE(R"({})",
+             R"({"kv":{}})",
+             R"({"kv":{"key":"cC9h"}})",
+             R"({"kv":{"mod_revision":"7"}})",
+             R"({"kv":{"key":"cC9h","mod_revision":"x"}})");
+  CAPTURE(event);
+  StoreCalls calls(StoreCalls::Kind::Etcd);
+  calls.Watch();
+  REQUIRE_NOTHROW(calls.Answer(
+    200,
+    R"({"result":{"header":{"revision":"9"},"events":[)" + event + "]}}\n"));
+  REQUIRE(calls.batches_.size() == 1);
+  CHECK(calls.batches_.front().ended_);
+  CHECK(calls.batches_.front().events_.empty());
+}
