--- a/src/programs/entryd/report_poller.cpp
+++ b/src/programs/entryd/report_poller.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto kPollPeriod = std::chrono::milliseconds(50);
 constexpr auto kReportTimeout = std::chrono::seconds(1);
+constexpr int kOk = 200;
 
 Result<UpstreamReport>
 ParseReport(const std::string& aBody)
@@ -32,6 +33,19 @@
 
 } // namespace
 
+Result<UpstreamReport>
+ReadReport(const HttpResult& aResult)
+{
+  if (aResult.end_ != HttpEnd::Complete) {
+    return Error{ ErrorKind::Timeout, aResult.message_ };
+  }
+  if (aResult.response_.status_ != kOk) {
+    return Error{ ErrorKind::Unavailable,
+                  "status " + std::to_string(aResult.response_.status_) };
+  }
+  return ParseReport(aResult.response_.body_);
+}
+
 ReportPoller::ReportPoller(Host& aHost, Router& aRouter)
   : host_(aHost)
   , router_(aRouter)
@@ -81,10 +95,10 @@
 void
 ReportPoller::OnReport(const UpstreamId& aId, const HttpResult& aResult)
 {
-  if (aResult.end_ != HttpEnd::Complete) {
+  auto report = ReadReport(aResult);
+  if (!report && report.error().kind_ != ErrorKind::BadInput) {
     return;
   }
-  auto report = ParseReport(aResult.response_.body_);
   if (!report) {
     LogEvent(
       LogLevel::Warn,
--- a/src/programs/entryd/report_poller.hpp
+++ b/src/programs/entryd/report_poller.hpp
@@ -6,6 +6,11 @@
 
 namespace marjoramtally {
 
+/// @returns the report that a response holds; an error if the call did not end
+/// with a complete response of success
+[[nodiscard]] Result<UpstreamReport>
+ReadReport(const HttpResult& aResult);
+
 /// Polls the upstreams of one entry process. Thread-safe: its lock guards only
 /// the poll plan and is never held while other components are called.
 class ReportPoller
