Job records: an odd number ends no process

When the job is due for removal, the process that ranks first lists the keys of all its results, takes all memory and ends; the next process follows, and each again after its restart. An acceptance time at the ends of 64 bits overflowed the job's age.

Cause: numbers of stored records were converted without a check of range.

Job, liveness and usage records read whole numbers as the platform's formats do; a job has at most 2,000,000 items (32 MiB of items of 20 bytes) and was accepted between 1970 and 9999. An unreadable record is told and skipped.

--- a/src/process/relay_plan.cpp
+++ b/src/process/relay_plan.cpp
@@ -1,6 +1,7 @@
 #include "marjoramtally/process/relay_plan.hpp"
 
 #include "marjoramtally/base/json.hpp"
+#include "marjoramtally/base/json_numbers.hpp"
 #include "marjoramtally/process/job_takeover.hpp"
 
 #include <algorithm>
@@ -32,8 +33,8 @@
     const Json value = ParseJson(aText);
     return LivenessRecord{ ZoneId{ value.at("zone").get<std::string>() },
                            value.at("address").get<std::string>(),
-                           Capacity{ value.value("capacity", 0U) } };
-  } catch (const Json::exception& failure) {
+                           Capacity{ WholeFieldOr(value, "capacity", 0U) } };
+  } catch (const std::exception& failure) {
     return Error{ ErrorKind::BadInput,
                   std::string("cannot parse liveness record: ") +
                     failure.what() };
--- a/src/process/usage_ledger.cpp
+++ b/src/process/usage_ledger.cpp
@@ -1,6 +1,7 @@
 #include "marjoramtally/process/usage_ledger.hpp"
 
 #include "marjoramtally/base/json.hpp"
+#include "marjoramtally/base/json_numbers.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -32,10 +33,11 @@
     SettledWindow window;
     window.sent_ = value.at("sent").get<bool>();
     for (const auto& [customer, count] : value.at("counts").items()) {
-      window.counts_[CustomerId{ customer }] = count.get<std::uint64_t>();
+      window.counts_[CustomerId{ customer }] =
+        WholeNumber<std::uint64_t>(count, "count", kMaxExactNumber);
     }
     return window;
-  } catch (const Json::exception& failure) {
+  } catch (const std::exception& failure) {
     return Error{ ErrorKind::BadInput,
                   std::string("cannot parse settled usage window: ") +
                     failure.what() };
--- a/src/version/job_record.cpp
+++ b/src/version/job_record.cpp
@@ -1,6 +1,7 @@
 #include "marjoramtally/version/job_record.hpp"
 
 #include "marjoramtally/base/json.hpp"
+#include "marjoramtally/base/json_numbers.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -16,14 +17,20 @@
   return aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-/// Calls `aReader` and converts JSON exceptions to errors that name the record.
+/// Upper bound of the items of a job. A submission is limited to 32 MiB and an
+/// item takes 20 bytes or more.
+constexpr std::uint64_t kMaxItems = 2'000'000;
+/// The last millisecond of the year 9999, in milliseconds since 1970.
+constexpr std::uint64_t kMaxUnixMillis = 253'402'300'799'999;
+
+/// Calls `aReader` and converts exceptions to errors that name the record.
 template<typename Reader>
 auto
 Read(const char* aWhat, Reader aReader) -> Result<decltype(aReader())>
 {
   try {
     return aReader();
-  } catch (const Json::exception& failure) {
+  } catch (const std::exception& failure) {
     return Error{ ErrorKind::BadInput,
                   std::string("a record of ") + aWhat +
                     " is unreadable: " + failure.what() };
@@ -45,7 +52,8 @@
 {
   std::vector<WeightVersion> versions;
   for (const Json& version : aValue) {
-    versions.emplace_back(version.get<std::uint64_t>());
+    versions.emplace_back(
+      WholeNumber<std::uint64_t>(version, "version", kMaxExactNumber));
   }
   return versions;
 }
@@ -96,7 +104,7 @@
     for (const Json& value : ParseJson(aText)) {
       PartialText text;
       text.text_ = value.at("text").get<std::string>();
-      text.lastEvent_ = value.at("last").get<std::uint64_t>();
+      text.lastEvent_ = WholeField(value, "last");
       text.versions_ = ReadVersions(value.at("versions"));
       text.complete_ = value.at("whole").get<bool>();
       texts.push_back(
@@ -124,8 +132,9 @@
   return Read("an owner", [&] {
     const Json value = ParseJson(aText);
     return JobOwnerRecord{ value.at("owner").get<std::string>(),
-                           value.at("total").get<std::uint64_t>(),
-                           value.at("accepted").get<std::int64_t>(),
+                           WholeField(value, "total", kMaxItems),
+                           WholeField<std::int64_t>(
+                             value, "accepted", kMaxUnixMillis),
                            CustomerId{ value.value("customer", "") } };
   });
 }
@@ -153,8 +162,8 @@
     return JobSubmissionRecord{ head.at("host").get<std::string>(),
                                 head.at("path").get<std::string>(),
                                 std::string(aText.substr(body)),
-                                ConfigRevision{
-                                  head.value("config", std::uint64_t{ 0 }) },
+                                ConfigRevision{ WholeFieldOr(
+                                  head, "config", std::uint64_t{ 0 }) },
                                 CustomerId{ head.value("customer", "") } };
   });
 }
--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -4,8 +4,11 @@
 #include "daemon/upstream_reader.hpp"
 #include "gateway_fixture.hpp"
 #include "log_capture.hpp"
+#include "marjoramtally/process/usage_ledger.hpp"
 #include "marjoramtally/runtime/log_limit.hpp"
+#include "marjoramtally/version/job_record.hpp"
 #include "order_fixture.hpp"
+#include "programs/gatewayd/job_directory.hpp"
 
 #include <array>
 #include <catch2/catch.hpp>
@@ -311,3 +314,74 @@
     }
   }
 }
+
+TEST_CASE("odd numbers in records of jobs, usage or processes are errors")
+{
+  for (const char* number : kOddNumbers) {
+    INFO(number);
+    CHECK_FALSE(ReadOwnerRecord(
+      Filled(R"({"owner":"a~1","total":#,"accepted":0})", number)));
+    CHECK_FALSE(ReadOwnerRecord(
+      Filled(R"({"owner":"a~1","total":1,"accepted":#})", number)));
+    CHECK_FALSE(ReadSubmissionRecord(
+      Filled(R"({"host":"h","path":"/","config":#})", number)));
+    CHECK_FALSE(ReadResultsRecord(Filled(
+      R"([{"id":"i","completed":true,"text":"","versions":[#],"score":""}])",
+      number)));
+    CHECK_FALSE(ReadPartialRecords(
+      Filled(R"([{"id":"i","text":"","last":#,"versions":[],"whole":true}])",
+             number)));
+    CHECK_FALSE(ReadLivenessRecord(
+      Filled(R"({"zone":"z","address":"a:1","capacity":#})", number)));
+    CHECK_FALSE(
+      ReadSettledWindow(Filled(R"({"sent":true,"counts":{"c":#}})", number)));
+  }
+  CHECK_FALSE(
+    ReadOwnerRecord(R"({"owner":"a~1","total":99999999,"accepted":0})"));
+  CHECK(ReadOwnerRecord(R"({"owner":"a~1","total":9,"accepted":7.0})"));
+}
+
+TEST_CASE("records of jobs that are no such records are errors")
+{
+  std::vector<std::string> texts{ "",       "null",        "7",
+                                  "\"\"",   "{}",          "[1]",
+                                  "\xff",   Nested(kDeep), NestedObjects(kDeep),
+                                  "[null]", "[[]]" };
+  for (const std::string& text : texts) {
+    INFO(text.substr(0, 100));
+    CHECK_FALSE(ReadOwnerRecord(text));
+    CHECK_FALSE(ReadSubmissionRecord(text));
+    CHECK_FALSE(ReadLivenessRecord(text));
+    CHECK_FALSE(ReadSettledWindow(text));
+    if (text != "null" && text != "{}") {
+      CHECK_FALSE(ReadResultsRecord(text));
+      CHECK_FALSE(ReadPartialRecords(text));
+    }
+  }
+}
+
+// Removing a job lists the keys of all its results.
+TEST_CASE("an odd owner record of a job is neither claimed nor removed")
+{
+  const std::string odd =
+    GENERATE(R"("total":18446744073709551615,"accepted":0)",
+             R"("total":-1,"accepted":0)",
+             R"("total":1,"accepted":-9223372036854775808)",
+             R"("total":1,"accepted":9223372036854775807)",
+             R"("total":1,"accepted":-1e300)");
+  INFO(odd);
+  GatewayFakes fakes;
+  const JobId job{ "0123456789abcdef" };
+  fakes.store_.Put(job_keys::Owner(job), R"({"owner":"gone~1",)" + odd + "}");
+  fakes.store_.Put(job_keys::End(job), "");
+  fakes.store_.Put(job_keys::Liveness("self~1"),
+                   R"({"zone":"z1","address":"a:1"})");
+  const LogCapture log;
+  JobStore store(fakes.context_);
+  JobDirectory directory(fakes.context_, store);
+  directory.Start(0ms);
+  fakes.timers_.Advance(3min);
+  CHECK(directory.Find(job) == nullptr);
+  CHECK(log.Contains("event=record_unreadable key=" + job_keys::Owner(job)));
+  CHECK(fakes.store_.records_.contains(job_keys::Owner(job)));
+}
