HTTP client: an address that libcurl refuses is not the last one again

libcurl refuses an address above 8 MB without ending the call, and a handle that is used again then calls the address of its last call.

A request line above 1 MiB is not sent. Test: 15 odd addresses (port 0, -1, 65536, 70000, beyond 64 bits, no host, control bytes, up to 9 MB) between two calls to a good one.

--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -18,6 +18,10 @@
 /// Largest `Content-Length` that libcurl can represent, in bytes.
 constexpr std::uint64_t kMaxBodyLength = std::numeric_limits<curl_off_t>::max();
 
+/// Longest request line, in bytes. libcurl refuses an address above 8 MB and
+/// then calls the one of the last call with the same handle.
+constexpr std::size_t kMaxUrlBytes = 1U << 20U;
+
 std::string_view
 TrimValue(std::string_view aText) noexcept
 {
@@ -79,6 +83,9 @@
   if (!IsSafeInRequestLine(call_.method_) || !IsSafeInRequestLine(call_.url_)) {
     return "the request line would contain a space or control character";
   }
+  if (call_.method_.size() + call_.url_.size() > kMaxUrlBytes) {
+    return "the request line would be too long";
+  }
   for (const HttpHeader& header : call_.headers_) {
     if (!IsSafeHeader(header.name_, header.value_)) {
       return "the header " + header.name_ + " would not end with its line";
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -530,3 +530,52 @@
   call.idleTimeout_ = std::chrono::milliseconds(100);
   CHECK(SendAndWait(*client, std::move(call)).end_ == HttpEnd::TimedOut);
 }
+
+// A handle that is used again must not call the address of its last call.
+TEST_CASE("a call to an odd address is not sent and ends no other call")
+{
+  RawServer server([](RawServer& aServer) {
+    for (int i = 0; i < 2; ++i) {
+      const int connection = aServer.Accept();
+      aServer.Read(connection);
+      aServer.Write(connection, kCompleteResponse);
+      close(connection);
+    }
+  });
+  const auto client = HttpClient::Create(1);
+  const auto call = [&](const std::string& aUrl) {
+    HttpCall sent;
+    sent.method_ = "POST";
+    sent.url_ = aUrl;
+    sent.body_ = "x";
+    sent.atMostOnce_ = true;
+    sent.timeout_ = std::chrono::seconds(2);
+    return SendAndWait(*client, std::move(sent));
+  };
+  CHECK(call(server.url_ + "/order").end_ == HttpEnd::Complete);
+  for (const std::string& odd : std::vector<std::string>{
+         std::string(9'000'000, 'a') + ":80",
+         "127.0.0.1:0",
+         "127.0.0.1:-1",
+         "127.0.0.1:65536",
+         "127.0.0.1:70000",
+         "127.0.0.1:99999999999999999999",
+         "127.0.0.1:x",
+         ":80",
+         "",
+         " :80",
+         "[::1:80",
+         "a\r\nb:80",
+         "\xff\xfe:80",
+         std::string(300, 'a') + ":80",
+         std::string(100'000, 'a') + ":80",
+       }) {
+    INFO(odd.substr(0, 60) << " of " << odd.size() << " bytes");
+    const HttpResult result = call("http://" + odd + "/order");
+    CHECK(result.end_ == HttpEnd::NotSent);
+    CHECK_FALSE(result.message_.empty());
+  }
+  CHECK(call(server.url_ + "/order").end_ == HttpEnd::Complete);
+  server.Join();
+  CHECK(server.requests_ == 2);
+}
