HTTP server: two requests read together cannot end the process

Seen: a caller that sends its next request before the first is answered, with `Connection: close` on the second, ended the process with an assertion of the HTTP library (`!m_response_coordinator.closed()`), if the second is answered at once (no route, a refused key, no configuration yet) and the first later. All callers of that gateway, entry daemon or operator's interface lost their connections, and jobs their owner. Found by a HEAD request and a second request in one segment.

Cause: after it has written a response, the library reads the next request from its buffer and calls the handler within that step, then goes on to write. A response from within the handler that closes the connection is already written by then.

The handler now runs after the library's callback, as a task of the same loop. An exception in it still ends only its own connection.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -189,6 +189,12 @@
     RunOnLoop([self = shared_from_this()] { self->AbortNow(); });
   }
 
+  /// Runs a task on the connection's loop, after its current one.
+  void Post(std::function<void()> aTask)
+  {
+    asio::post(state_->pool_->Loop(loop_).Context(), std::move(aTask));
+  }
+
   void OnCallerGone(std::function<void()> aGone) override
   {
     RunOnLoop([self = shared_from_this(), gone = std::move(aGone)] {
@@ -205,7 +211,7 @@
     if (context.get_executor().running_in_this_thread()) {
       aTask();
     } else {
-      asio::post(context, std::move(aTask));
+      Post(std::move(aTask));
     }
   }
 
@@ -423,23 +429,38 @@
         aOptions.set_option(restinio::asio_ns::ip::tcp::no_delay{ true });
       })
       .request_handler(
-        [this](auto aRequest) { return Handle(std::move(aRequest)); });
+        [this](const auto& aRequest) { return Handle(aRequest); });
   }
 
+  /// The request is handled after the library's callback. A response within it
+  /// that closes the connection violates the library's own assertion if the
+  /// request was read together with the previous one.
   restinio::request_handling_status_t Handle(
-    restinio::request_handle_t aRequest)
+    const restinio::request_handle_t& aRequest)
   {
     auto reply = std::make_shared<Reply>(aRequest, state_);
+    reply->Post([this, aRequest, reply] {
+      try {
+        HandleNow(aRequest, reply);
+      } catch (const std::exception&) {
+        reply->Abort();
+      }
+    });
+    return restinio::request_accepted();
+  }
+
+  void HandleNow(const restinio::request_handle_t& aRequest,
+                 const std::shared_ptr<Reply>& aReply)
+  {
     if (aRequest->body().size() > options_.maxBodyBytes_) {
-      reply->Send(ErrorResponse(413,
-                                "body_too_large",
-                                "the body has more than " +
-                                  std::to_string(options_.maxBodyBytes_) +
-                                  " bytes; nothing was run"));
-      return restinio::request_accepted();
+      aReply->Send(ErrorResponse(413,
+                                 "body_too_large",
+                                 "the body has more than " +
+                                   std::to_string(options_.maxBodyBytes_) +
+                                   " bytes; nothing was run"));
+      return;
     }
-    handler_(ConvertRequest(aRequest), std::move(reply));
-    return restinio::request_accepted();
+    handler_(ConvertRequest(aRequest), aReply);
   }
 
   HttpServerOptions options_;
