HTTP server and client: the answer to a HEAD request has no body

Seen in a test with sockets: a caller that sends HEAD gets the body of our answer after its head, and takes it for the beginning of the next response on that connection. A HEAD request that is forwarded is never answered whole: the client waits for the body that the head of the upstream states, which does not come.

Cause: the server wrote the body whatever the method, also in chunks; the client sent HEAD as a POST with another method name.

The server writes only the head, with the length that the headers state, else the body's; the gateway passes the upstream's length on. The client tells libcurl that no body comes.

--- a/include/marjoramtally/runtime/http_server.hpp
+++ b/include/marjoramtally/runtime/http_server.hpp
@@ -10,7 +10,9 @@
 namespace marjoramtally {
 
 /// The response to one request. Either `Send` or `Begin`, `Chunk` and `End` is
-/// used. All functions are thread-safe.
+/// used. All functions are thread-safe. Of the response to a HEAD request, only
+/// the head is sent; its `Content-Length` is that of the headers, if they hold
+/// one, else the body's.
 class HttpReply
 {
 public:
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -60,12 +60,18 @@
 
 /// Completes a caller's response. An incomplete stream is aborted, so that the
 /// caller sees that it is incomplete.
+/// @param aHeadOnly whether the request's method is HEAD
 void
-EndReply(HttpReply& aReply, ForwardOutcome aOutcome)
+EndReply(HttpReply& aReply, ForwardOutcome aOutcome, bool aHeadOnly)
 {
   if (!aOutcome.headSent_) {
     HttpResponse response = std::move(aOutcome.response_);
-    response.headers_ = ForwardableHeaders(response.headers_, {});
+    HttpHeaders headers = ForwardableHeaders(response.headers_, {});
+    const auto length = FindHeader(response.headers_, "Content-Length");
+    if (aHeadOnly && length) {
+      headers.push_back({ "Content-Length", std::string(*length) });
+    }
+    response.headers_ = std::move(headers);
     aReply.Send(std::move(response));
   } else if (aOutcome.answered_) {
     aReply.End();
@@ -476,9 +482,10 @@
     aReply->Send(RefusedResponse("shutting down", kRetryAfter));
     return;
   }
-  const ForwardId id =
-    forwarder_.Start(std::move(request), [aReply](ForwardOutcome aOutcome) {
-      EndReply(*aReply, std::move(aOutcome));
+  const bool headOnly = request.method_ == "HEAD";
+  const ForwardId id = forwarder_.Start(
+    std::move(request), [aReply, headOnly](ForwardOutcome aOutcome) {
+      EndReply(*aReply, std::move(aOutcome), headOnly);
     });
   aReply->OnCallerGone([this, id] { forwarder_.Cancel(id); });
 }
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -241,6 +241,13 @@
 void
 CurlTransfer::SetMethod()
 {
+  if (call_.method_ == "HEAD") {
+    // With any other setting libcurl waits for the body that the head states.
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, nullptr);
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  curl_easy_setopt(easy_, CURLOPT_NOBODY, 0L);
   if (call_.method_ == "GET") {
     curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
     curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, nullptr);
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,10 +1,12 @@
 #include "marjoramtally/runtime/http_server.hpp"
 
+#include "marjoramtally/base/units.hpp"
 #include "runtime/io_loop.hpp"
 
 #include <restinio/all.hpp>
 
 #include <future>
+#include <limits>
 #include <map>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -99,6 +101,8 @@
                      CallerSocket>;
 using Server = restinio::http_server_t<Traits>;
 using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+using HeadBuilder =
+  restinio::response_builder_t<restinio::user_controlled_output_t>;
 
 /// Bodies up to this multiple of the limit are read in order to answer 413;
 /// larger ones close the connection.
@@ -139,6 +143,7 @@
     , request_(std::move(aRequest))
     , loop_(state_->pool_->Pick())
     , connection_(CallerSocket::NumberOf(request_->remote_endpoint()))
+    , headOnly_(request_->header().method() == restinio::http_method_head())
   {
     ++state_->inFlight_;
   }
@@ -147,6 +152,10 @@
 
   void Send(HttpResponse aResponse) override
   {
+    if (headOnly_) {
+      SendHead(aResponse.status_, aResponse.headers_, aResponse.body_.size());
+      return;
+    }
     auto builder = request_->create_response(StatusLine(aResponse.status_));
     AddHeaders(builder, aResponse.headers_);
     builder.set_body(std::move(aResponse.body_));
@@ -156,6 +165,10 @@
 
   void Begin(int aStatus, HttpHeaders aHeaders) override
   {
+    if (headOnly_) {
+      SendHead(aStatus, aHeaders, 0);
+      return;
+    }
     stream_ = std::make_unique<StreamBuilder>(
       request_->create_response<restinio::chunked_output_t>(
         StatusLine(aStatus)));
@@ -165,6 +178,12 @@
 
   void Chunk(std::string aData, std::function<void(bool)> aWritten) override
   {
+    if (headOnly_) {
+      if (aWritten) {
+        Post([written = std::move(aWritten)] { written(true); });
+      }
+      return;
+    }
     stream_->append_chunk(std::move(aData));
     stream_->flush([written = std::move(aWritten)](const auto& aError) {
       if (written) {
@@ -176,7 +195,9 @@
   void End() override
   {
     if (!stream_) {
-      Finish();
+      if (!replied_) {
+        Finish();
+      }
       return;
     }
     replied_ = true;
@@ -203,6 +224,26 @@
   }
 
 private:
+  /// Answers a HEAD request. A body would be read as the next response.
+  /// @param aBodySize unless the headers state a length
+  void SendHead(int aStatus, const HttpHeaders& aHeaders, std::size_t aBodySize)
+  {
+    HeadBuilder builder =
+      request_->create_response<restinio::user_controlled_output_t>(
+        StatusLine(aStatus));
+    HttpHeaders headers = aHeaders;
+    const auto stated = FindHeader(aHeaders, "Content-Length");
+    const auto length =
+      ParseNumber(stated.value_or(""), 0, std::numeric_limits<long>::max());
+    std::erase_if(headers, [](const HttpHeader& aHeader) {
+      return IsNamed(aHeader, "Content-Length");
+    });
+    builder.set_content_length(length.value_or(aBodySize));
+    AddHeaders(builder, headers);
+    replied_ = true;
+    builder.done(FinishWhenWritten());
+  }
+
   /// Runs a task on the connection's loop, at once if called there. Sockets are
   /// registered per thread.
   void RunOnLoop(std::function<void()> aTask)
@@ -292,6 +333,7 @@
   /// Index of the connection's loop.
   std::size_t loop_;
   std::uint64_t connection_;
+  bool headOnly_;
   std::unique_ptr<StreamBuilder> stream_;
   /// The complete response was handed to the library.
   std::atomic<bool> replied_{ false };
--- a/tests/test_cut_requests.cpp
+++ b/tests/test_cut_requests.cpp
@@ -207,3 +207,39 @@
   CHECK(answers.find("/later") != std::string::npos);
   CHECK(answers.ends_with("/now"));
 }
+
+// Its body was read as the beginning of the next response.
+TEST_CASE("the response to a HEAD request has no body")
+{
+  const bool streams = GENERATE(false, true);
+  CAPTURE(streams);
+  EchoServer server(streams);
+  CallerSocket caller = server.Connect();
+  caller.Send("HEAD /p HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string answer = caller.ReadAll();
+  CAPTURE(answer);
+  const std::size_t end = answer.find("\r\n\r\n");
+  REQUIRE(end != std::string::npos);
+  CHECK(answer.substr(end + 4).rfind("HTTP/1.1 200") == 0);
+  CHECK(server.requests_ == 2);
+}
+
+TEST_CASE("the response to a HEAD request is complete without a body")
+{
+  const CuttingServer server("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+  const auto client = HttpClient::Create(1);
+  for (const char* method : { "HEAD", "GET", "HEAD", "POST" }) {
+    CAPTURE(method);
+    HttpCall call;
+    call.url_ = "http://" + server.Address();
+    call.method_ = method;
+    call.newConnection_ = true;
+    const HttpResult result = SendAndWait(*client, std::move(call));
+    const bool head = std::string_view(method) == "HEAD";
+    CHECK(result.end_ == (head ? HttpEnd::Complete : HttpEnd::Broken));
+    CHECK(result.response_.status_ == 200);
+    CHECK(result.response_.body_.empty());
+    CHECK(FindHeader(result.response_.headers_, "Content-Length") == "4");
+  }
+}
--- a/tests/test_gateway_sockets.cpp
+++ b/tests/test_gateway_sockets.cpp
@@ -139,6 +139,25 @@
 
 } // namespace
 
+TEST_CASE("a HEAD request is answered with its upstream's head")
+{
+  const CuttingServer upstream(
+    kAnswerHead + "Content-Length: 4\r\nA: b\r\n\r\n", "Attempt-Id");
+  const SocketGateway gateway(upstream.Address());
+  CallerSocket caller = gateway.Connect();
+  caller.Send(Request("HEAD", "/x/1") + "\r\n" + Request("HEAD", "/none") +
+              "Connection: close\r\n\r\n");
+  const std::string answer = caller.ReadAll();
+  CAPTURE(answer);
+  const std::size_t end = answer.find("\r\n\r\n") + 4;
+  CHECK(answer.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(answer.substr(0, end).find("Content-Length: 4\r\n") !=
+        std::string::npos);
+  CHECK(answer.find("A: b") != std::string::npos);
+  CHECK(answer.rfind("HTTP/1.1 404", end) == end);
+  CHECK(answer.find("\r\n\r\n", end) + 4 == answer.size());
+}
+
 TEST_CASE("a request that is cut is not forwarded")
 {
   const std::string path = GENERATE("/x/1", "/s/1");
