HTTP server: a request that cannot be sent on as it is gets 400

Seen in tests with sockets: `Content-Length : 4` and `Transfer-Encoding : chunked`, with a space before the colon, were accepted and framed the body (RFC 9112, 5.1 asks for 400). At a gateway such a field, or any with a space in its name, stayed among the forwarded ones; the client refuses to send it, so the upstream got nothing, but the caller no answer either: none within the 10 s of the test, in which timers stand still.

Cause: the HTTP library's parser allows spaces in names and some control characters; only the sending side checked that a field ends with its line.

The server applies the client's rule to what it receives, answers 400 and closes, since others may frame such a request in another way.

Ruled out: that such a field was sent on to an upstream, 0 of 4 on the code before.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -210,6 +210,9 @@
     RunOnLoop([self = shared_from_this()] { self->AbortNow(); });
   }
 
+  /// The connection closes after the response.
+  void CloseAfterwards() noexcept { closes_ = true; }
+
   /// Runs a task on the connection's loop, after its current one.
   void Post(std::function<void()> aTask)
   {
@@ -308,7 +311,7 @@
     for (const HttpHeader& header : aHeaders) {
       aBuilder.append_header(header.name_, header.value_);
     }
-    if (state_->closing_) {
+    if (closes_ || state_->closing_) {
       aBuilder.connection_close();
     }
   }
@@ -334,6 +337,7 @@
   std::size_t loop_;
   std::uint64_t connection_;
   bool headOnly_;
+  bool closes_ = false;
   std::unique_ptr<StreamBuilder> stream_;
   /// The complete response was handed to the library.
   std::atomic<bool> replied_{ false };
@@ -358,6 +362,24 @@
   return request;
 }
 
+/// The library accepts a field whose name ends with a space, which others read
+/// as the field of that name (RFC 9112, 5.1), and control characters.
+std::string
+FindUnsafePart(const HttpRequest& aRequest)
+{
+  if (!IsSafeInRequestLine(aRequest.path_) ||
+      !IsSafeInRequestLine(aRequest.query_)) {
+    return "the request line contains a control character";
+  }
+  for (const HttpHeader& header : aRequest.headers_) {
+    if (!IsSafeHeader(header.name_, header.value_)) {
+      return "the header '" + header.name_ + "' contains a control character " +
+             "or its name a space";
+    }
+  }
+  return {};
+}
+
 class RestinioServer final : public HttpServer
 {
 public:
@@ -502,7 +524,15 @@
                                    " bytes; nothing was run"));
       return;
     }
-    handler_(ConvertRequest(aRequest), aReply);
+    HttpRequest request = ConvertRequest(aRequest);
+    const std::string unsafe = FindUnsafePart(request);
+    if (!unsafe.empty()) {
+      aReply->CloseAfterwards();
+      aReply->Send(
+        ErrorResponse(400, "bad_input", unsafe + "; nothing was run"));
+      return;
+    }
+    handler_(std::move(request), aReply);
   }
 
   HttpServerOptions options_;
--- a/tests/test_cut_requests.cpp
+++ b/tests/test_cut_requests.cpp
@@ -67,6 +67,7 @@
            kPost + "Content-Length: 4 3\r\n\r\nmine",
            kPost + "Content-Length: 0x4\r\n\r\nmine",
            kPost + "Content-Length: 99999999999999999999999\r\n\r\nmine",
+           kPost + "Content-Length : 4\r\n\r\nmine",
            kPost + "Content-Length:\r\n\r\nmine",
            kLength + "Transfer-Encoding: chunked\r\n" + chunks,
            kChunked + "Content-Length: 4\r\n" + chunks,
@@ -76,6 +77,7 @@
            kPost + "Transfer-Encoding: identity\r\n" + chunks,
            kPost + "Transfer-Encoding: xchunked\r\n" + chunks,
            kPost + "Transfer-Encoding: \vchunked\r\n" + chunks,
+           kPost + "Transfer-Encoding : chunked\r\n" + chunks,
            "POST /p HTTP/1.0\r\nTransfer-Encoding: chunked\r\n"
            "Content-Length: 4\r\n" +
              chunks,
--- a/tests/test_gateway_sockets.cpp
+++ b/tests/test_gateway_sockets.cpp
@@ -183,6 +183,28 @@
   CHECK(upstream.Requests() == 1);
 }
 
+TEST_CASE("a request that cannot be sent on as it is is refused")
+{
+  const std::string field =
+    GENERATE("Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+             "Content-Length : 1\r\n\r\nx",
+             "A b: c\r\n\r\n",
+             "A : b\r\n\r\n");
+  CAPTURE(field);
+  const CuttingServer upstream(kAnswerHead + "Content-Length: 4\r\n\r\nmine",
+                               "Attempt-Id");
+  const SocketGateway gateway(upstream.Address());
+  CallerSocket refused = gateway.Connect();
+  refused.Send(Request("GET", "/x/1") + field);
+  const std::string answer = refused.ReadAll();
+  CHECK(answer.rfind("HTTP/1.1 400", 0) == 0);
+  CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  CHECK(upstream.Requests() == 0);
+  CallerSocket caller = gateway.Connect();
+  caller.Send(Request("GET", "/x/1") + "Connection: close\r\n\r\n");
+  CHECK(caller.ReadAll().find("mine") != std::string::npos);
+}
+
 TEST_CASE("a stream whose upstream breaks off never looks complete")
 {
   const std::string rest = GENERATE("",
