HTTP server: a caller that leaves is noticed although it has sent more

Seen in a test with sockets: a caller that sends a part of its next request, or all of it, while one is in progress, and then closes or resets its connection, was not seen to leave. Its request went on at the upstream until its time limit.

Cause: the watch of the connection looked once, when bytes came, whether they are the end; bytes that are no end ended the watch. With unread bytes the end is not the next thing to be read.

The connection's state is asked instead of its next byte, and a connection with unread bytes is looked at every 100 ms.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <limits>
 #include <map>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -114,6 +115,8 @@
 /// A caller that reads nothing for this long is disconnected.
 constexpr auto kWriteTimeout = std::chrono::minutes(1);
 constexpr std::size_t kReadBufferBytes = 16U * 1024U;
+/// How often a caller that has sent part of its next request is looked at.
+constexpr auto kCallerCheckInterval = std::chrono::milliseconds(100);
 
 /// State shared by a server and its replies.
 struct ServerState
@@ -297,10 +300,33 @@
         if (aError || !reply || reply->replied_) {
           return;
         }
-        char byte = 0;
-        const auto got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (got == 0 || (got < 0 && errno != EAGAIN)) {
+        if (HasCallerLeft(handle)) {
           aGone();
+        } else {
+          reply->WatchCallerLater(aGone);
+        }
+      });
+  }
+
+  /// @returns whether the caller closed or reset the connection, also if it has
+  /// sent bytes that are not read yet
+  static bool HasCallerLeft(int aHandle)
+  {
+    pollfd state{ aHandle, POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) > 0;
+  }
+
+  /// A socket with unread bytes is always readable, so it is looked at in
+  /// intervals.
+  void WatchCallerLater(const std::function<void()>& aGone)
+  {
+    auto timer = std::make_shared<asio::steady_timer>(
+      state_->pool_->Loop(loop_).Context(), kCallerCheckInterval);
+    timer->async_wait(
+      [self = weak_from_this(), timer, aGone](const asio::error_code& aError) {
+        const auto reply = self.lock();
+        if (!aError && reply && !reply->replied_) {
+          reply->WatchCaller(aGone);
         }
       });
   }
--- a/tests/test_gateway_sockets.cpp
+++ b/tests/test_gateway_sockets.cpp
@@ -205,6 +205,26 @@
   CHECK(caller.ReadAll().find("mine") != std::string::npos);
 }
 
+// A caller that had begun its next request was not seen to leave.
+TEST_CASE("a caller that leaves ends its request at the upstream")
+{
+  const std::string more = GENERATE("", "G", "GET /x/2 HTTP/1.1\r\n\r\n");
+  const bool resets = GENERATE(false, true);
+  CAPTURE(more, resets);
+  HoldingUpstream upstream;
+  const SocketGateway gateway(upstream.Address());
+  CallerSocket caller = gateway.Connect();
+  caller.Send(Request("POST", "/x/1") + "Content-Length: 1\r\n\r\nx");
+  upstream.arrived_.get_future().get();
+  caller.Send(more);
+  if (resets) {
+    caller.Reset();
+  } else {
+    caller.Close();
+  }
+  CHECK(upstream.left_.get_future().wait_for(5s) == std::future_status::ready);
+}
+
 TEST_CASE("a stream whose upstream breaks off never looks complete")
 {
   const std::string rest = GENERATE("",
