Usage reports: an odd record of a window does not end them

Cause: the duty goes on after the latest record, wherever that lies.

A record of a window more than an hour ahead is unreadable, told and left.

--- a/src/programs/orderd/usage_duty.cpp
+++ b/src/programs/orderd/usage_duty.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::string_view kWindowPrefix = "mt/usage/";
 constexpr auto kStoreRetryPause = std::chrono::milliseconds(700);
+/// A record of a window later than this is another writer's: windows are
+/// settled when they are over, and clocks differ by some seconds.
+constexpr auto kMaxClockDifference = std::chrono::hours(1);
 /// After a timeout the platform may still accept the report.
 constexpr auto kReportTimeout = std::chrono::milliseconds(1500);
 
@@ -89,9 +92,12 @@
 UsageDuty::OnSettledRead(const StoreRange& aRange)
 {
   std::map<UsageWindow, SettledWindow> settled;
+  const UsageWindow last =
+    WindowOf({ poll_.Now().sinceEpoch_ + kMaxClockDifference },
+             host_.Settings().usageWindow_);
   for (const StoreRecord& record : aRange.records_) {
     const auto window =
-      ParseNumber(record.key_.substr(kWindowPrefix.size()), 0, UINT64_MAX);
+      ParseNumber(record.key_.substr(kWindowPrefix.size()), 0, last);
     auto read = ReadSettledWindow(record.value_);
     if (window && read) {
       settled.emplace(*window, std::move(read).value());
--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -2,6 +2,7 @@
 /// window is settled once, and its report is the same no matter how often and
 /// by which holder it is sent.
 
+#include "log_capture.hpp"
 #include "order_fixture.hpp"
 #include "programs/orderd/usage_duty.hpp"
 
@@ -335,6 +336,34 @@
           std::string::npos);
 }
 
+// Windows are settled from the newest record on.
+TEST_CASE("an odd record of a usage window does not end the reports")
+{
+  const auto [key, value] = GENERATE(table<std::string, std::string>({
+    { "18446744073709551615", R"({"sent":true,"counts":{}})" },
+    { "9223372036854775808", R"({"sent":true,"counts":{}})" },
+    { "999999999999", R"({"sent":true,"counts":{}})" },
+    { "999999999999", R"({"sent":false,"counts":{"north":1}})" },
+    { "1e400", R"({"sent":true,"counts":{}})" },
+    { "-1", R"({"sent":true,"counts":{}})" },
+    { "", R"({"sent":true,"counts":{}})" },
+    { "000000000001", R"({"sent":true,"counts":{"north":-1}})" },
+    { "000000000001", R"({"sent":1,"counts":{}})" },
+    { "000000000001", "" },
+  }));
+  INFO(key << " " << value);
+  UsageFixture fix;
+  fix.store_.Put("mt/usage/" + key, value);
+  const LogCapture log;
+  Holder holder(fix, "o1~1");
+  holder.lease_.Start();
+  const UsageWindow first = fix.CurrentWindow();
+  holder.gateway_.usage_.counts_ = { { first, { { kNorth, 3 } } } };
+  fix.Run(holder, 19s);
+  CHECK(log.Contains("event=record_unreadable key=mt/usage/" + key));
+  CHECK(fix.receiver_.accepted_.size() == 3);
+}
+
 // Guards against two counts for one window: the first holder settles a window
 // and sends its report, gets no reply and loses its lease, while the gateway
 // counts one more request. The second holder reports the window, then the first
