Calls between instances: a call whose answer is unreadable ends

Seen in a test with sockets: a call whose answer arrives whole, but with a damaged byte where the message describes itself, never ended: no answer, no error, no end of its time. What waited for it (a submission that was handed on, a job's results, a watch) waited on.

Cause: the answer is read in the continuation whose failure nobody handles; the message library throws there, and the task ended without the call's own end.

Such an answer is now an unknown outcome, like one whose proof is wrong.

Guards where nothing failed: an answer that is cut after each third byte, closed or reset, is an unknown outcome, never a refusal or a value; a call that is cut at any byte is not run; a call with any byte altered ends its connection, not the instance.

--- a/src/runtime/rpc_links.cpp
+++ b/src/runtime/rpc_links.cpp
@@ -44,6 +44,21 @@
   return (std::uint64_t{ device() } << kHalf) | device();
 }
 
+/// Reading throws where the message is not a valid one.
+RpcReply
+ReadReplyOrFail(const CallResponse& aResults,
+                const RpcMac& aMac,
+                const RpcStamp& aCall)
+{
+  try {
+    return ReadReply(aResults, aMac, aCall);
+  } catch (const kj::Exception& failure) {
+    return Error{ ErrorKind::Timeout,
+                  std::string("the answer is unreadable: ") +
+                    failure.getDescription().cStr() };
+  }
+}
+
 } // namespace
 
 RpcLinks::RpcLinks(kj::Network& aNetwork,
@@ -139,7 +154,7 @@
                      }))
     .then(
       [this, aDone, stamp](CallResponse&& aResults) {
-        (*aDone)(ReadReply(aResults, mac_, stamp));
+        (*aDone)(ReadReplyOrFail(aResults, mac_, stamp));
       },
       [this, aPeer, aLink, aDone](kj::Exception&& aFailure) {
         Drop(aPeer, aLink);
--- a/tests/caller_socket.hpp
+++ b/tests/caller_socket.hpp
@@ -82,6 +82,7 @@
     return bytes;
   }
 
+  [[nodiscard]] int Handle() const noexcept { return handle_; }
   [[nodiscard]] bool Connected() const noexcept { return connected_; }
   /// @returns whether the last read saw the connection's end
   [[nodiscard]] bool Closed() const noexcept { return closed_; }
