Relays: a process that the store has answered does not take it for away

By its log its relays were out of reach; its watch of the upstreams was answered 410 at 50.8 s and they were read at 51.9 s, but its watch of the configuration went on asking relays until 53.6 s and opened at the store only then.

Cause: after a watch at the store was interrupted, all watches of the process wait for one probe, 0.7 to 3 s after the last. Only a watch with changes or without ended this wait. A watch that the store had ended for its lost history did not, nor did any other call: the sign of life was renewed, records were read and jobs written while the watches waited.

An ended watch now counts as an answer. An answer to another call allows a probe 0.7 s after the last one; calls to the store stay bounded, as an answer alone sends none.

tests/test_relays.cpp on the code before, over 60 lengths of a cut: a lease granted again does not bring the watch back within 1 s for 39 of them, an ended watch does not let the other one use the store within 0.3 s for any; now both hold for all 60. The limit on calls without any answer (14 in 10 s) holds as before.

--- a/src/daemon/relayed_store.cpp
+++ b/src/daemon/relayed_store.cpp
@@ -82,10 +82,32 @@
   *alive_ = false;
 }
 
+template<typename T>
+StoreDone<T>
+RelayedStore::Noting(StoreDone<T> aDone)
+{
+  return
+    [this, alive = alive_, done = std::move(aDone)](const Result<T>& aAnswer) {
+      if (*alive && (aAnswer || aAnswer.error().kind_ == ErrorKind::NotFound)) {
+        OnStoreAnswer();
+      }
+      done(aAnswer);
+    };
+}
+
+/// Between two attempts the store may have come back for up to the longest
+/// delay, in which this process acts on outdated records.
+void
+RelayedStore::OnStoreAnswer()
+{
+  answeredAt_ = clock_.Now();
+  nextProbeAt_ = std::min(nextProbeAt_, probedAt_ + Duration{ kMinProbeDelay });
+}
+
 void
 RelayedStore::Read(std::string aPrefix, StoreDone<StoreRange> aDone)
 {
-  store_.Read(std::move(aPrefix), std::move(aDone));
+  store_.Read(std::move(aPrefix), Noting(std::move(aDone)));
 }
 
 void
@@ -93,25 +115,26 @@
                         std::string aAfter,
                         StoreDone<StoreRange> aDone)
 {
-  store_.ReadAfter(std::move(aPrefix), std::move(aAfter), std::move(aDone));
+  store_.ReadAfter(
+    std::move(aPrefix), std::move(aAfter), Noting(std::move(aDone)));
 }
 
 void
 RelayedStore::Commit(StoreTxn aTxn, StoreDone<StoreCommit> aDone)
 {
-  store_.Commit(std::move(aTxn), std::move(aDone));
+  store_.Commit(std::move(aTxn), Noting(std::move(aDone)));
 }
 
 void
 RelayedStore::GrantLease(Duration aTtl, StoreDone<StoreLease> aDone)
 {
-  store_.GrantLease(aTtl, std::move(aDone));
+  store_.GrantLease(aTtl, Noting(std::move(aDone)));
 }
 
 void
 RelayedStore::KeepAlive(StoreLeaseId aLease, StoreDone<StoreLease> aDone)
 {
-  store_.KeepAlive(aLease, std::move(aDone));
+  store_.KeepAlive(aLease, Noting(std::move(aDone)));
 }
 
 void
@@ -227,12 +250,19 @@
       own->direct_ = 0;
       own->directUntil_ = {};
       if (clock_.Now() >= nextProbeAt_ || probingWatch_ == aId) {
-        nextProbeAt_ = clock_.Now() + probeDelays_.Next();
+        // A probe that was sent before the store came back may be lost.
+        const bool back =
+          nextProbeAt_ != TimePoint{} && answeredAt_ > probedAt_;
+        nextProbeAt_ = clock_.Now() + (back ? Duration{ kMinProbeDelay }
+                                            : probeDelays_.Next());
       }
       ReopenAfterDelay(aId);
     }
     return;
   }
+  // A watch that the store has ended is an answer as well.
+  nextProbeAt_ = {};
+  probeDelays_.Reset();
   if (aBatch.ended_) {
     own->history_.Invalidate();
     // With a mirror, the peers wait for the changes that the next read shows.
@@ -242,8 +272,6 @@
     Deliver(aId, aBatch);
     return;
   }
-  nextProbeAt_ = {};
-  probeDelays_.Reset();
   OnConfirmed(*own, "store");
   own->history_.Append(aBatch, clock_.Now());
   const auto mirror = mirrors_.find(own->prefix_);
@@ -406,7 +434,8 @@
     if (nextProbeAt_ != TimePoint{}) {
       // The other watches wait for the outcome of this one.
       probingWatch_ = aId;
-      nextProbeAt_ = clock_.Now() + Duration{ kMinProbeDelay };
+      probedAt_ = clock_.Now();
+      nextProbeAt_ = probedAt_ + Duration{ kMinProbeDelay };
     }
     own.directUntil_ = clock_.Now() + kDirectWatchTime;
     OpenDirect(aId);
--- a/src/daemon/relayed_store.hpp
+++ b/src/daemon/relayed_store.hpp
@@ -83,6 +83,12 @@
     TimePoint confirmedAt_;
   };
 
+  /// Wraps the callback of a call so that a successful answer is noted.
+  template<typename T>
+  [[nodiscard]] StoreDone<T> Noting(StoreDone<T> aDone);
+  /// The store answers this process: lets the watches probe it soon, should
+  /// they wait for its return.
+  void OnStoreAnswer();
   /// Reads a store range of a prefix that is watched afterwards.
   using ReadStore = void (Store::*)(std::string, StoreDone<StoreRange>);
   void ReadWatched(const std::string& aPrefix,
@@ -127,9 +133,13 @@
   QueryPeer queryPeer_;
   RelaysOf relays_;
   /// While the store does not answer this process, no direct watch is opened
-  /// before this time; relays may report its return sooner. Zero: the store
-  /// answers.
+  /// before this time; relays or other calls may report its return sooner.
+  /// Zero: the store answers.
   TimePoint nextProbeAt_;
+  /// When a direct watch last probed the store.
+  TimePoint probedAt_;
+  /// When the store last answered another call than a watch.
+  TimePoint answeredAt_;
   Backoff probeDelays_;
   /// The watch that probes the store on behalf of all watches.
   StoreWatchId probingWatch_ = 0;
--- a/tests/test_relays.cpp
+++ b/tests/test_relays.cpp
@@ -373,6 +373,62 @@
   REQUIRE(cut.store_.openedWatches_ <= 14);
 }
 
+// Guards against upstreams that get work after they have left, from a process
+// whose sign of life the store answers again while its watches wait for 3 s.
+TEST_CASE("a process watches the store again once its other calls are answered")
+{
+  for (Duration length = 2s; length < 8s; length += 100ms) {
+    CAPTURE(WholeMillis(length));
+    CutProcess cut;
+    cut.process_.Watch("a/", 2, [](const auto&) {});
+    cut.Run(length);
+    const std::size_t before = cut.store_.openedWatches_;
+    cut.process_.GrantLease(1s, [](const auto&) {});
+    cut.timers_.Advance(1s);
+    CHECK(cut.store_.openedWatches_ > before);
+  }
+}
+
+// Guards against a configuration that is known late, because the process has
+// lost its history of the upstreams and so took the store for unreachable.
+TEST_CASE("a watch that the store has ended lets the others use the store")
+{
+  for (Duration length = 2s; length < 8s; length += 100ms) {
+    CAPTURE(WholeMillis(length));
+    CutProcess cut;
+    bool ended = false;
+    cut.process_.Watch("a/", 2, [&ended](const StoreWatchBatch& aBatch) {
+      ended = ended || aBatch.ended_;
+    });
+    cut.process_.Watch("b/", 2, [](const auto&) {});
+    cut.Run(length);
+    for (int i = 0; i < 1000 && !ended; ++i) {
+      cut.timers_.Advance(10ms);
+      cut.store_.SendBatch("a/", { true, false, 0, {} });
+      cut.store_.SendBatch("b/", { false, true, 0, {} });
+    }
+    REQUIRE(ended);
+    const std::size_t before = cut.store_.openedWatches_;
+    cut.timers_.Advance(300ms);
+    CHECK(cut.store_.openedWatches_ > before);
+  }
+}
+
+TEST_CASE("answers to other calls do not make lost watches probe in a row")
+{
+  CutProcess cut;
+  for (const char* prefix : { "a/", "b/", "c/" }) {
+    cut.process_.Watch(prefix, 2, [](const auto&) {});
+  }
+  cut.Run(2s);
+  const std::size_t before = cut.store_.openedWatches_;
+  for (int i = 0; i < 100; ++i) {
+    cut.process_.GrantLease(1s, [](const auto&) {});
+    cut.Run(100ms);
+  }
+  CHECK(cut.store_.openedWatches_ <= before + 15);
+}
+
 TEST_CASE("a process uses its relays once the store answers them again")
 {
   CutProcess cut;
