--- a/tests/test_cut_control_calls.cpp
+++ b/tests/test_cut_control_calls.cpp
@@ -2,6 +2,8 @@
 /// their heads or bodies, received by the real HTTP client.
 
 #include "control_fixture.hpp"
+#include "daemon/instance_list.hpp"
+#include "log_capture.hpp"
 #include "programs/controld/order_sender.hpp"
 #include "programs/entryd/completions.hpp"
 #include "programs/entryd/in_flight_request.hpp"
@@ -111,3 +113,23 @@
   CHECK_FALSE(read.get_future().get());
   process.host_.TimerQueue().Stop();
 }
+
+TEST_CASE("an instance list that is cut is not read")
+{
+  const std::string bytes =
+    GENERATE(from_range(CutAnswers(200, R"({"instances":[]})")));
+  CAPTURE(bytes);
+  DaemonSettings settings;
+  settings.instanceList_ = "http://list:1/instances";
+  FakeClient client;
+  Timers timers;
+  Metrics metrics;
+  GossipService gossip(timers, metrics);
+  InstanceListReader reader(settings, client, timers, gossip);
+  const LogCapture log;
+  reader.Start();
+  REQUIRE(client.open_.size() == 1);
+  EndWithBytes(client, client.Oldest(), bytes);
+  CHECK(log.Contains("event=instance_list_failed"));
+  timers.Stop();
+}
