Tests: odd entries and versions beside orders

The duty of ordering reads upstreams and named versions of other writers. With an odd number of slots and two odd versions beside good ones, the good upstream is asked and gets its order, each odd one is told, and a later valid value of the odd key is used.

--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -1,5 +1,6 @@
 /// Tests of the duty of ordering weight versions, on fakes.
 
+#include "log_capture.hpp"
 #include "order_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -486,3 +487,48 @@
   fix.timers_.Advance(1s);
   REQUIRE(fix.PlanCount() > before);
 }
+
+TEST_CASE("odd entries and versions keep no order of the others back")
+{
+  GatewayFakes fakes;
+  fakes.settings_.fencing_ = true;
+  fakes.store_.Put("op/config", kConfig);
+  const auto put = [&](const std::string& aId, const std::string& aSlots) {
+    fakes.store_.Put("servers/" + aId,
+                     R"({"service":"lm","address":")" + aId +
+                       R"(:1","zone":"z","state":"ready",)"
+                       R"("models":[{"name":"m","version":1}],"slots":)" +
+                       aSlots + "}");
+  };
+  put("good", "1");
+  put("odd", "1e400");
+  fakes.store_.Put("op/version/odd", R"({"model":"m","version":-1})");
+  fakes.store_.Put("op/version/deep",
+                   std::string(200'000, '[') + std::string(200'000, ']'));
+  fakes.store_.Put("op/version/m", R"({"model":"m","version":2})");
+  const LogCapture log;
+  LeasedOrderDuty duty(fakes.context_);
+  duty.Start();
+  fakes.timers_.Advance(100ms);
+  REQUIRE(fakes.client_.open_.size() == 1);
+  CHECK(fakes.client_.Oldest().call_.url_ == "http://good:1/report");
+  CHECK(log.Contains("event=upstream_unreadable key=servers/odd"));
+  CHECK(log.Contains("event=version_unreadable key=op/version/odd"));
+  CHECK(log.Contains("event=version_unreadable key=op/version/deep"));
+  fakes.client_.Answer(
+    fakes.client_.Oldest(),
+    JsonResponse(200, R"({"busy":false,"seq":0,"models":[]})"));
+  fakes.timers_.Advance(100ms);
+  REQUIRE_FALSE(fakes.client_.open_.empty());
+  CHECK(fakes.client_.Oldest().call_.body_.find(R"("version":2)") !=
+        std::string::npos);
+  // A later value of the same key.
+  put("odd", "1");
+  fakes.store_.Remove("servers/good");
+  fakes.timers_.Advance(3s);
+  CHECK(std::any_of(fakes.client_.open_.begin(),
+                    fakes.client_.open_.end(),
+                    [](const SentCall& aCall) {
+                      return aCall.call_.url_ == "http://odd:1/report";
+                    }));
+}
