--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,11 +1,14 @@
 #include "marjoramtally/runtime/http_server.hpp"
 
+#include "marjoramtally/base/units.hpp"
 #include "runtime/io_loop.hpp"
 
 #include <restinio/all.hpp>
 
 #include <future>
+#include <limits>
 #include <map>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -99,6 +102,8 @@
                      CallerSocket>;
 using Server = restinio::http_server_t<Traits>;
 using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+using HeadBuilder =
+  restinio::response_builder_t<restinio::user_controlled_output_t>;
 
 /// Bodies up to this multiple of the limit are read in order to answer 413;
 /// larger ones close the connection.
@@ -110,6 +115,8 @@
 /// A caller that reads nothing for this long is disconnected.
 constexpr auto kWriteTimeout = std::chrono::minutes(1);
 constexpr std::size_t kReadBufferBytes = 16U * 1024U;
+/// How often a caller that has sent part of its next request is looked at.
+constexpr auto kCallerCheckInterval = std::chrono::milliseconds(100);
 
 /// State shared by a server and its replies.
 struct ServerState
@@ -139,6 +146,7 @@
     , request_(std::move(aRequest))
     , loop_(state_->pool_->Pick())
     , connection_(CallerSocket::NumberOf(request_->remote_endpoint()))
+    , headOnly_(request_->header().method() == restinio::http_method_head())
   {
     ++state_->inFlight_;
   }
@@ -147,6 +155,10 @@
 
   void Send(HttpResponse aResponse) override
   {
+    if (headOnly_) {
+      SendHead(aResponse.status_, aResponse.headers_, aResponse.body_.size());
+      return;
+    }
     auto builder = request_->create_response(StatusLine(aResponse.status_));
     AddHeaders(builder, aResponse.headers_);
     builder.set_body(std::move(aResponse.body_));
@@ -156,6 +168,10 @@
 
   void Begin(int aStatus, HttpHeaders aHeaders) override
   {
+    if (headOnly_) {
+      SendHead(aStatus, aHeaders, 0);
+      return;
+    }
     stream_ = std::make_unique<StreamBuilder>(
       request_->create_response<restinio::chunked_output_t>(
         StatusLine(aStatus)));
@@ -165,6 +181,12 @@
 
   void Chunk(std::string aData, std::function<void(bool)> aWritten) override
   {
+    if (headOnly_) {
+      if (aWritten) {
+        Post([written = std::move(aWritten)] { written(true); });
+      }
+      return;
+    }
     stream_->append_chunk(std::move(aData));
     stream_->flush([written = std::move(aWritten)](const auto& aError) {
       if (written) {
@@ -176,7 +198,9 @@
   void End() override
   {
     if (!stream_) {
-      Finish();
+      if (!replied_) {
+        Finish();
+      }
       return;
     }
     replied_ = true;
@@ -189,6 +213,15 @@
     RunOnLoop([self = shared_from_this()] { self->AbortNow(); });
   }
 
+  /// The connection closes after the response.
+  void CloseAfterwards() noexcept { closes_ = true; }
+
+  /// Runs a task on the connection's loop, after its current one.
+  void Post(std::function<void()> aTask)
+  {
+    asio::post(state_->pool_->Loop(loop_).Context(), std::move(aTask));
+  }
+
   void OnCallerGone(std::function<void()> aGone) override
   {
     RunOnLoop([self = shared_from_this(), gone = std::move(aGone)] {
@@ -197,6 +230,26 @@
   }
 
 private:
+  /// Answers a HEAD request. A body would be read as the next response.
+  /// @param aBodySize unless the headers state a length
+  void SendHead(int aStatus, const HttpHeaders& aHeaders, std::size_t aBodySize)
+  {
+    HeadBuilder builder =
+      request_->create_response<restinio::user_controlled_output_t>(
+        StatusLine(aStatus));
+    HttpHeaders headers = aHeaders;
+    const auto stated = FindHeader(aHeaders, "Content-Length");
+    const auto length =
+      ParseNumber(stated.value_or(""), 0, std::numeric_limits<long>::max());
+    std::erase_if(headers, [](const HttpHeader& aHeader) {
+      return IsNamed(aHeader, "Content-Length");
+    });
+    builder.set_content_length(length.value_or(aBodySize));
+    AddHeaders(builder, headers);
+    replied_ = true;
+    builder.done(FinishWhenWritten());
+  }
+
   /// Runs a task on the connection's loop, at once if called there. Sockets are
   /// registered per thread.
   void RunOnLoop(std::function<void()> aTask)
@@ -205,7 +258,7 @@
     if (context.get_executor().running_in_this_thread()) {
       aTask();
     } else {
-      asio::post(context, std::move(aTask));
+      Post(std::move(aTask));
     }
   }
 
@@ -247,10 +300,33 @@
         if (aError || !reply || reply->replied_) {
           return;
         }
-        char byte = 0;
-        const auto got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (got == 0 || (got < 0 && errno != EAGAIN)) {
+        if (HasCallerLeft(handle)) {
           aGone();
+        } else {
+          reply->WatchCallerLater(aGone);
+        }
+      });
+  }
+
+  /// @returns whether the caller closed or reset the connection, also if it has
+  /// sent bytes that are not read yet
+  static bool HasCallerLeft(int aHandle)
+  {
+    pollfd state{ aHandle, POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) > 0;
+  }
+
+  /// A socket with unread bytes is always readable, so it is looked at in
+  /// intervals.
+  void WatchCallerLater(const std::function<void()>& aGone)
+  {
+    auto timer = std::make_shared<asio::steady_timer>(
+      state_->pool_->Loop(loop_).Context(), kCallerCheckInterval);
+    timer->async_wait(
+      [self = weak_from_this(), timer, aGone](const asio::error_code& aError) {
+        const auto reply = self.lock();
+        if (!aError && reply && !reply->replied_) {
+          reply->WatchCaller(aGone);
         }
       });
   }
@@ -261,7 +337,7 @@
     for (const HttpHeader& header : aHeaders) {
       aBuilder.append_header(header.name_, header.value_);
     }
-    if (state_->closing_) {
+    if (closes_ || state_->closing_) {
       aBuilder.connection_close();
     }
   }
@@ -286,6 +362,8 @@
   /// Index of the connection's loop.
   std::size_t loop_;
   std::uint64_t connection_;
+  bool headOnly_;
+  bool closes_ = false;
   std::unique_ptr<StreamBuilder> stream_;
   /// The complete response was handed to the library.
   std::atomic<bool> replied_{ false };
@@ -310,6 +388,24 @@
   return request;
 }
 
+/// The library accepts a field whose name ends with a space, which others read
+/// as the field of that name (RFC 9112, 5.1), and control characters.
+std::string
+FindUnsafePart(const HttpRequest& aRequest)
+{
+  if (!IsSafeInRequestLine(aRequest.path_) ||
+      !IsSafeInRequestLine(aRequest.query_)) {
+    return "the request line contains a control character";
+  }
+  for (const HttpHeader& header : aRequest.headers_) {
+    if (!IsSafeHeader(header.name_, header.value_)) {
+      return "the header '" + header.name_ + "' contains a control character " +
+             "or its name a space";
+    }
+  }
+  return {};
+}
+
 class RestinioServer final : public HttpServer
 {
 public:
@@ -423,23 +519,46 @@
         aOptions.set_option(restinio::asio_ns::ip::tcp::no_delay{ true });
       })
       .request_handler(
-        [this](auto aRequest) { return Handle(std::move(aRequest)); });
+        [this](const auto& aRequest) { return Handle(aRequest); });
   }
 
+  /// The request is handled after the library's callback. A response within it
+  /// that closes the connection violates the library's own assertion if the
+  /// request was read together with the previous one.
   restinio::request_handling_status_t Handle(
-    restinio::request_handle_t aRequest)
+    const restinio::request_handle_t& aRequest)
   {
     auto reply = std::make_shared<Reply>(aRequest, state_);
+    reply->Post([this, aRequest, reply] {
+      try {
+        HandleNow(aRequest, reply);
+      } catch (const std::exception&) {
+        reply->Abort();
+      }
+    });
+    return restinio::request_accepted();
+  }
+
+  void HandleNow(const restinio::request_handle_t& aRequest,
+                 const std::shared_ptr<Reply>& aReply)
+  {
     if (aRequest->body().size() > options_.maxBodyBytes_) {
-      reply->Send(ErrorResponse(413,
-                                "body_too_large",
-                                "the body has more than " +
-                                  std::to_string(options_.maxBodyBytes_) +
-                                  " bytes; nothing was run"));
-      return restinio::request_accepted();
+      aReply->Send(ErrorResponse(413,
+                                 "body_too_large",
+                                 "the body has more than " +
+                                   std::to_string(options_.maxBodyBytes_) +
+                                   " bytes; nothing was run"));
+      return;
     }
-    handler_(ConvertRequest(aRequest), std::move(reply));
-    return restinio::request_accepted();
+    HttpRequest request = ConvertRequest(aRequest);
+    const std::string unsafe = FindUnsafePart(request);
+    if (!unsafe.empty()) {
+      aReply->CloseAfterwards();
+      aReply->Send(
+        ErrorResponse(400, "bad_input", unsafe + "; nothing was run"));
+      return;
+    }
+    handler_(std::move(request), aReply);
   }
 
   HttpServerOptions options_;
