HTTP client: what is no field does not end or change a head

Cause: OnHeader took any line for the end of the head that is empty once trimmed, and any with a colon for a field; libcurl reads continued lines and such names, or ignores them. A head now ends with an empty line only, and a line within it that is no field as RFC 9112, 5 writes it ends the call (a gateway may refuse these).

--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -28,13 +28,25 @@
   while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
     aText.remove_prefix(1);
   }
-  while (!aText.empty() && (aText.back() == '\r' || aText.back() == '\n' ||
-                            aText.back() == ' ')) {
+  while (!aText.empty() && aText.back() == ' ') {
     aText.remove_suffix(1);
   }
   return aText;
 }
 
+/// @returns a line of a head without its line break
+std::string_view
+WithoutLineBreak(std::string_view aLine) noexcept
+{
+  if (aLine.ends_with('\n')) {
+    aLine.remove_suffix(1);
+    if (aLine.ends_with('\r')) {
+      aLine.remove_suffix(1);
+    }
+  }
+  return aLine;
+}
+
 /// libcurl accepts lengths that contradict each other or are no numbers, and
 /// then takes the end of the connection, or an earlier place, for the end of
 /// the body (RFC 9112, 6.3).
@@ -112,21 +124,36 @@
     // A field of the trailers, which nothing may take for one of the head.
     return line.size();
   }
-  if (line.starts_with("HTTP/")) {
+  const std::string_view text = WithoutLineBreak(line);
+  if (!transfer.inHead_) {
+    transfer.inHead_ = true;
     headers.clear();
     return line.size();
   }
-  // A head ends with an empty line. A response must be rejected here: once the
-  // call has ended, libcurl has already kept the connection for the next call.
-  if (TrimValue(line).empty() && !transfer.ReportHead()) {
-    return 0;
+  if (!text.empty()) {
+    return transfer.AddField(text) ? line.size() : 0;
   }
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    headers.push_back({ std::string(line.substr(0, colon)),
-                        std::string(TrimValue(line.substr(colon + 1))) });
+  transfer.inHead_ = false;
+  // A response must be rejected here: once the call has ended, libcurl has
+  // already kept the connection for the next call.
+  return transfer.ReportHead() ? line.size() : 0;
+}
+
+/// libcurl accepts fields that others frame the message by in another way:
+/// continued lines, spaces in names, control characters (RFC 9112, 5).
+bool
+CurlTransfer::AddField(std::string_view aLine)
+{
+  const std::size_t colon = std::min(aLine.find(':'), aLine.size());
+  const std::size_t value = std::min(colon + 1, aLine.size());
+  HttpHeader field{ std::string(aLine.substr(0, colon)),
+                    std::string(TrimValue(aLine.substr(value))) };
+  if (colon == aLine.size() || !IsSafeHeader(field.name_, field.value_)) {
+    Reject("a field of the head is malformed");
+    return false;
   }
-  return line.size();
+  response_.headers_.push_back(std::move(field));
+  return true;
 }
 
 std::size_t
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -51,6 +51,8 @@
                           int aPeerPort,
                           int aLocalPort);
   void OnByteReceived();
+  /// @returns false if the line is no field, which rejects the response
+  [[nodiscard]] bool AddField(std::string_view aLine);
   /// @returns the number of bytes taken, as libcurl expects it
   std::size_t AppendToBody(std::string_view aBytes);
   /// Ends the call because of its response.
@@ -80,6 +82,8 @@
   /// reads.
   std::vector<std::string> headerLines_;
   std::vector<curl_slist> headerNodes_;
+  /// A head has begun and not ended; there may be several before the final one.
+  bool inHead_ = false;
   bool headReported_ = false;
   bool resent_ = false;
   bool cancelled_ = false;
--- a/tests/test_cut_responses.cpp
+++ b/tests/test_cut_responses.cpp
@@ -239,6 +239,12 @@
              "Content-Length: 2x\r\n\r\nmine",
              "Content-Length: 99999999999999999999999\r\n\r\nmine",
              "Content-Length:\r\n\r\nmine",
+             "Content-Length : 50\r\n\r\nmine",
+             "Content-Length:\r\n 50\r\n\r\nmine",
+             "Transfer-Encoding:\r\n chunked\r\n\r\n5\r\nmi",
+             "Content-Length: 9\r\nHTTP/x: 1\r\nContent-Length: 4\r\n\r\nmine",
+             " \r\nContent-Length: 50\r\n\r\nmine",
+             "A: x\rContent-Length: 50\r\n\r\nmine",
              "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
              "4\r\nmine\r\n0\r\n\r\n");
   CAPTURE(framing);
@@ -292,3 +298,26 @@
   CHECK(fix.reply_->beginCalls_ == 1);
   CHECK(fix.reply_->body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
+
+TEST_CASE("a line of blanks does not complete a head that is cut after it")
+{
+  const std::string blanks = GENERATE(" ", "\t", "  \t ");
+  const CuttingServer server(kOk + kProof + blanks + "\r\n", "Attempt-Id");
+  const auto client = HttpClient::Create(1);
+  HttpCall call;
+  call.url_ = "http://" + server.Address();
+  int heads = 0;
+  call.onHead_ = [&heads](int, const HttpHeaders&) {
+    ++heads;
+    return true;
+  };
+  const HttpResult result = SendAndWait(*client, std::move(call));
+  CHECK(result.end_ == HttpEnd::Cancelled);
+  CHECK(result.response_.status_ == 0);
+  CHECK(heads == 0);
+  Fixture fix;
+  fix.AddServer("a", server);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Idempotent);
+  CHECK_FALSE(outcome.answered_);
+  CHECK(outcome.response_.status_ == 502);
+}
