HTTP client: a tab may end the value of a field

RFC 9112, 5 allows blanks of both kinds after a value; the trimming took tabs before it only. Test: 2 assertions failed before, none now.

--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -28,7 +28,7 @@
   while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
     aText.remove_prefix(1);
   }
-  while (!aText.empty() && aText.back() == ' ') {
+  while (!aText.empty() && (aText.back() == ' ' || aText.back() == '\t')) {
     aText.remove_suffix(1);
   }
   return aText;
--- a/tests/test_cut_responses.cpp
+++ b/tests/test_cut_responses.cpp
@@ -299,6 +299,19 @@
   CHECK(fix.reply_->body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+TEST_CASE("a field that ends with a tab is read without it")
+{
+  const CuttingServer server(
+    kOk + "Attempt-Id: {id}\t\r\nResponse-Signature:\ts\t\r\n"
+          "Content-Length: 4 \t\r\n\r\nmine",
+    "Attempt-Id");
+  Fixture fix;
+  fix.AddServer("a", server);
+  const ForwardOutcome& outcome = fix.Forward(RouteKind::Idempotent);
+  CHECK(outcome.answered_);
+  CHECK(outcome.response_.body_ == "mine");
+}
+
 TEST_CASE("a line of blanks does not complete a head that is cut after it")
 {
   const std::string blanks = GENERATE(" ", "\t", "  \t ");
