Gateway: an empty signature is none

Cause: only the presence of the field was asked for, for answers to callers, for items and for scores, whose text would be empty. All three ask for a value now. Tests: an answer and an item with an empty signature, 2 of 2 taken before, none now.

--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -394,7 +394,8 @@
     return echo ? "belongs to another request" : "does not name the request";
   }
   const bool success = aHead.status_ >= 200 && aHead.status_ < 300;
-  const bool proven = FindHeader(aHead.headers_, names.signature_).has_value();
+  const bool proven =
+    !FindHeader(aHead.headers_, names.signature_).value_or("").empty();
   return success && !proven ? "not signed" : "";
 }
 
--- a/src/programs/gatewayd/job_runner_results.cpp
+++ b/src/programs/gatewayd/job_runner_results.cpp
@@ -207,12 +207,13 @@
   OwnedJob& job = it->second;
   job.scores_.erase(aItem);
   const HttpResponse& response = aOutcome.response_;
-  const auto signature =
-    FindHeader(response.headers_, host_.Formats().Names().signature_);
+  const std::string signature(
+    FindHeader(response.headers_, host_.Formats().Names().signature_)
+      .value_or(""));
   if (aOutcome.answered_ && response.status_ >= 200 && response.status_ < 300 &&
-      signature) {
+      !signature.empty()) {
     job.scoreRetries_.erase(aItem);
-    job.ledger_.OnScored(aItem, std::string(*signature), host_.Now());
+    job.ledger_.OnScored(aItem, signature, host_.Now());
     LogEvent(LogLevel::Debug,
              "item_scored",
              { { "item", job.ledger_.Spec().items_[aItem].id_.Get() },
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -146,7 +146,8 @@
   if (echo.value_or("") != item.id_.Get()) {
     run.fault_ = echo ? "the answer belongs to another request"
                       : "the answer does not contain the item's id";
-  } else if (aStatus == 200 && !FindHeader(aHeaders, names.signature_)) {
+  } else if (aStatus == 200 &&
+             FindHeader(aHeaders, names.signature_).value_or("").empty()) {
     run.fault_ = "the answer is not signed";
   }
   const auto version = ParseNumber(
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -160,6 +160,18 @@
   REQUIRE_FALSE(fix.outcome_->answered_);
 }
 
+TEST_CASE("a success with an empty signature is not passed on")
+{
+  Fixture fix;
+  fix.Start(RouteKind::Idempotent, 1);
+  const SentCall call = fix.FirstCall();
+  HttpResponse answer = fix.Answer(call, 200, "x");
+  answer.headers_.back().value_.clear();
+  fix.client_.Answer(call, answer);
+  REQUIRE(fix.outcome_->response_.status_ == 502);
+  REQUIRE_FALSE(fix.outcome_->answered_);
+}
+
 TEST_CASE("an upstream that did not run the request costs no attempt")
 {
   Fixture fix;
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -119,6 +119,18 @@
   REQUIRE(fix.Header(fix.Call(), fix.platform_->Names().lastEvent_).empty());
 }
 
+TEST_CASE("a stream with an empty signature is rejected")
+{
+  JobFixture fix;
+  fix.Accept(1);
+  const SentCall call = fix.Call();
+  HttpResponse answer = fix.Stream(call, Event(1, "x"));
+  answer.headers_.at(1).value_.clear();
+  fix.client_.Answer(call, answer);
+  REQUIRE(fix.runner_.Find(kJob)->Text(0).lastEvent_ == 0);
+  REQUIRE(fix.Call().call_.url_ == "http://e1:1/i/0");
+}
+
 TEST_CASE("a text of outdated weights is generated again")
 {
   JobFixture fix;
