Logs: answers that only the end of their connection completed

Such answers are told at info level (answer_unframed, with the bytes of the body) and counted; upstream_responses_cut_total tells a connection that ended before any line of a response (part=all) from one that ended within its head. No logic changes.

--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -84,6 +84,11 @@
   bool resent_ = false;
   /// The head of the final response was received whole.
   bool headReceived_ = false;
+  /// Bytes of heads and trailers received, in complete lines.
+  std::size_t headBytes_ = 0;
+  /// A length or chunks tell where the body ends; else the connection's end
+  /// does.
+  bool bodyFramed_ = false;
   /// Bytes of the body received, whoever took them.
   std::uint64_t bodyBytes_ = 0;
 };
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -340,6 +340,8 @@
   }
   LogAttemptEnd(*pending, aResult);
   CountCutResponse(host_, aResult);
+  LogUnframedAnswer(
+    RequestId{ pending->request_.attempt_ }, pending->upstream_, aResult);
   if (aResult.opened_) {
     host_.Measures().Count("upstream_connections_total{for=\"calls\"}");
   }
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -270,7 +270,14 @@
            const UpstreamId& aUpstream,
            const HttpHeaders& aHeaders);
 
-/// Counts a response whose connection ended within its head or its body.
+/// Logs an answer that is complete only because its connection ended in order.
+void
+LogUnframedAnswer(const RequestId& aId,
+                  const UpstreamId& aUpstream,
+                  const HttpResult& aResult);
+
+/// Counts a response whose connection ended before it, within its head or its
+/// body, and one whose end only that of its connection told.
 void
 CountCutResponse(const GatewayContext& aHost, const HttpResult& aResult);
 
--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -230,6 +230,10 @@
   const bool complete =
     aResult.end_ == HttpEnd::Complete && aRun.fault_.empty();
   CountCutResponse(host_, aResult);
+  LogUnframedAnswer(
+    RequestId{ aJob.ledger_.Spec().items_[aRun.item_].id_.Get() },
+    aRun.upstream_,
+    aResult);
   if (aResult.opened_) {
     host_.Measures().Count("upstream_connections_total{for=\"items\"}");
   }
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -15,6 +15,9 @@
 /// Lower statuses are interim responses (RFC 9110, 15.2), which precede the
 /// final one.
 constexpr long kMinFinalStatus = 200;
+/// Statuses of responses without a body (RFC 9112, 6.3).
+constexpr long kNoContent = 204;
+constexpr long kNotModified = 304;
 /// Largest `Content-Length` that libcurl can represent, in bytes.
 constexpr std::uint64_t kMaxBodyLength = std::numeric_limits<curl_off_t>::max();
 
@@ -336,6 +339,10 @@
     return false;
   }
   headReported_ = true;
+  bodyFramed_ = call_.method_ == "HEAD" || status == kNoContent ||
+                status == kNotModified ||
+                FindHeader(response_.headers_, "Content-Length") ||
+                FindHeader(response_.headers_, "Transfer-Encoding");
   response_.status_ = static_cast<int>(status);
   if (call_.onHead_ && !call_.onHead_(response_.status_, response_.headers_)) {
     cancelled_ = true;
@@ -393,7 +400,9 @@
   result.localPort_ = static_cast<std::uint16_t>(port);
   result.opened_ = opened > 0;
   result.resent_ = resent_;
+  result.headBytes_ = headBytes_;
   result.headReceived_ = headReported_;
+  result.bodyFramed_ = bodyFramed_;
   result.bodyBytes_ = bodyBytes_;
   result.response_ = std::move(response_);
   return result;
--- a/src/runtime/curl_transfer.hpp
+++ b/src/runtime/curl_transfer.hpp
@@ -85,6 +85,8 @@
   /// A head has begun and not ended; there may be several before the final one.
   bool inHead_ = false;
   bool headReported_ = false;
+  /// The head tells where the body ends.
+  bool bodyFramed_ = false;
   bool resent_ = false;
   bool cancelled_ = false;
 };
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -62,6 +62,7 @@
     HttpResult result{ HttpEnd::Complete, std::move(aResponse), {} };
     result.resent_ = aResent;
     result.headReceived_ = true;
+    result.bodyFramed_ = true;
     aCall.done_(std::move(result));
   }
 
