Jobs: a text whose weights are not told is no sample

A sample names the versions that made it, and the protocol promises the field in responses.

Such an answer is rejected and the item goes on elsewhere.

--- a/src/programs/gatewayd/job_runner_runs.cpp
+++ b/src/programs/gatewayd/job_runner_runs.cpp
@@ -152,6 +152,9 @@
   }
   const auto version = ParseNumber(
     FindHeader(aHeaders, names.versions_).value_or(""), 0, UINT64_MAX);
+  if (aStatus == 200 && !version && run.fault_.empty()) {
+    run.fault_ = "the answer does not tell which weights made it";
+  }
   run.version_ = WeightVersion{ version.value_or(0) };
   return run.fault_.empty();
 }
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -131,6 +131,19 @@
   REQUIRE(fix.Call().call_.url_ == "http://e1:1/i/0");
 }
 
+TEST_CASE("a stream that does not tell its weights is rejected")
+{
+  const std::string version = GENERATE("", "x", "-1");
+  JobFixture fix;
+  fix.Accept(1);
+  const SentCall call = fix.Call();
+  HttpResponse answer = fix.Stream(call, Event(1, "x"));
+  answer.headers_.back().value_ = version;
+  fix.client_.Answer(call, answer);
+  REQUIRE(fix.runner_.Find(kJob)->Text(0).lastEvent_ == 0);
+  REQUIRE(fix.Call().call_.url_ == "http://e1:1/i/0");
+}
+
 TEST_CASE("a text of outdated weights is generated again")
 {
   JobFixture fix;
