--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -425,7 +425,7 @@
 {
   GatewayFakes fakes;
   fakes.settings_.fencing_ = true;
-  fakes.store_.Put("op/config", kConfig);
+  fakes.store_.Put("op/config", kOrderConfig);
   const auto put = [&](const std::string& aId, const std::string& aSlots) {
     fakes.store_.Put("servers/" + aId,
                      R"({"service":"lm","address":")" + aId +
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -251,7 +251,7 @@
 Item(const std::string& aKey, int aRevision)
 {
   return R"({"key":")" + aKey + R"(","value":"YQ==","revision":)" +
-         std::to_string(aRevision) + R"(,"created_at":2})";
+         std::to_string(aRevision) + R"(,"created_at":2,"lease":0})";
 }
 
 } // namespace
