Tests: a job without a minimum shows a text whose weights are not told

The fixture's jobs have a minimum, which refused version 0 before as well. The head of the answer without an end names its weights, as every one of an upstream does.

--- a/tests/job_fixture.hpp
+++ b/tests/job_fixture.hpp
@@ -83,17 +83,16 @@
   }
 
   /// Accepts a job in the store and starts it.
-  void Accept(int aItems)
+  void Accept(int aItems) { Accept(MakeSpec(aItems)); }
+  void Accept(JobSpec aSpec)
   {
-    jobs_.Accept(kJob,
-                 submission_,
-                 static_cast<std::uint64_t>(aItems),
-                 [this](AcceptResult aResult) {
-                   REQUIRE(aResult.outcome_ == AcceptOutcome::Accepted);
-                   fence_ = aResult.fence_;
-                 });
+    jobs_.Accept(
+      kJob, submission_, aSpec.items_.size(), [this](AcceptResult aResult) {
+        REQUIRE(aResult.outcome_ == AcceptOutcome::Accepted);
+        fence_ = aResult.fence_;
+      });
     timers_.Advance(10ms);
-    runner_.Add(kJob, fence_, submission_, MakeSpec(aItems), {}, {}, {});
+    runner_.Add(kJob, fence_, submission_, std::move(aSpec), {}, {}, {});
   }
 
   /// Applies a configuration that allows one weight version per text.
--- a/tests/test_job_runner.cpp
+++ b/tests/test_job_runner.cpp
@@ -135,7 +135,9 @@
 {
   const std::string version = GENERATE("", "x", "-1");
   JobFixture fix;
-  fix.Accept(1);
+  JobSpec spec = JobFixture::MakeSpec(1);
+  spec.minVersion_ = {};
+  fix.Accept(std::move(spec));
   const SentCall call = fix.Call();
   HttpResponse answer = fix.Stream(call, Event(1, "x"));
   answer.headers_.back().value_ = version;
@@ -262,7 +264,8 @@
   JobFixture fix;
   fix.Accept(1);
   const SentCall call = fix.Call();
-  const HttpResponse head = fix.Answer(call, status, "");
+  HttpResponse head = fix.Answer(call, status, "");
+  head.headers_.push_back({ fix.platform_->Names().versions_, "5" });
   REQUIRE(call.call_.onHead_(head.status_, head.headers_));
   const std::string bytes(1U << 16U, 'x');
   int pieces = 0;
