--- a/tests/test_first_reads.cpp
+++ b/tests/test_first_reads.cpp
@@ -16,7 +16,8 @@
 PageOf(std::size_t aBytes)
 {
   return R"({"items":[{"key":"c","value":")" + std::string(aBytes, 'A') +
-         R"(","revision":3,"created_at":2}],"has_more":false,"as_of":3})";
+         R"(","revision":3,"created_at":2,"lease":0}],)"
+         R"("has_more":false,"as_of":3})";
 }
 
 /// How a link divides its bandwidth among the answers that are due.
@@ -48,7 +49,8 @@
     const bool read = aCall.url_.find("prefix=c&") != std::string::npos;
     (read ? reads_ : probes_) += 1;
     Transfer& transfer = calls_[++last_];
-    transfer.answer_ = read ? page_ : R"({"items":[],"as_of":3})";
+    transfer.answer_ =
+      read ? page_ : R"({"items":[],"has_more":false,"as_of":3})";
     transfer.call_ = std::move(aCall);
     transfer.done_ = std::move(aDone);
     transfer.lost_ = cut_;
@@ -211,7 +213,7 @@
     Read();
     timers_.Advance(3s);
     REQUIRE(client_.open_.size() == 2);
-    AnswerNewest(200, R"({"items":[],"as_of":3})");
+    AnswerNewest(200, R"({"items":[],"has_more":false,"as_of":3})");
     REQUIRE(client_.open_.size() == 2);
     REQUIRE(client_.open_[1].call_.url_ == client_.open_[0].call_.url_);
   }
@@ -277,7 +279,7 @@
   fix.timers_.Advance(3s);
   REQUIRE(fix.client_.open_.size() == 2);
   CHECK(fix.client_.open_[1].call_.newConnection_);
-  fix.AnswerNewest(200, R"({"items":[],"as_of":3})");
+  fix.AnswerNewest(200, R"({"items":[],"has_more":false,"as_of":3})");
   REQUIRE(fix.client_.open_.size() == 2);
   CHECK(fix.client_.open_[1].call_.newConnection_);
 }
