Caller limits: a part that decides what callers may hold, without sockets or clock

Callers that send large bodies and stay, or connect and stay, take all memory and descriptors of a process, because nothing is bounded across connections. This part decides: which connections are admitted, what of a body is kept, who gives way when a share is used up, and what ends by its time. Nothing uses it yet.

Weighed: refusing whoever comes when a share is full (a crowd that stays would keep it for ever), the oldest first (a large body over a slow link always loses), charging what a head announces (a crowd takes all without a byte).

--- a/include/marjoramtally/process.hpp
+++ b/include/marjoramtally/process.hpp
@@ -4,6 +4,7 @@
 
 #include "marjoramtally/process/admission.hpp"
 #include "marjoramtally/process/allocation.hpp"
+#include "marjoramtally/process/caller_limits.hpp"
 #include "marjoramtally/process/claim_record.hpp"
 #include "marjoramtally/process/claims.hpp"
 #include "marjoramtally/process/concurrency_limit.hpp"
