HTTP server: what callers send is bounded across all connections of a process

What callers saw: a crowd of large bodies ended the process, and everybody's request with it; a crowd of connections took its descriptors.

Cause: the HTTP library collects each body (with 16 bytes of its own a chunk) before a callback of ours runs; up to eight times the limit is collected to answer 413; the body is copied from the library's request; nothing is bounded across connections; and no process knows the memory and descriptors of its machine.

Change: CallerSocket, below the library, splits the bytes into requests and collects them in one buffer each, as CallerLimits allows for all listeners of the process together; the library gets a short head in place of each request. One timer a process replaces one a connection and second.

Why it works: nothing of a body is kept before it has been charged to a share that is smaller than the machine, and a chunk leaves nothing but its bytes.

--- a/include/marjoramtally/fwd.hpp
+++ b/include/marjoramtally/fwd.hpp
@@ -31,6 +31,7 @@
 
 // process
 class Admission;
+class CallerLimits;
 class ClaimTable;
 class JobTakeover;
 class LeaseKeeper;
@@ -47,10 +48,12 @@
 struct UpstreamView;
 
 // runtime
+class CallerRegistry;
 class HttpClient;
 class HttpServer;
 class IoPool;
 class LoopTimers;
+class Metrics;
 class Platform;
 class Store;
 
--- a/include/marjoramtally/runtime.hpp
+++ b/include/marjoramtally/runtime.hpp
@@ -2,6 +2,7 @@
 /// metrics and stores.
 #pragma once
 
+#include "marjoramtally/runtime/caller_registry.hpp"
 #include "marjoramtally/runtime/embedded_store.hpp"
 #include "marjoramtally/runtime/etcd_store.hpp"
 #include "marjoramtally/runtime/http_client.hpp"
--- a/include/marjoramtally/runtime/http_server.hpp
+++ b/include/marjoramtally/runtime/http_server.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marjoramtally/base/result.hpp"
+#include "marjoramtally/runtime/caller_registry.hpp"
 #include "marjoramtally/runtime/http_types.hpp"
 #include "marjoramtally/runtime/io_pool.hpp"
 
@@ -40,8 +41,17 @@
 using HttpReplyPtr = std::shared_ptr<HttpReply>;
 using HttpHandler = std::function<void(HttpRequest, HttpReplyPtr)>;
 
-/// Options of a server.
-struct HttpServerOptions
+/// Limits of a request. One that exceeds them is refused and not handled.
+struct HttpLimits
+{
+  /// Of the request line and the header fields, and of the trailers; 431.
+  std::uint64_t maxHeadBytes_ = 64U << 10U;
+  /// 413.
+  std::uint64_t maxBodyBytes_ = 1U << 20U;
+};
+
+/// Options of a server. Its limits can be changed later.
+struct HttpServerOptions : HttpLimits
 {
   std::string address_ = "127.0.0.1";
   /// 0 lets the kernel choose a port.
@@ -50,8 +60,9 @@
   std::uint32_t threads_ = 2;
   /// Loops to serve on; stopped when the server is destroyed.
   std::shared_ptr<IoPool> pool_;
-  /// Largest accepted request body, in bytes; larger ones get 413.
-  std::uint64_t maxBodyBytes_ = 1U << 20U;
+  /// Connections of the process, which share its memory and descriptors; if
+  /// not set, those of this server alone.
+  std::shared_ptr<CallerRegistry> callers_;
 };
 
 /// Serves until destroyed.
@@ -66,6 +77,8 @@
 
   virtual ~HttpServer() = default;
   [[nodiscard]] virtual std::uint16_t Port() const noexcept = 0;
+  /// Changes the limits, for requests whose head is not yet complete.
+  virtual void SetLimits(const HttpLimits& aLimits) = 0;
   /// Stops accepting connections; open ones are served with
   /// `Connection: close`.
   virtual void StopAccepting() = 0;
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -23,6 +23,8 @@
 /// Requests for metrics have no body.
 constexpr std::uint64_t kMetricsBodyBytes = 1024;
 
+constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+
 /// RPC node whose handlers and completions run on the loop.
 class LoopPeers final : public PeerCalls
 {
@@ -122,6 +124,10 @@
   , platform_(std::move(aPlatform))
 {
   pool_ = IoPool::Create(1);
+  callers_ = CallerRegistry::Create(
+    pool_,
+    { settings_.memoryMb_ * kBytesPerMegabyte, settings_.descriptors_ },
+    &metrics_);
   timers_ = LoopTimers::Create(*pool_, 0);
   client_ = HttpClient::Create(pool_);
   store_ =
@@ -232,6 +238,7 @@
   options.address_ = aAddress.address_;
   options.port_ = aAddress.port_;
   options.pool_ = pool_;
+  options.callers_ = callers_;
   options.maxBodyBytes_ = aMaxBodyBytes;
   return HttpServer::Start(std::move(options), std::move(aHandler));
 }
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -66,6 +66,7 @@
   WallClock wallClock_;
   Metrics metrics_;
   std::shared_ptr<IoPool> pool_;
+  std::shared_ptr<CallerRegistry> callers_;
   std::unique_ptr<LoopTimers> timers_;
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<Platform> platform_;
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint64_t kSecond = 1'000'000;
 /// In thousandths of a core.
 constexpr std::uint64_t kMaxCapacity = 1'000'000;
+constexpr std::uint64_t kMaxMemoryMb = 1'000'000'000;
+constexpr std::uint64_t kMaxDescriptors = 1'000'000'000;
 
 using Settings = GatewaySettings;
 constexpr auto kFields = std::to_array<FieldSpec<Settings>>({
@@ -38,6 +40,8 @@
   { "grace", &Settings::grace_, false, 100 * kMillisecond, 600 * kSecond },
   { "processor-share", &Settings::processorShare_, false, 0, kMaxCapacity },
   { "processor-speed", &Settings::processorSpeed_, false, 1, kMaxCapacity },
+  { "memory-mb", &Settings::memoryMb_, false, 0, kMaxMemoryMb },
+  { "descriptors", &Settings::descriptors_, false, 0, kMaxDescriptors },
   { "load-control", &Settings::loadControl_ },
   { "platform-features", &Settings::platformFeatures_ },
   { "status-time", &Settings::statusTime_, false, kSecond, 86'400 * kSecond },
--- a/src/daemon/gateway_settings.hpp
+++ b/src/daemon/gateway_settings.hpp
@@ -27,6 +27,11 @@
   /// and relay changes for the others.
   Capacity processorShare_{ 0 };
   Capacity processorSpeed_{ 1000 };
+  /// Memory that this process may use, in millions of bytes, and file
+  /// descriptors that it may have open; 0: those of the system. Callers get
+  /// shares of both.
+  std::uint64_t memoryMb_ = 0;
+  std::uint64_t descriptors_ = 0;
   /// Address of the platform's store, as IP:PORT.
   std::string store_;
   /// Port for RPC from peers, such as requests for the store's changes; 0
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -16,6 +16,7 @@
 /// Maximum wait for the store to remove the record at shutdown.
 constexpr auto kLeaveLimit = std::chrono::seconds(1);
 
+constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
 /// Shorter keys are too easy to guess.
 constexpr std::size_t kMinPeerKeyBytes = 32;
 
@@ -53,6 +54,10 @@
   , role_(std::move(aRole))
   , traces_(settings_.traceFile_, aProgram + "/" + settings_.instance_)
   , loops_(IoPool::Create(static_cast<std::uint32_t>(settings_.threads_)))
+  , callers_(CallerRegistry::Create(
+      loops_,
+      { settings_.memoryMb_ * kBytesPerMegabyte, settings_.descriptors_ },
+      &metrics_))
   , client_(HttpClient::Create(loops_))
   , storeClient_(HttpClient::Create(kStoreThreads))
   , openedStore_(OpenStore(settings_.store_,
@@ -77,6 +82,7 @@
                                             *cluster_))
   , configHttp_(*config_, *cluster_, *store_, timers_)
 {
+  callers_->SetTimeouts({ settings_.headerTimeout_, settings_.idleTimeout_ });
   ConnectListeners();
 }
 
@@ -150,6 +156,8 @@
   options.port_ = static_cast<std::uint16_t>(settings_.httpPort_);
   options.pool_ = loops_;
   options.maxBodyBytes_ = settings_.maxBodyBytes_;
+  options.maxHeadBytes_ = settings_.maxHeadBytes_;
+  options.callers_ = callers_;
   auto server = HttpServer::Start(
     options, [this](HttpRequest aRequest, const HttpReplyPtr& aReply) {
       Handle(std::move(aRequest), aReply);
--- a/src/daemon/host.hpp
+++ b/src/daemon/host.hpp
@@ -56,6 +56,7 @@
   std::atomic<bool> draining_{ false };
   /// Event loops that receive, forward and answer requests.
   std::shared_ptr<IoPool> loops_;
+  std::shared_ptr<CallerRegistry> callers_;
   std::unique_ptr<HttpClient> client_;
   /// Store calls use a separate event loop, so that requests do not wait
   /// while store replies are parsed.
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -36,6 +36,18 @@
   /// Retention period of idempotency keys.
   Duration claimWindow_ = std::chrono::hours(24);
   std::uint64_t maxBodyBytes_ = 1U << 20U;
+  /// Of the request line and the header fields.
+  std::uint64_t maxHeadBytes_ = 64U << 10U;
+  /// How long a caller may take for a request's head.
+  Duration headerTimeout_ = std::chrono::seconds(30);
+  /// How long a caller's connection may be idle, also amid a body or a
+  /// response.
+  Duration idleTimeout_ = std::chrono::minutes(10);
+  /// Memory that this process may use, in millions of bytes, and file
+  /// descriptors that it may have open; 0: those of the system. Callers get
+  /// shares of both.
+  std::uint64_t memoryMb_ = 0;
+  std::uint64_t descriptors_ = 0;
   std::uint64_t threads_ = 2;
   /// File with the keys shared by all instances, one per line; the first key
   /// signs. Empty: calls between instances are not authenticated.
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,13 +1,13 @@
 #include "marjoramtally/runtime/http_server.hpp"
 
 #include "marjoramtally/base/units.hpp"
+#include "runtime/caller_socket.hpp"
 #include "runtime/io_loop.hpp"
 
 #include <restinio/all.hpp>
 
 #include <future>
 #include <limits>
-#include <map>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,111 +18,50 @@
 
 using Tcp = restinio::asio_ns::ip::tcp;
 
-/// A connection's socket, which replies find by the caller's address. The HTTP
-/// library reads nothing while a request is in progress and so does not notice
-/// a caller that disconnects; a reply monitors the socket for that.
-class CallerSocket : public Tcp::socket
+/// Asks for a place for each connection that the library has accepted.
+class AdmissionInspector
 {
 public:
-  using Tcp::socket::socket;
-  CallerSocket(CallerSocket&& aOther) noexcept
-    : Tcp::socket(std::move(aOther))
-  {
-  }
-  CallerSocket& operator=(CallerSocket&&) = delete;
-  CallerSocket(const CallerSocket&) = delete;
-  CallerSocket& operator=(const CallerSocket&) = delete;
-  ~CallerSocket()
-  {
-    // The caller may have reused its port for a newer connection, whose entry
-    // must not be removed when this one, kept open by an old reply, ends.
-    const auto it = OpenSockets().find(remote_);
-    if (registered_ && it != OpenSockets().end() && it->second == this) {
-      OpenSockets().erase(it);
-    }
-  }
-
-  /// Registers the socket at the library's first read; from then on it is not
-  /// moved.
-  template<typename... Args>
-  auto async_read_some(Args&&... aArgs)
-  {
-    if (!registered_) {
-      asio::error_code failure;
-      remote_ = remote_endpoint(failure);
-      registered_ = !failure;
-      if (registered_) {
-        static thread_local std::uint64_t last = 0;
-        number_ = ++last;
-        OpenSockets()[remote_] = this;
-      }
-    }
-    return Tcp::socket::async_read_some(std::forward<Args>(aArgs)...);
-  }
-
-  /// @returns the number of the caller's current connection; 0 if it has none
-  static std::uint64_t NumberOf(const Tcp::endpoint& aCaller)
+  explicit AdmissionInspector(std::shared_ptr<ListenerState> aState)
+    : state_(std::move(aState))
   {
-    const auto it = OpenSockets().find(aCaller);
-    return it == OpenSockets().end() ? 0 : it->second->number_;
   }
 
-  /// @returns the caller's connection with that number, or nullptr if it is
-  /// closed
-  static CallerSocket* Find(const Tcp::endpoint& aCaller, std::uint64_t aNumber)
+  [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(
+    const restinio::ip_blocker::incoming_info_t& /*aInfo*/) const noexcept
   {
-    const auto it = OpenSockets().find(aCaller);
-    const bool same =
-      it != OpenSockets().end() && it->second->number_ == aNumber;
-    return same ? it->second : nullptr;
+    return CallerSocket::Admit(state_)
+             ? restinio::ip_blocker::inspection_result_t::allow
+             : restinio::ip_blocker::inspection_result_t::deny;
   }
 
 private:
-  /// Sockets of the current thread's loop; only that thread uses them.
-  static std::map<Tcp::endpoint, CallerSocket*>& OpenSockets()
-  {
-    static thread_local std::map<Tcp::endpoint, CallerSocket*> sockets;
-    return sockets;
-  }
-
-  Tcp::endpoint remote_;
-  /// Distinguishes connections from the same address and port, as callers reuse
-  /// their ports.
-  std::uint64_t number_ = 0;
-  bool registered_ = false;
+  std::shared_ptr<ListenerState> state_;
 };
 
 /// Each connection is used only on the one thread of its loop, so no strand is
-/// needed.
-using Traits =
-  restinio::traits_t<restinio::asio_timer_manager_t,
-                     restinio::null_logger_t,
-                     restinio::details::autodetect_request_handler_type,
-                     restinio::noop_strand_t,
-                     CallerSocket>;
+/// needed. `CallerRegistry` limits the times of all connections with one timer.
+struct Traits
+  : restinio::traits_t<restinio::null_timer_manager_t,
+                       restinio::null_logger_t,
+                       restinio::details::autodetect_request_handler_type,
+                       restinio::noop_strand_t,
+                       CallerSocket>
+{
+  using ip_blocker_t = AdmissionInspector;
+};
 using Server = restinio::http_server_t<Traits>;
 using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 using HeadBuilder =
   restinio::response_builder_t<restinio::user_controlled_output_t>;
 
-/// Bodies up to this multiple of the limit are read in order to answer 413;
-/// larger ones close the connection.
-constexpr std::uint64_t kBodyReadFactor = 8;
-/// Longer than any generation; the actual deadlines are enforced elsewhere.
-constexpr auto kHandleTimeout = std::chrono::hours(24);
-/// How long an idle connection is kept open.
-constexpr auto kIdleTimeout = std::chrono::minutes(10);
-/// A caller that reads nothing for this long is disconnected.
-constexpr auto kWriteTimeout = std::chrono::minutes(1);
 constexpr std::size_t kReadBufferBytes = 16U * 1024U;
 /// How often a caller that has sent part of its next request is looked at.
 constexpr auto kCallerCheckInterval = std::chrono::milliseconds(100);
 
-/// State shared by a server and its replies.
-struct ServerState
+/// State shared by a server, its connections and its replies.
+struct ServerState : ListenerState
 {
-  /// Outlives all connections.
-  std::shared_ptr<IoPool> pool_;
   std::atomic<std::uint64_t> inFlight_{ 0 };
   std::atomic<bool> closing_{ false };
 };
@@ -141,12 +80,14 @@
 {
 public:
   Reply(restinio::request_handle_t aRequest,
-        std::shared_ptr<ServerState> aState)
+        std::shared_ptr<ServerState> aState,
+        CallerId aCaller,
+        bool aHeadOnly)
     : state_(std::move(aState))
     , request_(std::move(aRequest))
     , loop_(state_->pool_->Pick())
-    , connection_(CallerSocket::NumberOf(request_->remote_endpoint()))
-    , headOnly_(request_->header().method() == restinio::http_method_head())
+    , caller_(aCaller)
+    , headOnly_(aHeadOnly)
   {
     ++state_->inFlight_;
   }
@@ -161,6 +102,7 @@
     }
     auto builder = request_->create_response(StatusLine(aResponse.status_));
     AddHeaders(builder, aResponse.headers_);
+    state_->callers_->OnResponse(caller_, aResponse.body_.size());
     builder.set_body(std::move(aResponse.body_));
     replied_ = true;
     builder.done(FinishWhenWritten());
@@ -187,12 +129,17 @@
       }
       return;
     }
+    const std::size_t bytes = aData.size();
+    state_->callers_->OnResponse(caller_, bytes);
     stream_->append_chunk(std::move(aData));
-    stream_->flush([written = std::move(aWritten)](const auto& aError) {
-      if (written) {
-        written(!aError);
-      }
-    });
+    stream_->flush(
+      [state = state_, caller = caller_, bytes, written = std::move(aWritten)](
+        const auto& aError) {
+        state->callers_->OnWritten(caller, bytes);
+        if (written) {
+          written(!aError);
+        }
+      });
   }
 
   void End() override
@@ -264,8 +211,7 @@
 
   void AbortNow()
   {
-    CallerSocket* socket =
-      CallerSocket::Find(request_->remote_endpoint(), connection_);
+    CallerSocket* socket = CallerSocket::Find(caller_);
     if (replied_) {
       return;
     }
@@ -287,8 +233,7 @@
 
   void WatchCaller(const std::function<void()>& aGone)
   {
-    CallerSocket* socket =
-      CallerSocket::Find(request_->remote_endpoint(), connection_);
+    CallerSocket* socket = CallerSocket::Find(caller_);
     if (socket == nullptr) {
       return;
     }
@@ -353,6 +298,7 @@
   void Finish()
   {
     if (!finished_.exchange(true)) {
+      state_->callers_->OnAnswered(caller_);
       --state_->inFlight_;
     }
   }
@@ -361,7 +307,7 @@
   restinio::request_handle_t request_;
   /// Index of the connection's loop.
   std::size_t loop_;
-  std::uint64_t connection_;
+  CallerId caller_;
   bool headOnly_;
   bool closes_ = false;
   std::unique_ptr<StreamBuilder> stream_;
@@ -371,41 +317,6 @@
   std::atomic<bool> finished_{ false };
 };
 
-HttpRequest
-ConvertRequest(const restinio::request_handle_t& aRequest)
-{
-  HttpRequest request;
-  const auto& header = aRequest->header();
-  request.method_ = header.method().c_str();
-  const auto path = header.path();
-  const auto query = header.query();
-  request.path_.assign(path.data(), path.size());
-  request.query_.assign(query.data(), query.size());
-  header.for_each_field([&](const auto& aField) {
-    request.headers_.push_back({ aField.name(), aField.value() });
-  });
-  request.body_ = aRequest->body();
-  return request;
-}
-
-/// The library accepts a field whose name ends with a space, which others read
-/// as the field of that name (RFC 9112, 5.1), and control characters.
-std::string
-FindUnsafePart(const HttpRequest& aRequest)
-{
-  if (!IsSafeInRequestLine(aRequest.path_) ||
-      !IsSafeInRequestLine(aRequest.query_)) {
-    return "the request line contains a control character";
-  }
-  for (const HttpHeader& header : aRequest.headers_) {
-    if (!IsSafeHeader(header.name_, header.value_)) {
-      return "the header '" + header.name_ + "' contains a control character " +
-             "or its name a space";
-    }
-  }
-  return {};
-}
-
 class RestinioServer final : public HttpServer
 {
 public:
@@ -415,6 +326,11 @@
   {
     state_->pool_ =
       options_.pool_ ? options_.pool_ : IoPool::Create(options_.threads_);
+    state_->callers_ =
+      options_.callers_
+        ? options_.callers_
+        : CallerRegistry::Create(state_->pool_, MachineLimits{}, nullptr);
+    SetLimits(options_);
   }
 
   ~RestinioServer() override
@@ -448,6 +364,12 @@
 
   [[nodiscard]] std::uint16_t Port() const noexcept override { return port_; }
 
+  void SetLimits(const HttpLimits& aLimits) override
+  {
+    state_->limits_.maxHeadBytes_ = aLimits.maxHeadBytes_;
+    state_->limits_.maxBodyBytes_ = aLimits.maxBodyBytes_;
+  }
+
   void StopAccepting() override
   {
     state_->closing_ = true;
@@ -504,15 +426,10 @@
   template<typename Settings>
   void Configure(Settings& aSettings)
   {
-    const auto bodyLimit = options_.maxBodyBytes_ * kBodyReadFactor;
     aSettings.address(options_.address_)
       .port(listener_ < 0 ? options_.port_ : std::uint16_t{ 0 })
       .buffer_size(kReadBufferBytes)
-      .handle_request_timeout(kHandleTimeout)
-      .read_next_http_message_timelimit(kIdleTimeout)
-      .write_http_response_timelimit(kWriteTimeout)
-      .incoming_http_msg_limits(
-        restinio::incoming_http_msg_limits_t{}.max_body_size(bodyLimit))
+      .ip_blocker(std::make_shared<AdmissionInspector>(state_))
       .acceptor_post_bind_hook(
         [this](auto& aAcceptor) { ShareListener(aAcceptor); })
       .socket_options_setter([](auto& aOptions) {
@@ -528,10 +445,15 @@
   restinio::request_handling_status_t Handle(
     const restinio::request_handle_t& aRequest)
   {
-    auto reply = std::make_shared<Reply>(aRequest, state_);
-    reply->Post([this, aRequest, reply] {
+    auto received =
+      std::make_shared<ReceivedRequest>(CallerSocket::TakeReported());
+    auto reply = std::make_shared<Reply>(aRequest,
+                                         state_,
+                                         received->caller_,
+                                         received->request_.method_ == "HEAD");
+    reply->Post([this, received, reply] {
       try {
-        HandleNow(aRequest, reply);
+        HandleNow(std::move(*received), reply);
       } catch (const std::exception&) {
         reply->Abort();
       }
@@ -539,26 +461,17 @@
     return restinio::request_accepted();
   }
 
-  void HandleNow(const restinio::request_handle_t& aRequest,
+  void HandleNow(ReceivedRequest aReceived,
                  const std::shared_ptr<Reply>& aReply)
   {
-    if (aRequest->body().size() > options_.maxBodyBytes_) {
-      aReply->Send(ErrorResponse(413,
-                                 "body_too_large",
-                                 "the body has more than " +
-                                   std::to_string(options_.maxBodyBytes_) +
-                                   " bytes; nothing was run"));
-      return;
-    }
-    HttpRequest request = ConvertRequest(aRequest);
-    const std::string unsafe = FindUnsafePart(request);
-    if (!unsafe.empty()) {
+    if (aReceived.closes_) {
       aReply->CloseAfterwards();
-      aReply->Send(
-        ErrorResponse(400, "bad_input", unsafe + "; nothing was run"));
-      return;
     }
-    handler_(std::move(request), aReply);
+    if (aReceived.refusal_) {
+      aReply->Send(std::move(*aReceived.refusal_));
+    } else {
+      handler_(std::move(aReceived.request_), aReply);
+    }
   }
 
   HttpServerOptions options_;
--- a/tests/processes/crowd_site.cpp
+++ b/tests/processes/crowd_site.cpp
@@ -32,6 +32,16 @@
            : static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
 }
 
+/// @returns the settings that tell a daemon what its machine has
+std::string
+MachineSettings()
+{
+  constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+  return "memory-mb = " +
+         std::to_string(kMachineMemoryBytes / kBytesPerMegabyte) +
+         "\ndescriptors = " + std::to_string(kMachineDescriptors) + "\n";
+}
+
 std::string
 PlainPath(const std::string& aPath)
 {
@@ -72,7 +82,8 @@
       std::to_string(storeServer_->Port()) +
       "\nfront = 127.0.0.1:" + std::to_string(frontPort_) +
       "\nready = 127.0.0.1:" + std::to_string(readyPort_) +
-      "\nmetrics-port = " + std::to_string(metricsPort_) + "\n");
+      "\nmetrics-port = " + std::to_string(metricsPort_) + "\n" +
+      MachineSettings());
   const bool served = IsServedInTime(frontPort_, OrdinaryRequest());
   INFO(daemon_->LogEnd());
   REQUIRE(served);
@@ -159,7 +170,8 @@
     "[daemon]\ninstance = entry\nzone = z\nstore = file:" +
       (folder_ / "store").string() +
       "\nrefresh = 200ms\nport-file = " + portFile.string() +
-      "\nmax-body-bytes = " + std::to_string(aMaxBodyBytes) + "\n");
+      "\nmax-body-bytes = " + std::to_string(aMaxBodyBytes) + "\n" +
+      MachineSettings());
   const bool started = HoldsInTime([&] {
     port_ = ReadPort(portFile);
     return port_ != 0;
--- a/tests/test_customers.cpp
+++ b/tests/test_customers.cpp
@@ -141,6 +141,7 @@
   struct Server final : HttpServer
   {
     [[nodiscard]] std::uint16_t Port() const noexcept override { return 1; }
+    void SetLimits(const HttpLimits& /*aLimits*/) override {}
     void StopAccepting() override {}
     [[nodiscard]] std::uint64_t InFlight() const noexcept override { return 0; }
   };
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -22,6 +22,7 @@
 {
 public:
   [[nodiscard]] std::uint16_t Port() const noexcept override { return 1; }
+  void SetLimits(const HttpLimits& /*aLimits*/) override {}
   void StopAccepting() override {}
   [[nodiscard]] std::uint64_t InFlight() const noexcept override { return 0; }
 };
