Gateway: the limits that the configuration sets for callers are in force

What callers saw: bodies of up to 32 MiB and heads of any size were taken whatever the operators had set, and a connection could be idle, or stay within a head, for ten minutes.

Cause: the configuration's max_body_bytes was read and never used, the three others were not read; the server's limit was a constant from its start.

Change: the four limits are read (CallerBounds), and each configuration that is applied sets them: sizes at the listener for callers, times at all listeners of the process. A value that is not stated keeps the default. A body that has begun keeps the limit that was in force when its head was complete, so that a lower one cuts nobody.

--- a/include/marjoramtally/process/route_table.hpp
+++ b/include/marjoramtally/process/route_table.hpp
@@ -90,13 +90,23 @@
   std::optional<UpstreamSupply> supply_;
 };
 
+/// What a caller may send, and how long it may take or stay idle. A value of 0
+/// is not set.
+struct CallerBounds
+{
+  std::uint64_t maxHeadBytes_ = 0;
+  std::uint64_t maxBodyBytes_ = 0;
+  Duration headerTimeout_{ 0 };
+  Duration idleTimeout_{ 0 };
+};
+
 /// The part of the operators' configuration that concerns requests.
 struct RoutingConfig
 {
   ConfigRevision revision_;
   std::vector<Route> routes_;
   std::map<ServiceId, ServiceSpec> services_;
-  std::uint64_t maxBodyBytes_ = 0;
+  CallerBounds callerBounds_;
   /// Empty if requests need no API key.
   std::optional<std::vector<Customer>> customers_;
 };
--- a/src/daemon/gateway_context.hpp
+++ b/src/daemon/gateway_context.hpp
@@ -44,6 +44,8 @@
     const ListenAddress& aAddress,
     std::uint64_t aMaxBodyBytes,
     HttpHandler aHandler) = 0;
+  /// Limits the times of callers at all listeners.
+  virtual void SetTimeouts(const CallerTimeouts& aTimeouts) = 0;
 };
 
 /// References to the process's settings, clocks and connections.
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -243,6 +243,12 @@
   return HttpServer::Start(std::move(options), std::move(aHandler));
 }
 
+void
+GatewayHost::SetTimeouts(const CallerTimeouts& aTimeouts)
+{
+  callers_->SetTimeouts(aTimeouts);
+}
+
 void
 GatewayHost::ServeMetrics()
 {
--- a/src/daemon/gateway_host.hpp
+++ b/src/daemon/gateway_host.hpp
@@ -41,6 +41,7 @@
     const ListenAddress& aAddress,
     std::uint64_t aMaxBodyBytes,
     HttpHandler aHandler) override;
+  void SetTimeouts(const CallerTimeouts& aTimeouts) override;
 
   /// Runs `aStart` on the loop, waits for a stop signal and runs `aStop` on the
   /// loop. Then waits until `aIdle` returns true or the grace period is nearly
--- a/src/programs/gatewayd/gateway.cpp
+++ b/src/programs/gatewayd/gateway.cpp
@@ -17,7 +17,8 @@
 /// Delay of watches that are not input to the relay plan; they open after the
 /// plan is known.
 constexpr auto kWatchDelay = std::chrono::milliseconds(700);
-/// Maximum body size of a request of a caller or trainer.
+/// Maximum body size of a request of a caller or trainer, unless the
+/// configuration states one.
 constexpr std::uint64_t kMaxBodyBytes = 32ULL << 20U;
 constexpr std::uint64_t kMaxReadyBodyBytes = 1024;
 /// Time for which the listeners stay open after `Stop`. The balancer polls the
@@ -228,6 +229,9 @@
   const std::uint64_t revision = config.value().revision_.Get();
   const std::size_t routes = config.value().routes_.size();
   const bool applied = routes_.Apply(std::move(config).value());
+  if (applied) {
+    ApplyCallerBounds(routes_.Config().callerBounds_);
+  }
   directory_.SetTrainers(ModelsOf(routes_.Config()));
   std::size_t keys = 0;
   for (const Customer& customer : routes_.Customers().All()) {
@@ -244,6 +248,26 @@
       { "outcome", applied ? "applied" : "older than the current revision" } });
 }
 
+void
+Gateway::ApplyCallerBounds(const CallerBounds& aBounds)
+{
+  HttpLimits limits;
+  limits.maxBodyBytes_ =
+    aBounds.maxBodyBytes_ > 0 ? aBounds.maxBodyBytes_ : kMaxBodyBytes;
+  if (aBounds.maxHeadBytes_ > 0) {
+    limits.maxHeadBytes_ = aBounds.maxHeadBytes_;
+  }
+  front_->SetLimits(limits);
+  CallerTimeouts timeouts;
+  if (aBounds.headerTimeout_ > Duration{ 0 }) {
+    timeouts.header_ = aBounds.headerTimeout_;
+  }
+  if (aBounds.idleTimeout_ > Duration{ 0 }) {
+    timeouts.idle_ = aBounds.idleTimeout_;
+  }
+  listeners_.SetTimeouts(timeouts);
+}
+
 void
 Gateway::FollowUpstreams()
 {
--- a/src/programs/gatewayd/gateway.hpp
+++ b/src/programs/gatewayd/gateway.hpp
@@ -32,6 +32,7 @@
   void FollowConfig();
   void FollowUpstreams();
   void ApplyConfig(const StoreRecord& aRecord);
+  void ApplyCallerBounds(const CallerBounds& aBounds);
   void ApplyUpstream(const StoreRecord& aRecord);
   void ApplyUpstreamList(const StoreRange& aRange);
   void OnRestarted(const UpstreamId& aId);
--- a/tests/test_customers.cpp
+++ b/tests/test_customers.cpp
@@ -155,6 +155,7 @@
       handlers_[aAddress.port_] = std::move(aHandler);
       return std::unique_ptr<HttpServer>(std::make_unique<Server>());
     }
+    void SetTimeouts(const CallerTimeouts& /*aTimeouts*/) override {}
     std::map<std::uint16_t, HttpHandler> handlers_;
   };
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -40,6 +40,7 @@
     return std::unique_ptr<HttpServer>(std::make_unique<FakeServer>());
   }
 
+  void SetTimeouts(const CallerTimeouts& /*aTimeouts*/) override {}
   std::map<std::uint16_t, HttpHandler> handlers_;
 };
 
--- a/tests/test_gateway_sockets.cpp
+++ b/tests/test_gateway_sockets.cpp
@@ -32,8 +32,13 @@
       ports_[aAddress.port_] = server.value()->Port();
       return server;
     }
+    void SetTimeouts(const CallerTimeouts& aTimeouts) override
+    {
+      timeouts_ = aTimeouts;
+    }
     std::shared_ptr<IoPool> pool_ = IoPool::Create(1);
     std::map<std::uint16_t, std::uint16_t> ports_;
+    CallerTimeouts timeouts_;
   };
 
   PoolListeners listeners_;
@@ -89,6 +94,28 @@
     done.get_future().get();
   }
 
+  /// Replaces the configuration by one with these limits.
+  void PutLimits(int aVersion, const std::string& aLimits)
+  {
+    OnLoop([this, aVersion, &aLimits] {
+      store_.Put(platform_->Places().config_,
+                 R"({"version":)" + std::to_string(aVersion) +
+                   R"(,"routes":[{"host":"h","prefix":"/x/",)"
+                   R"("kind":"idempotent","service":"s"}],)"
+                   R"("services":[{"name":"s"}],"limits":{)" +
+                   aLimits + "}}");
+      timers_.Advance(100ms);
+    });
+  }
+
+  /// @returns the status of the response to one request
+  [[nodiscard]] std::string StatusOf(const std::string& aRequest) const
+  {
+    CallerSocket caller = Connect();
+    caller.Send(aRequest);
+    return caller.ReadAll().substr(0, std::string("HTTP/1.1 200").size());
+  }
+
   [[nodiscard]] CallerSocket Connect() const
   {
     return CallerSocket(listeners_.ports_.at(1));
@@ -248,3 +275,64 @@
   CHECK((answer.find(" 200 ") == std::string::npos ||
          answer.find("0\r\n\r\n") == std::string::npos));
 }
+
+TEST_CASE("the sizes that the configuration allows are in force at once")
+{
+  const CuttingServer upstream(kAnswerHead + "Content-Length: 0\r\n\r\n",
+                               "Attempt-Id");
+  SocketGateway gateway(upstream.Address());
+  const std::string close = "Connection: close\r\n";
+  const std::string body =
+    Request("POST", "/x/1") + close + "Content-Length: 11\r\n\r\n12345678901";
+  const std::string chunks =
+    Request("POST", "/x/1") + close +
+    "Transfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n7\r\n5678901\r\n0\r\n\r\n";
+  const std::string head =
+    Request("GET", "/x/1") + close + "F: " + std::string(200, 'v') + "\r\n\r\n";
+  for (const std::string& request : { body, chunks, head }) {
+    CAPTURE(request);
+    CHECK(gateway.StatusOf(request) == "HTTP/1.1 200");
+  }
+  gateway.PutLimits(2, R"("max_body_bytes":10,"max_header_bytes":200)");
+  CHECK(gateway.StatusOf(body) == "HTTP/1.1 413");
+  CHECK(gateway.StatusOf(chunks) == "HTTP/1.1 413");
+  CHECK(gateway.StatusOf(head) == "HTTP/1.1 431");
+  gateway.PutLimits(3, R"("max_body_bytes":11,"max_header_bytes":1000)");
+  for (const std::string& request : { body, chunks, head }) {
+    CAPTURE(request);
+    CHECK(gateway.StatusOf(request) == "HTTP/1.1 200");
+  }
+  // A configuration that states none.
+  gateway.PutLimits(4, "");
+  CHECK(gateway.StatusOf(body) == "HTTP/1.1 200");
+}
+
+TEST_CASE("the times that the configuration allows are those of all listeners")
+{
+  SocketGateway gateway("127.0.0.1:9");
+  CHECK(gateway.listeners_.timeouts_ == CallerTimeouts{});
+  gateway.PutLimits(2, R"("header_timeout_ms":3000,"idle_timeout_ms":15000)");
+  CHECK(gateway.listeners_.timeouts_ == CallerTimeouts{ 3s, 15s });
+  gateway.PutLimits(3, R"("header_timeout_ms":4000)");
+  CHECK(gateway.listeners_.timeouts_ ==
+        CallerTimeouts{ 4s, CallerTimeouts{}.idle_ });
+  // An older one.
+  gateway.PutLimits(1, R"("header_timeout_ms":1000)");
+  CHECK(gateway.listeners_.timeouts_.header_ == 4s);
+}
+
+TEST_CASE("a body that has begun keeps the limit that was in force")
+{
+  const CuttingServer upstream(kAnswerHead + "Content-Length: 0\r\n\r\n",
+                               "Attempt-Id");
+  SocketGateway gateway(upstream.Address());
+  CallerSocket caller = gateway.Connect();
+  caller.Send(Request("POST", "/x/1") +
+              "Connection: close\r\nContent-Length: 20\r\n\r\n0123456789");
+  // A later request shows that the first part was read.
+  CHECK(gateway.StatusOf(Request("GET", "/x/2") +
+                         "Connection: close\r\n\r\n") == "HTTP/1.1 200");
+  gateway.PutLimits(2, R"("max_body_bytes":10)");
+  caller.Send("0123456789");
+  CHECK(caller.ReadAll().starts_with("HTTP/1.1 200"));
+}
