HTTP bodies: a request and its attempts share one copy of the body

What callers saw: a crowd of whole bodies of legal size, or two of 32 MiB at once, took more than the memory of a small machine.

Cause: the forwarder, the stream relay and the dispatcher each copied the body for the attempt that they sent, and the entry daemon's handlers copied it from the request.

Change: HttpCall, ForwardRequest and UpstreamMessage hold an HttpBody, whose copies share the bytes; the handlers move the body into it.

Five checks of older tests read the bytes through Get(); they check the same.

--- a/include/marjoramtally/runtime/http_client.hpp
+++ b/include/marjoramtally/runtime/http_client.hpp
@@ -35,7 +35,7 @@
   std::string method_ = "GET";
   std::string url_;
   HttpHeaders headers_;
-  std::string body_;
+  HttpBody body_;
   Duration timeout_ = std::chrono::seconds(30);
   /// The call times out if no byte of the response is received for this long;
   /// 0: only `timeout_` applies. It allows a long `timeout_` for large
--- a/include/marjoramtally/runtime/http_types.hpp
+++ b/include/marjoramtally/runtime/http_types.hpp
@@ -5,9 +5,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace marjoramtally {
@@ -40,6 +42,37 @@
 [[nodiscard]] bool
 IsSafeInRequestLine(std::string_view aText) noexcept;
 
+/// Bytes of a body that copies share, so that several holders of a large one,
+/// such as a request and its attempts, need its memory once.
+class HttpBody
+{
+public:
+  HttpBody() = default;
+  HttpBody(std::string aBytes)
+    : bytes_(std::make_shared<const std::string>(std::move(aBytes)))
+  {
+  }
+  HttpBody(const char* aBytes)
+    : HttpBody(std::string(aBytes))
+  {
+  }
+
+  [[nodiscard]] const std::string& Get() const noexcept
+  {
+    static const std::string empty;
+    return bytes_ ? *bytes_ : empty;
+  }
+  operator const std::string&() const noexcept { return Get(); }
+  friend bool operator==(const HttpBody& aLeft,
+                         std::string_view aRight) noexcept
+  {
+    return aLeft.Get() == aRight;
+  }
+
+private:
+  std::shared_ptr<const std::string> bytes_;
+};
+
 /// A complete request as received.
 struct HttpRequest
 {
--- a/src/programs/entryd/entry.cpp
+++ b/src/programs/entryd/entry.cpp
@@ -64,9 +64,9 @@
       { { "path", aRequest.path_ }, { "why", "no rules have been read yet" } });
     aReply->Send(MakeNoRulesResponse());
   } else if (aRequest.path_.starts_with(kServicePath)) {
-    ServeCall(aRequest, aReply);
+    ServeCall(std::move(aRequest), aReply);
   } else if (aRequest.path_ == kCompletionPath) {
-    ServeCompletion(aRequest, aReply);
+    ServeCompletion(std::move(aRequest), aReply);
   } else if (aRequest.path_.starts_with(kTrainerPath)) {
     trainers_.Serve(aRequest, TraceOf(aRequest), aReply);
   } else {
@@ -124,10 +124,11 @@
                   const HttpReplyPtr& aReply,
                   bool aStream)
 {
-  aSpec.fingerprint_ =
-    MakeFingerprint(
-      { aRequest.method_, aRequest.path_, aRequest.query_, aRequest.body_ })
-      .Get();
+  aSpec.fingerprint_ = MakeFingerprint({ aRequest.method_,
+                                         aRequest.path_,
+                                         aRequest.query_,
+                                         aMessage.body_.Get() })
+                         .Get();
   Span span = StartSpan(TraceOf(aRequest), "entry");
   span.attributes_["service"] = aSpec.service_.Get();
   auto live = std::make_shared<LiveRequest>(LiveRequest{ std::move(aSpec),
@@ -194,7 +195,7 @@
 }
 
 void
-Entry::ServeCall(const HttpRequest& aRequest, const HttpReplyPtr& aReply)
+Entry::ServeCall(HttpRequest aRequest, const HttpReplyPtr& aReply)
 {
   const std::string rest = aRequest.path_.substr(kServicePath.size());
   const std::size_t slash = rest.find('/');
@@ -214,7 +215,7 @@
     message.target_ += "?" + aRequest.query_;
   }
   message.headers_ = EndToEndHeaders(aRequest.headers_);
-  message.body_ = aRequest.body_;
+  message.body_ = std::move(aRequest.body_);
   SubmitLive(std::move(spec).value(),
              std::move(message),
              ClassifyPlainResponse,
@@ -224,7 +225,7 @@
 }
 
 void
-Entry::ServeCompletion(const HttpRequest& aRequest, const HttpReplyPtr& aReply)
+Entry::ServeCompletion(HttpRequest aRequest, const HttpReplyPtr& aReply)
 {
   const auto params = ParseCompletionRequest(aRequest.body_);
   if (!params) {
@@ -249,7 +250,7 @@
   UpstreamMessage message{ "POST",
                            std::string(kCompletionPath),
                            EndToEndHeaders(aRequest.headers_),
-                           aRequest.body_ };
+                           std::move(aRequest.body_) };
   SubmitLive(std::move(spec).value(),
              std::move(message),
              ClassifyCompletion,
--- a/src/programs/entryd/entry.hpp
+++ b/src/programs/entryd/entry.hpp
@@ -36,8 +36,8 @@
 
   void OnHttp(HttpRequest aRequest, const HttpReplyPtr& aReply);
   void OnRpc(RpcCall aCall, RpcDone aDone);
-  void ServeCall(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
-  void ServeCompletion(const HttpRequest& aRequest, const HttpReplyPtr& aReply);
+  void ServeCall(HttpRequest aRequest, const HttpReplyPtr& aReply);
+  void ServeCompletion(HttpRequest aRequest, const HttpReplyPtr& aReply);
   void Generate(const GenerateRequest& aRequest,
                 const RpcCall& aCall,
                 RpcDone aDone);
@@ -45,6 +45,7 @@
   [[nodiscard]] Result<RequestSpec> MakeSpec(const HttpRequest& aRequest,
                                              const ServiceId& aService);
   /// Claims the request's idempotency key if it has one, then runs it.
+  /// @param aRequest its body is that of the message
   void SubmitLive(RequestSpec aSpec,
                   UpstreamMessage aMessage,
                   ResponseClassifier aClassify,
--- a/src/programs/entryd/stream_relay.cpp
+++ b/src/programs/entryd/stream_relay.cpp
@@ -19,7 +19,7 @@
 
 StreamRelay::StreamRelay(HttpClient& aClient,
                          HttpReplyPtr aReply,
-                         std::string aBody)
+                         HttpBody aBody)
   : client_(aClient)
   , reply_(std::move(aReply))
   , body_(std::move(aBody))
@@ -34,7 +34,7 @@
   errorBody_.clear();
   aCall.body_ = body_;
   if (stream_.Tokens() > 0) {
-    Json body = ParseJson(body_);
+    Json body = ParseJson(body_.Get());
     body["resume_from"] = stream_.Tokens();
     body["resume_text"] = stream_.Text();
     aCall.body_ = body.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/programs/entryd/stream_relay.hpp
+++ b/src/programs/entryd/stream_relay.hpp
@@ -16,7 +16,7 @@
 {
 public:
   /// @param aBody body of the caller's request
-  StreamRelay(HttpClient& aClient, HttpReplyPtr aReply, std::string aBody);
+  StreamRelay(HttpClient& aClient, HttpReplyPtr aReply, HttpBody aBody);
 
   void Prepare(HttpCall& aCall) override;
   void OnSent(HttpCallId aCall) override;
@@ -35,7 +35,7 @@
 
   HttpClient& client_;
   HttpReplyPtr reply_;
-  std::string body_;
+  HttpBody body_;
   CompletionStream stream_;
   int status_ = 0;
   std::string errorBody_;
--- a/src/programs/entryd/upstream_message.hpp
+++ b/src/programs/entryd/upstream_message.hpp
@@ -13,7 +13,7 @@
   /// Path and query.
   std::string target_;
   HttpHeaders headers_;
-  std::string body_;
+  HttpBody body_;
   /// Receives the response incrementally if set; the result then has no body.
   std::shared_ptr<AttemptSink> sink_{};
 };
--- a/src/programs/gatewayd/forwarder.cpp
+++ b/src/programs/gatewayd/forwarder.cpp
@@ -45,7 +45,7 @@
     FingerprintOf(pending.request_.method_,
                   FindHeader(pending.request_.headers_, "Host").value_or(""),
                   pending.request_.target_,
-                  pending.request_.body_);
+                  pending.request_.body_.Get());
   if (pending.request_.reply_) {
     pending.stream_ = MakeStream(pending.request_);
   }
--- a/src/programs/gatewayd/forwarder.hpp
+++ b/src/programs/gatewayd/forwarder.hpp
@@ -30,7 +30,7 @@
   /// Path and query.
   std::string target_;
   HttpHeaders headers_;
-  std::string body_;
+  HttpBody body_;
   ServiceId service_;
   RouteKind kind_ = RouteKind::Idempotent;
   /// Streams only: another upstream can continue after the last event received.
--- a/src/runtime/curl_transfer.cpp
+++ b/src/runtime/curl_transfer.cpp
@@ -294,10 +294,10 @@
     call_.method_ == "POST" ? nullptr : call_.method_.c_str();
   curl_easy_setopt(easy_, CURLOPT_POST, 1L);
   curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, custom);
-  curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, call_.body_.data());
+  curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, call_.body_.Get().data());
   curl_easy_setopt(easy_,
                    CURLOPT_POSTFIELDSIZE_LARGE,
-                   static_cast<curl_off_t>(call_.body_.size()));
+                   static_cast<curl_off_t>(call_.body_.Get().size()));
 }
 
 void
--- a/tests/crash_simulation.cpp
+++ b/tests/crash_simulation.cpp
@@ -276,7 +276,7 @@
         client.Answer(call, fakes_.NotRun(call, 503));
         continue;
       }
-      const bool scoring = call.call_.body_.starts_with(kScorePrefix);
+      const bool scoring = call.call_.body_.Get().starts_with(kScorePrefix);
       const Duration work = crashing
                               ? RandomMillis(kMinCrashMillis, kMaxCrashMillis)
                             : scoring ? RandomMillis(40, 140)
--- a/tests/test_order_duty.cpp
+++ b/tests/test_order_duty.cpp
@@ -453,7 +453,7 @@
     JsonResponse(200, R"({"busy":false,"seq":0,"models":[]})"));
   fakes.timers_.Advance(100ms);
   REQUIRE_FALSE(fakes.client_.open_.empty());
-  CHECK(fakes.client_.Oldest().call_.body_.find(R"("version":2)") !=
+  CHECK(fakes.client_.Oldest().call_.body_.Get().find(R"("version":2)") !=
         std::string::npos);
   // A later value of the same key.
   put("odd", "1");
--- a/tests/test_platform_formats.cpp
+++ b/tests/test_platform_formats.cpp
@@ -228,7 +228,7 @@
     "m", WeightVersion{ 3 }, "me", FencingNumber{ 41 }, 2
   };
   finishing.runsFinish_ = true;
-  REQUIRE(
-    kPlatform->MakeOrder(upstream, finishing).body_.find(R"("mode":"block")") !=
-    std::string::npos);
+  REQUIRE(kPlatform->MakeOrder(upstream, finishing)
+            .body_.Get()
+            .find(R"("mode":"block")") != std::string::npos);
 }
--- a/tests/usage_fixture.hpp
+++ b/tests/usage_fixture.hpp
@@ -30,9 +30,9 @@
       return 409;
     }
     highest_ = *fence;
-    const std::size_t at = aCall.body_.find(R"("window":)");
+    const std::size_t at = aCall.body_.Get().find(R"("window":)");
     REQUIRE(at != std::string::npos);
-    const std::string window = aCall.body_.substr(at);
+    const std::string window = aCall.body_.Get().substr(at);
     const auto [known, added] = accepted_.emplace(window, aCall.body_);
     REQUIRE(known->second == aCall.body_);
     return 200;
