Daemons: memory of large blocks goes back to the system when they are freed

What callers saw: a crowd of bodies in chunks took up to 175 MB of an entry daemon, though CallerLimits bounds what is held to 96 MB.

Cause: the first large block that is freed raises the allocator's threshold, so that later ones come from its heaps; bodies that grow together there leave holes that the larger ones after them cannot use.

Change: a fixed threshold of 256 KiB for blocks that have a mapping of their own; bodies of unknown size grow by doubling up to the limit, in such mappings.

--- a/include/marjoramtally/runtime/program.hpp
+++ b/include/marjoramtally/runtime/program.hpp
@@ -47,6 +47,12 @@
 [[nodiscard]] Checked<IniDocument>
 LoadSettings(const std::string& aFile);
 
+/// Makes the allocator give large blocks back to the system when they are
+/// freed. Otherwise it keeps them after the first ones, as parts of a heap that
+/// others fragment. Call before any thread is started.
+void
+ReturnLargeBlocks();
+
 /// Blocks SIGTERM and SIGINT in all threads started afterwards.
 void
 BlockStopSignals();
--- a/src/programs/controld/main.cpp
+++ b/src/programs/controld/main.cpp
@@ -33,6 +33,7 @@
 int
 main(int aArgc, char** aArgv)
 {
+  ReturnLargeBlocks();
   int code = kExitOk;
   auto settings = StartDaemon(
     aArgc,
--- a/src/programs/entryd/main.cpp
+++ b/src/programs/entryd/main.cpp
@@ -8,6 +8,7 @@
 main(int aArgc, char** aArgv)
 {
   using namespace marjoramtally;
+  ReturnLargeBlocks();
   int code = kExitOk;
   auto settings =
     StartDaemon(aArgc,
--- a/src/programs/gatewayd/main.cpp
+++ b/src/programs/gatewayd/main.cpp
@@ -15,6 +15,7 @@
   using namespace marjoramtally;
   // A stop signal that arrives during start-up stays pending until `Run`.
   BlockDaemonSignals();
+  ReturnLargeBlocks();
   int code = kExitOk;
   auto settings =
     StartGatewayDaemon(aArgc,
--- a/src/programs/orderd/main.cpp
+++ b/src/programs/orderd/main.cpp
@@ -18,6 +18,7 @@
   using namespace marjoramtally;
   // A stop signal that arrives during startup is handled by `Run`.
   BlockDaemonSignals();
+  ReturnLargeBlocks();
   int code = kExitOk;
   auto settings = StartGatewayDaemon(
     aArgc,
--- a/src/runtime/caller_socket.cpp
+++ b/src/runtime/caller_socket.cpp
@@ -20,10 +20,6 @@
 
 namespace {
 
-/// Bodies whose size is not known beforehand grow by doubling up to this size,
-/// and then get the room of the largest one. Only the part of it that is used
-/// takes memory.
-constexpr std::size_t kDoubledBytes = 1U << 20U;
 /// The fields of a head are kept as text and as a list.
 constexpr std::uint64_t kFieldCopies = 2;
 
@@ -301,8 +297,8 @@
   }
   try {
     if (size > CallerLimits::kSmallBytes && size > body.capacity()) {
-      const std::size_t doubled =
-        size > kDoubledBytes ? connection.maxBodyBytes_ : 2 * body.capacity();
+      const std::uint64_t doubled =
+        std::min<std::uint64_t>(2 * size, connection.maxBodyBytes_);
       body.reserve(connection.bodyBytes_ > 0 ? connection.bodyBytes_ : doubled);
     }
     body.append(aBytes);
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <unistd.h>
 
@@ -109,6 +110,18 @@
   return ParseIni(aFile, text.value());
 }
 
+void
+ReturnLargeBlocks()
+{
+  // Bodies of requests and responses; the blocks of ordinary work are smaller.
+  constexpr int kLargeBlockBytes = 256 << 10;
+  // Setting a threshold also fixes this one, at a value that would move the end
+  // of the heap with every burst.
+  constexpr int kFreeHeapBytes = 8 << 20;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kFreeHeapBytes);
+}
+
 void
 BlockStopSignals()
 {
